--- /dev/null
+++ b/apps/platform_main.cc
@@ -0,0 +1,40 @@
+/// @file
+/// `stoathold`: a node on the users' platform, told everything by the platform's settings file.
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "base/event_log.h"
+#include "platform/platform_node.h"
+#include "platform/platform_settings.h"
+
+namespace {
+
+constexpr int kExitSettings = 2;
+constexpr const char* kSettingsVariable = "STOATHOLD_NODE_FILE";
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"A stoathold node on the platform: online and batch inference for its callers."};
+  std::string file;
+  bool check_only = false;
+  std::string level = "info";
+  app.add_option("--settings", file, "Settings file (YAML)")->envname(kSettingsVariable);
+  app.add_flag("--check-settings", check_only, "Check the settings and exit");
+  app.add_option("--log-level", level, "Least level that is logged")
+      ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+  app.set_version_flag("--version", std::string(STOATHOLD_VERSION));
+  CLI11_PARSE(app, argc, argv);
+
+  stoathold::platform::PlatformSettings settings;
+  const auto faults = stoathold::platform::read_platform_settings(file, settings);
+  for (const auto& fault : faults) std::cerr << file << ": " << fault << "\n";
+  if (!faults.empty()) return kExitSettings;
+  if (check_only) {
+    std::cout << "settings are correct\n";
+    return 0;
+  }
+  stoathold::start_event_log(stoathold::LogFormat::kJson, stoathold::parse_event_level(level));
+  return stoathold::platform::run_platform_node(settings, file);
+}
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -62,6 +62,22 @@
                "A runner failed repeatedly and gets no work for a while."},
     EventEntry{Event::kRunnerRecovered, "runner_recovered", EventLevel::kInfo,
                "An ejected runner served again."},
+    EventEntry{Event::kAttemptFailed, "attempt_failed", EventLevel::kInfo,
+               "One attempt of a request at a runner did not serve it."},
+    EventEntry{Event::kRequestUnanswered, "request_unanswered", EventLevel::kInfo,
+               "No runner's answer could be passed on; the caller got the gateway's own status."},
+    EventEntry{Event::kNoRoute, "no_route", EventLevel::kInfo,
+               "The configuration in force has no route for a request; it got 404."},
+    EventEntry{Event::kRequestServed, "request_served", EventLevel::kInfo,
+               "A runner's whole answer was passed on."},
+    EventEntry{Event::kRequestEnded, "request_ended", EventLevel::kInfo,
+               "A request ended in another way than with a runner's whole answer."},
+    EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
+               "The directory lists a runner, or lists it with other values."},
+    EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
+               "The directory no longer lists a runner; it gets no new work."},
+    EventEntry{Event::kRecordMalformed, "record_malformed", EventLevel::kWarning,
+               "A record of the store could not be read and was passed over."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
@@ -119,6 +135,12 @@
   return kCatalogue;
 }
 
+EventLevel parse_event_level(std::string_view name) {
+  const auto found = std::find(kLevelNames.begin(), kLevelNames.end(), name);
+  if (found == kLevelNames.end()) return EventLevel::kInfo;
+  return static_cast<EventLevel>(found - kLevelNames.begin());
+}
+
 void start_event_log(LogFormat format, EventLevel least) {
   auto& sink = event_sink();
   sink = {format, least, true};
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -35,6 +35,14 @@
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
   kRunnerRecovered = 1504,
+  kAttemptFailed = 1505,
+  kRequestUnanswered = 1506,
+  kNoRoute = 1507,
+  kRequestServed = 1508,
+  kRequestEnded = 1509,
+  kRunnerListed = 1601,
+  kRunnerGone = 1602,
+  kRecordMalformed = 1603,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
@@ -59,6 +67,9 @@
 /// Form of a log line.
 enum class LogFormat : std::uint8_t { kText, kJson };
 
+/// Returns the level of that name; `kInfo` if there is none.
+EventLevel parse_event_level(std::string_view name);
+
 /// Sets up logging to standard error. Called once, at start.
 void start_event_log(LogFormat format, EventLevel least);
 /// Writes one event. Thread safe.
--- a/src/base/random.cc
+++ b/src/base/random.cc
@@ -10,4 +10,13 @@
   return mixed ^ (mixed >> 31U);
 }
 
+Random& process_random() {
+  static Random random(0);
+  return random;
+}
+
+void seed_process_random(std::uint64_t seed) {
+  process_random() = Random(seed);
+}
+
 }  // namespace stoathold
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -25,4 +25,10 @@
   std::uint64_t state_;
 };
 
+/// The generator for jitter and tie breaking in a real process; never used by the core, whose
+/// generators belong to the simulation. Not thread safe: for the thread that runs the event loop.
+Random& process_random();
+/// Seeds it, so that processes started at the same moment differ.
+void seed_process_random(std::uint64_t seed);
+
 }  // namespace stoathold
--- /dev/null
+++ b/src/gateway/event_framer.cc
@@ -0,0 +1,90 @@
+#include "gateway/event_framer.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace stoathold {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data:";
+
+/// Returns the first line of `text`, without its end, and removes it from `text`.
+std::string_view take_line(std::string_view& text) {
+  const std::size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
+/// Returns a field's value if the line is that field: one space behind the colon is not part of it.
+std::optional<std::string_view> field_value(std::string_view line, std::string_view field) {
+  if (!line.starts_with(field)) return std::nullopt;
+  line.remove_prefix(field.size());
+  if (line.starts_with(' ')) line.remove_prefix(1);
+  return line;
+}
+
+std::optional<std::uint64_t> event_id(std::string_view raw) {
+  while (!raw.empty()) {
+    const std::string_view line = take_line(raw);
+    const auto value = field_value(line, kIdField);
+    if (!value) continue;
+    std::uint64_t id = 0;
+    const auto result = std::from_chars(value->data(), value->data() + value->size(), id);
+    if (result.ec != std::errc{} || result.ptr != value->data() + value->size()) return {};
+    return id;
+  }
+  return std::nullopt;
+}
+
+/// Returns the position behind the first blank line, or npos.
+std::size_t find_event_end(std::string_view text) {
+  std::size_t line_start = 0;
+  while (true) {
+    const std::size_t end = text.find('\n', line_start);
+    if (end == std::string_view::npos) return end;
+    const bool blank = end == line_start || (end == line_start + 1 && text[line_start] == '\r');
+    if (blank) return end + 1;
+    line_start = end + 1;
+  }
+}
+
+}  // namespace
+
+std::string event_data(std::string_view raw) {
+  std::string data;
+  bool first = true;
+  while (!raw.empty()) {
+    const std::string_view line = take_line(raw);
+    const auto value = field_value(line, kDataField);
+    if (!value) continue;
+    if (!first) data.push_back('\n');
+    data.append(*value);
+    first = false;
+  }
+  return data;
+}
+
+bool EventFramer::feed(std::string_view bytes) {
+  buffer_.erase(0, position_);
+  position_ = 0;
+  buffer_.append(bytes);
+  return buffer_.size() <= kMaxEventBytes;
+}
+
+std::optional<StreamEvent> EventFramer::next() {
+  const std::string_view unread = rest();
+  const std::size_t end = find_event_end(unread);
+  if (end == std::string_view::npos) return std::nullopt;
+  position_ += end;
+  const std::string_view raw = unread.substr(0, end);
+  return StreamEvent{raw, event_id(raw)};
+}
+
+std::string_view EventFramer::rest() const {
+  return std::string_view(buffer_).substr(position_);
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,87 @@
+#include "gateway/gateway.h"
+
+#include "base/event_log.h"
+#include "gateway/log_fields.h"
+#include "gateway/online_request.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// A node that knows no configuration yet asks callers to come back after this time, in seconds.
+constexpr const char* kNotReadyRetrySeconds = "0.3";
+
+std::string_view kind_name(RouteKind kind) {
+  switch (kind) {
+    case RouteKind::kSafe:
+      return "safe";
+    case RouteKind::kUnsafe:
+      return "unsafe";
+    case RouteKind::kStreaming:
+      return "streaming";
+    case RouteKind::kBatch:
+      break;
+  }
+  return "batch";
+}
+
+std::string_view path_of(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewayContext& context, BatchSubmissionHandler submit_batch)
+    : context_(context), submit_batch_(std::move(submit_batch)) {}
+
+asio::awaitable<void> Gateway::serve(HttpExchange& exchange) {
+  const auto configuration = context_.configuration;
+  if (!configuration) {
+    ++context_.metrics.refusals["no_configuration"];
+    std::vector<HttpHeader> headers{{"Retry-After", kNotReadyRetrySeconds}};
+    co_await exchange.respond(503, "application/json", R"({"error":"not_ready"})",
+                              std::move(headers));
+    co_return;
+  }
+  const std::string host = normalize_host(exchange.header("Host"));
+  const Route* route = configuration->find_route(host, path_of(exchange.target()));
+  if (route == nullptr) {
+    ++context_.metrics.refusals["no_route"];
+    log_event(Event::kNoRoute,
+              {{"request", std::string(exchange.header(context_.dialect.request_id))},
+               {"host", host},
+               {"configuration", std::to_string(configuration->version)}});
+    co_await exchange.respond(404, "application/json", R"({"error":"no_route"})");
+    co_return;
+  }
+  if (exchange.header(context_.dialect.request_id).empty()) {
+    co_await exchange.respond(400, "application/json", R"({"error":"no_request_id"})");
+    co_return;
+  }
+  co_await serve_route(exchange, configuration, *route);
+}
+
+asio::awaitable<void> Gateway::serve_route(
+    HttpExchange& exchange, std::shared_ptr<const ServingConfiguration> configuration,
+    const Route& route) {
+  if (route.kind == RouteKind::kBatch) {
+    co_await submit_batch_(exchange, configuration, route);
+    co_return;
+  }
+  const TimePoint start = monotonic_now();
+  const auto request = std::make_shared<OnlineRequest>(context_, exchange, configuration, route);
+  const RequestOutcome outcome = co_await request->serve();
+  const std::string kind(kind_name(route.kind));
+  ++context_.metrics.requests[{kind, std::string(to_string(outcome))}];
+  const Event event =
+      outcome == RequestOutcome::kServed ? Event::kRequestServed : Event::kRequestEnded;
+  log_event(event, {{"request", request->id()},
+                    {"route", route.name},
+                    {"outcome", std::string(to_string(outcome))},
+                    {"configuration", std::to_string(configuration->version)},
+                    {"runs", std::to_string(request->runs())},
+                    {"duration_ms", milliseconds_text(monotonic_now() - start)}});
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,35 @@
+/// @file
+/// Takes callers' requests: finds the route, serves it, keeps count for a planned stop.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+
+#include "gateway/gateway_context.h"
+#include "net/http.h"
+
+namespace stoathold {
+
+/// Serves requests of routes that take batch jobs.
+using BatchSubmissionHandler = std::function<boost::asio::awaitable<void>(
+    HttpExchange&, std::shared_ptr<const ServingConfiguration>, const Route&)>;
+
+/// The entrance for callers. Used on one thread; outlives all requests.
+class Gateway {
+ public:
+  Gateway(GatewayContext& context, BatchSubmissionHandler submit_batch);
+
+  /// Serves one request.
+  boost::asio::awaitable<void> serve(HttpExchange& exchange);
+
+ private:
+  boost::asio::awaitable<void> serve_route(
+      HttpExchange& exchange, std::shared_ptr<const ServingConfiguration> configuration,
+      const Route& route);
+
+  GatewayContext& context_;
+  BatchSubmissionHandler submit_batch_;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/gateway_context.h
@@ -0,0 +1,36 @@
+/// @file
+/// What every request of the gateway shares.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "gateway/gateway_metrics.h"
+#include "gateway/header_dialect.h"
+#include "gateway/upstream.h"
+#include "routing/configuration.h"
+#include "routing/runner_registry.h"
+#include "routing/traffic_split.h"
+
+namespace stoathold {
+
+/// State of one gateway process. Owned by the program, outlives all requests; one thread.
+struct GatewayContext {
+  GatewayContext(boost::asio::any_io_executor executor_in, HeaderDialect dialect_in,
+                 std::string zone_in)
+      : executor(std::move(executor_in)),
+        dialect(std::move(dialect_in)),
+        zone(std::move(zone_in)),
+        pool(executor, dialect) {}
+
+  boost::asio::any_io_executor executor;
+  HeaderDialect dialect;
+  std::string zone;
+  std::shared_ptr<const ServingConfiguration> configuration;  ///< Null until the first is known.
+  RunnerRegistry runners;
+  TrafficSplit split;
+  UpstreamPool pool;
+  GatewayMetrics metrics;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,46 @@
+/// @file
+/// Counters of the gateway, read by the metrics page.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "base/time.h"
+
+namespace stoathold {
+
+/// Counts durations into buckets with fixed bounds.
+class LatencyHistogram {
+ public:
+  /// Upper bounds of the buckets in milliseconds; a last one without bound follows.
+  static constexpr std::array<double, 12> kBoundsMs{5,   10,  20,  50,   100,  200,
+                                                    300, 500, 800, 1200, 2000, 5000};
+
+  void observe(Duration duration);
+  [[nodiscard]] const std::array<std::uint64_t, kBoundsMs.size() + 1>& buckets() const {
+    return buckets_;
+  }
+  [[nodiscard]] double sum_seconds() const { return sum_seconds_; }
+
+ private:
+  std::array<std::uint64_t, kBoundsMs.size() + 1> buckets_{};
+  double sum_seconds_ = 0;
+};
+
+/// Counters of one process since its start. Used on one thread.
+struct GatewayMetrics {
+  std::map<std::pair<std::string, std::string>, std::uint64_t> requests;  ///< Route kind, outcome.
+  std::map<std::string, std::uint64_t> attempts;                          ///< By outcome.
+  std::map<std::string, std::uint64_t> refusals;                          ///< By reason.
+  std::map<std::string, std::uint64_t> store_calls;                       ///< By outcome.
+  std::map<std::string, std::uint64_t> batch_items;                       ///< By outcome of a run.
+  std::uint64_t resumes = 0;
+  std::uint64_t requests_open = 0;
+  LatencyHistogram first_event;  ///< From a request's arrival to the first byte of its answer.
+  LatencyHistogram event_gap;    ///< Between two pieces of a stream.
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/headers.cc
@@ -0,0 +1,59 @@
+#include "gateway/headers.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace stoathold {
+
+bool same_header_name(std::string_view left, std::string_view right) {
+  return std::equal(
+      left.begin(), left.end(), right.begin(), right.end(),
+      [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+bool is_connection_header(std::string_view name) {
+  static constexpr std::array<std::string_view, 11> kNames{"connection",
+                                                           "keep-alive",
+                                                           "proxy-connection",
+                                                           "proxy-authenticate",
+                                                           "proxy-authorization",
+                                                           "te",
+                                                           "trailer",
+                                                           "transfer-encoding",
+                                                           "upgrade",
+                                                           "content-length",
+                                                           "expect"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&](std::string_view candidate) { return same_header_name(candidate, name); });
+}
+
+bool names_header(std::string_view connection, std::string_view name) {
+  while (!connection.empty()) {
+    const std::size_t comma = connection.find(',');
+    std::string_view field = connection.substr(0, comma);
+    connection.remove_prefix(comma == std::string_view::npos ? connection.size() : comma + 1);
+    while (field.starts_with(' ')) field.remove_prefix(1);
+    while (field.ends_with(' ')) field.remove_suffix(1);
+    if (same_header_name(field, name)) return true;
+  }
+  return false;
+}
+
+std::optional<LoadReport> parse_load(std::string_view text) {
+  std::array<std::uint32_t, 3> numbers{};
+  const char* position = text.data();
+  const char* end = text.data() + text.size();
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    while (position != end && *position == ' ') ++position;
+    const auto result = std::from_chars(position, end, numbers[i]);
+    if (result.ec != std::errc{}) return std::nullopt;
+    position = result.ptr;
+    const bool last = i + 1 == numbers.size();
+    if (!last && (position == end || *position++ != ',')) return std::nullopt;
+  }
+  return LoadReport{numbers[0], numbers[1], numbers[2]};
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/headers.h
@@ -0,0 +1,23 @@
+/// @file
+/// Reading of header fields. Names are compared without regard to case.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "net/http.h"
+#include "routing/runner_registry.h"
+
+namespace stoathold {
+
+/// Whether two header names are the same.
+bool same_header_name(std::string_view left, std::string_view right);
+/// Whether a header concerns one connection only and is not passed on.
+bool is_connection_header(std::string_view name);
+/// Whether a `Connection` header's value names this header as one of its own.
+bool names_header(std::string_view connection, std::string_view name);
+/// Reads `running,waiting,slots`; nothing if it is malformed.
+std::optional<LoadReport> parse_load(std::string_view text);
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/online_request.cc
@@ -0,0 +1,395 @@
+#include "gateway/online_request.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "gateway/headers.h"
+#include "gateway/log_fields.h"
+#include "gateway/prompt_prefix.h"
+#include "routing/runner_selector.h"
+#include "server/http_target.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Time for a connection to come up; a runner that takes longer is passed over.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+/// Times the latency objective that a request which may be repeated waits for a silent runner.
+constexpr double kFirstEventPatience = 1.5;
+/// Times the event gap objective that a resumable stream waits for its next event.
+constexpr double kEventGapPatience = 1.6;
+/// No runner is given up as silent sooner.
+constexpr Duration kShortestPatience = std::chrono::milliseconds(300);
+/// Runners that may turn a request away before it is refused.
+constexpr std::uint32_t kMaxSends = 6;
+/// A request that is not run now is told to come back after this time, in seconds.
+constexpr const char* kRetryAfterSeconds = "0.2";
+/// Assumed where neither caller nor route bounds a request.
+constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
+
+Duration scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+std::string_view to_string(RequestOutcome outcome) {
+  switch (outcome) {
+    case RequestOutcome::kServed:
+      return "served";
+    case RequestOutcome::kRefused:
+      return "refused";
+    case RequestOutcome::kFailed:
+      return "failed";
+    case RequestOutcome::kBrokenOff:
+      return "broken_off";
+    case RequestOutcome::kTimedOut:
+      return "timed_out";
+    case RequestOutcome::kCallerGone:
+      break;
+  }
+  return "caller_gone";
+}
+
+OnlineRequest::OnlineRequest(GatewayContext& context, HttpExchange& exchange,
+                             std::shared_ptr<const ServingConfiguration> configuration,
+                             const Route& route)
+    : context_(context),
+      exchange_(exchange),
+      configuration_(std::move(configuration)),
+      route_(route),
+      service_(context.split.next_service(route)),
+      arrival_(monotonic_now()),
+      deadline_timer_(exchange.executor()) {
+  read_request();
+}
+
+void OnlineRequest::read_request() {
+  const HeaderDialect& dialect = context_.dialect;
+  Duration allowed = route_.timeout.count() > 0 ? route_.timeout : kDefaultTimeout;
+  const auto told = parse_number(exchange_.header(dialect.deadline_ms));
+  if (told) allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*told));
+  deadline_ = arrival_ + allowed;
+  id_ = std::string(exchange_.header(dialect.request_id));
+  last_event_ = parse_number(exchange_.header(dialect.last_event_id));
+  const std::string_view connection = exchange_.header("Connection");
+  for (auto& header : exchange_.headers()) {
+    const bool replaced = same_header_name(header.name, dialect.deadline_ms) ||
+                          same_header_name(header.name, dialect.expected_instance) ||
+                          (last_event_ && same_header_name(header.name, dialect.last_event_id));
+    if (replaced || is_connection_header(header.name)) continue;
+    if (names_header(connection, header.name)) continue;
+    forwarded_headers_.push_back(std::move(header));
+  }
+  if (route_.prefix_affinity) {
+    const PromptPrefix prefix = parse_prompt_prefix(exchange_.header(dialect.prompt_prefix));
+    affinity_key_ = prefix.shared_key;
+    long_prefix_ = prefix.is_long();
+  }
+}
+
+void OnlineRequest::start_watches() {
+  exchange_.watch_disconnect([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self) self->stop(RequestOutcome::kCallerGone);
+  });
+  deadline_timer_.expires_after(std::max(Duration{0}, deadline_ - arrival_));
+  deadline_timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self) self->stop(RequestOutcome::kTimedOut);
+  });
+}
+
+void OnlineRequest::stop(RequestOutcome outcome) {
+  if (stopped_) return;
+  stopped_ = true;
+  outcome_ = outcome;
+  if (upstream_) upstream_->cancel();
+  if (head_sent_ || outcome == RequestOutcome::kCallerGone) exchange_.abort();
+}
+
+asio::awaitable<RequestOutcome> OnlineRequest::serve() {
+  const auto self = shared_from_this();
+  ++context_.metrics.requests_open;
+  start_watches();
+  co_await run_attempts();
+  deadline_timer_.cancel();
+  --context_.metrics.requests_open;
+  co_return outcome_;
+}
+
+asio::awaitable<void> OnlineRequest::run_attempts() {
+  while (!stopped_) {
+    SelectionRequest request{service_, context_.zone, affinity_key_, long_prefix_, 0, tried_};
+    const Selection selection = select_runner(context_.runners, request, monotonic_now());
+    if (!selection.runner || sends_ >= kMaxSends) break;
+    ++sends_;
+    tried_.push_back(selection.runner->record().id);
+    const Attempt result = co_await attempt(selection.runner);
+    if (result == Attempt::kDone || result == Attempt::kStopped) co_return;
+    if (result == Attempt::kBroken) {
+      if (!may_run_again()) break;
+      if (head_sent_) ++context_.metrics.resumes;
+    }
+  }
+  co_await finish_without_answer();
+}
+
+bool OnlineRequest::may_run_again() const {
+  if (runs_ >= route_.max_attempts) return false;
+  return head_sent_ ? route_.resumable && last_event_ : route_.repeatable();
+}
+
+bool OnlineRequest::has_alternative(const Runner& /*runner*/) const {
+  if (runs_ + 1 >= route_.max_attempts) return false;
+  SelectionRequest request{service_, context_.zone, 0, false, 0, tried_};
+  return select_runner(context_.runners, request, monotonic_now()).runner != nullptr;
+}
+
+UpstreamRequest OnlineRequest::build_request(const Runner& runner) const {
+  const HeaderDialect& dialect = context_.dialect;
+  UpstreamRequest request;
+  request.address = runner.record().address;
+  request.method = std::string(exchange_.method());
+  request.target = std::string(exchange_.target());
+  request.body = exchange_.body();
+  request.request_id = id_;
+  request.allow_reuse = route_.repeatable();
+  request.headers = forwarded_headers_;
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - monotonic_now());
+  const auto left_ms = std::max<std::int64_t>(1, left.count());
+  request.headers.push_back({dialect.deadline_ms, std::to_string(left_ms)});
+  request.headers.push_back({dialect.expected_instance, runner.record().id});
+  if (last_event_) request.headers.push_back({dialect.last_event_id, std::to_string(*last_event_)});
+  return request;
+}
+
+void OnlineRequest::set_patience(Duration patience) {
+  const TimePoint until = monotonic_now() + std::max(patience, kShortestPatience);
+  upstream_->set_deadline(std::min(until, deadline_));
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::attempt(
+    const std::shared_ptr<Runner>& runner) {
+  const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
+  upstream_ = upstream;
+  upstream->set_deadline(deadline_);
+  runner->begin_attempt();
+  UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
+  Attempt result = classify_failure(status);
+  if (status == UpstreamStatus::kOk) {
+    const bool impatient = route_.repeatable() && has_alternative(*runner);
+    if (impatient) set_patience(scale(route_.latency_objective, kFirstEventPatience));
+    status = co_await upstream->read_head();
+    result = classify_failure(status);
+    if (status == UpstreamStatus::kOk) {
+      note_load(*runner);
+      result = co_await take_answer(*runner);
+    }
+  }
+  if (result == Attempt::kBroken) ++runs_;
+  if (result == Attempt::kDone) {
+    upstream->release();
+  } else {
+    upstream->cancel();
+  }
+  upstream_.reset();
+  AttemptOutcome evidence = AttemptOutcome::kAbandoned;
+  if (result == Attempt::kDone) evidence = AttemptOutcome::kServed;
+  if (result == Attempt::kNotRun) evidence = AttemptOutcome::kNotRun;
+  if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
+  if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
+  runner->end_attempt(evidence, monotonic_now());
+  if (result != Attempt::kDone) log_attempt(*runner, result, status);
+  ++context_.metrics.attempts[std::string(to_string(status))];
+  co_return result;
+}
+
+OnlineRequest::Attempt OnlineRequest::classify_failure(UpstreamStatus status) const {
+  if (stopped_) return Attempt::kStopped;
+  return status == UpstreamStatus::kNotSent ? Attempt::kUnreachable : Attempt::kBroken;
+}
+
+void OnlineRequest::note_load(Runner& runner) {
+  const auto report = parse_load(upstream_->head().header(context_.dialect.load));
+  if (report) runner.take_report(*report, monotonic_now());
+}
+
+bool OnlineRequest::is_spoiled(const UpstreamHead& head) const {
+  const bool success = head.status >= 200 && head.status < 300;
+  if (!success) return false;
+  if (!head.header("Content-Encoding").empty()) return true;
+  return head.header(context_.dialect.response_signature).empty();
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::take_answer(Runner& runner) {
+  const UpstreamHead& head = upstream_->head();
+  constexpr int kMisdirected = 421;
+  constexpr int kServerError = 500;
+  const bool not_run = !head.header(context_.dialect.not_run).empty();
+  if (head.status == kMisdirected) {
+    runner.mark_leaving();
+    co_return Attempt::kNotRun;
+  }
+  if (not_run) co_return Attempt::kNotRun;
+  if (is_spoiled(head)) co_return Attempt::kBroken;
+  const bool promise = head.status == 429 || head.status == 503 || head.status == 408;
+  // Passed on, these statuses would promise that the request never runs.
+  if (promise && !route_.repeatable()) co_return Attempt::kBroken;
+  const bool success = head.status >= 200 && head.status < 300;
+  if (head_sent_ && !success) co_return Attempt::kBroken;
+  const bool another_run = runs_ + 1 < route_.max_attempts && route_.repeatable();
+  if (head.status >= kServerError && another_run) co_return Attempt::kBroken;
+  if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events();
+  co_return co_await relay_body();
+}
+
+asio::awaitable<bool> OnlineRequest::send_head() {
+  const UpstreamHead& upstream_head = upstream_->head();
+  ResponseHead head;
+  head.status = upstream_head.status;
+  head.framing = upstream_head.framing;
+  head.length = upstream_head.length;
+  for (const auto& header : upstream_head.headers) {
+    if (!is_connection_header(header.name)) head.headers.push_back(header);
+  }
+  head_sent_ = true;
+  context_.metrics.first_event.observe(monotonic_now() - arrival_);
+  const bool sent = co_await exchange_.start_response(head);
+  if (!sent) stop(RequestOutcome::kCallerGone);
+  co_return sent;
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_body() {
+  std::string_view view;
+  while (true) {
+    const UpstreamStatus status = co_await upstream_->read_body(view);
+    if (status != UpstreamStatus::kOk) co_return classify_failure(status);
+    if (!head_sent_) {
+      const bool sent = co_await send_head();
+      if (!sent) co_return Attempt::kStopped;
+    }
+    if (view.empty()) break;
+    const bool written = co_await exchange_.write(view);
+    if (!written) stop(RequestOutcome::kCallerGone);
+    if (stopped_) co_return Attempt::kStopped;
+  }
+  co_await exchange_.finish_stream();
+  outcome_ = RequestOutcome::kServed;
+  co_return Attempt::kDone;
+}
+
+asio::awaitable<bool> OnlineRequest::send_whole_events(std::string_view bytes, bool& spoiled) {
+  spoiled = !framer_.feed(bytes);
+  std::string pieces;
+  while (!spoiled) {
+    const auto event = framer_.next();
+    if (!event) break;
+    if (event->id) {
+      const bool expected = !last_event_ || *event->id == *last_event_ + 1;
+      if (!expected) spoiled = true;
+      if (!expected) break;
+      last_event_ = event->id;
+    }
+    pieces.append(event->raw);
+    ++pieces_;
+  }
+  if (pieces.empty()) co_return true;
+  if (!head_sent_) {
+    const bool sent = co_await send_head();
+    if (!sent) co_return false;
+  } else {
+    context_.metrics.event_gap.observe(monotonic_now() - last_piece_);
+  }
+  last_piece_ = monotonic_now();
+  const bool written = co_await exchange_.write(pieces);
+  if (!written) stop(RequestOutcome::kCallerGone);
+  co_return !stopped_;
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_events() {
+  framer_ = EventFramer{};
+  std::string_view view;
+  while (true) {
+    const UpstreamStatus status = co_await upstream_->read_body(view);
+    if (status != UpstreamStatus::kOk) co_return classify_failure(status);
+    if (view.empty()) break;
+    bool spoiled = false;
+    const bool delivered = co_await send_whole_events(view, spoiled);
+    if (!delivered) co_return Attempt::kStopped;
+    if (spoiled) co_return Attempt::kBroken;
+    const bool resumable = route_.resumable && runs_ + 1 < route_.max_attempts;
+    if (resumable) {
+      set_patience(scale(route_.event_gap_objective, kEventGapPatience));
+    } else {
+      upstream_->set_deadline(deadline_);
+    }
+  }
+  if (!framer_.rest().empty()) co_return Attempt::kBroken;
+  if (!head_sent_) {
+    const bool sent = co_await send_head();
+    if (!sent) co_return Attempt::kStopped;
+  }
+  co_await exchange_.finish_stream();
+  outcome_ = RequestOutcome::kServed;
+  co_return Attempt::kDone;
+}
+
+asio::awaitable<void> OnlineRequest::finish_without_answer() {
+  if (head_sent_) {
+    exchange_.abort();
+    if (!stopped_) outcome_ = RequestOutcome::kBrokenOff;
+    co_return;
+  }
+  if (stopped_ && outcome_ == RequestOutcome::kCallerGone) co_return;
+  if (stopped_) {
+    co_await refuse(504, RequestOutcome::kTimedOut, "deadline");
+  } else if (runs_ == 0) {
+    co_await refuse(503, RequestOutcome::kRefused, "no_runner");
+  } else {
+    co_await refuse(502, RequestOutcome::kFailed, "runner_failed");
+  }
+}
+
+asio::awaitable<void> OnlineRequest::refuse(int status, RequestOutcome outcome,
+                                            const char* reason) {
+  outcome_ = outcome;
+  ++context_.metrics.refusals[reason];
+  log_event(Event::kRequestUnanswered,
+            {{"request", id_},
+             {"route", route_.name},
+             {"status", std::to_string(status)},
+             {"reason", reason},
+             {"sends", std::to_string(sends_)},
+             {"runs", std::to_string(runs_)},
+             {"runners_known", std::to_string(context_.runners.of_service(service_).size())},
+             {"configuration", std::to_string(configuration_->version)},
+             {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
+  std::vector<HttpHeader> headers;
+  if (status == 503) headers.push_back({"Retry-After", kRetryAfterSeconds});
+  std::string body = std::string("{\"error\":\"") + reason + "\"}";
+  co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
+}
+
+void OnlineRequest::log_attempt(const Runner& runner, Attempt result, UpstreamStatus status) {
+  constexpr std::array<const char*, 5> kNames{"done", "not_run", "unreachable", "broken",
+                                              "stopped"};
+  const std::uint64_t last = last_event_.value_or(0);
+  log_event(Event::kAttemptFailed, {{"request", id_},
+                                    {"runner", runner.record().id},
+                                    {"address", runner.record().address},
+                                    {"result", kNames[static_cast<std::size_t>(result)]},
+                                    {"step", std::string(to_string(status))},
+                                    {"failures", std::to_string(runner.failures())},
+                                    {"last_event", std::to_string(last)},
+                                    {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/online_request.h
@@ -0,0 +1,106 @@
+/// @file
+/// One caller's request on its way through the gateway: attempts at runners, resumption, answer.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/event_framer.h"
+#include "gateway/gateway_context.h"
+#include "net/http.h"
+
+namespace stoathold {
+
+/// How a request ended, for logs and metrics.
+enum class RequestOutcome : std::uint8_t {
+  kServed,      ///< The runner's whole answer was passed on, whatever its status.
+  kRefused,     ///< Not run; the caller was told when to come back.
+  kFailed,      ///< It may have run, and there is no answer.
+  kBrokenOff,   ///< The answer ended early.
+  kTimedOut,    ///< Its time was up.
+  kCallerGone,  ///< The caller closed its connection.
+};
+
+/// Returns the outcome's name for logs.
+std::string_view to_string(RequestOutcome outcome);
+
+/// Serves one request. Lives in a shared pointer as long as its coroutine; the exchange outlives
+/// the coroutine.
+///
+/// A request that may not be repeated is answered "not run" (503) only while every runner that it
+/// was sent to has said so; once its fate is unknown the answer is 502 or 504.
+class OnlineRequest : public std::enable_shared_from_this<OnlineRequest> {
+ public:
+  OnlineRequest(GatewayContext& context, HttpExchange& exchange,
+                std::shared_ptr<const ServingConfiguration> configuration, const Route& route);
+
+  boost::asio::awaitable<RequestOutcome> serve();
+
+  /// Runners that may have run it.
+  [[nodiscard]] std::uint32_t runs() const { return runs_; }
+  [[nodiscard]] const std::string& id() const { return id_; }
+
+ private:
+  /// How one attempt ended.
+  enum class Attempt : std::uint8_t {
+    kDone,         ///< The answer was passed on whole.
+    kNotRun,       ///< This runner did not run it; another may.
+    kUnreachable,  ///< Nothing reached the runner; another may.
+    kBroken,       ///< It may have run; what came so far was passed on.
+    kStopped,      ///< The caller left or the time is up.
+  };
+
+  void read_request();
+  void start_watches();
+  boost::asio::awaitable<void> run_attempts();
+  boost::asio::awaitable<Attempt> attempt(const std::shared_ptr<Runner>& runner);
+  boost::asio::awaitable<Attempt> take_answer(Runner& runner);
+  boost::asio::awaitable<Attempt> relay_body();
+  boost::asio::awaitable<Attempt> relay_events();
+  boost::asio::awaitable<bool> send_head();
+  boost::asio::awaitable<bool> send_whole_events(std::string_view bytes, bool& spoiled);
+  boost::asio::awaitable<void> finish_without_answer();
+  boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason);
+
+  [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
+  [[nodiscard]] Attempt classify_failure(UpstreamStatus status) const;
+  [[nodiscard]] bool is_spoiled(const UpstreamHead& head) const;
+  [[nodiscard]] bool may_run_again() const;
+  [[nodiscard]] bool has_alternative(const Runner& runner) const;
+  void note_load(Runner& runner);
+  void log_attempt(const Runner& runner, Attempt result, UpstreamStatus status);
+  void stop(RequestOutcome outcome);
+  void set_patience(Duration patience);
+
+  GatewayContext& context_;
+  HttpExchange& exchange_;
+  std::shared_ptr<const ServingConfiguration> configuration_;
+  const Route& route_;
+  std::string service_;
+  std::string id_;
+  TimePoint arrival_;
+  TimePoint deadline_;
+  std::uint64_t affinity_key_ = 0;
+  bool long_prefix_ = false;
+  std::vector<HttpHeader> forwarded_headers_;
+
+  boost::asio::steady_timer deadline_timer_;
+  std::shared_ptr<UpstreamExchange> upstream_;
+  EventFramer framer_;
+  std::vector<std::string> tried_;
+  std::uint32_t sends_ = 0;
+  std::uint32_t runs_ = 0;
+  bool patience_ended_ = false;
+  bool head_sent_ = false;
+  bool stopped_ = false;
+  std::optional<std::uint64_t> last_event_;
+  TimePoint last_piece_{};
+  std::uint64_t pieces_ = 0;
+  RequestOutcome outcome_ = RequestOutcome::kFailed;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/upstream.h
@@ -0,0 +1,102 @@
+/// @file
+/// One request to a runner over HTTP/1.1: pooled connections, answers matched by request id, bodies
+/// read as they arrive. Boost.Beast stays in the .cc file.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/header_dialect.h"
+#include "net/http.h"
+
+namespace stoathold {
+
+/// How a step of an upstream request ended.
+enum class UpstreamStatus : std::uint8_t {
+  kOk,
+  kNotSent,    ///< No connection was made; the runner saw nothing.
+  kBroken,     ///< Reset, cut off or not an answer; the runner may have run it.
+  kTimeout,    ///< `set_deadline` passed; the runner may have run it.
+  kCancelled,  ///< `cancel` was called.
+};
+
+/// Returns the status' name for logs.
+std::string_view to_string(UpstreamStatus status);
+
+/// A request as it is sent; the framing headers are added.
+struct UpstreamRequest {
+  std::string address;  ///< `ip:port`.
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  std::string request_id;  ///< Answers that name another one are skipped.
+  /// Whether a connection may be used that the runner could be closing just now: the request may
+  /// then fail without a word, so only what may be repeated should allow it.
+  bool allow_reuse = true;
+};
+
+/// The head of an answer.
+struct UpstreamHead {
+  int status = 0;
+  std::vector<HttpHeader> headers;
+  BodyFraming framing = BodyFraming::kLength;
+  std::uint64_t length = 0;  ///< With `BodyFraming::kLength`.
+
+  /// Returns a header's value, or an empty view.
+  [[nodiscard]] std::string_view header(std::string_view name) const;
+};
+
+/// Idle connections to runners. Used on one thread; outlives its exchanges.
+class UpstreamPool {
+ public:
+  UpstreamPool(boost::asio::any_io_executor executor, HeaderDialect dialect);
+  ~UpstreamPool();
+  UpstreamPool(const UpstreamPool&) = delete;
+  UpstreamPool& operator=(const UpstreamPool&) = delete;
+
+  /// Connections made so far, for metrics.
+  [[nodiscard]] std::uint64_t connects() const;
+
+ private:
+  friend class UpstreamExchange;
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+/// One request and its answer. Held by a shared pointer, since the write of a long body may outlive
+/// the reader's interest. Used on one thread; `cancel` may be called while a read is suspended.
+class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
+ public:
+  explicit UpstreamExchange(UpstreamPool& pool);
+  ~UpstreamExchange();
+  UpstreamExchange(const UpstreamExchange&) = delete;
+  UpstreamExchange& operator=(const UpstreamExchange&) = delete;
+
+  /// Connects or takes an idle connection, and starts to send the request.
+  boost::asio::awaitable<UpstreamStatus> send(UpstreamRequest request, Duration connect_timeout);
+  /// Reads the head of the answer to this request.
+  boost::asio::awaitable<UpstreamStatus> read_head();
+  [[nodiscard]] const UpstreamHead& head() const;
+  /// Reads more of the body.
+  /// @param view set to the bytes; empty at the body's proper end. Valid until the next call.
+  boost::asio::awaitable<UpstreamStatus> read_body(std::string_view& view);
+  /// Steps that are not done by then end with `kTimeout`.
+  void set_deadline(TimePoint deadline);
+  /// Ends the request: the connection is closed, so that the runner stops work.
+  void cancel();
+  /// The whole answer was read: keeps the connection for others if it is fit for that.
+  void release();
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace stoathold
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -32,10 +32,26 @@
   Duration write_timeout = std::chrono::seconds(30);   ///< One write to a slow reader.
 };
 
+/// How the end of a response body is told.
+enum class BodyFraming : std::uint8_t {
+  kChunked,     ///< Chunks; the last one is empty.
+  kLength,      ///< `Content-Length`.
+  kUntilClose,  ///< The end of the connection; it is reset if the body is broken off.
+};
+
+/// The head of a response whose body is written piece by piece.
+struct ResponseHead {
+  int status = 200;
+  std::vector<HttpHeader> headers;  ///< Without those that frame the body.
+  BodyFraming framing = BodyFraming::kChunked;
+  std::uint64_t length = 0;  ///< Of the body in bytes, with `kLength`.
+};
+
 /// One request on a connection, and the means to answer it.
 ///
 /// Lives as long as its handler's coroutine; used on the connection's strand only. A handler either
-/// calls `respond` once, or `start_stream`, any number of `write`, and `finish_stream`.
+/// calls `respond` once, or `start_stream` or `start_response`, any number of `write`, and
+/// `finish_stream`.
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
@@ -44,6 +60,8 @@
   [[nodiscard]] virtual std::string_view target() const = 0;
   /// Returns a header's value, or an empty view.
   [[nodiscard]] virtual std::string_view header(std::string_view name) const = 0;
+  /// Returns all header fields in their order.
+  [[nodiscard]] virtual std::vector<HttpHeader> headers() const = 0;
   [[nodiscard]] virtual const std::string& body() const = 0;
   [[nodiscard]] virtual boost::asio::any_io_executor executor() const = 0;
 
@@ -53,12 +71,17 @@
                                                std::vector<HttpHeader> headers = {}) = 0;
   /// Sends the head of a chunked response. Returns false if the caller is gone.
   virtual boost::asio::awaitable<bool> start_stream(std::string_view content_type) = 0;
-  /// Sends one chunk. Returns false if the caller is gone.
+  /// Sends the head of a response. Returns false if the caller is gone.
+  virtual boost::asio::awaitable<bool> start_response(const ResponseHead& head) = 0;
+  /// Sends one piece of the body. Returns false if the caller is gone.
   virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
-  /// Ends a chunked response.
+  /// Ends a response that was started.
   virtual boost::asio::awaitable<void> finish_stream() = 0;
   /// Closes the connection without a proper end, so that the caller sees a broken answer.
   virtual void abort() = 0;
+  /// Calls `on_disconnect` at most once, on the connection's strand, if the caller closes the
+  /// connection before the handler has ended. Further pipelined requests stop the watch.
+  virtual void watch_disconnect(std::function<void()> on_disconnect) = 0;
 };
 
 /// Handles one request; runs on the connection's strand.
@@ -76,6 +99,12 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   void start();
+  /// Bounds for requests that are read from now on.
+  void set_limits(const HttpLimits& limits);
+  /// From now on every response closes its connection; new connections are still served.
+  void start_drain();
+  /// Closes the connections on which no request is being read or answered.
+  void close_idle();
   /// Closes the listening socket; open connections finish their request.
   void stop();
   /// The address bound, with the port that was taken.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,6 +1,8 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <mutex>
+#include <set>
 #include <system_error>
 
 #include "net/http.h"
@@ -16,11 +18,60 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr const char* kServerName = "stoathold";
 
+/// Notices that the caller closes its connection while its request is handled. One per connection;
+/// shared with the pending wait, which may outlive the request it was started for.
+class DisconnectWatch : public std::enable_shared_from_this<DisconnectWatch> {
+ public:
+  explicit DisconnectWatch(Tcp::socket& socket) : socket_(&socket) {}
+
+  void start(std::function<void()> on_disconnect) {
+    on_disconnect_ = std::move(on_disconnect);
+    if (waiting_) return;
+    waiting_ = true;
+    socket_->async_wait(Tcp::socket::wait_read,
+                        [self = shared_from_this()](boost::system::error_code error) {
+                          self->waiting_ = false;
+                          if (!error) self->check();
+                        });
+  }
+  /// The request has ended: nothing is called any more.
+  void forget() { on_disconnect_ = nullptr; }
+  /// The connection's socket is about to go.
+  void detach() {
+    forget();
+    socket_ = nullptr;
+  }
+
+ private:
+  void check() {
+    if (socket_ == nullptr || !on_disconnect_) return;
+    boost::system::error_code error;
+    char byte = 0;
+    socket_->non_blocking(true, error);
+    socket_->receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    if (!error || error == asio::error::would_block) return;
+    const auto call = std::move(on_disconnect_);
+    on_disconnect_ = nullptr;
+    call();
+  }
+
+  Tcp::socket* socket_;
+  std::function<void()> on_disconnect_;
+  bool waiting_ = false;
+};
+
 class Exchange final : public HttpExchange {
  public:
   Exchange(beast::tcp_stream& stream, http::request<http::string_body> request,
-           const HttpLimits& limits)
-      : stream_(stream), request_(std::move(request)), limits_(limits) {}
+           const HttpLimits& limits, const std::atomic<bool>& draining, DisconnectWatch& watch)
+      : stream_(stream),
+        request_(std::move(request)),
+        limits_(limits),
+        draining_(draining),
+        watch_(watch) {}
+  ~Exchange() override { watch_.forget(); }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
 
   std::string_view method() const override {
     const auto view = request_.method_string();
@@ -34,6 +85,13 @@
     const auto view = request_[beast::string_view(name.data(), name.size())];
     return {view.data(), view.size()};
   }
+  std::vector<HttpHeader> headers() const override {
+    std::vector<HttpHeader> headers;
+    for (const auto& field : request_.base()) {
+      headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return headers;
+  }
   const std::string& body() const override { return request_.body(); }
   asio::any_io_executor executor() const override {
     return const_cast<beast::tcp_stream&>(stream_).get_executor();
@@ -47,7 +105,7 @@
     response.set(http::field::content_type,
                  beast::string_view(content_type.data(), content_type.size()));
     for (const auto& header : headers) response.set(header.name, header.value);
-    response.keep_alive(request_.keep_alive());
+    response.keep_alive(may_keep_alive());
     response.body() = std::move(body);
     response.prepare_payload();
     stream_.expires_after(limits_.write_timeout);
@@ -58,13 +116,21 @@
   }
 
   asio::awaitable<bool> start_stream(std::string_view content_type) override {
-    http::response<http::empty_body> response{http::status::ok, request_.version()};
-    response.set(http::field::server, kServerName);
-    response.set(http::field::content_type,
-                 beast::string_view(content_type.data(), content_type.size()));
-    response.set(http::field::cache_control, "no-store");
-    response.keep_alive(request_.keep_alive());
-    response.chunked(true);
+    ResponseHead head;
+    head.headers.push_back({"Server", kServerName});
+    head.headers.push_back({"Content-Type", std::string(content_type)});
+    head.headers.push_back({"Cache-Control", "no-store"});
+    co_return co_await start_response(head);
+  }
+
+  asio::awaitable<bool> start_response(const ResponseHead& head) override {
+    http::response<http::empty_body> response{static_cast<http::status>(head.status),
+                                              request_.version()};
+    for (const auto& header : head.headers) response.insert(header.name, header.value);
+    framing_ = head.framing;
+    response.keep_alive(framing_ != BodyFraming::kUntilClose && may_keep_alive());
+    if (framing_ == BodyFraming::kChunked) response.chunked(true);
+    if (framing_ == BodyFraming::kLength) response.content_length(head.length);
     http::response_serializer<http::empty_body> serializer(response);
     stream_.expires_after(limits_.write_timeout);
     const auto [error, count] = co_await http::async_write_header(stream_, serializer, kNoThrow);
@@ -77,30 +143,49 @@
   asio::awaitable<bool> write(std::string_view bytes) override {
     if (!healthy_) co_return false;
     stream_.expires_after(limits_.write_timeout);
-    const auto chunk = http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
-    const auto [error, count] = co_await asio::async_write(stream_, chunk, kNoThrow);
-    healthy_ = !error;
+    const asio::const_buffer piece(bytes.data(), bytes.size());
+    if (framing_ == BodyFraming::kChunked) {
+      const auto chunk = http::make_chunk(piece);
+      const auto [error, count] = co_await asio::async_write(stream_, chunk, kNoThrow);
+      healthy_ = !error;
+    } else {
+      const auto [error, count] = co_await asio::async_write(stream_, piece, kNoThrow);
+      healthy_ = !error;
+    }
     co_return healthy_;
   }
 
   asio::awaitable<void> finish_stream() override {
-    if (!healthy_) co_return;
-    const auto [error, count] =
-        co_await asio::async_write(stream_, http::make_chunk_last(), kNoThrow);
+    if (!healthy_ || framing_ != BodyFraming::kChunked) co_return;
+    const auto last = http::make_chunk_last();
+    const auto [error, count] = co_await asio::async_write(stream_, last, kNoThrow);
     healthy_ = !error;
   }
 
   void abort() override {
     healthy_ = false;
+    boost::system::error_code ignored;
+    if (framing_ == BodyFraming::kUntilClose) {
+      stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     stream_.close();
   }
 
+  void watch_disconnect(std::function<void()> on_disconnect) override {
+    watch_.start(std::move(on_disconnect));
+  }
+
   [[nodiscard]] bool reusable() const { return healthy_ && keep_alive_ && answered_; }
 
  private:
+  [[nodiscard]] bool may_keep_alive() const { return request_.keep_alive() && !draining_; }
+
   beast::tcp_stream& stream_;
   http::request<http::string_body> request_;
   const HttpLimits& limits_;
+  const std::atomic<bool>& draining_;
+  DisconnectWatch& watch_;
+  BodyFraming framing_ = BodyFraming::kChunked;
   bool healthy_ = true;
   bool keep_alive_ = false;
   bool answered_ = false;
@@ -157,15 +242,26 @@
   asio::awaitable<void> serve(Tcp::socket socket) {
     auto self = shared_from_this();
     beast::tcp_stream stream(std::move(socket));
+    const auto watch = std::make_shared<DisconnectWatch>(stream.socket());
+    co_await serve_requests(stream, *watch);
+    watch->detach();
+    boost::system::error_code ignored;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+
+  asio::awaitable<void> serve_requests(beast::tcp_stream& stream, DisconnectWatch& watch) {
     beast::flat_buffer buffer;
     while (!stopped) {
+      const HttpLimits limits = current_limits();
       http::request_parser<http::string_body> parser;
       parser.header_limit(limits.header_bytes);
       parser.body_limit(limits.body_bytes);
       if (buffer.size() == 0) {
         stream.expires_after(limits.idle_timeout);
         auto mutable_bytes = buffer.prepare(limits.header_bytes);
+        enter_idle(stream);
         const auto [idle_error, count] = co_await stream.async_read_some(mutable_bytes, kNoThrow);
+        leave_idle(stream);
         if (idle_error) break;
         buffer.commit(count);
       }
@@ -189,12 +285,33 @@
         break;
       }
       stream.expires_never();
-      Exchange exchange(stream, parser.release(), limits);
+      Exchange exchange(stream, parser.release(), limits, draining, watch);
       co_await handler(exchange);
       if (!exchange.reusable()) break;
     }
-    boost::system::error_code ignored;
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+
+  HttpLimits current_limits() {
+    const std::scoped_lock lock(mutex);
+    return limits;
+  }
+  void enter_idle(beast::tcp_stream& stream) {
+    const std::scoped_lock lock(mutex);
+    idle.insert(&stream);
+  }
+  void leave_idle(beast::tcp_stream& stream) {
+    const std::scoped_lock lock(mutex);
+    idle.erase(&stream);
+  }
+  /// Each connection is closed on its own strand, and only if it is idle then.
+  void close_idle() {
+    const std::scoped_lock lock(mutex);
+    for (beast::tcp_stream* stream : idle) {
+      asio::post(stream->get_executor(), [self = shared_from_this(), stream] {
+        const std::scoped_lock inner_lock(self->mutex);
+        if (self->idle.contains(stream)) stream->close();
+      });
+    }
   }
 
   asio::any_io_executor executor;
@@ -202,6 +319,9 @@
   HttpLimits limits;
   HttpHandler handler;
   std::atomic<bool> stopped{false};
+  std::atomic<bool> draining{false};
+  std::mutex mutex;  ///< Guards `limits` and `idle`; nothing else is locked while it is held.
+  std::set<beast::tcp_stream*> idle;
 };
 
 HttpServer::HttpServer(asio::any_io_executor executor, const std::string& address,
@@ -230,6 +350,19 @@
   asio::co_spawn(state_->acceptor.get_executor(), state_->accept_loop(), asio::detached);
 }
 
+void HttpServer::set_limits(const HttpLimits& limits) {
+  const std::scoped_lock lock(state_->mutex);
+  state_->limits = limits;
+}
+
+void HttpServer::start_drain() {
+  state_->draining = true;
+}
+
+void HttpServer::close_idle() {
+  state_->close_idle();
+}
+
 void HttpServer::stop() {
   if (state_->stopped.exchange(true)) return;
   asio::post(state_->acceptor.get_executor(), [state = state_] {
--- /dev/null
+++ b/src/routing/runner_registry.cc
@@ -0,0 +1,126 @@
+#include "routing/runner_registry.h"
+
+#include <algorithm>
+#include <set>
+
+namespace stoathold {
+namespace {
+
+/// Failures in a row after which a runner is left alone for a while.
+constexpr std::uint32_t kFailuresToEject = 2;
+/// First pause of an ejected runner; it doubles with each further failure.
+constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
+constexpr Duration kLongestEjection = std::chrono::seconds(4);
+/// A runner that turns work away as full is spared for a moment.
+constexpr Duration kFullPause = std::chrono::milliseconds(50);
+/// A load report counts for less and less, and for nothing after this time.
+constexpr Duration kReportLifetime = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+Runner::Runner(RunnerRecord record) : record_(std::move(record)), hash_(stable_hash(record_.id)) {}
+
+std::uint32_t Runner::slots() const {
+  return std::max<std::uint32_t>(1, record_.slots);
+}
+
+void Runner::begin_attempt() {
+  ++in_flight_;
+}
+
+void Runner::end_attempt(AttemptOutcome outcome, TimePoint now) {
+  --in_flight_;
+  switch (outcome) {
+    case AttemptOutcome::kServed:
+      failures_ = 0;
+      ejected_until_ = {};
+      break;
+    case AttemptOutcome::kNotRun:
+      ejected_until_ = std::max(ejected_until_, now + kFullPause);
+      break;
+    case AttemptOutcome::kFailed:
+    case AttemptOutcome::kUnreachable: {
+      ++failures_;
+      if (failures_ < kFailuresToEject && outcome == AttemptOutcome::kFailed) break;
+      const std::uint32_t doublings = std::min<std::uint32_t>(failures_ - 1, 4);
+      ejected_until_ = now + std::min(kFirstEjection * (1U << doublings), kLongestEjection);
+      break;
+    }
+    case AttemptOutcome::kAbandoned:
+      break;
+  }
+}
+
+void Runner::take_report(const LoadReport& report, TimePoint now) {
+  report_ = report;
+  report_time_ = now;
+  in_flight_at_report_ = in_flight_;
+}
+
+double Runner::load(TimePoint now) const {
+  const double own = in_flight_;
+  double expected = own;
+  const Duration age = now - report_time_;
+  if (age < kReportLifetime && report_time_ != TimePoint{}) {
+    const double freshness = 1.0 - to_seconds(age) / to_seconds(kReportLifetime);
+    const double reported = report_.running + report_.waiting;
+    const double others = std::max(0.0, reported - in_flight_at_report_);
+    expected = own + others * freshness;
+  }
+  return expected / slots();
+}
+
+void RunnerRegistry::upsert(RunnerRecord record) {
+  ++version_;
+  const auto found = runners_.find(record.id);
+  if (found == runners_.end()) {
+    const std::string id = record.id;
+    runners_.emplace(id, std::make_shared<Runner>(std::move(record)));
+  } else {
+    found->second->set_record(std::move(record));
+    found->second->set_listed(true);
+  }
+  index();
+}
+
+void RunnerRegistry::remove(const std::string& id) {
+  ++version_;
+  const auto found = runners_.find(id);
+  if (found != runners_.end()) found->second->set_listed(false);
+  forget_unused();
+  index();
+}
+
+void RunnerRegistry::replace_all(std::vector<RunnerRecord> records) {
+  ++version_;
+  std::set<std::string> ids;
+  for (auto& record : records) {
+    ids.insert(record.id);
+    upsert(std::move(record));
+  }
+  for (auto& [id, runner] : runners_) {
+    if (!ids.contains(id)) runner->set_listed(false);
+  }
+  forget_unused();
+  index();
+}
+
+void RunnerRegistry::forget_unused() {
+  std::erase_if(runners_, [](const auto& entry) { return !entry.second->listed(); });
+}
+
+void RunnerRegistry::index() {
+  by_service_.clear();
+  for (const auto& [id, runner] : runners_) {
+    by_service_[runner->record().service].push_back(runner);
+  }
+}
+
+const std::vector<std::shared_ptr<Runner>>& RunnerRegistry::of_service(
+    const std::string& service) const {
+  static const std::vector<std::shared_ptr<Runner>> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/routing/runner_registry.h
@@ -0,0 +1,111 @@
+/// @file
+/// The runners that the platform's directory lists, and what this node has seen of each.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace stoathold {
+
+/// A runner as the directory shows it.
+struct RunnerRecord {
+  std::string id;  ///< Of this start of the runner; never used again.
+  std::string service;
+  std::string address;  ///< `ip:port`; may belong to another runner later.
+  std::string zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+};
+
+/// A load report: as the runner saw itself when it answered.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// How an attempt at a runner ended, as far as it tells about the runner.
+enum class AttemptOutcome : std::uint8_t {
+  kServed,
+  kNotRun,       ///< The runner turned it away.
+  kFailed,       ///< Reset, cut off, spoiled or silent.
+  kUnreachable,  ///< No connection.
+  kAbandoned,    ///< Ended by us or the caller; tells nothing.
+};
+
+/// One runner: its record, and the evidence that this node has of its load and health.
+class Runner {
+ public:
+  explicit Runner(RunnerRecord record);
+
+  [[nodiscard]] const RunnerRecord& record() const { return record_; }
+  [[nodiscard]] std::uint64_t hash() const { return hash_; }
+  void set_record(RunnerRecord record) { record_ = std::move(record); }
+
+  /// Whether the directory no longer lists it.
+  [[nodiscard]] bool listed() const { return listed_; }
+  void set_listed(bool listed) { listed_ = listed; }
+
+  void begin_attempt();
+  void end_attempt(AttemptOutcome outcome, TimePoint now);
+  void take_report(const LoadReport& report, TimePoint now);
+  /// The runner said that it is going away.
+  void mark_leaving() { leaving_ = true; }
+
+  /// Whether it may be given new work at all.
+  [[nodiscard]] bool available() const { return listed_ && !record_.draining && !leaving_; }
+  /// Whether it failed lately and is given no work until a pause is over.
+  [[nodiscard]] bool ejected(TimePoint now) const { return now < ejected_until_; }
+  /// Requests expected to be at the runner, running and waiting, per slot.
+  [[nodiscard]] double load(TimePoint now) const;
+  [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+  [[nodiscard]] std::uint32_t slots() const;
+  /// Failed attempts since the last served one.
+  [[nodiscard]] std::uint32_t failures() const { return failures_; }
+
+ private:
+  RunnerRecord record_;
+  std::uint64_t hash_;
+  bool listed_ = true;
+  bool leaving_ = false;
+  std::uint32_t in_flight_ = 0;
+  std::uint32_t failures_ = 0;
+  TimePoint ejected_until_{};
+  LoadReport report_;
+  TimePoint report_time_{};
+  std::uint32_t in_flight_at_report_ = 0;
+};
+
+/// All runners known. Used on one thread; a runner lives on while a request holds it.
+class RunnerRegistry {
+ public:
+  /// Adds a runner or changes what is known of it.
+  void upsert(RunnerRecord record);
+  /// The directory dropped a runner.
+  void remove(const std::string& id);
+  /// The directory holds just these runners.
+  void replace_all(std::vector<RunnerRecord> records);
+
+  [[nodiscard]] const std::vector<std::shared_ptr<Runner>>& of_service(
+      const std::string& service) const;
+  [[nodiscard]] const std::map<std::string, std::shared_ptr<Runner>>& all() const {
+    return runners_;
+  }
+  [[nodiscard]] std::uint64_t version() const { return version_; }
+
+ private:
+  void forget_unused();
+  void index();
+
+  std::map<std::string, std::shared_ptr<Runner>> runners_;
+  std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/routing/runner_selector.h
@@ -0,0 +1,48 @@
+/// @file
+/// Chooses the runner of an attempt: available and healthy, near, warm for the prompt, not loaded.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/runner_registry.h"
+
+namespace stoathold {
+
+/// What a choice depends on.
+struct SelectionRequest {
+  std::string service;
+  std::string zone;                   ///< Of this node; its runners are preferred.
+  std::uint64_t affinity_key = 0;     ///< Hash of the shared prompt prefix; 0: none.
+  bool strong_affinity = false;       ///< The prefix is long: reading it again is worth a detour.
+  double load_limit = 0;              ///< Runners at or above this load are left out; 0: no limit.
+  std::vector<std::string> excluded;  ///< Ids of runners tried before.
+};
+
+/// Why there is no runner.
+enum class SelectionFailure : std::uint8_t {
+  kNone,
+  kUnknownService,  ///< No runner of the service is known.
+  kAllExcluded,     ///< Every one was tried, is leaving or is ejected.
+  kAllBusy,         ///< Every one is above the load limit.
+};
+
+/// Returns the failure's name for logs.
+std::string_view to_string(SelectionFailure failure);
+
+/// The choice and what decided it.
+struct Selection {
+  std::shared_ptr<Runner> runner;  ///< Null if there is none.
+  SelectionFailure failure = SelectionFailure::kNone;
+  std::uint32_t candidates = 0;
+  double load = 0;
+};
+
+/// Selects a runner; pure but for tie breaking.
+Selection select_runner(const RunnerRegistry& registry, const SelectionRequest& request,
+                        TimePoint now);
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/store/partition_replica.cc
@@ -0,0 +1,102 @@
+#include "store/partition_replica.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "store/backoff.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Most bytes asked for in one read.
+constexpr std::uint64_t kReadBytes = 1024UL * 1024;
+/// How long a follower's read waits for a record. It bounds how long a connection that went silent
+/// delays news: the read is given up shortly after it.
+constexpr Duration kFollowWait = std::chrono::milliseconds(2500);
+
+}  // namespace
+
+PartitionReplica::PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink)
+    : log_(log), partition_(std::move(partition)), sink_(sink) {}
+
+void PartitionReplica::apply_new(const std::vector<StoredRecord>& records) {
+  for (const auto& record : records) {
+    if (record.offset < next_offset_) continue;
+    next_offset_ = record.offset + 1;
+    sink_.apply(record);
+  }
+}
+
+asio::awaitable<LogStatus> PartitionReplica::load_newest() {
+  ReadResult result = co_await log_.read_newest(partition_, KeyRange{});
+  if (result.status != LogStatus::kOk) co_return result.status;
+  if (result.end < next_offset_) co_return LogStatus::kOk;
+  std::erase_if(result.records,
+                [&](const StoredRecord& record) { return record.offset >= result.end; });
+  std::sort(result.records.begin(), result.records.end(),
+            [](const StoredRecord& left, const StoredRecord& right) {
+              return left.offset < right.offset;
+            });
+  sink_.reset(result.records);
+  next_offset_ = result.end;
+  co_return LogStatus::kOk;
+}
+
+asio::awaitable<LogStatus> PartitionReplica::read_once(Duration wait, bool& at_end) {
+  const auto self = shared_from_this();
+  const TimePoint sent = monotonic_now();
+  at_end = false;
+  const RecordOffset from = next_offset_;
+  ReadResult result = co_await log_.read(partition_, from, kReadBytes, wait);
+  LogStatus status = result.status;
+  if (status == LogStatus::kOk) {
+    apply_new(result.records);
+    at_end = next_offset_ >= result.end;
+  } else if (status == LogStatus::kTruncated) {
+    status = co_await load_newest();
+  }
+  health_.last = status;
+  if (status == LogStatus::kOk) {
+    health_.last_success = std::max(health_.last_success, sent);
+    health_.loaded = health_.loaded || at_end;
+  }
+  co_return status;
+}
+
+asio::awaitable<LogStatus> PartitionReplica::catch_up() {
+  bool at_end = false;
+  while (!at_end) {
+    const LogStatus status = co_await read_once(Duration{0}, at_end);
+    if (status != LogStatus::kOk) co_return status;
+  }
+  co_return LogStatus::kOk;
+}
+
+asio::awaitable<LogStatus> PartitionReplica::wait_for_records(Duration wait) {
+  bool at_end = false;
+  co_return co_await read_once(wait, at_end);
+}
+
+asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running) {
+  const auto self = shared_from_this();
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  Backoff backoff;
+  while (running()) {
+    const Duration wait = health_.loaded ? kFollowWait : Duration{0};
+    bool at_end = false;
+    const LogStatus status = co_await read_once(wait, at_end);
+    if (status == LogStatus::kOk) {
+      backoff.reset();
+      continue;
+    }
+    timer.expires_after(backoff.next());
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/store/partition_replica.h
@@ -0,0 +1,66 @@
+/// @file
+/// A local copy of one partition of the log, kept by whoever applies its records.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+
+#include "base/time.h"
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// Applies a partition's records to a state. Called in the order of offsets, each record once.
+class RecordSink {
+ public:
+  virtual ~RecordSink() = default;
+  /// Applies one record.
+  virtual void apply(const StoredRecord& record) = 0;
+  /// The history up to `newest` is lost; these are the newest records of all keys, ascending by
+  /// offset. Keys that are missing were deleted. Records applied before may be among them.
+  virtual void reset(const std::vector<StoredRecord>& newest) = 0;
+};
+
+/// How the log has answered lately, for readiness, logs and metrics.
+struct ReplicaHealth {
+  bool loaded = false;  ///< The partition was read to its end at least once.
+  LogStatus last = LogStatus::kOk;
+  TimePoint last_success{};  ///< When the last successful read was sent.
+};
+
+/// Follows one partition. Reads may overlap: each applies only what is new.
+///
+/// Lives in a shared pointer, since a read in flight keeps it alive. Used on one thread.
+class PartitionReplica : public std::enable_shared_from_this<PartitionReplica> {
+ public:
+  /// @param log and `sink` outlive the replica and all reads in flight.
+  PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink);
+
+  /// Reads until the partition's end: afterwards the state holds every record whose append was
+  /// acknowledged before this call.
+  boost::asio::awaitable<LogStatus> catch_up();
+  /// Reads once, waiting up to `wait` for a record behind those applied.
+  boost::asio::awaitable<LogStatus> wait_for_records(Duration wait);
+  /// Follows the partition for as long as `running` holds.
+  boost::asio::awaitable<void> follow(std::function<bool()> running);
+
+  [[nodiscard]] const PartitionName& name() const { return partition_; }
+  /// Offset of the first record not yet applied; the end of the partition as far as it is known.
+  [[nodiscard]] RecordOffset next_offset() const { return next_offset_; }
+  [[nodiscard]] const ReplicaHealth& health() const { return health_; }
+
+ private:
+  boost::asio::awaitable<LogStatus> read_once(Duration wait, bool& at_end);
+  boost::asio::awaitable<LogStatus> load_newest();
+  void apply_new(const std::vector<StoredRecord>& records);
+
+  RecordLog& log_;
+  PartitionName partition_;
+  RecordSink& sink_;
+  RecordOffset next_offset_ = 0;
+  ReplicaHealth health_;
+};
+
+}  // namespace stoathold
