--- /dev/null
+++ b/src/jobs/item_run.cc
@@ -0,0 +1,233 @@
+#include "jobs/item_run.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "gateway/headers.h"
+#include "gateway/prompt_prefix.h"
+#include "routing/runner_selector.h"
+#include "store/backoff.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+/// A run without an event for so long is taken up at another runner.
+constexpr Duration kFirstEventPatience = std::chrono::milliseconds(4000);
+constexpr Duration kEventGapPatience = std::chrono::milliseconds(1500);
+/// Runners at or above this load are left to online requests.
+constexpr double kLoadLimit = 0.75;
+/// Between looks for a runner with room, or for a configuration.
+constexpr Duration kRoomPause = std::chrono::milliseconds(100);
+/// A route must be missing this long before its items are given up.
+constexpr Duration kRouteGrace = std::chrono::seconds(5);
+constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
+
+std::int64_t wall_clock_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}  // namespace
+
+ItemRun::ItemRun(GatewayContext& context, ItemContext item, ItemRequest request,
+                 ItemProgress progress, Duration clock_skew)
+    : context_(context),
+      item_(std::move(item)),
+      request_(std::move(request)),
+      progress_(std::move(progress)),
+      clock_skew_(clock_skew),
+      timer_(context.executor) {
+  progress_.job = item_.job;
+  progress_.item = item_.index;
+  for (const auto& [name, value] : request_.headers) {
+    if (!same_header_name(name, context_.dialect.prompt_prefix)) continue;
+    const PromptPrefix prefix = parse_prompt_prefix(value);
+    affinity_key_ = prefix.shared_key;
+    long_prefix_ = prefix.is_long();
+  }
+}
+
+void ItemRun::stop() {
+  stopped_ = true;
+  if (upstream_) upstream_->cancel();
+  timer_.cancel();
+}
+
+asio::awaitable<void> ItemRun::pause(Duration duration) {
+  if (stopped_) co_return;
+  timer_.expires_after(duration);
+  co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::shared_ptr<Runner> ItemRun::choose_runner(const Route& route) const {
+  const std::string& service = context_.split.next_service(route);
+  SelectionRequest request{service, context_.zone, affinity_key_, long_prefix_, kLoadLimit, {}};
+  return select_runner(context_.runners, request, monotonic_now()).runner;
+}
+
+bool ItemRun::is_expired(const Route& route) const {
+  if (route.item_retention.count() == 0) return false;
+  const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
+  return age > route.item_retention + 2 * clock_skew_;
+}
+
+ItemResult ItemRun::make_result(ItemState state) const {
+  ItemResult result;
+  result.job = item_.job;
+  result.item = item_.index;
+  result.state = state;
+  if (state == ItemState::kCompleted) result.text = progress_.text;
+  return result;
+}
+
+asio::awaitable<std::optional<ItemResult>> ItemRun::run() {
+  const auto self = shared_from_this();
+  Backoff backoff(kRetryBounds);
+  std::optional<TimePoint> route_missing_since;
+  while (!stopped_) {
+    const auto configuration = context_.configuration;
+    const Route* route =
+        configuration ? configuration->find_route(item_.host, item_.path) : nullptr;
+    if (route == nullptr || route->kind != RouteKind::kBatch) {
+      const TimePoint now = monotonic_now();
+      if (!route_missing_since) route_missing_since = now;
+      const bool gone = configuration && now - *route_missing_since > kRouteGrace;
+      if (gone) co_return make_result(ItemState::kDeadLettered);
+      co_await pause(kRoomPause);
+      continue;
+    }
+    route_missing_since.reset();
+    if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
+    const auto runner = choose_runner(*route);
+    if (!runner) {
+      co_await pause(kRoomPause);
+      continue;
+    }
+    const std::uint64_t events_before = progress_.last_event;
+    const Attempt result = co_await attempt(runner);
+    ++context_.metrics.batch_items[std::to_string(static_cast<int>(result))];
+    if (result == Attempt::kCompleted) co_return make_result(ItemState::kCompleted);
+    if (result == Attempt::kImpossible) co_return make_result(ItemState::kDeadLettered);
+    if (result == Attempt::kFailed) {
+      ++progress_.failures;
+      if (progress_.failures >= route->max_attempts)
+        co_return make_result(ItemState::kDeadLettered);
+    }
+    if (progress_.last_event > events_before) backoff.reset();
+    if (!stopped_) co_await pause(backoff.next());
+  }
+  co_return std::nullopt;
+}
+
+UpstreamRequest ItemRun::build_request(const Runner& runner) const {
+  const HeaderDialect& dialect = context_.dialect;
+  UpstreamRequest request;
+  request.address = runner.record().address;
+  request.method = "POST";
+  request.target = request_.path;
+  request.body = request_.body;
+  request.request_id = item_.item_id;
+  request.headers.push_back({"Host", item_.host});
+  for (const auto& [name, value] : request_.headers) {
+    const bool replaced = same_header_name(name, "Host") ||
+                          same_header_name(name, dialect.request_id) ||
+                          same_header_name(name, dialect.expected_instance) ||
+                          same_header_name(name, dialect.last_event_id);
+    if (!replaced && !is_connection_header(name)) request.headers.push_back({name, value});
+  }
+  request.headers.push_back({dialect.request_id, item_.item_id});
+  request.headers.push_back({dialect.expected_instance, runner.record().id});
+  if (progress_.last_event > 0) {
+    request.headers.push_back({dialect.last_event_id, std::to_string(progress_.last_event)});
+  }
+  return request;
+}
+
+asio::awaitable<ItemRun::Attempt> ItemRun::attempt(std::shared_ptr<Runner> runner) {
+  const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
+  upstream_ = upstream;
+  upstream->set_deadline(monotonic_now() + kFirstEventPatience);
+  runner->begin_attempt();
+  UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
+  Attempt result = status == UpstreamStatus::kNotSent ? Attempt::kUnreachable : Attempt::kBroken;
+  if (status == UpstreamStatus::kOk) status = co_await upstream->read_head();
+  if (status == UpstreamStatus::kOk) result = co_await take_answer(*runner);
+  if (stopped_) result = Attempt::kStopped;
+  if (result == Attempt::kCompleted) {
+    upstream->release();
+  } else {
+    upstream->cancel();
+  }
+  upstream_.reset();
+  note_attempt(*runner, result);
+  co_return result;
+}
+
+void ItemRun::note_attempt(Runner& runner, Attempt result) {
+  AttemptOutcome evidence = AttemptOutcome::kAbandoned;
+  if (result == Attempt::kCompleted) evidence = AttemptOutcome::kServed;
+  if (result == Attempt::kNotRun) evidence = AttemptOutcome::kNotRun;
+  if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
+  if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
+  runner.end_attempt(evidence, monotonic_now());
+  if (result == Attempt::kCompleted) return;
+  constexpr std::array<const char*, 7> kNames{"completed",   "failed", "impossible", "not_run",
+                                              "unreachable", "broken", "stopped"};
+  log_event(Event::kItemAttemptFailed, {{"job", item_.job},
+                                        {"item", item_.item_id},
+                                        {"runner", runner.record().id},
+                                        {"result", kNames[static_cast<std::size_t>(result)]},
+                                        {"failures", std::to_string(progress_.failures)},
+                                        {"last_event", std::to_string(progress_.last_event)}});
+}
+
+asio::awaitable<ItemRun::Attempt> ItemRun::take_answer(Runner& runner) {
+  const UpstreamHead& head = upstream_->head();
+  const auto report = parse_load(head.header(context_.dialect.load));
+  if (report) runner.take_report(*report, monotonic_now());
+  constexpr int kOk = 200;
+  constexpr int kMisdirected = 421;
+  constexpr int kUnprocessable = 422;
+  constexpr int kServerError = 500;
+  if (head.status == kMisdirected) {
+    runner.mark_leaving();
+    co_return Attempt::kNotRun;
+  }
+  if (!head.header(context_.dialect.not_run).empty()) co_return Attempt::kNotRun;
+  if (head.status == kUnprocessable) co_return Attempt::kImpossible;
+  if (head.status == kServerError) co_return Attempt::kFailed;
+  const bool spoiled = head.status != kOk || !head.header("Content-Encoding").empty() ||
+                       head.header(context_.dialect.response_signature).empty();
+  if (spoiled) co_return Attempt::kBroken;
+  co_return co_await take_events();
+}
+
+asio::awaitable<ItemRun::Attempt> ItemRun::take_events() {
+  EventFramer framer;
+  std::string_view view;
+  while (true) {
+    const UpstreamStatus status = co_await upstream_->read_body(view);
+    if (status != UpstreamStatus::kOk) co_return Attempt::kBroken;
+    if (view.empty()) break;
+    upstream_->set_deadline(monotonic_now() + kEventGapPatience);
+    if (!framer.feed(view)) co_return Attempt::kBroken;
+    while (const auto event = framer.next()) {
+      if (!event->id) continue;
+      if (*event->id != progress_.last_event + 1) co_return Attempt::kBroken;
+      if (progress_.last_event > 0) progress_.text.push_back('\n');
+      progress_.text += event_data(event->raw);
+      progress_.last_event = *event->id;
+    }
+  }
+  // The end of a connection proves nothing: the stream may have been cut between two events.
+  const bool proved = upstream_->head().framing != BodyFraming::kUntilClose;
+  const bool whole = framer.rest().empty() && progress_.last_event > 0;
+  co_return whole&& proved ? Attempt::kCompleted : Attempt::kBroken;
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/item_run.h
@@ -0,0 +1,80 @@
+/// @file
+/// Runs one item of a batch job at runners until it has a result.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/event_framer.h"
+#include "gateway/gateway_context.h"
+#include "jobs/job_records.h"
+
+namespace stoathold {
+
+/// What an item's run needs to know of its job.
+struct ItemContext {
+  JobKey job;
+  std::uint32_t index = 0;
+  std::string item_id;
+  std::string host;
+  std::string path;  ///< The job was submitted to; finds the route.
+  std::int64_t submitted_ms = 0;
+};
+
+/// One item on its way to a result. Lives in a shared pointer as long as its coroutine.
+///
+/// A run that breaks is continued behind its last event at any runner; only the runner's own errors
+/// count as failures. `stop` makes `run` return without a result, with the progress kept.
+class ItemRun : public std::enable_shared_from_this<ItemRun> {
+ public:
+  ItemRun(GatewayContext& context, ItemContext item, ItemRequest request, ItemProgress progress,
+          Duration clock_skew);
+
+  /// Runs until there is a result, or nothing if it was stopped.
+  boost::asio::awaitable<std::optional<ItemResult>> run();
+  /// Ends the run; the runner stops work.
+  void stop();
+
+  /// How far the item came; worth keeping if it has events or failures.
+  [[nodiscard]] const ItemProgress& progress() const { return progress_; }
+  [[nodiscard]] bool has_progress() const {
+    return progress_.last_event > 0 || progress_.failures > 0;
+  }
+
+ private:
+  enum class Attempt : std::uint8_t {
+    kCompleted,
+    kFailed,      ///< The runner's own error.
+    kImpossible,  ///< No runner can ever do it.
+    kNotRun,
+    kUnreachable,
+    kBroken,  ///< May go on behind the last event.
+    kStopped,
+  };
+
+  boost::asio::awaitable<Attempt> attempt(std::shared_ptr<Runner> runner);
+  boost::asio::awaitable<Attempt> take_answer(Runner& runner);
+  boost::asio::awaitable<Attempt> take_events();
+  boost::asio::awaitable<void> pause(Duration duration);
+  [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
+  [[nodiscard]] std::shared_ptr<Runner> choose_runner(const Route& route) const;
+  [[nodiscard]] bool is_expired(const Route& route) const;
+  [[nodiscard]] ItemResult make_result(ItemState state) const;
+  void note_attempt(Runner& runner, Attempt result);
+
+  GatewayContext& context_;
+  ItemContext item_;
+  ItemRequest request_;
+  ItemProgress progress_;
+  Duration clock_skew_;
+  std::uint64_t affinity_key_ = 0;
+  bool long_prefix_ = false;
+  std::shared_ptr<UpstreamExchange> upstream_;
+  boost::asio::steady_timer timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_records.cc
@@ -0,0 +1,118 @@
+#include "jobs/job_records.h"
+
+#include <array>
+#include <cstdio>
+
+#include "base/ids.h"
+#include "core/codec.h"
+
+namespace stoathold {
+namespace {
+
+constexpr std::array<std::string_view, 4> kKindPrefixes{"s.", "e.", "f.", "p."};
+constexpr std::string_view kResultPart = "/r/";
+constexpr std::string_view kProgressPart = "/p/";
+constexpr std::uint64_t kSlotSeed = 0x736c6f74;
+
+/// Fixed width, so that keys sort by number.
+std::string padded(std::uint32_t number) {
+  std::array<char, 16> text{};
+  std::snprintf(text.data(), text.size(), "%06u", number);
+  return text.data();
+}
+
+}  // namespace
+
+JobKey make_job_key(std::string_view host, std::string_view id) {
+  return to_hex(stable_hash(host)) + "." + std::string(id);
+}
+
+std::uint32_t jobs_partition(std::string_view host, std::uint32_t partitions) {
+  return static_cast<std::uint32_t>(stable_hash(host) % partitions);
+}
+
+std::uint32_t job_partition(const JobKey& key, std::uint32_t partitions) {
+  return static_cast<std::uint32_t>(stable_hash(key) % partitions);
+}
+
+std::uint32_t job_slot(const JobKey& key, std::uint32_t slots) {
+  return static_cast<std::uint32_t>(stable_hash(key, kSlotSeed) % slots);
+}
+
+std::uint64_t JobSubmission::tokens() const {
+  std::uint64_t sum = 0;
+  for (const auto& item : items) sum += item.tokens;
+  return sum;
+}
+
+std::string jobs_record_key(JobRecordKind kind, const JobKey& key) {
+  return std::string(kKindPrefixes[static_cast<std::size_t>(kind)]) + key;
+}
+
+std::optional<std::pair<JobRecordKind, JobKey>> parse_jobs_record_key(std::string_view key) {
+  for (std::size_t kind = 0; kind < kKindPrefixes.size(); ++kind) {
+    if (!key.starts_with(kKindPrefixes[kind])) continue;
+    return std::pair{static_cast<JobRecordKind>(kind),
+                     JobKey(key.substr(kKindPrefixes[kind].size()))};
+  }
+  return std::nullopt;
+}
+
+std::string result_record_key(const JobKey& key, std::uint32_t item, std::string_view writer) {
+  return key + std::string(kResultPart) + padded(item) + "/" + std::string(writer);
+}
+
+std::string progress_record_key(const JobKey& key, std::uint32_t item) {
+  return key + std::string(kProgressPart) + padded(item);
+}
+
+bool is_progress_key(std::string_view key) {
+  const JobKey job = job_of_record_key(key);
+  return key.substr(job.size()).starts_with(kProgressPart);
+}
+
+JobKey job_of_record_key(std::string_view key) {
+  return JobKey(key.substr(0, key.find('/')));
+}
+
+std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record) {
+  return key + "/" + padded(item) + "/" + padded(record);
+}
+
+KeyRange job_key_range(const JobKey& key) {
+  return {key + "/", key + "0"};  // '0' is the character behind '/'.
+}
+
+std::string encode(const JobSubmission& submission) {
+  return encode_value(submission);
+}
+std::string encode(const ItemRequest& request) {
+  return encode_value(request);
+}
+std::string encode(const ItemResult& result) {
+  return encode_value(result);
+}
+std::string encode(const ItemProgress& progress) {
+  return encode_value(progress);
+}
+std::string encode_tokens(std::uint64_t tokens) {
+  return encode_value(tokens);
+}
+
+bool decode(const std::string& bytes, JobSubmission& submission) {
+  return decode_value(bytes, submission);
+}
+bool decode(const std::string& bytes, ItemRequest& request) {
+  return decode_value(bytes, request);
+}
+bool decode(const std::string& bytes, ItemResult& result) {
+  return decode_value(bytes, result);
+}
+bool decode(const std::string& bytes, ItemProgress& progress) {
+  return decode_value(bytes, progress);
+}
+bool decode_tokens(const std::string& bytes, std::uint64_t& tokens) {
+  return decode_value(bytes, tokens);
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_records.h
@@ -0,0 +1,150 @@
+/// @file
+/// Records of batch jobs in the durable log, and the keys under which they lie.
+///
+/// Three topics, each a set of partitions of keyed records:
+/// - jobs, by the hash of the host: submissions, ends, finished marks, progress counts. A
+/// submission
+///   is appended on the condition that the partition ends where its writer has read to, so that
+///   every submission is judged against all before it.
+/// - results, by the hash of the job: results of items, and how far broken runs came. The order of
+///   the records is the order of the results; of an item's results the first counts.
+/// - bodies, by the hash of the job: the requests that the items are.
+/// A key is written once (but for progress), so that the offsets of results never change.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "store/record_log.h"
+
+namespace stoathold {
+
+inline constexpr const char* kJobsTopic = "jobs";
+inline constexpr const char* kResultsTopic = "job-results";
+inline constexpr const char* kBodiesTopic = "job-bodies";
+
+/// Identity of a job in the log: made of host and id, unique over all hosts.
+using JobKey = std::string;
+
+/// Longest job id that fits into a record's key.
+inline constexpr std::size_t kMaxJobIdBytes = 128;
+
+JobKey make_job_key(std::string_view host, std::string_view id);
+/// Partition of the jobs topic.
+std::uint32_t jobs_partition(std::string_view host, std::uint32_t partitions);
+/// Partition of the results and the bodies topic.
+std::uint32_t job_partition(const JobKey& key, std::uint32_t partitions);
+/// Slot of the workers' group that runs the job.
+std::uint32_t job_slot(const JobKey& key, std::uint32_t slots);
+
+/// One item as a submission lists it.
+struct JobItem {
+  std::string id;
+  std::uint64_t tokens = 0;      ///< Prompt and most output.
+  RecordOffset body_offset = 0;  ///< Of the first record of its request.
+  std::uint64_t body_bytes = 0;  ///< Of all records of its request.
+  std::uint32_t body_records = 1;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, tokens, body_offset, body_bytes, body_records);
+  }
+};
+
+/// A job that was accepted.
+struct JobSubmission {
+  std::string id;
+  std::string host;
+  std::string path;  ///< It was submitted to.
+  std::string route;
+  std::int64_t submitted_ms = 0;  ///< Wall clock of the accepting node, since the epoch.
+  std::vector<JobItem> items;
+
+  [[nodiscard]] std::uint64_t tokens() const;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, host, path, route, submitted_ms, items);
+  }
+};
+
+/// The request that an item is.
+struct ItemRequest {
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(path, headers, body);
+  }
+};
+
+/// How an item ended.
+enum class ItemState : std::uint8_t { kCompleted, kDeadLettered };
+
+/// The result of an item.
+struct ItemResult {
+  JobKey job;
+  std::uint32_t item = 0;  ///< Index in the submission.
+  ItemState state = ItemState::kCompleted;
+  std::string text;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, item, state, text);
+  }
+};
+
+/// How far an item's run came before it was given back.
+struct ItemProgress {
+  JobKey job;
+  std::uint32_t item = 0;
+  std::uint32_t failures = 0;    ///< Runs that ended with the runner's own error.
+  std::uint64_t last_event = 0;  ///< 0: nothing yet.
+  std::string text;              ///< Of the events up to it.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, item, failures, last_event, text);
+  }
+};
+
+/// What a record of the jobs topic says.
+enum class JobRecordKind : std::uint8_t { kSubmitted, kEnded, kFinished, kProgress };
+
+/// Key of a record of the jobs topic.
+std::string jobs_record_key(JobRecordKind kind, const JobKey& key);
+/// Parses such a key; nothing if it is not one.
+std::optional<std::pair<JobRecordKind, JobKey>> parse_jobs_record_key(std::string_view key);
+
+/// Key of a result; `writer` makes it unique.
+std::string result_record_key(const JobKey& key, std::uint32_t item, std::string_view writer);
+/// Key of an item's progress.
+std::string progress_record_key(const JobKey& key, std::uint32_t item);
+/// Whether a key of the results topic is that of a progress record.
+bool is_progress_key(std::string_view key);
+/// The job that a key of the results or the bodies topic belongs to.
+JobKey job_of_record_key(std::string_view key);
+/// Key of one record of an item's request.
+std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record);
+/// The range of all of a job's keys in the results or the bodies topic.
+KeyRange job_key_range(const JobKey& key);
+
+std::string encode(const JobSubmission& submission);
+std::string encode(const ItemRequest& request);
+std::string encode(const ItemResult& result);
+std::string encode(const ItemProgress& progress);
+std::string encode_tokens(std::uint64_t tokens);
+/// Decoders return false if the bytes are malformed.
+bool decode(const std::string& bytes, JobSubmission& submission);
+bool decode(const std::string& bytes, ItemRequest& request);
+bool decode(const std::string& bytes, ItemResult& result);
+bool decode(const std::string& bytes, ItemProgress& progress);
+bool decode_tokens(const std::string& bytes, std::uint64_t& tokens);
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_runner.cc
@@ -0,0 +1,246 @@
+#include "jobs/job_runner.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "store/backoff.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Items that one node runs at the same time.
+constexpr std::size_t kMaxRunningItems = 64;
+/// Between rounds of upkeep: progress counts and deletion of old jobs.
+constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
+/// Most time that progress may take to be written when slots are given up.
+constexpr Duration kHandOverTime = std::chrono::milliseconds(1200);
+
+std::int64_t wall_clock_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}  // namespace
+
+JobRunner::JobRunner(GatewayContext& context, JobStore& store, RecordLog& log,
+                     JobRunnerSettings settings)
+    : context_(context),
+      store_(store),
+      settings_(std::move(settings)),
+      writer_(context.executor, store,
+              [this](const ItemResult& result) { result_durable(result); }),
+      membership_(
+          context.executor, log, settings_.node_name,
+          SlotHandlers{
+              [this](const std::set<std::uint32_t>&) {
+                store_.for_each_job(
+                    [this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
+              },
+              [this](std::set<std::uint32_t> slots) { return give_up_slots(std::move(slots)); }}) {
+  store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
+}
+
+void JobRunner::start() {
+  asio::co_spawn(context_.executor, membership_.run(), asio::detached);
+  asio::co_spawn(context_.executor, maintain(), asio::detached);
+}
+
+bool JobRunner::holds(const JobKey& key) const {
+  return membership_.holds(job_slot(key, store_.limits().group_slots));
+}
+
+void JobRunner::job_changed(const JobKey& key, const JobEntry& job) {
+  if (job.ended) {
+    stop_job(key, false);
+  } else if (job.open() && holds(key) && !stopping_) {
+    start_job(key, job);
+  }
+}
+
+void JobRunner::start_job(const JobKey& key, const JobEntry& entry) {
+  if (jobs_.contains(key)) return;
+  auto job = std::make_shared<ActiveJob>();
+  job->host = entry.submission.host;
+  job->path = entry.submission.path;
+  job->submitted_ms = entry.submission.submitted_ms;
+  job->items = entry.submission.items;
+  jobs_.emplace(key, job);
+  log_event(Event::kJobStarted, {{"job", key}, {"items", std::to_string(job->items.size())}});
+  asio::co_spawn(context_.executor, load_job(key, job), asio::detached);
+}
+
+asio::awaitable<void> JobRunner::load_job(JobKey key, std::shared_ptr<ActiveJob> job) {
+  Backoff backoff;
+  asio::steady_timer timer(context_.executor);
+  while (!job->stopped) {
+    const LogStatus status = co_await store_.refresh_results(key);
+    if (status == LogStatus::kOk) break;
+    timer.expires_after(backoff.next());
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (job->stopped) co_return;
+  const JobResults& results = store_.results_of(key);
+  for (std::uint32_t index = 0; index < job->items.size(); ++index) {
+    if (results.listed_items.contains(index)) {
+      job->finished_tokens += job->items[index].tokens;
+    } else {
+      waiting_.insert({job->submitted_ms, key, index});
+      ++job->left;
+    }
+  }
+  if (job->left == 0) asio::co_spawn(context_.executor, finish_job(key, job), asio::detached);
+  start_waiting();
+}
+
+void JobRunner::start_waiting() {
+  while (!waiting_.empty() && running_items_ < kMaxRunningItems) {
+    const WaitingItem item = *waiting_.begin();
+    waiting_.erase(waiting_.begin());
+    const auto job = jobs_.find(item.job);
+    if (job == jobs_.end()) continue;
+    ++running_items_;
+    asio::co_spawn(context_.executor, run_item(item, job->second), asio::detached);
+  }
+}
+
+asio::awaitable<void> JobRunner::run_item(WaitingItem item, std::shared_ptr<ActiveJob> job) {
+  const JobItem& listed = job->items[item.index];
+  ItemRequest request;
+  Backoff backoff;
+  asio::steady_timer timer(context_.executor);
+  while (!job->stopped) {
+    const LookupStatus status = co_await store_.read_request(item.job, item.index, listed, request);
+    if (status == LookupStatus::kFound) break;
+    if (status == LookupStatus::kAbsent) {
+      log_event(Event::kItemUnreadable, {{"job", item.job}, {"item", listed.id}});
+    }
+    timer.expires_after(backoff.next());
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (!job->stopped) {
+    ItemProgress progress;
+    const auto& known = store_.results_of(item.job).progress;
+    const auto found = known.find(item.index);
+    if (found != known.end()) progress = found->second;
+    ItemContext context{item.job, item.index, listed.id, job->host, job->path, job->submitted_ms};
+    const auto run = std::make_shared<ItemRun>(context_, std::move(context), std::move(request),
+                                               std::move(progress), settings_.clock_skew);
+    job->runs[item.index] = run;
+    std::optional<ItemResult> result = co_await run->run();
+    job->runs.erase(item.index);
+    if (result) {
+      log_event(Event::kItemDone,
+                {{"job", item.job},
+                 {"item", listed.id},
+                 {"state", result->state == ItemState::kCompleted ? "completed" : "dead_lettered"},
+                 {"failures", std::to_string(run->progress().failures)}});
+      writer_.add(std::move(*result));
+    }
+  }
+  --running_items_;
+  start_waiting();
+}
+
+void JobRunner::result_durable(const ItemResult& result) {
+  const auto found = jobs_.find(result.job);
+  if (found == jobs_.end()) return;
+  const auto job = found->second;
+  job->finished_tokens += job->items[result.item].tokens;
+  counts_changed_.insert(result.job);
+  if (job->left > 0) --job->left;
+  if (job->left == 0) {
+    asio::co_spawn(context_.executor, finish_job(result.job, job), asio::detached);
+  }
+}
+
+asio::awaitable<void> JobRunner::finish_job(JobKey key, std::shared_ptr<ActiveJob> job) {
+  asio::steady_timer timer(context_.executor);
+  Backoff backoff;
+  while (!job->stopped) {
+    LogStatus status = co_await store_.refresh_results(key);
+    const bool whole = store_.results_of(key).listed_items.size() >= job->items.size();
+    if (status == LogStatus::kOk && whole) {
+      status = co_await store_.mark(job->host, JobRecordKind::kFinished, key, "1");
+      if (status == LogStatus::kOk) break;
+    }
+    timer.expires_after(backoff.next());
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (job->stopped) co_return;
+  log_event(Event::kJobFinished, {{"job", key}});
+  jobs_.erase(key);
+  counts_changed_.erase(key);
+}
+
+void JobRunner::stop_job(const JobKey& key, bool keep_progress) {
+  const auto found = jobs_.find(key);
+  if (found == jobs_.end()) return;
+  const auto job = found->second;
+  jobs_.erase(found);
+  job->stopped = true;
+  std::erase_if(waiting_, [&](const WaitingItem& item) { return item.job == key; });
+  for (const auto& [index, run] : job->runs) {
+    if (keep_progress && run->has_progress()) writer_.add(run->progress());
+    run->stop();
+  }
+  counts_changed_.erase(key);
+}
+
+asio::awaitable<void> JobRunner::give_up_slots(std::set<std::uint32_t> slots) {
+  std::vector<JobKey> keys;
+  for (const auto& [key, job] : jobs_) {
+    if (slots.contains(job_slot(key, store_.limits().group_slots))) keys.push_back(key);
+  }
+  for (const auto& key : keys) stop_job(key, true);
+  co_await writer_.flush(kHandOverTime);
+}
+
+asio::awaitable<void> JobRunner::maintain() {
+  asio::steady_timer timer(context_.executor);
+  while (!stopping_) {
+    timer.expires_after(kUpkeepInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await write_progress_counts();
+    co_await erase_expired();
+  }
+}
+
+asio::awaitable<void> JobRunner::write_progress_counts() {
+  const std::set<JobKey> changed = std::exchange(counts_changed_, {});
+  for (const JobKey& key : changed) {
+    const auto found = jobs_.find(key);
+    if (found == jobs_.end()) continue;
+    const auto job = found->second;
+    const auto configuration = context_.configuration;
+    const Route* route = configuration ? configuration->find_route(job->host, job->path) : nullptr;
+    // Only the limit on queued tokens needs the count.
+    if (route == nullptr || route->max_queued_tokens == 0) continue;
+    const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kProgress, key,
+                                                  encode_tokens(job->finished_tokens));
+    if (status != LogStatus::kOk) counts_changed_.insert(key);
+  }
+}
+
+asio::awaitable<void> JobRunner::erase_expired() {
+  const std::int64_t now = wall_clock_ms();
+  const Duration lifetime = settings_.status_lifetime + 2 * settings_.clock_skew;
+  std::vector<std::pair<std::string, JobKey>> expired;
+  store_.for_each_job([&](const JobKey& key, const JobEntry& job) {
+    const Duration age = std::chrono::milliseconds(now - job.submission.submitted_ms);
+    if (job.open() || !holds(key) || age < lifetime) return;
+    expired.emplace_back(job.submission.host, key);
+  });
+  for (const auto& [host, key] : expired) co_await store_.erase(host, key);
+}
+
+asio::awaitable<void> JobRunner::stop() {
+  stopping_ = true;
+  co_await membership_.leave();
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_runner.h
@@ -0,0 +1,88 @@
+/// @file
+/// Runs the jobs of the slots that this node holds.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "gateway/gateway_context.h"
+#include "jobs/item_run.h"
+#include "jobs/job_store.h"
+#include "jobs/result_writer.h"
+#include "jobs/slot_membership.h"
+
+namespace stoathold {
+
+/// What a job runner is told at start.
+struct JobRunnerSettings {
+  std::string node_name;
+  Duration status_lifetime{0};  ///< Results stay readable this long after the submission.
+  Duration clock_skew{0};       ///< Most that the nodes' clocks differ.
+};
+
+/// Starts jobs when they are accepted or their slot is gained, stops them when they are ended or
+/// their slot is lost, and marks them finished. Used on one thread.
+class JobRunner {
+ public:
+  JobRunner(GatewayContext& context, JobStore& store, RecordLog& log, JobRunnerSettings settings);
+
+  void start();
+  /// Planned stop: gives the slots up with their progress written, and leaves the group.
+  boost::asio::awaitable<void> stop();
+
+  [[nodiscard]] std::size_t running_items() const { return running_items_; }
+  [[nodiscard]] std::size_t waiting_items() const { return waiting_.size(); }
+
+ private:
+  /// A job that this node runs.
+  struct ActiveJob {
+    std::string host;
+    std::string path;
+    std::int64_t submitted_ms = 0;
+    std::vector<JobItem> items;
+    std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs;
+    std::uint64_t finished_tokens = 0;
+    std::size_t left = 0;  ///< Items without a durable result.
+    bool stopped = false;
+  };
+  /// An item that waits for a place, the most urgent first.
+  struct WaitingItem {
+    std::int64_t submitted_ms = 0;
+    JobKey job;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const WaitingItem&) const = default;
+  };
+
+  void job_changed(const JobKey& key, const JobEntry& job);
+  void start_job(const JobKey& key, const JobEntry& job);
+  boost::asio::awaitable<void> load_job(JobKey key, std::shared_ptr<ActiveJob> job);
+  void stop_job(const JobKey& key, bool keep_progress);
+  void start_waiting();
+  boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job);
+  void result_durable(const ItemResult& result);
+  boost::asio::awaitable<void> finish_job(JobKey key, std::shared_ptr<ActiveJob> job);
+  boost::asio::awaitable<void> give_up_slots(std::set<std::uint32_t> slots);
+  boost::asio::awaitable<void> maintain();
+  boost::asio::awaitable<void> erase_expired();
+  boost::asio::awaitable<void> write_progress_counts();
+  [[nodiscard]] bool holds(const JobKey& key) const;
+
+  GatewayContext& context_;
+  JobStore& store_;
+  JobRunnerSettings settings_;
+  ResultWriter writer_;
+  SlotMembership membership_;
+  std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
+  std::set<WaitingItem> waiting_;
+  std::set<JobKey> counts_changed_;
+  std::size_t running_items_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_store.h
@@ -0,0 +1,124 @@
+/// @file
+/// Batch jobs in the durable log: submission, results, end and bodies, the same at every node.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "jobs/job_records.h"
+#include "jobs/job_table.h"
+#include "jobs/result_table.h"
+
+namespace stoathold {
+
+/// How a submission ended.
+enum class SubmitStatus : std::uint8_t {
+  kAccepted,   ///< The whole job is durable.
+  kQuota,      ///< It does not fit; it is not and will not be run.
+  kRefused,    ///< The log could not take it; it is not and will not be run.
+  kUncertain,  ///< The log did not answer; it may be accepted.
+  kInvalid,    ///< It can never be taken.
+};
+
+/// Returns the status' name for logs.
+std::string_view to_string(SubmitStatus status);
+
+/// How certain an answer about a job is.
+enum class LookupStatus : std::uint8_t {
+  kFound,
+  kAbsent,     ///< There is no such job.
+  kUncertain,  ///< The log could not be asked.
+};
+
+/// A job to submit: the items' places in the log are filled in here.
+struct NewJob {
+  JobSubmission submission;
+  std::vector<ItemRequest> requests;    ///< One for each item.
+  std::uint64_t max_queued_tokens = 0;  ///< Of the route; 0: no limit.
+};
+
+/// A page of results.
+struct ResultPage {
+  LookupStatus status = LookupStatus::kUncertain;
+  const JobEntry* job = nullptr;        ///< Valid until the next wait.
+  const JobResults* results = nullptr;  ///< Valid until the next wait.
+};
+
+/// All jobs, seen from one node. Used on one thread; outlives the calls in flight.
+class JobStore {
+ public:
+  JobStore(boost::asio::any_io_executor executor, RecordLog& log, std::string writer_name);
+
+  /// Called whenever a job of a followed host was added or ended.
+  void set_listener(JobTable::Listener listener) { listener_ = std::move(listener); }
+  /// Follows the jobs of a host from now on.
+  void follow_host(const std::string& host);
+
+  /// Makes a job durable, once, however often it is submitted.
+  boost::asio::awaitable<SubmitStatus> submit(NewJob job);
+  /// Looks a job up; asks the log before it says that there is none.
+  boost::asio::awaitable<LookupStatus> find(std::string host, JobKey key, const JobEntry*& job);
+  /// Reads the results from a position on; waits up to `wait` for the first.
+  boost::asio::awaitable<ResultPage> read_results(std::string host, JobKey key,
+                                                  std::uint64_t position, Duration wait);
+  /// Ends a job; done once this returns `kOk`.
+  boost::asio::awaitable<LogStatus> end(std::string host, JobKey key);
+  /// Reads the request that an item is.
+  boost::asio::awaitable<LookupStatus> read_request(JobKey key, std::uint32_t index, JobItem item,
+                                                    ItemRequest& request);
+
+  /// Brings the results of a job up to date with the log.
+  boost::asio::awaitable<LogStatus> refresh_results(JobKey key);
+  /// Adds records to a job's partition of the results; tries until it is done or `running` ends.
+  /// @param make called for each try, since a result needs a new key each time.
+  boost::asio::awaitable<bool> append_results(std::uint32_t partition,
+                                              std::function<std::vector<KeyedRecord>()> make,
+                                              std::function<bool()> running);
+  /// Adds a mark to a job (finished, progress).
+  boost::asio::awaitable<LogStatus> mark(std::string host, JobRecordKind kind, JobKey key,
+                                         std::string value);
+  /// Deletes all records of a job.
+  boost::asio::awaitable<void> erase(std::string host, JobKey key);
+
+  /// A text that no other call of any process gets, for keys.
+  std::string unique_name();
+  [[nodiscard]] const JobResults& results_of(const JobKey& key);
+  /// Calls `visit` for each job of the followed hosts.
+  void for_each_job(const std::function<void(const JobKey&, const JobEntry&)>& visit) const;
+  [[nodiscard]] const LogLimits& limits() const { return log_.limits(); }
+
+ private:
+  /// A partition of the jobs topic.
+  struct JobsPartition {
+    std::unique_ptr<JobTable> table;
+    std::shared_ptr<PartitionReplica> replica;
+    bool followed = false;
+  };
+  struct ResultsPartition {
+    std::unique_ptr<ResultTable> table;
+    std::shared_ptr<PartitionReplica> replica;
+  };
+
+  JobsPartition& jobs_of(const std::string& host);
+  ResultsPartition& results_partition(std::uint32_t partition);
+  boost::asio::awaitable<LogStatus> append_bodies(JobKey key, NewJob& job, TimePoint deadline);
+  boost::asio::awaitable<LogStatus> append_until(PartitionName partition,
+                                                 std::vector<KeyedRecord> records,
+                                                 TimePoint deadline, AppendResult& result);
+  boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
+                                                         NewJob& job, TimePoint deadline);
+  boost::asio::awaitable<void> pause(Duration duration);
+
+  boost::asio::any_io_executor executor_;
+  RecordLog& log_;
+  std::string writer_name_;
+  std::uint64_t next_unique_ = 0;
+  JobTable::Listener listener_;
+  std::map<std::uint32_t, JobsPartition> jobs_;
+  std::map<std::uint32_t, ResultsPartition> results_;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_table.cc
@@ -0,0 +1,79 @@
+#include "jobs/job_table.h"
+
+#include "base/event_log.h"
+
+namespace stoathold {
+
+void JobTable::apply_submission(const JobKey& key, const StoredRecord& record) {
+  JobEntry entry;
+  if (!decode(record.value, entry.submission)) {
+    log_event(Event::kRecordMalformed,
+              {{"key", record.key}, {"offset", std::to_string(record.offset)}});
+    return;
+  }
+  const auto [position, added] = jobs_.emplace(key, std::move(entry));
+  if (added && listener_) listener_(key, position->second);
+}
+
+void JobTable::apply(const StoredRecord& record) {
+  const auto parsed = parse_jobs_record_key(record.key);
+  if (!parsed) return;
+  const auto& [kind, key] = *parsed;
+  if (record.value.empty()) {
+    if (kind == JobRecordKind::kSubmitted) jobs_.erase(key);
+    return;
+  }
+  if (kind == JobRecordKind::kSubmitted) {
+    apply_submission(key, record);
+    return;
+  }
+  const auto found = jobs_.find(key);
+  if (found == jobs_.end()) return;
+  JobEntry& job = found->second;
+  std::uint64_t tokens = 0;
+  switch (kind) {
+    case JobRecordKind::kEnded:
+      job.ended = true;
+      if (listener_) listener_(key, job);
+      break;
+    case JobRecordKind::kFinished:
+      job.finished = true;
+      break;
+    case JobRecordKind::kProgress:
+      if (decode_tokens(record.value, tokens)) {
+        job.finished_tokens = std::max(job.finished_tokens, tokens);
+      }
+      break;
+    case JobRecordKind::kSubmitted:
+      break;
+  }
+}
+
+void JobTable::reset(const std::vector<StoredRecord>& newest) {
+  std::map<JobKey, JobEntry> before = std::move(jobs_);
+  jobs_.clear();
+  for (const auto& record : newest) apply(record);
+  // A progress count that was written late may lie behind what was known here.
+  for (auto& [key, job] : jobs_) {
+    const auto known = before.find(key);
+    if (known == before.end()) continue;
+    job.finished_tokens = std::max(job.finished_tokens, known->second.finished_tokens);
+  }
+}
+
+const JobEntry* JobTable::find(const JobKey& key) const {
+  const auto found = jobs_.find(key);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t JobTable::queued_tokens(const std::string& route) const {
+  std::uint64_t sum = 0;
+  for (const auto& [key, job] : jobs_) {
+    if (!job.open() || job.submission.route != route) continue;
+    const std::uint64_t all = job.submission.tokens();
+    sum += all - std::min(all, job.finished_tokens);
+  }
+  return sum;
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_table.h
@@ -0,0 +1,47 @@
+/// @file
+/// The jobs of one partition of the jobs topic: a fold of its records.
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "jobs/job_records.h"
+#include "store/partition_replica.h"
+
+namespace stoathold {
+
+/// One job as the log holds it.
+struct JobEntry {
+  JobSubmission submission;
+  bool ended = false;                 ///< Its submitter ended it: nothing more is run.
+  bool finished = false;              ///< All of its items are listed.
+  std::uint64_t finished_tokens = 0;  ///< Of its listed items, as last told; may lag.
+
+  [[nodiscard]] bool open() const { return !ended && !finished; }
+};
+
+/// Folds records in the order of their offsets; equal at all nodes that have read as far.
+class JobTable final : public RecordSink {
+ public:
+  /// Called after a job was added or ended.
+  using Listener = std::function<void(const JobKey&, const JobEntry&)>;
+
+  explicit JobTable(Listener listener) : listener_(std::move(listener)) {}
+
+  void apply(const StoredRecord& record) override;
+  void reset(const std::vector<StoredRecord>& newest) override;
+
+  /// Returns the job, or null.
+  [[nodiscard]] const JobEntry* find(const JobKey& key) const;
+  [[nodiscard]] const std::map<JobKey, JobEntry>& jobs() const { return jobs_; }
+  /// Tokens of a route's items that wait or run, over all nodes. Never too low.
+  [[nodiscard]] std::uint64_t queued_tokens(const std::string& route) const;
+
+ private:
+  void apply_submission(const JobKey& key, const StoredRecord& record);
+
+  Listener listener_;
+  std::map<JobKey, JobEntry> jobs_;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/result_writer.cc
@@ -0,0 +1,93 @@
+#include "jobs/result_writer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Most records of one append; their sizes are bounded by the log's limits as well.
+constexpr std::size_t kRecordsPerAppend = 100;
+/// Bytes of a record that are not the text.
+constexpr std::uint64_t kRecordOverhead = 600;
+constexpr Duration kFlushCheck = std::chrono::milliseconds(20);
+
+}  // namespace
+
+ResultWriter::ResultWriter(asio::any_io_executor executor, JobStore& store, Listener listener)
+    : executor_(std::move(executor)), store_(store), listener_(std::move(listener)) {}
+
+void ResultWriter::add(ItemResult result) {
+  const std::uint32_t partition = job_partition(result.job, store_.limits().partitions);
+  queues_[partition].results.push_back(std::move(result));
+  ++pending_;
+  start(partition);
+}
+
+void ResultWriter::add(ItemProgress progress) {
+  const std::uint32_t partition = job_partition(progress.job, store_.limits().partitions);
+  queues_[partition].progress.push_back(std::move(progress));
+  ++pending_;
+  start(partition);
+}
+
+void ResultWriter::start(std::uint32_t partition) {
+  Queue& queue = queues_[partition];
+  if (queue.writing) return;
+  queue.writing = true;
+  asio::co_spawn(executor_, write(partition), asio::detached);
+}
+
+asio::awaitable<void> ResultWriter::write(std::uint32_t partition) {
+  Queue& queue = queues_[partition];
+  while (!queue.results.empty() || !queue.progress.empty()) {
+    std::vector<ItemResult> results;
+    std::vector<ItemProgress> progress;
+    std::uint64_t bytes = 0;
+    while (!queue.results.empty() && results.size() < kRecordsPerAppend) {
+      const std::uint64_t size = queue.results.front().text.size() + kRecordOverhead;
+      if (!results.empty() && bytes + size > store_.limits().call_bytes) break;
+      bytes += size;
+      results.push_back(std::move(queue.results.front()));
+      queue.results.pop_front();
+    }
+    while (!queue.progress.empty() && progress.size() < kRecordsPerAppend) {
+      const std::uint64_t size = queue.progress.front().text.size() + kRecordOverhead;
+      if (bytes > 0 && bytes + size > store_.limits().call_bytes) break;
+      bytes += size;
+      progress.push_back(std::move(queue.progress.front()));
+      queue.progress.pop_front();
+    }
+    const auto make = [&] {
+      std::vector<KeyedRecord> records;
+      for (const auto& result : results) {
+        records.push_back(
+            {result_record_key(result.job, result.item, store_.unique_name()), encode(result)});
+      }
+      for (const auto& entry : progress) {
+        records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
+      }
+      return records;
+    };
+    co_await store_.append_results(partition, make, [] { return true; });
+    pending_ -= results.size() + progress.size();
+    for (const auto& result : results) listener_(result);
+  }
+  queue.writing = false;
+}
+
+asio::awaitable<void> ResultWriter::flush(Duration timeout) {
+  asio::steady_timer timer(executor_);
+  const TimePoint until = monotonic_now() + timeout;
+  while (pending_ > 0 && monotonic_now() < until) {
+    timer.expires_after(kFlushCheck);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/slot_membership.cc
@@ -0,0 +1,91 @@
+#include "jobs/slot_membership.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "store/backoff.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr const char* kGroup = "job-workers";
+/// Silence after which a member's slots pass to others.
+constexpr Duration kTimeToLive = std::chrono::milliseconds(2500);
+/// A member says this often that it lives: three may be lost.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(800);
+
+std::set<std::uint32_t> difference(const std::set<std::uint32_t>& left,
+                                   const std::set<std::uint32_t>& right) {
+  std::set<std::uint32_t> result;
+  std::set_difference(left.begin(), left.end(), right.begin(), right.end(),
+                      std::inserter(result, result.end()));
+  return result;
+}
+
+}  // namespace
+
+SlotMembership::SlotMembership(asio::any_io_executor executor, RecordLog& log,
+                               std::string member_name, SlotHandlers handlers)
+    : executor_(std::move(executor)), log_(log), handlers_(std::move(handlers)) {
+  member_.group = kGroup;
+  member_.name = std::move(member_name);
+  member_.time_to_live = std::max(kTimeToLive, log.limits().minimum_time_to_live);
+}
+
+asio::awaitable<void> SlotMembership::take_over(GroupAssignment assignment) {
+  const std::set<std::uint32_t> held(assignment.slots.begin(), assignment.slots.end());
+  const std::set<std::uint32_t> lost = difference(slots_, held);
+  const std::set<std::uint32_t> gained = difference(held, slots_);
+  if (lost.empty() && gained.empty()) co_return;
+  log_event(Event::kSlotsChanged, {{"generation", std::to_string(assignment.generation)},
+                                   {"held", std::to_string(held.size())},
+                                   {"gained", std::to_string(gained.size())},
+                                   {"lost", std::to_string(lost.size())}});
+  slots_ = held;
+  if (!lost.empty()) co_await handlers_.lost(lost);
+  if (!gained.empty() && !leaving_) handlers_.gained(gained);
+}
+
+asio::awaitable<void> SlotMembership::run() {
+  asio::steady_timer timer(executor_);
+  Backoff backoff;
+  bool reachable = true;
+  while (!leaving_) {
+    const GroupAssignment assignment = co_await log_.join(member_);
+    if (leaving_) co_return;
+    Duration wait = kHeartbeat;
+    if (assignment.status == LogStatus::kOk) {
+      backoff.reset();
+      if (!reachable) log_event(Event::kStoreRegained, {{"member", member_.name}});
+      reachable = true;
+      const bool changed = assignment.generation != member_.generation;
+      member_.generation = assignment.generation;
+      co_await take_over(assignment);
+      // The others wait for this member to say that it has heard of the change.
+      if (changed) wait = Duration{0};
+    } else {
+      if (reachable) {
+        log_event(Event::kStoreLost, {{"member", member_.name},
+                                      {"status", std::string(to_string(assignment.status))}});
+      }
+      reachable = false;
+      wait = backoff.next();
+    }
+    timer.expires_after(wait);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+asio::awaitable<void> SlotMembership::leave() {
+  leaving_ = true;
+  const std::set<std::uint32_t> held = std::exchange(slots_, {});
+  if (!held.empty()) co_await handlers_.lost(held);
+  co_await log_.leave(member_);
+}
+
+}  // namespace stoathold
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -32,6 +32,14 @@
   }
 }
 
+void PartitionReplica::apply_appended(RecordOffset offset,
+                                      const std::vector<KeyedRecord>& records) {
+  if (offset != next_offset_) return;
+  std::vector<StoredRecord> stored;
+  for (const auto& record : records) stored.push_back({offset++, record.key, record.value});
+  apply_new(stored);
+}
+
 asio::awaitable<LogStatus> PartitionReplica::load_newest() {
   ReadResult result = co_await log_.read_newest(partition_, KeyRange{});
   if (result.status != LogStatus::kOk) co_return result.status;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -43,6 +43,8 @@
   boost::asio::awaitable<LogStatus> catch_up();
   /// Reads once, waiting up to `wait` for a record behind those applied.
   boost::asio::awaitable<LogStatus> wait_for_records(Duration wait);
+  /// Applies records that this process appended, if nothing unread lies before them.
+  void apply_appended(RecordOffset offset, const std::vector<KeyedRecord>& records);
   /// Follows the partition for as long as `running` holds.
   boost::asio::awaitable<void> follow(std::function<bool()> running);
 
