Wait at the gateway instead of at full runners; judge silence by the runner

Now a placement queue holds what no runner has room for, ordered by urgency; a silent runner is given up only if it is silent for all of this node's requests; batch runs give places back. In between: a crash by a name table shorter than its enum, now a switch.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -28,6 +28,8 @@
                "The planned stop is complete; the process exits."},
     EventEntry{Event::kSettingsRefused, "settings_refused", EventLevel::kError,
                "The settings are wrong; the process does not start."},
+    EventEntry{Event::kSettingsReloaded, "settings_reloaded", EventLevel::kInfo,
+               "The settings file was read again; a faulty one changes nothing."},
     EventEntry{Event::kMemberSuspected, "member_suspected", EventLevel::kWarning,
                "A member fell silent and gets no new work."},
     EventEntry{Event::kMemberDead, "member_dead", EventLevel::kWarning,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -18,6 +18,7 @@
   kNodeDraining = 1003,
   kNodeStopped = 1004,
   kSettingsRefused = 1005,
+  kSettingsReloaded = 1006,
   kMemberSuspected = 1101,
   kMemberDead = 1102,
   kMemberAlive = 1103,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -9,6 +9,7 @@
 #include "gateway/header_dialect.h"
 #include "gateway/upstream.h"
 #include "routing/configuration.h"
+#include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
 #include "routing/traffic_split.h"
 
@@ -21,6 +22,7 @@
       : executor(std::move(executor_in)),
         dialect(std::move(dialect_in)),
         zone(std::move(zone_in)),
+        placement(executor, runners),
         pool(executor, dialect) {}
 
   boost::asio::any_io_executor executor;
@@ -29,6 +31,7 @@
   std::shared_ptr<const ServingConfiguration> configuration;  ///< Null until the first is known.
   RunnerRegistry runners;
   TrafficSplit split;
+  PlacementQueue placement;
   UpstreamPool pool;
   GatewayMetrics metrics;
 };
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -1,7 +1,6 @@
 #include "gateway/online_request.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -26,6 +25,12 @@
 constexpr double kEventGapPatience = 1.6;
 /// No runner is given up as silent sooner.
 constexpr Duration kShortestPatience = std::chrono::milliseconds(300);
+/// Times that patience with a runner which answers other requests.
+constexpr int kPatienceFactor = 4;
+/// Load at which a runner has no place left.
+constexpr double kFullLoad = 1.0;
+/// Longest wait for a place: soon after, callers have no use for the answer.
+constexpr Duration kLongestWait = std::chrono::milliseconds(1500);
 /// Runners that may turn a request away before it is refused.
 constexpr std::uint32_t kMaxSends = 6;
 /// A request that is not run now is told to come back after this time, in seconds.
@@ -110,6 +115,7 @@
   if (stopped_) return;
   stopped_ = true;
   outcome_ = outcome;
+  if (ticket_) ticket_->cancel();
   if (upstream_) upstream_->cancel();
   if (head_sent_ || outcome == RequestOutcome::kCallerGone) exchange_.abort();
 }
@@ -124,14 +130,26 @@
   co_return outcome_;
 }
 
+asio::awaitable<std::shared_ptr<Runner>> OnlineRequest::place() {
+  PlacementRequest request;
+  request.selection = {service_, context_.zone, affinity_key_, long_prefix_, kFullLoad, tried_};
+  request.priority = route_.priority;
+  request.due = arrival_ + route_.latency_objective;
+  request.give_up = std::min(arrival_ + kLongestWait, deadline_);
+  ticket_ = context_.placement.make_ticket(std::move(request));
+  const auto runner = co_await context_.placement.acquire(ticket_);
+  ticket_.reset();
+  co_return runner;
+}
+
 asio::awaitable<void> OnlineRequest::run_attempts() {
-  while (!stopped_) {
-    SelectionRequest request{service_, context_.zone, affinity_key_, long_prefix_, 0, tried_};
-    const Selection selection = select_runner(context_.runners, request, monotonic_now());
-    if (!selection.runner || sends_ >= kMaxSends) break;
+  while (!stopped_ && sends_ < kMaxSends) {
+    const auto runner = co_await place();
+    if (!runner) break;
     ++sends_;
-    tried_.push_back(selection.runner->record().id);
-    const Attempt result = co_await attempt(selection.runner);
+    tried_.push_back(runner->record().id);
+    const Attempt result = co_await attempt(runner);
+    context_.placement.capacity_changed();
     if (result == Attempt::kDone || result == Attempt::kStopped) co_return;
     if (result == Attempt::kBroken) {
       if (!may_run_again()) break;
@@ -146,9 +164,9 @@
   return head_sent_ ? route_.resumable && last_event_ : route_.repeatable();
 }
 
-bool OnlineRequest::has_alternative(const Runner& /*runner*/) const {
+bool OnlineRequest::has_alternative() const {
   if (runs_ + 1 >= route_.max_attempts) return false;
-  SelectionRequest request{service_, context_.zone, 0, false, 0, tried_};
+  const SelectionRequest request{service_, context_.zone, 0, false, 0, tried_};
   return select_runner(context_.runners, request, monotonic_now()).runner != nullptr;
 }
 
@@ -171,9 +189,22 @@
   return request;
 }
 
-void OnlineRequest::set_patience(Duration patience) {
-  const TimePoint until = monotonic_now() + std::max(patience, kShortestPatience);
-  upstream_->set_deadline(std::min(until, deadline_));
+void OnlineRequest::be_patient(Duration patience) {
+  patience_ = std::max(patience, kShortestPatience);
+  quiet_since_ = monotonic_now();
+  upstream_->set_deadline(std::min(quiet_since_ + patience_, deadline_));
+}
+
+/// A runner that is silent only for this request is busy, and another would be no faster: it is
+/// given up when it has been silent for all of this node's requests, or for very long.
+void OnlineRequest::watch_silence(const std::shared_ptr<Runner>& runner) {
+  upstream_->set_deadline_extender([this, runner]() -> std::optional<TimePoint> {
+    const TimePoint now = monotonic_now();
+    if (patience_.count() == 0 || now >= deadline_) return std::nullopt;
+    const bool heard = runner->last_heard() > quiet_since_;
+    if (!heard || now >= quiet_since_ + kPatienceFactor * patience_) return std::nullopt;
+    return std::min(now + patience_ / 2, deadline_);
+  });
 }
 
 asio::awaitable<OnlineRequest::Attempt> OnlineRequest::attempt(
@@ -181,15 +212,17 @@
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(deadline_);
-  runner->begin_attempt();
+  patience_ = Duration{0};
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
   Attempt result = classify_failure(status);
   if (status == UpstreamStatus::kOk) {
-    const bool impatient = route_.repeatable() && has_alternative(*runner);
-    if (impatient) set_patience(scale(route_.latency_objective, kFirstEventPatience));
+    watch_silence(runner);
+    const bool impatient = route_.repeatable() && has_alternative();
+    if (impatient) be_patient(scale(route_.latency_objective, kFirstEventPatience));
     status = co_await upstream->read_head();
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
+      runner->heard(monotonic_now());
       note_load(*runner);
       result = co_await take_answer(*runner);
     }
@@ -247,7 +280,7 @@
   if (head_sent_ && !success) co_return Attempt::kBroken;
   const bool another_run = runs_ + 1 < route_.max_attempts && route_.repeatable();
   if (head.status >= kServerError && another_run) co_return Attempt::kBroken;
-  if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events();
+  if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events(runner);
   co_return co_await relay_body();
 }
 
@@ -314,7 +347,7 @@
   co_return !stopped_;
 }
 
-asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_events() {
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_events(Runner& runner) {
   framer_ = EventFramer{};
   std::string_view view;
   while (true) {
@@ -322,13 +355,15 @@
     if (status != UpstreamStatus::kOk) co_return classify_failure(status);
     if (view.empty()) break;
     bool spoiled = false;
+    runner.heard(monotonic_now());
     const bool delivered = co_await send_whole_events(view, spoiled);
     if (!delivered) co_return Attempt::kStopped;
     if (spoiled) co_return Attempt::kBroken;
     const bool resumable = route_.resumable && runs_ + 1 < route_.max_attempts;
     if (resumable) {
-      set_patience(scale(route_.event_gap_objective, kEventGapPatience));
+      be_patient(scale(route_.event_gap_objective, kEventGapPatience));
     } else {
+      patience_ = Duration{0};
       upstream_->set_deadline(deadline_);
     }
   }
@@ -378,14 +413,28 @@
   co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
 }
 
+std::string_view OnlineRequest::name_of(Attempt attempt) {
+  switch (attempt) {
+    case Attempt::kDone:
+      return "done";
+    case Attempt::kNotRun:
+      return "not_run";
+    case Attempt::kUnreachable:
+      return "unreachable";
+    case Attempt::kBroken:
+      return "broken";
+    case Attempt::kStopped:
+      break;
+  }
+  return "stopped";
+}
+
 void OnlineRequest::log_attempt(const Runner& runner, Attempt result, UpstreamStatus status) {
-  constexpr std::array<const char*, 5> kNames{"done", "not_run", "unreachable", "broken",
-                                              "stopped"};
   const std::uint64_t last = last_event_.value_or(0);
   log_event(Event::kAttemptFailed, {{"request", id_},
                                     {"runner", runner.record().id},
                                     {"address", runner.record().address},
-                                    {"result", kNames[static_cast<std::size_t>(result)]},
+                                    {"result", std::string(name_of(result))},
                                     {"step", std::string(to_string(status))},
                                     {"failures", std::to_string(runner.failures())},
                                     {"last_event", std::to_string(last)},
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -54,13 +54,14 @@
     kStopped,      ///< The caller left or the time is up.
   };
 
+  static std::string_view name_of(Attempt attempt);
   void read_request();
   void start_watches();
   boost::asio::awaitable<void> run_attempts();
   boost::asio::awaitable<Attempt> attempt(const std::shared_ptr<Runner>& runner);
   boost::asio::awaitable<Attempt> take_answer(Runner& runner);
   boost::asio::awaitable<Attempt> relay_body();
-  boost::asio::awaitable<Attempt> relay_events();
+  boost::asio::awaitable<Attempt> relay_events(Runner& runner);
   boost::asio::awaitable<bool> send_head();
   boost::asio::awaitable<bool> send_whole_events(std::string_view bytes, bool& spoiled);
   boost::asio::awaitable<void> finish_without_answer();
@@ -70,11 +71,13 @@
   [[nodiscard]] Attempt classify_failure(UpstreamStatus status) const;
   [[nodiscard]] bool is_spoiled(const UpstreamHead& head) const;
   [[nodiscard]] bool may_run_again() const;
-  [[nodiscard]] bool has_alternative(const Runner& runner) const;
+  [[nodiscard]] bool has_alternative() const;
+  boost::asio::awaitable<std::shared_ptr<Runner>> place();
+  void watch_silence(const std::shared_ptr<Runner>& runner);
   void note_load(Runner& runner);
   void log_attempt(const Runner& runner, Attempt result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
-  void set_patience(Duration patience);
+  void be_patient(Duration patience);
 
   GatewayContext& context_;
   HttpExchange& exchange_;
@@ -89,12 +92,14 @@
   std::vector<HttpHeader> forwarded_headers_;
 
   boost::asio::steady_timer deadline_timer_;
+  std::shared_ptr<PlacementTicket> ticket_;
   std::shared_ptr<UpstreamExchange> upstream_;
+  Duration patience_{0};     ///< Silence after which a runner is given up; 0: none.
+  TimePoint quiet_since_{};  ///< Since then nothing came for this request.
   EventFramer framer_;
   std::vector<std::string> tried_;
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
-  bool patience_ended_ = false;
   bool head_sent_ = false;
   bool stopped_ = false;
   std::optional<std::uint64_t> last_event_;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -141,6 +141,7 @@
 
   void close() {
     timer.cancel();
+    extender = nullptr;
     if (!socket) return;
     boost::system::error_code ignored;
     socket->close(ignored);
@@ -155,6 +156,10 @@
       const auto state = self.lock();
       if (error || !state) return;
       state->armed_until = {};
+      if (monotonic_now() >= state->deadline && state->extender) {
+        const auto later = state->extender();
+        if (later) state->deadline = *later;
+      }
       if (monotonic_now() < state->deadline) {
         state->arm(state->deadline);
       } else {
@@ -186,6 +191,7 @@
   asio::steady_timer timer;
   TimePoint deadline{};
   TimePoint armed_until{};
+  DeadlineExtender extender;
   UpstreamStatus ended = UpstreamStatus::kOk;
   std::string address;
   std::string request_id;
@@ -326,6 +332,10 @@
   state_->set_deadline(deadline);
 }
 
+void UpstreamExchange::set_deadline_extender(DeadlineExtender extender) {
+  state_->extender = std::move(extender);
+}
+
 void UpstreamExchange::cancel() {
   state_->end(UpstreamStatus::kCancelled);
 }
@@ -333,6 +343,7 @@
 void UpstreamExchange::release() {
   auto& state = *state_;
   state.timer.cancel();
+  state.extender = nullptr;
   const bool whole = state.parser && state.parser->is_done() && state.written;
   const bool fit = whole && state.ended == UpstreamStatus::kOk && state.parser->keep_alive() &&
                    !state.parser->need_eof() && state.buffer.size() == 0;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -6,7 +6,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -89,6 +91,9 @@
   boost::asio::awaitable<UpstreamStatus> read_body(std::string_view& view);
   /// Steps that are not done by then end with `kTimeout`.
   void set_deadline(TimePoint deadline);
+  /// Asked when the deadline has passed: a later one, or nothing to let the step end.
+  using DeadlineExtender = std::function<std::optional<TimePoint>()>;
+  void set_deadline_extender(DeadlineExtender extender);
   /// Ends the request: the connection is closed, so that the runner stops work.
   void cancel();
   /// The whole answer was read: keeps the connection for others if it is fit for that.
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -1,6 +1,5 @@
 #include "jobs/item_run.h"
 
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -21,8 +20,10 @@
 constexpr Duration kEventGapPatience = std::chrono::milliseconds(1500);
 /// Runners at or above this load are left to online requests.
 constexpr double kLoadLimit = 0.75;
-/// Between looks for a runner with room, or for a configuration.
-constexpr Duration kRoomPause = std::chrono::milliseconds(100);
+/// After this time without a place the route is looked at anew.
+constexpr Duration kPlacementTime = std::chrono::seconds(2);
+/// Between looks for a configuration or a route.
+constexpr Duration kRoutePause = std::chrono::milliseconds(100);
 /// A route must be missing this long before its items are given up.
 constexpr Duration kRouteGrace = std::chrono::seconds(5);
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
@@ -54,6 +55,7 @@
 
 void ItemRun::stop() {
   stopped_ = true;
+  if (ticket_) ticket_->cancel();
   if (upstream_) upstream_->cancel();
   timer_.cancel();
 }
@@ -64,10 +66,29 @@
   co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-std::shared_ptr<Runner> ItemRun::choose_runner(const Route& route) const {
-  const std::string& service = context_.split.next_service(route);
-  SelectionRequest request{service, context_.zone, affinity_key_, long_prefix_, kLoadLimit, {}};
-  return select_runner(context_.runners, request, monotonic_now()).runner;
+void ItemRun::yield() {
+  yielding_ = true;
+  if (upstream_) upstream_->cancel();
+}
+
+asio::awaitable<std::shared_ptr<Runner>> ItemRun::place(const Route& route) {
+  PlacementRequest request;
+  request.work = WorkClass::kBatch;
+  request.selection = {context_.split.next_service(route),
+                       context_.zone,
+                       affinity_key_,
+                       long_prefix_,
+                       kLoadLimit,
+                       {}};
+  request.priority = route.priority;
+  const TimePoint now = monotonic_now();
+  const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
+  request.due = now - age;
+  request.give_up = now + kPlacementTime;
+  ticket_ = context_.placement.make_ticket(std::move(request));
+  const auto runner = co_await context_.placement.acquire(ticket_);
+  ticket_.reset();
+  co_return runner;
 }
 
 bool ItemRun::is_expired(const Route& route) const {
@@ -98,19 +119,17 @@
       if (!route_missing_since) route_missing_since = now;
       const bool gone = configuration && now - *route_missing_since > kRouteGrace;
       if (gone) co_return make_result(ItemState::kDeadLettered);
-      co_await pause(kRoomPause);
+      co_await pause(kRoutePause);
       continue;
     }
     route_missing_since.reset();
     if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
-    const auto runner = choose_runner(*route);
-    if (!runner) {
-      co_await pause(kRoomPause);
-      continue;
-    }
+    const auto runner = co_await place(*route);
+    if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
     const Attempt result = co_await attempt(runner);
-    ++context_.metrics.batch_items[std::to_string(static_cast<int>(result))];
+    context_.placement.capacity_changed();
+    ++context_.metrics.batch_items[std::string(name_of(result))];
     if (result == Attempt::kCompleted) co_return make_result(ItemState::kCompleted);
     if (result == Attempt::kImpossible) co_return make_result(ItemState::kDeadLettered);
     if (result == Attempt::kFailed) {
@@ -119,6 +138,7 @@
         co_return make_result(ItemState::kDeadLettered);
     }
     if (progress_.last_event > events_before) backoff.reset();
+    if (result == Attempt::kYielded) continue;
     if (!stopped_) co_await pause(backoff.next());
   }
   co_return std::nullopt;
@@ -152,12 +172,16 @@
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(monotonic_now() + kFirstEventPatience);
-  runner->begin_attempt();
+  runner_ = runner;
+  placed_at_ = monotonic_now();
+  yielding_ = false;
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
   Attempt result = status == UpstreamStatus::kNotSent ? Attempt::kUnreachable : Attempt::kBroken;
   if (status == UpstreamStatus::kOk) status = co_await upstream->read_head();
   if (status == UpstreamStatus::kOk) result = co_await take_answer(*runner);
+  if (yielding_ && result != Attempt::kCompleted) result = Attempt::kYielded;
   if (stopped_) result = Attempt::kStopped;
+  runner_.reset();
   if (result == Attempt::kCompleted) {
     upstream->release();
   } else {
@@ -168,6 +192,28 @@
   co_return result;
 }
 
+std::string_view ItemRun::name_of(Attempt attempt) {
+  switch (attempt) {
+    case Attempt::kCompleted:
+      return "completed";
+    case Attempt::kFailed:
+      return "failed";
+    case Attempt::kImpossible:
+      return "impossible";
+    case Attempt::kNotRun:
+      return "not_run";
+    case Attempt::kUnreachable:
+      return "unreachable";
+    case Attempt::kBroken:
+      return "broken";
+    case Attempt::kYielded:
+      return "yielded";
+    case Attempt::kStopped:
+      break;
+  }
+  return "stopped";
+}
+
 void ItemRun::note_attempt(Runner& runner, Attempt result) {
   AttemptOutcome evidence = AttemptOutcome::kAbandoned;
   if (result == Attempt::kCompleted) evidence = AttemptOutcome::kServed;
@@ -176,12 +222,10 @@
   if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
   runner.end_attempt(evidence, monotonic_now());
   if (result == Attempt::kCompleted) return;
-  constexpr std::array<const char*, 7> kNames{"completed",   "failed", "impossible", "not_run",
-                                              "unreachable", "broken", "stopped"};
   log_event(Event::kItemAttemptFailed, {{"job", item_.job},
                                         {"item", item_.item_id},
                                         {"runner", runner.record().id},
-                                        {"result", kNames[static_cast<std::size_t>(result)]},
+                                        {"result", std::string(name_of(result))},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
 }
@@ -214,6 +258,7 @@
     const UpstreamStatus status = co_await upstream_->read_body(view);
     if (status != UpstreamStatus::kOk) co_return Attempt::kBroken;
     if (view.empty()) break;
+    runner_->heard(monotonic_now());
     upstream_->set_deadline(monotonic_now() + kEventGapPatience);
     if (!framer.feed(view)) co_return Attempt::kBroken;
     while (const auto event = framer.next()) {
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -37,6 +37,12 @@
   boost::asio::awaitable<std::optional<ItemResult>> run();
   /// Ends the run; the runner stops work.
   void stop();
+  /// Gives the place back; the run goes on behind its last event once there is room again.
+  void yield();
+  [[nodiscard]] bool yielding() const { return yielding_; }
+  /// The runner it runs at now, or null.
+  [[nodiscard]] const std::shared_ptr<Runner>& runner() const { return runner_; }
+  [[nodiscard]] TimePoint placed_at() const { return placed_at_; }
 
   /// How far the item came; worth keeping if it has events or failures.
   [[nodiscard]] const ItemProgress& progress() const { return progress_; }
@@ -51,16 +57,18 @@
     kImpossible,  ///< No runner can ever do it.
     kNotRun,
     kUnreachable,
-    kBroken,  ///< May go on behind the last event.
+    kBroken,   ///< May go on behind the last event.
+    kYielded,  ///< Gave its place back.
     kStopped,
   };
 
+  static std::string_view name_of(Attempt attempt);
   boost::asio::awaitable<Attempt> attempt(std::shared_ptr<Runner> runner);
   boost::asio::awaitable<Attempt> take_answer(Runner& runner);
   boost::asio::awaitable<Attempt> take_events();
   boost::asio::awaitable<void> pause(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
-  [[nodiscard]] std::shared_ptr<Runner> choose_runner(const Route& route) const;
+  boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
   void note_attempt(Runner& runner, Attempt result);
@@ -72,7 +80,11 @@
   Duration clock_skew_;
   std::uint64_t affinity_key_ = 0;
   bool long_prefix_ = false;
+  std::shared_ptr<PlacementTicket> ticket_;
   std::shared_ptr<UpstreamExchange> upstream_;
+  std::shared_ptr<Runner> runner_;
+  TimePoint placed_at_{};
+  bool yielding_ = false;
   boost::asio::steady_timer timer_;
   bool stopped_ = false;
 };
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -42,6 +42,8 @@
                     [this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
               },
               [this](std::set<std::uint32_t> slots) { return give_up_slots(std::move(slots)); }}) {
+  context_.placement.set_yield_handler(
+      [this](const std::string& service) { yield_place(service); });
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
 }
 
@@ -97,6 +99,26 @@
   start_waiting();
 }
 
+/// The newest run in this zone gives its place back: it loses the least, and a place elsewhere
+/// would be far for the request that waits.
+void JobRunner::yield_place(const std::string& service) {
+  std::shared_ptr<ItemRun> newest;
+  bool newest_near = false;
+  for (const auto& [key, job] : jobs_) {
+    for (const auto& [index, run] : job->runs) {
+      const auto& runner = run->runner();
+      if (!runner || run->yielding() || runner->record().service != service) continue;
+      const bool near = runner->record().zone == context_.zone;
+      const bool better = !newest || (near && !newest_near) ||
+                          (near == newest_near && run->placed_at() > newest->placed_at());
+      if (!better) continue;
+      newest = run;
+      newest_near = near;
+    }
+  }
+  if (newest) newest->yield();
+}
+
 void JobRunner::start_waiting() {
   while (!waiting_.empty() && running_items_ < kMaxRunningItems) {
     const WaitingItem item = *waiting_.begin();
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -63,6 +63,7 @@
   void start_job(const JobKey& key, const JobEntry& job);
   boost::asio::awaitable<void> load_job(JobKey key, std::shared_ptr<ActiveJob> job);
   void stop_job(const JobKey& key, bool keep_progress);
+  void yield_place(const std::string& service);
   void start_waiting();
   boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job);
   void result_durable(const ItemResult& result);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -77,6 +77,11 @@
     if (list.size() < kPooledPerAddress) list.push_back(std::move(stream));
   }
 
+  void forget(const std::string& address) {
+    const std::scoped_lock lock(mutex);
+    idle.erase(address);
+  }
+
   asio::any_io_executor executor;
   std::mutex mutex;
   std::map<std::string, std::vector<std::unique_ptr<beast::tcp_stream>>> idle;
@@ -137,6 +142,9 @@
   if (reusable) {
     stream->expires_never();
     pool->give(call.address, std::move(stream));
+  } else if (reply.progress != HttpProgress::kAnswered) {
+    // Other idle connections to a peer that fell silent are likely to be dead as well.
+    pool->forget(call.address);
   }
   co_return reply;
 }
--- /dev/null
+++ b/src/routing/placement_queue.cc
@@ -0,0 +1,114 @@
+#include "routing/placement_queue.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <tuple>
+#include <vector>
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// While something waits, places are looked for this often: loads that were reported grow old, and
+/// ejections end, without anything happening here.
+constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
+
+}  // namespace
+
+bool PlacementQueue::MoreUrgent::operator()(const std::shared_ptr<PlacementTicket>& left,
+                                            const std::shared_ptr<PlacementTicket>& right) const {
+  const auto rank = [](const PlacementTicket& ticket) {
+    const PlacementRequest& request = ticket.request_;
+    return std::tuple(request.work, request.priority, request.due, ticket.number_);
+  };
+  return rank(*left) < rank(*right);
+}
+
+PlacementQueue::PlacementQueue(asio::any_io_executor executor, const RunnerRegistry& registry)
+    : executor_(std::move(executor)), registry_(registry), watch_timer_(executor_) {}
+
+std::shared_ptr<PlacementTicket> PlacementQueue::make_ticket(PlacementRequest request) {
+  auto ticket = std::make_shared<PlacementTicket>(executor_, std::move(request));
+  ticket->number_ = next_number_++;
+  return ticket;
+}
+
+bool PlacementQueue::try_place(PlacementTicket& ticket, TimePoint now) {
+  const Selection selection = select_runner(registry_, ticket.request_.selection, now);
+  if (!selection.runner) return false;
+  ticket.runner_ = selection.runner;
+  ticket.runner_->begin_attempt();
+  return true;
+}
+
+asio::awaitable<std::shared_ptr<Runner>> PlacementQueue::acquire(
+    std::shared_ptr<PlacementTicket> ticket) {
+  const TimePoint now = monotonic_now();
+  const bool may_overtake = waiting_.empty() || ticket->request_.work == WorkClass::kOnline;
+  if (may_overtake && try_place(*ticket, now)) co_return ticket->runner_;
+  waiting_.insert(ticket);
+  if (ticket->request_.work == WorkClass::kOnline && yield_handler_) {
+    yield_handler_(ticket->request_.selection.service);
+  }
+  watch();
+  ticket->timer_.expires_after(std::max(Duration{0}, ticket->request_.give_up - now));
+  if (!ticket->cancelled_ && !ticket->runner_) {
+    co_await ticket->timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  waiting_.erase(ticket);
+  if (ticket->runner_ && ticket->cancelled_) {
+    ticket->runner_->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
+    ticket->runner_.reset();
+    capacity_changed();
+  }
+  co_return ticket->runner_;
+}
+
+void PlacementQueue::capacity_changed() {
+  if (!waiting_.empty()) dispatch();
+}
+
+void PlacementQueue::dispatch() {
+  if (dispatching_) return;
+  dispatching_ = true;
+  const TimePoint now = monotonic_now();
+  // Once a service has no place for one, it has none for those behind it of the same class.
+  std::set<std::pair<std::string, WorkClass>> full;
+  std::vector<std::shared_ptr<PlacementTicket>> placed;
+  for (const auto& ticket : waiting_) {
+    const auto group = std::pair(ticket->request_.selection.service, ticket->request_.work);
+    if (full.contains(group)) continue;
+    if (try_place(*ticket, now)) {
+      placed.push_back(ticket);
+    } else if (ticket->request_.selection.excluded.empty()) {
+      full.insert(group);
+    }
+  }
+  for (const auto& ticket : placed) {
+    waiting_.erase(ticket);
+    ticket->timer_.cancel();
+  }
+  dispatching_ = false;
+}
+
+void PlacementQueue::watch() {
+  if (watching_) return;
+  watching_ = true;
+  watch_timer_.expires_after(kWatchInterval);
+  watch_timer_.async_wait([this](boost::system::error_code error) {
+    watching_ = false;
+    if (error || waiting_.empty()) return;
+    dispatch();
+    if (!waiting_.empty()) watch();
+  });
+}
+
+std::size_t PlacementQueue::waiting(WorkClass work) const {
+  return static_cast<std::size_t>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [work](const auto& ticket) { return ticket->request_.work == work; }));
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/routing/placement_queue.h
@@ -0,0 +1,93 @@
+/// @file
+/// Admission: gives each attempt a place at a runner, or lets it wait here, ordered by urgency.
+///
+/// Runners serve in the order of arrival and know no priorities, so work that would wait at a full
+/// runner waits at the gateway instead, where what is urgent can overtake.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "routing/runner_registry.h"
+#include "routing/runner_selector.h"
+
+namespace stoathold {
+
+/// Online work goes before batch work, whatever its age.
+enum class WorkClass : std::uint8_t { kOnline, kBatch };
+
+/// What waits for a place.
+struct PlacementRequest {
+  SelectionRequest selection;
+  WorkClass work = WorkClass::kOnline;
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
+  TimePoint due{};             ///< In time if placed by then.
+  TimePoint give_up{};         ///< No longer worth placing.
+};
+
+/// A request for a place. Held by who waits; `cancel` ends the wait.
+class PlacementTicket {
+ public:
+  PlacementTicket(boost::asio::any_io_executor executor, PlacementRequest request)
+      : request_(std::move(request)), timer_(std::move(executor)) {}
+
+  /// Ends the wait without a place; harmless if it is over.
+  void cancel() {
+    cancelled_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  friend class PlacementQueue;
+  PlacementRequest request_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Runner> runner_;
+  std::uint64_t number_ = 0;
+  bool cancelled_ = false;
+};
+
+/// All that wait on this node. Used on one thread.
+class PlacementQueue {
+ public:
+  /// Called when online work waits for a service whose runners are full: batch work there may give
+  /// a place back.
+  using YieldHandler = std::function<void(const std::string& service)>;
+
+  PlacementQueue(boost::asio::any_io_executor executor, const RunnerRegistry& registry);
+
+  void set_yield_handler(YieldHandler handler) { yield_handler_ = std::move(handler); }
+
+  std::shared_ptr<PlacementTicket> make_ticket(PlacementRequest request);
+  /// Waits for a place.
+  /// @return the runner, with an attempt begun; null if the wait was given up or cancelled.
+  boost::asio::awaitable<std::shared_ptr<Runner>> acquire(std::shared_ptr<PlacementTicket> ticket);
+  /// A place may have become free.
+  void capacity_changed();
+  /// Returns how many wait.
+  [[nodiscard]] std::size_t waiting(WorkClass work) const;
+
+ private:
+  struct MoreUrgent {
+    bool operator()(const std::shared_ptr<PlacementTicket>& left,
+                    const std::shared_ptr<PlacementTicket>& right) const;
+  };
+
+  bool try_place(PlacementTicket& ticket, TimePoint now);
+  void dispatch();
+  void watch();
+
+  boost::asio::any_io_executor executor_;
+  const RunnerRegistry& registry_;
+  YieldHandler yield_handler_;
+  std::set<std::shared_ptr<PlacementTicket>, MoreUrgent> waiting_;
+  std::uint64_t next_number_ = 0;
+  boost::asio::steady_timer watch_timer_;
+  bool watching_ = false;
+  bool dispatching_ = false;
+};
+
+}  // namespace stoathold
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -13,8 +13,9 @@
 constexpr Duration kLongestEjection = std::chrono::seconds(4);
 /// A runner that turns work away as full is spared for a moment.
 constexpr Duration kFullPause = std::chrono::milliseconds(50);
-/// A load report counts for less and less, and for nothing after this time.
-constexpr Duration kReportLifetime = std::chrono::milliseconds(1000);
+/// A load report counts in full for a while, then for less and less until it counts for nothing.
+constexpr Duration kReportFresh = std::chrono::milliseconds(500);
+constexpr Duration kReportLifetime = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -62,7 +63,8 @@
   double expected = own;
   const Duration age = now - report_time_;
   if (age < kReportLifetime && report_time_ != TimePoint{}) {
-    const double freshness = 1.0 - to_seconds(age) / to_seconds(kReportLifetime);
+    const double fading = to_seconds(kReportLifetime - kReportFresh);
+    const double freshness = std::min(1.0, to_seconds(kReportLifetime - age) / fading);
     const double reported = report_.running + report_.waiting;
     const double others = std::max(0.0, reported - in_flight_at_report_);
     expected = own + others * freshness;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -55,6 +55,10 @@
   void begin_attempt();
   void end_attempt(AttemptOutcome outcome, TimePoint now);
   void take_report(const LoadReport& report, TimePoint now);
+  /// Bytes came from the runner.
+  void heard(TimePoint now) { last_heard_ = now; }
+  /// When bytes last came from it, for any request of this node.
+  [[nodiscard]] TimePoint last_heard() const { return last_heard_; }
   /// The runner said that it is going away.
   void mark_leaving() { leaving_ = true; }
 
@@ -79,6 +83,7 @@
   TimePoint ejected_until_{};
   LoadReport report_;
   TimePoint report_time_{};
+  TimePoint last_heard_{};
   std::uint32_t in_flight_at_report_ = 0;
 };
 
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -17,7 +17,7 @@
 constexpr std::uint64_t kReadBytes = 1024UL * 1024;
 /// How long a follower's read waits for a record. It bounds how long a connection that went silent
 /// delays news: the read is given up shortly after it.
-constexpr Duration kFollowWait = std::chrono::milliseconds(2500);
+constexpr Duration kFollowWait = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -95,7 +95,9 @@
   asio::steady_timer timer(co_await asio::this_coro::executor);
   Backoff backoff;
   while (running()) {
-    const Duration wait = health_.loaded ? kFollowWait : Duration{0};
+    // After a failure the next read does not wait, so that the first answer shows at once.
+    const bool steady = health_.loaded && health_.last == LogStatus::kOk;
+    const Duration wait = steady ? kFollowWait : Duration{0};
     bool at_end = false;
     const LogStatus status = co_await read_once(wait, at_end);
     if (status == LogStatus::kOk) {
