Share the use of runners inside a zone; count prompts still to be read

Now each node tells the nodes of its zone its use of runners (UDP, peers from the workers' group), and the choice of a runner minds the prompt tokens ahead.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -100,6 +100,8 @@
                "The store does not answer this node; its state goes on as last known."},
     EventEntry{Event::kStoreRegained, "store_regained", EventLevel::kInfo,
                "The store answers this node again."},
+    EventEntry{Event::kPeersChanged, "peers_changed", EventLevel::kInfo,
+               "The nodes that hold slots, and those of the zone that share loads, changed."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -54,6 +54,7 @@
   kRecordMalformed = 1603,
   kStoreLost = 1604,
   kStoreRegained = 1605,
+  kPeersChanged = 1606,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -92,11 +92,8 @@
     if (names_header(connection, header.name)) continue;
     forwarded_headers_.push_back(std::move(header));
   }
-  if (route_.prefix_affinity) {
-    const PromptPrefix prefix = parse_prompt_prefix(exchange_.header(dialect.prompt_prefix));
-    affinity_key_ = prefix.shared_key;
-    long_prefix_ = prefix.is_long();
-  }
+  prompt_ = parse_prompt_prefix(exchange_.header(dialect.prompt_prefix));
+  if (!route_.prefix_affinity) prompt_.shared_key = 0;
 }
 
 void OnlineRequest::start_watches() {
@@ -132,12 +129,15 @@
 
 asio::awaitable<std::shared_ptr<Runner>> OnlineRequest::place() {
   PlacementRequest request;
-  request.selection = {service_, context_.zone, affinity_key_, long_prefix_, kFullLoad, tried_};
+  request.selection = {service_,       context_.zone,         prompt_.shared_key,
+                       prompt_.tokens, prompt_.shared_tokens, kFullLoad,
+                       tried_};
   request.priority = route_.priority;
   request.due = arrival_ + route_.latency_objective;
   request.give_up = std::min(arrival_ + kLongestWait, deadline_);
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
+  tokens_to_read_ = ticket_->tokens_to_read();
   ticket_.reset();
   co_return runner;
 }
@@ -166,7 +166,7 @@
 
 bool OnlineRequest::has_alternative() const {
   if (runs_ + 1 >= route_.max_attempts) return false;
-  const SelectionRequest request{service_, context_.zone, 0, false, 0, tried_};
+  const SelectionRequest request{service_, context_.zone, 0, 0, 0, 0, tried_};
   return select_runner(context_.runners, request, monotonic_now()).runner != nullptr;
 }
 
@@ -223,6 +223,7 @@
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
       runner->heard(monotonic_now());
+      runner->prompt_read(std::exchange(tokens_to_read_, 0));
       note_load(*runner);
       result = co_await take_answer(*runner);
     }
@@ -239,6 +240,7 @@
   if (result == Attempt::kNotRun) evidence = AttemptOutcome::kNotRun;
   if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
   if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
+  runner->prompt_read(std::exchange(tokens_to_read_, 0));
   runner->end_attempt(evidence, monotonic_now());
   if (result != Attempt::kDone) log_attempt(*runner, result, status);
   ++context_.metrics.attempts[std::string(to_string(status))];
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -11,6 +11,7 @@
 
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
+#include "gateway/prompt_prefix.h"
 #include "net/http.h"
 
 namespace stoathold {
@@ -87,12 +88,12 @@
   std::string id_;
   TimePoint arrival_;
   TimePoint deadline_;
-  std::uint64_t affinity_key_ = 0;
-  bool long_prefix_ = false;
+  PromptPrefix prompt_;
   std::vector<HttpHeader> forwarded_headers_;
 
   boost::asio::steady_timer deadline_timer_;
   std::shared_ptr<PlacementTicket> ticket_;
+  std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<UpstreamExchange> upstream_;
   Duration patience_{0};     ///< Silence after which a runner is given up; 0: none.
   TimePoint quiet_since_{};  ///< Since then nothing came for this request.
--- a/src/gateway/prompt_prefix.cc
+++ b/src/gateway/prompt_prefix.cc
@@ -7,9 +7,6 @@
 namespace stoathold {
 namespace {
 
-/// Shared tokens from which reading them again takes longer than a step or two of waiting.
-constexpr std::uint64_t kLongPrefixTokens = 1000;
-
 /// Cuts off the text before the next comma, without blanks around it.
 std::string_view take_field(std::string_view& text) {
   const std::size_t comma = text.find(',');
@@ -22,19 +19,17 @@
 
 }  // namespace
 
-bool PromptPrefix::is_long() const {
-  return shared_tokens >= kLongPrefixTokens;
-}
-
 PromptPrefix parse_prompt_prefix(std::string_view text) {
   PromptPrefix prefix;
   while (!text.empty()) {
     const std::string_view part = take_field(text);
     const bool last = text.empty();
     const std::size_t colon = part.find(':');
-    if (last || colon == std::string_view::npos) break;
-    std::uint64_t tokens = 0;
+    if (colon == std::string_view::npos) break;
+    std::uint32_t tokens = 0;
     std::from_chars(part.data() + colon + 1, part.data() + part.size(), tokens);
+    prefix.tokens += tokens;
+    if (last) break;
     prefix.shared_key = mix_hashes(prefix.shared_key, stable_hash(part.substr(0, colon)));
     prefix.shared_tokens += tokens;
   }
--- a/src/gateway/prompt_prefix.h
+++ b/src/gateway/prompt_prefix.h
@@ -10,10 +10,8 @@
 /// What routing needs of a prompt's parts.
 struct PromptPrefix {
   std::uint64_t shared_key = 0;     ///< Hash of the parts that other requests share; 0: none.
-  std::uint64_t shared_tokens = 0;  ///< Tokens in those parts.
-
-  /// Whether reading the shared parts again is worth a more loaded runner.
-  [[nodiscard]] bool is_long() const;
+  std::uint32_t shared_tokens = 0;  ///< Tokens in those parts.
+  std::uint32_t tokens = 0;         ///< Tokens in all parts.
 };
 
 /// Reads `id:tokens,id:tokens,...`; the last part belongs to the request alone. Malformed text
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -47,9 +47,7 @@
   progress_.item = item_.index;
   for (const auto& [name, value] : request_.headers) {
     if (!same_header_name(name, context_.dialect.prompt_prefix)) continue;
-    const PromptPrefix prefix = parse_prompt_prefix(value);
-    affinity_key_ = prefix.shared_key;
-    long_prefix_ = prefix.is_long();
+    prompt_ = parse_prompt_prefix(value);
   }
 }
 
@@ -76,8 +74,9 @@
   request.work = WorkClass::kBatch;
   request.selection = {context_.split.next_service(route),
                        context_.zone,
-                       affinity_key_,
-                       long_prefix_,
+                       prompt_.shared_key,
+                       prompt_.tokens,
+                       prompt_.shared_tokens,
                        kLoadLimit,
                        {}};
   request.priority = route.priority;
@@ -87,6 +86,7 @@
   request.give_up = now + kPlacementTime;
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
+  tokens_to_read_ = ticket_->tokens_to_read();
   ticket_.reset();
   co_return runner;
 }
@@ -220,6 +220,7 @@
   if (result == Attempt::kNotRun) evidence = AttemptOutcome::kNotRun;
   if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
   if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
+  runner.prompt_read(std::exchange(tokens_to_read_, 0));
   runner.end_attempt(evidence, monotonic_now());
   if (result == Attempt::kCompleted) return;
   log_event(Event::kItemAttemptFailed, {{"job", item_.job},
@@ -232,6 +233,8 @@
 
 asio::awaitable<ItemRun::Attempt> ItemRun::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
+  runner.heard(monotonic_now());
+  runner.prompt_read(std::exchange(tokens_to_read_, 0));
   const auto report = parse_load(head.header(context_.dialect.load));
   if (report) runner.take_report(*report, monotonic_now());
   constexpr int kOk = 200;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -10,6 +10,7 @@
 
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
+#include "gateway/prompt_prefix.h"
 #include "jobs/job_records.h"
 
 namespace stoathold {
@@ -78,8 +79,8 @@
   ItemRequest request_;
   ItemProgress progress_;
   Duration clock_skew_;
-  std::uint64_t affinity_key_ = 0;
-  bool long_prefix_ = false;
+  PromptPrefix prompt_;
+  std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<PlacementTicket> ticket_;
   std::shared_ptr<UpstreamExchange> upstream_;
   std::shared_ptr<Runner> runner_;
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -35,13 +35,16 @@
       writer_(context.executor, store,
               [this](const ItemResult& result) { result_durable(result); }),
       membership_(
-          context.executor, log, settings_.node_name,
+          context.executor, log, settings_.member_name,
           SlotHandlers{
               [this](const std::set<std::uint32_t>&) {
                 store_.for_each_job(
                     [this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
               },
-              [this](std::set<std::uint32_t> slots) { return give_up_slots(std::move(slots)); }}) {
+              [this](std::set<std::uint32_t> slots) { return give_up_slots(std::move(slots)); },
+              [this](const std::vector<std::string>& names) {
+                if (members_listener_) members_listener_(names);
+              }}) {
   context_.placement.set_yield_handler(
       [this](const std::string& service) { yield_place(service); });
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -20,7 +20,7 @@
 
 /// What a job runner is told at start.
 struct JobRunnerSettings {
-  std::string node_name;
+  std::string member_name;      ///< Of this node in the workers' group; the same after a restart.
   Duration status_lifetime{0};  ///< Results stay readable this long after the submission.
   Duration clock_skew{0};       ///< Most that the nodes' clocks differ.
 };
@@ -31,6 +31,10 @@
  public:
   JobRunner(GatewayContext& context, JobStore& store, RecordLog& log, JobRunnerSettings settings);
 
+  /// Called with the names of the workers' group after each change.
+  using MembersListener = std::function<void(const std::vector<std::string>&)>;
+  void set_members_listener(MembersListener listener) { members_listener_ = std::move(listener); }
+
   void start();
   /// Planned stop: gives the slots up with their progress written, and leaves the group.
   boost::asio::awaitable<void> stop();
@@ -82,6 +86,7 @@
   std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
   std::set<WaitingItem> waiting_;
   std::set<JobKey> counts_changed_;
+  MembersListener members_listener_;
   std::size_t running_items_ = 0;
   bool stopping_ = false;
 };
--- a/src/jobs/slot_membership.cc
+++ b/src/jobs/slot_membership.cc
@@ -51,6 +51,14 @@
   if (!gained.empty() && !leaving_) handlers_.gained(gained);
 }
 
+asio::awaitable<void> SlotMembership::list_members() {
+  const std::uint64_t generation = member_.generation;
+  const MemberList list = co_await log_.members(kGroup);
+  if (list.status != LogStatus::kOk) co_return;
+  listed_generation_ = generation;
+  if (handlers_.members) handlers_.members(list.names);
+}
+
 asio::awaitable<void> SlotMembership::run() {
   asio::steady_timer timer(executor_);
   Backoff backoff;
@@ -68,6 +76,7 @@
       co_await take_over(assignment);
       // The others wait for this member to say that it has heard of the change.
       if (changed) wait = Duration{0};
+      if (!changed && listed_generation_ != member_.generation) co_await list_members();
     } else {
       if (reachable) {
         log_event(Event::kStoreLost, {{"member", member_.name},
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -39,7 +39,9 @@
   const Selection selection = select_runner(registry_, ticket.request_.selection, now);
   if (!selection.runner) return false;
   ticket.runner_ = selection.runner;
-  ticket.runner_->begin_attempt();
+  ticket.tokens_to_read_ = selection.tokens_to_read;
+  ticket.runner_->begin_attempt(selection.tokens_to_read);
+  if (use_listener_) use_listener_();
   return true;
 }
 
@@ -59,6 +61,7 @@
   }
   waiting_.erase(ticket);
   if (ticket->runner_ && ticket->cancelled_) {
+    ticket->runner_->prompt_read(ticket->tokens_to_read_);
     ticket->runner_->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
     ticket->runner_.reset();
     capacity_changed();
@@ -67,6 +70,7 @@
 }
 
 void PlacementQueue::capacity_changed() {
+  if (use_listener_) use_listener_();
   if (!waiting_.empty()) dispatch();
 }
 
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -40,12 +40,15 @@
     cancelled_ = true;
     timer_.cancel();
   }
+  /// Prompt tokens that count as the place's backlog until the answer begins.
+  [[nodiscard]] std::uint32_t tokens_to_read() const { return tokens_to_read_; }
 
  private:
   friend class PlacementQueue;
   PlacementRequest request_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<Runner> runner_;
+  std::uint32_t tokens_to_read_ = 0;
   std::uint64_t number_ = 0;
   bool cancelled_ = false;
 };
@@ -65,8 +68,10 @@
   /// Waits for a place.
   /// @return the runner, with an attempt begun; null if the wait was given up or cancelled.
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire(std::shared_ptr<PlacementTicket> ticket);
-  /// A place may have become free.
+  /// A place may have become free, or was taken.
   void capacity_changed();
+  /// Called whenever this node's use of a runner changes.
+  void set_use_listener(std::function<void()> listener) { use_listener_ = std::move(listener); }
   /// Returns how many wait.
   [[nodiscard]] std::size_t waiting(WorkClass work) const;
 
@@ -83,6 +88,7 @@
   boost::asio::any_io_executor executor_;
   const RunnerRegistry& registry_;
   YieldHandler yield_handler_;
+  std::function<void()> use_listener_;
   std::set<std::shared_ptr<PlacementTicket>, MoreUrgent> waiting_;
   std::uint64_t next_number_ = 0;
   boost::asio::steady_timer watch_timer_;
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -25,8 +25,13 @@
   return std::max<std::uint32_t>(1, record_.slots);
 }
 
-void Runner::begin_attempt() {
+void Runner::begin_attempt(std::uint32_t tokens) {
   ++in_flight_;
+  backlog_tokens_ += tokens;
+}
+
+void Runner::prompt_read(std::uint32_t tokens) {
+  backlog_tokens_ -= std::min(backlog_tokens_, tokens);
 }
 
 void Runner::end_attempt(AttemptOutcome outcome, TimePoint now) {
@@ -55,19 +60,19 @@
 void Runner::take_report(const LoadReport& report, TimePoint now) {
   report_ = report;
   report_time_ = now;
-  in_flight_at_report_ = in_flight_;
+  known_at_report_ = in_flight_ + peer_in_flight_;
 }
 
 double Runner::load(TimePoint now) const {
-  const double own = in_flight_;
-  double expected = own;
+  const double known = in_flight_ + peer_in_flight_;
+  double expected = known;
   const Duration age = now - report_time_;
   if (age < kReportLifetime && report_time_ != TimePoint{}) {
     const double fading = to_seconds(kReportLifetime - kReportFresh);
     const double freshness = std::min(1.0, to_seconds(kReportLifetime - age) / fading);
     const double reported = report_.running + report_.waiting;
-    const double others = std::max(0.0, reported - in_flight_at_report_);
-    expected = own + others * freshness;
+    const double others = std::max(0.0, reported - known_at_report_);
+    expected = known + others * freshness;
   }
   return expected / slots();
 }
@@ -113,11 +118,18 @@
 
 void RunnerRegistry::index() {
   by_service_.clear();
+  by_hash_.clear();
   for (const auto& [id, runner] : runners_) {
+    by_hash_[runner->hash()] = runner;
     by_service_[runner->record().service].push_back(runner);
   }
 }
 
+std::shared_ptr<Runner> RunnerRegistry::find_hash(std::uint64_t hash) const {
+  const auto found = by_hash_.find(hash);
+  return found == by_hash_.end() ? nullptr : found->second;
+}
+
 const std::vector<std::shared_ptr<Runner>>& RunnerRegistry::of_service(
     const std::string& service) const {
   static const std::vector<std::shared_ptr<Runner>> kNone;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -52,7 +52,10 @@
   [[nodiscard]] bool listed() const { return listed_; }
   void set_listed(bool listed) { listed_ = listed; }
 
-  void begin_attempt();
+  /// @param tokens of the prompt that the runner is expected to read for it.
+  void begin_attempt(std::uint32_t tokens = 0);
+  /// The attempt's answer began: its prompt has been read.
+  void prompt_read(std::uint32_t tokens);
   void end_attempt(AttemptOutcome outcome, TimePoint now);
   void take_report(const LoadReport& report, TimePoint now);
   /// Bytes came from the runner.
@@ -69,6 +72,15 @@
   /// Requests expected to be at the runner, running and waiting, per slot.
   [[nodiscard]] double load(TimePoint now) const;
   [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+  /// Prompt tokens that this node has sent and that have not been read yet.
+  [[nodiscard]] std::uint32_t backlog_tokens() const { return backlog_tokens_; }
+  /// The same of all nodes that tell this one.
+  [[nodiscard]] std::uint32_t total_backlog() const { return backlog_tokens_ + peer_backlog_; }
+  /// What the other nodes of the zone have there.
+  void set_peer_use(std::uint32_t in_flight, std::uint32_t backlog_tokens) {
+    peer_in_flight_ = in_flight;
+    peer_backlog_ = backlog_tokens;
+  }
   [[nodiscard]] std::uint32_t slots() const;
   /// Failed attempts since the last served one.
   [[nodiscard]] std::uint32_t failures() const { return failures_; }
@@ -84,7 +96,10 @@
   LoadReport report_;
   TimePoint report_time_{};
   TimePoint last_heard_{};
-  std::uint32_t in_flight_at_report_ = 0;
+  std::uint32_t known_at_report_ = 0;  ///< In flight from the nodes known, when the report came.
+  std::uint32_t backlog_tokens_ = 0;
+  std::uint32_t peer_in_flight_ = 0;
+  std::uint32_t peer_backlog_ = 0;
 };
 
 /// All runners known. Used on one thread; a runner lives on while a request holds it.
@@ -102,6 +117,8 @@
   [[nodiscard]] const std::map<std::string, std::shared_ptr<Runner>>& all() const {
     return runners_;
   }
+  /// Returns the runner whose id has this hash, or null.
+  [[nodiscard]] std::shared_ptr<Runner> find_hash(std::uint64_t hash) const;
   [[nodiscard]] std::uint64_t version() const { return version_; }
 
  private:
@@ -110,6 +127,7 @@
 
   std::map<std::string, std::shared_ptr<Runner>> runners_;
   std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
+  std::map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
   std::uint64_t version_ = 0;
 };
 
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -9,15 +9,16 @@
 
 /// Load up to which a runner of the own zone is preferred to others.
 constexpr double kZoneSpillLoad = 0.9;
-/// Load up to which a request keeps to the runner that is warm for a long prefix, and for a short.
-constexpr double kStrongAffinityLoad = 0.85;
-constexpr double kWeakAffinityLoad = 0.3;
-/// Loads closer than this count as equal; the choice between them is random.
-constexpr double kEqualLoad = 0.03;
+/// Prompt tokens that weigh as much as a runner's whole load: both make a first token come later.
+constexpr double kTokensPerLoad = 6000;
+/// Costs closer than this, in tokens, count as equal; the choice between them is random.
+constexpr double kEqualCost = 150;
 
 struct Candidate {
   std::shared_ptr<Runner> runner;
   double load = 0;
+  double cost = 0;  ///< In prompt tokens: those ahead, those of the request, and the load.
+  std::uint32_t tokens_to_read = 0;
 };
 
 bool is_excluded(const SelectionRequest& request, const Runner& runner) {
@@ -33,7 +34,7 @@
   for (const auto& runner : runners) {
     if (!runner->available() || is_excluded(request, *runner)) continue;
     auto& target = runner->ejected(now) ? ejected : healthy;
-    target.push_back({runner, runner->load(now)});
+    target.push_back({runner, runner->load(now), 0, 0});
   }
   return healthy.empty() ? ejected : healthy;
 }
@@ -48,9 +49,10 @@
   return near.empty() ? candidates : near;
 }
 
-/// Rendezvous hashing: the same prefix ranks the same runner highest at every node.
-const Candidate* warm_candidate(const std::vector<Candidate>& candidates,
-                                const SelectionRequest& request) {
+/// Rendezvous hashing: the same prefix ranks the same runner highest at every node of a zone, so
+/// that one runner keeps it.
+const Runner* warm_runner(const std::vector<Candidate>& candidates,
+                          const SelectionRequest& request) {
   if (request.affinity_key == 0) return nullptr;
   const auto rank = [&](const Candidate& candidate) {
     return mix_hashes(request.affinity_key, candidate.runner->hash());
@@ -58,17 +60,27 @@
   const auto best = std::max_element(
       candidates.begin(), candidates.end(),
       [&](const Candidate& left, const Candidate& right) { return rank(left) < rank(right); });
-  const double limit = request.strong_affinity ? kStrongAffinityLoad : kWeakAffinityLoad;
-  return best->load < limit ? &*best : nullptr;
+  return best->runner.get();
 }
 
-const Candidate& least_loaded(const std::vector<Candidate>& candidates) {
+void compute_costs(std::vector<Candidate>& candidates, const SelectionRequest& request) {
+  const Runner* warm = warm_runner(candidates, request);
+  const std::uint32_t shared = std::min(request.shared_tokens, request.prompt_tokens);
+  for (auto& candidate : candidates) {
+    const bool is_warm = candidate.runner.get() == warm;
+    candidate.tokens_to_read = request.prompt_tokens - (is_warm ? shared : 0);
+    candidate.cost = candidate.runner->total_backlog() + candidate.tokens_to_read +
+                     candidate.load * kTokensPerLoad;
+  }
+}
+
+const Candidate& cheapest(const std::vector<Candidate>& candidates) {
   const auto least = std::min_element(
       candidates.begin(), candidates.end(),
-      [](const Candidate& left, const Candidate& right) { return left.load < right.load; });
+      [](const Candidate& left, const Candidate& right) { return left.cost < right.cost; });
   std::vector<const Candidate*> equal;
   for (const auto& candidate : candidates) {
-    if (candidate.load <= least->load + kEqualLoad) equal.push_back(&candidate);
+    if (candidate.cost <= least->cost + kEqualCost) equal.push_back(&candidate);
   }
   return *equal[process_random().below(equal.size())];
 }
@@ -108,11 +120,12 @@
       return selection;
     }
   }
-  const std::vector<Candidate> near = prefer_zone(candidates, request.zone);
-  const Candidate* warm = warm_candidate(near, request);
-  const Candidate& chosen = warm != nullptr ? *warm : least_loaded(near);
+  std::vector<Candidate> near = prefer_zone(candidates, request.zone);
+  compute_costs(near, request);
+  const Candidate& chosen = cheapest(near);
   selection.runner = chosen.runner;
   selection.load = chosen.load;
+  selection.tokens_to_read = chosen.tokens_to_read;
   return selection;
 }
 
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -17,7 +17,8 @@
   std::string service;
   std::string zone;                   ///< Of this node; its runners are preferred.
   std::uint64_t affinity_key = 0;     ///< Hash of the shared prompt prefix; 0: none.
-  bool strong_affinity = false;       ///< The prefix is long: reading it again is worth a detour.
+  std::uint32_t prompt_tokens = 0;    ///< Of the whole prompt.
+  std::uint32_t shared_tokens = 0;    ///< Of its shared prefix; a warm runner need not read them.
   double load_limit = 0;              ///< Runners at or above this load are left out; 0: no limit.
   std::vector<std::string> excluded;  ///< Ids of runners tried before.
 };
@@ -39,6 +40,7 @@
   SelectionFailure failure = SelectionFailure::kNone;
   std::uint32_t candidates = 0;
   double load = 0;
+  std::uint32_t tokens_to_read = 0;  ///< Prompt tokens that the runner is expected to read.
 };
 
 /// Selects a runner; pure but for tie breaking.
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -87,6 +87,12 @@
   std::uint64_t generation = 0;  ///< The last one heard; 0 at first.
 };
 
+/// The members of a group.
+struct MemberList {
+  LogStatus status = LogStatus::kUnknown;
+  std::vector<std::string> names;  ///< Each once, in order.
+};
+
 /// Sizes that callers must respect.
 struct LogLimits {
   std::uint64_t record_bytes = 0;    ///< Most bytes of one record.
@@ -121,6 +127,8 @@
 
   /// Joins a group or stays in it, and learns the slots held.
   virtual boost::asio::awaitable<GroupAssignment> join(GroupMember member) = 0;
+  /// Lists the names of a group's members that hold slots.
+  virtual boost::asio::awaitable<MemberList> members(std::string group) = 0;
   /// Leaves a group; its slots pass to others.
   virtual boost::asio::awaitable<LogStatus> leave(GroupMember member) = 0;
 };
