Spill to other zones only on evidence; serve first what can still be in time

Ruled out: dead runners (4 of 22), the nodes' own processor time (0.03 of a core). A runner of another zone now needs a load report of the last second, or is one of two trials.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -102,6 +102,8 @@
                "The store answers this node again."},
     EventEntry{Event::kPeersChanged, "peers_changed", EventLevel::kInfo,
                "The nodes that hold slots, and those of the zone that share loads, changed."},
+    EventEntry{Event::kReplicaReset, "replica_reset", EventLevel::kInfo,
+               "A partition's history was gone; its newest records were read instead."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -55,6 +55,7 @@
   kStoreLost = 1604,
   kStoreRegained = 1605,
   kPeersChanged = 1606,
+  kReplicaReset = 1607,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -146,6 +146,11 @@
   while (!stopped_ && sends_ < kMaxSends) {
     const auto runner = co_await place();
     if (!runner) break;
+    if (stopped_) {
+      runner->prompt_read(std::exchange(tokens_to_read_, 0));
+      runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
+      break;
+    }
     ++sends_;
     tried_.push_back(runner->record().id);
     const Attempt result = co_await attempt(runner);
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -77,13 +77,20 @@
 void PlacementQueue::dispatch() {
   if (dispatching_) return;
   dispatching_ = true;
+  // What can still be in time goes first: a late answer is worth less, however long it has waited.
+  dispatch_some([](const PlacementRequest& request, TimePoint now) { return now < request.due; });
+  dispatch_some([](const PlacementRequest&, TimePoint) { return true; });
+  dispatching_ = false;
+}
+
+void PlacementQueue::dispatch_some(const Filter& filter) {
   const TimePoint now = monotonic_now();
   // Once a service has no place for one, it has none for those behind it of the same class.
   std::set<std::pair<std::string, WorkClass>> full;
   std::vector<std::shared_ptr<PlacementTicket>> placed;
   for (const auto& ticket : waiting_) {
     const auto group = std::pair(ticket->request_.selection.service, ticket->request_.work);
-    if (full.contains(group)) continue;
+    if (full.contains(group) || !filter(ticket->request_, now)) continue;
     if (try_place(*ticket, now)) {
       placed.push_back(ticket);
     } else if (ticket->request_.selection.excluded.empty()) {
@@ -94,7 +101,6 @@
     waiting_.erase(ticket);
     ticket->timer_.cancel();
   }
-  dispatching_ = false;
 }
 
 void PlacementQueue::watch() {
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -82,7 +82,10 @@
   };
 
   bool try_place(PlacementTicket& ticket, TimePoint now);
+  using Filter = std::function<bool(const PlacementRequest&, TimePoint now)>;
+
   void dispatch();
+  void dispatch_some(const Filter& filter);
   void watch();
 
   boost::asio::any_io_executor executor_;
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -15,6 +15,8 @@
 constexpr Duration kFullPause = std::chrono::milliseconds(50);
 /// A load report counts in full for a while, then for less and less until it counts for nothing.
 constexpr Duration kReportFresh = std::chrono::milliseconds(500);
+/// How long a report is evidence of free places at a runner that nodes of other zones use.
+constexpr Duration kReportTrusted = std::chrono::milliseconds(1000);
 constexpr Duration kReportLifetime = std::chrono::milliseconds(2500);
 
 }  // namespace
@@ -63,6 +65,13 @@
   known_at_report_ = in_flight_ + peer_in_flight_;
 }
 
+bool Runner::load_known(TimePoint now) const {
+  const bool ever_reported = report_time_ != TimePoint{};
+  const bool ever_answered = last_heard_ != TimePoint{};
+  if (!ever_reported) return ever_answered;
+  return now - report_time_ < kReportTrusted;
+}
+
 double Runner::load(TimePoint now) const {
   const double known = in_flight_ + peer_in_flight_;
   double expected = known;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -82,6 +82,9 @@
     peer_backlog_ = backlog_tokens;
   }
   [[nodiscard]] std::uint32_t slots() const;
+  /// Whether its load is known here although others may use it: it told it just now, or it tells
+  /// none at all.
+  [[nodiscard]] bool load_known(TimePoint now) const;
   /// Failed attempts since the last served one.
   [[nodiscard]] std::uint32_t failures() const { return failures_; }
 
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -9,6 +9,8 @@
 
 /// Load up to which a runner of the own zone is preferred to others.
 constexpr double kZoneSpillLoad = 0.9;
+/// Requests at runners of other zones whose load is not known, over all of them.
+constexpr std::size_t kSpillTrials = 2;
 /// Prompt tokens that weigh as much as a runner's whole load: both make a first token come later.
 constexpr double kTokensPerLoad = 6000;
 /// Costs closer than this, in tokens, count as equal; the choice between them is random.
@@ -39,14 +41,32 @@
   return healthy.empty() ? ejected : healthy;
 }
 
+/// Nodes of other zones use a runner there without telling this node. So such a runner takes work
+/// only if it has told its load just now, or as one of few trials that make it tell.
+bool may_spill_to(const Candidate& candidate, std::size_t trials, TimePoint now) {
+  if (candidate.runner->load_known(now)) return true;
+  return candidate.runner->in_flight() == 0 && trials < kSpillTrials;
+}
+
 std::vector<Candidate> prefer_zone(const std::vector<Candidate>& candidates,
-                                   const std::string& zone) {
+                                   const std::string& zone, TimePoint now) {
   std::vector<Candidate> near;
+  std::vector<Candidate> far;
+  std::size_t trials = 0;
   for (const auto& candidate : candidates) {
-    const bool in_zone = candidate.runner->record().zone == zone;
-    if (in_zone && candidate.load < kZoneSpillLoad) near.push_back(candidate);
+    if (candidate.runner->record().zone == zone) {
+      near.push_back(candidate);
+    } else if (!candidate.runner->load_known(now) && candidate.runner->in_flight() > 0) {
+      ++trials;
+    }
   }
-  return near.empty() ? candidates : near;
+  std::erase_if(near, [](const Candidate& candidate) { return candidate.load >= kZoneSpillLoad; });
+  if (!near.empty()) return near;
+  for (const auto& candidate : candidates) {
+    const bool is_near = candidate.runner->record().zone == zone;
+    if (is_near || may_spill_to(candidate, trials, now)) far.push_back(candidate);
+  }
+  return far;
 }
 
 /// Rendezvous hashing: the same prefix ranks the same runner highest at every node of a zone, so
@@ -120,7 +140,11 @@
       return selection;
     }
   }
-  std::vector<Candidate> near = prefer_zone(candidates, request.zone);
+  std::vector<Candidate> near = prefer_zone(candidates, request.zone, now);
+  if (near.empty()) {
+    selection.failure = SelectionFailure::kAllBusy;
+    return selection;
+  }
   compute_costs(near, request);
   const Candidate& chosen = cheapest(near);
   selection.runner = chosen.runner;
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/event_log.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -52,6 +53,11 @@
             [](const StoredRecord& left, const StoredRecord& right) {
               return left.offset < right.offset;
             });
+  log_event(Event::kReplicaReset, {{"topic", partition_.topic},
+                                   {"partition", std::to_string(partition_.partition)},
+                                   {"records", std::to_string(result.records.size())},
+                                   {"from", std::to_string(next_offset_)},
+                                   {"end", std::to_string(result.end)}});
   sink_.reset(result.records);
   next_offset_ = result.end;
   co_return LogStatus::kOk;
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -65,6 +65,19 @@
   EXPECT_EQ(order, (std::vector<std::string>{"first", "high", "low", "batch"}));
 }
 
+TEST_F(PlacementQueueTest, WhatCanStillBeInTimeOvertakesWhatCannot) {
+  wait("first", make_request(WorkClass::kOnline));
+  PlacementRequest late = make_request(WorkClass::kOnline);
+  late.due = monotonic_now() - std::chrono::seconds(1);
+  wait("late", late);
+  PlacementRequest in_time = make_request(WorkClass::kOnline);
+  in_time.due = monotonic_now() + std::chrono::seconds(20);
+  wait("in time", in_time);
+  free_place();
+  free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"first", "in time", "late"}));
+}
+
 TEST_F(PlacementQueueTest, OnlineWorkThatWaitsAsksBatchToYield) {
   std::vector<std::string> asked;
   queue.set_yield_handler([&](const std::string& service) { asked.push_back(service); });
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -35,6 +35,35 @@
   EXPECT_EQ(chosen(request), "f1");
 }
 
+TEST_F(RunnerSelectorTest, OtherZonesAreTriedBeforeTheyAreTrusted) {
+  add("n1", "near");
+  for (int i = 0; i < 4; ++i) add("f" + std::to_string(i), "far");
+  fill("n1", 10);
+  request.load_limit = 1.0;
+  // Nothing is known of them: two trials, then no more.
+  std::string trial;
+  for (int i = 0; i < 2; ++i) {
+    trial = chosen(request);
+    ASSERT_TRUE(trial.starts_with("f"));
+    fill(trial, 1);
+  }
+  EXPECT_EQ(chosen(request), "");
+  // One of them tells that it has places; it is full for others when it says so.
+  runner(trial)->take_report({4, 0, 10}, kNow);
+  EXPECT_EQ(chosen(request), trial);
+  runner(trial)->take_report({10, 3, 10}, kNow);
+  EXPECT_EQ(chosen(request), "");
+}
+
+TEST_F(RunnerSelectorTest, ARunnerThatNeverTellsItsLoadIsTrustedOnceItAnswers) {
+  add("f1", "far");
+  fill("f1", 1);
+  request.load_limit = 1.0;
+  EXPECT_EQ(chosen(request), "");
+  runner("f1")->heard(kNow);
+  EXPECT_EQ(chosen(request), "f1");
+}
+
 TEST_F(RunnerSelectorTest, LeavingAndTriedRunnersGetNothing) {
   add("n1", "near", true);
   add("n2", "near");
