--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -19,7 +19,7 @@
 constexpr Duration kFirstEventPatience = std::chrono::milliseconds(4000);
 constexpr Duration kEventGapPatience = std::chrono::milliseconds(1500);
 /// Runners at or above this load are left to online requests.
-constexpr double kLoadLimit = 0.75;
+constexpr double kLoadLimit = 0.9;
 /// After this time without a place the route is looked at anew.
 constexpr Duration kPlacementTime = std::chrono::seconds(2);
 /// Between looks for a configuration or a route.
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -15,6 +15,11 @@
 /// ejections end, without anything happening here.
 constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
 
+/// Online work waits so long for a place that comes free by itself before batch work gives one up,
+/// and so long again before it is asked once more.
+constexpr Duration kYieldAfter = std::chrono::milliseconds(20);
+constexpr Duration kYieldAgain = std::chrono::milliseconds(100);
+
 }  // namespace
 
 bool PlacementQueue::MoreUrgent::operator()(const std::shared_ptr<PlacementTicket>& left,
@@ -51,9 +56,7 @@
   const bool may_overtake = waiting_.empty() || ticket->request_.work == WorkClass::kOnline;
   if (may_overtake && try_place(*ticket, now)) co_return ticket->runner_;
   waiting_.insert(ticket);
-  if (ticket->request_.work == WorkClass::kOnline && yield_handler_) {
-    yield_handler_(ticket->request_.selection.service);
-  }
+  ticket->ask_yield_at_ = now + kYieldAfter;
   watch();
   ticket->timer_.expires_after(std::max(Duration{0}, ticket->request_.give_up - now));
   if (!ticket->cancelled_ && !ticket->runner_) {
@@ -103,6 +106,16 @@
   }
 }
 
+void PlacementQueue::ask_for_places() {
+  if (!yield_handler_) return;
+  const TimePoint now = monotonic_now();
+  for (const auto& ticket : waiting_) {
+    if (ticket->request_.work != WorkClass::kOnline || now < ticket->ask_yield_at_) continue;
+    ticket->ask_yield_at_ = now + kYieldAgain;
+    yield_handler_(ticket->request_.selection.service);
+  }
+}
+
 void PlacementQueue::watch() {
   if (watching_) return;
   watching_ = true;
@@ -111,6 +124,7 @@
     watching_ = false;
     if (error || waiting_.empty()) return;
     dispatch();
+    ask_for_places();
     if (!waiting_.empty()) watch();
   });
 }
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -49,6 +49,7 @@
   boost::asio::steady_timer timer_;
   std::shared_ptr<Runner> runner_;
   std::uint32_t tokens_to_read_ = 0;
+  TimePoint ask_yield_at_{};
   std::uint64_t number_ = 0;
   bool cancelled_ = false;
 };
@@ -86,6 +87,7 @@
 
   void dispatch();
   void dispatch_some(const Filter& filter);
+  void ask_for_places();
   void watch();
 
   boost::asio::any_io_executor executor_;
--- /dev/null
+++ b/tests/days/play_days.py
@@ -0,0 +1,53 @@
+#!/usr/bin/env python3
+"""Plays our own days on a deployment with the users' bench and prints a table of the outcomes.
+
+Usage: play_days.py --bench PROGRAM --site SITE [--jobs N] [NAME ...]
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import re
+import subprocess
+import sys
+
+HERE = pathlib.Path(__file__).resolve().parent
+ROW = re.compile(r"^own-\S+\s+\S+\s+([\d.]+)\s+([\d.]+)\s+([\d.]+)\s+([\d.]+)\s+([\d.]+)\s+(.*)$", re.M)
+WRONG = ("rules broken", "fault:", "ended by itself")
+
+
+def play(bench, site, day):
+    result = subprocess.run([bench, "run", site, str(day), "--why", "own day " + day.stem],
+                            capture_output=True, text=True)
+    text = result.stdout + result.stderr
+    row = ROW.search(text)
+    wrong = [line.strip() for line in text.splitlines() if line.startswith(WRONG)]
+    if row is None:
+        wrong.append("not played: " + text.strip().splitlines()[-1][:150] if text.strip() else "no output")
+    worth, served, refused, failed = row.groups()[1:5] if row else ("-",) * 4
+    return day.stem, worth, served, refused, failed, wrong
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bench", required=True)
+    parser.add_argument("--site", required=True)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("names", nargs="*")
+    options = parser.parse_args()
+    days = sorted(day for day in HERE.glob("*.toml") if not options.names or day.stem in options.names)
+    broken = 0
+    print("| day | worth | served | refused | failed | wrong |")
+    print("|---|---|---|---|---|---|")
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        for name, worth, served, refused, failed, wrong in pool.map(
+                lambda day: play(options.bench, options.site, day), days):
+            broken += bool(wrong)
+            print("| %s | %s | %s | %s | %s | %s |" % (name, worth, served, refused, failed,
+                                                       "; ".join(wrong) or "-"), flush=True)
+    print("%d days, %d with something wrong" % (len(days), broken))
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/days/write_days.py
@@ -0,0 +1,147 @@
+#!/usr/bin/env python3
+"""Writes one day per kind of trouble, and pairs of kinds, as files that the users' bench plays.
+
+Each day strikes an otherwise calm day of whatever deployment it is played on, some of them twice.
+Run once after a change here; the files are committed beside this script.
+"""
+
+import pathlib
+
+HERE = pathlib.Path(__file__).resolve().parent
+
+# Name, planned work, faults. Times are seconds from the start of traffic.
+SINGLE = [
+    ("burst", "", '{ at = 4, kind = "burst", x = 1.8, for_s = 4 }'),
+    ("srv-crash", "", '{ at = 4, kind = "srv_crash", share = 0.25, for_s = 5 }'),
+    ("srv-crash-dark", "", '{ at = 4, kind = "srv_crash", share = 0.25, for_s = 5, how = "dark" }'),
+    ("srv-crash-gone", "", '{ at = 4, kind = "srv_crash", share = 0.2, how = "gone" }'),
+    ("release", '{ at = 3, kind = "release", share = 0.6, gap_s = 1.0 }', ""),
+    ("scale-out", '{ at = 3, kind = "scale_out", share = 0.4, gap_s = 2 }', ""),
+    ("scale-in", '{ at = 3, kind = "scale_in", share = 0.25 }', ""),
+    ("scale-in-spot", '{ at = 3, kind = "scale_in", share = 0.25, x = 1, how = "spot" }', ""),
+    ("answer-lost", "", '{ at = 3, kind = "answer_lost", share = 0.6, x = 0.1, for_s = 10 }'),
+    ("answer-lost-reset", "",
+     '{ at = 3, kind = "answer_lost", share = 0.6, x = 0.1, for_s = 10, how = "reset" }'),
+    ("garble", "", '{ at = 3, kind = "garble", share = 0.6, x = 0.06, for_s = 12 }'),
+    ("garble-extra", "",
+     '{ at = 3, kind = "garble", share = 0.6, x = 0.06, for_s = 12, how = "extra late" }'),
+    ("garble-unframed", "",
+     '{ at = 3, kind = "garble", share = 0.6, x = 0.06, for_s = 12, how = "unframed" }'),
+    ("garble-early", "",
+     '{ at = 3, kind = "garble", share = 0.6, x = 0.06, for_s = 12, how = "early" }'),
+    ("node-kill", "", '{ at = 3, kind = "node_kill", share = 0.4, for_s = 3 }'),
+    ("node-kill-power", "", '{ at = 3, kind = "node_kill", share = 0.3, for_s = 4, how = "power" }'),
+    ("node-kill-leader", "",
+     '{ at = 3, kind = "node_kill", on = "core", count = 1, for_s = 3, how = "leader race drain" }'),
+    ("node-freeze", "", '{ at = 3, kind = "node_freeze", share = 0.4, for_s = 4 }'),
+    ("node-slow", "", '{ at = 3, kind = "node_slow", share = 0.4, x = 8, for_s = 8 }'),
+    ("roll-term", '{ at = 2, kind = "roll_term", share = 1.0, gap_s = 2.0 }', ""),
+    ("roll-term-busy", '{ at = 2, kind = "roll_term", share = 1.0, gap_s = 1.5, how = "busy" }', ""),
+    ("roll-term-remove",
+     '{ at = 2, kind = "roll_term", share = 0.4, gap_s = 2.0, how = "remove" }', ""),
+    ("add-nodes", '{ at = 3, kind = "add_nodes" }', ""),
+    ("after-ack-kill", "", '{ at = 3, kind = "after_ack_kill", for_s = 3 }'),
+    ("after-ack-kill-taken", "", '{ at = 3, kind = "after_ack_kill", for_s = 3, how = "taken" }'),
+    ("after-ack-kill-gone", "", '{ at = 3, kind = "after_ack_kill", how = "taken gone" }'),
+    ("core-cut", "", '{ at = 3, kind = "core_cut", count = 2, for_s = 6 }'),
+    ("core-cut-reset", "", '{ at = 3, kind = "core_cut", count = 2, for_s = 6, how = "reset" }'),
+    ("core-cut-one-way", "", '{ at = 3, kind = "core_cut", count = 2, for_s = 6, how = "one_way" }'),
+    ("core-cut-all", "", '{ at = 3, kind = "core_cut", count = 2, for_s = 6, how = "all" }'),
+    ("core-cut-leader", "",
+     '{ at = 3, kind = "core_cut", count = 1, for_s = 6, how = "leader race" }'),
+    ("lossy", "", '{ at = 3, kind = "lossy", x = 0.05, for_s = 8 }'),
+    ("store-silent", "", '{ at = 3, kind = "platform_down", for_s = 5, how = "silent" }'),
+    ("store-busy", "", '{ at = 3, kind = "platform_down", for_s = 5, how = "busy lapse" }'),
+    ("store-reset", "", '{ at = 3, kind = "platform_down", for_s = 5, how = "reset lapse" }'),
+    ("store-part-silent", "",
+     '{ at = 3, kind = "platform_down", for_s = 6, how = "silent", share = 0.4 }'),
+    ("store-part-busy", "",
+     '{ at = 3, kind = "platform_down", for_s = 6, how = "busy", share = 0.4 }'),
+    ("store-slow", "", '{ at = 3, kind = "platform_slow", x = 60, for_s = 8 }'),
+    ("store-lost", "", '{ at = 3, kind = "platform_lost", x = 0.4, for_s = 10 }'),
+    ("store-lost-late", "", '{ at = 3, kind = "platform_lost", x = 0.4, for_s = 10, how = "late" }'),
+    ("store-compact", "", '{ at = 6, kind = "platform_compact", x = 3, how = "rebalance" }'),
+    ("store-rewind", "", '{ at = 6, kind = "platform_compact", x = 3, how = "rewind" }'),
+    ("store-compact-drain", "", '{ at = 6, kind = "platform_compact", x = 3, how = "drain" }'),
+    ("config-changes",
+     ", ".join('{ at = %d, kind = "config_change", how = "%s" }' % (3 + 3 * i, how)
+               for i, how in enumerate(["route", "weights", "timeout", "quota", "topup", "idle"])),
+     ""),
+    ("big-config", '{ at = 4, kind = "big_config", count = 500 }', ""),
+    ("give-up", "", '{ at = 3, kind = "give_up", share = 0.2, for_s = 15 }'),
+    ("srv-slow", "", '{ at = 3, kind = "srv_slow", share = 0.25, x = 6, for_s = 10 }'),
+] + [
+    ("srv-grey-" + how.split()[0], "",
+     '{ at = 3, kind = "srv_grey", share = 0.25, x = 0.4, for_s = 10, how = "%s" }' % how)
+    for how in ["errors", "shed", "busy", "hang", "reset", "mute"]
+] + [
+    ("srv-cut", "", '{ at = 3, kind = "srv_cut", share = 0.25, for_s = 8 }'),
+    ("srv-cut-some", "", '{ at = 3, kind = "srv_cut", share = 0.25, for_s = 8, how = "some" }'),
+    ("reuse", "", '{ at = 3, kind = "replace_with_reuse", share = 0.25 }'),
+    ("reuse-drain", "", '{ at = 3, kind = "replace_with_reuse", share = 0.25, how = "drain" }'),
+    ("reuse-dark", "", '{ at = 3, kind = "replace_with_reuse", share = 0.25, how = "dark" }'),
+    ("herd-kill", "", '{ at = 5, kind = "herd_kill", share = 0.7 }'),
+    ("herd-kill-power", "", '{ at = 5, kind = "herd_kill", share = 0.7, how = "power", for_s = 3 }'),
+    ("herd-kill-taken", "", '{ at = 5, kind = "herd_kill", how = "taken all", on = "core" }'),
+    ("clock-step", "", '{ at = 3, kind = "clock_step", x = 2000, share = 0.5, for_s = 10 }'),
+    ("clock-step-back", "",
+     '{ at = 3, kind = "clock_step", x = 4000, share = 0.5, for_s = 10, how = "back" }'),
+    ("hup", '{ at = 3, kind = "hup", share = 1.0, gap_s = 5 }', ""),
+    ("reset-conns", "", '{ at = 3, kind = "reset_conns", share = 0.5, x = 0.5 }'),
+    ("node-cut", "", '{ at = 3, kind = "node_cut", share = 0.3, for_s = 5 }'),
+    ("node-cut-all", "", '{ at = 3, kind = "node_cut", share = 0.3, for_s = 5, how = "all" }'),
+    ("node-cut-servers", "",
+     '{ at = 3, kind = "node_cut", share = 0.3, for_s = 5, how = "servers" }'),
+]
+
+STORE_DOWN = '{ at = 8, kind = "platform_down", for_s = 5, how = "silent lapse" }'
+HERD = '{ at = 9, kind = "herd_kill", share = 0.7 }'
+ROLL = '{ at = 6, kind = "roll_term", share = 0.6, gap_s = 1.2, how = "busy" }'
+RELEASE = '{ at = 6, kind = "release", share = 0.6, gap_s = 1.0 }'
+CHANGE = '{ at = 7, kind = "config_change", how = "route" }'
+PAIRS = [
+    ("herd-kill-store-down", "", STORE_DOWN + ", " + HERD),
+    ("taken-store-down", "",
+     '{ at = 7, kind = "herd_kill", how = "taken all", on = "core" }, ' + STORE_DOWN),
+    ("roll-term-store-down", ROLL, STORE_DOWN),
+    ("roll-term-release", ROLL + ", " + RELEASE, ""),
+    ("release-store-down", RELEASE + ", " + CHANGE, STORE_DOWN),
+    ("herd-kill-release", RELEASE, HERD),
+    ("freeze-compact", CHANGE,
+     '{ at = 6, kind = "node_freeze", share = 0.4, for_s = 5 }, '
+     '{ at = 8, kind = "platform_compact", x = 3, how = "rebalance" }'),
+    ("cut-lost-late", CHANGE,
+     '{ at = 6, kind = "core_cut", count = 2, for_s = 6 }, '
+     '{ at = 6, kind = "platform_lost", x = 0.4, for_s = 8, how = "late" }'),
+    ("grey-burst", "",
+     '{ at = 6, kind = "srv_grey", share = 0.3, x = 0.5, for_s = 8, how = "hang" }, '
+     '{ at = 7, kind = "burst", x = 1.6, for_s = 4 }'),
+]
+
+TEMPLATE = """# Written by write_days.py.
+[[day]]
+name = "own-{name}"
+slot = "trouble"
+seed = {seed}
+plan = [
+{plan}]
+faults = [
+{faults}]
+"""
+
+
+def write(name, plan, faults, index):
+    def lines(text):
+        return "  " + text + ",\n" if text else ""
+
+    text = TEMPLATE.format(name=name, seed=4100 + index, plan=lines(plan), faults=lines(faults))
+    (HERE / (name + ".toml")).write_text(text)
+
+
+def main():
+    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS):
+        write(name, plan, faults, index)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -85,6 +85,8 @@
   wait("batch", make_request(WorkClass::kBatch));
   EXPECT_TRUE(asked.empty());
   wait("online", make_request(WorkClass::kOnline));
+  loop.restart();
+  for (int step = 0; step < 100 && asked.empty(); ++step) loop.run_one();
   EXPECT_EQ(asked, (std::vector<std::string>{"chat"}));
 }
 
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -48,6 +48,9 @@
     fill(trial, 1);
   }
   EXPECT_EQ(chosen(request), "");
+  for (int i = 0; i < 4; ++i) {
+    if (runner("f" + std::to_string(i))->in_flight() == 0) fill("f" + std::to_string(i), 1);
+  }
   // One of them tells that it has places; it is full for others when it says so.
   runner(trial)->take_report({4, 0, 10}, kNow);
   EXPECT_EQ(chosen(request), trial);
