--- a/apps/platform_main.cc
+++ b/apps/platform_main.cc
@@ -24,6 +24,8 @@
   app.add_flag("--check-settings", check_only, "Check the settings and exit");
   app.add_option("--log-level", level, "Least level that is logged")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+  std::uint16_t metrics_port = 0;
+  app.add_option("--metrics-port", metrics_port, "Port of /metrics on the node's own address");
   app.set_version_flag("--version", std::string(STOATHOLD_VERSION));
   CLI11_PARSE(app, argc, argv);
 
@@ -31,10 +33,15 @@
   const auto faults = stoathold::platform::read_platform_settings(file, settings);
   for (const auto& fault : faults) std::cerr << file << ": " << fault << "\n";
   if (!faults.empty()) return kExitSettings;
+  if (metrics_port != 0) {
+    settings.metrics_listen = settings.ip + ":" + std::to_string(metrics_port);
+  }
   if (check_only) {
     std::cout << "settings are correct\n";
     return 0;
   }
-  stoathold::start_event_log(stoathold::LogFormat::kJson, stoathold::parse_event_level(level));
-  return stoathold::platform::run_platform_node(settings, file);
+  stoathold::start_bounded_event_log(stoathold::parse_event_level(level), settings.node_name);
+  const int code = stoathold::platform::run_platform_node(settings, file);
+  stoathold::flush_event_log();
+  return code;
 }
--- a/apps/stoatctl_main.cc
+++ b/apps/stoatctl_main.cc
@@ -2,9 +2,11 @@
 /// `stoatctl`: the command line of operators and batch users.
 #include <CLI/CLI.hpp>
 #include <boost/json.hpp>
+#include <fstream>
 #include <iostream>
 
 #include "ctl/control_client.h"
+#include "ctl/log_story.h"
 #include "ctl/manifest.h"
 #include "ctl/table.h"
 
@@ -24,6 +26,7 @@
   std::string kind;
   std::string name;
   std::string tenant = "default";
+  std::vector<std::string> files;
   std::uint32_t watch_seconds = 3600;
 };
 
@@ -191,6 +194,24 @@
   return show(arguments, client.call(cancel ? "POST" : "GET", target), {});
 }
 
+int run_explain_logs(const Arguments& arguments) {
+  std::vector<stoathold::LogLine> lines;
+  if (arguments.files.empty()) lines = stoathold::read_log_lines(std::cin);
+  for (const auto& path : arguments.files) {
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << "stoatctl: cannot read " << path << "\n";
+      return static_cast<int>(ExitCode::kUsage);
+    }
+    const auto found = stoathold::read_log_lines(file);
+    lines.insert(lines.end(), found.begin(), found.end());
+  }
+  const auto story = stoathold::find_story(lines, arguments.name);
+  for (const auto& line : story) std::cout << stoathold::format_log_line(line) << "\n";
+  if (story.empty()) std::cerr << "stoatctl: no line tells of " << arguments.name << "\n";
+  return story.empty() ? static_cast<int>(ExitCode::kUsage) : 0;
+}
+
 int run_explain(const Arguments& arguments) {
   ControlClient client(arguments.server);
   const ControlReply reply = client.call("GET", "/v1/explain/" + arguments.name);
@@ -234,6 +255,10 @@
   }
   add_name(app.add_subcommand("explain", "Why a request ran where it did, waited or was refused"),
            arguments, "chatcmpl-...");
+  auto* explain_logs =
+      app.add_subcommand("explain-logs", "A request's or job's story from the nodes' log files");
+  explain_logs->add_option("id", arguments.name, "Id of the request, item or job")->required();
+  explain_logs->add_option("files", arguments.files, "Log files; none: standard input");
   app.add_subcommand("nodes", "Members as this node sees them");
   app.add_subcommand("version", "Version of this program");
 }
@@ -247,6 +272,7 @@
   if (name == "watch") return run_watch(arguments);
   if (name == "delete") return run_delete(arguments);
   if (name == "explain") return run_explain(arguments);
+  if (name == "explain-logs") return run_explain_logs(arguments);
   if (name == "nodes") return run_nodes(arguments);
   if (name == "version") {
     std::cout << "stoatctl " << STOATHOLD_VERSION << "\n";
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -2,15 +2,23 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/json.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <iostream>
+#include <map>
+#include <mutex>
 
 namespace stoathold {
 namespace {
@@ -30,6 +38,9 @@
                "The settings are wrong; the process does not start."},
     EventEntry{Event::kSettingsReloaded, "settings_reloaded", EventLevel::kInfo,
                "The settings file was read again; a faulty one changes nothing."},
+    EventEntry{
+        Event::kLogLinesLeftOut, "log_lines_left_out", EventLevel::kWarning,
+        "Lines of an event were left out to bound the log's volume; the count says how many."},
     EventEntry{Event::kMemberSuspected, "member_suspected", EventLevel::kWarning,
                "A member fell silent and gets no new work."},
     EventEntry{Event::kMemberDead, "member_dead", EventLevel::kWarning,
@@ -118,8 +129,55 @@
   LogFormat format = LogFormat::kText;
   EventLevel least = EventLevel::kInfo;
   bool started = false;
+  bool bounded = false;
+  std::string node;
 };
 
+/// Lines of one event in one second, beyond which they are left out. Successes are many and say
+/// little, so fewer of them are kept.
+constexpr std::uint32_t kLinesPerSecond = 200;
+constexpr std::uint32_t kSuccessLinesPerSecond = 40;
+/// Lines that wait for the thread that writes them.
+constexpr std::size_t kQueuedLines = 4096;
+
+std::atomic<std::uint64_t>& left_out_total() {
+  static std::atomic<std::uint64_t> total{0};
+  return total;
+}
+
+/// Drops and counts what does not fit into the queue, and never waits.
+struct CountingDrop {
+  template <typename Lock>
+  static bool on_overflow(const logging::record_view& /*record*/, Lock& /*lock*/) {
+    ++left_out_total();
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using BoundedQueue = logging::sinks::bounded_fifo_queue<kQueuedLines, CountingDrop>;
+using BoundedSink =
+    logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend, BoundedQueue>;
+
+boost::shared_ptr<BoundedSink>& bounded_sink() {
+  static boost::shared_ptr<BoundedSink> sink;
+  return sink;
+}
+
+/// Counts an event's lines in the current second.
+struct EventRate {
+  std::chrono::steady_clock::time_point window{};
+  std::uint32_t written = 0;
+  std::uint32_t left_out = 0;
+};
+
+/// Guards the rates: events may come from any thread. Nothing else is locked while it is held.
+std::mutex& rate_mutex() {
+  static std::mutex mutex;
+  return mutex;
+}
+
 EventSink& event_sink() {
   static EventSink sink;
   return sink;
@@ -151,10 +209,39 @@
   object["level"] = kLevelNames[static_cast<std::size_t>(entry.level)];
   object["event"] = static_cast<int>(entry.event);
   object["name"] = entry.name;
+  const std::string& node = event_sink().node;
+  if (!node.empty()) object["node"] = node;
   for (const auto& [name, value] : fields) object[name] = value;
   return boost::json::serialize(object);
 }
 
+bool is_success(Event event) {
+  return event == Event::kRequestServed || event == Event::kNoRoute;
+}
+
+/// Whether a line of the event may be written now.
+/// @param left_out lines of the event that were left out in the second that has just ended.
+bool admit_line(Event event, std::uint32_t& left_out) {
+  constexpr auto kWindow = std::chrono::seconds(1);
+  static std::map<Event, EventRate> rates;
+  const std::scoped_lock lock(rate_mutex());
+  EventRate& rate = rates[event];
+  const auto now = std::chrono::steady_clock::now();
+  left_out = 0;
+  if (now - rate.window >= kWindow) {
+    left_out = rate.left_out;
+    rate = {now, 0, 0};
+  }
+  const std::uint32_t limit = is_success(event) ? kSuccessLinesPerSecond : kLinesPerSecond;
+  if (rate.written >= limit) {
+    ++rate.left_out;
+    ++left_out_total();
+    return false;
+  }
+  ++rate.written;
+  return true;
+}
+
 }  // namespace
 
 std::span<const EventEntry> event_catalogue() {
@@ -169,7 +256,7 @@
 
 void start_event_log(LogFormat format, EventLevel least) {
   auto& sink = event_sink();
-  sink = {format, least, true};
+  sink = {format, least, true, false, {}};
   namespace expressions = logging::expressions;
   logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
   const auto time =
@@ -186,10 +273,43 @@
   }
 }
 
+void start_bounded_event_log(EventLevel least, const std::string& node) {
+  event_sink() = {LogFormat::kJson, least, true, true, node};
+  namespace expressions = logging::expressions;
+  logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+  const auto time =
+      expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ");
+  auto sink = boost::make_shared<BoundedSink>();
+  sink->locked_backend()->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  sink->locked_backend()->auto_flush(true);
+  sink->set_formatter(expressions::stream << "{\"time\":\"" << time << "\","
+                                          << expressions::smessage);
+  bounded_sink() = sink;
+  logging::core::get()->add_sink(sink);
+}
+
+void flush_event_log() {
+  if (bounded_sink()) bounded_sink()->flush();
+}
+
+std::uint64_t log_lines_left_out() {
+  return left_out_total();
+}
+
 void log_event(Event event, std::initializer_list<EventField> fields) {
   const auto& sink = event_sink();
   const EventEntry& entry = entry_of(event);
   if (!sink.started || entry.level < sink.least) return;
+  if (sink.bounded && event != Event::kLogLinesLeftOut) {
+    std::uint32_t left_out = 0;
+    const bool admitted = admit_line(event, left_out);
+    if (left_out > 0) {
+      log_event(Event::kLogLinesLeftOut,
+                {{"of", std::string(entry.name)}, {"count", std::to_string(left_out)}});
+    }
+    if (!admitted) return;
+  }
   if (sink.format == LogFormat::kJson) {
     const std::string object = format_json(entry, fields);
     BOOST_LOG_SEV(logger(), entry.level) << object.substr(1);
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -19,6 +19,7 @@
   kNodeStopped = 1004,
   kSettingsRefused = 1005,
   kSettingsReloaded = 1006,
+  kLogLinesLeftOut = 1007,
   kMemberSuspected = 1101,
   kMemberDead = 1102,
   kMemberAlive = 1103,
@@ -85,6 +86,14 @@
 
 /// Sets up logging to standard error. Called once, at start.
 void start_event_log(LogFormat format, EventLevel least);
+/// Sets up logging to standard output for a process that must never wait for its log: lines go
+/// through a bounded queue to a thread of their own, and what does not fit is left out and counted.
+/// Each line carries the node's name. Called once, at start.
+void start_bounded_event_log(EventLevel least, const std::string& node);
+/// Waits until the lines written so far are out; for the end of the process.
+void flush_event_log();
+/// Lines left out since the start, by the rate of one event or by a full queue.
+std::uint64_t log_lines_left_out();
 /// Writes one event. Thread safe.
 void log_event(Event event, std::initializer_list<EventField> fields);
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,8 +39,9 @@
   std::map<std::string, std::uint64_t> batch_items;                       ///< By outcome of a run.
   std::uint64_t resumes = 0;
   std::uint64_t requests_open = 0;
-  LatencyHistogram first_event;  ///< From a request's arrival to the first byte of its answer.
-  LatencyHistogram event_gap;    ///< Between two pieces of a stream.
+  LatencyHistogram first_event;    ///< From a request's arrival to the first byte of its answer.
+  LatencyHistogram store_latency;  ///< Of calls to the store that do not wait for records.
+  LatencyHistogram event_gap;      ///< Between two pieces of a stream.
 };
 
 }  // namespace stoathold
--- /dev/null
+++ b/src/gateway/metrics_page.cc
@@ -0,0 +1,137 @@
+#include "gateway/metrics_page.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <limits>
+
+namespace stoathold {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+ClientMetric::Label make_label(const std::string& name, const std::string& value) {
+  return {name, value};
+}
+
+MetricFamily make_family(const std::string& name, const std::string& help, MetricType type) {
+  MetricFamily family;
+  family.name = name;
+  family.help = help;
+  family.type = type;
+  return family;
+}
+
+void add_counter(MetricFamily& family, std::vector<ClientMetric::Label> labels,
+                 std::uint64_t value) {
+  ClientMetric metric;
+  metric.label = std::move(labels);
+  metric.counter.value = static_cast<double>(value);
+  family.metric.push_back(std::move(metric));
+}
+
+MetricFamily labelled_counters(const std::string& name, const std::string& help,
+                               const std::string& label,
+                               const std::map<std::string, std::uint64_t>& values) {
+  MetricFamily family = make_family(name, help, MetricType::Counter);
+  for (const auto& [value, count] : values) add_counter(family, {make_label(label, value)}, count);
+  return family;
+}
+
+MetricFamily histogram(const std::string& name, const std::string& help,
+                       const LatencyHistogram& source) {
+  MetricFamily family = make_family(name, help, MetricType::Histogram);
+  ClientMetric metric;
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i < source.buckets().size(); ++i) {
+    sum += source.buckets()[i];
+    const bool last = i == LatencyHistogram::kBoundsMs.size();
+    const double bound =
+        last ? std::numeric_limits<double>::infinity() : LatencyHistogram::kBoundsMs[i] / 1000;
+    metric.histogram.bucket.push_back({sum, bound});
+  }
+  metric.histogram.sample_count = sum;
+  metric.histogram.sample_sum = source.sum_seconds();
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
+MetricFamily gauge(const std::string& name, const std::string& help, double value) {
+  MetricFamily family = make_family(name, help, MetricType::Gauge);
+  ClientMetric metric;
+  metric.gauge.value = value;
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
+MetricFamily runner_states(const RunnerRegistry& runners) {
+  MetricFamily family = make_family("stoathold_runners", "Runners by state.", MetricType::Gauge);
+  const TimePoint now = monotonic_now();
+  std::map<std::string, double> counts{{"available", 0}, {"ejected", 0}, {"leaving", 0}};
+  for (const auto& [id, runner] : runners.all()) {
+    const bool ejected = runner->available() && runner->ejected(now);
+    ++counts[!runner->available() ? "leaving" : ejected ? "ejected" : "available"];
+  }
+  for (const auto& [state, count] : counts) {
+    ClientMetric metric;
+    metric.label = {make_label("state", state)};
+    metric.gauge.value = count;
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+}  // namespace
+
+std::string render_gateway_metrics(const GatewayContext& context,
+                                   const std::vector<MetricValue>& gauges) {
+  const GatewayMetrics& metrics = context.metrics;
+  std::vector<MetricFamily> families;
+  MetricFamily requests = make_family("stoathold_requests_total",
+                                      "Requests by route kind and outcome.", MetricType::Counter);
+  for (const auto& [key, count] : metrics.requests) {
+    add_counter(requests, {make_label("kind", key.first), make_label("outcome", key.second)},
+                count);
+  }
+  families.push_back(std::move(requests));
+  families.push_back(labelled_counters("stoathold_attempts_total",
+                                       "Attempts at runners by how they ended.", "outcome",
+                                       metrics.attempts));
+  families.push_back(labelled_counters("stoathold_refusals_total",
+                                       "Answers of the gateway's own by reason.", "reason",
+                                       metrics.refusals));
+  families.push_back(labelled_counters("stoathold_store_calls_total",
+                                       "Calls to the store by name and outcome.", "call",
+                                       metrics.store_calls));
+  families.push_back(labelled_counters("stoathold_batch_attempts_total",
+                                       "Attempts of batch items by how they ended.", "outcome",
+                                       metrics.batch_items));
+  families.push_back(histogram("stoathold_first_event_seconds",
+                               "From a request's arrival to its answer's first byte.",
+                               metrics.first_event));
+  families.push_back(histogram("stoathold_event_gap_seconds", "Between two pieces of a stream.",
+                               metrics.event_gap));
+  families.push_back(histogram("stoathold_store_seconds", "Calls to the store that do not wait.",
+                               metrics.store_latency));
+  families.push_back(runner_states(context.runners));
+  families.push_back(gauge("stoathold_requests_open", "Requests being served.",
+                           static_cast<double>(metrics.requests_open)));
+  families.push_back(gauge("stoathold_resumes", "Streams taken up at another runner.",
+                           static_cast<double>(metrics.resumes)));
+  families.push_back(gauge("stoathold_waiting_online", "Online requests that wait for a runner.",
+                           static_cast<double>(context.placement.waiting(WorkClass::kOnline))));
+  families.push_back(gauge("stoathold_waiting_batch", "Batch items that wait for a runner.",
+                           static_cast<double>(context.placement.waiting(WorkClass::kBatch))));
+  families.push_back(gauge("stoathold_runner_connects", "Connections made to runners.",
+                           static_cast<double>(context.pool.connects())));
+  const double version =
+      context.configuration ? static_cast<double>(context.configuration->version) : 0;
+  families.push_back(
+      gauge("stoathold_configuration_version", "Version of the configuration in force.", version));
+  for (const auto& value : gauges) families.push_back(gauge(value.name, value.help, value.value));
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/gateway/metrics_page.h
@@ -0,0 +1,23 @@
+/// @file
+/// The gateway's metrics in Prometheus text form.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_context.h"
+
+namespace stoathold {
+
+/// A value that is read when the page is made.
+struct MetricValue {
+  std::string name;  ///< With the `stoathold_` prefix.
+  std::string help;
+  double value = 0;
+};
+
+/// Renders the counters of the gateway, the state of the runners and further gauges.
+std::string render_gateway_metrics(const GatewayContext& context,
+                                   const std::vector<MetricValue>& gauges);
+
+}  // namespace stoathold
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -40,6 +40,7 @@
   boost::asio::awaitable<void> stop();
 
   [[nodiscard]] std::size_t running_items() const { return running_items_; }
+  [[nodiscard]] std::size_t unwritten_results() const { return writer_.pending(); }
   [[nodiscard]] std::size_t waiting_items() const { return waiting_.size(); }
 
  private:
--- /dev/null
+++ b/tests/ctl/log_story_test.cc
@@ -0,0 +1,45 @@
+#include "ctl/log_story.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace stoathold {
+namespace {
+
+constexpr const char* kLog = R"(
+collector: {"time":"05","level":"info","event":1505,"name":"attempt_failed","node":"n1","request":"q1","runner":"r1"}
+{"time":"03","level":"warning","event":1604,"name":"store_lost","node":"n1"}
+{"time":"02","level":"info","event":1601,"name":"runner_listed","node":"n1","runner":"r1","state":"ready"}
+{"time":"01","level":"info","event":1601,"name":"runner_listed","node":"n1","runner":"r1","state":"cold"}
+{"time":"02","level":"info","event":1601,"name":"runner_listed","node":"n1","runner":"r9"}
+{"time":"02","level":"info","event":1604,"name":"store_lost","node":"n2"}
+{"time":"06","level":"info","event":1506,"name":"request_unanswered","node":"n1","request":"q1","status":"502"}
+{"time":"09","level":"info","event":1605,"name":"store_regained","node":"n1"}
+not a structured line {
+{"time":"07","level":"info","event":1408,"name":"item_done","node":"n2","job":"aa.j1","item":"i1"}
+)";
+
+std::vector<std::string> story_of(const std::string& id) {
+  std::istringstream input(kLog);
+  std::vector<std::string> names;
+  for (const auto& line : find_story(read_log_lines(input), id)) {
+    names.push_back(line.time + " " + line.name);
+  }
+  return names;
+}
+
+TEST(LogStoryTest, ARequestIsToldWithWhatItsNodeBelieved) {
+  EXPECT_EQ(story_of("q1"),
+            (std::vector<std::string>{"02 runner_listed", "03 store_lost", "05 attempt_failed",
+                                      "06 request_unanswered"}));
+}
+
+TEST(LogStoryTest, ItemsAndJobsAreFoundByTheirIds) {
+  EXPECT_EQ(story_of("j1").back(), "07 item_done");
+  EXPECT_EQ(story_of("i1").back(), "07 item_done");
+  EXPECT_TRUE(story_of("unknown").empty());
+}
+
+}  // namespace
+}  // namespace stoathold
