--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -66,11 +66,6 @@
   return key + std::string(kProgressPart) + padded(item);
 }
 
-bool is_progress_key(std::string_view key) {
-  const JobKey job = job_of_record_key(key);
-  return key.substr(job.size()).starts_with(kProgressPart);
-}
-
 JobKey job_of_record_key(std::string_view key) {
   return JobKey(key.substr(0, key.find('/')));
 }
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -6,8 +6,11 @@
 /// submission
 ///   is appended on the condition that the partition ends where its writer has read to, so that
 ///   every submission is judged against all before it.
-/// - results, by the hash of the job: results of items, and how far broken runs came. The order of
-///   the records is the order of the results; of an item's results the first counts.
+/// - results, by the hash of the job: results of items. The order of the records is the order of
+/// the
+///   results; of an item's results the first counts.
+/// - progress, by the hash of the job: how far running items came, so that another node goes on
+/// there.
 /// - bodies, by the hash of the job: the requests that the items are.
 /// A key is written once (but for progress), so that the offsets of results never change.
 #pragma once
@@ -25,6 +28,7 @@
 
 inline constexpr const char* kJobsTopic = "jobs";
 inline constexpr const char* kResultsTopic = "job-results";
+inline constexpr const char* kProgressTopic = "job-progress";
 inline constexpr const char* kBodiesTopic = "job-bodies";
 
 /// Identity of a job in the log: made of host and id, unique over all hosts.
@@ -36,7 +40,7 @@
 JobKey make_job_key(std::string_view host, std::string_view id);
 /// Partition of the jobs topic.
 std::uint32_t jobs_partition(std::string_view host, std::uint32_t partitions);
-/// Partition of the results and the bodies topic.
+/// Partition of the results, the progress and the bodies topic.
 std::uint32_t job_partition(const JobKey& key, std::uint32_t partitions);
 /// Slot of the workers' group that runs the job.
 std::uint32_t job_slot(const JobKey& key, std::uint32_t slots);
@@ -126,13 +130,11 @@
 std::string result_record_key(const JobKey& key, std::uint32_t item, std::string_view writer);
 /// Key of an item's progress.
 std::string progress_record_key(const JobKey& key, std::uint32_t item);
-/// Whether a key of the results topic is that of a progress record.
-bool is_progress_key(std::string_view key);
-/// The job that a key of the results or the bodies topic belongs to.
+/// The job that a key of the results, the progress or the bodies topic belongs to.
 JobKey job_of_record_key(std::string_view key);
 /// Key of one record of an item's request.
 std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record);
-/// The range of all of a job's keys in the results or the bodies topic.
+/// The range of all of a job's keys in one of these topics.
 KeyRange job_key_range(const JobKey& key);
 
 std::string encode(const JobSubmission& submission);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -17,8 +17,14 @@
 constexpr std::size_t kMaxRunningItems = 64;
 /// Between rounds of upkeep: progress counts and deletion of old jobs.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
-/// Most time that progress may take to be written when slots are given up.
-constexpr Duration kHandOverTime = std::chrono::milliseconds(1200);
+/// Rounds of upkeep between two records of how far running items came.
+constexpr int kCheckpointRounds = 3;
+/// Bytes of a checkpoint record that are not its text.
+constexpr std::uint64_t kRecordOverhead = 600;
+/// A process that has just started lets few items run at first, so that online requests, which also
+/// come back all at once, find places; the number rises to the full one in this time.
+constexpr Duration kSlowStart = std::chrono::seconds(4);
+constexpr std::size_t kFirstItems = 6;
 
 std::int64_t wall_clock_ms() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -51,6 +57,7 @@
 }
 
 void JobRunner::start() {
+  started_ = monotonic_now();
   asio::co_spawn(context_.executor, membership_.run(), asio::detached);
   asio::co_spawn(context_.executor, maintain(), asio::detached);
 }
@@ -83,7 +90,8 @@
   Backoff backoff;
   asio::steady_timer timer(context_.executor);
   while (!job->stopped) {
-    const LogStatus status = co_await store_.refresh_results(key);
+    LogStatus status = co_await store_.refresh_results(key);
+    if (status == LogStatus::kOk) status = co_await store_.refresh_progress(key);
     if (status == LogStatus::kOk) break;
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -102,6 +110,13 @@
   start_waiting();
 }
 
+std::size_t JobRunner::item_limit() const {
+  const Duration age = monotonic_now() - started_;
+  if (age >= kSlowStart) return kMaxRunningItems;
+  const double part = to_seconds(age) / to_seconds(kSlowStart);
+  return kFirstItems + static_cast<std::size_t>(part * (kMaxRunningItems - kFirstItems));
+}
+
 /// The newest run in this zone gives its place back: it loses the least, and a place elsewhere
 /// would be far for the request that waits.
 void JobRunner::yield_place(const std::string& service) {
@@ -123,7 +138,7 @@
 }
 
 void JobRunner::start_waiting() {
-  while (!waiting_.empty() && running_items_ < kMaxRunningItems) {
+  while (!waiting_.empty() && running_items_ < item_limit()) {
     const WaitingItem item = *waiting_.begin();
     waiting_.erase(waiting_.begin());
     const auto job = jobs_.find(item.job);
@@ -149,9 +164,8 @@
   }
   if (!job->stopped) {
     ItemProgress progress;
-    const auto& known = store_.results_of(item.job).progress;
-    const auto found = known.find(item.index);
-    if (found != known.end()) progress = found->second;
+    const ItemProgress* known = store_.progress_of(item.job, item.index);
+    if (known != nullptr) progress = *known;
     ItemContext context{item.job, item.index, listed.id, job->host, job->path, job->submitted_ms};
     const auto run = std::make_shared<ItemRun>(context_, std::move(context), std::move(request),
                                                std::move(progress), settings_.clock_skew);
@@ -210,7 +224,7 @@
   job->stopped = true;
   std::erase_if(waiting_, [&](const WaitingItem& item) { return item.job == key; });
   for (const auto& [index, run] : job->runs) {
-    if (keep_progress && run->has_progress()) writer_.add(run->progress());
+    if (keep_progress) add_checkpoint(*run);
     run->stop();
   }
   counts_changed_.erase(key);
@@ -222,19 +236,60 @@
     if (slots.contains(job_slot(key, store_.limits().group_slots))) keys.push_back(key);
   }
   for (const auto& key : keys) stop_job(key, true);
-  co_await writer_.flush(kHandOverTime);
+  co_await write_checkpoints();
 }
 
 asio::awaitable<void> JobRunner::maintain() {
   asio::steady_timer timer(context_.executor);
+  int round = 0;
   while (!stopping_) {
     timer.expires_after(kUpkeepInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     co_await write_progress_counts();
+    if (++round % kCheckpointRounds == 0) {
+      collect_checkpoints();
+      co_await write_checkpoints();
+    }
+    start_waiting();
     co_await erase_expired();
   }
 }
 
+void JobRunner::add_checkpoint(const ItemRun& run) {
+  if (!run.has_progress()) return;
+  const ItemProgress& progress = run.progress();
+  const ItemProgress* written = store_.progress_of(progress.job, progress.item);
+  const bool newer = written == nullptr || written->last_event < progress.last_event ||
+                     written->failures < progress.failures;
+  if (!newer) return;
+  const std::uint32_t partition = job_partition(progress.job, store_.limits().partitions);
+  checkpoints_[partition].push_back(progress);
+}
+
+void JobRunner::collect_checkpoints() {
+  for (const auto& [key, job] : jobs_) {
+    for (const auto& [index, run] : job->runs) add_checkpoint(*run);
+  }
+}
+
+asio::awaitable<void> JobRunner::write_checkpoints() {
+  const auto batches = std::exchange(checkpoints_, {});
+  for (const auto& [partition, entries] : batches) {
+    std::vector<KeyedRecord> records;
+    std::uint64_t bytes = 0;
+    for (const auto& entry : entries) {
+      const std::uint64_t size = entry.text.size() + kRecordOverhead;
+      const bool fits =
+          size <= store_.limits().record_bytes && bytes + size <= store_.limits().call_bytes;
+      // What does not fit is only read again if this node is lost.
+      if (!fits) continue;
+      bytes += size;
+      records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
+    }
+    if (!records.empty()) co_await store_.write_progress(partition, std::move(records));
+  }
+}
+
 asio::awaitable<void> JobRunner::write_progress_counts() {
   const std::set<JobKey> changed = std::exchange(counts_changed_, {});
   for (const JobKey& key : changed) {
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -55,6 +55,9 @@
     std::size_t left = 0;  ///< Items without a durable result.
     bool stopped = false;
   };
+  void add_checkpoint(const ItemRun& run);
+  [[nodiscard]] std::size_t item_limit() const;
+
   /// An item that waits for a place, the most urgent first.
   struct WaitingItem {
     std::int64_t submitted_ms = 0;
@@ -77,6 +80,8 @@
   boost::asio::awaitable<void> maintain();
   boost::asio::awaitable<void> erase_expired();
   boost::asio::awaitable<void> write_progress_counts();
+  void collect_checkpoints();
+  boost::asio::awaitable<void> write_checkpoints();
   [[nodiscard]] bool holds(const JobKey& key) const;
 
   GatewayContext& context_;
@@ -87,6 +92,9 @@
   std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
   std::set<WaitingItem> waiting_;
   std::set<JobKey> counts_changed_;
+  /// Progress that is to be written, by partition.
+  std::map<std::uint32_t, std::vector<ItemProgress>> checkpoints_;
+  TimePoint started_{};
   MembersListener members_listener_;
   std::size_t running_items_ = 0;
   bool stopping_ = false;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -77,6 +77,21 @@
   return partition;
 }
 
+JobStore::ProgressPartition& JobStore::progress_partition(std::uint32_t number) {
+  ProgressPartition& partition = progress_[number];
+  if (!partition.replica) {
+    partition.table = std::make_unique<ProgressTable>();
+    partition.replica = std::make_shared<PartitionReplica>(
+        log_, PartitionName{kProgressTopic, number}, *partition.table);
+  }
+  return partition;
+}
+
+const ItemProgress* JobStore::progress_of(const JobKey& key, std::uint32_t item) {
+  const std::uint32_t number = job_partition(key, log_.limits().partitions);
+  return progress_partition(number).table->find(key, item);
+}
+
 void JobStore::follow_host(const std::string& host) {
   JobsPartition& partition = jobs_of(host);
   if (partition.followed) return;
@@ -224,29 +239,19 @@
   const std::uint32_t number = job_partition(key, log_.limits().partitions);
   ResultsPartition& partition = results_partition(number);
   const auto replica = partition.replica;
-  const TimePoint until = monotonic_now() + wait;
-  while (true) {
-    page.job = jobs_of(host).table->find(key);
-    page.results = &partition.table->of_job(key);
-    if (page.job == nullptr) {
-      page.status = LookupStatus::kAbsent;
-      co_return page;
-    }
-    const bool whole = position >= page.job->submission.items.size();
-    if (whole || page.results->listed.size() > position) co_return page;
-    const Duration left = std::max(Duration{0}, until - monotonic_now());
-    const bool load_first = !replica->health().loaded;
+  const bool whole = position >= page.job->submission.items.size();
+  const bool known = partition.table->of_job(key).listed.size() > position;
+  if (!whole && !known) {
+    // One call: a record of another job ends the wait too, and the caller asks again.
+    const bool wait_first = wait.count() > 0 && replica->health().loaded;
     LogStatus status = LogStatus::kOk;
-    if (left.count() == 0 || load_first) {
-      status = co_await replica->catch_up();
+    if (wait_first) {
+      status = co_await replica->wait_for_records(wait);
     } else {
-      status = co_await replica->wait_for_records(left);
-    }
-    if (status != LogStatus::kOk) {
-      page.status = LookupStatus::kUncertain;
-      co_return page;
+      status = co_await replica->catch_up();
     }
-    if (left.count() == 0) break;
+    if (status != LogStatus::kOk) page.status = LookupStatus::kUncertain;
+    if (status != LogStatus::kOk) co_return page;
   }
   page.job = jobs_of(host).table->find(key);
   page.results = &partition.table->of_job(key);
@@ -302,6 +307,19 @@
   co_return co_await replica->catch_up();
 }
 
+asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key) {
+  const std::uint32_t number = job_partition(key, log_.limits().partitions);
+  const auto replica = progress_partition(number).replica;
+  co_return co_await replica->catch_up();
+}
+
+asio::awaitable<LogStatus> JobStore::write_progress(std::uint32_t partition,
+                                                    std::vector<KeyedRecord> records) {
+  const PartitionName name{kProgressTopic, partition};
+  const AppendResult result = co_await log_.append(name, std::move(records), std::nullopt);
+  co_return result.status;
+}
+
 asio::awaitable<bool> JobStore::append_results(std::uint32_t partition,
                                                std::function<std::vector<KeyedRecord>()> make,
                                                std::function<bool()> running) {
@@ -323,7 +341,7 @@
   const std::uint32_t number = job_partition(key, log_.limits().partitions);
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
   constexpr std::size_t kDeletionsPerCall = 500;
-  for (const char* topic : {kBodiesTopic, kResultsTopic}) {
+  for (const char* topic : {kBodiesTopic, kResultsTopic, kProgressTopic}) {
     const PartitionName partition{topic, number};
     const KeyRange range = job_key_range(key);
     const ReadResult found = co_await log_.read_newest(partition, range);
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -81,6 +81,11 @@
 
   /// Brings the results of a job up to date with the log.
   boost::asio::awaitable<LogStatus> refresh_results(JobKey key);
+  /// Brings the progress of a job's items up to date with the log.
+  boost::asio::awaitable<LogStatus> refresh_progress(JobKey key);
+  /// Writes progress records; a failure is harmless.
+  boost::asio::awaitable<LogStatus> write_progress(std::uint32_t partition,
+                                                   std::vector<KeyedRecord> records);
   /// Adds records to a job's partition of the results; tries until it is done or `running` ends.
   /// @param make called for each try, since a result needs a new key each time.
   boost::asio::awaitable<bool> append_results(std::uint32_t partition,
@@ -95,6 +100,8 @@
   /// A text that no other call of any process gets, for keys.
   std::string unique_name();
   [[nodiscard]] const JobResults& results_of(const JobKey& key);
+  /// Returns how far an item came as far as it is known here, or null.
+  [[nodiscard]] const ItemProgress* progress_of(const JobKey& key, std::uint32_t item);
   /// Calls `visit` for each job of the followed hosts.
   void for_each_job(const std::function<void(const JobKey&, const JobEntry&)>& visit) const;
   [[nodiscard]] const LogLimits& limits() const { return log_.limits(); }
@@ -111,7 +118,13 @@
     std::shared_ptr<PartitionReplica> replica;
   };
 
+  struct ProgressPartition {
+    std::unique_ptr<ProgressTable> table;
+    std::shared_ptr<PartitionReplica> replica;
+  };
+
   JobsPartition& jobs_of(const std::string& host);
+  ProgressPartition& progress_partition(std::uint32_t partition);
   ResultsPartition& results_partition(std::uint32_t partition);
   boost::asio::awaitable<LogStatus> append_bodies(JobKey key, NewJob& job, TimePoint deadline);
   boost::asio::awaitable<LogStatus> append_until(PartitionName partition,
@@ -129,6 +142,7 @@
   JobTable::Listener listener_;
   std::map<std::uint32_t, JobsPartition> jobs_;
   std::map<std::uint32_t, ResultsPartition> results_;
+  std::map<std::uint32_t, ProgressPartition> progress_;
 };
 
 }  // namespace stoathold
--- a/src/jobs/result_table.cc
+++ b/src/jobs/result_table.cc
@@ -12,7 +12,12 @@
 
 }  // namespace
 
-void ResultTable::apply_result(const StoredRecord& record) {
+void ResultTable::apply(const StoredRecord& record) {
+  if (record.value.empty()) {
+    // Only a whole job is deleted; its results go together.
+    jobs_.erase(job_of_record_key(record.key));
+    return;
+  }
   ItemResult result;
   if (!decode(record.value, result)) {
     log_malformed(record);
@@ -21,40 +26,44 @@
   JobResults& job = jobs_[result.job];
   if (!job.listed_items.insert(result.item).second) return;
   job.listed.push_back({result.item, result.state, std::move(result.text)});
-  job.progress.erase(result.item);
 }
 
-void ResultTable::apply_progress(const StoredRecord& record) {
+void ResultTable::reset(const std::vector<StoredRecord>& newest) {
+  jobs_.clear();
+  for (const auto& record : newest) apply(record);
+}
+
+const JobResults& ResultTable::of_job(const JobKey& key) const {
+  static const JobResults kNone;
+  const auto found = jobs_.find(key);
+  return found == jobs_.end() ? kNone : found->second;
+}
+
+void ProgressTable::apply(const StoredRecord& record) {
+  if (record.value.empty()) {
+    const JobKey job = job_of_record_key(record.key);
+    std::erase_if(items_, [&](const auto& entry) { return entry.first.first == job; });
+    return;
+  }
   ItemProgress progress;
   if (!decode(record.value, progress)) {
     log_malformed(record);
     return;
   }
-  JobResults& job = jobs_[progress.job];
-  if (job.listed_items.contains(progress.item)) return;
-  job.progress[progress.item] = std::move(progress);
-}
-
-void ResultTable::apply(const StoredRecord& record) {
-  if (record.value.empty()) {
-    // Only a whole job is deleted; results go together.
-    if (!is_progress_key(record.key)) jobs_.erase(job_of_record_key(record.key));
-  } else if (is_progress_key(record.key)) {
-    apply_progress(record);
-  } else {
-    apply_result(record);
-  }
+  ItemProgress& known = items_[{progress.job, progress.item}];
+  // A record that was written late may lie behind what is known.
+  if (progress.last_event < known.last_event && progress.failures <= known.failures) return;
+  known = std::move(progress);
 }
 
-void ResultTable::reset(const std::vector<StoredRecord>& newest) {
-  jobs_.clear();
+void ProgressTable::reset(const std::vector<StoredRecord>& newest) {
+  items_.clear();
   for (const auto& record : newest) apply(record);
 }
 
-const JobResults& ResultTable::of_job(const JobKey& key) const {
-  static const JobResults kNone;
-  const auto found = jobs_.find(key);
-  return found == jobs_.end() ? kNone : found->second;
+const ItemProgress* ProgressTable::find(const JobKey& job, std::uint32_t item) const {
+  const auto found = items_.find({job, item});
+  return found == items_.end() ? nullptr : &found->second;
 }
 
 }  // namespace stoathold
--- a/src/jobs/result_table.h
+++ b/src/jobs/result_table.h
@@ -21,7 +21,6 @@
 struct JobResults {
   std::vector<ListedResult> listed;  ///< In the order of positions; only grows.
   std::set<std::uint32_t> listed_items;
-  std::map<std::uint32_t, ItemProgress> progress;  ///< Of items that are not listed.
 };
 
 /// Folds records in the order of their offsets: of an item's results the first counts, and its
@@ -35,10 +34,20 @@
   [[nodiscard]] const JobResults& of_job(const JobKey& key) const;
 
  private:
-  void apply_result(const StoredRecord& record);
-  void apply_progress(const StoredRecord& record);
-
   std::map<JobKey, JobResults> jobs_;
 };
 
+/// The newest progress of the items of one partition of the progress topic.
+class ProgressTable final : public RecordSink {
+ public:
+  void apply(const StoredRecord& record) override;
+  void reset(const std::vector<StoredRecord>& newest) override;
+
+  /// Returns how far an item came, or null.
+  [[nodiscard]] const ItemProgress* find(const JobKey& job, std::uint32_t item) const;
+
+ private:
+  std::map<std::pair<JobKey, std::uint32_t>, ItemProgress> items_;
+};
+
 }  // namespace stoathold
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -1,10 +1,7 @@
 #include "jobs/result_writer.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace stoathold {
 namespace {
@@ -15,7 +12,6 @@
 constexpr std::size_t kRecordsPerAppend = 100;
 /// Bytes of a record that are not the text.
 constexpr std::uint64_t kRecordOverhead = 600;
-constexpr Duration kFlushCheck = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -29,13 +25,6 @@
   start(partition);
 }
 
-void ResultWriter::add(ItemProgress progress) {
-  const std::uint32_t partition = job_partition(progress.job, store_.limits().partitions);
-  queues_[partition].progress.push_back(std::move(progress));
-  ++pending_;
-  start(partition);
-}
-
 void ResultWriter::start(std::uint32_t partition) {
   Queue& queue = queues_[partition];
   if (queue.writing) return;
@@ -45,9 +34,8 @@
 
 asio::awaitable<void> ResultWriter::write(std::uint32_t partition) {
   Queue& queue = queues_[partition];
-  while (!queue.results.empty() || !queue.progress.empty()) {
+  while (!queue.results.empty()) {
     std::vector<ItemResult> results;
-    std::vector<ItemProgress> progress;
     std::uint64_t bytes = 0;
     while (!queue.results.empty() && results.size() < kRecordsPerAppend) {
       const std::uint64_t size = queue.results.front().text.size() + kRecordOverhead;
@@ -56,39 +44,20 @@
       results.push_back(std::move(queue.results.front()));
       queue.results.pop_front();
     }
-    while (!queue.progress.empty() && progress.size() < kRecordsPerAppend) {
-      const std::uint64_t size = queue.progress.front().text.size() + kRecordOverhead;
-      if (bytes > 0 && bytes + size > store_.limits().call_bytes) break;
-      bytes += size;
-      progress.push_back(std::move(queue.progress.front()));
-      queue.progress.pop_front();
-    }
     const std::function<std::vector<KeyedRecord>()> make = [&] {
       std::vector<KeyedRecord> records;
       for (const auto& result : results) {
         records.push_back(
             {result_record_key(result.job, result.item, store_.unique_name()), encode(result)});
       }
-      for (const auto& entry : progress) {
-        records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
-      }
       return records;
     };
     const std::function<bool()> forever = [] { return true; };
     co_await store_.append_results(partition, make, forever);
-    pending_ -= results.size() + progress.size();
+    pending_ -= results.size();
     for (const auto& result : results) listener_(result);
   }
   queue.writing = false;
 }
 
-asio::awaitable<void> ResultWriter::flush(Duration timeout) {
-  asio::steady_timer timer(executor_);
-  const TimePoint until = monotonic_now() + timeout;
-  while (pending_ > 0 && monotonic_now() < until) {
-    timer.expires_after(kFlushCheck);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-}
-
 }  // namespace stoathold
--- a/src/jobs/result_writer.h
+++ b/src/jobs/result_writer.h
@@ -1,5 +1,5 @@
 /// @file
-/// Writes results and progress to the log, many with one call, until they are durable.
+/// Writes results to the log, many with one call, until they are durable.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -21,16 +21,12 @@
   ResultWriter(boost::asio::any_io_executor executor, JobStore& store, Listener listener);
 
   void add(ItemResult result);
-  void add(ItemProgress progress);
-  /// Waits until the queues are empty, but not longer than `timeout`.
-  boost::asio::awaitable<void> flush(Duration timeout);
-  /// Records that are queued or in flight.
+  /// Results that are queued or in flight.
   [[nodiscard]] std::size_t pending() const { return pending_; }
 
  private:
   struct Queue {
     std::deque<ItemResult> results;
-    std::deque<ItemProgress> progress;
     bool writing = false;
   };
 
--- a/tests/jobs/job_records_test.cc
+++ b/tests/jobs/job_records_test.cc
@@ -18,12 +18,6 @@
   EXPECT_GT(body_record_key(longer, 0, 0), range.through);
 }
 
-TEST(JobRecordsTest, OnlyProgressKeysAreProgress) {
-  const JobKey key = make_job_key("a.example", "p");
-  EXPECT_TRUE(is_progress_key(progress_record_key(key, 1)));
-  EXPECT_FALSE(is_progress_key(result_record_key(key, 1, "p")));
-}
-
 TEST(JobRecordsTest, JobIdsOfTwoHostsDiffer) {
   EXPECT_NE(make_job_key("a.example", "x"), make_job_key("b.example", "x"));
 }
