--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -135,6 +135,12 @@
   request.priority = route_.priority;
   request.due = arrival_ + route_.latency_objective;
   request.give_up = std::min(arrival_ + kLongestWait, deadline_);
+  if (head_sent_) {
+    // The caller is reading: the next event is due however long ago the request came.
+    const TimePoint now = monotonic_now();
+    request.due = now + route_.event_gap_objective;
+    request.give_up = std::min(now + kLongestWait, deadline_);
+  }
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   tokens_to_read_ = ticket_->tokens_to_read();
--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -113,6 +113,26 @@
   EXPECT_NE(taking_up.requests[0].find("Last-Event-Id: 1"), std::string::npos);
 }
 
+TEST_F(OnlineRequestTest, AStreamThatBreaksLateWaitsForAPlaceToGoOn) {
+  configure(RouteKind::kStreaming, true);
+  ScriptedAnswer late_break(stream_head() + chunk(event(1)), true);
+  late_break.pause = std::chrono::milliseconds(1700);  // Longer than a new request may wait.
+  ScriptedRunner breaking(loop, {late_break});
+  ScriptedRunner taking_up(loop, {{stream_head() + chunk(event(2)) + kLastChunk}});
+  add_runner(breaking);
+  add_runner(taking_up);
+  const auto full = context.runners.all().at("r2");
+  while (full->in_flight() < 10) full->begin_attempt();
+  boost::asio::steady_timer timer(loop, std::chrono::milliseconds(1900));
+  timer.async_wait([&](boost::system::error_code) {
+    full->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
+    context.placement.capacity_changed();
+  });
+  const CallerView view = ask();
+  EXPECT_TRUE(view.complete);
+  EXPECT_EQ(view.body, event(1) + event(2));
+}
+
 TEST_F(OnlineRequestTest, AStreamThatLeavesAGapIsNotPassedOn) {
   configure(RouteKind::kStreaming, true);
   ScriptedRunner skipping(loop, {{stream_head() + chunk(event(1)) + chunk(event(3)), true}});
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -20,9 +20,10 @@
         late_bytes(std::move(late_bytes_in)) {}
 
   std::string bytes;
-  bool close;              ///< Close the connection behind the bytes.
-  bool reset;              ///< Reset it instead.
-  std::string late_bytes;  ///< Written right after, without a request.
+  bool close;                          ///< Close the connection behind the bytes.
+  bool reset;                          ///< Reset it instead.
+  std::string late_bytes;              ///< Written right after, without a request.
+  std::chrono::milliseconds pause{0};  ///< Before closing.
 };
 
 /// Answers each request (read up to its body's end) with the next of its answers; the last answer
@@ -90,6 +91,10 @@
           fill_in(answer.bytes + answer.late_bytes, field(head, "X-Request-Id"));
       co_await boost::asio::async_write(socket, boost::asio::buffer(bytes),
                                         boost::asio::use_awaitable);
+      if (answer.pause.count() > 0) {
+        boost::asio::steady_timer timer(socket.get_executor(), answer.pause);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+      }
       if (answer.reset) {
         socket.set_option(boost::asio::socket_base::linger(true, 0));
         socket.close();  // Asio's destructor would take the option back.
