--- a/src/ctl/log_story.cc
+++ b/src/ctl/log_story.cc
@@ -107,7 +107,12 @@
 
 std::string format_log_line(const LogLine& line) {
   std::string text = line.time + "  " + line.node + "  " + line.name;
-  for (const auto& [name, value] : line.fields) text += "  " + name + "=" + value;
+  for (const auto& [name, value] : line.fields) {
+    text += "  ";
+    text += name;
+    text += "=";
+    text += value;
+  }
   return text;
 }
 
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -1,5 +1,6 @@
 #include "jobs/item_run.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,8 +19,11 @@
 /// A run without an event for so long is taken up at another runner.
 constexpr Duration kFirstEventPatience = std::chrono::milliseconds(4000);
 constexpr Duration kEventGapPatience = std::chrono::milliseconds(1500);
-/// Runners at or above this load are left to online requests.
-constexpr double kLoadLimit = 0.9;
+/// Runners at or above a load are left to online requests: at a lower one while an item has time,
+/// at a higher one when this part of its job's time has passed.
+constexpr double kRelaxedLoad = 0.65;
+constexpr double kUrgentLoad = 0.95;
+constexpr double kUrgentPart = 0.5;
 /// After this time without a place the route is looked at anew.
 constexpr Duration kPlacementTime = std::chrono::seconds(2);
 /// Between looks for a configuration or a route.
@@ -33,6 +37,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+double load_limit(const Route& route, Duration age) {
+  if (route.completion_objective.count() == 0) return kRelaxedLoad;
+  const double part = to_seconds(age) / (to_seconds(route.completion_objective) * kUrgentPart);
+  return kRelaxedLoad + (kUrgentLoad - kRelaxedLoad) * std::clamp(part, 0.0, 1.0);
+}
+
 }  // namespace
 
 ItemRun::ItemRun(GatewayContext& context, ItemContext item, ItemRequest request,
@@ -70,6 +80,8 @@
 }
 
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::place(const Route& route) {
+  const TimePoint now = monotonic_now();
+  const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
   PlacementRequest request;
   request.work = WorkClass::kBatch;
   request.selection = {context_.split.next_service(route),
@@ -77,11 +89,9 @@
                        prompt_.shared_key,
                        prompt_.tokens,
                        prompt_.shared_tokens,
-                       kLoadLimit,
+                       load_limit(route, age),
                        {}};
   request.priority = route.priority;
-  const TimePoint now = monotonic_now();
-  const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
   request.due = now - age;
   request.give_up = now + kPlacementTime;
   ticket_ = context_.placement.make_ticket(std::move(request));
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -32,8 +32,8 @@
 /// A request for a place. Held by who waits; `cancel` ends the wait.
 class PlacementTicket {
  public:
-  PlacementTicket(boost::asio::any_io_executor executor, PlacementRequest request)
-      : request_(std::move(request)), timer_(std::move(executor)) {}
+  PlacementTicket(const boost::asio::any_io_executor& executor, PlacementRequest request)
+      : request_(std::move(request)), timer_(executor) {}
 
   /// Ends the wait without a place; harmless if it is over.
   void cancel() {
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -23,7 +23,7 @@
   std::string topic;
   std::uint32_t partition = 0;
 
-  auto operator<=>(const PartitionName&) const = default;
+  auto operator<=>(const PartitionName&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// A record to append. An empty value deletes the key.
