--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -64,7 +64,7 @@
     JobKey job;
     std::uint32_t index = 0;
 
-    auto operator<=>(const WaitingItem&) const = default;
+    auto operator<=>(const WaitingItem&) const = default;  // NOLINT(modernize-use-nullptr)
   };
 
   void job_changed(const JobKey& key, const JobEntry& job);
