--- a/emulator/engine_stand_in.cc
+++ b/emulator/engine_stand_in.cc
@@ -9,7 +9,7 @@
 #include "emulator/stand_in.h"
 #include "net/engine_client.h"
 #include "net/event_splitter.h"
-#include "server/http_target.h"
+#include "net/http_target.h"
 
 namespace stoathold::emulator {
 namespace {
--- a/emulator/inference_runner_stand_in.cc
+++ b/emulator/inference_runner_stand_in.cc
@@ -4,8 +4,8 @@
 
 #include "emulator/admin.h"
 #include "emulator/stand_in.h"
+#include "net/http_target.h"
 #include "platform/platform_names.h"
-#include "server/http_target.h"
 
 namespace stoathold::emulator {
 namespace {
--- a/emulator/log_stand_in.cc
+++ b/emulator/log_stand_in.cc
@@ -5,8 +5,8 @@
 
 #include "emulator/admin.h"
 #include "emulator/stand_in.h"
+#include "net/http_target.h"
 #include "net/log_client.h"
-#include "server/http_target.h"
 
 namespace stoathold::emulator {
 namespace {
--- a/emulator/metadata_store_stand_in.cc
+++ b/emulator/metadata_store_stand_in.cc
@@ -5,8 +5,8 @@
 #include "emulator/admin.h"
 #include "emulator/log_model.h"
 #include "emulator/stand_in.h"
+#include "net/http_target.h"
 #include "platform/record_framing.h"
-#include "server/http_target.h"
 
 namespace stoathold::emulator {
 namespace {
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -28,6 +28,18 @@
   return TimePoint{std::chrono::duration_cast<Duration>(since_start)};
 }
 
+/// Returns the time of day in milliseconds since the epoch; for drivers only. It may jump, and
+/// differs from machine to machine.
+inline std::int64_t wall_clock_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+/// Returns a multiple of a duration.
+constexpr Duration scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 /// Converts a duration to seconds as a floating point number, for reports.
 constexpr double to_seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
--- /dev/null
+++ b/src/gateway/online_relay.cc
@@ -0,0 +1,140 @@
+// The answer's way from the runner to the caller: checks, whole events, framing.
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "gateway/headers.h"
+#include "gateway/online_request.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Times the event gap objective that a resumable stream waits for its next event.
+constexpr double kEventGapPatience = 1.6;
+
+}  // namespace
+
+bool OnlineRequest::is_spoiled(const UpstreamHead& head) const {
+  const bool success = head.status >= 200 && head.status < 300;
+  if (!success) return false;
+  if (!head.header("Content-Encoding").empty()) return true;
+  return head.header(context_.dialect.response_signature).empty();
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::take_answer(Runner& runner) {
+  const UpstreamHead& head = upstream_->head();
+  constexpr int kMisdirected = 421;
+  constexpr int kServerError = 500;
+  const bool not_run = !head.header(context_.dialect.not_run).empty();
+  if (head.status == kMisdirected) {
+    runner.mark_leaving();
+    co_return Attempt::kNotRun;
+  }
+  if (not_run) co_return Attempt::kNotRun;
+  if (is_spoiled(head)) co_return Attempt::kBroken;
+  const bool promise = head.status == 429 || head.status == 503 || head.status == 408;
+  // Passed on, these statuses would promise that the request never runs.
+  if (promise && !route_.repeatable()) co_return Attempt::kBroken;
+  const bool success = head.status >= 200 && head.status < 300;
+  if (head_sent_ && !success) co_return Attempt::kBroken;
+  const bool another_run = runs_ + 1 < route_.max_attempts && route_.repeatable();
+  if (head.status >= kServerError && another_run) co_return Attempt::kBroken;
+  if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events(runner);
+  co_return co_await relay_body();
+}
+
+asio::awaitable<bool> OnlineRequest::send_head() {
+  const UpstreamHead& upstream_head = upstream_->head();
+  ResponseHead head;
+  head.status = upstream_head.status;
+  head.framing = upstream_head.framing;
+  head.length = upstream_head.length;
+  for (const auto& header : upstream_head.headers) {
+    if (!is_connection_header(header.name)) head.headers.push_back(header);
+  }
+  head_sent_ = true;
+  context_.metrics.first_event.observe(monotonic_now() - arrival_);
+  const bool sent = co_await exchange_.start_response(head);
+  if (!sent) stop(RequestOutcome::kCallerGone);
+  co_return sent;
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_body() {
+  std::string_view view;
+  while (true) {
+    const UpstreamStatus status = co_await upstream_->read_body(view);
+    if (status != UpstreamStatus::kOk) co_return classify_failure(status);
+    if (!head_sent_) {
+      const bool sent = co_await send_head();
+      if (!sent) co_return Attempt::kStopped;
+    }
+    if (view.empty()) break;
+    const bool written = co_await exchange_.write(view);
+    if (!written) stop(RequestOutcome::kCallerGone);
+    if (stopped_) co_return Attempt::kStopped;
+  }
+  co_await exchange_.finish_stream();
+  outcome_ = RequestOutcome::kServed;
+  co_return Attempt::kDone;
+}
+
+asio::awaitable<bool> OnlineRequest::send_whole_events(std::string_view bytes, bool& spoiled) {
+  spoiled = !framer_.feed(bytes);
+  std::string pieces;
+  while (!spoiled) {
+    const auto event = framer_.next();
+    if (!event) break;
+    if (event->id) {
+      const bool expected = !last_event_ || *event->id == *last_event_ + 1;
+      if (!expected) spoiled = true;
+      if (!expected) break;
+      last_event_ = event->id;
+    }
+    pieces.append(event->raw);
+    ++pieces_;
+  }
+  if (pieces.empty()) co_return true;
+  if (!head_sent_) {
+    const bool sent = co_await send_head();
+    if (!sent) co_return false;
+  } else {
+    context_.metrics.event_gap.observe(monotonic_now() - last_piece_);
+  }
+  last_piece_ = monotonic_now();
+  const bool written = co_await exchange_.write(pieces);
+  if (!written) stop(RequestOutcome::kCallerGone);
+  co_return !stopped_;
+}
+
+asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_events(Runner& runner) {
+  framer_ = EventFramer{};
+  std::string_view view;
+  while (true) {
+    const UpstreamStatus status = co_await upstream_->read_body(view);
+    if (status != UpstreamStatus::kOk) co_return classify_failure(status);
+    if (view.empty()) break;
+    bool spoiled = false;
+    runner.heard(monotonic_now());
+    const bool delivered = co_await send_whole_events(view, spoiled);
+    if (!delivered) co_return Attempt::kStopped;
+    if (spoiled) co_return Attempt::kBroken;
+    const bool resumable = route_.resumable && runs_ + 1 < route_.max_attempts;
+    if (resumable) {
+      be_patient(scale(route_.event_gap_objective, kEventGapPatience));
+    } else {
+      patience_ = Duration{0};
+      upstream_->set_deadline(deadline_);
+    }
+  }
+  if (!framer_.rest().empty()) co_return Attempt::kBroken;
+  if (!head_sent_) {
+    const bool sent = co_await send_head();
+    if (!sent) co_return Attempt::kStopped;
+  }
+  co_await exchange_.finish_stream();
+  outcome_ = RequestOutcome::kServed;
+  co_return Attempt::kDone;
+}
+
+}  // namespace stoathold
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -51,15 +51,6 @@
   return error == asio::error::would_block;
 }
 
-bool make_endpoint(const std::string& address, Tcp::endpoint& endpoint) {
-  std::string host;
-  std::uint16_t port = 0;
-  if (!split_address(address, host, port)) return false;
-  boost::system::error_code error;
-  endpoint = Tcp::endpoint(asio::ip::make_address(host, error), port);
-  return !error;
-}
-
 }  // namespace
 
 std::string_view to_string(UpstreamStatus status) {
@@ -206,7 +197,7 @@
 
 asio::awaitable<UpstreamStatus> UpstreamExchange::State::connect(Duration timeout) {
   Tcp::endpoint endpoint;
-  if (!make_endpoint(address, endpoint)) co_return UpstreamStatus::kNotSent;
+  if (!parse_endpoint(address, endpoint)) co_return UpstreamStatus::kNotSent;
   const TimePoint whole_deadline = deadline;
   ++pool.connects;
   socket = std::make_unique<Tcp::socket>(pool.executor);
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -32,11 +32,6 @@
 constexpr Duration kRouteGrace = std::chrono::seconds(5);
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
 
-std::int64_t wall_clock_ms() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 double load_limit(const Route& route, Duration age) {
   if (route.completion_objective.count() == 0) return kRelaxedLoad;
   const double part = to_seconds(age) / (to_seconds(route.completion_objective) * kUrgentPart);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -26,11 +26,6 @@
 constexpr Duration kSlowStart = std::chrono::seconds(4);
 constexpr std::size_t kFirstItems = 6;
 
-std::int64_t wall_clock_ms() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 }  // namespace
 
 JobRunner::JobRunner(GatewayContext& context, JobStore& store, RecordLog& log,
--- a/src/net/address.cc
+++ b/src/net/address.cc
@@ -15,4 +15,14 @@
   return true;
 }
 
+bool parse_endpoint(const std::string& address, boost::asio::ip::tcp::endpoint& endpoint) {
+  std::string host;
+  std::uint16_t port = 0;
+  if (!split_address(address, host, port)) return false;
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(host, error);
+  endpoint = boost::asio::ip::tcp::endpoint(ip, port);
+  return !error;
+}
+
 }  // namespace stoathold
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -192,5 +193,7 @@
 
 /// Splits `ip:port`; returns false if it is malformed.
 bool split_address(const std::string& address, std::string& host, std::uint16_t& port);
+/// Parses `ip:port`; returns false if it is malformed.
+bool parse_endpoint(const std::string& address, boost::asio::ip::tcp::endpoint& endpoint);
 
 }  // namespace stoathold
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -19,15 +19,6 @@
 constexpr std::uint64_t kReplyBodyLimit = 256ULL * 1024 * 1024;
 constexpr std::size_t kReadBufferBytes = 16UL * 1024;
 
-bool make_endpoint(const std::string& address, Tcp::endpoint& endpoint) {
-  std::string host;
-  std::uint16_t port = 0;
-  if (!split_address(address, host, port)) return false;
-  boost::system::error_code error;
-  endpoint = Tcp::endpoint(asio::ip::make_address(host, error), port);
-  return !error;
-}
-
 http::request<http::string_body> make_request(const HttpCall& call) {
   http::request<http::string_body> request;
   request.method_string(call.method);
@@ -126,7 +117,7 @@
   const auto pool = pool_;
   HttpReply reply;
   Tcp::endpoint endpoint;
-  if (!make_endpoint(call.address, endpoint)) co_return reply;
+  if (!parse_endpoint(call.address, endpoint)) co_return reply;
   auto stream = pool->take(call.address);
   if (stream && !still_open(*stream)) stream.reset();
   const bool fresh = !stream;
@@ -168,7 +159,7 @@
 asio::awaitable<std::pair<HttpProgress, int>> HttpStream::open(const HttpCall& call) {
   auto& state = *state_;
   Tcp::endpoint endpoint;
-  if (!make_endpoint(call.address, endpoint)) co_return std::pair{HttpProgress::kNotSent, 0};
+  if (!parse_endpoint(call.address, endpoint)) co_return std::pair{HttpProgress::kNotSent, 0};
   state.stream.expires_after(call.timeout);
   const auto [connect_error] = co_await state.stream.async_connect(endpoint, kNoThrow);
   if (connect_error) co_return std::pair{HttpProgress::kNotSent, 0};
--- a/src/server/http_target.cc
+++ b/src/net/http_target.cc
@@ -1,4 +1,4 @@
-#include "server/http_target.h"
+#include "net/http_target.h"
 
 #include <boost/url.hpp>
 #include <charconv>
--- a/src/server/caller_api.cc
+++ b/src/server/caller_api.cc
@@ -4,8 +4,8 @@
 #include <set>
 
 #include "base/event_log.h"
+#include "net/http_target.h"
 #include "server/chat_request.h"
-#include "server/http_target.h"
 #include "server/refusal.h"
 
 namespace stoathold {
--- a/src/server/operator_api.cc
+++ b/src/server/operator_api.cc
@@ -6,7 +6,7 @@
 #include <map>
 
 #include "base/event_log.h"
-#include "server/http_target.h"
+#include "net/http_target.h"
 #include "server/metrics.h"
 #include "server/refusal.h"
 
--- a/tests/server/chat_request_test.cc
+++ b/tests/server/chat_request_test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "server/http_target.h"
+#include "net/http_target.h"
 #include "server/settings.h"
 
 namespace stoathold {
