--- a/src/core/shard_system.cc
+++ b/src/core/shard_system.cc
@@ -12,14 +12,12 @@
 
 /// Tokens of reads that are not the replica's own carry this bit.
 constexpr std::uint64_t kSideTokenBit = 1ULL << 63U;
-constexpr std::uint32_t kResultsPageLimit = 200;
+}  // namespace
 
 JobStatus status_of(JobId id, const JobState& job) {
   return {id, job.specification, job.item_count, job.completed_count, job.cancelled};
 }
 
-}  // namespace
-
 ShardSystem::ShardSystem(LeaseHolder self, const Knobs& knobs, const Membership& membership)
     : self_(self), knobs_(knobs), membership_(membership) {
   for (std::uint32_t index = 0; index < knobs.shard_count; ++index) {
@@ -296,97 +294,6 @@
   row.reads.push_back({caller, request, ticket, now});
 }
 
-void ShardSystem::settle_reads(ShardRow& row, TimePoint now, Effects& effects) {
-  auto reads = std::exchange(row.reads, {});
-  for (auto& read : reads) {
-    if (!row.owned) {
-      refuse(read.caller, ErrorCode::kShardMoving, Execution::kNotRun, effects);
-    } else if (row.replica.barrier_passed(read.ticket)) {
-      answer_read(row, read, now, effects);
-    } else if (now - read.since > knobs_.log_down_after) {
-      refuse(read.caller, ErrorCode::kLogUnavailable, Execution::kNotRun, effects);
-    } else {
-      row.reads.push_back(std::move(read));
-    }
-  }
-  std::erase_if(row.pages,
-                [&](const auto& item) { return now - item.second.since > knobs_.call_timeout; });
-}
-
-void ShardSystem::answer_read(ShardRow& row, const WaitingRead& read, TimePoint now,
-                              Effects& effects) {
-  if (const auto* results = std::get_if<JobResultsCall>(&read.request)) {
-    start_page(row, read, *results, now, effects);
-    return;
-  }
-  const auto* cancel = std::get_if<CancelJobCall>(&read.request);
-  const JobId id = cancel != nullptr ? cancel->job : std::get<JobStatusCall>(read.request).job;
-  const auto* job = row.replica.state().find_job(id);
-  if (job != nullptr && cancel != nullptr) {
-    serve_cancel(row, read.caller, *cancel, now, effects);
-    return;
-  }
-  if (job == nullptr) {
-    refuse(read.caller, ErrorCode::kNotFound, Execution::kNotRun, effects);
-  } else {
-    reply(read.caller, status_of(id, *job), effects);
-  }
-}
-
-void ShardSystem::start_page(ShardRow& row, const WaitingRead& read, const JobResultsCall& call,
-                             TimePoint now, Effects& effects) {
-  const auto* job = row.replica.state().find_job(call.job);
-  if (job == nullptr) {
-    refuse(read.caller, ErrorCode::kNotFound, Execution::kNotRun, effects);
-    return;
-  }
-  ResultsPage page;
-  page.caller = read.caller;
-  page.job = call.job;
-  page.since = now;
-  page.page.item_count = job->item_count;
-  const std::uint32_t limit = std::clamp(call.limit, 1U, kResultsPageLimit);
-  std::uint32_t index = call.first_index;
-  for (; index < job->item_count && index - call.first_index < limit; ++index) {
-    if (job->item_completed(index)) page.wanted[job->result_offsets[index]].push_back(index);
-  }
-  page.page.next_index = std::min(index, job->item_count);
-  if (page.wanted.empty()) {
-    reply(read.caller, page.page, effects);
-    return;
-  }
-  const std::uint64_t page_id = new_operation();
-  for (const auto& [offset, indexes] : page.wanted) {
-    const std::uint64_t token = new_side_token();
-    row.page_reads[token] = {page_id, offset};
-    effects.push_back(ReadFromLog{shard_stream_name(row.replica.shard()), offset, 1, token});
-  }
-  row.pages[page_id] = std::move(page);
-}
-
-void ShardSystem::fill_page(ShardRow& row, std::uint64_t page_id, Offset offset,
-                            const ShardEntry& entry, Effects& effects) {
-  const auto found = row.pages.find(page_id);
-  if (found == row.pages.end()) return;
-  auto& page = found->second;
-  auto indexes = page.wanted[offset];
-  for (const auto& record : entry.records) {
-    const auto* completed = std::get_if<ItemsCompleted>(&record);
-    if (completed == nullptr || completed->job != page.job) continue;
-    for (const auto& result : completed->results) {
-      if (std::erase(indexes, result.index) > 0) page.page.results.push_back(result);
-    }
-  }
-  page.wanted.erase(offset);
-  if (!page.wanted.empty()) return;
-  const auto by_index = [](const auto& left, const auto& right) {
-    return left.index < right.index;
-  };
-  std::sort(page.page.results.begin(), page.page.results.end(), by_index);
-  reply(page.caller, page.page, effects);
-  row.pages.erase(found);
-}
-
 void ShardSystem::reply(const CallReference& caller, ShardAnswer answer, Effects& effects) const {
   membership_.send(caller.caller, ShardReply{caller.call, std::move(answer)}, effects);
 }
--- a/src/core/shard_system.h
+++ b/src/core/shard_system.h
@@ -18,6 +18,9 @@
 
 namespace stoathold {
 
+/// Returns what a reader of a job is told of it.
+JobStatus status_of(JobId id, const JobState& job);
+
 /// Figures of one shard at this node, for operators and the capacity page.
 struct ShardFigures {
   ShardId shard{};
