--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -94,6 +94,36 @@
      '{ at = 3, kind = "node_cut", share = 0.3, for_s = 5, how = "servers" }'),
 ]
 
+# Further variants, each as the name says.
+MORE = [
+    ("srv-crash-" + how.split()[0], "",
+     '{ at = 4, kind = "srv_crash", share = 0.25, for_s = 5, how = "%s" }' % how)
+    for how in ["domain", "joined", "rack", "across dark", "all"]
+] + [
+    ("core-cut-" + how, "", '{ at = 3, kind = "core_cut", count = 1, for_s = 6, how = "%s" }' % how)
+    for how in ["behind", "split", "near", "oldest", "seeds", "both", "lure", "relieve", "refuse"]
+] + [
+    ("srv-cut-" + how, "", '{ at = 3, kind = "srv_cut", share = 0.25, for_s = 8, how = "%s" }' % how)
+    for how in ["fronts", "one_way", "reset"]
+] + [
+    ("after-ack-kill-" + how, "", '{ at = 3, kind = "after_ack_kill", for_s = 3, how = "%s" }' % how)
+    for how in ["kill", "timed"]
+] + [
+    ("scale-in-reclaim", "",
+     '{ at = 3, kind = "scale_in", share = 0.25, x = 2.5, for_s = 6, how = "reclaim" }'),
+    ("garble-rot", "", '{ at = 3, kind = "garble", share = 0.6, x = 0.06, for_s = 12, how = "rot" }'),
+    ("srv-grey-slow", "",
+     '{ at = 3, kind = "srv_grey", share = 0.25, x = 8, for_s = 10, how = "slow" }'),
+    ("store-part-reset", "",
+     '{ at = 3, kind = "platform_down", for_s = 6, how = "reset lapse", share = 0.4 }'),
+    ("clock-step-ahead", "",
+     '{ at = 3, kind = "clock_step", x = 4000, share = 0.5, for_s = 10, how = "ahead" }'),
+    ("node-kill-meet", "",
+     '{ at = 3, kind = "node_kill", on = "core", count = 1, for_s = 3, how = "meet drain" }'),
+    ("node-kill-reader", "",
+     '{ at = 3, kind = "node_kill", on = "core", count = 1, for_s = 3, how = "reader hard" }'),
+]
+
 STORE_DOWN = '{ at = 8, kind = "platform_down", for_s = 5, how = "silent lapse" }'
 HERD = '{ at = 9, kind = "herd_kill", share = 0.7 }'
 ROLL = '{ at = 6, kind = "roll_term", share = 0.6, gap_s = 1.2, how = "busy" }'
@@ -139,7 +169,7 @@
 
 
 def main():
-    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS):
+    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS + MORE):
         write(name, plan, faults, index)
 
 
--- a/tests/system/platform_path_test.py
+++ b/tests/system/platform_path_test.py
@@ -4,11 +4,15 @@
 """
 
 import base64
+import fcntl
 import http.client
 import json
+import os
 import pathlib
+import select
 import signal
 import struct
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -342,6 +346,64 @@
             self.assertEqual(self.platform.ask(node, "v%d" % node)[0], 200)
             self.assertTrue(served(node))
 
+    def test_a_failed_request_is_explained_by_its_id_alone(self):
+        self.start()
+        for address in self.platform.runners.values():
+            self.platform.faults(address, not_run=True)
+        self.assertEqual(self.platform.ask(1, "refused-1")[0], 503)
+        for address in self.platform.runners.values():
+            self.platform.faults(address, not_run=False, break_after=1)
+        try:
+            self.platform.ask(2, "broken-1")
+        except http.client.IncompleteRead:
+            pass
+        for address in self.platform.runners.values():
+            self.platform.faults(address, break_after=0, error_status=422)
+        self.assertEqual(self.platform.submit(0, "job-1", 1), 202)
+        self.platform.wait_results(0, "job-1", 1)
+        refused = self.story("refused-1", "request_ended")
+        self.assertIn("reason=no_runner", refused)
+        self.assertIn("runs=0", refused)
+        for runner in self.platform.runners:
+            self.assertRegex(refused, "attempt_failed .*runner=%s .*result=not_run" % runner)
+        broken = self.story("broken-1", "request_ended")
+        self.assertIn("outcome=broken_off", broken)
+        self.assertRegex(broken, "attempt_failed .*result=broken .*last_event=1")
+        self.assertIn("runner_listed", broken)
+        given_up = self.story("job-1-0", "item_done")
+        self.assertIn("result=impossible", given_up)
+        self.assertIn("state=dead_lettered", given_up)
+
+    def story(self, request, last_event):
+        """What the command line makes of all nodes' logs, once `last_event` has been written."""
+        logs = [process.log_path for process in self.platform.node_processes]
+        command = [BUILD / "apps/stoatctl", "explain-logs", request] + logs
+
+        def told():
+            self.text = subprocess.run(command, capture_output=True, text=True).stdout
+            return last_event in self.text
+
+        wait_for(told, "the story of " + request)
+        return self.text
+
+    def test_a_log_that_nobody_reads_holds_up_no_request(self):
+        self.start()
+        process = self.platform.node_processes[0]
+        process.kill()
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        handle = subprocess.Popen(process.arguments, stdout=writer, stderr=subprocess.DEVNULL)
+        self.addCleanup(handle.wait)
+        self.addCleanup(handle.kill)
+        self.platform.wait_ready([0])
+        for attempt in range(60):
+            self.assertEqual(self.platform.ask(0, "p%d" % attempt)[0], 200)
+        # The pipe is full: nothing more fits into it.
+        self.assertEqual(select.select([], [writer], [], 0)[1], [])
+        self.assertEqual(call(self.platform.ready[0], "GET", "/api/ready")[0], 200)
+        os.close(writer)
+        os.close(reader)
+
     def test_a_draining_runner_gets_nothing_new(self):
         self.start()
         self.platform.list_runner("r0", "draining")
