Serve with one piece of code what stood twice; drop what nothing uses

What a runner's answer says (load, not run, unproved) stood in online requests and in batch items: gateway/runner_answer. Header look-up, copies of fields and the look at an idle socket stood in the HTTP client, the server and the gateway's upstream: net/http_headers, net/beast_helpers. The limit on queued tokens was computed at two places of one submission, and partitions were opened in three alike ways. The runner registry made its whole index anew for each runner that the directory listed, which grows with the square of the fleet at a start; now it is kept. Removed as dead: a branch that a cancelled place can not reach, a counter, a version, the names and figures of a selection that nobody read.

--- a/src/gateway/headers.cc
+++ b/src/gateway/headers.cc
@@ -2,17 +2,10 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 
 namespace stoathold {
 
-bool same_header_name(std::string_view left, std::string_view right) {
-  return std::equal(
-      left.begin(), left.end(), right.begin(), right.end(),
-      [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-}
-
 bool is_connection_header(std::string_view name) {
   static constexpr std::array<std::string_view, 11> kNames{"connection",
                                                            "keep-alive",
--- a/src/gateway/headers.h
+++ b/src/gateway/headers.h
@@ -11,8 +11,6 @@
 
 namespace stoathold {
 
-/// Whether two header names are the same.
-bool same_header_name(std::string_view left, std::string_view right);
 /// Whether a header concerns one connection only and is not passed on.
 bool is_connection_header(std::string_view name);
 /// Whether a `Connection` header's value names this header as one of its own.
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -4,6 +4,7 @@
 
 #include "gateway/headers.h"
 #include "gateway/online_request.h"
+#include "gateway/runner_answer.h"
 
 namespace stoathold {
 namespace {
@@ -15,28 +16,15 @@
 
 }  // namespace
 
-bool OnlineRequest::is_spoiled(const UpstreamHead& head) const {
-  const bool success = head.status >= 200 && head.status < 300;
-  if (!success) return false;
-  if (!head.header("Content-Encoding").empty()) return true;
-  return head.header(context_.dialect.response_signature).empty();
-}
-
 asio::awaitable<OnlineRequest::Attempt> OnlineRequest::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
-  constexpr int kMisdirected = 421;
   constexpr int kServerError = 500;
-  const bool not_run = !head.header(context_.dialect.not_run).empty();
-  if (head.status == kMisdirected) {
-    runner.mark_leaving();
-    co_return Attempt::kNotRun;
-  }
-  if (not_run) co_return Attempt::kNotRun;
-  if (is_spoiled(head)) co_return Attempt::kBroken;
+  if (was_not_run(runner, head, context_.dialect)) co_return Attempt::kNotRun;
+  const bool success = head.status >= 200 && head.status < 300;
+  if (success && lacks_proof(head, context_.dialect)) co_return Attempt::kBroken;
   const bool promise = head.status == 429 || head.status == 503 || head.status == 408;
   // Passed on, these statuses would promise that the request never runs.
   if (promise && !route_.repeatable()) co_return Attempt::kBroken;
-  const bool success = head.status >= 200 && head.status < 300;
   if (head_sent_ && !success) co_return Attempt::kBroken;
   const bool another_run = runs_ + 1 < route_.max_attempts && route_.repeatable();
   if (head.status >= kServerError && another_run) co_return Attempt::kBroken;
@@ -92,7 +80,6 @@
       last_event_ = event->id;
     }
     pieces.append(event->raw);
-    ++pieces_;
   }
   if (pieces.empty()) co_return true;
   if (!head_sent_) {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -9,6 +9,7 @@
 #include "gateway/headers.h"
 #include "gateway/log_fields.h"
 #include "gateway/prompt_prefix.h"
+#include "gateway/runner_answer.h"
 #include "net/http_target.h"
 #include "routing/runner_selector.h"
 
@@ -146,11 +147,6 @@
   while (!stopped_ && sends_ < kMaxSends) {
     const auto runner = co_await place();
     if (!runner) break;
-    if (stopped_) {
-      runner->prompt_read(std::exchange(tokens_to_read_, 0));
-      runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
-      break;
-    }
     ++sends_;
     tried_.push_back(runner->record().id);
     const Attempt result = co_await attempt(runner);
@@ -227,9 +223,7 @@
     status = co_await upstream->read_head();
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
-      runner->heard(monotonic_now());
-      runner->prompt_read(std::exchange(tokens_to_read_, 0));
-      note_load(*runner);
+      note_answer(*runner, upstream->head(), context_.dialect, tokens_to_read_);
       result = co_await take_answer(*runner);
     }
   }
@@ -257,11 +251,6 @@
   return status == UpstreamStatus::kNotSent ? Attempt::kUnreachable : Attempt::kBroken;
 }
 
-void OnlineRequest::note_load(Runner& runner) {
-  const auto report = parse_load(upstream_->head().header(context_.dialect.load));
-  if (report) runner.take_report(*report, monotonic_now());
-}
-
 asio::awaitable<void> OnlineRequest::finish_without_answer() {
   if (head_sent_) {
     exchange_.abort();
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -70,12 +70,10 @@
 
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   [[nodiscard]] Attempt classify_failure(UpstreamStatus status) const;
-  [[nodiscard]] bool is_spoiled(const UpstreamHead& head) const;
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place();
   void watch_silence(const std::shared_ptr<Runner>& runner);
-  void note_load(Runner& runner);
   void log_attempt(const Runner& runner, Attempt result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
   void be_patient(Duration patience);
@@ -105,7 +103,6 @@
   bool stopped_ = false;
   std::optional<std::uint64_t> last_event_;
   TimePoint last_piece_{};
-  std::uint64_t pieces_ = 0;
   RequestOutcome outcome_ = RequestOutcome::kFailed;
 };
 
--- /dev/null
+++ b/src/gateway/runner_answer.cc
@@ -0,0 +1,32 @@
+#include "gateway/runner_answer.h"
+
+#include <utility>
+
+#include "gateway/headers.h"
+
+namespace stoathold {
+
+void note_answer(Runner& runner, const UpstreamHead& head, const HeaderDialect& dialect,
+                 std::uint32_t& tokens_to_read) {
+  const TimePoint now = monotonic_now();
+  runner.heard(now);
+  runner.prompt_read(std::exchange(tokens_to_read, 0));
+  const auto report = parse_load(head.header(dialect.load));
+  if (report) runner.take_report(*report, now);
+}
+
+bool was_not_run(Runner& runner, const UpstreamHead& head, const HeaderDialect& dialect) {
+  constexpr int kMisdirected = 421;
+  if (head.status == kMisdirected) {
+    runner.mark_leaving();
+    return true;
+  }
+  return !head.header(dialect.not_run).empty();
+}
+
+bool lacks_proof(const UpstreamHead& head, const HeaderDialect& dialect) {
+  return !head.header("Content-Encoding").empty() ||
+         head.header(dialect.response_signature).empty();
+}
+
+}  // namespace stoathold
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <map>
 
+#include "net/beast_helpers.h"
+
 namespace stoathold {
 namespace {
 
@@ -44,11 +46,7 @@
 
 /// Whether an idle connection is open and holds no bytes that nobody asked for.
 bool is_clean(Tcp::socket& socket) {
-  boost::system::error_code error;
-  socket.non_blocking(true, error);
-  char byte = 0;
-  socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
+  return peek_socket(socket) == asio::error::would_block;
 }
 
 }  // namespace
@@ -70,11 +68,7 @@
 }
 
 std::string_view UpstreamHead::header(std::string_view name) const {
-  for (const auto& header : headers) {
-    const beast::string_view left(header.name.data(), header.name.size());
-    if (beast::iequals(left, beast::string_view(name.data(), name.size()))) return header.value;
-  }
-  return {};
+  return find_header(headers, name);
 }
 
 struct UpstreamPool::State {
@@ -220,9 +214,7 @@
 void UpstreamExchange::State::copy_head() {
   head = {};
   head.status = parser->get().result_int();
-  for (const auto& field : parser->get().base()) {
-    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
+  head.headers = copy_headers(parser->get().base());
   if (parser->chunked()) {
     head.framing = BodyFraming::kChunked;
   } else if (parser->need_eof()) {
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "gateway/headers.h"
 #include "gateway/prompt_prefix.h"
+#include "gateway/runner_answer.h"
 #include "routing/runner_selector.h"
 #include "store/backoff.h"
 
@@ -238,23 +239,14 @@
 
 asio::awaitable<ItemRun::Attempt> ItemRun::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
-  runner.heard(monotonic_now());
-  runner.prompt_read(std::exchange(tokens_to_read_, 0));
-  const auto report = parse_load(head.header(context_.dialect.load));
-  if (report) runner.take_report(*report, monotonic_now());
+  note_answer(runner, head, context_.dialect, tokens_to_read_);
   constexpr int kOk = 200;
-  constexpr int kMisdirected = 421;
   constexpr int kUnprocessable = 422;
   constexpr int kServerError = 500;
-  if (head.status == kMisdirected) {
-    runner.mark_leaving();
-    co_return Attempt::kNotRun;
-  }
-  if (!head.header(context_.dialect.not_run).empty()) co_return Attempt::kNotRun;
+  if (was_not_run(runner, head, context_.dialect)) co_return Attempt::kNotRun;
   if (head.status == kUnprocessable) co_return Attempt::kImpossible;
   if (head.status == kServerError) co_return Attempt::kFailed;
-  const bool spoiled = head.status != kOk || !head.header("Content-Encoding").empty() ||
-                       head.header(context_.dialect.response_signature).empty();
+  const bool spoiled = head.status != kOk || lacks_proof(head, context_.dialect);
   if (spoiled) co_return Attempt::kBroken;
   co_return co_await take_events();
 }
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -57,33 +57,21 @@
 JobStore::JobsPartition& JobStore::jobs_of(const std::string& host) {
   const std::uint32_t number = jobs_partition(host, log_.limits().partitions);
   JobsPartition& partition = jobs_[number];
-  if (!partition.replica) {
-    partition.table = std::make_unique<JobTable>([this](const JobKey& key, const JobEntry& job) {
-      if (listener_) listener_(key, job);
-    });
-    partition.replica = std::make_shared<PartitionReplica>(log_, PartitionName{kJobsTopic, number},
-                                                           *partition.table);
-  }
+  open(partition, kJobsTopic, number, [this](const JobKey& key, const JobEntry& job) {
+    if (listener_) listener_(key, job);
+  });
   return partition;
 }
 
 JobStore::ResultsPartition& JobStore::results_partition(std::uint32_t number) {
   ResultsPartition& partition = results_[number];
-  if (!partition.replica) {
-    partition.table = std::make_unique<ResultTable>();
-    partition.replica = std::make_shared<PartitionReplica>(
-        log_, PartitionName{kResultsTopic, number}, *partition.table);
-  }
+  open(partition, kResultsTopic, number);
   return partition;
 }
 
 JobStore::ProgressPartition& JobStore::progress_partition(std::uint32_t number) {
   ProgressPartition& partition = progress_[number];
-  if (!partition.replica) {
-    partition.table = std::make_unique<ProgressTable>();
-    partition.replica = std::make_shared<PartitionReplica>(
-        log_, PartitionName{kProgressTopic, number}, *partition.table);
-  }
+  open(partition, kProgressTopic, number);
   return partition;
 }
 
@@ -115,6 +103,12 @@
   }
 }
 
+bool JobStore::fits(const JobTable& table, const NewJob& job) {
+  if (job.max_queued_tokens == 0) return true;
+  const std::uint64_t queued = table.queued_tokens(job.submission.route);
+  return queued + job.submission.tokens() <= job.max_queued_tokens;
+}
+
 asio::awaitable<LogStatus> JobStore::append_until(PartitionName partition,
                                                   std::vector<KeyedRecord> records,
                                                   TimePoint deadline, AppendResult& result) {
@@ -169,7 +163,6 @@
 
 asio::awaitable<SubmitStatus> JobStore::append_submission(JobsPartition& partition, JobKey key,
                                                           NewJob& job, TimePoint deadline) {
-  const std::uint64_t tokens = job.submission.tokens();
   const std::vector<KeyedRecord> records{
       {jobs_record_key(JobRecordKind::kSubmitted, key), encode(job.submission)}};
   if (records.front().value.size() + kRecordOverhead > log_.limits().record_bytes) {
@@ -180,11 +173,7 @@
   bool uncertain = false;  // An append without an answer may still be done.
   while (true) {
     if (partition.table->find(key) != nullptr) co_return SubmitStatus::kAccepted;
-    if (!uncertain) {
-      const std::uint64_t queued = partition.table->queued_tokens(job.submission.route);
-      const bool fits = job.max_queued_tokens == 0 || queued + tokens <= job.max_queued_tokens;
-      if (!fits) co_return SubmitStatus::kQuota;
-    }
+    if (!uncertain && !fits(*partition.table, job)) co_return SubmitStatus::kQuota;
     const RecordOffset expected = replica->next_offset();
     const AppendResult result =
         co_await log_.append(replica->name(), records, std::optional(expected));
@@ -214,10 +203,7 @@
   const LogStatus read = co_await replica->catch_up();
   if (partition.table->find(key) != nullptr) co_return SubmitStatus::kAccepted;
   if (read != LogStatus::kOk) co_return SubmitStatus::kRefused;
-  const std::uint64_t queued = partition.table->queued_tokens(job.submission.route);
-  const bool fits =
-      job.max_queued_tokens == 0 || queued + job.submission.tokens() <= job.max_queued_tokens;
-  if (!fits) co_return SubmitStatus::kQuota;
+  if (!fits(*partition.table, job)) co_return SubmitStatus::kQuota;
   const LogStatus bodies = co_await append_bodies(key, job, deadline);
   if (bodies == LogStatus::kRejected) co_return SubmitStatus::kInvalid;
   if (bodies != LogStatus::kOk) co_return SubmitStatus::kRefused;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -107,22 +107,30 @@
   [[nodiscard]] const LogLimits& limits() const { return log_.limits(); }
 
  private:
-  /// A partition of the jobs topic.
-  struct JobsPartition {
-    std::unique_ptr<JobTable> table;
-    std::shared_ptr<PartitionReplica> replica;
-    bool followed = false;
-  };
-  struct ResultsPartition {
-    std::unique_ptr<ResultTable> table;
+  /// One partition of a topic: the state folded from it, and what keeps that up to date.
+  template <typename Table>
+  struct Partition {
+    std::unique_ptr<Table> table;
     std::shared_ptr<PartitionReplica> replica;
   };
-
-  struct ProgressPartition {
-    std::unique_ptr<ProgressTable> table;
-    std::shared_ptr<PartitionReplica> replica;
+  struct JobsPartition : Partition<JobTable> {
+    bool followed = false;
   };
-
+  using ResultsPartition = Partition<ResultTable>;
+  using ProgressPartition = Partition<ProgressTable>;
+
+  /// Starts to keep a partition if nothing did before.
+  template <typename Table, typename... Arguments>
+  void open(Partition<Table>& partition, const char* topic, std::uint32_t number,
+            Arguments&&... arguments) {
+    if (partition.replica) return;
+    partition.table = std::make_unique<Table>(std::forward<Arguments>(arguments)...);
+    partition.replica =
+        std::make_shared<PartitionReplica>(log_, PartitionName{topic, number}, *partition.table);
+  }
+
+  /// Whether a job fits the limit on the tokens that may wait on its route.
+  [[nodiscard]] static bool fits(const JobTable& table, const NewJob& job);
   JobsPartition& jobs_of(const std::string& host);
   ProgressPartition& progress_partition(std::uint32_t partition);
   ResultsPartition& results_partition(std::uint32_t partition);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -23,6 +23,11 @@
   std::string value;
 };
 
+/// Whether two header names are the same; case does not matter.
+bool same_header_name(std::string_view left, std::string_view right);
+/// Returns a header's value, or an empty view.
+std::string_view find_header(const std::vector<HttpHeader>& headers, std::string_view name);
+
 /// Bounds that a server puts on what callers send.
 struct HttpLimits {
   std::uint32_t header_bytes = 16 * 1024;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <optional>
 
+#include "net/beast_helpers.h"
 #include "net/http.h"
 
 namespace stoathold {
@@ -33,22 +34,10 @@
   return request;
 }
 
-std::vector<HttpHeader> copy_headers(const http::fields& fields) {
-  std::vector<HttpHeader> headers;
-  for (const auto& field : fields) {
-    headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
-  return headers;
-}
-
 }  // namespace
 
 std::string_view HttpReply::header(std::string_view name) const {
-  for (const auto& header : headers) {
-    const beast::string_view left(header.name.data(), header.name.size());
-    if (beast::iequals(left, beast::string_view(name.data(), name.size()))) return header.value;
-  }
-  return {};
+  return find_header(headers, name);
 }
 
 struct HttpClient::Pool {
@@ -86,11 +75,7 @@
 
 /// Whether a pooled connection is still open at the other end.
 bool still_open(beast::tcp_stream& stream) {
-  boost::system::error_code error;
-  stream.socket().non_blocking(true, error);
-  char byte = 0;
-  stream.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
+  return peek_socket(stream.socket()) == asio::error::would_block;
 }
 
 asio::awaitable<bool> exchange(beast::tcp_stream& stream, const HttpCall& call, HttpReply& reply) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <system_error>
 
+#include "net/beast_helpers.h"
 #include "net/http.h"
 
 namespace stoathold {
@@ -45,10 +46,7 @@
  private:
   void check() {
     if (socket_ == nullptr || !on_disconnect_) return;
-    boost::system::error_code error;
-    char byte = 0;
-    socket_->non_blocking(true, error);
-    socket_->receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    const boost::system::error_code error = peek_socket(*socket_);
     if (!error || error == asio::error::would_block) return;
     const auto call = std::move(on_disconnect_);
     on_disconnect_ = nullptr;
@@ -85,13 +83,7 @@
     const auto view = request_[beast::string_view(name.data(), name.size())];
     return {view.data(), view.size()};
   }
-  std::vector<HttpHeader> headers() const override {
-    std::vector<HttpHeader> headers;
-    for (const auto& field : request_.base()) {
-      headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    return headers;
-  }
+  std::vector<HttpHeader> headers() const override { return copy_headers(request_.base()); }
   const std::string& body() const override { return request_.body(); }
   asio::any_io_executor executor() const override {
     return const_cast<beast::tcp_stream&>(stream_).get_executor();
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -66,12 +66,9 @@
 void PeerLoads::set_peers(const std::vector<std::string>& addresses) {
   peers_.clear();
   for (const auto& address : addresses) {
-    std::string host;
-    std::uint16_t port = 0;
-    boost::system::error_code error;
-    if (!split_address(address, host, port)) continue;
-    const auto ip = asio::ip::make_address(host, error);
-    if (!error) peers_.emplace_back(ip, port);
+    asio::ip::tcp::endpoint endpoint;
+    if (!parse_endpoint(address, endpoint)) continue;
+    peers_.emplace_back(endpoint.address(), endpoint.port());
   }
 }
 
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -87,20 +87,21 @@
 }
 
 void RunnerRegistry::upsert(RunnerRecord record) {
-  ++version_;
   const auto found = runners_.find(record.id);
   if (found == runners_.end()) {
-    const std::string id = record.id;
-    runners_.emplace(id, std::make_shared<Runner>(std::move(record)));
-  } else {
-    found->second->set_record(std::move(record));
-    found->second->set_listed(true);
+    const auto runner = std::make_shared<Runner>(std::move(record));
+    runners_.emplace(runner->record().id, runner);
+    by_hash_[runner->hash()] = runner;
+    by_service_[runner->record().service].push_back(runner);
+    return;
   }
-  index();
+  const bool same_service = found->second->record().service == record.service;
+  found->second->set_record(std::move(record));
+  found->second->set_listed(true);
+  if (!same_service) index();
 }
 
 void RunnerRegistry::remove(const std::string& id) {
-  ++version_;
   const auto found = runners_.find(id);
   if (found != runners_.end()) found->second->set_listed(false);
   forget_unused();
@@ -108,7 +109,6 @@
 }
 
 void RunnerRegistry::replace_all(std::vector<RunnerRecord> records) {
-  ++version_;
   std::set<std::string> ids;
   for (auto& record : records) {
     ids.insert(record.id);
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -122,7 +122,6 @@
   }
   /// Returns the runner whose id has this hash, or null.
   [[nodiscard]] std::shared_ptr<Runner> find_hash(std::uint64_t hash) const;
-  [[nodiscard]] std::uint64_t version() const { return version_; }
 
  private:
   void forget_unused();
@@ -131,7 +130,6 @@
   std::map<std::string, std::shared_ptr<Runner>> runners_;
   std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
   std::map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
-  std::uint64_t version_ = 0;
 };
 
 }  // namespace stoathold
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -107,26 +107,11 @@
 
 }  // namespace
 
-std::string_view to_string(SelectionFailure failure) {
-  switch (failure) {
-    case SelectionFailure::kUnknownService:
-      return "unknown_service";
-    case SelectionFailure::kAllExcluded:
-      return "all_excluded";
-    case SelectionFailure::kAllBusy:
-      return "all_busy";
-    case SelectionFailure::kNone:
-      break;
-  }
-  return "none";
-}
-
 Selection select_runner(const RunnerRegistry& registry, const SelectionRequest& request,
                         TimePoint now) {
   Selection selection;
   const auto& runners = registry.of_service(request.service);
   std::vector<Candidate> candidates = collect(runners, request, now);
-  selection.candidates = static_cast<std::uint32_t>(candidates.size());
   if (candidates.empty()) {
     selection.failure =
         runners.empty() ? SelectionFailure::kUnknownService : SelectionFailure::kAllExcluded;
@@ -148,7 +133,6 @@
   compute_costs(near, request);
   const Candidate& chosen = cheapest(near);
   selection.runner = chosen.runner;
-  selection.load = chosen.load;
   selection.tokens_to_read = chosen.tokens_to_read;
   return selection;
 }
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -31,15 +31,10 @@
   kAllBusy,         ///< Every one is above the load limit.
 };
 
-/// Returns the failure's name for logs.
-std::string_view to_string(SelectionFailure failure);
-
 /// The choice and what decided it.
 struct Selection {
   std::shared_ptr<Runner> runner;  ///< Null if there is none.
   SelectionFailure failure = SelectionFailure::kNone;
-  std::uint32_t candidates = 0;
-  double load = 0;
   std::uint32_t tokens_to_read = 0;  ///< Prompt tokens that the runner is expected to read.
 };
 
