Bound the end of the log; tell from what each runner was chosen

Successes had no line for the choice of a runner, and routing changed a runner's health without a word.

--- a/apps/platform_main.cc
+++ b/apps/platform_main.cc
@@ -12,6 +12,8 @@
 
 constexpr int kExitSettings = 2;
 constexpr const char* kSettingsVariable = "STOATHOLD_NODE_FILE";
+/// The last lines have so long to be written; a log that nobody reads holds up no planned stop.
+constexpr stoathold::Duration kLogFlushLimit = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -42,6 +44,7 @@
   }
   stoathold::start_bounded_event_log(stoathold::parse_event_level(level), settings.node_name);
   const int code = stoathold::platform::run_platform_node(settings, file);
-  stoathold::flush_event_log();
+  const bool flushed = stoathold::flush_event_log(kLogFlushLimit);
+  if (!flushed) std::_Exit(code);
   return code;
 }
--- a/scripts/events_page.py
+++ b/scripts/events_page.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Writes the table of docs/EVENTS.md anew from the catalogue in src/base/event_log.cc."""
+"""Writes the table of docs/EVENTS.md anew from the catalogue in src/base/event_catalogue.cc."""
 
 import pathlib
 import re
@@ -7,9 +7,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "EVENTS.md"
 HEADER = "src/base/event_log.h"
-SOURCE = "src/base/event_log.cc"
+SOURCE = "src/base/event_catalogue.cc"
 ENTRY = re.compile(
-    r'EventEntry\{Event::(k\w+),\s*"(\w+)",\s*EventLevel::k(\w+),\s*((?:"[^"]*"\s*)+)\}'
+    r'EventEntry\{\s*Event::(k\w+),\s*"(\w+)",\s*EventLevel::k(\w+),\s*((?:"[^"]*"\s*)+)\}'
 )
 
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "base/time.h"
+
 namespace stoathold {
 
 /// Every event that a program may write. Numbers are never reused.
@@ -50,6 +52,8 @@
   kNoRoute = 1507,
   kRequestServed = 1508,
   kRequestEnded = 1509,
+  kRequestSent = 1510,
+  kRequestSentAgain = 1511,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
@@ -90,8 +94,10 @@
 /// through a bounded queue to a thread of their own, and what does not fit is left out and counted.
 /// Each line carries the node's name. Called once, at start.
 void start_bounded_event_log(EventLevel least, const std::string& node);
-/// Waits until the lines written so far are out; for the end of the process.
-void flush_event_log();
+/// Waits until the lines written so far are out, for the end of the process.
+/// @return false if they were not out in time: nobody reads them. The thread that writes them is
+/// stuck then, so that the process must end by `std::_Exit`.
+bool flush_event_log(Duration limit);
 /// Lines left out since the start, by the rate of one event or by a full queue.
 std::uint64_t log_lines_left_out();
 /// Writes one event. Thread safe.
--- a/src/ctl/log_story.cc
+++ b/src/ctl/log_story.cc
@@ -15,7 +15,8 @@
 constexpr std::array<std::string_view, 9> kBeliefs{
     "store_lost",    "store_regained",    "configuration_applied", "node_started", "node_draining",
     "slots_changed", "settings_reloaded", "log_lines_left_out",    "replica_reset"};
-constexpr std::array<std::string_view, 2> kRunnerNews{"runner_listed", "runner_gone"};
+constexpr std::array<std::string_view, 4> kRunnerNews{"runner_listed", "runner_gone",
+                                                      "runner_ejected", "runner_recovered"};
 
 std::string text_of(const json::value& value) {
   return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
--- a/src/gateway/log_fields.h
+++ b/src/gateway/log_fields.h
@@ -13,4 +13,13 @@
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/// Returns a number with two digits behind the point.
+inline std::string decimal_text(double number) {
+  constexpr int kHundred = 100;
+  const int hundredths = static_cast<int>(number * kHundred);
+  const int rest = hundredths % kHundred;
+  constexpr int kTen = 10;
+  return std::to_string(hundredths / kHundred) + (rest < kTen ? ".0" : ".") + std::to_string(rest);
+}
+
 }  // namespace stoathold
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -6,6 +6,7 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "gateway/choice_fields.h"
 #include "gateway/headers.h"
 #include "gateway/log_fields.h"
 #include "gateway/prompt_prefix.h"
@@ -138,11 +139,23 @@
   }
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
-  tokens_to_read_ = ticket_->tokens_to_read();
+  tokens_to_read_ = ticket_->selection().tokens_to_read;
+  if (runner) log_choice(ticket_->selection());
   ticket_.reset();
   co_return runner;
 }
 
+void OnlineRequest::log_choice(const Selection& choice) {
+  const TimePoint now = monotonic_now();
+  choice_ = choice_text(choice, now);
+  log_event(sends_ == 0 ? Event::kRequestSent : Event::kRequestSentAgain,
+            {{"request", id_},
+             {"runner", choice.runner->record().id},
+             {"choice", choice_},
+             {"configuration", std::to_string(configuration_->version)},
+             {"age_ms", milliseconds_text(now - arrival_)}});
+}
+
 asio::awaitable<void> OnlineRequest::run_attempts() {
   while (!stopped_ && sends_ < kMaxSends) {
     const auto runner = co_await place();
@@ -310,6 +323,7 @@
                                     {"address", runner.record().address},
                                     {"result", std::string(name_of(result))},
                                     {"step", std::string(to_string(status))},
+                                    {"choice", choice_},
                                     {"failures", std::to_string(runner.failures())},
                                     {"last_event", std::to_string(last)},
                                     {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -74,6 +74,7 @@
   [[nodiscard]] bool has_alternative() const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place();
   void watch_silence(const std::shared_ptr<Runner>& runner);
+  void log_choice(const Selection& choice);
   void log_attempt(const Runner& runner, Attempt result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
   void be_patient(Duration patience);
@@ -97,6 +98,7 @@
   TimePoint quiet_since_{};  ///< Since then nothing came for this request.
   EventFramer framer_;
   std::vector<std::string> tried_;
+  std::string choice_;  ///< What decided the current attempt's runner, for logs.
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -5,7 +5,9 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "gateway/choice_fields.h"
 #include "gateway/headers.h"
+#include "gateway/log_fields.h"
 #include "gateway/prompt_prefix.h"
 #include "gateway/runner_answer.h"
 #include "routing/runner_selector.h"
@@ -92,11 +94,25 @@
   request.give_up = now + kPlacementTime;
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
-  tokens_to_read_ = ticket_->tokens_to_read();
+  const Selection choice = ticket_->selection();
+  tokens_to_read_ = choice.tokens_to_read;
   ticket_.reset();
+  if (runner) log_choice(choice, load_limit(route, age));
   co_return runner;
 }
 
+void ItemRun::log_choice(const Selection& choice, double limit) {
+  const bool again = sends_++ > 0;
+  choice_ = choice_text(choice, monotonic_now());
+  log_event(again ? Event::kRequestSentAgain : Event::kRequestSent,
+            {{"job", item_.job},
+             {"item", item_.item_id},
+             {"runner", choice.runner->record().id},
+             {"choice", choice_},
+             {"load_limit", decimal_text(limit)},
+             {"last_event", std::to_string(progress_.last_event)}});
+}
+
 bool ItemRun::is_expired(const Route& route) const {
   if (route.item_retention.count() == 0) return false;
   const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
@@ -233,6 +249,7 @@
                                         {"item", item_.item_id},
                                         {"runner", runner.record().id},
                                         {"result", std::string(name_of(result))},
+                                        {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
 }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -72,6 +72,7 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
+  void log_choice(const Selection& choice, double limit);
   void note_attempt(Runner& runner, Attempt result);
 
   GatewayContext& context_;
@@ -85,6 +86,8 @@
   std::shared_ptr<UpstreamExchange> upstream_;
   std::shared_ptr<Runner> runner_;
   TimePoint placed_at_{};
+  std::uint32_t sends_ = 0;
+  std::string choice_;  ///< What decided the current attempt's runner, for logs.
   bool yielding_ = false;
   boost::asio::steady_timer timer_;
   bool stopped_ = false;
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -41,11 +41,10 @@
 }
 
 bool PlacementQueue::try_place(PlacementTicket& ticket, TimePoint now) {
-  const Selection selection = select_runner(registry_, ticket.request_.selection, now);
+  Selection& selection = ticket.selection_;
+  selection = select_runner(registry_, ticket.request_.selection, now);
   if (!selection.runner) return false;
-  ticket.runner_ = selection.runner;
-  ticket.tokens_to_read_ = selection.tokens_to_read;
-  ticket.runner_->begin_attempt(selection.tokens_to_read);
+  selection.runner->begin_attempt(selection.tokens_to_read);
   if (use_listener_) use_listener_();
   return true;
 }
@@ -54,22 +53,23 @@
     std::shared_ptr<PlacementTicket> ticket) {
   const TimePoint now = monotonic_now();
   const bool may_overtake = waiting_.empty() || ticket->request_.work == WorkClass::kOnline;
-  if (may_overtake && try_place(*ticket, now)) co_return ticket->runner_;
+  if (may_overtake && try_place(*ticket, now)) co_return ticket->selection_.runner;
   waiting_.insert(ticket);
   ticket->ask_yield_at_ = now + kYieldAfter;
   watch();
   ticket->timer_.expires_after(std::max(Duration{0}, ticket->request_.give_up - now));
-  if (!ticket->cancelled_ && !ticket->runner_) {
+  auto& runner = ticket->selection_.runner;
+  if (!ticket->cancelled_ && !runner) {
     co_await ticket->timer_.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   waiting_.erase(ticket);
-  if (ticket->runner_ && ticket->cancelled_) {
-    ticket->runner_->prompt_read(ticket->tokens_to_read_);
-    ticket->runner_->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
-    ticket->runner_.reset();
+  if (runner && ticket->cancelled_) {
+    runner->prompt_read(ticket->selection_.tokens_to_read);
+    runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
+    runner.reset();
     capacity_changed();
   }
-  co_return ticket->runner_;
+  co_return runner;
 }
 
 void PlacementQueue::capacity_changed() {
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -40,15 +40,14 @@
     cancelled_ = true;
     timer_.cancel();
   }
-  /// Prompt tokens that count as the place's backlog until the answer begins.
-  [[nodiscard]] std::uint32_t tokens_to_read() const { return tokens_to_read_; }
+  /// The place that was found, and what decided it; no runner if there is none.
+  [[nodiscard]] const Selection& selection() const { return selection_; }
 
  private:
   friend class PlacementQueue;
   PlacementRequest request_;
   boost::asio::steady_timer timer_;
-  std::shared_ptr<Runner> runner_;
-  std::uint32_t tokens_to_read_ = 0;
+  Selection selection_;
   TimePoint ask_yield_at_{};
   std::uint64_t number_ = 0;
   bool cancelled_ = false;
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "base/event_log.h"
+
 namespace stoathold {
 namespace {
 
@@ -11,6 +13,7 @@
 /// First pause of an ejected runner; it doubles with each further failure.
 constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
 constexpr Duration kLongestEjection = std::chrono::seconds(4);
+constexpr std::uint32_t kMostDoublings = 4;
 /// A runner that turns work away as full is spared for a moment.
 constexpr Duration kFullPause = std::chrono::milliseconds(50);
 /// A load report counts in full for a while, then for less and less until it counts for nothing.
@@ -40,6 +43,10 @@
   --in_flight_;
   switch (outcome) {
     case AttemptOutcome::kServed:
+      if (ejected_until_ != TimePoint{} && failures_ > 0) {
+        log_event(Event::kRunnerRecovered,
+                  {{"runner", record_.id}, {"failures", std::to_string(failures_)}});
+      }
       failures_ = 0;
       ejected_until_ = {};
       break;
@@ -50,8 +57,7 @@
     case AttemptOutcome::kUnreachable: {
       ++failures_;
       if (failures_ < kFailuresToEject && outcome == AttemptOutcome::kFailed) break;
-      const std::uint32_t doublings = std::min<std::uint32_t>(failures_ - 1, 4);
-      ejected_until_ = now + std::min(kFirstEjection * (1U << doublings), kLongestEjection);
+      eject(now);
       break;
     }
     case AttemptOutcome::kAbandoned:
@@ -59,6 +65,17 @@
   }
 }
 
+void Runner::eject(TimePoint now) {
+  const std::uint32_t doublings = std::min<std::uint32_t>(failures_ - 1, kMostDoublings);
+  const Duration pause = std::min(kFirstEjection * (1U << doublings), kLongestEjection);
+  ejected_until_ = now + pause;
+  const auto pause_ms = std::chrono::duration_cast<std::chrono::milliseconds>(pause).count();
+  log_event(Event::kRunnerEjected, {{"runner", record_.id},
+                                    {"address", record_.address},
+                                    {"failures", std::to_string(failures_)},
+                                    {"pause_ms", std::to_string(pause_ms)}});
+}
+
 void Runner::take_report(const LoadReport& report, TimePoint now) {
   report_ = report;
   report_time_ = now;
@@ -72,6 +89,12 @@
   return now - report_time_ < kReportTrusted;
 }
 
+std::string Runner::load_age_text(TimePoint now) const {
+  if (report_time_ == TimePoint{}) return "never";
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - report_time_);
+  return std::to_string(age.count());
+}
+
 double Runner::load(TimePoint now) const {
   const double known = in_flight_ + peer_in_flight_;
   double expected = known;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -85,10 +85,14 @@
   /// Whether its load is known here although others may use it: it told it just now, or it tells
   /// none at all.
   [[nodiscard]] bool load_known(TimePoint now) const;
+  /// Milliseconds since it told its load, for logs; `never` if it has not.
+  [[nodiscard]] std::string load_age_text(TimePoint now) const;
   /// Failed attempts since the last served one.
   [[nodiscard]] std::uint32_t failures() const { return failures_; }
 
  private:
+  void eject(TimePoint now);
+
   RunnerRecord record_;
   std::uint64_t hash_;
   bool listed_ = true;
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -21,6 +21,7 @@
   double load = 0;
   double cost = 0;  ///< In prompt tokens: those ahead, those of the request, and the load.
   std::uint32_t tokens_to_read = 0;
+  bool warm = false;
 };
 
 bool is_excluded(const SelectionRequest& request, const Runner& runner) {
@@ -36,7 +37,7 @@
   for (const auto& runner : runners) {
     if (!runner->available() || is_excluded(request, *runner)) continue;
     auto& target = runner->ejected(now) ? ejected : healthy;
-    target.push_back({runner, runner->load(now), 0, 0});
+    target.push_back({runner, runner->load(now)});
   }
   return healthy.empty() ? ejected : healthy;
 }
@@ -87,8 +88,8 @@
   const Runner* warm = warm_runner(candidates, request);
   const std::uint32_t shared = std::min(request.shared_tokens, request.prompt_tokens);
   for (auto& candidate : candidates) {
-    const bool is_warm = candidate.runner.get() == warm;
-    candidate.tokens_to_read = request.prompt_tokens - (is_warm ? shared : 0);
+    candidate.warm = candidate.runner.get() == warm;
+    candidate.tokens_to_read = request.prompt_tokens - (candidate.warm ? shared : 0);
     candidate.cost = candidate.runner->total_backlog() + candidate.tokens_to_read +
                      candidate.load * kTokensPerLoad;
   }
@@ -134,6 +135,10 @@
   const Candidate& chosen = cheapest(near);
   selection.runner = chosen.runner;
   selection.tokens_to_read = chosen.tokens_to_read;
+  selection.candidates = static_cast<std::uint32_t>(near.size());
+  selection.load = chosen.load;
+  selection.backlog_tokens = chosen.runner->total_backlog();
+  selection.warm = chosen.warm;
   return selection;
 }
 
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -36,6 +36,10 @@
   std::shared_ptr<Runner> runner;  ///< Null if there is none.
   SelectionFailure failure = SelectionFailure::kNone;
   std::uint32_t tokens_to_read = 0;  ///< Prompt tokens that the runner is expected to read.
+  std::uint32_t candidates = 0;      ///< Runners it was chosen from.
+  double load = 0;                   ///< Of the runner, before this request.
+  std::uint32_t backlog_tokens = 0;  ///< Prompt tokens unread there, before this request.
+  bool warm = false;                 ///< It is the one that keeps the prompt's prefix.
 };
 
 /// Selects a runner; pure but for tie breaking.
--- a/tests/system/platform_path_test.py
+++ b/tests/system/platform_path_test.py
@@ -366,6 +366,8 @@
         self.assertIn("runs=0", refused)
         for runner in self.platform.runners:
             self.assertRegex(refused, "attempt_failed .*runner=%s .*result=not_run" % runner)
+            # The choice of the runner is told with what decided it.
+            self.assertRegex(refused, "request_sent.* runner=%s .*candidates=[12],load=" % runner)
         broken = self.story("broken-1", "request_ended")
         self.assertIn("outcome=broken_off", broken)
         self.assertRegex(broken, "attempt_failed .*result=broken .*last_event=1")
@@ -386,11 +388,14 @@
         wait_for(told, "the story of " + request)
         return self.text
 
-    def test_a_log_that_nobody_reads_holds_up_no_request(self):
+    def start_with_a_full_log_pipe(self):
+        """Starts node 0 anew on a small pipe that nobody reads, and fills the pipe."""
         self.start()
         process = self.platform.node_processes[0]
         process.kill()
         reader, writer = os.pipe()
+        self.addCleanup(os.close, writer)
+        self.addCleanup(os.close, reader)
         fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
         handle = subprocess.Popen(process.arguments, stdout=writer, stderr=subprocess.DEVNULL)
         self.addCleanup(handle.wait)
@@ -400,9 +405,16 @@
             self.assertEqual(self.platform.ask(0, "p%d" % attempt)[0], 200)
         # The pipe is full: nothing more fits into it.
         self.assertEqual(select.select([], [writer], [], 0)[1], [])
+        return handle
+
+    def test_a_log_that_nobody_reads_holds_up_no_request(self):
+        self.start_with_a_full_log_pipe()
         self.assertEqual(call(self.platform.ready[0], "GET", "/api/ready")[0], 200)
-        os.close(writer)
-        os.close(reader)
+
+    def test_a_log_that_nobody_reads_holds_up_no_planned_stop(self):
+        handle = self.start_with_a_full_log_pipe()
+        handle.send_signal(signal.SIGTERM)
+        self.assertEqual(handle.wait(60), 0)
 
     def test_a_draining_runner_gets_nothing_new(self):
         self.start()
