Share places across the zone: batch gives way wherever online work waits

Change: digests tell how many of a node's requests are batch and for which services online work waits; a node without an own run to end asks the one that runs the most batch at the service's runners in its zone; batch takes no place while online work waits in the zone; nodes of other zones learn of the use of their runners every 250 ms.

Ruled out: rejections by runners (815 arrivals were cut by us while queued, none said not run). Tests: SharedRunnersTest, BatchLeavesPlacesToOnlineWorkThatWaitsAtOtherNodes.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -243,7 +243,7 @@
   if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
   if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
   runner.prompt_read(std::exchange(tokens_to_read_, 0));
-  runner.end_attempt(evidence, monotonic_now());
+  runner.end_attempt(evidence, monotonic_now(), WorkClass::kBatch);
   if (result == Attempt::kCompleted) return;
   log_event(Event::kItemAttemptFailed, {{"job", item_.job},
                                         {"item", item_.item_id},
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -46,8 +46,6 @@
               [this](const std::vector<std::string>& names) {
                 if (members_listener_) members_listener_(names);
               }}) {
-  context_.placement.set_yield_handler(
-      [this](const std::string& service) { yield_place(service); });
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
 }
 
@@ -112,24 +110,18 @@
   return kFirstItems + static_cast<std::size_t>(part * (kMaxRunningItems - kFirstItems));
 }
 
-/// The newest run in this zone gives its place back: it loses the least, and a place elsewhere
-/// would be far for the request that waits.
-void JobRunner::yield_place(const std::string& service) {
+bool JobRunner::yield_place(const std::string& service, const std::string& zone) {
   std::shared_ptr<ItemRun> newest;
-  bool newest_near = false;
   for (const auto& [key, job] : jobs_) {
     for (const auto& [index, run] : job->runs) {
       const auto& runner = run->runner();
-      if (!runner || run->yielding() || runner->record().service != service) continue;
-      const bool near = runner->record().zone == context_.zone;
-      const bool better = !newest || (near && !newest_near) ||
-                          (near == newest_near && run->placed_at() > newest->placed_at());
-      if (!better) continue;
-      newest = run;
-      newest_near = near;
+      if (!runner || run->yielding()) continue;
+      if (runner->record().service != service || runner->record().zone != zone) continue;
+      if (!newest || run->placed_at() > newest->placed_at()) newest = run;
     }
   }
   if (newest) newest->yield();
+  return newest != nullptr;
 }
 
 void JobRunner::start_waiting() {
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -39,6 +39,10 @@
   /// Planned stop: gives the slots up with their progress written, and leaves the group.
   boost::asio::awaitable<void> stop();
 
+  /// The newest run at a runner of the service in the zone gives its place back: it loses the least.
+  /// @return false if there is none.
+  bool yield_place(const std::string& service, const std::string& zone);
+
   [[nodiscard]] std::size_t running_items() const { return running_items_; }
   [[nodiscard]] std::size_t unwritten_results() const { return writer_.pending(); }
   [[nodiscard]] std::size_t waiting_items() const { return waiting_.size(); }
@@ -71,7 +75,6 @@
   void start_job(const JobKey& key, const JobEntry& job);
   boost::asio::awaitable<void> load_job(JobKey key, std::shared_ptr<ActiveJob> job);
   void stop_job(const JobKey& key, bool keep_progress);
-  void yield_place(const std::string& service);
   void start_waiting();
   boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job);
   void result_durable(const ItemResult& result);
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <limits>
 
+#include "base/ids.h"
 #include "core/codec.h"
 #include "net/http.h"
 
@@ -22,23 +23,28 @@
 constexpr Duration kSendInterval = std::chrono::milliseconds(12);
 /// A node that uses runners says so at least this often.
 constexpr Duration kRepeatInterval = std::chrono::milliseconds(500);
+/// Nodes of other zones are told of the use of their runners this often.
+constexpr Duration kFarInterval = std::chrono::milliseconds(250);
+/// Online work that waits says so at least every 20 ms.
+constexpr Duration kDemandLifetime = std::chrono::milliseconds(100);
 /// What a silent node said counts no longer after this time.
 constexpr Duration kLifetime = std::chrono::milliseconds(1500);
 
 }  // namespace
 
-std::string encode_digest(const LoadDigest& digest) {
-  return encode_value(digest);
+std::string encode_message(const PeerLoadMessage& message) {
+  return encode_value(message);
 }
 
-bool decode_digest(const std::string& bytes, LoadDigest& digest) {
-  return decode_value(bytes, digest);
+bool decode_message(const std::string& bytes, PeerLoadMessage& message) {
+  return decode_value(bytes, message);
 }
 
 PeerLoads::PeerLoads(asio::any_io_executor executor, RunnerRegistry& registry,
-                     const std::string& listen, std::uint64_t sender)
+                     const std::string& listen, std::string zone, std::uint64_t sender)
     : executor_(std::move(executor)),
       registry_(registry),
+      zone_(std::move(zone)),
       sender_(sender),
       socket_(executor_),
       buffer_(kMaxDatagramBytes * 2, '\0'),
@@ -63,12 +69,14 @@
   schedule_expiry();
 }
 
-void PeerLoads::set_peers(const std::vector<std::string>& addresses) {
-  peers_.clear();
-  for (const auto& address : addresses) {
+void PeerLoads::set_peers(const std::vector<PeerAddress>& peers) {
+  near_.clear();
+  far_.clear();
+  for (const auto& peer : peers) {
     asio::ip::tcp::endpoint endpoint;
-    if (!parse_endpoint(address, endpoint)) continue;
-    peers_.emplace_back(endpoint.address(), endpoint.port());
+    if (!parse_endpoint(peer.address, endpoint)) continue;
+    auto& group = peer.zone == zone_ ? near_ : far_[peer.zone];
+    group.emplace_back(endpoint.address(), endpoint.port());
   }
 }
 
@@ -82,22 +90,77 @@
 }
 
 void PeerLoads::take(const std::string& bytes) {
-  LoadDigest digest;
-  if (!decode_digest(bytes, digest) || digest.sender == sender_) return;
+  PeerLoadMessage message;
+  if (!decode_message(bytes, message)) return;
+  if (auto* digest = std::get_if<LoadDigest>(&message)) {
+    take_digest(std::move(*digest));
+  } else if (yield_handler_) {
+    yield_handler_(std::get<YieldRequest>(message));
+  }
+}
+
+void PeerLoads::take_digest(LoadDigest digest) {
+  if (digest.sender == sender_) return;
   PeerState& state = states_[digest.sender];
   if (digest.sequence <= state.sequence) return;
-  learn_peer(from_);
-  state = {digest.sequence, monotonic_now(), std::move(digest.uses)};
+  if (digest.zone == stable_hash(zone_)) learn_peer(from_);
+  state = {digest.sequence,         digest.zone, monotonic_now(), from_, std::move(digest.uses),
+           std::move(digest.demand)};
   recount();
+  if (listener_) listener_();
 }
 
 /// A member that holds no slot is not in the group's list; it is known by what it sends.
-void PeerLoads::learn_peer(const Udp::endpoint& endpoint) {
-  const bool known = std::find(peers_.begin(), peers_.end(), endpoint) != peers_.end();
-  if (!known) peers_.push_back(endpoint);
+void PeerLoads::learn_peer(const Endpoint& endpoint) {
+  const bool known = std::find(near_.begin(), near_.end(), endpoint) != near_.end();
+  if (!known) near_.push_back(endpoint);
+}
+
+std::uint32_t PeerLoads::batch_near(const PeerState& state, const std::string& service) const {
+  std::uint32_t count = 0;
+  for (const auto& use : state.uses) {
+    if (use.batch_in_flight == 0) continue;
+    const auto runner = registry_.find_hash(use.runner);
+    if (!runner || runner->record().zone != zone_) continue;
+    if (runner->record().service == service) count += use.batch_in_flight;
+  }
+  return count;
+}
+
+bool PeerLoads::ask_for_place(const std::string& service) {
+  PeerState* most = nullptr;
+  std::uint32_t most_items = 0;
+  for (auto& [sender, state] : states_) {
+    const std::uint32_t items = batch_near(state, service);
+    if (items <= most_items) continue;
+    most = &state;
+    most_items = items;
+  }
+  if (most == nullptr) return false;
+  // Until the next digest, one less is left there to ask for.
+  const auto use = std::find_if(most->uses.begin(), most->uses.end(), [&](const RunnerUse& entry) {
+    const auto runner = registry_.find_hash(entry.runner);
+    return entry.batch_in_flight > 0 && runner && runner->record().zone == zone_ &&
+           runner->record().service == service;
+  });
+  if (use != most->uses.end()) --use->batch_in_flight;
+  send_to(most->endpoint, encode_message(YieldRequest{service, zone_}));
+  return true;
+}
+
+/// Demand that was told long ago counts no more: who waits repeats it.
+void PeerLoads::recount_demand(TimePoint now) {
+  const std::uint64_t zone = stable_hash(zone_);
+  std::set<std::uint64_t> services;
+  for (const auto& [sender, state] : states_) {
+    if (state.zone != zone || now - state.received > kDemandLifetime) continue;
+    services.insert(state.demand.begin(), state.demand.end());
+  }
+  registry_.set_peer_demand(std::move(services));
 }
 
 void PeerLoads::recount() {
+  recount_demand(monotonic_now());
   std::map<std::uint64_t, RunnerUse> sums;
   const TimePoint now = monotonic_now();
   for (const auto& [sender, state] : states_) {
@@ -122,17 +185,20 @@
   }
 }
 
-LoadDigest PeerLoads::make_digest() {
+LoadDigest PeerLoads::make_digest(const std::string& zone) {
   LoadDigest digest;
   digest.sender = sender_;
+  digest.zone = stable_hash(zone_);
   digest.sequence = ++sequence_;
   const TimePoint now = monotonic_now();
   for (const auto& [id, runner] : registry_.all()) {
     if (runner->in_flight() == 0) continue;
+    if (!zone.empty() && runner->record().zone != zone) continue;
     const auto silent =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - runner->last_heard()).count();
     constexpr std::int64_t kMost = std::numeric_limits<std::uint16_t>::max();
     digest.uses.push_back({runner->hash(), static_cast<std::uint16_t>(runner->in_flight()),
+                           static_cast<std::uint16_t>(runner->batch_in_flight()),
                            runner->backlog_tokens(),
                            static_cast<std::uint16_t>(std::min<std::int64_t>(silent, kMost))});
   }
@@ -143,6 +209,8 @@
               });
     digest.uses.resize(kMaxUses);
   }
+  const auto demand = demand_source_ ? demand_source_() : std::set<std::string>{};
+  for (const auto& service : demand) digest.demand.push_back(stable_hash(service));
   return digest;
 }
 
@@ -151,7 +219,7 @@
 }
 
 void PeerLoads::schedule_send() {
-  if (send_scheduled_ || peers_.empty()) return;
+  if (send_scheduled_ || near_.empty()) return;
   send_scheduled_ = true;
   const TimePoint now = monotonic_now();
   const TimePoint earliest = std::max(now + kCoalesce, last_sent_ + kSendInterval);
@@ -164,21 +232,39 @@
 
 void PeerLoads::send() {
   last_sent_ = monotonic_now();
-  const LoadDigest digest = make_digest();
+  const LoadDigest digest = make_digest({});
   in_use_ = !digest.uses.empty();
-  const std::string bytes = encode_digest(digest);
-  for (const auto& peer : peers_) {
-    boost::system::error_code ignored;
-    socket_.send_to(asio::buffer(bytes), peer, 0, ignored);
+  const std::string bytes = encode_message(digest);
+  for (const auto& peer : near_) send_to(peer, bytes);
+}
+
+void PeerLoads::send_to(const Endpoint& peer, const std::string& bytes) {
+  boost::system::error_code ignored;
+  socket_.send_to(asio::buffer(bytes), peer, 0, ignored);
+}
+
+/// Tells the nodes of other zones of this node's use of their runners, and once of its end.
+void PeerLoads::send_far() {
+  std::set<std::string> used;
+  for (const auto& [id, runner] : registry_.all()) {
+    if (runner->in_flight() > 0) used.insert(runner->record().zone);
+  }
+  for (const auto& [zone, peers] : far_) {
+    const bool uses = used.contains(zone);
+    if (!uses && !told_far_.contains(zone)) continue;
+    const std::string bytes = encode_message(make_digest(zone));
+    for (const auto& peer : peers) send_to(peer, bytes);
   }
+  told_far_ = std::move(used);
 }
 
 void PeerLoads::schedule_expiry() {
-  expiry_timer_.expires_after(kRepeatInterval);
+  expiry_timer_.expires_after(kFarInterval);
   expiry_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     expire();
-    if (in_use_) schedule_send();
+    send_far();
+    if (in_use_ && monotonic_now() - last_sent_ >= kRepeatInterval) schedule_send();
     schedule_expiry();
   });
 }
@@ -188,6 +274,7 @@
   const auto old = std::erase_if(
       states_, [now](const auto& entry) { return now - entry.second.received > kLifetime; });
   if (old > 0) recount();
+  recount_demand(now);
 }
 
 }  // namespace stoathold
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -41,10 +41,14 @@
 }
 
 bool PlacementQueue::try_place(PlacementTicket& ticket, TimePoint now) {
+  const PlacementRequest& request = ticket.request_;
+  const bool yields =
+      request.work == WorkClass::kBatch && registry_.peers_wait_for(request.selection.service);
+  if (yields) return false;
   Selection& selection = ticket.selection_;
-  selection = select_runner(registry_, ticket.request_.selection, now);
+  selection = select_runner(registry_, request.selection, now);
   if (!selection.runner) return false;
-  selection.runner->begin_attempt(selection.tokens_to_read);
+  selection.runner->begin_attempt(selection.tokens_to_read, request.work);
   if (use_listener_) use_listener_();
   return true;
 }
@@ -65,7 +69,7 @@
   waiting_.erase(ticket);
   if (runner && ticket->cancelled_) {
     runner->prompt_read(ticket->selection_.tokens_to_read);
-    runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now());
+    runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now(), ticket->request_.work);
     runner.reset();
     capacity_changed();
   }
@@ -77,6 +81,19 @@
   if (!waiting_.empty()) dispatch();
 }
 
+void PlacementQueue::loads_changed() {
+  if (!waiting_.empty()) dispatch();
+}
+
+std::set<std::string> PlacementQueue::services_in_demand() const {
+  std::set<std::string> services;
+  for (const auto& ticket : waiting_) {
+    if (ticket->request_.work != WorkClass::kOnline) continue;
+    services.insert(ticket->request_.selection.service);
+  }
+  return services;
+}
+
 void PlacementQueue::dispatch() {
   if (dispatching_) return;
   dispatching_ = true;
@@ -125,6 +142,8 @@
     if (error || waiting_.empty()) return;
     dispatch();
     ask_for_places();
+    // The other nodes leave the places to online work only while they hear that some waits.
+    if (use_listener_ && waiting(WorkClass::kOnline) > 0) use_listener_();
     if (!waiting_.empty()) watch();
   });
 }
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -17,9 +17,6 @@
 
 namespace stoathold {
 
-/// Online work goes before batch work, whatever its age.
-enum class WorkClass : std::uint8_t { kOnline, kBatch };
-
 /// What waits for a place.
 struct PlacementRequest {
   SelectionRequest selection;
@@ -57,7 +54,7 @@
 class PlacementQueue {
  public:
   /// Called when online work waits for a service whose runners are full: batch work there may give
-  /// a place back.
+  /// a place back, at this node or at another. Called once for each place that is needed.
   using YieldHandler = std::function<void(const std::string& service)>;
 
   PlacementQueue(boost::asio::any_io_executor executor, const RunnerRegistry& registry);
@@ -70,10 +67,14 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire(std::shared_ptr<PlacementTicket> ticket);
   /// A place may have become free, or was taken.
   void capacity_changed();
+  /// Other nodes told their use of runners: a place may have become free.
+  void loads_changed();
   /// Called whenever this node's use of a runner changes.
   void set_use_listener(std::function<void()> listener) { use_listener_ = std::move(listener); }
   /// Returns how many wait.
   [[nodiscard]] std::size_t waiting(WorkClass work) const;
+  /// Returns the services for which online work waits.
+  [[nodiscard]] std::set<std::string> services_in_demand() const;
 
  private:
   struct MoreUrgent {
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -1,7 +1,6 @@
 #include "routing/runner_registry.h"
 
 #include <algorithm>
-#include <set>
 
 #include "base/event_log.h"
 
@@ -30,8 +29,9 @@
   return std::max<std::uint32_t>(1, record_.slots);
 }
 
-void Runner::begin_attempt(std::uint32_t tokens) {
+void Runner::begin_attempt(std::uint32_t tokens, WorkClass work) {
   ++in_flight_;
+  if (work == WorkClass::kBatch) ++batch_in_flight_;
   backlog_tokens_ += tokens;
 }
 
@@ -39,8 +39,9 @@
   backlog_tokens_ -= std::min(backlog_tokens_, tokens);
 }
 
-void Runner::end_attempt(AttemptOutcome outcome, TimePoint now) {
+void Runner::end_attempt(AttemptOutcome outcome, TimePoint now, WorkClass work) {
   --in_flight_;
+  if (work == WorkClass::kBatch) --batch_in_flight_;
   switch (outcome) {
     case AttemptOutcome::kServed:
       if (ejected_until_ != TimePoint{} && failures_ > 0) {
@@ -157,6 +158,10 @@
   }
 }
 
+bool RunnerRegistry::peers_wait_for(const std::string& service) const {
+  return !peer_demand_.empty() && peer_demand_.contains(stable_hash(service));
+}
+
 std::shared_ptr<Runner> RunnerRegistry::find_hash(std::uint64_t hash) const {
   const auto found = by_hash_.find(hash);
   return found == by_hash_.end() ? nullptr : found->second;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   std::uint32_t slots = 0;
 };
 
+/// Online work goes before batch work, whatever its age.
+enum class WorkClass : std::uint8_t { kOnline, kBatch };
+
 /// How an attempt at a runner ended, as far as it tells about the runner.
 enum class AttemptOutcome : std::uint8_t {
   kServed,
@@ -53,10 +57,10 @@
   void set_listed(bool listed) { listed_ = listed; }
 
   /// @param tokens of the prompt that the runner is expected to read for it.
-  void begin_attempt(std::uint32_t tokens = 0);
+  void begin_attempt(std::uint32_t tokens = 0, WorkClass work = WorkClass::kOnline);
   /// The attempt's answer began: its prompt has been read.
   void prompt_read(std::uint32_t tokens);
-  void end_attempt(AttemptOutcome outcome, TimePoint now);
+  void end_attempt(AttemptOutcome outcome, TimePoint now, WorkClass work = WorkClass::kOnline);
   void take_report(const LoadReport& report, TimePoint now);
   /// Bytes came from the runner.
   void heard(TimePoint now) { last_heard_ = now; }
@@ -72,6 +76,8 @@
   /// Requests expected to be at the runner, running and waiting, per slot.
   [[nodiscard]] double load(TimePoint now) const;
   [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+  /// Those of `in_flight` that are batch items.
+  [[nodiscard]] std::uint32_t batch_in_flight() const { return batch_in_flight_; }
   /// Prompt tokens that this node has sent and that have not been read yet.
   [[nodiscard]] std::uint32_t backlog_tokens() const { return backlog_tokens_; }
   /// The same of all nodes that tell this one.
@@ -98,6 +104,7 @@
   bool listed_ = true;
   bool leaving_ = false;
   std::uint32_t in_flight_ = 0;
+  std::uint32_t batch_in_flight_ = 0;
   std::uint32_t failures_ = 0;
   TimePoint ejected_until_{};
   LoadReport report_;
@@ -126,6 +133,10 @@
   }
   /// Returns the runner whose id has this hash, or null.
   [[nodiscard]] std::shared_ptr<Runner> find_hash(std::uint64_t hash) const;
+  /// Services, by the hash of their names, for which online work waits at other nodes of the zone.
+  void set_peer_demand(std::set<std::uint64_t> services) { peer_demand_ = std::move(services); }
+  /// Whether online work for the service waits at another node of the zone.
+  [[nodiscard]] bool peers_wait_for(const std::string& service) const;
 
  private:
   void forget_unused();
@@ -134,6 +145,7 @@
   std::map<std::string, std::shared_ptr<Runner>> runners_;
   std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
   std::map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
+  std::set<std::uint64_t> peer_demand_;
 };
 
 }  // namespace stoathold
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -10,12 +10,12 @@
 namespace {
 
 TEST(LoadDigestTest, DamageIsNoticed) {
-  const LoadDigest digest{1, 2, {{3, 4, 5, 6}, {7, 8, 9, 10}}};
-  const std::string bytes = encode_digest(digest);
-  LoadDigest read;
-  ASSERT_TRUE(decode_digest(bytes, read));
-  EXPECT_EQ(read.uses[1].backlog_tokens, 9U);
-  EXPECT_FALSE(decode_digest(bytes.substr(0, bytes.size() - 1), read));
+  const LoadDigest digest{1, 2, 3, {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {11}};
+  const std::string bytes = encode_message(digest);
+  PeerLoadMessage read;
+  ASSERT_TRUE(decode_message(bytes, read));
+  EXPECT_EQ(std::get<LoadDigest>(read).uses[1].backlog_tokens, 9U);
+  EXPECT_FALSE(decode_message(bytes.substr(0, bytes.size() - 1), read));
 }
 
 TEST(MemberNameTest, NamesAreParsedBack) {
@@ -35,11 +35,11 @@
   const RunnerRecord record{"r1", "chat", "10.0.0.1:80", "zone", 10, false};
   first_registry.upsert(record);
   second_registry.upsert(record);
-  PeerLoads first(loop.get_executor(), first_registry, "127.0.0.1:0", 1);
-  PeerLoads second(loop.get_executor(), second_registry, "127.0.0.1:0", 2);
+  PeerLoads first(loop.get_executor(), first_registry, "127.0.0.1:0", "zone", 1);
+  PeerLoads second(loop.get_executor(), second_registry, "127.0.0.1:0", "zone", 2);
   first.start();
   second.start();
-  first.set_peers({second.address()});
+  first.set_peers({{second.address(), "zone"}});
   const auto seen_by_second = [&] { return second_registry.all().at("r1")->total_backlog(); };
   first_registry.all().at("r1")->begin_attempt(700);
   first.use_changed();
@@ -54,5 +54,67 @@
   EXPECT_EQ(seen_by_second(), 0U);
 }
 
+/// Nodes on loopback that know the same runners, one in each of two zones.
+class SharedRunnersTest : public testing::Test {
+ protected:
+  struct Node {
+    Node(boost::asio::io_context& loop, const std::string& zone, std::uint64_t number)
+        : loads(loop.get_executor(), registry, "127.0.0.1:0", zone, number) {
+      registry.upsert({"a1", "chat", "10.0.0.1:80", "a", 10, false});
+      registry.upsert({"b1", "chat", "10.0.0.2:80", "b", 10, false});
+      loads.set_yield_handler([this](const YieldRequest& request) {
+        asked.push_back(request.service + "/" + request.zone);
+      });
+      loads.start();
+    }
+    Runner& runner(const std::string& id) { return *registry.all().at(id); }
+
+    RunnerRegistry registry;
+    PeerLoads loads;
+    std::vector<std::string> asked;
+  };
+
+  template <typename Condition>
+  void run_until(Condition condition) {
+    for (int step = 0; step < 2000 && !condition(); ++step) loop.run_one();
+    EXPECT_TRUE(condition());
+  }
+
+  boost::asio::io_context loop;
+};
+
+TEST_F(SharedRunnersTest, WhoRunsTheMostBatchInTheZoneIsAskedForAPlace) {
+  Node asking(loop, "a", 1);
+  Node little(loop, "a", 2);
+  Node much(loop, "b", 3);
+  EXPECT_FALSE(asking.loads.ask_for_place("chat"));
+  little.loads.set_peers({{asking.loads.address(), "a"}});
+  much.loads.set_peers({{asking.loads.address(), "a"}});
+  little.runner("a1").begin_attempt(0, WorkClass::kBatch);
+  // What runs in another zone is no place here.
+  for (int i = 0; i < 5; ++i) little.runner("b1").begin_attempt(0, WorkClass::kBatch);
+  for (int i = 0; i < 2; ++i) much.runner("a1").begin_attempt(0, WorkClass::kBatch);
+  little.loads.use_changed();
+  run_until([&] { return asking.runner("a1").load(monotonic_now()) > 0.25; });
+  EXPECT_TRUE(asking.loads.ask_for_place("chat"));
+  run_until([&] { return !much.asked.empty(); });
+  EXPECT_EQ(much.asked.front(), "chat/a");
+  EXPECT_TRUE(little.asked.empty());
+}
+
+TEST_F(SharedRunnersTest, DemandIsToldInsideTheZoneAndGrowsOld) {
+  Node waiting(loop, "a", 1);
+  Node near(loop, "a", 2);
+  bool waits = true;
+  waiting.loads.set_demand_source(
+      [&] { return waits ? std::set<std::string>{"chat"} : std::set<std::string>{}; });
+  waiting.loads.set_peers({{near.loads.address(), "a"}});
+  waiting.loads.use_changed();
+  run_until([&] { return near.registry.peers_wait_for("chat"); });
+  EXPECT_FALSE(near.registry.peers_wait_for("other"));
+  // Nothing more is told, as if the node had died.
+  run_until([&] { return !near.registry.peers_wait_for("chat"); });
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -90,6 +90,19 @@
   EXPECT_EQ(asked, (std::vector<std::string>{"chat"}));
 }
 
+TEST_F(PlacementQueueTest, BatchLeavesPlacesToOnlineWorkThatWaitsAtOtherNodes) {
+  registry.set_peer_demand({stable_hash("chat")});
+  wait("batch", make_request(WorkClass::kBatch));
+  EXPECT_TRUE(order.empty());
+  wait("online", make_request(WorkClass::kOnline));
+  free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"online"}));
+  registry.set_peer_demand({});
+  queue.loads_changed();
+  run();
+  EXPECT_EQ(order, (std::vector<std::string>{"online", "batch"}));
+}
+
 TEST_F(PlacementQueueTest, ACancelledWaitTakesNoPlace) {
   wait("first", make_request(WorkClass::kOnline));
   const auto ticket = wait("second", make_request(WorkClass::kOnline));
