Batch leaves more places free just after online work had to wait

Change: for 1.2 s after online work last waited for a service in the zone, batch leaves up to 0.4 more of a runner's places free, less as time passes.

Test: BatchLeavesMorePlacesFreeJustAfterOnlineWorkHadToWait failed with a margin of 0.

--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -19,6 +19,10 @@
 /// and so long again before it is asked once more.
 constexpr Duration kYieldAfter = std::chrono::milliseconds(20);
 constexpr Duration kYieldAgain = std::chrono::milliseconds(100);
+/// Part of a runner's places that batch leaves free just after online work had to wait, and the
+/// time in which that falls to nothing.
+constexpr double kBurstMargin = 0.4;
+constexpr Duration kBurstMemory = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -40,13 +44,27 @@
   return ticket;
 }
 
+/// A burst of online work that has just found no place is not over when the first places are free:
+/// batch items that took them would be ended again after their prompts were read.
+double PlacementQueue::batch_margin(const std::string& service, TimePoint now) {
+  const auto found = last_demand_.find(service);
+  if (found == last_demand_.end()) return 0;
+  const double part = to_seconds(now - found->second) / to_seconds(kBurstMemory);
+  return kBurstMargin * std::clamp(1.0 - part, 0.0, 1.0);
+}
+
 bool PlacementQueue::try_place(PlacementTicket& ticket, TimePoint now) {
   const PlacementRequest& request = ticket.request_;
-  const bool yields =
-      request.work == WorkClass::kBatch && registry_.peers_wait_for(request.selection.service);
-  if (yields) return false;
+  SelectionRequest wanted = request.selection;
+  if (request.work == WorkClass::kBatch) {
+    if (registry_.peers_wait_for(wanted.service)) {
+      last_demand_[wanted.service] = now;
+      return false;
+    }
+    wanted.load_limit -= batch_margin(wanted.service, now);
+  }
   Selection& selection = ticket.selection_;
-  selection = select_runner(registry_, request.selection, now);
+  selection = select_runner(registry_, wanted, now);
   if (!selection.runner) return false;
   selection.runner->begin_attempt(selection.tokens_to_read, request.work);
   if (use_listener_) use_listener_();
@@ -129,6 +147,7 @@
   for (const auto& ticket : waiting_) {
     if (ticket->request_.work != WorkClass::kOnline || now < ticket->ask_yield_at_) continue;
     ticket->ask_yield_at_ = now + kYieldAgain;
+    last_demand_[ticket->request_.selection.service] = now;
     yield_handler_(ticket->request_.selection.service);
   }
 }
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -83,6 +84,7 @@
   };
 
   bool try_place(PlacementTicket& ticket, TimePoint now);
+  [[nodiscard]] double batch_margin(const std::string& service, TimePoint now);
   using Filter = std::function<bool(const PlacementRequest&, TimePoint now)>;
 
   void dispatch();
@@ -95,6 +97,8 @@
   YieldHandler yield_handler_;
   std::function<void()> use_listener_;
   std::set<std::shared_ptr<PlacementTicket>, MoreUrgent> waiting_;
+  /// When online work last waited for a service, at this node or another of the zone.
+  std::map<std::string, TimePoint> last_demand_;
   std::uint64_t next_number_ = 0;
   boost::asio::steady_timer watch_timer_;
   bool watching_ = false;
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -98,9 +98,29 @@
   free_place();
   EXPECT_EQ(order, (std::vector<std::string>{"online"}));
   registry.set_peer_demand({});
+  loop.restart();
+  for (int step = 0; step < 1000 && order.size() < 2; ++step) loop.run_one();
+  EXPECT_EQ(order, (std::vector<std::string>{"online", "batch"}));
+}
+
+TEST_F(PlacementQueueTest, BatchLeavesMorePlacesFreeJustAfterOnlineWorkHadToWait) {
+  registry.upsert({"r1", "chat", "10.0.0.1:80", "zone", 10, false});
+  for (int i = 0; i < 4; ++i) registry.all().at("r1")->begin_attempt();
+  PlacementRequest request = make_request(WorkClass::kBatch);
+  constexpr double kLimit = 0.7;
+  request.selection.load_limit = kLimit;
+  wait("calm", request);
+  EXPECT_EQ(order, (std::vector<std::string>{"calm"}));
+  registry.set_peer_demand({stable_hash("chat")});
+  wait("in the burst", request);
+  registry.set_peer_demand({});
   queue.loads_changed();
   run();
-  EXPECT_EQ(order, (std::vector<std::string>{"online", "batch"}));
+  EXPECT_EQ(order, (std::vector<std::string>{"calm"}));
+  // Once the burst is forgotten, the place is taken.
+  loop.restart();
+  for (int step = 0; step < 1000 && order.size() < 2; ++step) loop.run_one();
+  EXPECT_EQ(order.back(), "in the burst");
 }
 
 TEST_F(PlacementQueueTest, ACancelledWaitTakesNoPlace) {
