--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -125,9 +125,13 @@
 
 asio::awaitable<std::shared_ptr<Runner>> OnlineRequest::place() {
   PlacementRequest request;
-  request.selection = {service_,       context_.zone,         prompt_.shared_key,
-                       prompt_.tokens, prompt_.shared_tokens, kFullLoad,
-                       tried_};
+  request.selection = {.service = service_,
+                       .zone = context_.zone,
+                       .affinity_key = prompt_.shared_key,
+                       .prompt_tokens = prompt_.tokens,
+                       .shared_tokens = prompt_.shared_tokens,
+                       .load_limit = kFullLoad,
+                       .excluded = tried_};
   request.priority = route_.priority;
   request.due = arrival_ + route_.latency_objective;
   request.give_up = std::min(arrival_ + kLongestWait, deadline_);
@@ -180,7 +184,7 @@
 
 bool OnlineRequest::has_alternative() const {
   if (runs_ + 1 >= route_.max_attempts) return false;
-  const SelectionRequest request{service_, context_.zone, 0, 0, 0, 0, tried_};
+  const SelectionRequest request{.service = service_, .zone = context_.zone, .excluded = tried_};
   return select_runner(context_.runners, request, monotonic_now()).runner != nullptr;
 }
 
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -82,13 +82,12 @@
   const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
   PlacementRequest request;
   request.work = WorkClass::kBatch;
-  request.selection = {context_.split.next_service(route),
-                       context_.zone,
-                       prompt_.shared_key,
-                       prompt_.tokens,
-                       prompt_.shared_tokens,
-                       load_limit(route, age),
-                       {}};
+  request.selection = {.service = context_.split.next_service(route),
+                       .zone = context_.zone,
+                       .affinity_key = prompt_.shared_key,
+                       .prompt_tokens = prompt_.tokens,
+                       .shared_tokens = prompt_.shared_tokens,
+                       .load_limit = load_limit(route, age)};
   request.priority = route.priority;
   request.due = now - age;
   request.give_up = now + kPlacementTime;
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -18,7 +18,7 @@
 
   PlacementRequest make_request(WorkClass work, std::uint32_t priority = 0) {
     PlacementRequest request;
-    request.selection = {"chat", "zone", 0, 0, 0, 1.0, {}};
+    request.selection = {.service = "chat", .zone = "zone", .load_limit = 1.0};
     request.work = work;
     request.priority = priority;
     request.due = monotonic_now();
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -24,7 +24,7 @@
   }
 
   RunnerRegistry registry;
-  SelectionRequest request{"chat", "near", 0, 100, 0, 0, {}};
+  SelectionRequest request{.service = "chat", .zone = "near", .prompt_tokens = 100};
 };
 
 TEST_F(RunnerSelectorTest, TheOwnZoneGoesFirstUntilItIsFull) {
