Tell of far use once a zone, and let it be passed on there; read on in the soak

Change: one node of the zone is told, another one each time, and passes it on inside its zone; the digest carries its sender's address, so that places are asked for where the items run.

Tests: UseFromAnotherZoneIsToldOnceAndPassedOn.

--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -103,13 +103,23 @@
   if (digest.sender == sender_) return;
   PeerState& state = states_[digest.sender];
   if (digest.sequence <= state.sequence) return;
-  if (digest.zone == stable_hash(zone_)) learn_peer(from_);
-  state = {digest.sequence,         digest.zone, monotonic_now(), from_, std::move(digest.uses),
+  Endpoint endpoint = from_;
+  asio::ip::tcp::endpoint origin;
+  if (parse_endpoint(digest.origin, origin)) endpoint = {origin.address(), origin.port()};
+  if (digest.zone == stable_hash(zone_)) learn_peer(endpoint);
+  if (digest.pass_on) pass_on(digest);
+  state = {digest.sequence,         digest.zone, monotonic_now(), endpoint, std::move(digest.uses),
            std::move(digest.demand)};
   recount();
   if (listener_) listener_();
 }
 
+void PeerLoads::pass_on(LoadDigest digest) {
+  digest.pass_on = false;
+  const std::string bytes = encode_message(digest);
+  for (const auto& peer : near_) send_to(peer, bytes);
+}
+
 /// A member that holds no slot is not in the group's list; it is known by what it sends.
 void PeerLoads::learn_peer(const Endpoint& endpoint) {
   const bool known = std::find(near_.begin(), near_.end(), endpoint) != near_.end();
@@ -243,7 +253,8 @@
   socket_.send_to(asio::buffer(bytes), peer, 0, ignored);
 }
 
-/// Tells the nodes of other zones of this node's use of their runners, and once of its end.
+/// Tells a node of each zone whose runners this node uses, and once of the end of that. Each time
+/// another node, so that one that is gone costs one message.
 void PeerLoads::send_far() {
   std::set<std::string> used;
   for (const auto& [id, runner] : registry_.all()) {
@@ -252,9 +263,12 @@
   for (const auto& [zone, peers] : far_) {
     const bool uses = used.contains(zone);
     if (!uses && !told_far_.contains(zone)) continue;
-    const std::string bytes = encode_message(make_digest(zone));
-    for (const auto& peer : peers) send_to(peer, bytes);
+    LoadDigest digest = make_digest(zone);
+    digest.origin = address();
+    digest.pass_on = true;
+    send_to(peers[far_turn_ % peers.size()], encode_message(digest));
   }
+  ++far_turn_;
   told_far_ = std::move(used);
 }
 
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -2,8 +2,9 @@
 /// What nodes tell one another about their use of runners.
 ///
 /// Runners know all of their load but tell it only in answers, which come seldom at any one node.
-/// So each node sends its own use to the others of its zone whenever it changes, and seldom to the
-/// nodes of other zones whose runners it uses. A lost message costs nothing: the next one holds
+/// So each node sends its own use to the others of its zone whenever it changes. Of the use of
+/// another zone's runners it seldom tells one node there, which passes that on inside its zone, so
+/// that few bytes cross between zones. A lost message costs nothing: the next one holds
 /// everything again. A node whose online work finds no place asks the node that runs the most batch
 /// items in its zone to give one back.
 #pragma once
@@ -43,10 +44,12 @@
   std::uint64_t zone = 0;      ///< Hash of the sender's zone.
   std::vector<RunnerUse> uses;
   std::vector<std::uint64_t> demand;  ///< Hashes of services for which online work waits.
+  std::string origin;                 ///< Sender's `ip:port` if another node may pass this on.
+  bool pass_on = false;               ///< The receiver passes it on inside its zone.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, sequence, zone, uses, demand);
+    archive(sender, sequence, zone, uses, demand, origin, pass_on);
   }
 };
 
@@ -118,6 +121,7 @@
   void receive();
   void take(const std::string& bytes);
   void take_digest(LoadDigest digest);
+  void pass_on(LoadDigest digest);
   void learn_peer(const Endpoint& endpoint);
   void schedule_send();
   void send();
@@ -140,6 +144,7 @@
   std::vector<Endpoint> near_;                        ///< Nodes of this zone.
   std::map<std::string, std::vector<Endpoint>> far_;  ///< Nodes of other zones, by zone.
   std::set<std::string> told_far_;                    ///< Zones that know of use there.
+  std::size_t far_turn_ = 0;                          ///< Picks the node of a zone that is told.
   DemandSource demand_source_;
   std::function<void()> listener_;
   YieldHandler yield_handler_;
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 TEST(LoadDigestTest, DamageIsNoticed) {
-  const LoadDigest digest{1, 2, 3, {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {11}};
+  const LoadDigest digest{1, 2, 3, {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {11}, {}, false};
   const std::string bytes = encode_message(digest);
   PeerLoadMessage read;
   ASSERT_TRUE(decode_message(bytes, read));
@@ -102,6 +102,21 @@
   EXPECT_TRUE(little.asked.empty());
 }
 
+TEST_F(SharedRunnersTest, UseFromAnotherZoneIsToldOnceAndPassedOn) {
+  Node told(loop, "a", 1);
+  Node also(loop, "a", 2);
+  Node user(loop, "b", 3);
+  told.loads.set_peers({{also.loads.address(), "a"}});
+  user.loads.set_peers({{told.loads.address(), "a"}});
+  for (int i = 0; i < 3; ++i) user.runner("a1").begin_attempt(0, WorkClass::kBatch);
+  run_until([&] { return also.runner("a1").load(monotonic_now()) > 0.25; });
+  EXPECT_GT(told.runner("a1").load(monotonic_now()), 0.25);
+  // Who is asked for a place is the node that runs the items, not the one that passed it on.
+  EXPECT_TRUE(also.loads.ask_for_place("chat"));
+  run_until([&] { return !user.asked.empty(); });
+  EXPECT_TRUE(told.asked.empty());
+}
+
 TEST_F(SharedRunnersTest, DemandIsToldInsideTheZoneAndGrowsOld) {
   Node waiting(loop, "a", 1);
   Node near(loop, "a", 2);
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -66,6 +66,14 @@
                 if before != result:
                     self.broken.append("job %s: position %d changed" % (job, position))
 
+    def next_position(self, job):
+        """The first position of a job that has not been read."""
+        with self.lock:
+            position = 0
+            while position in self.positions[job]:
+                position += 1
+            return position
+
     def check_results(self, failing_items_allowed):
         """After the faults: each item once, each completed text whole."""
         for job, count in self.accepted.items():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -259,11 +259,13 @@
             node = len(job) % NODES
 
             def whole():
-                self.read(node, job, 0)
-                return len(self.promises.positions[job]) >= count
+                # A client reads on behind what it has; what stands before is read again below.
+                self.read(node, job, self.promises.next_position(job))
+                return self.promises.next_position(job) >= count
 
             try:
                 wait_for(whole, job, SETTLE_SECONDS)
+                self.read(node, job, 0)
             except TimeoutError:
                 self.promises.break_one("job %s: not whole after the faults" % job)
         for name in self.platform.runners:
