--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -15,14 +16,23 @@
 
 
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Returns ports that were free a moment ago.
+
+    They lie below the range from which the system takes ports of outgoing connections: a process
+    that is started again must find its port as it left it.
+    """
+    first, end = 20000, 32000
+    chosen = []
+    while len(chosen) < count:
+        port = random.SystemRandom().randrange(first, end)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in chosen:
+            chosen.append(port)
+    return chosen
 
 
 def call(address, method, target, body=None, headers=None, timeout=20.0):
