--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -7,13 +7,21 @@
 #include "bench/scale.h"
 #include "bench/slopes.h"
 
-int main(int argc, char** argv) {
-  using stoathold::bench::ScaleOptions;
-  using stoathold::bench::StreamLoad;
-  CLI::App app{"Processes of stoathold's measurements; see bench/README.md."};
-  app.require_subcommand(1);
+namespace {
 
-  ScaleOptions scale;
+using stoathold::bench::ArrivalOptions;
+using stoathold::bench::ScaleOptions;
+using stoathold::bench::StreamLoad;
+
+/// What the relay's processes are told.
+struct RelayOptions {
+  std::string listen;
+  std::string target;
+  std::uint32_t tokens = 200;
+  std::uint32_t interval_us = 0;
+};
+
+CLI::App* add_hollow(CLI::App& app, ScaleOptions& scale) {
   auto* hollow =
       app.add_subcommand("hollow", "One process's share of the scale run's hollow nodes");
   hollow->add_option("--nodes", scale.nodes);
@@ -26,28 +34,33 @@
   hollow->add_option("--groups", scale.groups);
   hollow->add_option("--base-port", scale.base_port);
   hollow->add_option("--log", scale.log_address)->required();
+  return hollow;
+}
 
-  std::string listen;
-  std::string target;
+CLI::App* add_pass_through(CLI::App& app, RelayOptions& relay) {
   auto* pass = app.add_subcommand("pass-through", "A bare HTTP relay, the yardstick");
-  pass->add_option("--listen", listen)->required();
-  pass->add_option("--target", target)->required();
+  pass->add_option("--listen", relay.listen)->required();
+  pass->add_option("--target", relay.target)->required();
+  return pass;
+}
 
-  std::uint32_t tokens = 200;
-  std::uint32_t interval_us = 0;
+CLI::App* add_token_source(CLI::App& app, RelayOptions& relay) {
   auto* source = app.add_subcommand("token-source", "An engine that emits tokens at once");
-  source->add_option("--listen", listen)->required();
-  source->add_option("--tokens", tokens);
-  source->add_option("--interval-us", interval_us);
+  source->add_option("--listen", relay.listen)->required();
+  source->add_option("--tokens", relay.tokens);
+  source->add_option("--interval-us", relay.interval_us);
+  return source;
+}
 
-  StreamLoad load;
+void add_streams(CLI::App& app, StreamLoad& load) {
   auto* streams = app.add_subcommand("streams", "Reads streams and prints their figures");
   streams->add_option("--target", load.target)->required();
   streams->add_option("--streams", load.streams);
   streams->add_option("--requests", load.requests);
   streams->add_option("--pause-us", load.pause_us);
+}
 
-  stoathold::bench::ArrivalOptions arrivals;
+CLI::App* add_arrivals(CLI::App& app, ArrivalOptions& arrivals) {
   auto* open_loop = app.add_subcommand("arrivals", "Open-loop online load on nodes");
   open_loop->add_option("--targets", arrivals.targets)->required()->delimiter(',');
   open_loop->add_option("--seed", arrivals.seed);
@@ -57,14 +70,34 @@
   open_loop->add_option("--burst-every-ms", arrivals.burst_every_ms);
   open_loop->add_option("--burst-size", arrivals.burst_size);
   open_loop->add_option("--link-delay-ms", arrivals.link_delay_ms);
+  return open_loop;
+}
 
-  auto* slopes = app.add_subcommand("slopes", "Bytes and processor time per row of each table");
+}  // namespace
+
+int main(int argc, char** argv) {
+  namespace bench = stoathold::bench;
+  CLI::App app{"Processes of stoathold's measurements; see bench/README.md."};
+  app.require_subcommand(1);
+  ScaleOptions scale;
+  RelayOptions relay;
+  StreamLoad load;
+  ArrivalOptions arrivals;
+  const auto* hollow = add_hollow(app, scale);
+  const auto* pass = add_pass_through(app, relay);
+  const auto* source = add_token_source(app, relay);
+  add_streams(app, load);
+  const auto* open_loop = add_arrivals(app, arrivals);
+  const auto* slopes =
+      app.add_subcommand("slopes", "Bytes and processor time per row of each table");
 
   CLI11_PARSE(app, argc, argv);
-  if (hollow->parsed()) return stoathold::bench::run_hollow_group(scale);
-  if (open_loop->parsed()) return stoathold::bench::run_arrivals(arrivals);
-  if (slopes->parsed()) return stoathold::bench::run_slopes();
-  if (pass->parsed()) return stoathold::bench::run_pass_through(listen, target);
-  if (source->parsed()) return stoathold::bench::run_token_source(listen, tokens, interval_us);
-  return stoathold::bench::run_stream_load(load);
+  if (hollow->parsed()) return bench::run_hollow_group(scale);
+  if (open_loop->parsed()) return bench::run_arrivals(arrivals);
+  if (slopes->parsed()) return bench::run_slopes();
+  if (pass->parsed()) return bench::run_pass_through(relay.listen, relay.target);
+  if (source->parsed()) {
+    return bench::run_token_source(relay.listen, relay.tokens, relay.interval_us);
+  }
+  return bench::run_stream_load(load);
 }
