Say once how an attempt ends; mend what a reading of the change found

No behaviour is meant to change. The results of an attempt, their names and what they tell about a runner stood in two enums with two mappings, in online requests and in batch items: attempt_result serves both. Runner::end_attempt takes the unread tokens, as begin_attempt does, in place of three callers that took them off first. peer_loads asks in one place whether a use is a batch item here, and counts demand once when old digests go. The store stand-in asks once who calls. A lock that the soak never took is gone; a comment named a queue that is a buffer now.

--- a/emulator/metadata_store_stand_in.cc
+++ b/emulator/metadata_store_stand_in.cc
@@ -64,6 +64,10 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 
+  static bool meets_faults(const HttpExchange& exchange) {
+    return exchange.header(kOperatorHeader).empty();
+  }
+
   /// @return whether a fault has ended the call.
   asio::awaitable<bool> suffer_faults(HttpExchange& exchange) {
     if (faults_.delay_ms > 0) {
@@ -87,7 +91,7 @@
       co_return;
     }
     ++calls_;
-    const bool faulty = exchange.header(kOperatorHeader).empty();
+    const bool faulty = meets_faults(exchange);
     const bool answered = faulty && co_await suffer_faults(exchange);
     if (answered) co_return;
     const auto target = parse_target(exchange.target());
@@ -142,7 +146,7 @@
     std::optional<RecordOffset> expected;
     if (target.parameter("at")) expected = target.number("at", 0);
     const PartitionName name = partition_of(target);
-    const bool faulty = exchange.header(kOperatorHeader).empty();
+    const bool faulty = meets_faults(exchange);
     if (faulty && faults_.late_appends > 0) {
       --faults_.late_appends;
       const Duration late = std::chrono::milliseconds(faults_.late_ms);
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -92,8 +92,8 @@
 /// Sets up logging to standard error. Called once, at start.
 void start_event_log(LogFormat format, EventLevel least);
 /// Sets up logging to standard output for a process that must never wait for its log: lines go
-/// through a bounded queue to a thread of their own, and what does not fit is left out and counted.
-/// Each line carries the node's name. Called once, at start.
+/// through a bounded buffer to a thread of their own, and what does not fit is left out and
+/// counted. Each line carries the node's name. Called once, at start.
 void start_bounded_event_log(EventLevel least, const std::string& node);
 /// Waits until the lines written so far are out, for the end of the process.
 /// @return false if they were not out in time: nobody reads them. The thread that writes them is
--- /dev/null
+++ b/src/gateway/attempt_result.cc
@@ -0,0 +1,42 @@
+#include "gateway/attempt_result.h"
+
+namespace stoathold {
+
+std::string_view to_string(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kCompleted:
+      return "completed";
+    case AttemptResult::kFailed:
+      return "failed";
+    case AttemptResult::kImpossible:
+      return "impossible";
+    case AttemptResult::kNotRun:
+      return "not_run";
+    case AttemptResult::kUnreachable:
+      return "unreachable";
+    case AttemptResult::kBroken:
+      return "broken";
+    case AttemptResult::kYielded:
+      return "yielded";
+    case AttemptResult::kStopped:
+      break;
+  }
+  return "stopped";
+}
+
+AttemptOutcome evidence_of(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kCompleted:
+      return AttemptOutcome::kServed;
+    case AttemptResult::kNotRun:
+      return AttemptOutcome::kNotRun;
+    case AttemptResult::kUnreachable:
+      return AttemptOutcome::kUnreachable;
+    case AttemptResult::kBroken:
+      return AttemptOutcome::kFailed;
+    default:
+      return AttemptOutcome::kAbandoned;
+  }
+}
+
+}  // namespace stoathold
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -16,18 +16,18 @@
 
 }  // namespace
 
-asio::awaitable<OnlineRequest::Attempt> OnlineRequest::take_answer(Runner& runner) {
+asio::awaitable<AttemptResult> OnlineRequest::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
   constexpr int kServerError = 500;
-  if (was_not_run(runner, head, context_.dialect)) co_return Attempt::kNotRun;
+  if (was_not_run(runner, head, context_.dialect)) co_return AttemptResult::kNotRun;
   const bool success = head.status >= 200 && head.status < 300;
-  if (success && lacks_proof(head, context_.dialect)) co_return Attempt::kBroken;
+  if (success && lacks_proof(head, context_.dialect)) co_return AttemptResult::kBroken;
   const bool promise = head.status == 429 || head.status == 503 || head.status == 408;
   // Passed on, these statuses would promise that the request never runs.
-  if (promise && !route_.repeatable()) co_return Attempt::kBroken;
-  if (head_sent_ && !success) co_return Attempt::kBroken;
+  if (promise && !route_.repeatable()) co_return AttemptResult::kBroken;
+  if (head_sent_ && !success) co_return AttemptResult::kBroken;
   const bool another_run = runs_ + 1 < route_.max_attempts && route_.repeatable();
-  if (head.status >= kServerError && another_run) co_return Attempt::kBroken;
+  if (head.status >= kServerError && another_run) co_return AttemptResult::kBroken;
   if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events(runner);
   co_return co_await relay_body();
 }
@@ -48,23 +48,23 @@
   co_return sent;
 }
 
-asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_body() {
+asio::awaitable<AttemptResult> OnlineRequest::relay_body() {
   std::string_view view;
   while (true) {
     const UpstreamStatus status = co_await upstream_->read_body(view);
     if (status != UpstreamStatus::kOk) co_return classify_failure(status);
     if (!head_sent_) {
       const bool sent = co_await send_head();
-      if (!sent) co_return Attempt::kStopped;
+      if (!sent) co_return AttemptResult::kStopped;
     }
     if (view.empty()) break;
     const bool written = co_await exchange_.write(view);
     if (!written) stop(RequestOutcome::kCallerGone);
-    if (stopped_) co_return Attempt::kStopped;
+    if (stopped_) co_return AttemptResult::kStopped;
   }
   co_await exchange_.finish_stream();
   outcome_ = RequestOutcome::kServed;
-  co_return Attempt::kDone;
+  co_return AttemptResult::kCompleted;
 }
 
 asio::awaitable<bool> OnlineRequest::send_whole_events(std::string_view bytes, bool& spoiled) {
@@ -94,7 +94,7 @@
   co_return !stopped_;
 }
 
-asio::awaitable<OnlineRequest::Attempt> OnlineRequest::relay_events(Runner& runner) {
+asio::awaitable<AttemptResult> OnlineRequest::relay_events(Runner& runner) {
   framer_ = EventFramer{};
   std::string_view view;
   while (true) {
@@ -104,8 +104,8 @@
     bool spoiled = false;
     runner.heard(monotonic_now());
     const bool delivered = co_await send_whole_events(view, spoiled);
-    if (!delivered) co_return Attempt::kStopped;
-    if (spoiled) co_return Attempt::kBroken;
+    if (!delivered) co_return AttemptResult::kStopped;
+    if (spoiled) co_return AttemptResult::kBroken;
     const bool resumable = route_.resumable && runs_ + 1 < route_.max_attempts;
     if (resumable) {
       be_patient(scale(route_.event_gap_objective, kEventGapPatience));
@@ -114,14 +114,14 @@
       upstream_->set_deadline(deadline_);
     }
   }
-  if (!framer_.rest().empty()) co_return Attempt::kBroken;
+  if (!framer_.rest().empty()) co_return AttemptResult::kBroken;
   if (!head_sent_) {
     const bool sent = co_await send_head();
-    if (!sent) co_return Attempt::kStopped;
+    if (!sent) co_return AttemptResult::kStopped;
   }
   co_await exchange_.finish_stream();
   outcome_ = RequestOutcome::kServed;
-  co_return Attempt::kDone;
+  co_return AttemptResult::kCompleted;
 }
 
 }  // namespace stoathold
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -166,10 +166,10 @@
     if (!runner) break;
     ++sends_;
     tried_.push_back(runner->record().id);
-    const Attempt result = co_await attempt(runner);
+    const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
-    if (result == Attempt::kDone || result == Attempt::kStopped) co_return;
-    if (result == Attempt::kBroken) {
+    if (result == AttemptResult::kCompleted || result == AttemptResult::kStopped) co_return;
+    if (result == AttemptResult::kBroken) {
       if (!may_run_again()) break;
       if (head_sent_) ++context_.metrics.resumes;
     }
@@ -225,14 +225,13 @@
   });
 }
 
-asio::awaitable<OnlineRequest::Attempt> OnlineRequest::attempt(
-    const std::shared_ptr<Runner>& runner) {
+asio::awaitable<AttemptResult> OnlineRequest::attempt(const std::shared_ptr<Runner>& runner) {
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(deadline_);
   patience_ = Duration{0};
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
-  Attempt result = classify_failure(status);
+  AttemptResult result = classify_failure(status);
   if (status == UpstreamStatus::kOk) {
     watch_silence(runner);
     const bool impatient = route_.repeatable() && has_alternative();
@@ -244,28 +243,22 @@
       result = co_await take_answer(*runner);
     }
   }
-  if (result == Attempt::kBroken) ++runs_;
-  if (result == Attempt::kDone) {
+  if (result == AttemptResult::kBroken) ++runs_;
+  if (result == AttemptResult::kCompleted) {
     upstream->release();
   } else {
     upstream->cancel();
   }
   upstream_.reset();
-  AttemptOutcome evidence = AttemptOutcome::kAbandoned;
-  if (result == Attempt::kDone) evidence = AttemptOutcome::kServed;
-  if (result == Attempt::kNotRun) evidence = AttemptOutcome::kNotRun;
-  if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
-  if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
-  runner->prompt_read(std::exchange(tokens_to_read_, 0));
-  runner->end_attempt(evidence, monotonic_now());
-  if (result != Attempt::kDone) log_attempt(*runner, result, status);
+  runner->end_attempt(evidence_of(result), monotonic_now(), std::exchange(tokens_to_read_, 0));
+  if (result != AttemptResult::kCompleted) log_attempt(*runner, result, status);
   ++context_.metrics.attempts[std::string(to_string(status))];
   co_return result;
 }
 
-OnlineRequest::Attempt OnlineRequest::classify_failure(UpstreamStatus status) const {
-  if (stopped_) return Attempt::kStopped;
-  return status == UpstreamStatus::kNotSent ? Attempt::kUnreachable : Attempt::kBroken;
+AttemptResult OnlineRequest::classify_failure(UpstreamStatus status) const {
+  if (stopped_) return AttemptResult::kStopped;
+  return status == UpstreamStatus::kNotSent ? AttemptResult::kUnreachable : AttemptResult::kBroken;
 }
 
 asio::awaitable<void> OnlineRequest::finish_without_answer() {
@@ -304,28 +297,12 @@
   co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
 }
 
-std::string_view OnlineRequest::name_of(Attempt attempt) {
-  switch (attempt) {
-    case Attempt::kDone:
-      return "done";
-    case Attempt::kNotRun:
-      return "not_run";
-    case Attempt::kUnreachable:
-      return "unreachable";
-    case Attempt::kBroken:
-      return "broken";
-    case Attempt::kStopped:
-      break;
-  }
-  return "stopped";
-}
-
-void OnlineRequest::log_attempt(const Runner& runner, Attempt result, UpstreamStatus status) {
+void OnlineRequest::log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status) {
   const std::uint64_t last = last_event_.value_or(0);
   log_event(Event::kAttemptFailed, {{"request", id_},
                                     {"runner", runner.record().id},
                                     {"address", runner.record().address},
-                                    {"result", std::string(name_of(result))},
+                                    {"result", std::string(to_string(result))},
                                     {"step", std::string(to_string(status))},
                                     {"choice", choice_},
                                     {"failures", std::to_string(runner.failures())},
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/attempt_result.h"
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
@@ -46,36 +47,26 @@
   [[nodiscard]] const std::string& id() const { return id_; }
 
  private:
-  /// How one attempt ended.
-  enum class Attempt : std::uint8_t {
-    kDone,         ///< The answer was passed on whole.
-    kNotRun,       ///< This runner did not run it; another may.
-    kUnreachable,  ///< Nothing reached the runner; another may.
-    kBroken,       ///< It may have run; what came so far was passed on.
-    kStopped,      ///< The caller left or the time is up.
-  };
-
-  static std::string_view name_of(Attempt attempt);
   void read_request();
   void start_watches();
   boost::asio::awaitable<void> run_attempts();
-  boost::asio::awaitable<Attempt> attempt(const std::shared_ptr<Runner>& runner);
-  boost::asio::awaitable<Attempt> take_answer(Runner& runner);
-  boost::asio::awaitable<Attempt> relay_body();
-  boost::asio::awaitable<Attempt> relay_events(Runner& runner);
+  boost::asio::awaitable<AttemptResult> attempt(const std::shared_ptr<Runner>& runner);
+  boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
+  boost::asio::awaitable<AttemptResult> relay_body();
+  boost::asio::awaitable<AttemptResult> relay_events(Runner& runner);
   boost::asio::awaitable<bool> send_head();
   boost::asio::awaitable<bool> send_whole_events(std::string_view bytes, bool& spoiled);
   boost::asio::awaitable<void> finish_without_answer();
   boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason);
 
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
-  [[nodiscard]] Attempt classify_failure(UpstreamStatus status) const;
+  [[nodiscard]] AttemptResult classify_failure(UpstreamStatus status) const;
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place();
   void watch_silence(const std::shared_ptr<Runner>& runner);
   void log_choice(const Selection& choice);
-  void log_attempt(const Runner& runner, Attempt result, UpstreamStatus status);
+  void log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
   void be_patient(Duration patience);
 
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -148,18 +148,18 @@
     const auto runner = co_await place(*route);
     if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
-    const Attempt result = co_await attempt(runner);
+    const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
-    ++context_.metrics.batch_items[std::string(name_of(result))];
-    if (result == Attempt::kCompleted) co_return make_result(ItemState::kCompleted);
-    if (result == Attempt::kImpossible) co_return make_result(ItemState::kDeadLettered);
-    if (result == Attempt::kFailed) {
+    ++context_.metrics.batch_items[std::string(to_string(result))];
+    if (result == AttemptResult::kCompleted) co_return make_result(ItemState::kCompleted);
+    if (result == AttemptResult::kImpossible) co_return make_result(ItemState::kDeadLettered);
+    if (result == AttemptResult::kFailed) {
       ++progress_.failures;
       if (progress_.failures >= route->max_attempts)
         co_return make_result(ItemState::kDeadLettered);
     }
     if (progress_.last_event > events_before) backoff.reset();
-    if (result == Attempt::kYielded) continue;
+    if (result == AttemptResult::kYielded) continue;
     if (!stopped_) co_await pause(backoff.next());
   }
   co_return std::nullopt;
@@ -189,7 +189,7 @@
   return request;
 }
 
-asio::awaitable<ItemRun::Attempt> ItemRun::attempt(std::shared_ptr<Runner> runner) {
+asio::awaitable<AttemptResult> ItemRun::attempt(std::shared_ptr<Runner> runner) {
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(monotonic_now() + kFirstEventPatience);
@@ -197,13 +197,14 @@
   placed_at_ = monotonic_now();
   yielding_ = false;
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
-  Attempt result = status == UpstreamStatus::kNotSent ? Attempt::kUnreachable : Attempt::kBroken;
+  AttemptResult result =
+      status == UpstreamStatus::kNotSent ? AttemptResult::kUnreachable : AttemptResult::kBroken;
   if (status == UpstreamStatus::kOk) status = co_await upstream->read_head();
   if (status == UpstreamStatus::kOk) result = co_await take_answer(*runner);
-  if (yielding_ && result != Attempt::kCompleted) result = Attempt::kYielded;
-  if (stopped_) result = Attempt::kStopped;
+  if (yielding_ && result != AttemptResult::kCompleted) result = AttemptResult::kYielded;
+  if (stopped_) result = AttemptResult::kStopped;
   runner_.reset();
-  if (result == Attempt::kCompleted) {
+  if (result == AttemptResult::kCompleted) {
     upstream->release();
   } else {
     upstream->cancel();
@@ -213,73 +214,46 @@
   co_return result;
 }
 
-std::string_view ItemRun::name_of(Attempt attempt) {
-  switch (attempt) {
-    case Attempt::kCompleted:
-      return "completed";
-    case Attempt::kFailed:
-      return "failed";
-    case Attempt::kImpossible:
-      return "impossible";
-    case Attempt::kNotRun:
-      return "not_run";
-    case Attempt::kUnreachable:
-      return "unreachable";
-    case Attempt::kBroken:
-      return "broken";
-    case Attempt::kYielded:
-      return "yielded";
-    case Attempt::kStopped:
-      break;
-  }
-  return "stopped";
-}
-
-void ItemRun::note_attempt(Runner& runner, Attempt result) {
-  AttemptOutcome evidence = AttemptOutcome::kAbandoned;
-  if (result == Attempt::kCompleted) evidence = AttemptOutcome::kServed;
-  if (result == Attempt::kNotRun) evidence = AttemptOutcome::kNotRun;
-  if (result == Attempt::kUnreachable) evidence = AttemptOutcome::kUnreachable;
-  if (result == Attempt::kBroken) evidence = AttemptOutcome::kFailed;
-  runner.prompt_read(std::exchange(tokens_to_read_, 0));
-  runner.end_attempt(evidence, monotonic_now(), WorkClass::kBatch);
-  if (result == Attempt::kCompleted) return;
+void ItemRun::note_attempt(Runner& runner, AttemptResult result) {
+  runner.end_attempt(evidence_of(result), monotonic_now(), std::exchange(tokens_to_read_, 0),
+                     WorkClass::kBatch);
+  if (result == AttemptResult::kCompleted) return;
   log_event(Event::kItemAttemptFailed, {{"job", item_.job},
                                         {"item", item_.item_id},
                                         {"runner", runner.record().id},
-                                        {"result", std::string(name_of(result))},
+                                        {"result", std::string(to_string(result))},
                                         {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
 }
 
-asio::awaitable<ItemRun::Attempt> ItemRun::take_answer(Runner& runner) {
+asio::awaitable<AttemptResult> ItemRun::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
   note_answer(runner, head, context_.dialect, tokens_to_read_);
   constexpr int kOk = 200;
   constexpr int kUnprocessable = 422;
   constexpr int kServerError = 500;
-  if (was_not_run(runner, head, context_.dialect)) co_return Attempt::kNotRun;
-  if (head.status == kUnprocessable) co_return Attempt::kImpossible;
-  if (head.status == kServerError) co_return Attempt::kFailed;
+  if (was_not_run(runner, head, context_.dialect)) co_return AttemptResult::kNotRun;
+  if (head.status == kUnprocessable) co_return AttemptResult::kImpossible;
+  if (head.status == kServerError) co_return AttemptResult::kFailed;
   const bool spoiled = head.status != kOk || lacks_proof(head, context_.dialect);
-  if (spoiled) co_return Attempt::kBroken;
+  if (spoiled) co_return AttemptResult::kBroken;
   co_return co_await take_events();
 }
 
-asio::awaitable<ItemRun::Attempt> ItemRun::take_events() {
+asio::awaitable<AttemptResult> ItemRun::take_events() {
   EventFramer framer;
   std::string_view view;
   while (true) {
     const UpstreamStatus status = co_await upstream_->read_body(view);
-    if (status != UpstreamStatus::kOk) co_return Attempt::kBroken;
+    if (status != UpstreamStatus::kOk) co_return AttemptResult::kBroken;
     if (view.empty()) break;
     runner_->heard(monotonic_now());
     upstream_->set_deadline(monotonic_now() + kEventGapPatience);
-    if (!framer.feed(view)) co_return Attempt::kBroken;
+    if (!framer.feed(view)) co_return AttemptResult::kBroken;
     while (const auto event = framer.next()) {
       if (!event->id) continue;
-      if (*event->id != progress_.last_event + 1) co_return Attempt::kBroken;
+      if (*event->id != progress_.last_event + 1) co_return AttemptResult::kBroken;
       if (progress_.last_event > 0) progress_.text.push_back('\n');
       progress_.text += event_data(event->raw);
       progress_.last_event = *event->id;
@@ -288,7 +262,7 @@
   // The end of a connection proves nothing: the stream may have been cut between two events.
   const bool proved = upstream_->head().framing != BodyFraming::kUntilClose;
   const bool whole = framer.rest().empty() && progress_.last_event > 0;
-  co_return whole&& proved ? Attempt::kCompleted : Attempt::kBroken;
+  co_return whole&& proved ? AttemptResult::kCompleted : AttemptResult::kBroken;
 }
 
 }  // namespace stoathold
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/attempt_result.h"
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
@@ -52,28 +53,16 @@
   }
 
  private:
-  enum class Attempt : std::uint8_t {
-    kCompleted,
-    kFailed,      ///< The runner's own error.
-    kImpossible,  ///< No runner can ever do it.
-    kNotRun,
-    kUnreachable,
-    kBroken,   ///< May go on behind the last event.
-    kYielded,  ///< Gave its place back.
-    kStopped,
-  };
-
-  static std::string_view name_of(Attempt attempt);
-  boost::asio::awaitable<Attempt> attempt(std::shared_ptr<Runner> runner);
-  boost::asio::awaitable<Attempt> take_answer(Runner& runner);
-  boost::asio::awaitable<Attempt> take_events();
+  boost::asio::awaitable<AttemptResult> attempt(std::shared_ptr<Runner> runner);
+  boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
+  boost::asio::awaitable<AttemptResult> take_events();
   boost::asio::awaitable<void> pause(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
   void log_choice(const Selection& choice, double limit);
-  void note_attempt(Runner& runner, Attempt result);
+  void note_attempt(Runner& runner, AttemptResult result);
 
   GatewayContext& context_;
   ItemContext item_;
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -126,13 +126,17 @@
   if (!known) near_.push_back(endpoint);
 }
 
+/// Whether a use holds batch items at a runner of the service in this zone.
+bool PeerLoads::is_batch_here(const RunnerUse& use, const std::string& service) const {
+  if (use.batch_in_flight == 0) return false;
+  const auto runner = registry_.find_hash(use.runner);
+  return runner && runner->record().zone == zone_ && runner->record().service == service;
+}
+
 std::uint32_t PeerLoads::batch_near(const PeerState& state, const std::string& service) const {
   std::uint32_t count = 0;
   for (const auto& use : state.uses) {
-    if (use.batch_in_flight == 0) continue;
-    const auto runner = registry_.find_hash(use.runner);
-    if (!runner || runner->record().zone != zone_) continue;
-    if (runner->record().service == service) count += use.batch_in_flight;
+    if (is_batch_here(use, service)) count += use.batch_in_flight;
   }
   return count;
 }
@@ -149,9 +153,7 @@
   if (most == nullptr) return false;
   // Until the next digest, one less is left there to ask for.
   const auto use = std::find_if(most->uses.begin(), most->uses.end(), [&](const RunnerUse& entry) {
-    const auto runner = registry_.find_hash(entry.runner);
-    return entry.batch_in_flight > 0 && runner && runner->record().zone == zone_ &&
-           runner->record().service == service;
+    return is_batch_here(entry, service);
   });
   if (use != most->uses.end()) --use->batch_in_flight;
   send_to(most->endpoint, encode_message(YieldRequest{service, zone_}));
@@ -170,9 +172,9 @@
 }
 
 void PeerLoads::recount() {
-  recount_demand(monotonic_now());
-  std::map<std::uint64_t, RunnerUse> sums;
   const TimePoint now = monotonic_now();
+  recount_demand(now);
+  std::map<std::uint64_t, RunnerUse> sums;
   for (const auto& [sender, state] : states_) {
     for (const auto& use : state.uses) {
       RunnerUse& sum = sums[use.runner];
@@ -287,8 +289,11 @@
   const TimePoint now = monotonic_now();
   const auto old = std::erase_if(
       states_, [now](const auto& entry) { return now - entry.second.received > kLifetime; });
-  if (old > 0) recount();
-  recount_demand(now);
+  if (old > 0) {
+    recount();
+  } else {
+    recount_demand(now);
+  }
 }
 
 }  // namespace stoathold
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -127,6 +127,7 @@
   void send();
   void send_far();
   void send_to(const Endpoint& peer, const std::string& bytes);
+  [[nodiscard]] bool is_batch_here(const RunnerUse& use, const std::string& service) const;
   [[nodiscard]] std::uint32_t batch_near(const PeerState& state, const std::string& service) const;
   void schedule_expiry();
   void expire();
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -86,8 +86,8 @@
   }
   waiting_.erase(ticket);
   if (runner && ticket->cancelled_) {
-    runner->prompt_read(ticket->selection_.tokens_to_read);
-    runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now(), ticket->request_.work);
+    runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now(),
+                        ticket->selection_.tokens_to_read, ticket->request_.work);
     runner.reset();
     capacity_changed();
   }
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -39,7 +39,9 @@
   backlog_tokens_ -= std::min(backlog_tokens_, tokens);
 }
 
-void Runner::end_attempt(AttemptOutcome outcome, TimePoint now, WorkClass work) {
+void Runner::end_attempt(AttemptOutcome outcome, TimePoint now, std::uint32_t unread,
+                         WorkClass work) {
+  prompt_read(unread);
   --in_flight_;
   if (work == WorkClass::kBatch) --batch_in_flight_;
   switch (outcome) {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -60,7 +60,9 @@
   void begin_attempt(std::uint32_t tokens = 0, WorkClass work = WorkClass::kOnline);
   /// The attempt's answer began: its prompt has been read.
   void prompt_read(std::uint32_t tokens);
-  void end_attempt(AttemptOutcome outcome, TimePoint now, WorkClass work = WorkClass::kOnline);
+  /// @param unread tokens of those it began with that have not been read.
+  void end_attempt(AttemptOutcome outcome, TimePoint now, std::uint32_t unread = 0,
+                   WorkClass work = WorkClass::kOnline);
   void take_report(const LoadReport& report, TimePoint now);
   /// Bytes came from the runner.
   void heard(TimePoint now) { last_heard_ = now; }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,7 +48,6 @@
         self.items_may_fail = False
         self.version = 1
         self.stopped = threading.Event()
-        self.plan_lock = threading.Lock()
 
     def make_link(self, kind, name, address):
         link = self.links.open(address)
