Nodes without slots learn of one another; digests are taken in by their difference

Cause: on the grown deployment half of a burst's requests were late though no node's loop lagged (trial with a line each 100 ms: lag 0, no work waited here, but streams got a third of their events): they waited in the queues of single runners. The group deals its 128 slots to 17 of the 71 nodes, the group's list names only members with slots, and a node learned others only from what they sent. So the 54 nodes without a slot never told one another what they use, and chose the same runners. Change: each node says once a second which nodes of its zone it hears; who is neither listed nor heard of for 5 s is forgotten (NeighbourTable). The time between two digests grows with the nodes told (4 ms each, at least 12 ms), so that messages do not grow with the square of the zone. A digest is counted by its difference (PeerUseTable) and wakes what waits only if a place may have come free. Test: the first fails without the change.

--- /dev/null
+++ b/src/routing/load_messages.h
@@ -0,0 +1,73 @@
+/// @file
+/// Datagrams between nodes about their use of runners.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace stoathold {
+
+/// A node's use of one runner.
+struct RunnerUse {
+  std::uint64_t runner = 0;  ///< Hash of its id.
+  std::uint16_t in_flight = 0;
+  std::uint16_t batch_in_flight = 0;  ///< Those that are batch items.
+  std::uint32_t backlog_tokens = 0;   ///< Prompt tokens sent that have not led to an answer.
+  std::uint16_t heard_ms_ago = 0;     ///< Since it last answered anything; saturates.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(runner, in_flight, batch_in_flight, backlog_tokens, heard_ms_ago);
+  }
+};
+
+/// Where a node is reached over UDP.
+struct NodeEndpoint {
+  std::uint32_t ip = 0;  ///< IPv4, first byte highest.
+  std::uint16_t port = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(ip, port);
+  }
+};
+
+/// All runners that the sender uses, or those of the receiver's zone.
+struct LoadDigest {
+  std::uint64_t sender = 0;    ///< Hash of the node's name and start.
+  std::uint64_t sequence = 0;  ///< Rises with each message of a sender.
+  std::uint64_t zone = 0;      ///< Hash of the sender's zone.
+  std::vector<RunnerUse> uses;
+  std::vector<std::uint64_t> demand;  ///< Hashes of services for which online work waits.
+  std::string origin;                 ///< Sender's `ip:port` if another node may pass this on.
+  bool pass_on = false;               ///< The receiver passes it on inside its zone.
+  /// Nodes of the sender's zone that it has heard itself just now; told now and then.
+  std::vector<NodeEndpoint> neighbours;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, sequence, zone, uses, demand, origin, pass_on, neighbours);
+  }
+};
+
+/// Asks the receiver to end one batch run at a runner of the service in the zone.
+struct YieldRequest {
+  std::string service;
+  std::string zone;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(service, zone);
+  }
+};
+
+/// One datagram.
+using PeerLoadMessage = std::variant<LoadDigest, YieldRequest>;
+
+std::string encode_message(const PeerLoadMessage& message);
+/// Returns false if the bytes are malformed.
+bool decode_message(const std::string& bytes, PeerLoadMessage& message);
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/routing/neighbour_table.cc
@@ -0,0 +1,62 @@
+#include "routing/neighbour_table.h"
+
+#include <algorithm>
+
+namespace stoathold {
+namespace {
+
+/// Most nodes told of in one message.
+constexpr std::size_t kMostTold = 64;
+/// A node that was heard within this time is told of. Nodes say something at least once a second.
+constexpr Duration kHeardLately = std::chrono::milliseconds(2500);
+/// A node that is not listed and of which nothing was heard for this time is forgotten.
+constexpr Duration kLifetime = std::chrono::seconds(5);
+
+}  // namespace
+
+NeighbourTable::Neighbour& NeighbourTable::entry(const Endpoint& endpoint) {
+  const auto found =
+      std::find_if(neighbours_.begin(), neighbours_.end(),
+                   [&](const Neighbour& neighbour) { return neighbour.endpoint == endpoint; });
+  if (found != neighbours_.end()) return *found;
+  neighbours_.push_back({endpoint});
+  return neighbours_.back();
+}
+
+void NeighbourTable::set_listed(const std::vector<Endpoint>& listed) {
+  for (auto& neighbour : neighbours_) neighbour.listed = false;
+  for (const auto& endpoint : listed) entry(endpoint).listed = true;
+}
+
+void NeighbourTable::heard(const Endpoint& endpoint, TimePoint now) {
+  Neighbour& neighbour = entry(endpoint);
+  neighbour.heard = now;
+  neighbour.mentioned = now;
+}
+
+void NeighbourTable::learn(const std::vector<NodeEndpoint>& neighbours, const Endpoint& self,
+                           TimePoint now) {
+  for (const auto& told : neighbours) {
+    const Endpoint endpoint(boost::asio::ip::address_v4(told.ip), told.port);
+    if (endpoint != self) entry(endpoint).mentioned = now;
+  }
+}
+
+void NeighbourTable::expire(TimePoint now) {
+  std::erase_if(neighbours_, [now](const Neighbour& neighbour) {
+    return !neighbour.listed && now - neighbour.mentioned > kLifetime;
+  });
+}
+
+std::vector<NodeEndpoint> NeighbourTable::heard_lately(TimePoint now) const {
+  std::vector<NodeEndpoint> told;
+  for (const auto& neighbour : neighbours_) {
+    const bool lately = neighbour.heard != TimePoint{} && now - neighbour.heard <= kHeardLately;
+    if (!lately || !neighbour.endpoint.address().is_v4()) continue;
+    told.push_back({neighbour.endpoint.address().to_v4().to_uint(), neighbour.endpoint.port()});
+    if (told.size() >= kMostTold) break;
+  }
+  return told;
+}
+
+}  // namespace stoathold
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -21,14 +21,15 @@
 /// Changes within this time go out together.
 constexpr Duration kCoalesce = std::chrono::milliseconds(3);
 constexpr Duration kSendInterval = std::chrono::milliseconds(12);
+/// Each node that is told makes the interval longer, so that the messages that a node sends and
+/// receives do not grow with the square of the zone's nodes.
+constexpr Duration kSendIntervalPerPeer = std::chrono::milliseconds(4);
 /// A node that uses runners says so at least this often.
 constexpr Duration kRepeatInterval = std::chrono::milliseconds(500);
+/// A node that uses none says so at least this often: the others learn that it is there.
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1000);
 /// Nodes of other zones are told of the use of their runners this often.
 constexpr Duration kFarInterval = std::chrono::milliseconds(250);
-/// Online work that waits says so at least every 20 ms.
-constexpr Duration kDemandLifetime = std::chrono::milliseconds(100);
-/// What a silent node said counts no longer after this time.
-constexpr Duration kLifetime = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -47,6 +48,7 @@
       zone_(std::move(zone)),
       sender_(sender),
       socket_(executor_),
+      peer_uses_(registry, zone_),
       buffer_(kMaxDatagramBytes * 2, '\0'),
       send_timer_(executor_),
       expiry_timer_(executor_) {
@@ -70,14 +72,15 @@
 }
 
 void PeerLoads::set_peers(const std::vector<PeerAddress>& peers) {
-  near_.clear();
   far_.clear();
+  std::vector<Endpoint> listed;
   for (const auto& peer : peers) {
     asio::ip::tcp::endpoint endpoint;
     if (!parse_endpoint(peer.address, endpoint)) continue;
-    auto& group = peer.zone == zone_ ? near_ : far_[peer.zone];
+    auto& group = peer.zone == zone_ ? listed : far_[peer.zone];
     group.emplace_back(endpoint.address(), endpoint.port());
   }
+  near_.set_listed(listed);
 }
 
 void PeerLoads::receive() {
@@ -101,102 +104,33 @@
 
 void PeerLoads::take_digest(LoadDigest digest) {
   if (digest.sender == sender_) return;
-  PeerState& state = states_[digest.sender];
-  if (digest.sequence <= state.sequence) return;
+  if (!peer_uses_.is_news(digest)) return;
   Endpoint endpoint = from_;
   asio::ip::tcp::endpoint origin;
   if (parse_endpoint(digest.origin, origin)) endpoint = {origin.address(), origin.port()};
-  if (digest.zone == stable_hash(zone_)) learn_peer(endpoint);
+  const TimePoint now = monotonic_now();
+  if (digest.zone == stable_hash(zone_)) {
+    near_.heard(endpoint, now);
+    near_.learn(digest.neighbours, socket_.local_endpoint(), now);
+  }
   if (digest.pass_on) pass_on(digest);
-  state = {digest.sequence,         digest.zone, monotonic_now(), endpoint, std::move(digest.uses),
-           std::move(digest.demand)};
-  recount();
-  if (listener_) listener_();
+  const bool place_may_be_free = peer_uses_.take(std::move(digest), endpoint, now);
+  if (place_may_be_free && listener_) listener_();
 }
 
 void PeerLoads::pass_on(LoadDigest digest) {
   digest.pass_on = false;
   const std::string bytes = encode_message(digest);
-  for (const auto& peer : near_) send_to(peer, bytes);
-}
-
-/// A member that holds no slot is not in the group's list; it is known by what it sends.
-void PeerLoads::learn_peer(const Endpoint& endpoint) {
-  const bool known = std::find(near_.begin(), near_.end(), endpoint) != near_.end();
-  if (!known) near_.push_back(endpoint);
-}
-
-/// Whether a use holds batch items at a runner of the service in this zone.
-bool PeerLoads::is_batch_here(const RunnerUse& use, const std::string& service) const {
-  if (use.batch_in_flight == 0) return false;
-  const auto runner = registry_.find_hash(use.runner);
-  return runner && runner->record().zone == zone_ && runner->record().service == service;
-}
-
-std::uint32_t PeerLoads::batch_near(const PeerState& state, const std::string& service) const {
-  std::uint32_t count = 0;
-  for (const auto& use : state.uses) {
-    if (is_batch_here(use, service)) count += use.batch_in_flight;
-  }
-  return count;
+  near_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
 bool PeerLoads::ask_for_place(const std::string& service) {
-  PeerState* most = nullptr;
-  std::uint32_t most_items = 0;
-  for (auto& [sender, state] : states_) {
-    const std::uint32_t items = batch_near(state, service);
-    if (items <= most_items) continue;
-    most = &state;
-    most_items = items;
-  }
-  if (most == nullptr) return false;
-  // Until the next digest, one less is left there to ask for.
-  const auto use = std::find_if(most->uses.begin(), most->uses.end(), [&](const RunnerUse& entry) {
-    return is_batch_here(entry, service);
-  });
-  if (use != most->uses.end()) --use->batch_in_flight;
-  send_to(most->endpoint, encode_message(YieldRequest{service, zone_}));
+  const auto asked = peer_uses_.take_batch_place(service);
+  if (!asked) return false;
+  send_to(*asked, encode_message(YieldRequest{service, zone_}));
   return true;
 }
 
-/// Demand that was told long ago counts no more: who waits repeats it.
-void PeerLoads::recount_demand(TimePoint now) {
-  const std::uint64_t zone = stable_hash(zone_);
-  std::set<std::uint64_t> services;
-  for (const auto& [sender, state] : states_) {
-    if (state.zone != zone || now - state.received > kDemandLifetime) continue;
-    services.insert(state.demand.begin(), state.demand.end());
-  }
-  registry_.set_peer_demand(std::move(services));
-}
-
-void PeerLoads::recount() {
-  const TimePoint now = monotonic_now();
-  recount_demand(now);
-  std::map<std::uint64_t, RunnerUse> sums;
-  for (const auto& [sender, state] : states_) {
-    for (const auto& use : state.uses) {
-      RunnerUse& sum = sums[use.runner];
-      sum.in_flight = static_cast<std::uint16_t>(sum.in_flight + use.in_flight);
-      sum.backlog_tokens += use.backlog_tokens;
-    }
-  }
-  for (const auto& [id, runner] : registry_.all()) {
-    const auto found = sums.find(runner->hash());
-    const RunnerUse sum = found == sums.end() ? RunnerUse{} : found->second;
-    runner->set_peer_use(sum.in_flight, sum.backlog_tokens);
-  }
-  for (const auto& [sender, state] : states_) {
-    for (const auto& use : state.uses) {
-      if (use.heard_ms_ago == std::numeric_limits<std::uint16_t>::max()) continue;
-      const auto runner = registry_.find_hash(use.runner);
-      const TimePoint heard = state.received - std::chrono::milliseconds(use.heard_ms_ago);
-      if (runner && heard > runner->last_heard() && heard <= now) runner->heard(heard);
-    }
-  }
-}
-
 LoadDigest PeerLoads::make_digest(const std::string& zone) {
   LoadDigest digest;
   digest.sender = sender_;
@@ -230,11 +164,15 @@
   schedule_send();
 }
 
+Duration PeerLoads::send_interval() const {
+  return std::max<Duration>(kSendInterval, near_.size() * kSendIntervalPerPeer);
+}
+
 void PeerLoads::schedule_send() {
   if (send_scheduled_ || near_.empty()) return;
   send_scheduled_ = true;
   const TimePoint now = monotonic_now();
-  const TimePoint earliest = std::max(now + kCoalesce, last_sent_ + kSendInterval);
+  const TimePoint earliest = std::max(now + kCoalesce, last_sent_ + send_interval());
   send_timer_.expires_after(earliest - now);
   send_timer_.async_wait([this](boost::system::error_code error) {
     send_scheduled_ = false;
@@ -244,10 +182,14 @@
 
 void PeerLoads::send() {
   last_sent_ = monotonic_now();
-  const LoadDigest digest = make_digest({});
+  LoadDigest digest = make_digest({});
+  if (last_sent_ - neighbours_told_ >= kHeartbeatInterval) {
+    digest.neighbours = near_.heard_lately(last_sent_);
+    neighbours_told_ = last_sent_;
+  }
   in_use_ = !digest.uses.empty();
   const std::string bytes = encode_message(digest);
-  for (const auto& peer : near_) send_to(peer, bytes);
+  near_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
 void PeerLoads::send_to(const Endpoint& peer, const std::string& bytes) {
@@ -278,22 +220,14 @@
   expiry_timer_.expires_after(kFarInterval);
   expiry_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    expire();
+    const TimePoint now = monotonic_now();
+    near_.expire(now);
+    if (peer_uses_.expire(now) && listener_) listener_();
     send_far();
-    if (in_use_ && monotonic_now() - last_sent_ >= kRepeatInterval) schedule_send();
+    const Duration repeat = in_use_ ? kRepeatInterval : kHeartbeatInterval;
+    if (now - last_sent_ >= repeat) schedule_send();
     schedule_expiry();
   });
 }
 
-void PeerLoads::expire() {
-  const TimePoint now = monotonic_now();
-  const auto old = std::erase_if(
-      states_, [now](const auto& entry) { return now - entry.second.received > kLifetime; });
-  if (old > 0) {
-    recount();
-  } else {
-    recount_demand(now);
-  }
-}
-
 }  // namespace stoathold
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -16,61 +16,15 @@
 #include <map>
 #include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "routing/load_messages.h"
+#include "routing/neighbour_table.h"
+#include "routing/peer_use_table.h"
 #include "routing/runner_registry.h"
 
 namespace stoathold {
 
-/// A node's use of one runner.
-struct RunnerUse {
-  std::uint64_t runner = 0;  ///< Hash of its id.
-  std::uint16_t in_flight = 0;
-  std::uint16_t batch_in_flight = 0;  ///< Those that are batch items.
-  std::uint32_t backlog_tokens = 0;   ///< Prompt tokens sent that have not led to an answer.
-  std::uint16_t heard_ms_ago = 0;     ///< Since it last answered anything; saturates.
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(runner, in_flight, batch_in_flight, backlog_tokens, heard_ms_ago);
-  }
-};
-
-/// All runners that the sender uses, or those of the receiver's zone.
-struct LoadDigest {
-  std::uint64_t sender = 0;    ///< Hash of the node's name and start.
-  std::uint64_t sequence = 0;  ///< Rises with each message of a sender.
-  std::uint64_t zone = 0;      ///< Hash of the sender's zone.
-  std::vector<RunnerUse> uses;
-  std::vector<std::uint64_t> demand;  ///< Hashes of services for which online work waits.
-  std::string origin;                 ///< Sender's `ip:port` if another node may pass this on.
-  bool pass_on = false;               ///< The receiver passes it on inside its zone.
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(sender, sequence, zone, uses, demand, origin, pass_on);
-  }
-};
-
-/// Asks the receiver to end one batch run at a runner of the service in the zone.
-struct YieldRequest {
-  std::string service;
-  std::string zone;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(service, zone);
-  }
-};
-
-/// One datagram.
-using PeerLoadMessage = std::variant<LoadDigest, YieldRequest>;
-
-std::string encode_message(const PeerLoadMessage& message);
-/// Returns false if the bytes are malformed.
-bool decode_message(const std::string& bytes, PeerLoadMessage& message);
-
 /// Where another node is reached, and which runners it uses first.
 struct PeerAddress {
   std::string address;  ///< `ip:port`.
@@ -109,30 +63,17 @@
  private:
   using Endpoint = boost::asio::ip::udp::endpoint;
 
-  struct PeerState {
-    std::uint64_t sequence = 0;
-    std::uint64_t zone = 0;
-    TimePoint received{};
-    Endpoint endpoint;
-    std::vector<RunnerUse> uses;
-    std::vector<std::uint64_t> demand;
-  };
-
   void receive();
   void take(const std::string& bytes);
   void take_digest(LoadDigest digest);
   void pass_on(LoadDigest digest);
-  void learn_peer(const Endpoint& endpoint);
   void schedule_send();
   void send();
   void send_far();
   void send_to(const Endpoint& peer, const std::string& bytes);
-  [[nodiscard]] bool is_batch_here(const RunnerUse& use, const std::string& service) const;
-  [[nodiscard]] std::uint32_t batch_near(const PeerState& state, const std::string& service) const;
   void schedule_expiry();
-  void expire();
-  void recount();
-  void recount_demand(TimePoint now);
+  /// Shortest time between two digests: longer the more nodes are told.
+  [[nodiscard]] Duration send_interval() const;
   /// @param zone only runners of this zone; empty: all.
   [[nodiscard]] LoadDigest make_digest(const std::string& zone);
 
@@ -142,19 +83,20 @@
   std::uint64_t sender_;
   std::uint64_t sequence_ = 0;
   boost::asio::ip::udp::socket socket_;
-  std::vector<Endpoint> near_;                        ///< Nodes of this zone.
+  NeighbourTable near_;                               ///< Nodes of this zone.
   std::map<std::string, std::vector<Endpoint>> far_;  ///< Nodes of other zones, by zone.
   std::set<std::string> told_far_;                    ///< Zones that know of use there.
   std::size_t far_turn_ = 0;                          ///< Picks the node of a zone that is told.
   DemandSource demand_source_;
   std::function<void()> listener_;
   YieldHandler yield_handler_;
-  std::map<std::uint64_t, PeerState> states_;
+  PeerUseTable peer_uses_;
   std::string buffer_;
   Endpoint from_;
   boost::asio::steady_timer send_timer_;
   boost::asio::steady_timer expiry_timer_;
   TimePoint last_sent_{};
+  TimePoint neighbours_told_{};
   bool send_scheduled_ = false;
   bool in_use_ = false;
 };
--- /dev/null
+++ b/src/routing/peer_use_table.cc
@@ -0,0 +1,134 @@
+#include "routing/peer_use_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <utility>
+
+#include "base/ids.h"
+
+namespace stoathold {
+namespace {
+
+/// Online work that waits is told again and again; what was told longer ago counts no more.
+constexpr Duration kDemandLifetime = std::chrono::milliseconds(250);
+/// What a silent node said counts no longer after this time.
+constexpr Duration kLifetime = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+PeerUseTable::PeerUseTable(RunnerRegistry& registry, std::string zone)
+    : registry_(registry), zone_(std::move(zone)), zone_hash_(stable_hash(zone_)) {}
+
+bool PeerUseTable::is_news(const LoadDigest& digest) const {
+  const auto found = states_.find(digest.sender);
+  return found == states_.end() || digest.sequence > found->second.sequence;
+}
+
+bool PeerUseTable::take(LoadDigest digest, const Endpoint& endpoint, TimePoint now) {
+  PeerState& state = states_[digest.sender];
+  PeerState next{digest.sequence,         digest.zone, now, endpoint, std::move(digest.uses),
+                 std::move(digest.demand)};
+  const bool all_known = counted_revision_ == registry_.revision();
+  const bool less = uses_less(state, next);
+  const bool demand = !state.demand.empty() || !next.demand.empty();
+  if (all_known) count(state, Direction::kRemove);
+  state = std::move(next);
+  if (all_known) {
+    count(state, Direction::kAdd);
+  } else {
+    count_all_anew();
+  }
+  note_heard(state, now);
+  if (demand) publish_demand(now);
+  return less || demand;
+}
+
+/// Whether some runner has fewer requests of this node than before.
+bool PeerUseTable::uses_less(const PeerState& before, const PeerState& after) const {
+  return std::any_of(before.uses.begin(), before.uses.end(), [&](const RunnerUse& old_use) {
+    const auto same = std::find_if(after.uses.begin(), after.uses.end(), [&](const RunnerUse& use) {
+      return use.runner == old_use.runner;
+    });
+    return same == after.uses.end() || same->in_flight < old_use.in_flight;
+  });
+}
+
+void PeerUseTable::count(const PeerState& state, Direction direction) {
+  const int sign = direction == Direction::kAdd ? 1 : -1;
+  for (const auto& use : state.uses) {
+    Runner* runner = registry_.find_hash(use.runner);
+    if (runner == nullptr) continue;
+    runner->change_peer_use(sign * static_cast<std::int64_t>(use.in_flight),
+                            sign * static_cast<std::int64_t>(use.backlog_tokens));
+  }
+}
+
+/// Runners came or went: digests that were taken in before may name them.
+void PeerUseTable::count_all_anew() {
+  for (const auto& [id, runner] : registry_.all()) runner->set_peer_use(0, 0);
+  for (const auto& [sender, state] : states_) count(state, Direction::kAdd);
+  counted_revision_ = registry_.revision();
+}
+
+void PeerUseTable::note_heard(const PeerState& state, TimePoint now) {
+  for (const auto& use : state.uses) {
+    if (use.heard_ms_ago == std::numeric_limits<std::uint16_t>::max()) continue;
+    Runner* runner = registry_.find_hash(use.runner);
+    const TimePoint heard = now - std::chrono::milliseconds(use.heard_ms_ago);
+    if (runner != nullptr && heard > runner->last_heard()) runner->heard(heard);
+  }
+}
+
+void PeerUseTable::publish_demand(TimePoint now) {
+  std::set<std::uint64_t> services;
+  for (const auto& [sender, state] : states_) {
+    if (state.zone != zone_hash_ || now - state.received > kDemandLifetime) continue;
+    services.insert(state.demand.begin(), state.demand.end());
+  }
+  demand_published_ = !services.empty();
+  registry_.set_peer_demand(std::move(services));
+}
+
+bool PeerUseTable::expire(TimePoint now) {
+  const std::size_t silent = std::erase_if(
+      states_, [now](const auto& entry) { return now - entry.second.received > kLifetime; });
+  if (silent > 0) count_all_anew();
+  const bool demand = demand_published_;
+  if (demand) publish_demand(now);
+  return silent > 0 || demand;
+}
+
+/// Whether a use holds batch items at a runner of the service in this zone.
+bool PeerUseTable::is_batch_here(const RunnerUse& use, const std::string& service) const {
+  if (use.batch_in_flight == 0) return false;
+  const Runner* runner = registry_.find_hash(use.runner);
+  return runner != nullptr && runner->record().zone == zone_ && runner->record().service == service;
+}
+
+std::uint32_t PeerUseTable::batch_near(const PeerState& state, const std::string& service) const {
+  std::uint32_t count = 0;
+  for (const auto& use : state.uses) {
+    if (is_batch_here(use, service)) count += use.batch_in_flight;
+  }
+  return count;
+}
+
+std::optional<PeerUseTable::Endpoint> PeerUseTable::take_batch_place(const std::string& service) {
+  PeerState* most = nullptr;
+  std::uint32_t most_items = 0;
+  for (auto& [sender, state] : states_) {
+    const std::uint32_t items = batch_near(state, service);
+    if (items <= most_items) continue;
+    most = &state;
+    most_items = items;
+  }
+  if (most == nullptr) return std::nullopt;
+  const auto use = std::find_if(most->uses.begin(), most->uses.end(), [&](const RunnerUse& entry) {
+    return is_batch_here(entry, service);
+  });
+  if (use != most->uses.end()) --use->batch_in_flight;
+  return most->endpoint;
+}
+
+}  // namespace stoathold
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -117,8 +117,9 @@
   if (found == runners_.end()) {
     const auto runner = std::make_shared<Runner>(std::move(record));
     runners_.emplace(runner->record().id, runner);
-    by_hash_[runner->hash()] = runner;
+    by_hash_[runner->hash()] = runner.get();
     by_service_[runner->record().service].push_back(runner);
+    ++revision_;
     return;
   }
   const bool same_service = found->second->record().service == record.service;
@@ -152,10 +153,11 @@
 }
 
 void RunnerRegistry::index() {
+  ++revision_;
   by_service_.clear();
   by_hash_.clear();
   for (const auto& [id, runner] : runners_) {
-    by_hash_[runner->hash()] = runner;
+    by_hash_[runner->hash()] = runner.get();
     by_service_[runner->record().service].push_back(runner);
   }
 }
@@ -164,7 +166,7 @@
   return !peer_demand_.empty() && peer_demand_.contains(stable_hash(service));
 }
 
-std::shared_ptr<Runner> RunnerRegistry::find_hash(std::uint64_t hash) const {
+Runner* RunnerRegistry::find_hash(std::uint64_t hash) const {
   const auto found = by_hash_.find(hash);
   return found == by_hash_.end() ? nullptr : found->second;
 }
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
@@ -89,6 +90,11 @@
     peer_in_flight_ = in_flight;
     peer_backlog_ = backlog_tokens;
   }
+  /// Adds differences to it.
+  void change_peer_use(std::int64_t in_flight, std::int64_t backlog_tokens) {
+    peer_in_flight_ = static_cast<std::uint32_t>(peer_in_flight_ + in_flight);
+    peer_backlog_ = static_cast<std::uint32_t>(peer_backlog_ + backlog_tokens);
+  }
   [[nodiscard]] std::uint32_t slots() const;
   /// Whether its load is known here although others may use it: it told it just now, or it tells
   /// none at all.
@@ -133,8 +139,10 @@
   [[nodiscard]] const std::map<std::string, std::shared_ptr<Runner>>& all() const {
     return runners_;
   }
-  /// Returns the runner whose id has this hash, or null.
-  [[nodiscard]] std::shared_ptr<Runner> find_hash(std::uint64_t hash) const;
+  /// Returns the runner whose id has this hash, or null. Valid until the registry changes.
+  [[nodiscard]] Runner* find_hash(std::uint64_t hash) const;
+  /// Rises whenever a runner comes or goes.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Services, by the hash of their names, for which online work waits at other nodes of the zone.
   void set_peer_demand(std::set<std::uint64_t> services) { peer_demand_ = std::move(services); }
   /// Whether online work for the service waits at another node of the zone.
@@ -146,7 +154,8 @@
 
   std::map<std::string, std::shared_ptr<Runner>> runners_;
   std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
-  std::map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
+  std::unordered_map<std::uint64_t, Runner*> by_hash_;
+  std::uint64_t revision_ = 1;
   std::set<std::uint64_t> peer_demand_;
 };
 
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -10,7 +10,8 @@
 namespace {
 
 TEST(LoadDigestTest, DamageIsNoticed) {
-  const LoadDigest digest{1, 2, 3, {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {11}, {}, false};
+  const LoadDigest digest{1,    2,  3,     {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}},
+                          {11}, {}, false, {{12, 13}}};
   const std::string bytes = encode_message(digest);
   PeerLoadMessage read;
   ASSERT_TRUE(decode_message(bytes, read));
@@ -117,6 +118,33 @@
   EXPECT_TRUE(told.asked.empty());
 }
 
+TEST_F(SharedRunnersTest, NodesThatTheGroupDoesNotListLearnOfOneAnother) {
+  // The group lists the members that hold slots; most nodes of a large zone hold none.
+  Node listed(loop, "a", 1);
+  Node first(loop, "a", 2);
+  Node second(loop, "a", 3);
+  first.loads.set_peers({{listed.loads.address(), "a"}});
+  second.loads.set_peers({{listed.loads.address(), "a"}});
+  run_until([&] { return first.loads.peer_count() == 2 && second.loads.peer_count() == 2; });
+  first.runner("a1").begin_attempt(700);
+  first.loads.use_changed();
+  run_until([&] { return second.runner("a1").total_backlog() == 700; });
+}
+
+TEST_F(SharedRunnersTest, UseToldBeforeARunnerIsKnownCountsOnceItIs) {
+  Node user(loop, "a", 1);
+  Node other(loop, "a", 2);
+  user.registry.upsert({"late", "chat", "10.0.0.3:80", "a", 10, false});
+  user.loads.set_peers({{other.loads.address(), "a"}});
+  user.runner("late").begin_attempt(300);
+  user.loads.use_changed();
+  run_until([&] { return other.loads.peer_count() == 1; });
+  other.registry.upsert({"late", "chat", "10.0.0.3:80", "a", 10, false});
+  user.runner("late").begin_attempt(400);
+  user.loads.use_changed();
+  run_until([&] { return other.runner("late").total_backlog() == 700; });
+}
+
 TEST_F(SharedRunnersTest, DemandIsToldInsideTheZoneAndGrowsOld) {
   Node waiting(loop, "a", 1);
   Node near(loop, "a", 2);
