Read a job's results and progress alone

A node that was asked for one job followed whole partitions of results and progress, from offset 0 after a restart, over links of 30 Mbit/s and a shared rate of the store: calls ran into their time limit, and the answer was 503 until the end. Change: results and progress are read by the range of the job's keys (log-newest goes on behind a key), from the first item that is not listed on; positions follow from the offsets in front of the read's end. Nothing follows partitions of results any more. A read that finds nothing looks once more after 0.7 s instead of being held. A finished job needs no second look: its unlisted items are a set now, so that two results of one item count once. Two types were both named JobResults; this one is ListedResults now. Test: WhatIsReadForAJobDoesNotGrowWithTheOthers.

--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -136,6 +136,10 @@
 std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record);
 /// The range of all of a job's keys in one of these topics.
 KeyRange job_key_range(const JobKey& key);
+/// Returns the range of the keys of a job's results, from an item on.
+KeyRange result_key_range(const JobKey& key, std::uint32_t first_item);
+/// Returns the range of the keys of a job's progress.
+KeyRange progress_key_range(const JobKey& key);
 
 std::string encode(const JobSubmission& submission);
 std::string encode(const ItemRequest& request);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -90,16 +90,18 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (job->stopped) co_return;
-  const JobResults& results = store_.results_of(key);
+  const ListedResults& results = store_.results_of(key);
   for (std::uint32_t index = 0; index < job->items.size(); ++index) {
-    if (results.listed_items.contains(index)) {
+    if (results.is_listed(index)) {
       job->finished_tokens += job->items[index].tokens;
     } else {
       waiting_.insert({job->submitted_ms, key, index});
-      ++job->left;
+      job->unlisted.insert(index);
     }
   }
-  if (job->left == 0) asio::co_spawn(context_.executor, finish_job(key, job), asio::detached);
+  if (job->unlisted.empty()) {
+    asio::co_spawn(context_.executor, finish_job(key, job), asio::detached);
+  }
   start_waiting();
 }
 
@@ -176,27 +178,25 @@
   const auto found = jobs_.find(result.job);
   if (found == jobs_.end()) return;
   const auto job = found->second;
+  // A run that was stopped and begun again may have two results; the item counts once.
+  if (job->unlisted.erase(result.item) == 0) return;
   log_event(Event::kItemListed, {{"job", result.job},
                                  {"item", job->items[result.item].id},
-                                 {"left", std::to_string(job->left == 0 ? 0 : job->left - 1)}});
+                                 {"left", std::to_string(job->unlisted.size())}});
   job->finished_tokens += job->items[result.item].tokens;
   counts_changed_.insert(result.job);
-  if (job->left > 0) --job->left;
-  if (job->left == 0) {
+  if (job->unlisted.empty()) {
     asio::co_spawn(context_.executor, finish_job(result.job, job), asio::detached);
   }
 }
 
+/// Each item has a durable result now, of this node or read from the log.
 asio::awaitable<void> JobRunner::finish_job(JobKey key, std::shared_ptr<ActiveJob> job) {
   asio::steady_timer timer(context_.executor);
   Backoff backoff;
   while (!job->stopped) {
-    LogStatus status = co_await store_.refresh_results(key);
-    const bool whole = store_.results_of(key).listed_items.size() >= job->items.size();
-    if (status == LogStatus::kOk && whole) {
-      status = co_await store_.mark(job->host, JobRecordKind::kFinished, key, "1");
-      if (status == LogStatus::kOk) break;
-    }
+    const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kFinished, key, "1");
+    if (status == LogStatus::kOk) break;
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
@@ -241,6 +241,7 @@
       co_await write_checkpoints();
     }
     start_waiting();
+    store_.forget_erased();
     co_await erase_expired();
   }
 }
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -57,7 +57,7 @@
     std::vector<JobItem> items;
     std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs;
     std::uint64_t finished_tokens = 0;
-    std::size_t left = 0;  ///< Items without a durable result.
+    std::set<std::uint32_t> unlisted;  ///< Items without a durable result.
     bool stopped = false;
   };
   void add_checkpoint(const ItemRun& run);
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -15,6 +15,8 @@
 
 namespace asio = boost::asio;
 
+/// Longest time that a read waits before it looks once more for a result.
+constexpr Duration kResultWait = std::chrono::milliseconds(700);
 /// Most bytes asked for at once when a request is read, beyond its own.
 constexpr std::uint64_t kReadSlackBytes = 1024;
 /// Bytes of a record that are not the value: length, key length and key.
@@ -63,21 +65,10 @@
   return partition;
 }
 
-JobStore::ResultsPartition& JobStore::results_partition(std::uint32_t number) {
-  ResultsPartition& partition = results_[number];
-  open(partition, kResultsTopic, number);
-  return partition;
-}
-
-JobStore::ProgressPartition& JobStore::progress_partition(std::uint32_t number) {
-  ProgressPartition& partition = progress_[number];
-  open(partition, kProgressTopic, number);
-  return partition;
-}
-
 const ItemProgress* JobStore::progress_of(const JobKey& key, std::uint32_t item) {
-  const std::uint32_t number = job_partition(key, log_.limits().partitions);
-  return progress_partition(number).table->find(key, item);
+  const JobProgress& progress = progress_[key];
+  const auto found = progress.find(item);
+  return found == progress.end() ? nullptr : &found->second;
 }
 
 void JobStore::follow_host(const std::string& host) {
@@ -91,8 +82,8 @@
   asio::co_spawn(executor_, partition.replica->follow([] { return true; }), asio::detached);
 }
 
-const JobResults& JobStore::results_of(const JobKey& key) {
-  return results_partition(job_partition(key, log_.limits().partitions)).table->of_job(key);
+const ListedResults& JobStore::results_of(const JobKey& key) {
+  return results_[key];
 }
 
 void JobStore::for_each_job(
@@ -226,25 +217,19 @@
   ResultPage page;
   page.status = co_await find(host, key, page.job);
   if (page.status != LookupStatus::kFound) co_return page;
-  const std::uint32_t number = job_partition(key, log_.limits().partitions);
-  ResultsPartition& partition = results_partition(number);
-  const auto replica = partition.replica;
   const bool whole = position >= page.job->submission.items.size();
-  const bool known = partition.table->of_job(key).listed.size() > position;
-  if (!whole && !known) {
-    // One call: a record of another job ends the wait too, and the caller asks again.
-    const bool wait_first = wait.count() > 0 && replica->health().loaded;
-    LogStatus status = LogStatus::kOk;
-    if (wait_first) {
-      status = co_await replica->wait_for_records(wait);
-    } else {
-      status = co_await replica->catch_up();
+  const auto is_known = [&] { return results_[key].listed().size() > position; };
+  if (!whole && !is_known()) {
+    LogStatus status = co_await refresh_results(key);
+    if (status == LogStatus::kOk && wait.count() > 0 && !is_known()) {
+      co_await pause(std::min(wait, kResultWait));
+      status = co_await refresh_results(key);
     }
     if (status != LogStatus::kOk) page.status = LookupStatus::kUncertain;
     if (status != LogStatus::kOk) co_return page;
   }
   page.job = jobs_of(host).table->find(key);
-  page.results = &partition.table->of_job(key);
+  page.results = &results_[key];
   if (page.job == nullptr) page.status = LookupStatus::kAbsent;
   co_return page;
 }
@@ -292,15 +277,20 @@
 }
 
 asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key) {
-  const std::uint32_t number = job_partition(key, log_.limits().partitions);
-  const auto replica = results_partition(number).replica;
-  co_return co_await replica->catch_up();
+  const PartitionName partition{kResultsTopic, job_partition(key, log_.limits().partitions)};
+  const KeyRange range = results_[key].unread_range(key);
+  ReadResult read = co_await log_.read_newest(partition, range);
+  const LogStatus status = read.status;
+  if (status == LogStatus::kOk) results_[key].add(std::move(read));
+  co_return status;
 }
 
 asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key) {
-  const std::uint32_t number = job_partition(key, log_.limits().partitions);
-  const auto replica = progress_partition(number).replica;
-  co_return co_await replica->catch_up();
+  const PartitionName partition{kProgressTopic, job_partition(key, log_.limits().partitions)};
+  const KeyRange range = progress_key_range(key);
+  const ReadResult read = co_await log_.read_newest(partition, range);
+  if (read.status == LogStatus::kOk) add_progress(read.records, progress_[key]);
+  co_return read.status;
 }
 
 asio::awaitable<LogStatus> JobStore::write_progress(std::uint32_t partition,
@@ -313,20 +303,26 @@
 asio::awaitable<bool> JobStore::append_results(std::uint32_t partition,
                                                std::function<std::vector<KeyedRecord>()> make,
                                                std::function<bool()> running) {
-  const auto replica = results_partition(partition).replica;
+  const PartitionName name{kResultsTopic, partition};
   Backoff backoff(timing_.retries);
   while (running()) {
-    const std::vector<KeyedRecord> records = make();
-    const AppendResult result = co_await log_.append(replica->name(), records, std::nullopt);
-    if (result.status == LogStatus::kOk) {
-      replica->apply_appended(result.offset, records);
-      co_return true;
-    }
+    const AppendResult result = co_await log_.append(name, make(), std::nullopt);
+    if (result.status == LogStatus::kOk) co_return true;
     co_await pause(backoff.next());
   }
   co_return false;
 }
 
+bool JobStore::is_known(const JobKey& key) const {
+  return std::any_of(jobs_.begin(), jobs_.end(),
+                     [&](const auto& entry) { return entry.second.table->find(key) != nullptr; });
+}
+
+void JobStore::forget_erased() {
+  std::erase_if(results_, [&](const auto& entry) { return !is_known(entry.first); });
+  std::erase_if(progress_, [&](const auto& entry) { return !is_known(entry.first); });
+}
+
 asio::awaitable<void> JobStore::erase(std::string host, JobKey key) {
   const std::uint32_t number = job_partition(key, log_.limits().partitions);
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -10,7 +10,7 @@
 
 #include "jobs/job_records.h"
 #include "jobs/job_table.h"
-#include "jobs/result_table.h"
+#include "jobs/listed_results.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -44,8 +44,8 @@
 /// A page of results.
 struct ResultPage {
   LookupStatus status = LookupStatus::kUncertain;
-  const JobEntry* job = nullptr;        ///< Valid until the next wait.
-  const JobResults* results = nullptr;  ///< Valid until the next wait.
+  const JobEntry* job = nullptr;           ///< Valid until the next wait.
+  const ListedResults* results = nullptr;  ///< Valid until the next wait.
 };
 
 /// How long the store tries. Shorter in tests.
@@ -79,7 +79,8 @@
   boost::asio::awaitable<LookupStatus> read_request(JobKey key, std::uint32_t index, JobItem item,
                                                     ItemRequest& request);
 
-  /// Brings the results of a job up to date with the log.
+  /// Brings the results of a job up to date with the log. Reads this job's records only, so that
+  /// what a node reads follows from what it is asked, not from what all nodes write.
   boost::asio::awaitable<LogStatus> refresh_results(JobKey key);
   /// Brings the progress of a job's items up to date with the log.
   boost::asio::awaitable<LogStatus> refresh_progress(JobKey key);
@@ -96,10 +97,12 @@
                                          std::string value);
   /// Deletes all records of a job.
   boost::asio::awaitable<void> erase(std::string host, JobKey key);
+  /// Forgets the results and the progress of jobs that are erased.
+  void forget_erased();
 
   /// A text that no other call of any process gets, for keys.
   std::string unique_name();
-  [[nodiscard]] const JobResults& results_of(const JobKey& key);
+  [[nodiscard]] const ListedResults& results_of(const JobKey& key);
   /// Returns how far an item came as far as it is known here, or null.
   [[nodiscard]] const ItemProgress* progress_of(const JobKey& key, std::uint32_t item);
   /// Calls `visit` for each job of the followed hosts.
@@ -116,8 +119,6 @@
   struct JobsPartition : Partition<JobTable> {
     bool followed = false;
   };
-  using ResultsPartition = Partition<ResultTable>;
-  using ProgressPartition = Partition<ProgressTable>;
 
   /// Starts to keep a partition if nothing did before.
   template <typename Table, typename... Arguments>
@@ -132,8 +133,7 @@
   /// Whether a job fits the limit on the tokens that may wait on its route.
   [[nodiscard]] static bool fits(const JobTable& table, const NewJob& job);
   JobsPartition& jobs_of(const std::string& host);
-  ProgressPartition& progress_partition(std::uint32_t partition);
-  ResultsPartition& results_partition(std::uint32_t partition);
+  [[nodiscard]] bool is_known(const JobKey& key) const;
   boost::asio::awaitable<LogStatus> append_bodies(JobKey key, NewJob& job, TimePoint deadline);
   boost::asio::awaitable<LogStatus> append_until(PartitionName partition,
                                                  std::vector<KeyedRecord> records,
@@ -149,8 +149,9 @@
   std::uint64_t next_unique_ = 0;
   JobTable::Listener listener_;
   std::map<std::uint32_t, JobsPartition> jobs_;
-  std::map<std::uint32_t, ResultsPartition> results_;
-  std::map<std::uint32_t, ProgressPartition> progress_;
+  /// Of the jobs that this node was asked for or runs.
+  std::map<JobKey, ListedResults> results_;
+  std::map<JobKey, JobProgress> progress_;
 };
 
 }  // namespace stoathold
--- /dev/null
+++ b/src/jobs/listed_results.h
@@ -0,0 +1,49 @@
+/// @file
+/// What the log holds of one job's items: results in their positions, and how far runs came.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "jobs/job_records.h"
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// A result at its fixed position.
+struct ListedResult {
+  std::uint32_t item = 0;
+  ItemState state = ItemState::kCompleted;
+  std::string text;
+};
+
+/// The results of one job as far as they were read. Of an item's results the first in the order of
+/// the log counts, and its place among the job's first results is its position: so every node that
+/// reads the same records comes to the same positions.
+class ListedResults {
+ public:
+  /// Takes in what a read of `unread_range` found, whether or not other reads came between.
+  void add(ReadResult read);
+  /// Keys that a read must ask for: a job's items are run about in their order, so those in front
+  /// of the first one that is not listed need not be read again.
+  [[nodiscard]] KeyRange unread_range(const JobKey& key) const;
+
+  [[nodiscard]] const std::vector<ListedResult>& listed() const { return listed_; }
+  [[nodiscard]] bool is_listed(std::uint32_t item) const { return listed_items_.contains(item); }
+
+ private:
+  void add_record(const StoredRecord& record);
+
+  std::vector<ListedResult> listed_;  ///< In the order of positions; only grows.
+  std::set<std::uint32_t> listed_items_;
+  std::uint32_t first_unlisted_ = 0;
+  RecordOffset read_through_ = 0;  ///< All records in front of this offset are taken in.
+};
+
+/// How far the items of one job came, by item.
+using JobProgress = std::map<std::uint32_t, ItemProgress>;
+
+/// Takes the records of a job's progress in; the furthest of an item counts.
+void add_progress(const std::vector<StoredRecord>& records, JobProgress& progress);
+
+}  // namespace stoathold
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -39,6 +39,8 @@
   LogFaults faults;
   /// Appends that were answered as done, for tests that count.
   int appends = 0;
+  /// Records that reads answered.
+  std::size_t records_read = 0;
 
   /// Does the appends that were kept back, if their conditions still hold.
   void apply_late() {
@@ -53,6 +55,7 @@
     ReadResult result;
     result.status = LogStatus::kNotDone;
     if (!faults.down) result = model_->read(partition, from, max_bytes);
+    records_read += result.records.size();
     co_return result;
   }
 
@@ -88,6 +91,7 @@
     ReadResult result;
     result.status = LogStatus::kNotDone;
     if (!faults.down) result = model_->read_newest(partition, range);
+    records_read += result.records.size();
     co_return result;
   }
 
--- a/tests/jobs/job_model_test.cc
+++ b/tests/jobs/job_model_test.cc
@@ -191,7 +191,7 @@
     RC_ASSERT(page.job->submission.items.size() == kItems);
     std::vector<std::string> texts;
     std::set<std::uint32_t> items;
-    for (const auto& result : page.results->listed) {
+    for (const auto& result : page.results->listed()) {
       texts.push_back(std::to_string(result.item) + "=" + result.text);
       RC_ASSERT(items.insert(result.item).second);
     }
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -76,9 +76,9 @@
       const ResultPage page =
           run_awaitable(loop, store.read_results(kHost, key, texts.size(), Duration{0}));
       if (page.status != LookupStatus::kFound) return {"not found"};
-      more = page.results->listed.size() > texts.size();
+      more = page.results->listed().size() > texts.size();
       texts.clear();
-      for (const auto& result : page.results->listed) texts.push_back(result.text);
+      for (const auto& result : page.results->listed()) texts.push_back(result.text);
     }
     return texts;
   }
@@ -210,6 +210,23 @@
   EXPECT_EQ(before, (std::vector<std::string>{"two", "zero"}));
 }
 
+TEST_F(JobStoreTest, WhatIsReadForAJobDoesNotGrowWithTheOthers) {
+  constexpr std::size_t kOthers = 40;
+  constexpr std::uint32_t kItems = 3;
+  for (std::size_t i = 0; i < kOthers; ++i) {
+    const std::string id = "other" + std::to_string(i);
+    EXPECT_EQ(submit(first, make_job(id, kItems)), SubmitStatus::kAccepted);
+    for (std::uint32_t item = 0; item < kItems; ++item) write_result(first, id, item, "text");
+  }
+  EXPECT_EQ(submit(first, make_job("j1", 2)), SubmitStatus::kAccepted);
+  write_result(first, "j1", 1, "one");
+  EXPECT_EQ(read_texts(second, "j1"), (std::vector<std::string>{"one"}));
+  // The submissions are all read, of the results only the job's own: twice, the last time in vain.
+  EXPECT_LE(second_log.records_read, kOthers + 1 + 2);
+  write_result(first, "j1", 0, "zero");
+  EXPECT_EQ(read_texts(second, "j1"), (std::vector<std::string>{"one", "zero"}));
+}
+
 TEST_F(JobStoreTest, AnEndIsSeenAtOtherNodes) {
   EXPECT_EQ(submit(first, make_job("j1", 1)), SubmitStatus::kAccepted);
   const JobKey key = make_job_key(kHost, "j1");
--- a/tests/platform/job_messages_test.cc
+++ b/tests/platform/job_messages_test.cc
@@ -31,13 +31,17 @@
 
 TEST(JobMessagesTest, APageHasAtLeastOneResultAndEndsWhenItIsLarge) {
   JobEntry job;
-  JobResults results;
+  ReadResult found;
   for (std::uint32_t i = 0; i < 3; ++i) {
     JobItem item;
     item.id = "i" + std::to_string(i);
     job.submission.items.push_back(item);
-    results.listed.push_back({i, ItemState::kCompleted, std::string(2000000, 'x')});
+    const ItemResult result{"job", i, ItemState::kCompleted, std::string(2000000, 'x')};
+    found.records.push_back({i, "key", encode(result)});
+    found.end = i + 1;
   }
+  ListedResults results;
+  results.add(std::move(found));
   const std::string page = format_results(job, results, 1);
   EXPECT_NE(page.find(R"("total":3)"), std::string::npos);
   EXPECT_NE(page.find(R"("next_token":2)"), std::string::npos);
