In time is who gets the first event by the objective, not who gets a place by it

Hypothesis: under overload what is placed just before its objective is late all the same and takes the place of what could be in time.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "gateway/first_event_times.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/header_dialect.h"
 #include "gateway/upstream.h"
@@ -34,6 +35,7 @@
   PlacementQueue placement;
   UpstreamPool pool;
   GatewayMetrics metrics;
+  FirstEventTimes first_event_times;
 };
 
 }  // namespace stoathold
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -48,6 +48,12 @@
   co_return sent;
 }
 
+void OnlineRequest::note_first_event() {
+  if (attempt_answered_) return;
+  attempt_answered_ = true;
+  context_.first_event_times.observe(route_.name, monotonic_now() - attempt_start_);
+}
+
 asio::awaitable<AttemptResult> OnlineRequest::relay_body() {
   std::string_view view;
   while (true) {
@@ -58,6 +64,7 @@
       if (!sent) co_return AttemptResult::kStopped;
     }
     if (view.empty()) break;
+    note_first_event();
     const bool written = co_await exchange_.write(view);
     if (!written) stop(RequestOutcome::kCallerGone);
     if (stopped_) co_return AttemptResult::kStopped;
@@ -82,6 +89,7 @@
     pieces.append(event->raw);
   }
   if (pieces.empty()) co_return true;
+  note_first_event();
   if (!head_sent_) {
     const bool sent = co_await send_head();
     if (!sent) co_return false;
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -133,12 +133,14 @@
                        .load_limit = kFullLoad,
                        .excluded = tried_};
   request.priority = route_.priority;
-  request.due = arrival_ + route_.latency_objective;
+  // In time is who gets the first event by then: placed later, it would only keep others late.
+  const Duration first_event = context_.first_event_times.expected(route_.name);
+  request.due = arrival_ + route_.latency_objective - first_event;
   request.give_up = std::min(arrival_ + kLongestWait, deadline_);
   if (head_sent_) {
     // The caller is reading: the next event is due however long ago the request came.
     const TimePoint now = monotonic_now();
-    request.due = now + route_.event_gap_objective;
+    request.due = now + route_.event_gap_objective - first_event;
     request.give_up = std::min(now + kLongestWait, deadline_);
   }
   ticket_ = context_.placement.make_ticket(std::move(request));
@@ -230,6 +232,8 @@
   upstream_ = upstream;
   upstream->set_deadline(deadline_);
   patience_ = Duration{0};
+  attempt_start_ = monotonic_now();
+  attempt_answered_ = false;
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
   AttemptResult result = classify_failure(status);
   if (status == UpstreamStatus::kOk) {
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -69,6 +69,7 @@
   void log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
   void be_patient(Duration patience);
+  void note_first_event();
 
   GatewayContext& context_;
   HttpExchange& exchange_;
@@ -90,6 +91,8 @@
   EventFramer framer_;
   std::vector<std::string> tried_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
+  TimePoint attempt_start_{};
+  bool attempt_answered_ = false;  ///< The current attempt has brought an event.
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
