A zone tells the others how loaded its runners are; a full zone spills only where there is room

Change: two nodes of a zone (the lowest addresses heard) tell one node of each other zone the loads of their runners four times a second, which passes it on; with that news a runner of another zone takes work below a load of 0.75 only, counting what was sent since. Without it the two trials stay. Tests: OtherZonesAreToldOfTheLoadHere, AFullZoneSendsNothingToRunnersThatTheirZoneSaysAreBusy.

--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -63,8 +63,31 @@
   }
 };
 
+/// How loaded a runner is.
+struct RunnerLoad {
+  std::uint64_t runner = 0;  ///< Hash of its id.
+  std::uint8_t percent = 0;  ///< Requests there per place; saturates.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(runner, percent);
+  }
+};
+
+/// The loads of all runners of the sender's zone, for the nodes of another zone.
+struct ZoneLoads {
+  std::uint64_t zone = 0;  ///< Hash of the sender's zone.
+  std::vector<RunnerLoad> loads;
+  bool pass_on = false;  ///< The receiver passes it on inside its zone.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(zone, loads, pass_on);
+  }
+};
+
 /// One datagram.
-using PeerLoadMessage = std::variant<LoadDigest, YieldRequest>;
+using PeerLoadMessage = std::variant<LoadDigest, YieldRequest, ZoneLoads>;
 
 std::string encode_message(const PeerLoadMessage& message);
 /// Returns false if the bytes are malformed.
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -18,6 +18,10 @@
 /// Largest message; more runners than fit are left out, the least used first.
 constexpr std::size_t kMaxDatagramBytes = 1400;
 constexpr std::size_t kMaxUses = 80;
+/// Runners of a zone that are told of in one message.
+constexpr std::size_t kMaxZoneLoads = 150;
+constexpr double kPercent = 100;
+constexpr double kMostPercent = 255;
 /// Changes within this time go out together.
 constexpr Duration kCoalesce = std::chrono::milliseconds(3);
 constexpr Duration kSendInterval = std::chrono::milliseconds(12);
@@ -97,6 +101,8 @@
   if (!decode_message(bytes, message)) return;
   if (auto* digest = std::get_if<LoadDigest>(&message)) {
     take_digest(std::move(*digest));
+  } else if (auto* loads = std::get_if<ZoneLoads>(&message)) {
+    take_zone_loads(std::move(*loads));
   } else if (yield_handler_) {
     yield_handler_(std::get<YieldRequest>(message));
   }
@@ -118,9 +124,22 @@
   if (place_may_be_free && listener_) listener_();
 }
 
-void PeerLoads::pass_on(LoadDigest digest) {
-  digest.pass_on = false;
-  const std::string bytes = encode_message(digest);
+/// Loads of another zone's runners, told by a node there.
+void PeerLoads::take_zone_loads(ZoneLoads loads) {
+  if (loads.zone == stable_hash(zone_)) return;
+  const TimePoint now = monotonic_now();
+  for (const auto& told : loads.loads) {
+    Runner* runner = registry_.find_hash(told.runner);
+    if (runner != nullptr) runner->take_zone_load(told.percent / kPercent, now);
+  }
+  if (loads.pass_on) pass_on(std::move(loads));
+  if (listener_) listener_();
+}
+
+template <typename Message>
+void PeerLoads::pass_on(Message message) {
+  message.pass_on = false;
+  const std::string bytes = encode_message(message);
   near_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
@@ -216,6 +235,26 @@
   told_far_ = std::move(used);
 }
 
+/// Other zones send work here when theirs is full: what they know of the runners here keeps them
+/// from filling these as well.
+void PeerLoads::send_zone_loads() {
+  const TimePoint now = monotonic_now();
+  if (far_.empty() || !near_.is_teller(socket_.local_endpoint(), now)) return;
+  ZoneLoads message;
+  message.zone = stable_hash(zone_);
+  message.pass_on = true;
+  for (const auto& [id, runner] : registry_.all()) {
+    if (runner->record().zone != zone_ || !runner->available()) continue;
+    const bool usable = !runner->ejected(now);
+    const double percent = usable ? runner->load(now) * kPercent : kMostPercent;
+    message.loads.push_back(
+        {runner->hash(), static_cast<std::uint8_t>(std::min(percent, kMostPercent))});
+    if (message.loads.size() >= kMaxZoneLoads) break;
+  }
+  const std::string bytes = encode_message(message);
+  for (const auto& [zone, peers] : far_) send_to(peers[far_turn_ % peers.size()], bytes);
+}
+
 void PeerLoads::schedule_expiry() {
   expiry_timer_.expires_after(kFarInterval);
   expiry_timer_.async_wait([this](boost::system::error_code error) {
@@ -224,6 +263,7 @@
     near_.expire(now);
     if (peer_uses_.expire(now) && listener_) listener_();
     send_far();
+    send_zone_loads();
     const Duration repeat = in_use_ ? kRepeatInterval : kHeartbeatInterval;
     if (now - last_sent_ >= repeat) schedule_send();
     schedule_expiry();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -66,10 +66,13 @@
   void receive();
   void take(const std::string& bytes);
   void take_digest(LoadDigest digest);
-  void pass_on(LoadDigest digest);
+  void take_zone_loads(ZoneLoads loads);
+  template <typename Message>
+  void pass_on(Message message);
   void schedule_send();
   void send();
   void send_far();
+  void send_zone_loads();
   void send_to(const Endpoint& peer, const std::string& bytes);
   void schedule_expiry();
   /// Shortest time between two digests: longer the more nodes are told.
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -20,6 +20,8 @@
 /// How long a report is evidence of free places at a runner that nodes of other zones use.
 constexpr Duration kReportTrusted = std::chrono::milliseconds(1000);
 constexpr Duration kReportLifetime = std::chrono::milliseconds(2500);
+/// How long the load that another zone told of its runner counts; it is told four times a second.
+constexpr Duration kZoneLoadLifetime = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -85,7 +87,18 @@
   known_at_report_ = in_flight_ + peer_in_flight_;
 }
 
+void Runner::take_zone_load(double load, TimePoint now) {
+  zone_load_ = load;
+  zone_load_time_ = now;
+  own_at_zone_load_ = in_flight_;
+}
+
+bool Runner::zone_load_known(TimePoint now) const {
+  return zone_load_time_ != TimePoint{} && now - zone_load_time_ < kZoneLoadLifetime;
+}
+
 bool Runner::load_known(TimePoint now) const {
+  if (zone_load_known(now)) return true;
   const bool ever_reported = report_time_ != TimePoint{};
   const bool ever_answered = last_heard_ != TimePoint{};
   if (!ever_reported) return ever_answered;
@@ -109,7 +122,10 @@
     const double others = std::max(0.0, reported - known_at_report_);
     expected = known + others * freshness;
   }
-  return expected / slots();
+  const double load = expected / slots();
+  if (!zone_load_known(now)) return load;
+  const double begun_since = in_flight_ > own_at_zone_load_ ? in_flight_ - own_at_zone_load_ : 0;
+  return std::max(load, zone_load_ + begun_since / slots());
 }
 
 void RunnerRegistry::upsert(RunnerRecord record) {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -90,6 +90,11 @@
     peer_in_flight_ = in_flight;
     peer_backlog_ = backlog_tokens;
   }
+  /// Nodes of the runner's own zone, which know its load best, have told it.
+  /// @param load requests there per place.
+  void take_zone_load(double load, TimePoint now);
+  /// Whether that was told just now.
+  [[nodiscard]] bool zone_load_known(TimePoint now) const;
   /// Adds differences to it.
   void change_peer_use(std::int64_t in_flight, std::int64_t backlog_tokens) {
     peer_in_flight_ = static_cast<std::uint32_t>(peer_in_flight_ + in_flight);
@@ -120,6 +125,9 @@
   TimePoint last_heard_{};
   std::uint32_t known_at_report_ = 0;  ///< In flight from the nodes known, when the report came.
   std::uint32_t backlog_tokens_ = 0;
+  double zone_load_ = 0;  ///< Load that the nodes of its zone told.
+  TimePoint zone_load_time_{};
+  std::uint32_t own_at_zone_load_ = 0;  ///< Requests of this node there, when they told it.
   std::uint32_t peer_in_flight_ = 0;
   std::uint32_t peer_backlog_ = 0;
 };
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -9,6 +9,9 @@
 
 /// Load up to which a runner of the own zone is preferred to others.
 constexpr double kZoneSpillLoad = 0.9;
+/// Load, as its own zone told it, up to which a runner of another zone takes work: what others send
+/// there at the same moment is not known yet.
+constexpr double kFarLoad = 0.75;
 /// Requests at runners of other zones whose load is not known, over all of them.
 constexpr std::size_t kSpillTrials = 2;
 /// Prompt tokens that weigh as much as a runner's whole load: both make a first token come later.
@@ -45,6 +48,7 @@
 /// Nodes of other zones use a runner there without telling this node. So such a runner takes work
 /// only if it has told its load just now, or as one of few trials that make it tell.
 bool may_spill_to(const Candidate& candidate, std::size_t trials, TimePoint now) {
+  if (candidate.runner->zone_load_known(now)) return candidate.load < kFarLoad;
   if (candidate.runner->load_known(now)) return true;
   return candidate.runner->in_flight() == 0 && trials < kSpillTrials;
 }
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -145,6 +145,21 @@
   run_until([&] { return other.runner("late").total_backlog() == 700; });
 }
 
+TEST_F(SharedRunnersTest, OtherZonesAreToldOfTheLoadHere) {
+  Node near(loop, "a", 1);
+  Node far(loop, "b", 2);
+  Node also_far(loop, "b", 3);
+  near.loads.set_peers({{far.loads.address(), "b"}});
+  far.loads.set_peers({{also_far.loads.address(), "b"}});
+  EXPECT_FALSE(also_far.runner("a1").zone_load_known(monotonic_now()));
+  for (int i = 0; i < 6; ++i) near.runner("a1").begin_attempt();
+  run_until([&] { return also_far.runner("a1").load(monotonic_now()) > 0.55; });
+  EXPECT_TRUE(also_far.runner("a1").zone_load_known(monotonic_now()));
+  // What is sent there afterwards comes on top of it.
+  also_far.runner("a1").begin_attempt();
+  EXPECT_GT(also_far.runner("a1").load(monotonic_now()), 0.65);
+}
+
 TEST_F(SharedRunnersTest, DemandIsToldInsideTheZoneAndGrowsOld) {
   Node waiting(loop, "a", 1);
   Node near(loop, "a", 2);
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -123,5 +123,21 @@
   EXPECT_EQ(seen.size(), 2U);
 }
 
+TEST_F(RunnerSelectorTest, AFullZoneSendsNothingToRunnersThatTheirZoneSaysAreBusy) {
+  add("n1", "near");
+  add("busy", "far");
+  add("idle", "far");
+  fill("n1", 10);
+  runner("busy")->take_zone_load(0.9, kNow);
+  runner("idle")->take_zone_load(0.3, kNow);
+  request.load_limit = 1.0;
+  // What this node has sent since comes on top of what was told.
+  for (int i = 0; i < 5; ++i) {
+    ASSERT_EQ(chosen(request), "idle");
+    fill("idle", 1);
+  }
+  EXPECT_EQ(chosen(request), "");
+}
+
 }  // namespace
 }  // namespace stoathold
