--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -15,6 +15,8 @@
 
 namespace asio = boost::asio;
 
+/// Between two reads of the jobs that bring something: a job may begin this much later.
+constexpr Duration kFollowPace = std::chrono::milliseconds(250);
 /// Longest time that a read waits before it looks once more for a result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
 /// Most bytes asked for at once when a request is read, beyond its own.
@@ -79,7 +81,8 @@
   for (const auto& [key, job] : partition.table->jobs()) {
     if (listener_) listener_(key, job);
   }
-  asio::co_spawn(executor_, partition.replica->follow([] { return true; }), asio::detached);
+  asio::co_spawn(executor_, partition.replica->follow([] { return true; }, kFollowPace),
+                 asio::detached);
 }
 
 const ListedResults& JobStore::results_of(const JobKey& key) {
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -98,7 +98,7 @@
   co_return co_await read_once(wait, at_end);
 }
 
-asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running) {
+asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running, Duration pace) {
   const auto self = shared_from_this();
   asio::steady_timer timer(co_await asio::this_coro::executor);
   Backoff backoff;
@@ -107,12 +107,14 @@
     const bool steady = health_.loaded && health_.last == LogStatus::kOk;
     const Duration wait = steady ? kFollowWait : Duration{0};
     bool at_end = false;
+    const RecordOffset before = next_offset_;
     const LogStatus status = co_await read_once(wait, at_end);
     if (status == LogStatus::kOk) {
       backoff.reset();
-      continue;
+      const bool pause = at_end && next_offset_ > before && pace.count() > 0;
+      if (!pause) continue;
     }
-    timer.expires_after(backoff.next());
+    timer.expires_after(status == LogStatus::kOk ? pace : backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -46,7 +46,9 @@
   /// Applies records that this process appended, if nothing unread lies before them.
   void apply_appended(RecordOffset offset, const std::vector<KeyedRecord>& records);
   /// Follows the partition for as long as `running` holds.
-  boost::asio::awaitable<void> follow(std::function<bool()> running);
+  /// @param pace time between two reads that bring records: each record of a busy partition would
+  ///        else cost a call of every node that follows it.
+  boost::asio::awaitable<void> follow(std::function<bool()> running, Duration pace = Duration{0});
 
   [[nodiscard]] const PartitionName& name() const { return partition_; }
   /// Offset of the first record not yet applied; the end of the partition as far as it is known.
