A place is given back by the job that came last, not by the newest run

Hypothesis: an item near its due time that gives its place back is done late; one of a young job is not.

--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -113,17 +113,24 @@
 }
 
 bool JobRunner::yield_place(const std::string& service, const std::string& zone) {
-  std::shared_ptr<ItemRun> newest;
+  std::shared_ptr<ItemRun> chosen;
+  std::int64_t chosen_submitted = 0;
   for (const auto& [key, job] : jobs_) {
     for (const auto& [index, run] : job->runs) {
       const auto& runner = run->runner();
       if (!runner || run->yielding()) continue;
       if (runner->record().service != service || runner->record().zone != zone) continue;
-      if (!newest || run->placed_at() > newest->placed_at()) newest = run;
+      // Of the job that came last, since it has the most time left; there the newest run.
+      const bool more_time = job->submitted_ms > chosen_submitted;
+      const bool newer =
+          job->submitted_ms == chosen_submitted && chosen && run->placed_at() > chosen->placed_at();
+      if (chosen && !more_time && !newer) continue;
+      chosen = run;
+      chosen_submitted = job->submitted_ms;
     }
   }
-  if (newest) newest->yield();
-  return newest != nullptr;
+  if (chosen) chosen->yield();
+  return chosen != nullptr;
 }
 
 void JobRunner::start_waiting() {
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -39,8 +39,8 @@
   /// Planned stop: gives the slots up with their progress written, and leaves the group.
   boost::asio::awaitable<void> stop();
 
-  /// The newest run at a runner of the service in the zone gives its place back: it loses the
-  /// least.
+  /// A run at a runner of the service in the zone gives its place back: the newest of the job that
+  /// came last, which has the most time left.
   /// @return false if there is none.
   bool yield_place(const std::string& service, const std::string& zone);
 
