--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -124,6 +124,31 @@
      '{ at = 3, kind = "node_kill", on = "core", count = 1, for_s = 3, how = "reader hard" }'),
 ]
 
+# Kinds and variants that came with the newer pages.
+NEWER = [
+    ("store-nodes-" + how.split()[0], "",
+     '{ at = 3, kind = "platform_down", for_s = 7, how = "nodes %s", share = 0.35 }' % how)
+    for how in ["busy", "many revoke", "reset", "silent meet"]
+] + [
+    ("store-nodes-leader", "",
+     '{ at = 3, kind = "platform_down", for_s = 7, how = "nodes leader silent", count = 1 }, '
+     '{ at = 12, kind = "platform_down", for_s = 5, how = "nodes leader busy revoke", count = 1 }'),
+    ("store-compact-keyed-drain", "",
+     '{ at = 2, kind = "platform_compact", x = 6, for_s = 10, how = "drain keyed" }'),
+    ("replace-core", "",
+     '{ at = 3, kind = "replace_core", how = "leader" }, { at = 12, kind = "replace_core", how = "oldest" }'),
+    ("replace-core-planned", '{ at = 3, kind = "replace_core", how = "planned" }', ""),
+    ("node-kill-race", "",
+     '{ at = 3, kind = "node_kill", on = "core", count = 1, for_s = 3, how = "leader race meet" }'),
+    ("core-cut-oldest-meet", "",
+     '{ at = 3, kind = "core_cut", count = 1, for_s = 6, how = "oldest meet" }'),
+    ("herd-kill-taken-thrice", "",
+     ", ".join('{ at = %d, kind = "herd_kill", how = "taken all", on = "core" }' % at
+               for at in (4, 11, 18))),
+    ("srv-flap", "", '{ at = 3, kind = "srv_flap", share = 0.2, for_s = 12 }'),
+    ("srv-lying-health", "", '{ at = 3, kind = "srv_lying_health", share = 0.2, for_s = 10 }'),
+]
+
 STORE_DOWN = '{ at = 8, kind = "platform_down", for_s = 5, how = "silent lapse" }'
 HERD = '{ at = 9, kind = "herd_kill", share = 0.7 }'
 ROLL = '{ at = 6, kind = "roll_term", share = 0.6, gap_s = 1.2, how = "busy" }'
@@ -169,7 +194,7 @@
 
 
 def main():
-    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS + MORE):
+    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS + MORE + NEWER):
         write(name, plan, faults, index)
 
 
