--- a/src/gateway/first_event_times.h
+++ b/src/gateway/first_event_times.h
@@ -9,7 +9,8 @@
 
 namespace stoathold {
 
-/// Requests of one route are alike in size. Used on one thread.
+/// Kept by route, since requests of one route are alike in size and those of two may not be. Used
+/// on one thread.
 class FirstEventTimes {
  public:
   /// @param time from the sending of a request to the first event of its answer.
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -21,6 +21,15 @@
   return text.data();
 }
 
+/// The keys of one part of a job's records: '0' is the character behind '/', which ends each part.
+KeyRange part_range(const JobKey& key, std::string_view part) {
+  KeyRange range;
+  range.after = key + std::string(part);
+  range.through = range.after;
+  range.through.back() = '0';
+  return range;
+}
+
 }  // namespace
 
 JobKey make_job_key(std::string_view host, std::string_view id) {
@@ -78,19 +87,6 @@
   return {key + "/", key + "0"};  // '0' is the character behind '/'.
 }
 
-namespace {
-
-/// The keys of one part of a job's records: '0' is the character behind '/', which ends each part.
-KeyRange part_range(const JobKey& key, std::string_view part) {
-  KeyRange range;
-  range.after = key + std::string(part);
-  range.through = range.after;
-  range.through.back() = '0';
-  return range;
-}
-
-}  // namespace
-
 KeyRange result_key_range(const JobKey& key, std::uint32_t first_item) {
   KeyRange range = part_range(key, kResultPart);
   if (first_item > 0) range.after += padded(first_item - 1) + "0";
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -64,7 +64,7 @@
 };
 
 /// How loaded a runner is.
-struct RunnerLoad {
+struct ZoneRunnerLoad {
   std::uint64_t runner = 0;  ///< Hash of its id.
   std::uint8_t percent = 0;  ///< Requests there per place; saturates.
 
@@ -77,7 +77,7 @@
 /// The loads of all runners of the sender's zone, for the nodes of another zone.
 struct ZoneLoads {
   std::uint64_t zone = 0;  ///< Hash of the sender's zone.
-  std::vector<RunnerLoad> loads;
+  std::vector<ZoneRunnerLoad> loads;
   bool pass_on = false;  ///< The receiver passes it on inside its zone.
 
   template <typename Archive>
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -5,8 +5,8 @@
 namespace stoathold {
 namespace {
 
-/// Nodes of a zone that tell other zones of its runners: the loss of one leaves the other.
-constexpr std::ptrdiff_t kTellers = 2;
+/// Nodes of a zone that report its loads to other zones: the loss of one leaves the other.
+constexpr std::ptrdiff_t kZoneReporters = 2;
 /// Most nodes told of in one message.
 constexpr std::size_t kMostTold = 64;
 /// A node that was heard within this time is told of. Nodes say something at least once a second.
@@ -50,13 +50,13 @@
   });
 }
 
-bool NeighbourTable::is_teller(const Endpoint& self, TimePoint now) const {
+bool NeighbourTable::is_zone_reporter(const Endpoint& self, TimePoint now) const {
   const auto before =
       std::count_if(neighbours_.begin(), neighbours_.end(), [&](const Neighbour& neighbour) {
         const bool lately = neighbour.heard != TimePoint{} && now - neighbour.heard <= kHeardLately;
         return lately && neighbour.endpoint < self;
       });
-  return before < kTellers;
+  return before < kZoneReporters;
 }
 
 std::vector<NodeEndpoint> NeighbourTable::heard_lately(TimePoint now) const {
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -29,9 +29,9 @@
 
   /// Returns the nodes that this one has heard itself lately, to tell others of them.
   [[nodiscard]] std::vector<NodeEndpoint> heard_lately(TimePoint now) const;
-  /// Whether this node is among the few of the zone, by address, that tell other zones. Nodes that
-  /// know different neighbours may disagree for a while; then more or fewer of them tell.
-  [[nodiscard]] bool is_teller(const Endpoint& self, TimePoint now) const;
+  /// Whether this node reports the zone's loads to other zones: the few with the lowest addresses
+  /// do. Nodes that know different neighbours may disagree for a while; then more or fewer report.
+  [[nodiscard]] bool is_zone_reporter(const Endpoint& self, TimePoint now) const;
   /// Calls `visit` with the endpoint of each.
   template <typename Visitor>
   void for_each(const Visitor& visit) const {
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -239,7 +239,7 @@
 /// from filling these as well.
 void PeerLoads::send_zone_loads() {
   const TimePoint now = monotonic_now();
-  if (far_.empty() || !near_.is_teller(socket_.local_endpoint(), now)) return;
+  if (far_.empty() || !near_.is_zone_reporter(socket_.local_endpoint(), now)) return;
   ZoneLoads message;
   message.zone = stable_hash(zone_);
   message.pass_on = true;
