--- /dev/null
+++ b/tests/routing/neighbour_table_test.cc
@@ -0,0 +1,53 @@
+#include "routing/neighbour_table.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr std::uint16_t kPort = 7000;
+
+NeighbourTable::Endpoint endpoint(std::uint32_t ip) {
+  return {boost::asio::ip::address_v4(ip), kPort};
+}
+
+TEST(NeighbourTableTest, OnlyNodesHeardItselfAreTold) {
+  NeighbourTable table;
+  table.set_listed({endpoint(1)});
+  table.learn({{2, kPort}, {9, kPort}}, endpoint(9), kStart);
+  EXPECT_EQ(table.size(), 2U);  // Not itself.
+  EXPECT_TRUE(table.heard_lately(kStart).empty());
+  table.heard(endpoint(2), kStart);
+  ASSERT_EQ(table.heard_lately(kStart).size(), 1U);
+  EXPECT_EQ(table.heard_lately(kStart).front().ip, 2U);
+  EXPECT_TRUE(table.heard_lately(kStart + std::chrono::seconds(4)).empty());
+}
+
+TEST(NeighbourTableTest, WhoIsNeitherListedNorHeardOfIsForgotten) {
+  NeighbourTable table;
+  table.set_listed({endpoint(1)});
+  table.heard(endpoint(2), kStart);
+  table.expire(kStart + std::chrono::seconds(4));
+  EXPECT_EQ(table.size(), 2U);
+  table.expire(kStart + std::chrono::seconds(6));
+  EXPECT_EQ(table.size(), 1U);
+  table.set_listed({});
+  table.expire(kStart + std::chrono::seconds(6));
+  EXPECT_TRUE(table.empty());
+}
+
+TEST(NeighbourTableTest, TheLowestAddressesHeardReportTheZone) {
+  NeighbourTable table;
+  table.heard(endpoint(1), kStart);
+  table.heard(endpoint(2), kStart);
+  table.heard(endpoint(8), kStart);
+  EXPECT_FALSE(table.is_zone_reporter(endpoint(5), kStart));
+  // When they fall silent, the next ones report.
+  const TimePoint later = kStart + std::chrono::seconds(3);
+  table.heard(endpoint(2), later);
+  EXPECT_TRUE(table.is_zone_reporter(endpoint(5), later));
+}
+
+}  // namespace
+}  // namespace stoathold
