--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -61,9 +61,12 @@
 JobStore::JobsPartition& JobStore::jobs_of(const std::string& host) {
   const std::uint32_t number = jobs_partition(host, log_.limits().partitions);
   JobsPartition& partition = jobs_[number];
-  open(partition, kJobsTopic, number, [this](const JobKey& key, const JobEntry& job) {
+  if (partition.replica) return partition;
+  partition.table = std::make_unique<JobTable>([this](const JobKey& key, const JobEntry& job) {
     if (listener_) listener_(key, job);
   });
+  const PartitionName name{kJobsTopic, number};
+  partition.replica = std::make_shared<PartitionReplica>(log_, name, *partition.table);
   return partition;
 }
 
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -111,27 +111,15 @@
 
  private:
   /// One partition of a topic: the state folded from it, and what keeps that up to date.
-  template <typename Table>
-  struct Partition {
-    std::unique_ptr<Table> table;
+  struct JobsPartition {
+    std::unique_ptr<JobTable> table;
     std::shared_ptr<PartitionReplica> replica;
-  };
-  struct JobsPartition : Partition<JobTable> {
     bool followed = false;
   };
 
-  /// Starts to keep a partition if nothing did before.
-  template <typename Table, typename... Arguments>
-  void open(Partition<Table>& partition, const char* topic, std::uint32_t number,
-            Arguments&&... arguments) {
-    if (partition.replica) return;
-    partition.table = std::make_unique<Table>(std::forward<Arguments>(arguments)...);
-    partition.replica =
-        std::make_shared<PartitionReplica>(log_, PartitionName{topic, number}, *partition.table);
-  }
-
   /// Whether a job fits the limit on the tokens that may wait on its route.
   [[nodiscard]] static bool fits(const JobTable& table, const NewJob& job);
+  /// Returns the partition of a host's jobs; starts to keep it if nothing did before.
   JobsPartition& jobs_of(const std::string& host);
   [[nodiscard]] bool is_known(const JobKey& key) const;
   boost::asio::awaitable<LogStatus> append_bodies(JobKey key, NewJob& job, TimePoint deadline);
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -16,6 +16,10 @@
 
 }  // namespace
 
+bool NeighbourTable::Neighbour::heard_lately(TimePoint now) const {
+  return heard != TimePoint{} && now - heard <= kHeardLately;
+}
+
 NeighbourTable::Neighbour& NeighbourTable::entry(const Endpoint& endpoint) {
   const auto found =
       std::find_if(neighbours_.begin(), neighbours_.end(),
@@ -53,8 +57,7 @@
 bool NeighbourTable::is_zone_reporter(const Endpoint& self, TimePoint now) const {
   const auto before =
       std::count_if(neighbours_.begin(), neighbours_.end(), [&](const Neighbour& neighbour) {
-        const bool lately = neighbour.heard != TimePoint{} && now - neighbour.heard <= kHeardLately;
-        return lately && neighbour.endpoint < self;
+        return neighbour.heard_lately(now) && neighbour.endpoint < self;
       });
   return before < kZoneReporters;
 }
@@ -62,8 +65,7 @@
 std::vector<NodeEndpoint> NeighbourTable::heard_lately(TimePoint now) const {
   std::vector<NodeEndpoint> told;
   for (const auto& neighbour : neighbours_) {
-    const bool lately = neighbour.heard != TimePoint{} && now - neighbour.heard <= kHeardLately;
-    if (!lately || !neighbour.endpoint.address().is_v4()) continue;
+    if (!neighbour.heard_lately(now) || !neighbour.endpoint.address().is_v4()) continue;
     told.push_back({neighbour.endpoint.address().to_v4().to_uint(), neighbour.endpoint.port()});
     if (told.size() >= kMostTold) break;
   }
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -46,6 +46,9 @@
     bool listed = false;
     TimePoint heard{};      ///< When a message came from it; the start of the clock: never.
     TimePoint mentioned{};  ///< When anything was last heard from it or of it.
+
+    /// Whether a message came from it so lately that it is taken to live.
+    [[nodiscard]] bool heard_lately(TimePoint now) const;
   };
 
   Neighbour& entry(const Endpoint& endpoint);
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -6,7 +6,6 @@
 #include <limits>
 
 #include "base/ids.h"
-#include "core/codec.h"
 #include "net/http.h"
 
 namespace stoathold {
@@ -37,14 +36,6 @@
 
 }  // namespace
 
-std::string encode_message(const PeerLoadMessage& message) {
-  return encode_value(message);
-}
-
-bool decode_message(const std::string& bytes, PeerLoadMessage& message) {
-  return decode_value(bytes, message);
-}
-
 PeerLoads::PeerLoads(asio::any_io_executor executor, RunnerRegistry& registry,
                      const std::string& listen, std::string zone, std::uint64_t sender)
     : executor_(std::move(executor)),
