Failed attempts are reported inside the zone

Cause: each node found out for itself that a runner is dark. The cost grows with nodes times runners. Ruled out: full runners (those answer at once), slow nodes (0.9 % of a core). Change: digests carry the runners that the sender has ejected. A node leaves a runner alone once two nodes have failed there (itself counts as one) and nothing was heard from it since by anybody; after the pause one request at a time is tried in the zone. A node that is cut off alone ejects nothing elsewhere.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -88,6 +88,8 @@
                "A runner was chosen for a request or a batch item; the line says from what."},
     EventEntry{Event::kRequestSentAgain, "request_sent_again", EventLevel::kInfo,
                "After a failed attempt another runner was chosen for a request or an item."},
+    EventEntry{Event::kRunnerEjectedByPeers, "runner_ejected_by_peers", EventLevel::kInfo,
+               "Other nodes report failed attempts at a runner; it gets no work for a while."},
     EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
                "The directory lists a runner, or lists it with other values."},
     EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -55,6 +55,7 @@
   kRequestEnded = 1509,
   kRequestSent = 1510,
   kRequestSentAgain = 1511,
+  kRunnerEjectedByPeers = 1512,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -23,6 +23,19 @@
   }
 };
 
+/// A runner to which the sender gives no work for a while, since its attempts there failed.
+struct EjectedRunner {
+  std::uint64_t runner = 0;         ///< Hash of its id.
+  std::uint16_t failed_ms_ago = 0;  ///< Since the last failed attempt; saturates.
+  std::uint16_t pause_left_ms = 0;  ///< Until the sender tries it again.
+  std::uint8_t failures = 0;        ///< Failed attempts in a row; saturates.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(runner, failed_ms_ago, pause_left_ms, failures);
+  }
+};
+
 /// Where a node is reached over UDP.
 struct NodeEndpoint {
   std::uint32_t ip = 0;  ///< IPv4, first byte highest.
@@ -40,15 +53,16 @@
   std::uint64_t sequence = 0;  ///< Rises with each message of a sender.
   std::uint64_t zone = 0;      ///< Hash of the sender's zone.
   std::vector<RunnerUse> uses;
-  std::vector<std::uint64_t> demand;  ///< Hashes of services for which online work waits.
-  std::string origin;                 ///< Sender's `ip:port` if another node may pass this on.
-  bool pass_on = false;               ///< The receiver passes it on inside its zone.
+  std::vector<EjectedRunner> ejected;  ///< Told inside the zone only.
+  std::vector<std::uint64_t> demand;   ///< Hashes of services for which online work waits.
+  std::string origin;                  ///< Sender's `ip:port` if another node may pass this on.
+  bool pass_on = false;                ///< The receiver passes it on inside its zone.
   /// Nodes of the sender's zone that it has heard itself just now; told now and then.
   std::vector<NodeEndpoint> neighbours;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, sequence, zone, uses, demand, origin, pass_on, neighbours);
+    archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
   }
 };
 
--- /dev/null
+++ b/src/routing/peer_ejections.cc
@@ -0,0 +1,45 @@
+#include "routing/peer_ejections.h"
+
+#include <algorithm>
+
+namespace stoathold {
+namespace {
+
+/// Nodes that must have failed at a runner, this one among them, before a node leaves it alone
+/// without a failure of its own: two, so that one node that is cut off ejects nothing elsewhere.
+constexpr std::size_t kReportersNeeded = 2;
+/// A report counts no more so long after its pause ended: the longest pause of an ejected runner,
+/// so that the number of failures is remembered from one trial to the next.
+constexpr Duration kReportLifetime = std::chrono::seconds(4);
+
+}  // namespace
+
+void PeerEjections::take(const PeerEjection& ejection, TimePoint now) {
+  std::erase_if(reports_, [&](const PeerEjection& report) {
+    return report.reporter == ejection.reporter || now - report.until > kReportLifetime;
+  });
+  reports_.push_back(ejection);
+}
+
+TimePoint PeerEjections::ejected_until(TimePoint last_heard, bool own_failure) const {
+  const std::size_t needed = own_failure ? kReportersNeeded - 1 : kReportersNeeded;
+  std::vector<TimePoint> ends;
+  for (const auto& report : reports_) {
+    if (report.failed_at > last_heard) ends.push_back(report.until);
+  }
+  if (ends.size() < needed) return {};
+  // As many as are needed still stand until the one of them ends that ends first.
+  const auto last_needed = ends.begin() + static_cast<std::ptrdiff_t>(needed) - 1;
+  std::nth_element(ends.begin(), last_needed, ends.end(), std::greater<>());
+  return *last_needed;
+}
+
+std::uint32_t PeerEjections::failures(TimePoint last_heard) const {
+  std::uint32_t most = 0;
+  for (const auto& report : reports_) {
+    if (report.failed_at > last_heard) most = std::max(most, report.failures);
+  }
+  return most;
+}
+
+}  // namespace stoathold
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -17,6 +17,8 @@
 /// Largest message; more runners than fit are left out, the least used first.
 constexpr std::size_t kMaxDatagramBytes = 1400;
 constexpr std::size_t kMaxUses = 80;
+/// Ejected runners told of in one message.
+constexpr std::size_t kMaxEjections = 30;
 /// Runners of a zone that are told of in one message.
 constexpr std::size_t kMaxZoneLoads = 150;
 constexpr double kPercent = 100;
@@ -34,6 +36,17 @@
 /// Nodes of other zones are told of the use of their runners this often.
 constexpr Duration kFarInterval = std::chrono::milliseconds(250);
 
+std::int64_t milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/// Returns the value, or the largest that the type holds if it is larger.
+template <typename Number>
+Number saturated(std::int64_t value) {
+  constexpr std::int64_t kLargest = std::numeric_limits<Number>::max();
+  return static_cast<Number>(std::min(value, kLargest));
+}
+
 }  // namespace
 
 PeerLoads::PeerLoads(asio::any_io_executor executor, RunnerRegistry& registry,
@@ -109,12 +122,26 @@
   if (digest.zone == stable_hash(zone_)) {
     near_.heard(endpoint, now);
     near_.learn(digest.neighbours, socket_.local_endpoint(), now);
+    take_ejections(digest, now);
   }
   if (digest.pass_on) pass_on(digest);
   const bool place_may_be_free = peer_uses_.take(std::move(digest), endpoint, now);
   if (place_may_be_free && listener_) listener_();
 }
 
+/// Failed attempts of a node that sees the runners as this one does: from inside the same zone.
+void PeerLoads::take_ejections(const LoadDigest& digest, TimePoint now) {
+  for (const auto& told : digest.ejected) {
+    Runner* runner = registry_.find_hash(told.runner);
+    if (runner == nullptr) continue;
+    const PeerEjection ejection{.reporter = digest.sender,
+                                .failed_at = now - std::chrono::milliseconds(told.failed_ms_ago),
+                                .until = now + std::chrono::milliseconds(told.pause_left_ms),
+                                .failures = told.failures};
+    runner->take_peer_ejection(ejection, now);
+  }
+}
+
 /// Loads of another zone's runners, told by a node there.
 void PeerLoads::take_zone_loads(ZoneLoads loads) {
   if (loads.zone == stable_hash(zone_)) return;
@@ -150,13 +177,10 @@
   for (const auto& [id, runner] : registry_.all()) {
     if (runner->in_flight() == 0) continue;
     if (!zone.empty() && runner->record().zone != zone) continue;
-    const auto silent =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - runner->last_heard()).count();
-    constexpr std::int64_t kMost = std::numeric_limits<std::uint16_t>::max();
     digest.uses.push_back({runner->hash(), static_cast<std::uint16_t>(runner->in_flight()),
                            static_cast<std::uint16_t>(runner->batch_in_flight()),
                            runner->backlog_tokens(),
-                           static_cast<std::uint16_t>(std::min<std::int64_t>(silent, kMost))});
+                           saturated<std::uint16_t>(milliseconds(now - runner->last_heard()))});
   }
   if (digest.uses.size() > kMaxUses) {
     std::sort(digest.uses.begin(), digest.uses.end(),
@@ -170,6 +194,19 @@
   return digest;
 }
 
+std::vector<EjectedRunner> PeerLoads::make_ejections(TimePoint now) const {
+  std::vector<EjectedRunner> ejected;
+  for (const auto& [id, runner] : registry_.all()) {
+    const auto own = runner->own_ejection(now);
+    if (!own) continue;
+    ejected.push_back({runner->hash(), saturated<std::uint16_t>(milliseconds(now - own->failed_at)),
+                       saturated<std::uint16_t>(milliseconds(own->until - now)),
+                       saturated<std::uint8_t>(own->failures)});
+    if (ejected.size() >= kMaxEjections) break;
+  }
+  return ejected;
+}
+
 void PeerLoads::use_changed() {
   schedule_send();
 }
@@ -193,6 +230,7 @@
 void PeerLoads::send() {
   last_sent_ = monotonic_now();
   LoadDigest digest = make_digest({});
+  digest.ejected = make_ejections(last_sent_);
   if (last_sent_ - neighbours_told_ >= kHeartbeatInterval) {
     digest.neighbours = near_.heard_lately(last_sent_);
     neighbours_told_ = last_sent_;
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -66,6 +66,7 @@
   void receive();
   void take(const std::string& bytes);
   void take_digest(LoadDigest digest);
+  void take_ejections(const LoadDigest& digest, TimePoint now);
   void take_zone_loads(ZoneLoads loads);
   template <typename Message>
   void pass_on(Message message);
@@ -79,6 +80,7 @@
   [[nodiscard]] Duration send_interval() const;
   /// @param zone only runners of this zone; empty: all.
   [[nodiscard]] LoadDigest make_digest(const std::string& zone);
+  [[nodiscard]] std::vector<EjectedRunner> make_ejections(TimePoint now) const;
 
   boost::asio::any_io_executor executor_;
   RunnerRegistry& registry_;
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -23,6 +23,13 @@
 /// How long the load that another zone told of its runner counts; it is told four times a second.
 constexpr Duration kZoneLoadLifetime = std::chrono::milliseconds(700);
 
+/// Milliseconds since a moment, for logs; `never` if it is the start of the clock.
+std::string age_text(TimePoint moment, TimePoint now) {
+  if (moment == TimePoint{}) return "never";
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - moment);
+  return std::to_string(age.count());
+}
+
 }  // namespace
 
 Runner::Runner(RunnerRecord record) : record_(std::move(record)), hash_(stable_hash(record_.id)) {}
@@ -54,13 +61,15 @@
       }
       failures_ = 0;
       ejected_until_ = {};
+      failed_at_ = {};
       break;
     case AttemptOutcome::kNotRun:
       ejected_until_ = std::max(ejected_until_, now + kFullPause);
       break;
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kUnreachable: {
-      ++failures_;
+      // What other nodes have tried in vain counts: else each would begin with the shortest pause.
+      failures_ = std::max(failures_, peer_ejections_.failures(last_heard_)) + 1;
       if (failures_ < kFailuresToEject && outcome == AttemptOutcome::kFailed) break;
       eject(now);
       break;
@@ -74,6 +83,7 @@
   const std::uint32_t doublings = std::min<std::uint32_t>(failures_ - 1, kMostDoublings);
   const Duration pause = std::min(kFirstEjection * (1U << doublings), kLongestEjection);
   ejected_until_ = now + pause;
+  failed_at_ = now;
   const auto pause_ms = std::chrono::duration_cast<std::chrono::milliseconds>(pause).count();
   log_event(Event::kRunnerEjected, {{"runner", record_.id},
                                     {"address", record_.address},
@@ -81,6 +91,34 @@
                                     {"pause_ms", std::to_string(pause_ms)}});
 }
 
+bool Runner::own_failure_stands() const {
+  return failed_at_ > last_heard_;
+}
+
+bool Runner::ejected(TimePoint now) const {
+  if (now < ejected_until_) return true;
+  const bool own_failure = own_failure_stands();
+  const TimePoint peers_until = peer_ejections_.ejected_until(last_heard_, own_failure);
+  if (now < peers_until) return true;
+  const bool on_trial = own_failure || peers_until != TimePoint{};
+  return on_trial && in_flight_ + peer_in_flight_ > 0;
+}
+
+void Runner::take_peer_ejection(const PeerEjection& ejection, TimePoint now) {
+  const bool before = ejected(now);
+  peer_ejections_.take(ejection, now);
+  if (before || !ejected(now)) return;
+  log_event(Event::kRunnerEjectedByPeers, {{"runner", record_.id},
+                                           {"address", record_.address},
+                                           {"failures", std::to_string(ejection.failures)},
+                                           {"reported_age_ms", age_text(ejection.failed_at, now)}});
+}
+
+std::optional<PeerEjection> Runner::own_ejection(TimePoint now) const {
+  if (now >= ejected_until_ || !own_failure_stands()) return std::nullopt;
+  return PeerEjection{.failed_at = failed_at_, .until = ejected_until_, .failures = failures_};
+}
+
 void Runner::take_report(const LoadReport& report, TimePoint now) {
   report_ = report;
   report_time_ = now;
@@ -106,9 +144,7 @@
 }
 
 std::string Runner::load_age_text(TimePoint now) const {
-  if (report_time_ == TimePoint{}) return "never";
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - report_time_);
-  return std::to_string(age.count());
+  return age_text(report_time_, now);
 }
 
 double Runner::load(TimePoint now) const {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/peer_ejections.h"
 
 namespace stoathold {
 
@@ -74,8 +76,15 @@
 
   /// Whether it may be given new work at all.
   [[nodiscard]] bool available() const { return listed_ && !record_.draining && !leaving_; }
-  /// Whether it failed lately and is given no work until a pause is over.
-  [[nodiscard]] bool ejected(TimePoint now) const { return now < ejected_until_; }
+  /// Whether it failed lately, here or at other nodes, and is given no work until a pause is over.
+  /// After the pause one request at a time is tried there until the runner is heard again.
+  [[nodiscard]] bool ejected(TimePoint now) const;
+  /// Another node of the zone reports failed attempts at this runner.
+  void take_peer_ejection(const PeerEjection& ejection, TimePoint now);
+  /// What this node's own failed attempts say, to report it to other nodes; nothing if the runner
+  /// is not ejected by them.
+  /// @return the report without its reporter.
+  [[nodiscard]] std::optional<PeerEjection> own_ejection(TimePoint now) const;
   /// Requests expected to be at the runner, running and waiting, per slot.
   [[nodiscard]] double load(TimePoint now) const;
   [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
@@ -111,6 +120,8 @@
 
  private:
   void eject(TimePoint now);
+  /// Whether this node's last attempts failed and nothing was heard from the runner since.
+  [[nodiscard]] bool own_failure_stands() const;
 
   RunnerRecord record_;
   std::uint64_t hash_;
@@ -120,6 +131,8 @@
   std::uint32_t batch_in_flight_ = 0;
   std::uint32_t failures_ = 0;
   TimePoint ejected_until_{};
+  TimePoint failed_at_{};  ///< The failed attempt that last ejected it; the clock's start: none.
+  PeerEjections peer_ejections_;
   LoadReport report_;
   TimePoint report_time_{};
   TimePoint last_heard_{};
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -10,8 +10,9 @@
 namespace {
 
 TEST(LoadDigestTest, DamageIsNoticed) {
-  const LoadDigest digest{1,    2,  3,     {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}},
-                          {11}, {}, false, {{12, 13}}};
+  const LoadDigest digest{
+      1,  2,     3,         {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {{14, 15, 16, 17}}, {11},
+      {}, false, {{12, 13}}};
   const std::string bytes = encode_message(digest);
   PeerLoadMessage read;
   ASSERT_TRUE(decode_message(bytes, read));
@@ -160,6 +161,24 @@
   EXPECT_GT(also_far.runner("a1").load(monotonic_now()), 0.65);
 }
 
+TEST_F(SharedRunnersTest, ARunnerAtWhichTwoNodesFailedIsLeftAloneByTheOthers) {
+  Node first(loop, "a", 1);
+  Node second(loop, "a", 2);
+  Node third(loop, "a", 3);
+  const auto fail = [&](Node& node) {
+    node.loads.set_peers({{third.loads.address(), "a"}});
+    node.runner("a1").begin_attempt();
+    node.runner("a1").end_attempt(AttemptOutcome::kUnreachable, monotonic_now());
+    node.loads.use_changed();
+  };
+  fail(first);
+  run_until([&] { return third.loads.peer_count() == 1; });
+  EXPECT_FALSE(third.runner("a1").ejected(monotonic_now()));
+  fail(second);
+  run_until([&] { return third.runner("a1").ejected(monotonic_now()); });
+  EXPECT_FALSE(third.runner("b1").ejected(monotonic_now()));
+}
+
 TEST_F(SharedRunnersTest, DemandIsToldInsideTheZoneAndGrowsOld) {
   Node waiting(loop, "a", 1);
   Node near(loop, "a", 2);
