Only nodes that hold slots follow the jobs

After a loss of all, each node read the whole history of the jobs. Change: a node without slots reads them every 10 s and when a caller asks; one that gains a slot reads on at once. Test: a node that runs no jobs reads nothing when they come, answers for them all the same, and is told of them once it runs jobs.

--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -39,6 +39,7 @@
           context.executor, log, settings_.member_name,
           SlotHandlers{
               [this](const std::set<std::uint32_t>&) {
+                store_.set_running_jobs(true);
                 store_.for_each_job(
                     [this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
               },
@@ -46,6 +47,7 @@
               [this](const std::vector<std::string>& names) {
                 if (members_listener_) members_listener_(names);
               }}) {
+  store_.set_running_jobs(false);
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
 }
 
@@ -233,6 +235,7 @@
     if (slots.contains(job_slot(key, store_.limits().group_slots))) keys.push_back(key);
   }
   for (const auto& key : keys) stop_job(key, true);
+  store_.set_running_jobs(!membership_.slots().empty());
   co_await write_checkpoints();
 }
 
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -17,6 +17,9 @@
 
 /// Between two reads of the jobs that bring something: a job may begin this much later.
 constexpr Duration kFollowPace = std::chrono::milliseconds(250);
+/// Between two reads of the jobs by a node that runs none: only erased jobs are to be forgotten,
+/// and they live for many times as long.
+constexpr Duration kRestPace = std::chrono::seconds(10);
 /// Longest time that a read waits before it looks once more for a result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
 /// Most bytes asked for at once when a request is read, beyond its own.
@@ -84,8 +87,27 @@
   for (const auto& [key, job] : partition.table->jobs()) {
     if (listener_) listener_(key, job);
   }
-  asio::co_spawn(executor_, partition.replica->follow([] { return true; }, kFollowPace),
-                 asio::detached);
+  asio::co_spawn(executor_, keep_up(partition), asio::detached);
+}
+
+void JobStore::set_running_jobs(bool running) {
+  running_jobs_ = running;
+  for (auto& [number, partition] : jobs_) {
+    if (running && partition.rest) partition.rest->cancel();
+  }
+}
+
+/// Of a large fleet's nodes few run jobs; were all to follow them, most of the calls to the log
+/// would be theirs.
+asio::awaitable<void> JobStore::keep_up(JobsPartition& partition) {
+  partition.rest = std::make_unique<asio::steady_timer>(executor_);
+  const std::function<bool()> running = [this] { return running_jobs_; };
+  while (true) {
+    co_await partition.replica->follow(running, kFollowPace);
+    partition.rest->expires_after(kRestPace);
+    co_await partition.rest->async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!running_jobs_) co_await partition.replica->catch_up();
+  }
 }
 
 const ListedResults& JobStore::results_of(const JobKey& key) {
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -65,6 +66,9 @@
   void set_listener(JobTable::Listener listener) { listener_ = std::move(listener); }
   /// Follows the jobs of a host from now on.
   void follow_host(const std::string& host);
+  /// Whether this node runs jobs. While it does, the jobs of the followed hosts are read as soon as
+  /// they come; otherwise only now and then, and when a caller asks for one. On at first.
+  void set_running_jobs(bool running);
 
   /// Makes a job durable, once, however often it is submitted.
   boost::asio::awaitable<SubmitStatus> submit(NewJob job);
@@ -115,6 +119,7 @@
     std::unique_ptr<JobTable> table;
     std::shared_ptr<PartitionReplica> replica;
     bool followed = false;
+    std::unique_ptr<boost::asio::steady_timer> rest;  ///< Ends the rest of a node without jobs.
   };
 
   /// Whether a job fits the limit on the tokens that may wait on its route.
@@ -129,12 +134,14 @@
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
                                                          NewJob& job, TimePoint deadline);
   boost::asio::awaitable<void> pause(Duration duration);
+  boost::asio::awaitable<void> keep_up(JobsPartition& partition);
 
   boost::asio::any_io_executor executor_;
   RecordLog& log_;
   std::string writer_name_;
   JobStoreTiming timing_;
   std::uint64_t next_unique_ = 0;
+  bool running_jobs_ = true;
   JobTable::Listener listener_;
   std::map<std::uint32_t, JobsPartition> jobs_;
   /// Of the jobs that this node was asked for or runs.
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <functional>
 #include <memory>
 
@@ -30,7 +33,8 @@
   return timing;
 }
 
-/// One node's way to a log that several share. Calls complete at once.
+/// One node's way to a log that several share. Calls complete at once, but a read that may wait for
+/// records and finds none waits for all of its time.
 class FaultyRecordLog final : public RecordLog {
  public:
   FaultyRecordLog(std::shared_ptr<emulator::LogModel> model, LogLimits limits)
@@ -51,10 +55,14 @@
   const LogLimits& limits() const override { return limits_; }
 
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
-                                          std::uint64_t max_bytes, Duration /*wait*/) override {
+                                          std::uint64_t max_bytes, Duration wait) override {
     ReadResult result;
     result.status = LogStatus::kNotDone;
     if (!faults.down) result = model_->read(partition, from, max_bytes);
+    if (result.status == LogStatus::kOk && result.records.empty() && wait.count() > 0) {
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, wait);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     records_read += result.records.size();
     co_return result;
   }
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -268,5 +268,30 @@
   }
 }
 
+TEST_F(JobStoreTest, WhoRunsNoJobsReadsThemOnlyOnceItDoes) {
+  std::vector<JobKey> told;
+  second.set_listener([&](const JobKey& key, const JobEntry&) { told.push_back(key); });
+  second.set_running_jobs(false);
+  second.follow_host(kHost);
+  EXPECT_EQ(submit(first, make_job("j1", 3)), SubmitStatus::kAccepted);
+  loop.poll();
+  EXPECT_TRUE(told.empty());
+  EXPECT_EQ(second_log.records_read, 0U);
+  second.set_running_jobs(true);
+  loop.poll();
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told.front(), make_job_key(kHost, "j1"));
+}
+
+TEST_F(JobStoreTest, WhoRunsNoJobsAnswersForThemAllTheSame) {
+  second.set_running_jobs(false);
+  second.follow_host(kHost);
+  EXPECT_EQ(submit(first, make_job("j1", 1)), SubmitStatus::kAccepted);
+  loop.poll();
+  EXPECT_EQ(find(second, "j1"), LookupStatus::kFound);
+  write_result(first, "j1", 0, "text");
+  EXPECT_EQ(read_texts(second, "j1"), std::vector<std::string>{"text"});
+}
+
 }  // namespace
 }  // namespace stoathold
