Requests wait for the first configuration

Weighed: listening only once it is known (the caller then meets a reset and uses up a retry); waiting. Change: such a request waits for up to 0.3 s. Test: a request that came before the configuration is served.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,9 @@
 #include "gateway/gateway.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "base/event_log.h"
 #include "gateway/log_fields.h"
 #include "gateway/online_request.h"
@@ -9,6 +13,12 @@
 
 namespace asio = boost::asio;
 
+/// A node that has just started knows its configuration after one or two calls to the store, some
+/// 50 ms. A request that comes before waits so long for it: it is refused early enough for another
+/// node to answer it in time.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(300);
+/// Between looks for it.
+constexpr Duration kConfigurationLook = std::chrono::milliseconds(5);
 /// A node that knows no configuration yet asks callers to come back after this time, in seconds.
 constexpr const char* kNotReadyRetrySeconds = "0.3";
 
@@ -35,7 +45,17 @@
 Gateway::Gateway(GatewayContext& context, BatchSubmissionHandler submit_batch)
     : context_(context), submit_batch_(std::move(submit_batch)) {}
 
+asio::awaitable<void> Gateway::wait_for_configuration() {
+  const TimePoint until = monotonic_now() + kConfigurationWait;
+  asio::steady_timer timer(context_.executor);
+  while (!context_.configuration && monotonic_now() < until) {
+    timer.expires_after(kConfigurationLook);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 asio::awaitable<void> Gateway::serve(HttpExchange& exchange) {
+  if (!context_.configuration) co_await wait_for_configuration();
   const auto configuration = context_.configuration;
   if (!configuration) {
     ++context_.metrics.refusals["no_configuration"];
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,7 @@
   boost::asio::awaitable<void> serve(HttpExchange& exchange);
 
  private:
+  boost::asio::awaitable<void> wait_for_configuration();
   boost::asio::awaitable<void> serve_route(
       HttpExchange& exchange, std::shared_ptr<const ServingConfiguration> configuration,
       const Route& route);
--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -238,5 +238,15 @@
   EXPECT_EQ(context.runners.all().at("r1")->in_flight(), 0U);
 }
 
+TEST_F(OnlineRequestTest, ARequestWaitsForTheFirstConfiguration) {
+  ScriptedRunner runner(loop, {{stream_head() + chunk(event(1)) + kLastChunk}});
+  add_runner(runner);
+  boost::asio::steady_timer timer(loop, std::chrono::milliseconds(30));
+  timer.async_wait([&](boost::system::error_code) { configure(RouteKind::kStreaming, true); });
+  const CallerView view = ask();
+  EXPECT_EQ(view.status, 200);
+  EXPECT_EQ(view.body, event(1));
+}
+
 }  // namespace
 }  // namespace stoathold
