Calls for jobs are relayed to a node that reaches the log

Cause: the store may turn away some nodes while it serves others. Ruled out: slots that lie with lost nodes, slow start, waiting for runners: the logs show each item of these jobs listed in time. Change: a call for a job that this node cannot settle for want of the log is handed over to up to four nodes of its zone, on the port that the nodes keep for each other. Tests: a node that refuses is passed over; if all refuse nothing was done; one that does not answer ends the search.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -90,6 +90,8 @@
                "After a failed attempt another runner was chosen for a request or an item."},
     EventEntry{Event::kRunnerEjectedByPeers, "runner_ejected_by_peers", EventLevel::kInfo,
                "Other nodes report failed attempts at a runner; it gets no work for a while."},
+    EventEntry{Event::kCallRelayed, "call_relayed", EventLevel::kInfo,
+               "A call that needs the log was handed over to another node; status 0: no answer."},
     EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
                "The directory lists a runner, or lists it with other values."},
     EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -56,6 +56,7 @@
   kRequestSent = 1510,
   kRequestSentAgain = 1511,
   kRunnerEjectedByPeers = 1512,
+  kCallRelayed = 1513,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- /dev/null
+++ b/src/gateway/peer_relay.cc
@@ -0,0 +1,79 @@
+#include "gateway/peer_relay.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/random.h"
+#include "gateway/headers.h"
+#include "gateway/log_fields.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Nodes that are asked for one call: when a third of them is turned away as well, three of four
+/// calls are taken by the first and all but one in a hundred by the fourth.
+constexpr std::size_t kMaxPeers = 4;
+/// Longest time of one node: several times what a submission takes, and too short for its caller to
+/// have given up.
+constexpr Duration kPeerTimeout = std::chrono::milliseconds(1000);
+constexpr int kServiceUnavailable = 503;
+
+/// Takes a random one out of the addresses.
+std::string take_random(std::vector<std::string>& addresses) {
+  const std::size_t index = process_random().below(addresses.size());
+  std::swap(addresses[index], addresses.back());
+  std::string address = std::move(addresses.back());
+  addresses.pop_back();
+  return address;
+}
+
+}  // namespace
+
+PeerRelay::PeerRelay(const asio::any_io_executor& executor, const HeaderDialect& dialect,
+                     PeerSource peers)
+    : client_(executor, LoopThreads::kOne), dialect_(dialect), peers_(std::move(peers)) {}
+
+HttpCall PeerRelay::make_call(const HttpExchange& exchange) const {
+  HttpCall call;
+  call.method = std::string(exchange.method());
+  call.target = std::string(exchange.target());
+  call.body = exchange.body();
+  call.timeout = kPeerTimeout;
+  const std::string_view connection = exchange.header("Connection");
+  for (auto& header : exchange.headers()) {
+    const bool dropped = is_connection_header(header.name) ||
+                         names_header(connection, header.name) ||
+                         // A read that is held back would outlast the time of the call.
+                         same_header_name(header.name, dialect_.max_wait_ms);
+    if (!dropped) call.headers.push_back(std::move(header));
+  }
+  return call;
+}
+
+asio::awaitable<HttpReply> PeerRelay::relay(const HttpExchange& exchange) {
+  const HttpCall call = make_call(exchange);
+  const std::string request(exchange.header(dialect_.request_id));
+  std::vector<std::string> addresses = peers_();
+  for (std::size_t asked = 0; asked < kMaxPeers && !addresses.empty(); ++asked) {
+    HttpCall next = call;
+    next.address = take_random(addresses);
+    const std::string peer = next.address;
+    const TimePoint start = monotonic_now();
+    HttpReply reply = co_await client_.call(std::move(next));
+    log_event(Event::kCallRelayed, {{"request", request},
+                                    {"target", call.target},
+                                    {"peer", peer},
+                                    {"status", std::to_string(reply.status)},
+                                    {"duration_ms", milliseconds_text(monotonic_now() - start)}});
+    const bool refused =
+        reply.progress == HttpProgress::kAnswered && reply.status == kServiceUnavailable;
+    if (reply.progress == HttpProgress::kNotSent || refused) continue;
+    co_return reply;
+  }
+  const HttpReply nobody;
+  co_return nobody;
+}
+
+}  // namespace stoathold
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -74,6 +74,15 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+std::vector<std::string> PeerLoads::live_neighbours() const {
+  std::vector<std::string> addresses;
+  for (const auto& node : near_.heard_lately(monotonic_now())) {
+    const asio::ip::address_v4 ip(node.ip);
+    addresses.push_back(ip.to_string() + ":" + std::to_string(node.port));
+  }
+  return addresses;
+}
+
 void PeerLoads::start() {
   receive();
   schedule_expiry();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -59,6 +59,8 @@
   /// The address bound, with the port that was taken.
   [[nodiscard]] std::string address() const;
   [[nodiscard]] std::size_t peer_count() const { return near_.size(); }
+  /// Returns the addresses (`ip:port`) of the zone's nodes that were heard just now.
+  [[nodiscard]] std::vector<std::string> live_neighbours() const;
 
  private:
   using Endpoint = boost::asio::ip::udp::endpoint;
--- /dev/null
+++ b/tests/gateway/peer_relay_test.cc
@@ -0,0 +1,103 @@
+#include "gateway/peer_relay.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+
+#include "tests/gateway/scripted_runner.h"
+#include "tests/jobs/run_awaitable.h"
+
+namespace stoathold {
+namespace {
+
+/// Another node, which answers relayed calls with one status and keeps what it was asked.
+struct Peer {
+  Peer(boost::asio::io_context& loop, int status)
+      : server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
+               [this, status](HttpExchange& exchange) { return serve(exchange, status); }) {
+    server.start();
+  }
+  boost::asio::awaitable<void> serve(HttpExchange& exchange, int status) {
+    ++calls;
+    host = std::string(exchange.header("Host"));
+    body = exchange.body();
+    held = !exchange.header("X-Max-Wait-Ms").empty();
+    co_await exchange.respond(status, "application/json", "from peer");
+  }
+
+  int calls = 0;
+  std::string host;
+  std::string body;
+  bool held = false;
+  HttpServer server;
+};
+
+/// A node that relays all that it is asked.
+class PeerRelayTest : public testing::Test {
+ protected:
+  PeerRelayTest()
+      : relay(loop.get_executor(), dialect, [this] { return peers; }),
+        server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
+               [this](HttpExchange& exchange) { return serve(exchange); }) {
+    server.start();
+  }
+
+  boost::asio::awaitable<void> serve(HttpExchange& exchange) {
+    answer = co_await relay.relay(exchange);
+    co_await exchange.respond(200, "text/plain", {});
+  }
+  void ask() {
+    HttpCall call;
+    call.address = server.address();
+    call.method = "POST";
+    call.target = "/jobs/";
+    call.body = "the job";
+    call.headers = {{"Host", "a.example"}, {"X-Request-Id", "id-1"}, {"X-Max-Wait-Ms", "900"}};
+    HttpClient client(loop.get_executor());
+    const HttpReply reply = run_awaitable(loop, client.call(std::move(call)));
+    EXPECT_EQ(reply.status, 200);
+  }
+
+  boost::asio::io_context loop;
+  HeaderDialect dialect;
+  std::vector<std::string> peers;
+  HttpReply answer;
+  PeerRelay relay;
+  HttpServer server;
+};
+
+TEST_F(PeerRelayTest, ANodeThatRefusesIsPassedOver) {
+  Peer refusing(loop, 503);
+  Peer accepting(loop, 202);
+  peers = {refusing.server.address(), "127.0.0.1:1", accepting.server.address()};
+  ask();
+  EXPECT_EQ(answer.progress, HttpProgress::kAnswered);
+  EXPECT_EQ(answer.status, 202);
+  EXPECT_EQ(answer.body, "from peer");
+  EXPECT_EQ(accepting.calls, 1);
+  EXPECT_EQ(accepting.host, "a.example");
+  EXPECT_EQ(accepting.body, "the job");
+  EXPECT_FALSE(accepting.held);
+}
+
+TEST_F(PeerRelayTest, IfAllRefuseNothingWasDone) {
+  Peer refusing(loop, 503);
+  peers = {refusing.server.address(), "127.0.0.1:1"};
+  ask();
+  EXPECT_EQ(answer.progress, HttpProgress::kNotSent);
+}
+
+TEST_F(PeerRelayTest, WithoutOtherNodesNothingWasDone) {
+  ask();
+  EXPECT_EQ(answer.progress, HttpProgress::kNotSent);
+}
+
+TEST_F(PeerRelayTest, ANodeThatDoesNotAnswerMayHaveDoneItAndNoOtherIsAsked) {
+  ScriptedRunner silent(loop, {ScriptedAnswer("", true)});
+  peers = {silent.address()};
+  ask();
+  EXPECT_EQ(answer.progress, HttpProgress::kSent);
+}
+
+}  // namespace
+}  // namespace stoathold
