Batch yields at runners that have more requests than places

Cause: batch gave way only to what waits at a gateway. Change: when an online request has had no answer for 20 ms and the zone's nodes have more requests at its runner than that has places, the node that runs batch there is asked to end one run, and again every 100 ms. Tests: batch is asked only at an overcommitted runner, at the node that runs it there, and from a request that waits there.

--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -67,7 +67,8 @@
       route_(route),
       service_(context.split.next_service(route)),
       arrival_(monotonic_now()),
-      deadline_timer_(exchange.executor()) {
+      deadline_timer_(exchange.executor()),
+      runner_queue_timer_(exchange.executor()) {
   read_request();
 }
 
@@ -227,6 +228,18 @@
   });
 }
 
+/// While the answer has not begun, the request may be waiting in the runner's own queue.
+void OnlineRequest::watch_runner_queue(const std::shared_ptr<Runner>& runner, bool again) {
+  runner_queue_timer_.expires_after(PlacementQueue::yield_delay(again));
+  runner_queue_timer_.async_wait(
+      [weak = weak_from_this(), runner](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->stopped_ || self->attempt_answered_) return;
+        const bool asked = self->context_.placement.relieve(*runner);
+        self->watch_runner_queue(runner, asked);
+      });
+}
+
 asio::awaitable<AttemptResult> OnlineRequest::attempt(const std::shared_ptr<Runner>& runner) {
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
@@ -238,6 +251,7 @@
   AttemptResult result = classify_failure(status);
   if (status == UpstreamStatus::kOk) {
     watch_silence(runner);
+    watch_runner_queue(runner, false);
     const bool impatient = route_.repeatable() && has_alternative();
     if (impatient) be_patient(scale(route_.latency_objective, kFirstEventPatience));
     status = co_await upstream->read_head();
@@ -247,6 +261,7 @@
       result = co_await take_answer(*runner);
     }
   }
+  runner_queue_timer_.cancel();
   if (result == AttemptResult::kBroken) ++runs_;
   if (result == AttemptResult::kCompleted) {
     upstream->release();
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -65,6 +65,7 @@
   [[nodiscard]] bool has_alternative() const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place();
   void watch_silence(const std::shared_ptr<Runner>& runner);
+  void watch_runner_queue(const std::shared_ptr<Runner>& runner, bool again);
   void log_choice(const Selection& choice);
   void log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
@@ -83,6 +84,7 @@
   std::vector<HttpHeader> forwarded_headers_;
 
   boost::asio::steady_timer deadline_timer_;
+  boost::asio::steady_timer runner_queue_timer_;
   std::shared_ptr<PlacementTicket> ticket_;
   std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<UpstreamExchange> upstream_;
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -114,14 +114,16 @@
   return kFirstItems + static_cast<std::size_t>(part * (kMaxRunningItems - kFirstItems));
 }
 
-bool JobRunner::yield_place(const std::string& service, const std::string& zone) {
+bool JobRunner::yield_place(const YieldRequest& request) {
   std::shared_ptr<ItemRun> chosen;
   std::int64_t chosen_submitted = 0;
   for (const auto& [key, job] : jobs_) {
     for (const auto& [index, run] : job->runs) {
       const auto& runner = run->runner();
       if (!runner || run->yielding()) continue;
-      if (runner->record().service != service || runner->record().zone != zone) continue;
+      const RunnerRecord& record = runner->record();
+      if (record.service != request.service || record.zone != request.zone) continue;
+      if (request.runner != 0 && request.runner != runner->hash()) continue;
       // Of the job that came last, since it has the most time left; there the newest run.
       const bool more_time = job->submitted_ms > chosen_submitted;
       const bool newer =
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -15,6 +15,7 @@
 #include "jobs/job_store.h"
 #include "jobs/result_writer.h"
 #include "jobs/slot_membership.h"
+#include "routing/load_messages.h"
 
 namespace stoathold {
 
@@ -39,10 +40,10 @@
   /// Planned stop: gives the slots up with their progress written, and leaves the group.
   boost::asio::awaitable<void> stop();
 
-  /// A run at a runner of the service in the zone gives its place back: the newest of the job that
-  /// came last, which has the most time left.
+  /// A run at a runner that the request names gives its place back: the newest of the job that came
+  /// last, which has the most time left.
   /// @return false if there is none.
-  bool yield_place(const std::string& service, const std::string& zone);
+  bool yield_place(const YieldRequest& request);
 
   [[nodiscard]] std::size_t running_items() const { return running_items_; }
   [[nodiscard]] std::size_t unwritten_results() const { return writer_.pending(); }
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -70,10 +70,11 @@
 struct YieldRequest {
   std::string service;
   std::string zone;
+  std::uint64_t runner = 0;  ///< Hash of the runner's id; 0: any of them.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(service, zone);
+    archive(service, zone, runner);
   }
 };
 
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -170,10 +170,10 @@
   near_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
-bool PeerLoads::ask_for_place(const std::string& service) {
-  const auto asked = peer_uses_.take_batch_place(service);
+bool PeerLoads::ask_for_place(const YieldRequest& request) {
+  const auto asked = peer_uses_.take_batch_place(request);
   if (!asked) return false;
-  send_to(*asked, encode_message(YieldRequest{service, zone_}));
+  send_to(*asked, encode_message(request));
   return true;
 }
 
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -50,10 +50,10 @@
   /// Called when another node asks for a place.
   using YieldHandler = std::function<void(const YieldRequest&)>;
   void set_yield_handler(YieldHandler handler) { yield_handler_ = std::move(handler); }
-  /// Asks the node that runs the most batch items at the service's runners in this zone for a
+  /// Asks the node that runs the most batch items at the runners that the request names for a
   /// place.
   /// @return false if none is known to run any.
-  bool ask_for_place(const std::string& service);
+  bool ask_for_place(const YieldRequest& request);
   /// This node's use of a runner has changed.
   void use_changed();
   /// The address bound, with the port that was taken.
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -99,33 +99,35 @@
   return silent > 0 || demand;
 }
 
-/// Whether a use holds batch items at a runner of the service in this zone.
-bool PeerUseTable::is_batch_here(const RunnerUse& use, const std::string& service) const {
+/// Whether a use holds batch items at a runner that the request names.
+bool PeerUseTable::is_batch_at(const RunnerUse& use, const YieldRequest& request) const {
   if (use.batch_in_flight == 0) return false;
+  if (request.runner != 0 && request.runner != use.runner) return false;
   const Runner* runner = registry_.find_hash(use.runner);
-  return runner != nullptr && runner->record().zone == zone_ && runner->record().service == service;
+  return runner != nullptr && runner->record().zone == request.zone &&
+         runner->record().service == request.service;
 }
 
-std::uint32_t PeerUseTable::batch_near(const PeerState& state, const std::string& service) const {
+std::uint32_t PeerUseTable::batch_at(const PeerState& state, const YieldRequest& request) const {
   std::uint32_t count = 0;
   for (const auto& use : state.uses) {
-    if (is_batch_here(use, service)) count += use.batch_in_flight;
+    if (is_batch_at(use, request)) count += use.batch_in_flight;
   }
   return count;
 }
 
-std::optional<PeerUseTable::Endpoint> PeerUseTable::take_batch_place(const std::string& service) {
+std::optional<PeerUseTable::Endpoint> PeerUseTable::take_batch_place(const YieldRequest& request) {
   PeerState* most = nullptr;
   std::uint32_t most_items = 0;
   for (auto& [sender, state] : states_) {
-    const std::uint32_t items = batch_near(state, service);
+    const std::uint32_t items = batch_at(state, request);
     if (items <= most_items) continue;
     most = &state;
     most_items = items;
   }
   if (most == nullptr) return std::nullopt;
   const auto use = std::find_if(most->uses.begin(), most->uses.end(), [&](const RunnerUse& entry) {
-    return is_batch_here(entry, service);
+    return is_batch_at(entry, request);
   });
   if (use != most->uses.end()) --use->batch_in_flight;
   return most->endpoint;
--- a/src/routing/peer_use_table.h
+++ b/src/routing/peer_use_table.h
@@ -33,9 +33,9 @@
   /// Forgets what nodes said that have been silent for long.
   /// @return as `take`.
   bool expire(TimePoint now);
-  /// Picks the node that runs the most batch items at the service's runners in this zone, and
+  /// Picks the node that runs the most batch items at the runners that the request names, and
   /// counts one item less there until its next digest.
-  std::optional<Endpoint> take_batch_place(const std::string& service);
+  std::optional<Endpoint> take_batch_place(const YieldRequest& request);
 
  private:
   struct PeerState {
@@ -54,8 +54,8 @@
   void note_heard(const PeerState& state, TimePoint now);
   void publish_demand(TimePoint now);
   [[nodiscard]] bool uses_less(const PeerState& before, const PeerState& after) const;
-  [[nodiscard]] bool is_batch_here(const RunnerUse& use, const std::string& service) const;
-  [[nodiscard]] std::uint32_t batch_near(const PeerState& state, const std::string& service) const;
+  [[nodiscard]] bool is_batch_at(const RunnerUse& use, const YieldRequest& request) const;
+  [[nodiscard]] std::uint32_t batch_at(const PeerState& state, const YieldRequest& request) const;
 
   RunnerRegistry& registry_;
   std::string zone_;
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -148,10 +148,23 @@
     if (ticket->request_.work != WorkClass::kOnline || now < ticket->ask_yield_at_) continue;
     ticket->ask_yield_at_ = now + kYieldAgain;
     last_demand_[ticket->request_.selection.service] = now;
-    yield_handler_(ticket->request_.selection.service);
+    yield_handler_(ticket->request_.selection.service, nullptr);
   }
 }
 
+/// The nodes choose for themselves from what they were told a moment ago, so that now and then more
+/// of them choose a runner than it has places. Its own queue knows no priorities.
+bool PlacementQueue::relieve(const Runner& runner) {
+  if (!yield_handler_ || !runner.overcommitted()) return false;
+  last_demand_[runner.record().service] = monotonic_now();
+  yield_handler_(runner.record().service, &runner);
+  return true;
+}
+
+Duration PlacementQueue::yield_delay(bool again) {
+  return again ? kYieldAgain : kYieldAfter;
+}
+
 void PlacementQueue::watch() {
   if (watching_) return;
   watching_ = true;
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -56,7 +56,8 @@
  public:
   /// Called when online work waits for a service whose runners are full: batch work there may give
   /// a place back, at this node or at another. Called once for each place that is needed.
-  using YieldHandler = std::function<void(const std::string& service)>;
+  /// @param runner where; null: at any runner of the service in this zone.
+  using YieldHandler = std::function<void(const std::string& service, const Runner* runner)>;
 
   PlacementQueue(boost::asio::any_io_executor executor, const RunnerRegistry& registry);
 
@@ -70,6 +71,12 @@
   void capacity_changed();
   /// Other nodes told their use of runners: a place may have become free.
   void loads_changed();
+  /// Online work that was sent to the runner has had no answer for `yield_delay`: batch work there
+  /// gives a place back if the runner has more requests than places.
+  /// @return whether it was asked to.
+  bool relieve(const Runner& runner);
+  /// How long online work waits before batch work gives a place back, and before another does.
+  static Duration yield_delay(bool again);
   /// Called whenever this node's use of a runner changes.
   void set_use_listener(std::function<void()> listener) { use_listener_ = std::move(listener); }
   /// Returns how many wait.
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -88,6 +88,8 @@
   /// Requests expected to be at the runner, running and waiting, per slot.
   [[nodiscard]] double load(TimePoint now) const;
   [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+  /// Whether the nodes of the zone have more requests there than it has places.
+  [[nodiscard]] bool overcommitted() const { return in_flight_ + peer_in_flight_ > slots(); }
   /// Those of `in_flight` that are batch items.
   [[nodiscard]] std::uint32_t batch_in_flight() const { return batch_in_flight_; }
   /// Prompt tokens that this node has sent and that have not been read yet.
--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -248,5 +248,23 @@
   EXPECT_EQ(view.body, event(1));
 }
 
+TEST_F(OnlineRequestTest, ARequestInTheQueueOfAnOvercommittedRunnerMakesBatchYieldThere) {
+  configure(RouteKind::kStreaming, true);
+  ScriptedAnswer silent("");
+  silent.pause = std::chrono::seconds(20);
+  ScriptedRunner runner(loop, {silent});
+  add_runner(runner);
+  const Runner* asked = nullptr;
+  context.placement.set_yield_handler(
+      [&](const std::string&, const Runner* where) { asked = where; });
+  boost::asio::co_spawn(loop, call("/x/1"), boost::asio::detached);
+  while (runner.requests.empty() && loop.run_one() > 0) {
+  }
+  context.runners.all().at("r1")->set_peer_use(10, 0);
+  while (asked == nullptr && loop.run_one() > 0) {
+  }
+  EXPECT_EQ(asked, context.runners.all().at("r1").get());
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -89,7 +89,8 @@
   Node asking(loop, "a", 1);
   Node little(loop, "a", 2);
   Node much(loop, "b", 3);
-  EXPECT_FALSE(asking.loads.ask_for_place("chat"));
+  const YieldRequest anywhere{"chat", "a", 0};
+  EXPECT_FALSE(asking.loads.ask_for_place(anywhere));
   little.loads.set_peers({{asking.loads.address(), "a"}});
   much.loads.set_peers({{asking.loads.address(), "a"}});
   little.runner("a1").begin_attempt(0, WorkClass::kBatch);
@@ -98,12 +99,30 @@
   for (int i = 0; i < 2; ++i) much.runner("a1").begin_attempt(0, WorkClass::kBatch);
   little.loads.use_changed();
   run_until([&] { return asking.runner("a1").load(monotonic_now()) > 0.25; });
-  EXPECT_TRUE(asking.loads.ask_for_place("chat"));
+  EXPECT_TRUE(asking.loads.ask_for_place(anywhere));
   run_until([&] { return !much.asked.empty(); });
   EXPECT_EQ(much.asked.front(), "chat/a");
   EXPECT_TRUE(little.asked.empty());
 }
 
+TEST_F(SharedRunnersTest, WhoRunsBatchAtTheRunnerInNeedIsAskedForAPlaceThere) {
+  Node asking(loop, "a", 1);
+  Node elsewhere(loop, "a", 2);
+  Node there(loop, "a", 3);
+  const RunnerRecord second{"a2", "chat", "10.0.0.4:80", "a", 10, false};
+  for (Node* node : {&asking, &elsewhere, &there}) node->registry.upsert(second);
+  elsewhere.loads.set_peers({{asking.loads.address(), "a"}});
+  there.loads.set_peers({{asking.loads.address(), "a"}});
+  for (int i = 0; i < 5; ++i) elsewhere.runner("a1").begin_attempt(0, WorkClass::kBatch);
+  there.runner("a2").begin_attempt(0, WorkClass::kBatch);
+  elsewhere.loads.use_changed();
+  there.loads.use_changed();
+  run_until([&] { return asking.loads.peer_count() == 2; });
+  EXPECT_TRUE(asking.loads.ask_for_place({"chat", "a", asking.runner("a2").hash()}));
+  run_until([&] { return !there.asked.empty(); });
+  EXPECT_TRUE(elsewhere.asked.empty());
+}
+
 TEST_F(SharedRunnersTest, UseFromAnotherZoneIsToldOnceAndPassedOn) {
   Node told(loop, "a", 1);
   Node also(loop, "a", 2);
@@ -114,7 +133,7 @@
   run_until([&] { return also.runner("a1").load(monotonic_now()) > 0.25; });
   EXPECT_GT(told.runner("a1").load(monotonic_now()), 0.25);
   // Who is asked for a place is the node that runs the items, not the one that passed it on.
-  EXPECT_TRUE(also.loads.ask_for_place("chat"));
+  EXPECT_TRUE(also.loads.ask_for_place({"chat", "a", 0}));
   run_until([&] { return !user.asked.empty(); });
   EXPECT_TRUE(told.asked.empty());
 }
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -80,7 +80,8 @@
 
 TEST_F(PlacementQueueTest, OnlineWorkThatWaitsAsksBatchToYield) {
   std::vector<std::string> asked;
-  queue.set_yield_handler([&](const std::string& service) { asked.push_back(service); });
+  queue.set_yield_handler(
+      [&](const std::string& service, const Runner*) { asked.push_back(service); });
   wait("first", make_request(WorkClass::kOnline));
   wait("batch", make_request(WorkClass::kBatch));
   EXPECT_TRUE(asked.empty());
@@ -90,6 +91,19 @@
   EXPECT_EQ(asked, (std::vector<std::string>{"chat"}));
 }
 
+TEST_F(PlacementQueueTest, BatchYieldsAtARunnerThatHasMoreRequestsThanPlaces) {
+  std::vector<const Runner*> asked;
+  queue.set_yield_handler(
+      [&](const std::string&, const Runner* runner) { asked.push_back(runner); });
+  registry.upsert({"r2", "chat", "10.0.0.1:80", "zone", 2, false});
+  Runner& runner = *registry.all().at("r2");
+  for (int i = 0; i < 2; ++i) runner.begin_attempt();
+  EXPECT_FALSE(queue.relieve(runner));
+  runner.set_peer_use(1, 0);
+  EXPECT_TRUE(queue.relieve(runner));
+  EXPECT_EQ(asked, (std::vector<const Runner*>{&runner}));
+}
+
 TEST_F(PlacementQueueTest, BatchLeavesPlacesToOnlineWorkThatWaitsAtOtherNodes) {
   registry.set_peer_demand({stable_hash("chat")});
   wait("batch", make_request(WorkClass::kBatch));
