--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -214,6 +214,7 @@
   if (job->stopped) co_return;
   log_event(Event::kJobFinished, {{"job", key}});
   jobs_.erase(key);
+  checkpointed_.forget(key);
   counts_changed_.erase(key);
 }
 
@@ -228,6 +229,7 @@
     if (keep_progress) add_checkpoint(*run);
     run->stop();
   }
+  checkpointed_.forget(key);
   counts_changed_.erase(key);
 }
 
@@ -261,10 +263,8 @@
 void JobRunner::add_checkpoint(const ItemRun& run) {
   if (!run.has_progress()) return;
   const ItemProgress& progress = run.progress();
-  const ItemProgress* written = store_.progress_of(progress.job, progress.item);
-  const bool newer = written == nullptr || written->last_event < progress.last_event ||
-                     written->failures < progress.failures;
-  if (!newer) return;
+  const ItemProgress* read = store_.progress_of(progress.job, progress.item);
+  if (!checkpointed_.is_news(progress, read)) return;
   const std::uint32_t partition = job_partition(progress.job, store_.limits().partitions);
   checkpoints_[partition].push_back(progress);
 }
@@ -279,6 +279,7 @@
   const auto batches = std::exchange(checkpoints_, {});
   for (const auto& [partition, entries] : batches) {
     std::vector<KeyedRecord> records;
+    std::vector<const ItemProgress*> included;
     std::uint64_t bytes = 0;
     for (const auto& entry : entries) {
       const std::uint64_t size = entry.text.size() + kRecordOverhead;
@@ -288,8 +289,15 @@
       if (!fits) continue;
       bytes += size;
       records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
+      included.push_back(&entry);
+    }
+    if (records.empty()) continue;
+    const LogStatus status = co_await store_.write_progress(partition, std::move(records));
+    // Without an answer it may be durable or not; then it is written again in the next round.
+    if (status != LogStatus::kOk) continue;
+    for (const ItemProgress* entry : included) {
+      if (jobs_.contains(entry->job)) checkpointed_.written(*entry);
     }
-    if (!records.empty()) co_await store_.write_progress(partition, std::move(records));
   }
 }
 
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "gateway/gateway_context.h"
+#include "jobs/checkpoint_table.h"
 #include "jobs/item_run.h"
 #include "jobs/job_store.h"
 #include "jobs/result_writer.h"
@@ -97,6 +98,7 @@
   std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
   std::set<WaitingItem> waiting_;
   std::set<JobKey> counts_changed_;
+  CheckpointTable checkpointed_;
   /// Progress that is to be written, by partition.
   std::map<std::uint32_t, std::vector<ItemProgress>> checkpoints_;
   TimePoint started_{};
--- /dev/null
+++ b/tests/jobs/checkpoint_table_test.cc
@@ -0,0 +1,48 @@
+#include "jobs/checkpoint_table.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+ItemProgress make_progress(const JobKey& job, std::uint32_t item, std::uint64_t last_event,
+                           std::uint32_t failures = 0) {
+  ItemProgress progress;
+  progress.job = job;
+  progress.item = item;
+  progress.last_event = last_event;
+  progress.failures = failures;
+  return progress;
+}
+
+TEST(CheckpointTableTest, WhatIsWrittenIsNoNewsUntilTheItemGoesOn) {
+  CheckpointTable table;
+  EXPECT_TRUE(table.is_news(make_progress("j1", 3, 7), nullptr));
+  table.written(make_progress("j1", 3, 7));
+  EXPECT_FALSE(table.is_news(make_progress("j1", 3, 7), nullptr));
+  EXPECT_TRUE(table.is_news(make_progress("j1", 3, 8), nullptr));
+  EXPECT_TRUE(table.is_news(make_progress("j1", 3, 7, 1), nullptr));
+  EXPECT_TRUE(table.is_news(make_progress("j1", 4, 7), nullptr));
+}
+
+TEST(CheckpointTableTest, WhatWasReadFromTheLogIsNoNewsEither) {
+  const CheckpointTable table;
+  const ItemProgress read = make_progress("j1", 3, 7);
+  EXPECT_FALSE(table.is_news(make_progress("j1", 3, 7), &read));
+  EXPECT_TRUE(table.is_news(make_progress("j1", 3, 9), &read));
+}
+
+TEST(CheckpointTableTest, AJobThatComesBackIsWrittenAnew) {
+  // Meanwhile another node may have run it, and written less.
+  CheckpointTable table;
+  table.written(make_progress("j1", 0, 7));
+  table.written(make_progress("j1", 9, 7));
+  table.written(make_progress("j2", 0, 7));
+  table.forget("j1");
+  EXPECT_TRUE(table.is_news(make_progress("j1", 0, 7), nullptr));
+  EXPECT_TRUE(table.is_news(make_progress("j1", 9, 7), nullptr));
+  EXPECT_FALSE(table.is_news(make_progress("j2", 0, 7), nullptr));
+}
+
+}  // namespace
+}  // namespace stoathold
