Among equal runners a kept connection decides

Hypothesis: at 295 nodes each node uses a runner so seldom that kept connections lapse; preferring them among runners that are as good saves new ones.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 /// What every request of the gateway shares.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,11 @@
         placement(executor, runners),
         pool(executor, dialect) {}
 
+  /// For choices between runners: tells to which a connection is kept.
+  [[nodiscard]] std::function<bool(const Runner&)> connected() const {
+    return [this](const Runner& runner) { return pool.has_idle(runner.record().address); };
+  }
+
   boost::asio::any_io_executor executor;
   HeaderDialect dialect;
   std::string zone;
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -133,6 +133,7 @@
                        .shared_tokens = prompt_.shared_tokens,
                        .load_limit = kFullLoad,
                        .excluded = tried_};
+  if (route_.repeatable()) request.selection.connected = context_.connected();
   request.priority = route_.priority;
   // In time is who gets the first event by then: placed later, it would only keep others late.
   const Duration first_event = context_.first_event_times.expected(route_.name);
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -123,6 +123,12 @@
     : state_(std::make_unique<State>(std::move(executor), std::move(dialect))) {}
 UpstreamPool::~UpstreamPool() = default;
 
+bool UpstreamPool::has_idle(const std::string& address) const {
+  const auto found = state_->idle.find(address);
+  if (found == state_->idle.end() || found->second.empty()) return false;
+  return monotonic_now() < found->second.back().usable_until;
+}
+
 std::uint64_t UpstreamPool::connects() const {
   return state_->connects;
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -63,6 +63,8 @@
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
+  /// Whether an idle connection to the address is kept that may be used now.
+  [[nodiscard]] bool has_idle(const std::string& address) const;
   /// Connections made so far, for metrics.
   [[nodiscard]] std::uint64_t connects() const;
 
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -87,7 +87,8 @@
                        .affinity_key = prompt_.shared_key,
                        .prompt_tokens = prompt_.tokens,
                        .shared_tokens = prompt_.shared_tokens,
-                       .load_limit = load_limit(route, age)};
+                       .load_limit = load_limit(route, age),
+                       .connected = context_.connected()};
   request.priority = route.priority;
   request.due = now - age;
   request.give_up = now + kPlacementTime;
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -99,7 +99,18 @@
   }
 }
 
-const Candidate& cheapest(const std::vector<Candidate>& candidates) {
+/// Leaves only those to which a connection is kept, if there are any.
+void prefer_connected(std::vector<const Candidate*>& candidates, const SelectionRequest& request) {
+  if (!request.connected) return;
+  std::vector<const Candidate*> connected;
+  for (const Candidate* candidate : candidates) {
+    if (request.connected(*candidate->runner)) connected.push_back(candidate);
+  }
+  if (!connected.empty()) candidates = std::move(connected);
+}
+
+const Candidate& cheapest(const std::vector<Candidate>& candidates,
+                          const SelectionRequest& request) {
   const auto least = std::min_element(
       candidates.begin(), candidates.end(),
       [](const Candidate& left, const Candidate& right) { return left.cost < right.cost; });
@@ -107,6 +118,7 @@
   for (const auto& candidate : candidates) {
     if (candidate.cost <= least->cost + kEqualCost) equal.push_back(&candidate);
   }
+  prefer_connected(equal, request);
   return *equal[process_random().below(equal.size())];
 }
 
@@ -136,7 +148,7 @@
     return selection;
   }
   compute_costs(near, request);
-  const Candidate& chosen = cheapest(near);
+  const Candidate& chosen = cheapest(near, request);
   selection.runner = chosen.runner;
   selection.tokens_to_read = chosen.tokens_to_read;
   selection.candidates = static_cast<std::uint32_t>(near.size());
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -123,6 +123,17 @@
   EXPECT_EQ(seen.size(), 2U);
 }
 
+TEST_F(RunnerSelectorTest, AmongEqualRunnersAKeptConnectionDecides) {
+  for (const char* id : {"n1", "n2", "n3", "n4"}) add(id, "near");
+  request.connected = [](const Runner& runner) { return runner.record().id == "n3"; };
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(chosen(request), "n3");
+  // A free runner goes before one that is merely connected.
+  fill("n3", 1);
+  EXPECT_NE(chosen(request), "n3");
+  request.connected = [](const Runner&) { return false; };
+  EXPECT_FALSE(chosen(request).empty());
+}
+
 TEST_F(RunnerSelectorTest, AFullZoneSendsNothingToRunnersThatTheirZoneSaysAreBusy) {
   add("n1", "near");
   add("busy", "far");
