--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -96,11 +96,13 @@
   ++context_.metrics.requests[{kind, std::string(to_string(outcome))}];
   const Event event =
       outcome == RequestOutcome::kServed ? Event::kRequestServed : Event::kRequestEnded;
+  const auto answer_delay = request->answer_delay();
   log_event(event, {{"request", request->id()},
                     {"route", route.name},
                     {"outcome", std::string(to_string(outcome))},
                     {"configuration", std::to_string(configuration->version)},
                     {"runs", std::to_string(request->runs())},
+                    {"answer_ms", answer_delay ? milliseconds_text(*answer_delay) : "none"},
                     {"duration_ms", milliseconds_text(monotonic_now() - start)}});
 }
 
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -42,7 +42,8 @@
     if (!is_connection_header(header.name)) head.headers.push_back(header);
   }
   head_sent_ = true;
-  context_.metrics.first_event.observe(monotonic_now() - arrival_);
+  answer_delay_ = monotonic_now() - arrival_;
+  context_.metrics.first_event.observe(*answer_delay_);
   const bool sent = co_await exchange_.start_response(head);
   if (!sent) stop(RequestOutcome::kCallerGone);
   co_return sent;
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -45,6 +45,8 @@
   /// Runners that may have run it.
   [[nodiscard]] std::uint32_t runs() const { return runs_; }
   [[nodiscard]] const std::string& id() const { return id_; }
+  /// From the request's arrival to the start of the answer; nothing if there was none.
+  [[nodiscard]] std::optional<Duration> answer_delay() const { return answer_delay_; }
 
  private:
   void read_request();
@@ -98,6 +100,7 @@
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
+  std::optional<Duration> answer_delay_;
   bool stopped_ = false;
   std::optional<std::uint64_t> last_event_;
   TimePoint last_piece_{};
