--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -13,8 +13,9 @@
 
 namespace asio = boost::asio;
 
-/// Items that one node runs at the same time.
-constexpr std::size_t kMaxRunningItems = 64;
+/// Items that one node runs at the same time, or has wait for a place: more than a whole job has, so
+/// that a large job waits for places at runners and not for its own items.
+constexpr std::size_t kMaxRunningItems = 256;
 /// Between rounds of upkeep: progress counts and deletion of old jobs.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
 /// Rounds of upkeep between two records of how far running items came.
