Batch by slack: the time left against the work left

Cause: all items of a job were alike, in the order of the job. Change: each node learns the time from one event to the next, by route; with the item's most tokens that gives what the rest of it takes. Who must begin first goes first; who has the most slack yields; how far runners are filled follows from age and rest, not from age alone.

--- a/src/gateway/first_event_times.h
+++ b/src/gateway/durations_by_route.h
@@ -1,5 +1,5 @@
 /// @file
-/// How long runners take until the first event of an answer, by route, as seen by this node.
+/// How long something usually takes, by route, as seen by this node.
 #pragma once
 
 #include <map>
@@ -11,9 +11,8 @@
 
 /// Kept by route, since requests of one route are alike in size and those of two may not be. Used
 /// on one thread.
-class FirstEventTimes {
+class DurationsByRoute {
  public:
-  /// @param time from the sending of a request to the first event of its answer.
   void observe(const std::string& route, Duration time) {
     times_.try_emplace(route, kQuantile).first->second.observe(time);
   }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "gateway/first_event_times.h"
+#include "gateway/durations_by_route.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/header_dialect.h"
 #include "gateway/upstream.h"
@@ -41,7 +41,8 @@
   PlacementQueue placement;
   UpstreamPool pool;
   GatewayMetrics metrics;
-  FirstEventTimes first_event_times;
+  DurationsByRoute first_event_times;  ///< From the sending of a request to its first event.
+  DurationsByRoute event_gaps;         ///< Of batch items, from one event to the next.
 };
 
 }  // namespace stoathold
--- a/src/gateway/header_dialect.h
+++ b/src/gateway/header_dialect.h
@@ -13,6 +13,7 @@
   std::string deadline_ms = "X-Deadline-Ms";              ///< Milliseconds that are left.
   std::string last_event_id = "Last-Event-Id";            ///< Resume behind this event.
   std::string prompt_prefix = "X-Prompt-Prefix";          ///< Parts of the prompt, `id:tokens,...`.
+  std::string token_usage = "X-Token-Usage";              ///< `prompt,most of the answer`, tokens.
   std::string expected_instance = "X-Expected-Instance";  ///< Runner that alone may run it.
   std::string instance = "X-Instance";                    ///< Runner that answered.
   std::string not_run = "X-Not-Run";                      ///< Present if the runner did not run it.
--- a/src/gateway/prompt_prefix.h
+++ b/src/gateway/prompt_prefix.h
@@ -18,4 +18,8 @@
 /// yields what was read before the fault.
 PromptPrefix parse_prompt_prefix(std::string_view text);
 
+/// Reads `prompt,answer`, both in tokens.
+/// @return the most tokens that the answer may have, each of which is one event; 0 if malformed.
+std::uint32_t parse_answer_tokens(std::string_view text);
+
 }  // namespace stoathold
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -22,11 +22,8 @@
 /// A run without an event for so long is taken up at another runner.
 constexpr Duration kFirstEventPatience = std::chrono::milliseconds(4000);
 constexpr Duration kEventGapPatience = std::chrono::milliseconds(1500);
-/// Runners at or above a load are left to online requests: at a lower one while an item has time,
-/// at a higher one when this part of its job's time has passed.
-constexpr double kRelaxedLoad = 0.65;
-constexpr double kUrgentLoad = 0.95;
-constexpr double kUrgentPart = 0.5;
+/// Events from which the time between two of them is learned; fewer tell mostly of the first.
+constexpr std::uint64_t kFewestEvents = 10;
 /// After this time without a place the route is looked at anew.
 constexpr Duration kPlacementTime = std::chrono::seconds(2);
 /// Between looks for a configuration or a route.
@@ -35,12 +32,6 @@
 constexpr Duration kRouteGrace = std::chrono::seconds(5);
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
 
-double load_limit(const Route& route, Duration age) {
-  if (route.completion_objective.count() == 0) return kRelaxedLoad;
-  const double part = to_seconds(age) / (to_seconds(route.completion_objective) * kUrgentPart);
-  return kRelaxedLoad + (kUrgentLoad - kRelaxedLoad) * std::clamp(part, 0.0, 1.0);
-}
-
 }  // namespace
 
 ItemRun::ItemRun(GatewayContext& context, ItemContext item, ItemRequest request,
@@ -54,8 +45,9 @@
   progress_.job = item_.job;
   progress_.item = item_.index;
   for (const auto& [name, value] : request_.headers) {
-    if (!same_header_name(name, context_.dialect.prompt_prefix)) continue;
-    prompt_ = parse_prompt_prefix(value);
+    const HeaderDialect& dialect = context_.dialect;
+    if (same_header_name(name, dialect.prompt_prefix)) prompt_ = parse_prompt_prefix(value);
+    if (same_header_name(name, dialect.token_usage)) answer_tokens_ = parse_answer_tokens(value);
   }
 }
 
@@ -77,9 +69,25 @@
   if (upstream_) upstream_->cancel();
 }
 
+Duration ItemRun::age() const {
+  // The clock of the node that took the job may be ahead of this one's.
+  return std::chrono::milliseconds(std::max<std::int64_t>(0, wall_clock_ms() - item_.submitted_ms));
+}
+
+ItemSchedule ItemRun::schedule() const {
+  ItemSchedule schedule{.objective = objective_, .age = age()};
+  if (answer_tokens_ > progress_.last_event) {
+    const auto events_left = static_cast<double>(answer_tokens_ - progress_.last_event);
+    schedule.rest = scale(context_.event_gaps.expected(route_name_), events_left);
+  }
+  return schedule;
+}
+
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::place(const Route& route) {
   const TimePoint now = monotonic_now();
-  const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
+  route_name_ = route.name;
+  objective_ = route.completion_objective;
+  const ItemSchedule schedule = this->schedule();
   PlacementRequest request;
   request.work = WorkClass::kBatch;
   request.selection = {.service = context_.split.next_service(route),
@@ -87,21 +95,22 @@
                        .affinity_key = prompt_.shared_key,
                        .prompt_tokens = prompt_.tokens,
                        .shared_tokens = prompt_.shared_tokens,
-                       .load_limit = load_limit(route, age),
+                       .load_limit = schedule.load_limit(),
                        .connected = context_.connected()};
   request.priority = route.priority;
-  request.due = now - age;
+  // Who must begin first goes first. All of it lies in the past, as it is for no online request.
+  request.due = now - schedule.age - schedule.rest;
   request.give_up = now + kPlacementTime;
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   const Selection choice = ticket_->selection();
   tokens_to_read_ = choice.tokens_to_read;
   ticket_.reset();
-  if (runner) log_choice(choice, load_limit(route, age));
+  if (runner) log_choice(choice, schedule);
   co_return runner;
 }
 
-void ItemRun::log_choice(const Selection& choice, double limit) {
+void ItemRun::log_choice(const Selection& choice, const ItemSchedule& schedule) {
   const bool again = sends_++ > 0;
   choice_ = choice_text(choice, monotonic_now());
   log_event(again ? Event::kRequestSentAgain : Event::kRequestSent,
@@ -109,14 +118,14 @@
              {"item", item_.item_id},
              {"runner", choice.runner->record().id},
              {"choice", choice_},
-             {"load_limit", decimal_text(limit)},
+             {"load_limit", decimal_text(schedule.load_limit())},
+             {"slack_ms", milliseconds_text(schedule.slack())},
              {"last_event", std::to_string(progress_.last_event)}});
 }
 
 bool ItemRun::is_expired(const Route& route) const {
   if (route.item_retention.count() == 0) return false;
-  const Duration age = std::chrono::milliseconds(wall_clock_ms() - item_.submitted_ms);
-  return age > route.item_retention + 2 * clock_skew_;
+  return age() > route.item_retention + 2 * clock_skew_;
 }
 
 ItemResult ItemRun::make_result(ItemState state) const {
@@ -242,9 +251,21 @@
   co_return co_await take_events();
 }
 
+void ItemRun::note_event_gap(GapWindow& window) {
+  const TimePoint now = monotonic_now();
+  const bool first = window.since == TimePoint{};
+  const std::uint64_t events = progress_.last_event - window.first_event;
+  if (!first && events < kFewestEvents) return;
+  if (!first) {
+    context_.event_gaps.observe(route_name_, (now - window.since) / static_cast<int>(events));
+  }
+  window = {progress_.last_event, now};
+}
+
 asio::awaitable<AttemptResult> ItemRun::take_events() {
   EventFramer framer;
   std::string_view view;
+  GapWindow window;
   while (true) {
     const UpstreamStatus status = co_await upstream_->read_body(view);
     if (status != UpstreamStatus::kOk) co_return AttemptResult::kBroken;
@@ -259,6 +280,7 @@
       progress_.text += event_data(event->raw);
       progress_.last_event = *event->id;
     }
+    note_event_gap(window);
   }
   // The end of a connection proves nothing: the stream may have been cut between two events.
   const bool proved = upstream_->head().framing != BodyFraming::kUntilClose;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -12,6 +12,7 @@
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
+#include "jobs/item_schedule.h"
 #include "jobs/job_records.h"
 
 namespace stoathold {
@@ -45,6 +46,8 @@
   /// The runner it runs at now, or null.
   [[nodiscard]] const std::shared_ptr<Runner>& runner() const { return runner_; }
   [[nodiscard]] TimePoint placed_at() const { return placed_at_; }
+  /// How urgent the item is now.
+  [[nodiscard]] ItemSchedule schedule() const;
 
   /// How far the item came; worth keeping if it has events or failures.
   [[nodiscard]] const ItemProgress& progress() const { return progress_; }
@@ -56,12 +59,19 @@
   boost::asio::awaitable<AttemptResult> attempt(std::shared_ptr<Runner> runner);
   boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
   boost::asio::awaitable<AttemptResult> take_events();
+  /// Events of one run over which the time between them is learned.
+  struct GapWindow {
+    std::uint64_t first_event = 0;
+    TimePoint since{};  ///< When that came; the start of the clock: none has come.
+  };
+  void note_event_gap(GapWindow& window);
+  [[nodiscard]] Duration age() const;
   boost::asio::awaitable<void> pause(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
-  void log_choice(const Selection& choice, double limit);
+  void log_choice(const Selection& choice, const ItemSchedule& schedule);
   void note_attempt(Runner& runner, AttemptResult result);
 
   GatewayContext& context_;
@@ -70,6 +80,9 @@
   ItemProgress progress_;
   Duration clock_skew_;
   PromptPrefix prompt_;
+  std::uint32_t answer_tokens_ = 0;   ///< Most events of the item; 0: not known.
+  std::string route_name_;            ///< As last looked up.
+  Duration objective_{0};             ///< Of that route, from the submission to the result.
   std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<PlacementTicket> ticket_;
   std::shared_ptr<UpstreamExchange> upstream_;
--- /dev/null
+++ b/src/jobs/item_schedule.cc
@@ -0,0 +1,24 @@
+#include "jobs/item_schedule.h"
+
+#include <algorithm>
+
+namespace stoathold {
+namespace {
+
+/// Loads up to which runners are filled while an item has much time and when it has little. The
+/// difference is what online bursts of the usual size take at once (measured on two deployments).
+constexpr double kRelaxedLoad = 0.65;
+constexpr double kUrgentLoad = 0.95;
+/// Part of the objective that age and work left may fill before an item counts as urgent; the other
+/// half is for waiting and for runs that are cut short.
+constexpr double kUrgentPart = 0.5;
+
+}  // namespace
+
+double ItemSchedule::load_limit() const {
+  if (objective.count() == 0) return kRelaxedLoad;
+  const double used = to_seconds(age + rest) / (to_seconds(objective) * kUrgentPart);
+  return kRelaxedLoad + (kUrgentLoad - kRelaxedLoad) * std::clamp(used, 0.0, 1.0);
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/item_schedule.h
@@ -0,0 +1,23 @@
+/// @file
+/// How urgent a batch item is: the time left until it is due against the work left.
+#pragma once
+
+#include "base/time.h"
+
+namespace stoathold {
+
+/// One item at one moment. All items of a job are due at the same time, but a long one must begin
+/// earlier than a short one to be in time.
+struct ItemSchedule {
+  Duration objective{0};  ///< From the job's submission until the item is due; 0: never due.
+  Duration age{0};        ///< Of the job.
+  Duration rest{0};       ///< What the rest of the item is expected to take at a runner.
+
+  /// Time that the item can still lose and be in time; negative if it will be late.
+  [[nodiscard]] Duration slack() const { return objective - age - rest; }
+  /// Load up to which a runner may be given the item: the rest of the runner is left to online work
+  /// while the item has time.
+  [[nodiscard]] double load_limit() const;
+};
+
+}  // namespace stoathold
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -13,8 +13,8 @@
 
 namespace asio = boost::asio;
 
-/// Items that one node runs at the same time, or has wait for a place: more than a whole job has, so
-/// that a large job waits for places at runners and not for its own items.
+/// Items that one node runs at the same time, or has wait for a place: more than a whole job has,
+/// so that a large job waits for places at runners and not for its own items.
 constexpr std::size_t kMaxRunningItems = 256;
 /// Between rounds of upkeep: progress counts and deletion of old jobs.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
@@ -117,7 +117,7 @@
 
 bool JobRunner::yield_place(const YieldRequest& request) {
   std::shared_ptr<ItemRun> chosen;
-  std::int64_t chosen_submitted = 0;
+  Duration most_slack{0};
   for (const auto& [key, job] : jobs_) {
     for (const auto& [index, run] : job->runs) {
       const auto& runner = run->runner();
@@ -125,13 +125,12 @@
       const RunnerRecord& record = runner->record();
       if (record.service != request.service || record.zone != request.zone) continue;
       if (request.runner != 0 && request.runner != runner->hash()) continue;
-      // Of the job that came last, since it has the most time left; there the newest run.
-      const bool more_time = job->submitted_ms > chosen_submitted;
-      const bool newer =
-          job->submitted_ms == chosen_submitted && chosen && run->placed_at() > chosen->placed_at();
-      if (chosen && !more_time && !newer) continue;
+      const Duration slack = run->schedule().slack();
+      const bool more_slack = !chosen || slack > most_slack;
+      const bool newer = chosen && slack == most_slack && run->placed_at() > chosen->placed_at();
+      if (!more_slack && !newer) continue;
       chosen = run;
-      chosen_submitted = job->submitted_ms;
+      most_slack = slack;
     }
   }
   if (chosen) chosen->yield();
--- a/tests/gateway/prompt_prefix_test.cc
+++ b/tests/gateway/prompt_prefix_test.cc
@@ -20,5 +20,13 @@
   EXPECT_EQ(parse_prompt_prefix("nonsense").tokens, 0U);
 }
 
+TEST(AnswerTokensTest, TheSecondNumberIsReadOrNone) {
+  EXPECT_EQ(parse_answer_tokens("1460,80"), 80U);
+  EXPECT_EQ(parse_answer_tokens("1460, 80"), 80U);
+  EXPECT_EQ(parse_answer_tokens("1460"), 0U);
+  EXPECT_EQ(parse_answer_tokens(""), 0U);
+  EXPECT_EQ(parse_answer_tokens("1460,many"), 0U);
+}
+
 }  // namespace
 }  // namespace stoathold
