--- a/src/jobs/item_schedule.cc
+++ b/src/jobs/item_schedule.cc
@@ -9,9 +9,9 @@
 /// difference is what online bursts of the usual size take at once (measured on two deployments).
 constexpr double kRelaxedLoad = 0.65;
 constexpr double kUrgentLoad = 0.95;
-/// Part of the objective that age and work left may fill before an item counts as urgent; the other
-/// half is for waiting and for runs that are cut short.
-constexpr double kUrgentPart = 0.5;
+/// Part of the objective that age and work left fill when an item counts as urgent: no slack is
+/// left.
+constexpr double kUrgentPart = 1.0;
 
 }  // namespace
 
