--- a/src/jobs/item_schedule.cc
+++ b/src/jobs/item_schedule.cc
@@ -9,15 +9,13 @@
 /// difference is what online bursts of the usual size take at once (measured on two deployments).
 constexpr double kRelaxedLoad = 0.65;
 constexpr double kUrgentLoad = 0.95;
-/// Part of the objective that age and work left fill when an item counts as urgent: no slack is
-/// left.
-constexpr double kUrgentPart = 1.0;
 
 }  // namespace
 
 double ItemSchedule::load_limit() const {
   if (objective.count() == 0) return kRelaxedLoad;
-  const double used = to_seconds(age + rest) / (to_seconds(objective) * kUrgentPart);
+  // 1 when no slack is left.
+  const double used = to_seconds(age + rest) / to_seconds(objective);
   return kRelaxedLoad + (kUrgentLoad - kRelaxedLoad) * std::clamp(used, 0.0, 1.0);
 }
 
