--- a/src/routing/peer_ejections.cc
+++ b/src/routing/peer_ejections.cc
@@ -8,8 +8,9 @@
 /// Nodes that must have failed at a runner, this one among them, before a node leaves it alone
 /// without a failure of its own: two, so that one node that is cut off ejects nothing elsewhere.
 constexpr std::size_t kReportersNeeded = 2;
-/// A report counts no more so long after its pause ended: the longest pause of an ejected runner,
-/// so that the number of failures is remembered from one trial to the next.
+/// Reports whose pause ended longer ago are dropped when the next one comes. Until then, or until
+/// the runner is heard, it stays on trial and its number of failures is remembered. The time is the
+/// longest pause of an ejected runner, so that it lasts from one trial to the next.
 constexpr Duration kReportLifetime = std::chrono::seconds(4);
 
 }  // namespace
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -28,6 +28,8 @@
 constexpr Duration kSendInterval = std::chrono::milliseconds(12);
 /// Each node that is told makes the interval longer, so that the messages that a node sends and
 /// receives do not grow with the square of the zone's nodes.
+/// At 1 ms digests were older than a short request takes in zones of 42 to 59 nodes; at 0.25 ms the
+/// processor time of such a day did not rise (166 and 162 s).
 constexpr Duration kSendIntervalPerPeer = std::chrono::microseconds(250);
 /// A node that uses runners says so at least this often.
 constexpr Duration kRepeatInterval = std::chrono::milliseconds(500);
