--- a/src/base/event_rate_limiter.cc
+++ b/src/base/event_rate_limiter.cc
@@ -17,6 +17,8 @@
       return kFirstChoiceLinesPerWindow;
     case Event::kRequestServed:
     case Event::kNoRoute:
+    case Event::kCallerRefused:
+    case Event::kTenantOverLimit:
       return kSuccessLinesPerWindow;
     default:
       return kLinesPerWindow;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,10 +36,6 @@
   return "batch";
 }
 
-std::string_view path_of(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
 }  // namespace
 
 Gateway::Gateway(GatewayContext& context, BatchSubmissionHandler submit_batch)
@@ -64,34 +60,75 @@
                               std::move(headers));
     co_return;
   }
-  const std::string host = normalize_host(exchange.header("Host"));
-  const Route* route = configuration->find_route(host, path_of(exchange.target()));
-  if (route == nullptr) {
-    ++context_.metrics.refusals["no_route"];
-    log_event(Event::kNoRoute,
-              {{"request", std::string(exchange.header(context_.dialect.request_id))},
-               {"host", host},
-               {"configuration", std::to_string(configuration->version)}});
-    co_await exchange.respond(404, "application/json", R"({"error":"no_route"})");
+  const CallerCheck check = check_caller(*configuration, context_.dialect, exchange);
+  if (!check.allowed()) {
+    co_await refuse(exchange, *configuration, check);
     co_return;
   }
   if (exchange.header(context_.dialect.request_id).empty()) {
     co_await exchange.respond(400, "application/json", R"({"error":"no_request_id"})");
     co_return;
   }
-  co_await serve_route(exchange, configuration, *route);
+  co_await serve_route(exchange, configuration, check);
+}
+
+asio::awaitable<void> Gateway::refuse(HttpExchange& exchange,
+                                      const ServingConfiguration& configuration,
+                                      const CallerCheck& check) {
+  ++context_.metrics.refusals[check.reason];
+  const Event event = check.status == 404 ? Event::kNoRoute : Event::kCallerRefused;
+  log_event(event, {{"request", std::string(exchange.header(context_.dialect.request_id))},
+                    {"host", normalize_host(exchange.header("Host"))},
+                    {"reason", check.reason},
+                    {"key_hash", key_fingerprint(check.caller.key)},
+                    {"configuration", std::to_string(configuration.version)}});
+  std::string body = std::string(R"({"error":")") + check.reason + R"("})";
+  co_await exchange.respond(check.status, "application/json", std::move(body));
+}
+
+AdmissionDecision Gateway::admit(const ServingConfiguration& configuration, const Caller& caller) {
+  const Tenant* tenant = configuration.tenants.find_name(caller.tenant);
+  if (tenant == nullptr) return {};
+  const AdmissionDecision decision = context_.tenant_limits.admit(*tenant, monotonic_now());
+  context_.metrics.count_tenant_request(tenant->name, decision.admitted ? "admitted" : "refused");
+  return decision;
+}
+
+asio::awaitable<void> Gateway::refuse_over_limit(HttpExchange& exchange,
+                                                 const ServingConfiguration& configuration,
+                                                 const CallerCheck& check, Duration retry_after) {
+  ++context_.metrics.refusals["tenant_limit"];
+  log_event(Event::kTenantOverLimit,
+            {{"request", std::string(exchange.header(context_.dialect.request_id))},
+             {"tenant", check.caller.tenant},
+             {"retry_after_ms", milliseconds_text(retry_after)},
+             {"silent_nodes", std::to_string(context_.tenant_limits.silent_nodes())},
+             {"configuration", std::to_string(configuration.version)}});
+  std::vector<HttpHeader> headers{{"Retry-After", decimal_text(to_seconds(retry_after))}};
+  co_await exchange.respond(429, "application/json", R"({"error":"tenant_limit"})",
+                            std::move(headers));
 }
 
 asio::awaitable<void> Gateway::serve_route(
     HttpExchange& exchange, std::shared_ptr<const ServingConfiguration> configuration,
-    const Route& route) {
+    const CallerCheck& check) {
+  const Route& route = *check.route;
   if (route.kind == RouteKind::kBatch) {
-    co_await submit_batch_(exchange, configuration, route);
+    co_await submit_batch_(exchange, configuration, route, check.caller);
+    co_return;
+  }
+  const AdmissionDecision decision = admit(*configuration, check.caller);
+  if (!decision.admitted) {
+    co_await refuse_over_limit(exchange, *configuration, check, decision.retry_after);
     co_return;
   }
   const TimePoint start = monotonic_now();
-  const auto request = std::make_shared<OnlineRequest>(context_, exchange, configuration, route);
+  const auto request = std::make_shared<OnlineRequest>(context_, exchange, configuration, route,
+                                                       check.caller);
   const RequestOutcome outcome = co_await request->serve();
+  if (outcome == RequestOutcome::kRefused) {
+    context_.tenant_limits.give_back(check.caller.tenant, monotonic_now());
+  }
   const std::string kind(kind_name(route.kind));
   ++context_.metrics.requests[{kind, std::string(to_string(outcome))}];
   const Event event =
@@ -100,6 +137,7 @@
   const bool in_time = answer_delay && *answer_delay <= route.latency_objective;
   log_event(event, {{"request", request->id()},
                     {"route", route.name},
+                    {"tenant", check.caller.tenant},
                     {"outcome", std::string(to_string(outcome))},
                     {"configuration", std::to_string(configuration->version)},
                     {"runs", std::to_string(request->runs())},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "gateway/caller_check.h"
 #include "gateway/gateway_context.h"
 #include "net/http.h"
 
@@ -13,7 +14,8 @@
 
 /// Serves requests of routes that take batch jobs.
 using BatchSubmissionHandler = std::function<boost::asio::awaitable<void>(
-    HttpExchange&, std::shared_ptr<const ServingConfiguration>, const Route&)>;
+    HttpExchange&, std::shared_ptr<const ServingConfiguration>, const Route&,
+    const Caller&)>;
 
 /// The entrance for callers. Used on one thread; outlives all requests.
 class Gateway {
@@ -27,7 +29,15 @@
   boost::asio::awaitable<void> wait_for_configuration();
   boost::asio::awaitable<void> serve_route(
       HttpExchange& exchange, std::shared_ptr<const ServingConfiguration> configuration,
-      const Route& route);
+      const CallerCheck& check);
+  boost::asio::awaitable<void> refuse(HttpExchange& exchange,
+                                      const ServingConfiguration& configuration,
+                                      const CallerCheck& check);
+  boost::asio::awaitable<void> refuse_over_limit(HttpExchange& exchange,
+                                                 const ServingConfiguration& configuration,
+                                                 const CallerCheck& check, Duration retry_after);
+  [[nodiscard]] AdmissionDecision admit(const ServingConfiguration& configuration,
+                                        const Caller& caller);
 
   GatewayContext& context_;
   BatchSubmissionHandler submit_batch_;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -14,6 +14,7 @@
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
 #include "routing/traffic_split.h"
+#include "tenancy/tenant_limits.h"
 
 namespace stoathold {
 
@@ -41,6 +42,7 @@
   PlacementQueue placement;
   UpstreamPool pool;
   GatewayMetrics metrics;
+  TenantLimits tenant_limits;
   DurationsByRoute first_event_times;  ///< From the sending of a request to its first event.
   DurationsByRoute event_gaps;         ///< Of batch items, from one event to the next.
 };
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -10,4 +10,12 @@
   sum_seconds_ += to_seconds(duration);
 }
 
+void GatewayMetrics::count_tenant_request(const std::string& tenant, const std::string& decision) {
+  // Some hundred lines of the metrics page.
+  constexpr std::size_t kMaxRows = 200;
+  const auto row = std::pair(tenant, decision);
+  const bool room = tenant_requests.size() < kMaxRows || tenant_requests.contains(row);
+  ++tenant_requests[room ? row : std::pair(std::string("other"), decision)];
+}
+
 }  // namespace stoathold
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,11 +37,17 @@
   std::map<std::string, std::uint64_t> refusals;                          ///< By reason.
   std::map<std::string, std::uint64_t> store_calls;                       ///< By outcome.
   std::map<std::string, std::uint64_t> batch_items;                       ///< By outcome of a run.
+  /// Requests by tenant and by whether they were admitted; a bounded number of tenants.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> tenant_requests;
   std::uint64_t resumes = 0;
   std::uint64_t requests_open = 0;
   LatencyHistogram first_event;    ///< From a request's arrival to the first byte of its answer.
   LatencyHistogram store_latency;  ///< Of calls to the store that do not wait for records.
   LatencyHistogram event_gap;      ///< Between two pieces of a stream.
+
+  /// Counts a request of a tenant. Once there are many tenants, further ones count together, so
+  /// that the metrics page stays bounded.
+  void count_tenant_request(const std::string& tenant, const std::string& decision);
 };
 
 }  // namespace stoathold
--- a/src/gateway/header_dialect.h
+++ b/src/gateway/header_dialect.h
@@ -19,6 +19,8 @@
   std::string not_run = "X-Not-Run";                      ///< Present if the runner did not run it.
   std::string load = "X-Load";                            ///< `running,waiting,slots`.
   std::string response_signature = "X-Response-Signature";  ///< Present on every whole answer.
+  std::string api_key = "X-Api-Key";                        ///< Proves who calls; a secret.
+  std::string tenant = "X-Tenant";                          ///< Set by the gateway alone.
   std::string max_wait_ms = "X-Max-Wait-Ms";                ///< How long a read may be held.
 };
 
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -60,11 +60,12 @@
 
 OnlineRequest::OnlineRequest(GatewayContext& context, HttpExchange& exchange,
                              std::shared_ptr<const ServingConfiguration> configuration,
-                             const Route& route)
+                             const Route& route, Caller caller)
     : context_(context),
       exchange_(exchange),
       configuration_(std::move(configuration)),
       route_(route),
+      caller_(std::move(caller)),
       service_(context.split.next_service(route)),
       arrival_(monotonic_now()),
       deadline_timer_(exchange.executor()),
@@ -84,6 +85,8 @@
   for (auto& header : exchange_.headers()) {
     const bool replaced = same_header_name(header.name, dialect.deadline_ms) ||
                           same_header_name(header.name, dialect.expected_instance) ||
+                          same_header_name(header.name, dialect.api_key) ||
+                          same_header_name(header.name, dialect.tenant) ||
                           (last_event_ && same_header_name(header.name, dialect.last_event_id));
     if (replaced || is_connection_header(header.name)) continue;
     if (names_header(connection, header.name)) continue;
@@ -134,7 +137,7 @@
                        .load_limit = kFullLoad,
                        .excluded = tried_};
   if (route_.repeatable()) request.selection.connected = context_.connected();
-  request.priority = route_.priority;
+  request.priority = caller_.priority.value_or(route_.priority);
   // In time is who gets the first event by then: placed later, it would only keep others late.
   const Duration first_event = context_.first_event_times.expected(route_.name);
   request.due = arrival_ + route_.latency_objective - first_event;
@@ -168,6 +171,10 @@
   while (!stopped_ && sends_ < kMaxSends) {
     const auto runner = co_await place();
     if (!runner) break;
+    if (lost_access()) {
+      co_await refuse_lost_access(*runner);
+      co_return;
+    }
     ++sends_;
     tried_.push_back(runner->record().id);
     const AttemptResult result = co_await attempt(runner);
@@ -181,6 +188,23 @@
   co_await finish_without_answer();
 }
 
+/// The key may have been taken away while the request waited. A stream that has begun goes on.
+bool OnlineRequest::lost_access() const {
+  if (head_sent_ || context_.configuration == configuration_) return false;
+  return !is_still_allowed(*context_.configuration, route_, caller_);
+}
+
+asio::awaitable<void> OnlineRequest::refuse_lost_access(Runner& runner) {
+  runner.end_attempt(AttemptOutcome::kAbandoned, monotonic_now(),
+                     std::exchange(tokens_to_read_, 0));
+  context_.placement.capacity_changed();
+  if (runs_ > 0) {
+    co_await finish_without_answer();
+  } else {
+    co_await refuse(401, RequestOutcome::kRefused, "key_unknown");
+  }
+}
+
 bool OnlineRequest::may_run_again() const {
   if (runs_ >= route_.max_attempts) return false;
   return head_sent_ ? route_.resumable && last_event_ : route_.repeatable();
@@ -207,6 +231,7 @@
   const auto left_ms = std::max<std::int64_t>(1, left.count());
   request.headers.push_back({dialect.deadline_ms, std::to_string(left_ms)});
   request.headers.push_back({dialect.expected_instance, runner.record().id});
+  if (!caller_.tenant.empty()) request.headers.push_back({dialect.tenant, caller_.tenant});
   if (last_event_) request.headers.push_back({dialect.last_event_id, std::to_string(*last_event_)});
   return request;
 }
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gateway/attempt_result.h"
+#include "gateway/caller_check.h"
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
@@ -38,7 +39,8 @@
 class OnlineRequest : public std::enable_shared_from_this<OnlineRequest> {
  public:
   OnlineRequest(GatewayContext& context, HttpExchange& exchange,
-                std::shared_ptr<const ServingConfiguration> configuration, const Route& route);
+                std::shared_ptr<const ServingConfiguration> configuration, const Route& route,
+                Caller caller);
 
   boost::asio::awaitable<RequestOutcome> serve();
 
@@ -65,6 +67,8 @@
   [[nodiscard]] AttemptResult classify_failure(UpstreamStatus status) const;
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
+  [[nodiscard]] bool lost_access() const;
+  boost::asio::awaitable<void> refuse_lost_access(Runner& runner);
   boost::asio::awaitable<std::shared_ptr<Runner>> place();
   void watch_silence(const std::shared_ptr<Runner>& runner);
   void watch_runner_queue(const std::shared_ptr<Runner>& runner, bool again);
@@ -78,6 +82,7 @@
   HttpExchange& exchange_;
   std::shared_ptr<const ServingConfiguration> configuration_;
   const Route& route_;
+  Caller caller_;
   std::string service_;
   std::string id_;
   TimePoint arrival_;
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -65,6 +65,7 @@
   std::string host;
   std::string path;  ///< It was submitted to.
   std::string route;
+  std::string tenant;             ///< Whose job it is; empty: anonymous.
   std::int64_t submitted_ms = 0;  ///< Wall clock of the accepting node, since the epoch.
   std::vector<JobItem> items;
 
@@ -72,7 +73,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, host, path, route, submitted_ms, items);
+    archive(id, host, path, route, tenant, submitted_ms, items);
   }
 };
 
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -75,6 +75,7 @@
   auto job = std::make_shared<ActiveJob>();
   job->host = entry.submission.host;
   job->path = entry.submission.path;
+  job->tenant = entry.submission.tenant;
   job->submitted_ms = entry.submission.submitted_ms;
   job->items = entry.submission.items;
   jobs_.emplace(key, job);
@@ -166,7 +167,8 @@
     ItemProgress progress;
     const ItemProgress* known = store_.progress_of(item.job, item.index);
     if (known != nullptr) progress = *known;
-    ItemContext context{item.job, item.index, listed.id, job->host, job->path, job->submitted_ms};
+    ItemContext context{item.job, item.index, listed.id, job->host,
+                        job->path, job->tenant, job->submitted_ms};
     const auto run = std::make_shared<ItemRun>(context_, std::move(context), std::move(request),
                                                std::move(progress), settings_.clock_skew);
     job->runs[item.index] = run;
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -55,6 +55,7 @@
   struct ActiveJob {
     std::string host;
     std::string path;
+    std::string tenant;
     std::int64_t submitted_ms = 0;
     std::vector<JobItem> items;
     std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -124,7 +124,7 @@
 
 bool JobStore::fits(const JobTable& table, const NewJob& job) {
   if (job.max_queued_tokens == 0) return true;
-  const std::uint64_t queued = table.queued_tokens(job.submission.route);
+  const std::uint64_t queued = table.queued_tokens(job.submission.route, job.submission.tenant);
   return queued + job.submission.tokens() <= job.max_queued_tokens;
 }
 
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -39,7 +39,7 @@
 struct NewJob {
   JobSubmission submission;
   std::vector<ItemRequest> requests;    ///< One for each item.
-  std::uint64_t max_queued_tokens = 0;  ///< Of the route; 0: no limit.
+  std::uint64_t max_queued_tokens = 0;  ///< Of one tenant on the route; 0: no limit.
 };
 
 /// A page of results.
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -66,10 +66,12 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
-std::uint64_t JobTable::queued_tokens(const std::string& route) const {
+std::uint64_t JobTable::queued_tokens(const std::string& route,
+                                      const std::string& tenant) const {
   std::uint64_t sum = 0;
   for (const auto& [key, job] : jobs_) {
     if (!job.open() || job.submission.route != route) continue;
+    if (job.submission.tenant != tenant) continue;
     const std::uint64_t all = job.submission.tokens();
     sum += all - std::min(all, job.finished_tokens);
   }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -34,8 +34,9 @@
   /// Returns the job, or null.
   [[nodiscard]] const JobEntry* find(const JobKey& key) const;
   [[nodiscard]] const std::map<JobKey, JobEntry>& jobs() const { return jobs_; }
-  /// Tokens of a route's items that wait or run, over all nodes. Never too low.
-  [[nodiscard]] std::uint64_t queued_tokens(const std::string& route) const;
+  /// Tokens of a tenant's items on a route that wait or run, over all nodes. Never too low.
+  [[nodiscard]] std::uint64_t queued_tokens(const std::string& route,
+                                            const std::string& tenant) const;
 
  private:
   void apply_submission(const JobKey& key, const StoredRecord& record);
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "net/http.h"
+#include "tenancy/tenant_directory.h"
 
 namespace stoathold {
 
@@ -40,6 +41,7 @@
       1;  ///< Most runners that may run one request; most failed runs of an item.
   std::uint32_t priority = 0;        ///< 0 is the most urgent.
   bool prefix_affinity = false;      ///< Requests that share a prompt prefix gain by one runner.
+  bool anonymous_access = false;     ///< Callers need no key.
   bool resumable = false;            ///< A broken stream may go on at another runner.
   Duration completion_objective{0};  ///< Batch: all results are due this long after the submission.
   Duration item_retention{0};        ///< Batch: items may be given up this long after it; 0: never.
@@ -65,6 +67,7 @@
   std::vector<Route> routes;
   std::map<std::string, Service> services;
   HttpLimits limits;
+  TenantDirectory tenants;
 
   /// Returns the route of a request: of those of the host, the one with the longest prefix.
   /// @return null if there is none; valid as long as the configuration.
--- /dev/null
+++ b/src/routing/configuration_catch_up.h
@@ -0,0 +1,54 @@
+/// @file
+/// Brings a node up to date with the configuration when the store does not: from other nodes.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "net/http.h"
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// Target of the call by which a node asks another for its configuration record.
+inline constexpr const char* kConfigurationTarget = "/peer/configuration";
+/// Header of the answer: the record's offset in the log.
+inline constexpr const char* kRecordOffsetHeader = "X-Record-Offset";
+
+/// The store may turn some nodes away or be silent to them while it serves the others. Nodes
+/// advertise in their digests which version they have in force; a node that falls behind for longer
+/// than the store needs to deliver asks the one that advertised more for the record, as it lies in
+/// the log. Versions only rise, so that an older record changes nothing.
+///
+/// A node that has never read the store asks nobody: it knows no runners either. Used on one
+/// thread; outlives its calls.
+class ConfigurationCatchUp {
+ public:
+  /// Returns the version in force here; 0: none yet.
+  using CurrentVersion = std::function<std::uint64_t()>;
+  /// Takes a record that another node has read from the log.
+  using Apply = std::function<void(const StoredRecord&)>;
+
+  ConfigurationCatchUp(const boost::asio::any_io_executor& executor, CurrentVersion current,
+                       Apply apply);
+
+  /// Another node has this version in force.
+  /// @param address `ip:port` of that node.
+  void advertised(const std::string& address, std::uint64_t version);
+
+ private:
+  boost::asio::awaitable<void> fetch(std::string address);
+
+  boost::asio::any_io_executor executor_;
+  HttpClient client_;
+  CurrentVersion current_;
+  Apply apply_;
+  bool fetching_ = false;
+  std::uint64_t behind_at_ = 0;  ///< Own version when another node first advertised a newer one.
+  TimePoint behind_since_{};     ///< When that was.
+};
+
+}  // namespace stoathold
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -7,6 +7,8 @@
 #include <variant>
 #include <vector>
 
+#include "tenancy/tenant_usage.h"
+
 namespace stoathold {
 
 /// A node's use of one runner.
@@ -59,10 +61,13 @@
   bool pass_on = false;                ///< The receiver passes it on inside its zone.
   /// Nodes of the sender's zone that it has heard itself just now; told now and then.
   std::vector<NodeEndpoint> neighbours;
+  std::uint64_t configuration_version = 0;  ///< In force at the sender; 0: none yet.
+  std::vector<TenantUsage> tenants;         ///< What the sender admitted; inside the zone only.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
+    archive(configuration_version, tenants);
   }
 };
 
@@ -102,7 +107,7 @@
 };
 
 /// One datagram.
-using PeerLoadMessage = std::variant<LoadDigest, YieldRequest, ZoneLoads>;
+using PeerLoadMessage = std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage>;
 
 std::string encode_message(const PeerLoadMessage& message);
 /// Returns false if the bytes are malformed.
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -61,7 +61,8 @@
       peer_uses_(registry, zone_),
       buffer_(kMaxDatagramBytes * 2, '\0'),
       send_timer_(executor_),
-      expiry_timer_(executor_) {
+      expiry_timer_(executor_),
+      tenant_timer_(executor_) {
   std::string host;
   std::uint16_t port = 0;
   split_address(listen, host, port);
@@ -88,6 +89,7 @@
 void PeerLoads::start() {
   receive();
   schedule_expiry();
+  if (tenant_gossip_) schedule_tenant_reports();
 }
 
 void PeerLoads::set_peers(const std::vector<PeerAddress>& peers) {
@@ -118,6 +120,9 @@
     take_digest(std::move(*digest));
   } else if (auto* loads = std::get_if<ZoneLoads>(&message)) {
     take_zone_loads(std::move(*loads));
+  } else if (auto* usage = std::get_if<ZoneTenantUsage>(&message)) {
+    if (tenant_gossip_) tenant_gossip_->take_zone_report(*usage, monotonic_now());
+    if (usage->pass_on) pass_on(std::move(*usage));
   } else if (yield_handler_) {
     yield_handler_(std::get<YieldRequest>(message));
   }
@@ -134,6 +139,11 @@
     near_.heard(endpoint, now);
     near_.learn(digest.neighbours, socket_.local_endpoint(), now);
     take_ejections(digest, now);
+    if (tenant_gossip_) tenant_gossip_->take_report(digest.sender, digest.tenants, now);
+    if (version_listener_) {
+      version_listener_(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
+                        digest.configuration_version);
+    }
   }
   if (digest.pass_on) pass_on(digest);
   const bool place_may_be_free = peer_uses_.take(std::move(digest), endpoint, now);
@@ -243,7 +253,10 @@
   last_sent_ = monotonic_now();
   LoadDigest digest = make_digest({});
   digest.ejected = make_ejections(last_sent_);
-  if (last_sent_ - neighbours_told_ >= kHeartbeatInterval) {
+  const bool thorough = last_sent_ - neighbours_told_ >= kHeartbeatInterval;
+  if (tenant_gossip_) digest.tenants = tenant_gossip_->make_report(thorough, last_sent_);
+  if (version_source_) digest.configuration_version = version_source_();
+  if (thorough) {
     digest.neighbours = near_.heard_lately(last_sent_);
     neighbours_told_ = last_sent_;
   }
@@ -296,6 +309,30 @@
   for (const auto& [zone, peers] : far_) send_to(peers[far_turn_ % peers.size()], bytes);
 }
 
+/// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone do, to
+/// different nodes, so that one lost message or one lost node costs nothing.
+void PeerLoads::send_tenant_usage() {
+  const TimePoint now = monotonic_now();
+  if (far_.empty() || !near_.is_zone_reporter(socket_.local_endpoint(), now)) return;
+  const std::string bytes = encode_message(tenant_gossip_->make_zone_report(now));
+  for (const auto& [zone, peers] : far_) send_to(peers[tenant_turn_ % peers.size()], bytes);
+  tenant_turn_ += 1 + sender_ % 2;
+}
+
+void PeerLoads::schedule_tenant_reports() {
+  tenant_timer_.expires_after(kTenantReportInterval);
+  tenant_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    const TimePoint now = monotonic_now();
+    tenant_gossip_->check_silence(now);
+    if (tenant_gossip_->needed()) {
+      send_tenant_usage();
+      if (now - last_sent_ >= kTenantReportInterval) schedule_send();
+    }
+    schedule_tenant_reports();
+  });
+}
+
 void PeerLoads::schedule_expiry() {
   expiry_timer_.expires_after(kFarInterval);
   expiry_timer_.async_wait([this](boost::system::error_code error) {
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -14,14 +14,17 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "base/ids.h"
 #include "routing/load_messages.h"
 #include "routing/neighbour_table.h"
 #include "routing/peer_use_table.h"
 #include "routing/runner_registry.h"
+#include "tenancy/tenant_gossip.h"
 
 namespace stoathold {
 
@@ -50,6 +53,18 @@
   /// Called when another node asks for a place.
   using YieldHandler = std::function<void(const YieldRequest&)>;
   void set_yield_handler(YieldHandler handler) { yield_handler_ = std::move(handler); }
+  /// Has the messages carry what nodes admitted for tenants. The limits outlive this object.
+  void share_tenant_usage(TenantLimits& limits) {
+    tenant_gossip_.emplace(limits, sender_, stable_hash(zone_));
+  }
+  /// Called for the version of the configuration that is in force here, when a digest is made.
+  void set_version_source(std::function<std::uint64_t()> source) {
+    version_source_ = std::move(source);
+  }
+  /// Called when a node of the zone says which version is in force there.
+  /// @param address `ip:port` of that node.
+  using VersionListener = std::function<void(const std::string& address, std::uint64_t version)>;
+  void set_version_listener(VersionListener listener) { version_listener_ = std::move(listener); }
   /// Asks the node that runs the most batch items at the runners that the request names for a
   /// place.
   /// @return false if none is known to run any.
@@ -78,6 +93,8 @@
   void send_zone_loads();
   void send_to(const Endpoint& peer, const std::string& bytes);
   void schedule_expiry();
+  void schedule_tenant_reports();
+  void send_tenant_usage();
   /// Shortest time between two digests: longer the more nodes are told.
   [[nodiscard]] Duration send_interval() const;
   /// @param zone only runners of this zone; empty: all.
@@ -98,10 +115,15 @@
   std::function<void()> listener_;
   YieldHandler yield_handler_;
   PeerUseTable peer_uses_;
+  std::optional<TenantGossip> tenant_gossip_;
+  std::function<std::uint64_t()> version_source_;
+  VersionListener version_listener_;
   std::string buffer_;
   Endpoint from_;
   boost::asio::steady_timer send_timer_;
   boost::asio::steady_timer expiry_timer_;
+  boost::asio::steady_timer tenant_timer_;
+  std::size_t tenant_turn_ = 0;  ///< Picks the node of a zone that gets the zone's report.
   TimePoint last_sent_{};
   TimePoint neighbours_told_{};
   bool send_scheduled_ = false;
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -169,6 +169,21 @@
   EXPECT_EQ(submit(second, second_job), SubmitStatus::kAccepted);
 }
 
+TEST_F(JobStoreTest, EachTenantHasItsOwnQueuedTokens) {
+  NewJob job = make_job("j1", 4, 100);
+  job.max_queued_tokens = 700;
+  job.submission.tenant = "alder";
+  EXPECT_EQ(submit(first, job), SubmitStatus::kAccepted);
+  NewJob same_tenant = make_job("j2", 4, 100);
+  same_tenant.max_queued_tokens = 700;
+  same_tenant.submission.tenant = "alder";
+  EXPECT_EQ(submit(second, same_tenant), SubmitStatus::kQuota);
+  NewJob other_tenant = make_job("j3", 4, 100);
+  other_tenant.max_queued_tokens = 700;
+  other_tenant.submission.tenant = "birch";
+  EXPECT_EQ(submit(second, other_tenant), SubmitStatus::kAccepted);
+}
+
 TEST_F(JobStoreTest, BodiesLargerThanARecordComeBackWhole) {
   NewJob job = make_job("j1", 3, 100, 5000);
   const std::vector<ItemRequest> requests = job.requests;
--- a/tests/platform/platform_configuration_test.cc
+++ b/tests/platform/platform_configuration_test.cc
@@ -9,11 +9,13 @@
  {"name":"r1","host":"A.example","path_prefix":"/x/","kind":"streaming","timeout_ms":5000,
   "target_latency_ms":200,"priority":1,"traffic_split":[{"service":"s1","weight":90},
   {"service":"s2","weight":10}],"max_attempts":2,"session_affinity":true,"resumable":true,
-  "gap_target_ms":250},
+  "gap_target_ms":250,"anonymous_access":true},
  {"name":"r2","host":"b.example","path_prefix":"/y/","kind":"batch","service":"s1",
   "completion_target_ms":20000,"max_attempts":3,"retention_s":60,"max_queued_tokens":1600000},
  {"name":"r3","host":"b.example","path_prefix":"/z/","kind":"of a later release","service":"s1"}],
  "services":[{"name":"s1","health_path":"/health","max_connections":370,"engine":{"slots":17}}],
+ "tenants":[{"name":"alder","api_keys":["k1","k2"],"priority":0,"rate_per_s":12.5,"burst":20},
+  {"name":"birch","api_keys":["k3"]}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
  "idle_timeout_ms":15000}})";
 
@@ -35,6 +37,23 @@
   EXPECT_EQ(configuration->limits.idle_timeout, std::chrono::seconds(15));
 }
 
+TEST(PlatformConfigurationTest, TenantsAreRead) {
+  const auto configuration = parse_configuration(kConfiguration);
+  ASSERT_TRUE(configuration);
+  const Tenant* alder = configuration->tenants.find_key("k2");
+  ASSERT_NE(alder, nullptr);
+  EXPECT_EQ(alder->name, "alder");
+  EXPECT_EQ(alder->priority, 0U);
+  EXPECT_EQ(alder->limit.per_second, 12.5);
+  EXPECT_EQ(alder->limit.burst, 20);
+  const Tenant* birch = configuration->tenants.find_key("k3");
+  ASSERT_NE(birch, nullptr);
+  EXPECT_FALSE(birch->priority.has_value());
+  EXPECT_TRUE(birch->limit.unlimited());
+  EXPECT_TRUE(configuration->routes[0].anonymous_access);
+  EXPECT_FALSE(configuration->routes[1].anonymous_access);
+}
+
 TEST(PlatformConfigurationTest, AnUnknownKindIsTreatedAsUnsafe) {
   const auto configuration = parse_configuration(kConfiguration);
   ASSERT_TRUE(configuration);
--- a/tests/platform/store_sinks_test.cc
+++ b/tests/platform/store_sinks_test.cc
@@ -34,6 +34,20 @@
   EXPECT_EQ(calls, 2);
 }
 
+TEST_F(StoreSinksTest, AnotherNodesRecordIsTakenOnlyIfItIsNewer) {
+  ConfigurationSink sink(context, nullptr);
+  sink.apply({10, "config", configuration(5)});
+  sink.apply_from_peer({9, "", configuration(4)});
+  EXPECT_EQ(context.configuration->version, 5U);
+  EXPECT_EQ(sink.in_force().offset, 10U);
+  sink.apply_from_peer({11, "", configuration(7)});
+  EXPECT_EQ(context.configuration->version, 7U);
+  EXPECT_EQ(sink.in_force().value, configuration(7));
+  // The store delivers the same record later.
+  sink.apply({11, "config", configuration(7)});
+  EXPECT_EQ(sink.in_force().offset, 11U);
+}
+
 TEST_F(StoreSinksTest, RunnersComeDrainAndGo) {
   RunnerSink sink(context);
   sink.apply({0, "r1", runner("ready")});
--- /dev/null
+++ b/tests/routing/configuration_catch_up_test.cc
@@ -0,0 +1,89 @@
+#include "routing/configuration_catch_up.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace stoathold {
+namespace {
+
+/// A node that has read version 9 from the store, and one that is behind.
+class ConfigurationCatchUpTest : public testing::Test {
+ protected:
+  ConfigurationCatchUpTest()
+      : peer(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
+             [this](HttpExchange& exchange) { return answer(exchange); }),
+        catch_up(
+            loop.get_executor(), [this] { return version; },
+            [this](const StoredRecord& record) {
+              taken.push_back(record);
+              version = std::max<std::uint64_t>(version, std::stoull(record.value));
+            }) {
+    peer.start();
+  }
+  boost::asio::awaitable<void> answer(HttpExchange& exchange) {
+    ++calls;
+    target = std::string(exchange.target());
+    std::vector<HttpHeader> headers{{kRecordOffsetHeader, "41"}};
+    co_await exchange.respond(status, "application/json", "9", std::move(headers));
+  }
+  /// Digests come every 20 ms.
+  void advertise(std::uint64_t newer, int times) {
+    for (int i = 0; i < times; ++i) {
+      catch_up.advertised(peer.address(), newer);
+      loop.run_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  boost::asio::io_context loop;
+  std::uint64_t version = 5;
+  int status = 200;
+  int calls = 0;
+  std::string target;
+  std::vector<StoredRecord> taken;
+  HttpServer peer;
+  ConfigurationCatchUp catch_up;
+};
+
+TEST_F(ConfigurationCatchUpTest, ANewerVersionThatTheStoreDoesNotDeliverComesFromANode) {
+  advertise(9, 30);
+  ASSERT_EQ(taken.size(), 1U);
+  EXPECT_EQ(taken[0].offset, 41U);
+  EXPECT_EQ(version, 9U);
+  EXPECT_EQ(target, kConfigurationTarget);
+  advertise(9, 30);
+  EXPECT_EQ(calls, 1);
+}
+
+TEST_F(ConfigurationCatchUpTest, TheStoreIsGivenTimeToDeliver) {
+  advertise(9, 3);
+  version = 9;
+  advertise(9, 30);
+  EXPECT_EQ(calls, 0);
+}
+
+TEST_F(ConfigurationCatchUpTest, AnOlderVersionIsNeverAskedFor) {
+  version = 12;
+  advertise(9, 30);
+  EXPECT_EQ(calls, 0);
+  EXPECT_EQ(version, 12U);
+}
+
+TEST_F(ConfigurationCatchUpTest, ANodeThatHasReadNothingAsksNobody) {
+  version = 0;
+  advertise(9, 30);
+  EXPECT_EQ(calls, 0);
+}
+
+TEST_F(ConfigurationCatchUpTest, AFailedCallChangesNothingAndIsMadeAgain) {
+  status = 404;
+  advertise(9, 30);
+  EXPECT_TRUE(taken.empty());
+  EXPECT_EQ(version, 5U);
+  status = 200;
+  advertise(9, 30);
+  EXPECT_EQ(version, 9U);
+}
+
+}  // namespace
+}  // namespace stoathold
--- /dev/null
+++ b/tests/tenancy/limit_fleet.h
@@ -0,0 +1,428 @@
+/// @file
+/// A fleet without sockets in which ways to hold tenants' limits are compared: arrivals, delays of
+/// messages between nodes, lost messages and cut nodes, all from one seed.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "tenancy/tenant_gossip.h"
+#include "tenancy/tenant_limits.h"
+
+namespace stoathold::limit_fleet {
+
+/// Time goes in steps of this length; a message takes one step inside a zone and two between zones.
+inline constexpr Duration kStep = std::chrono::milliseconds(10);
+/// Part of the messages that is lost.
+inline constexpr double kLoss = 0.01;
+/// The rule that the users hold the fleet to, as their sheet states it.
+inline constexpr double kWindowSeconds = 5;
+inline constexpr double kOverage = 0.1;
+inline constexpr double kSlack = 20;
+
+/// What is played.
+struct Play {
+  std::size_t nodes = 61;
+  std::size_t zones = 3;
+  std::size_t tenants = 73;
+  double requests_per_second = 350;  ///< Of all tenants.
+  double skew = 0;                   ///< Exponent by which tenants differ in size; 0: all alike.
+  double limit_factor = 1.6;         ///< Limit over the usual rate; the burst is one second of it.
+  double flood_factor = 1;           ///< Of the largest tenant, from second 10 to 16.
+  double cut_part = 0;               ///< Nodes that are cut off from all others, second 8 to 20.
+  double seconds = 26;
+  std::uint64_t seed = 1;
+};
+
+/// What came out.
+struct Outcome {
+  double overshoot = 0;          ///< Most admitted in a window over what the rule allows; 1: just so.
+  double wrongly_refused = 0;    ///< In 1,000 requests, more than one bucket for all would refuse.
+  double messages = 0;           ///< Sent by a node in a second.
+  double waited = 0;             ///< In 1,000 requests that had to wait for another node.
+};
+
+/// One way to hold the limits.
+class Strategy {
+ public:
+  virtual ~Strategy() = default;
+  virtual bool admit(std::size_t node, std::size_t tenant, TimePoint now) = 0;
+  virtual void step(TimePoint now) = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t waited = 0;
+};
+
+/// The fleet as all strategies see it: who is where, and who is cut off.
+struct Network {
+  std::vector<std::size_t> zone_of;
+  std::vector<bool> cut;
+  Random random{1};
+  std::deque<std::pair<TimePoint, std::function<void(TimePoint)>>> near_messages;
+  std::deque<std::pair<TimePoint, std::function<void(TimePoint)>>> far_messages;
+
+  [[nodiscard]] bool reaches(std::size_t from, std::size_t to) const {
+    return from == to || (!cut[from] && !cut[to]);
+  }
+  void send(std::size_t from, std::size_t to, TimePoint now,
+            std::function<void(TimePoint)> deliver) {
+    if (!reaches(from, to) || random.unit() < kLoss) return;
+    const bool near = zone_of[from] == zone_of[to];
+    auto& queue = near ? near_messages : far_messages;
+    queue.emplace_back(now + (near ? kStep : 2 * kStep), std::move(deliver));
+  }
+  void deliver(TimePoint now) {
+    for (auto* queue : {&near_messages, &far_messages}) {
+      while (!queue->empty() && queue->front().first <= now) {
+        const auto message = std::move(queue->front().second);
+        queue->pop_front();
+        message(now);
+      }
+    }
+  }
+};
+
+/// The program's own way: counters by gossip, see `TenantLimits`.
+class GossipStrategy final : public Strategy {
+ public:
+  GossipStrategy(Network& network, const TenantDirectory& directory, std::size_t zones)
+      : network_(network), directory_(directory), zones_(zones) {
+    for (std::size_t i = 0; i < network.zone_of.size(); ++i) {
+      auto node = std::make_unique<Node>(i + 1, network.zone_of[i] + 1);
+      node->limits.set_tenants(directory, TimePoint{});
+      nodes_.push_back(std::move(node));
+    }
+  }
+  bool admit(std::size_t node, std::size_t tenant, TimePoint now) override {
+    nodes_[node]->changed = true;
+    return nodes_[node]->limits.admit(directory_.tenants()[tenant], now).admitted;
+  }
+  void step(TimePoint now) override {
+    const auto tick = now.time_since_epoch() / kStep;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      Node& node = *nodes_[i];
+      const bool due = (tick + static_cast<std::int64_t>(i)) % 10 == 0;
+      if (due) node.gossip.check_silence(now);
+      if (node.changed || due) send_report(i, (tick + static_cast<std::int64_t>(i)) % 100 == 0, now);
+      node.changed = false;
+    }
+    if (tick % 10 == 0) {
+      for (std::size_t zone = 0; zone < zones_; ++zone) report_zone(zone, now);
+    }
+  }
+
+ private:
+  struct Node {
+    Node(std::uint64_t name, std::uint64_t zone) : gossip(limits, name, zone) {}
+    TenantLimits limits;
+    TenantGossip gossip;
+    bool changed = false;
+  };
+
+  void send_report(std::size_t from, bool thorough, TimePoint now) {
+    const auto report =
+        std::make_shared<std::vector<TenantUsage>>(nodes_[from]->gossip.make_report(thorough, now));
+    for (std::size_t to = 0; to < nodes_.size(); ++to) {
+      if (to == from || network_.zone_of[to] != network_.zone_of[from]) continue;
+      ++messages;
+      network_.send(from, to, now, [this, from, to, report](TimePoint then) {
+        nodes_[to]->gossip.take_report(from + 1, *report, then);
+      });
+    }
+  }
+  /// Two nodes of each zone that are not cut off report to a random node of each other zone.
+  void report_zone(std::size_t zone, TimePoint now) {
+    std::size_t reporters = 0;
+    for (std::size_t i = 0; i < nodes_.size() && reporters < 2; ++i) {
+      if (network_.zone_of[i] != zone || network_.cut[i]) continue;
+      ++reporters;
+      const auto report =
+          std::make_shared<ZoneTenantUsage>(nodes_[i]->gossip.make_zone_report(now));
+      for (std::size_t other = 0; other < zones_; ++other) {
+        if (other != zone) send_far(i, other, report, now);
+      }
+    }
+  }
+  void send_far(std::size_t from, std::size_t zone, std::shared_ptr<ZoneTenantUsage> report,
+                TimePoint now) {
+    std::vector<std::size_t> there;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (network_.zone_of[i] == zone) there.push_back(i);
+    }
+    const std::size_t to = there[network_.random.below(there.size())];
+    ++messages;
+    network_.send(from, to, now, [this, to, there, report](TimePoint then) {
+      nodes_[to]->gossip.take_zone_report(*report, then);
+      for (const std::size_t next : there) {
+        if (next == to) continue;
+        ++messages;
+        network_.send(to, next, then, [this, next, report](TimePoint last) {
+          nodes_[next]->gossip.take_zone_report(*report, last);
+        });
+      }
+    });
+  }
+
+  Network& network_;
+  const TenantDirectory& directory_;
+  std::size_t zones_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+};
+
+/// A bucket of which the rate may change.
+struct PlainBucket {
+  double level = 0;
+  TimePoint filled{};
+
+  bool take(double rate, double burst, TimePoint now) {
+    fill(rate, burst, now);
+    if (level < 1) return false;
+    level -= 1;
+    return true;
+  }
+  void fill(double rate, double burst, TimePoint now) {
+    level = std::min(std::max(1.0, burst), level + rate * to_seconds(now - filled));
+    filled = now;
+  }
+};
+
+/// Each node has a bucket of its own, with the part of the limit that is its part of the tenant's
+/// requests, which nodes report to all others every 100 ms.
+class SharesStrategy final : public Strategy {
+ public:
+  SharesStrategy(Network& network, const TenantDirectory& directory)
+      : network_(network), directory_(directory) {
+    const std::size_t nodes = network.zone_of.size();
+    const std::size_t tenants = directory.tenants().size();
+    demand_.resize(nodes, std::vector<DecayingCount>(tenants));
+    buckets_.resize(nodes, std::vector<PlainBucket>(tenants));
+    seen_.resize(nodes, std::vector<double>(tenants, 0));
+  }
+  bool admit(std::size_t node, std::size_t tenant, TimePoint now) override {
+    demand_[node][tenant].add(1, now);
+    const double own = demand_[node][tenant].value(now) + kIdle;
+    const double all = std::max(own, seen_[node][tenant] + kIdle * static_cast<double>(seen_.size()));
+    const RateLimit& limit = directory_.tenants()[tenant].limit;
+    return buckets_[node][tenant].take(limit.per_second * own / all, limit.burst * own / all, now);
+  }
+  void step(TimePoint now) override {
+    if ((now.time_since_epoch() / kStep) % 10 != 0) return;
+    const std::size_t nodes = demand_.size();
+    messages += nodes * (nodes - 1) / 10;  // Passed on by one node of a zone, as in the other ways.
+    for (std::size_t tenant = 0; tenant < directory_.tenants().size(); ++tenant) {
+      double connected = 0;
+      for (std::size_t i = 0; i < nodes; ++i) {
+        if (!network_.cut[i]) connected += demand_[i][tenant].value(now);
+      }
+      for (std::size_t i = 0; i < nodes; ++i) {
+        if (!network_.cut[i]) seen_[i][tenant] = connected;
+      }
+    }
+  }
+
+ private:
+  static constexpr double kIdle = 0.1;
+  Network& network_;
+  const TenantDirectory& directory_;
+  std::vector<std::vector<DecayingCount>> demand_;
+  std::vector<std::vector<PlainBucket>> buckets_;
+  std::vector<std::vector<double>> seen_;
+};
+
+/// One node grants tokens for a tenant, in short leases; the next one takes over 450 ms after it is
+/// lost, with an empty bucket. A node that cannot reach the grantor has an even part of the limit.
+class GrantorStrategy final : public Strategy {
+ public:
+  GrantorStrategy(Network& network, const TenantDirectory& directory)
+      : network_(network), directory_(directory) {
+    const std::size_t nodes = network.zone_of.size();
+    const std::size_t tenants = directory.tenants().size();
+    leases_.resize(nodes, std::vector<Lease>(tenants));
+    buckets_.resize(tenants);
+    grantors_.resize(tenants);
+    for (std::size_t tenant = 0; tenant < tenants; ++tenant) {
+      buckets_[tenant].level = directory.tenants()[tenant].limit.burst;
+      grantors_[tenant] = best_node(tenant);
+    }
+  }
+  bool admit(std::size_t node, std::size_t tenant, TimePoint now) override {
+    Lease& lease = leases_[node][tenant];
+    lease.demand.add(1, now);
+    if (now >= lease.expires) lease.tokens = 0;
+    const RateLimit& limit = directory_.tenants()[tenant].limit;
+    if (!network_.reaches(node, grantors_[tenant])) {
+      const double part = 1.0 / static_cast<double>(leases_.size());
+      return lease.alone.take(limit.per_second * part, limit.burst * part, now);
+    }
+    if (lease.tokens < 1) {
+      ++waited;
+      ask(node, tenant, now);
+    }
+    if (lease.tokens < 1) return false;
+    lease.tokens -= 1;
+    // The next request should find tokens: ask early.
+    if (lease.tokens < 1 && lease.demand.value(now) > 3) ask(node, tenant, now);
+    return true;
+  }
+  void step(TimePoint now) override {
+    for (std::size_t tenant = 0; tenant < grantors_.size(); ++tenant) {
+      const bool lost = network_.cut[grantors_[tenant]];
+      if (!lost) lost_since_.erase(tenant);
+      if (!lost) continue;
+      const auto [since, first] = lost_since_.try_emplace(tenant, now);
+      if (now - since->second < std::chrono::milliseconds(450)) continue;
+      grantors_[tenant] = best_node(tenant);
+      buckets_[tenant] = {0, now};
+    }
+  }
+
+ private:
+  struct Lease {
+    double tokens = 0;
+    TimePoint expires{};
+    DecayingCount demand;
+    PlainBucket alone;
+  };
+
+  /// The answer is taken to come at once; the wait is counted.
+  void ask(std::size_t node, std::size_t tenant, TimePoint now) {
+    messages += 2;
+    const RateLimit& limit = directory_.tenants()[tenant].limit;
+    Lease& lease = leases_[node][tenant];
+    PlainBucket& bucket = buckets_[tenant];
+    bucket.fill(limit.per_second, limit.burst, now);
+    const double wanted = std::max(1.0, std::floor(lease.demand.value(now) / 15));
+    const double granted = std::min(wanted, std::floor(bucket.level));
+    if (granted < 1) return;
+    bucket.level -= granted;
+    lease.tokens += granted;
+    lease.expires = now + std::chrono::milliseconds(300);
+  }
+  [[nodiscard]] std::size_t best_node(std::size_t tenant) const {
+    std::size_t best = 0;
+    std::uint64_t best_rank = 0;
+    for (std::size_t i = 0; i < leases_.size(); ++i) {
+      const std::uint64_t rank = mix_hashes(tenant + 1, i + 1);
+      if (network_.cut[i] || rank < best_rank) continue;
+      best = i;
+      best_rank = rank;
+    }
+    return best;
+  }
+
+  Network& network_;
+  const TenantDirectory& directory_;
+  std::vector<std::vector<Lease>> leases_;
+  std::vector<PlainBucket> buckets_;
+  std::vector<std::size_t> grantors_;
+  std::map<std::size_t, TimePoint> lost_since_;
+};
+
+enum class Way : std::uint8_t { kShares, kGrantor, kGossip };
+
+/// Sizes of the tenants: usual requests a second.
+inline std::vector<double> usual_rates(const Play& play) {
+  std::vector<double> rates;
+  double sum = 0;
+  for (std::size_t i = 0; i < play.tenants; ++i) {
+    rates.push_back(std::pow(static_cast<double>(i + 1), -play.skew));
+    sum += rates.back();
+  }
+  for (double& rate : rates) rate *= play.requests_per_second / sum;
+  return rates;
+}
+
+/// Counts what one tenant was admitted in sliding windows.
+class WindowCheck {
+ public:
+  void add(TimePoint now) {
+    times_.push_back(now);
+    const Duration window = scale(std::chrono::seconds(1), kWindowSeconds);
+    while (times_.front() <= now - window) times_.pop_front();
+    most_ = std::max(most_, times_.size());
+  }
+  [[nodiscard]] double overshoot(const RateLimit& limit) const {
+    const double allowed =
+        (limit.per_second * kWindowSeconds + limit.burst) * (1 + kOverage) + kSlack;
+    return static_cast<double>(most_) / allowed;
+  }
+
+ private:
+  std::deque<TimePoint> times_;
+  std::size_t most_ = 0;
+};
+
+inline Outcome play(const Play& play, Way way) {
+  Network network;
+  network.random = Random(play.seed);
+  for (std::size_t i = 0; i < play.nodes; ++i) network.zone_of.push_back(i % play.zones);
+  network.cut.assign(play.nodes, false);
+  const std::vector<double> rates = usual_rates(play);
+  std::vector<Tenant> tenants;
+  for (std::size_t i = 0; i < rates.size(); ++i) {
+    const double limit = rates[i] * play.limit_factor;
+    tenants.push_back({"t" + std::to_string(i), {}, {}, {limit, limit}});
+  }
+  const TenantDirectory directory(tenants);
+  std::unique_ptr<Strategy> strategy;
+  if (way == Way::kShares) strategy = std::make_unique<SharesStrategy>(network, directory);
+  if (way == Way::kGrantor) strategy = std::make_unique<GrantorStrategy>(network, directory);
+  if (way == Way::kGossip) {
+    strategy = std::make_unique<GossipStrategy>(network, directory, play.zones);
+  }
+  std::vector<WindowCheck> windows(rates.size());
+  std::vector<PlainBucket> reference(rates.size());
+  std::uint64_t requests = 0;
+  std::vector<std::int64_t> refused_beyond(rates.size(), 0);
+  const double step_seconds = to_seconds(kStep);
+  for (double second = 0; second < play.seconds; second += step_seconds) {
+    const TimePoint now{scale(std::chrono::seconds(1), 100 + second)};
+    const auto cut_nodes =
+        static_cast<std::size_t>(play.cut_part * static_cast<double>(play.nodes));
+    const bool cut = second >= 8 && second < 20;
+    // Nodes are cut off here and there, the reporters of their zones among them.
+    for (std::size_t i = 0; i < cut_nodes; ++i) network.cut[i * play.nodes / cut_nodes] = cut;
+    network.deliver(now);
+    strategy->step(now);
+    for (std::size_t tenant = 0; tenant < rates.size(); ++tenant) {
+      const bool flood = tenant == 0 && second >= 10 && second < 16;
+      double expected = rates[tenant] * (flood ? play.flood_factor : 1) * step_seconds;
+      while (network.random.unit() < expected / (1 + expected)) {
+        // The few clients of a tenant meet few nodes; one in three requests comes from elsewhere.
+        const bool usual = network.random.unit() < 0.67;
+        const std::size_t node =
+            usual ? mix_hashes(tenant + 1, 1 + network.random.below(5)) % play.nodes
+                  : network.random.below(play.nodes);
+        const RateLimit& limit = directory.tenants()[tenant].limit;
+        const bool fits = reference[tenant].take(limit.per_second, limit.burst, now);
+        const bool admitted = strategy->admit(node, tenant, now);
+        if (second < 4) continue;  // Everything has just begun.
+        if (admitted) windows[tenant].add(now);
+        ++requests;
+        refused_beyond[tenant] += (fits ? 1 : 0) - (admitted ? 1 : 0);
+      }
+    }
+  }
+  Outcome outcome;
+  for (std::size_t i = 0; i < rates.size(); ++i) {
+    outcome.overshoot = std::max(outcome.overshoot, windows[i].overshoot(tenants[i].limit));
+  }
+  std::int64_t wrongly_refused = 0;
+  for (const std::int64_t count : refused_beyond) {
+    wrongly_refused += std::max<std::int64_t>(0, count);
+  }
+  outcome.wrongly_refused = 1000.0 * static_cast<double>(wrongly_refused) / requests;
+  outcome.waited = 1000.0 * static_cast<double>(strategy->waited) / requests;
+  outcome.messages = static_cast<double>(strategy->messages) / play.seconds / play.nodes;
+  return outcome;
+}
+
+}  // namespace stoathold::limit_fleet
--- /dev/null
+++ b/tests/tenancy/tenant_gossip_test.cc
@@ -0,0 +1,78 @@
+#include "tenancy/tenant_gossip.h"
+
+#include <gtest/gtest.h>
+
+#include "base/ids.h"
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::uint64_t kTenant = stable_hash("alder");
+
+/// A node without sockets.
+struct Node {
+  Node(std::uint64_t name, std::uint64_t zone, TimePoint now) : gossip(limits, name, zone) {
+    limits.set_tenants(directory, now - seconds(10));
+    limits.check_silence(now);
+  }
+  bool ask(TimePoint now) { return limits.admit(directory.tenants().front(), now).admitted; }
+
+  TenantDirectory directory{{{"alder", {"key"}, {}, {1, 100}}}};
+  TenantLimits limits;
+  TenantGossip gossip;
+};
+
+TEST(TenantGossipTest, CountersReachTheOwnZoneAndThroughOneNodeTheOthers) {
+  TimePoint now{seconds(100)};
+  Node first(1, 10, now);
+  Node second(2, 10, now);
+  Node remote(3, 20, now);
+  // All know one another before the first request comes.
+  second.gossip.take_report(1, first.gossip.make_report(false, now), now);
+  remote.gossip.take_zone_report(second.gossip.make_zone_report(now), now);
+  ASSERT_TRUE(first.ask(now));
+  const double before = remote.limits.available("alder", now);
+  second.gossip.take_report(1, first.gossip.make_report(false, now), now);
+  remote.gossip.take_zone_report(second.gossip.make_zone_report(now), now);
+  EXPECT_NEAR(remote.limits.available("alder", now), before - 1, 0.01);
+}
+
+TEST(TenantGossipTest, AThoroughReportRepeatsWhatMayHaveBeenLost) {
+  TimePoint now{seconds(100)};
+  Node node(1, 10, now);
+  ASSERT_TRUE(node.ask(now));
+  now += seconds(1);
+  EXPECT_TRUE(node.gossip.make_report(false, now).empty());
+  const auto report = node.gossip.make_report(true, now);
+  ASSERT_EQ(report.size(), 1U);
+  EXPECT_EQ(report[0].tenant, kTenant);
+  EXPECT_EQ(report[0].admitted, 1U);
+}
+
+TEST(TenantGossipTest, OnlyNodesHeardJustNowAreReportedAsAlive) {
+  TimePoint now{seconds(100)};
+  Node node(1, 10, now);
+  node.gossip.take_report(2, {}, now);
+  EXPECT_EQ(node.gossip.make_zone_report(now).nodes.size(), 2U);
+  EXPECT_EQ(node.gossip.make_zone_report(now + milliseconds(400)).nodes.size(), 1U);
+}
+
+TEST(TenantGossipTest, ANodeDoesNotCountItsOwnRequestsTwice) {
+  TimePoint now{seconds(100)};
+  Node node(1, 10, now);
+  Node remote(3, 20, now);
+  ASSERT_TRUE(node.ask(now));
+  const double before = node.limits.available("alder", now);
+  ZoneTenantUsage report;
+  report.zone = 20;
+  report.nodes = {3};
+  report.uses = {{1, {kTenant, 1}}};
+  node.gossip.take_zone_report(report, now);
+  EXPECT_NEAR(node.limits.available("alder", now), before, 0.01);
+}
+
+}  // namespace
+}  // namespace stoathold
