Work left of an item is counted in events, not in tokens

Cause: ItemRun::schedule took events from tokens and multiplied by the time between events. An event holds 6 to 17 tokens, so the work left was overstated as many times, the slack was about -66,800 ms for items due in 18 s, and every item was filled in as urgent.

Change: tokens and events are types that do not mix; a route's tokens an event are learned from whole answers and reported once a second to nodes that have seen none.

Looked for the same elsewhere: queued tokens, prompt costs and progress counts hold tokens throughout.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "gateway/answer_pace.h"
 #include "gateway/durations_by_route.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/header_dialect.h"
@@ -44,7 +45,7 @@
   GatewayMetrics metrics;
   TenantLimits tenant_limits;
   DurationsByRoute first_event_times;  ///< From the sending of a request to its first event.
-  DurationsByRoute event_gaps;         ///< Of batch items, from one event to the next.
+  AnswerPace answer_pace;              ///< Of batch items.
 };
 
 }  // namespace stoathold
--- a/src/gateway/prompt_prefix.cc
+++ b/src/gateway/prompt_prefix.cc
@@ -19,12 +19,12 @@
 
 }  // namespace
 
-std::uint32_t parse_answer_tokens(std::string_view text) {
+TokenCount parse_answer_tokens(std::string_view text) {
   take_field(text);
   const std::string_view answer = take_field(text);
-  std::uint32_t tokens = 0;
-  const auto result = std::from_chars(answer.data(), answer.data() + answer.size(), tokens);
-  return result.ec == std::errc{} ? tokens : 0;
+  TokenCount tokens;
+  const auto result = std::from_chars(answer.data(), answer.data() + answer.size(), tokens.value);
+  return result.ec == std::errc{} ? tokens : TokenCount{};
 }
 
 PromptPrefix parse_prompt_prefix(std::string_view text) {
--- a/src/gateway/prompt_prefix.h
+++ b/src/gateway/prompt_prefix.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "base/quantities.h"
+
 namespace stoathold {
 
 /// What routing needs of a prompt's parts.
@@ -19,7 +21,7 @@
 PromptPrefix parse_prompt_prefix(std::string_view text);
 
 /// Reads `prompt,answer`, both in tokens.
-/// @return the most tokens that the answer may have, each of which is one event; 0 if malformed.
-std::uint32_t parse_answer_tokens(std::string_view text);
+/// @return the most tokens that the answer may have; 0 if malformed.
+TokenCount parse_answer_tokens(std::string_view text);
 
 }  // namespace stoathold
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -76,10 +76,8 @@
 
 ItemSchedule ItemRun::schedule() const {
   ItemSchedule schedule{.objective = objective_, .age = age()};
-  if (answer_tokens_ > progress_.last_event) {
-    const auto events_left = static_cast<double>(answer_tokens_ - progress_.last_event);
-    schedule.rest = scale(context_.event_gaps.expected(route_name_), events_left);
-  }
+  schedule.rest = context_.answer_pace.expected_rest(route_name_, answer_tokens_,
+                                                     EventCount{progress_.last_event});
   return schedule;
 }
 
@@ -261,7 +259,7 @@
   const std::uint64_t events = progress_.last_event - window.first_event;
   if (!first && events < kGapWindowEvents) return;
   if (!first) {
-    context_.event_gaps.observe(route_name_, (now - window.since) / static_cast<int>(events));
+    context_.answer_pace.observe_gap(route_name_, (now - window.since) / static_cast<int>(events));
   }
   window = {progress_.last_event, now};
 }
@@ -289,7 +287,10 @@
   // The end of a connection proves nothing: the stream may have been cut between two events.
   const bool proved = upstream_->head().framing != BodyFraming::kUntilClose;
   const bool whole = framer.rest().empty() && progress_.last_event > 0;
-  co_return whole&& proved ? AttemptResult::kCompleted : AttemptResult::kBroken;
+  if (!whole || !proved) co_return AttemptResult::kBroken;
+  context_.answer_pace.observe_answer(route_name_, answer_tokens_,
+                                      EventCount{progress_.last_event});
+  co_return AttemptResult::kCompleted;
 }
 
 }  // namespace stoathold
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -81,7 +81,7 @@
   ItemProgress progress_;
   Duration clock_skew_;
   PromptPrefix prompt_;
-  std::uint32_t answer_tokens_ = 0;   ///< Most events of the item; 0: not known.
+  TokenCount answer_tokens_;          ///< Most of the item; 0: not known.
   std::string route_name_;            ///< As last looked up.
   Duration objective_{0};             ///< Of that route, from the submission to the result.
   std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "routing/route_pace.h"
 #include "tenancy/tenant_usage.h"
 
 namespace stoathold {
@@ -63,11 +64,12 @@
   std::vector<NodeEndpoint> neighbours;
   std::uint64_t configuration_version = 0;  ///< In force at the sender; 0: none yet.
   std::vector<TenantUsage> tenants;         ///< What the sender admitted; inside the zone only.
+  std::vector<RoutePace> paces;             ///< What the sender has learned; now and then.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
-    archive(configuration_version, tenants);
+    archive(configuration_version, tenants, paces);
   }
 };
 
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -139,6 +139,7 @@
     near_.heard(endpoint, now);
     near_.learn(digest.neighbours, socket_.local_endpoint(), now);
     take_ejections(digest, now);
+    if (pace_listener_) std::for_each(digest.paces.begin(), digest.paces.end(), pace_listener_);
     if (tenant_gossip_) tenant_gossip_->take_report(digest.sender, digest.tenants, now);
     if (version_listener_) {
       version_listener_(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
@@ -258,6 +259,7 @@
   if (version_source_) digest.configuration_version = version_source_();
   if (thorough) {
     digest.neighbours = near_.heard_lately(last_sent_);
+    if (pace_source_) digest.paces = pace_source_();
     neighbours_told_ = last_sent_;
   }
   in_use_ = !digest.uses.empty();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -65,6 +65,13 @@
   /// @param address `ip:port` of that node.
   using VersionListener = std::function<void(const std::string& address, std::uint64_t version)>;
   void set_version_listener(VersionListener listener) { version_listener_ = std::move(listener); }
+  /// Called for what this node has learned about routes' answers, and with what others have.
+  using PaceSource = std::function<std::vector<RoutePace>()>;
+  using PaceListener = std::function<void(const RoutePace&)>;
+  void share_paces(PaceSource source, PaceListener listener) {
+    pace_source_ = std::move(source);
+    pace_listener_ = std::move(listener);
+  }
   /// Asks the node that runs the most batch items at the runners that the request names for a
   /// place.
   /// @return false if none is known to run any.
@@ -118,6 +125,8 @@
   std::optional<TenantGossip> tenant_gossip_;
   std::function<std::uint64_t()> version_source_;
   VersionListener version_listener_;
+  PaceSource pace_source_;
+  PaceListener pace_listener_;
   std::string buffer_;
   Endpoint from_;
   boost::asio::steady_timer send_timer_;
--- /dev/null
+++ b/tests/gateway/answer_pace_test.cc
@@ -0,0 +1,42 @@
+#include "gateway/answer_pace.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(AnswerPaceTest, AnEventHoldsSeveralTokens) {
+  AnswerPace pace;
+  pace.observe_gap("drafts", milliseconds(34));
+  pace.observe_answer("drafts", TokenCount{1420}, EventCount{142});
+  EXPECT_EQ(pace.expected_rest("drafts", TokenCount{1420}, EventCount{0}), milliseconds(142 * 34));
+  EXPECT_EQ(pace.expected_rest("drafts", TokenCount{1420}, EventCount{100}), milliseconds(42 * 34));
+  EXPECT_EQ(pace.expected_rest("drafts", TokenCount{1420}, EventCount{150}), milliseconds(0));
+}
+
+TEST(AnswerPaceTest, AnUnknownPaceClaimsNothing) {
+  AnswerPace pace;
+  EXPECT_EQ(pace.expected_rest("drafts", TokenCount{1420}, EventCount{0}), Duration{0});
+  pace.observe_gap("drafts", milliseconds(34));
+  EXPECT_EQ(pace.expected_rest("drafts", TokenCount{1420}, EventCount{0}), Duration{0});
+}
+
+TEST(AnswerPaceTest, ANodeThatHasSeenNoneTakesWhatOthersReport) {
+  AnswerPace first;
+  first.observe_gap("drafts", milliseconds(34));
+  first.observe_answer("drafts", TokenCount{1420}, EventCount{142});
+  AnswerPace second;
+  for (const auto& report : first.learned()) second.take(report);
+  EXPECT_EQ(second.expected_rest("drafts", TokenCount{1420}, EventCount{0}),
+            milliseconds(142 * 34));
+  // It reports only what it has seen itself.
+  EXPECT_TRUE(second.learned().empty());
+  second.observe_answer("drafts", TokenCount{1000}, EventCount{200});
+  EXPECT_EQ(second.expected_rest("drafts", TokenCount{1000}, EventCount{0}),
+            milliseconds(200 * 34));
+}
+
+}  // namespace
+}  // namespace stoathold
--- a/tests/gateway/prompt_prefix_test.cc
+++ b/tests/gateway/prompt_prefix_test.cc
@@ -21,11 +21,11 @@
 }
 
 TEST(AnswerTokensTest, TheSecondNumberIsReadOrNone) {
-  EXPECT_EQ(parse_answer_tokens("1460,80"), 80U);
-  EXPECT_EQ(parse_answer_tokens("1460, 80"), 80U);
-  EXPECT_EQ(parse_answer_tokens("1460"), 0U);
-  EXPECT_EQ(parse_answer_tokens(""), 0U);
-  EXPECT_EQ(parse_answer_tokens("1460,many"), 0U);
+  EXPECT_EQ(parse_answer_tokens("1460,80"), TokenCount{80});
+  EXPECT_EQ(parse_answer_tokens("1460, 80"), TokenCount{80});
+  EXPECT_EQ(parse_answer_tokens("1460"), TokenCount{0});
+  EXPECT_EQ(parse_answer_tokens(""), TokenCount{0});
+  EXPECT_EQ(parse_answer_tokens("1460,many"), TokenCount{0});
 }
 
 }  // namespace
