Runners that answer with errors of their own are ejected by what all nodes of the zone saw

Cause: an item's 500 was no evidence at all (evidence_of: abandoned), and a 500 that was passed on to a caller counted as served.

Change: nodes count errors and served answers of each runner and report both in digests; two errors and a quarter of the answers make a runner suspect. It is ejected with doubling pauses and tried by one request at a time; only a served request refutes that. An item does not go again to a runner where it failed; failures at runners that are suspect do not count towards its end, up to twice max_attempts. Tests first (RunnerErrorsTest).

--- a/src/gateway/attempt_result.cc
+++ b/src/gateway/attempt_result.cc
@@ -8,6 +8,8 @@
       return "completed";
     case AttemptResult::kFailed:
       return "failed";
+    case AttemptResult::kErrorPassedOn:
+      return "error_passed_on";
     case AttemptResult::kImpossible:
       return "impossible";
     case AttemptResult::kNotRun:
@@ -34,6 +36,9 @@
       return AttemptOutcome::kUnreachable;
     case AttemptResult::kBroken:
       return AttemptOutcome::kFailed;
+    case AttemptResult::kFailed:
+    case AttemptResult::kErrorPassedOn:
+      return AttemptOutcome::kError;
     default:
       return AttemptOutcome::kAbandoned;
   }
--- a/src/gateway/attempt_result.h
+++ b/src/gateway/attempt_result.h
@@ -9,11 +9,12 @@
 
 namespace stoathold {
 
-/// How an attempt ended for the request. Only items of batch jobs end with `kFailed`, `kImpossible`
-/// or `kYielded`: an online request passes a runner's own error on.
+/// How an attempt ended for the request. Only items of batch jobs end with `kImpossible` or
+/// `kYielded`.
 enum class AttemptResult : std::uint8_t {
   kCompleted,    ///< The answer came whole.
-  kFailed,       ///< The runner's own error.
+  kFailed,       ///< The runner's own error; another may do better.
+  kErrorPassedOn,  ///< The runner's own error, which the caller got whole.
   kImpossible,   ///< No runner can ever do it.
   kNotRun,       ///< This runner did not run it; another may.
   kUnreachable,  ///< Nothing reached the runner; another may.
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -19,6 +19,7 @@
 asio::awaitable<AttemptResult> OnlineRequest::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
   constexpr int kServerError = 500;
+  constexpr int kGatewayTimeout = 504;  // The runner's at the deadline: says nothing about it.
   if (was_not_run(runner, head, context_.dialect)) co_return AttemptResult::kNotRun;
   const bool success = head.status >= 200 && head.status < 300;
   if (success && lacks_proof(head, context_.dialect)) co_return AttemptResult::kBroken;
@@ -27,9 +28,14 @@
   if (promise && !route_.repeatable()) co_return AttemptResult::kBroken;
   if (head_sent_ && !success) co_return AttemptResult::kBroken;
   const bool another_run = runs_ + 1 < route_.max_attempts && route_.repeatable();
-  if (head.status >= kServerError && another_run) co_return AttemptResult::kBroken;
+  const bool own_error = head.status >= kServerError && head.status != kGatewayTimeout;
+  if (head.status >= kServerError && another_run) {
+    co_return own_error ? AttemptResult::kFailed : AttemptResult::kBroken;
+  }
   if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events(runner);
-  co_return co_await relay_body();
+  const AttemptResult result = co_await relay_body();
+  const bool passed_on = own_error && result == AttemptResult::kCompleted;
+  co_return passed_on ? AttemptResult::kErrorPassedOn : result;
 }
 
 asio::awaitable<bool> OnlineRequest::send_head() {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -38,6 +38,17 @@
 /// Assumed where neither caller nor route bounds a request.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
 
+/// Whether the caller has its answer, or is gone.
+bool is_final(AttemptResult result) {
+  return result == AttemptResult::kCompleted || result == AttemptResult::kErrorPassedOn ||
+         result == AttemptResult::kStopped;
+}
+
+/// Whether the request may have run without an answer for the caller.
+bool may_have_run(AttemptResult result) {
+  return result == AttemptResult::kBroken || result == AttemptResult::kFailed;
+}
+
 }  // namespace
 
 std::string_view to_string(RequestOutcome outcome) {
@@ -179,8 +190,8 @@
     tried_.push_back(runner->record().id);
     const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
-    if (result == AttemptResult::kCompleted || result == AttemptResult::kStopped) co_return;
-    if (result == AttemptResult::kBroken) {
+    if (is_final(result)) co_return;
+    if (may_have_run(result)) {
       if (!may_run_again()) break;
       if (head_sent_) ++context_.metrics.resumes;
     }
@@ -288,8 +299,8 @@
     }
   }
   runner_queue_timer_.cancel();
-  if (result == AttemptResult::kBroken) ++runs_;
-  if (result == AttemptResult::kCompleted) {
+  if (may_have_run(result)) ++runs_;
+  if (result == AttemptResult::kCompleted || result == AttemptResult::kErrorPassedOn) {
     upstream->release();
   } else {
     upstream->cancel();
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -30,6 +30,9 @@
 constexpr Duration kRoutePause = std::chrono::milliseconds(100);
 /// A route must be missing this long before its items are given up.
 constexpr Duration kRouteGrace = std::chrono::seconds(5);
+/// Failures that an item may have for each attempt that its route allows, where runners that fail
+/// much of what they are given are to blame: one less than what the users' rules allow.
+constexpr std::uint32_t kMaxFailuresPerAttempt = 2;
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
 
 }  // namespace
@@ -88,12 +91,14 @@
   const ItemSchedule schedule = this->schedule();
   PlacementRequest request;
   request.work = WorkClass::kBatch;
-  request.selection = {.service = context_.split.next_service(route),
+  const std::string service = context_.split.next_service(route);
+  request.selection = {.service = service,
                        .zone = context_.zone,
                        .affinity_key = prompt_.shared_key,
                        .prompt_tokens = prompt_.tokens,
                        .shared_tokens = prompt_.shared_tokens,
                        .load_limit = schedule.load_limit(),
+                       .excluded = runners_to_avoid(service),
                        .connected = context_.connected()};
   request.priority = route.priority;
   // Who must begin first goes first. It always lies in the past, unlike that of an online request
@@ -109,6 +114,12 @@
   co_return runner;
 }
 
+/// The item goes to runners where it has not failed yet, as long as there are any.
+std::vector<std::string> ItemRun::runners_to_avoid(const std::string& service) const {
+  const bool others = failed_at_.size() < context_.runners.of_service(service).size();
+  return others ? failed_at_ : std::vector<std::string>{};
+}
+
 void ItemRun::log_choice(const Selection& choice, const ItemSchedule& schedule) {
   const bool again = sends_++ > 0;
   choice_ = choice_text(choice, monotonic_now());
@@ -136,6 +147,20 @@
   return result;
 }
 
+/// An error of a runner that fails much of what it is given says nothing about the item. Errors at
+/// other runners do; and there is a bound on how often an item may fail at all.
+bool ItemRun::has_failed_for_good(const Route& route) const {
+  if (progress_.failures >= kMaxFailuresPerAttempt * route.max_attempts) return true;
+  const TimePoint now = monotonic_now();
+  std::uint32_t excused = 0;
+  for (const auto& id : failed_at_) {
+    const auto runner = context_.runners.all().find(id);
+    const bool suspect = runner != context_.runners.all().end() && runner->second->suspect(now);
+    if (suspect) ++excused;
+  }
+  return progress_.failures - excused >= route.max_attempts;
+}
+
 asio::awaitable<std::optional<ItemResult>> ItemRun::run() {
   const auto self = shared_from_this();
   Backoff backoff(kRetryBounds);
@@ -164,8 +189,8 @@
     if (result == AttemptResult::kImpossible) co_return make_result(ItemState::kDeadLettered);
     if (result == AttemptResult::kFailed) {
       ++progress_.failures;
-      if (progress_.failures >= route->max_attempts)
-        co_return make_result(ItemState::kDeadLettered);
+      failed_at_.push_back(runner->record().id);
+      if (has_failed_for_good(*route)) co_return make_result(ItemState::kDeadLettered);
     }
     if (progress_.last_event > events_before) backoff.reset();
     if (result == AttemptResult::kYielded) continue;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gateway/attempt_result.h"
 #include "gateway/event_framer.h"
@@ -72,6 +73,8 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
+  [[nodiscard]] std::vector<std::string> runners_to_avoid(const std::string& service) const;
+  [[nodiscard]] bool has_failed_for_good(const Route& route) const;
   void log_choice(const Selection& choice, const ItemSchedule& schedule);
   void note_attempt(Runner& runner, AttemptResult result);
 
@@ -90,6 +93,8 @@
   std::shared_ptr<Runner> runner_;
   TimePoint placed_at_{};
   std::uint32_t sends_ = 0;
+  /// Runners that answered this run with an error of their own.
+  std::vector<std::string> failed_at_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   bool yielding_ = false;
   boost::asio::steady_timer timer_;
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -32,10 +32,23 @@
   std::uint16_t failed_ms_ago = 0;  ///< Since the last failed attempt; saturates.
   std::uint16_t pause_left_ms = 0;  ///< Until the sender tries it again.
   std::uint8_t failures = 0;        ///< Failed attempts in a row; saturates.
+  bool by_errors = false;           ///< The runner answered, with errors of its own.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(runner, failed_ms_ago, pause_left_ms, failures);
+    archive(runner, failed_ms_ago, pause_left_ms, failures, by_errors);
+  }
+};
+
+/// Answers that the sender had lately from a runner of which some were errors, in tenths.
+struct RunnerAnswers {
+  std::uint64_t runner = 0;  ///< Hash of its id.
+  std::uint8_t errors = 0;   ///< Saturates.
+  std::uint8_t served = 0;   ///< Saturates.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(runner, errors, served);
   }
 };
 
@@ -64,12 +77,13 @@
   std::vector<NodeEndpoint> neighbours;
   std::uint64_t configuration_version = 0;  ///< In force at the sender; 0: none yet.
   std::vector<TenantUsage> tenants;         ///< What the sender admitted; inside the zone only.
+  std::vector<RunnerAnswers> answers;       ///< Inside the zone only.
   std::vector<RoutePace> paces;             ///< What the sender has learned; now and then.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
-    archive(configuration_version, tenants, paces);
+    archive(configuration_version, tenants, answers, paces);
   }
 };
 
--- a/src/routing/peer_ejections.cc
+++ b/src/routing/peer_ejections.cc
@@ -13,6 +13,11 @@
 /// longest pause of an ejected runner, so that it lasts from one trial to the next.
 constexpr Duration kReportLifetime = std::chrono::seconds(4);
 
+/// Whether nothing has refuted the report.
+bool stands(const PeerEjection& report, TimePoint last_heard, TimePoint last_served) {
+  return report.failed_at > (report.by_errors ? last_served : last_heard);
+}
+
 }  // namespace
 
 void PeerEjections::take(const PeerEjection& ejection, TimePoint now) {
@@ -22,11 +27,13 @@
   reports_.push_back(ejection);
 }
 
-TimePoint PeerEjections::ejected_until(TimePoint last_heard, bool own_failure) const {
+TimePoint PeerEjections::ejected_until(TimePoint last_heard, TimePoint last_served,
+                                       bool own_failure) const {
   const std::size_t needed = own_failure ? kReportersNeeded - 1 : kReportersNeeded;
   std::vector<TimePoint> ends;
   for (const auto& report : reports_) {
-    if (report.failed_at > last_heard) ends.push_back(report.until);
+    if (!stands(report, last_heard, last_served)) continue;
+    ends.insert(ends.end(), report.by_errors ? kReportersNeeded : 1, report.until);
   }
   if (ends.size() < needed) return {};
   // As many as are needed still stand until the one of them ends that ends first.
@@ -35,10 +42,10 @@
   return *last_needed;
 }
 
-std::uint32_t PeerEjections::failures(TimePoint last_heard) const {
+std::uint32_t PeerEjections::failures(TimePoint last_heard, TimePoint last_served) const {
   std::uint32_t most = 0;
   for (const auto& report : reports_) {
-    if (report.failed_at > last_heard) most = std::max(most, report.failures);
+    if (stands(report, last_heard, last_served)) most = std::max(most, report.failures);
   }
   return most;
 }
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -21,6 +21,10 @@
 constexpr std::size_t kMaxEjections = 30;
 /// Runners of a zone that are told of in one message.
 constexpr std::size_t kMaxZoneLoads = 150;
+/// Most runners of whose answers one message tells.
+constexpr std::size_t kMaxAnswerCounts = 20;
+/// Counts of answers are reported in tenths.
+constexpr double kAnswerUnit = 10;
 constexpr double kPercent = 100;
 constexpr double kMostPercent = 255;
 /// Changes within this time go out together.
@@ -160,9 +164,16 @@
         .reporter = digest.sender,
         .failed_at = now - std::chrono::milliseconds(reported.failed_ms_ago),
         .until = now + std::chrono::milliseconds(reported.pause_left_ms),
-        .failures = reported.failures};
+        .failures = reported.failures,
+        .by_errors = reported.by_errors};
     runner->take_peer_ejection(ejection, now);
   }
+  for (const auto& reported : digest.answers) {
+    Runner* runner = registry_.find_hash(reported.runner);
+    if (runner == nullptr) continue;
+    const AnswerCounts counts{reported.errors / kAnswerUnit, reported.served / kAnswerUnit};
+    runner->take_answer_counts(digest.sender, counts, now);
+  }
 }
 
 /// Loads of another zone's runners, told by a node there.
@@ -224,12 +235,26 @@
     if (!own) continue;
     ejected.push_back({runner->hash(), saturated<std::uint16_t>(milliseconds(now - own->failed_at)),
                        saturated<std::uint16_t>(milliseconds(own->until - now)),
-                       saturated<std::uint8_t>(own->failures)});
+                       saturated<std::uint8_t>(own->failures), own->by_errors});
     if (ejected.size() >= kMaxEjections) break;
   }
   return ejected;
 }
 
+std::vector<RunnerAnswers> PeerLoads::make_answer_counts(TimePoint now) const {
+  std::vector<RunnerAnswers> answers;
+  for (const auto& [id, runner] : registry_.all()) {
+    const auto counts = runner->answer_counts(now);
+    if (!counts) continue;
+    answers.push_back(
+        {runner->hash(),
+         saturated<std::uint8_t>(static_cast<std::int64_t>(counts->errors * kAnswerUnit)),
+         saturated<std::uint8_t>(static_cast<std::int64_t>(counts->served * kAnswerUnit))});
+    if (answers.size() >= kMaxAnswerCounts) break;
+  }
+  return answers;
+}
+
 void PeerLoads::use_changed() {
   schedule_send();
 }
@@ -254,6 +279,7 @@
   last_sent_ = monotonic_now();
   LoadDigest digest = make_digest({});
   digest.ejected = make_ejections(last_sent_);
+  digest.answers = make_answer_counts(last_sent_);
   const bool thorough = last_sent_ - neighbours_told_ >= kHeartbeatInterval;
   if (tenant_gossip_) digest.tenants = tenant_gossip_->make_report(thorough, last_sent_);
   if (version_source_) digest.configuration_version = version_source_();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -107,6 +107,7 @@
   /// @param zone only runners of this zone; empty: all.
   [[nodiscard]] LoadDigest make_digest(const std::string& zone);
   [[nodiscard]] std::vector<EjectedRunner> make_ejections(TimePoint now) const;
+  [[nodiscard]] std::vector<RunnerAnswers> make_answer_counts(TimePoint now) const;
 
   boost::asio::any_io_executor executor_;
   RunnerRegistry& registry_;
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -62,6 +62,11 @@
       failures_ = 0;
       ejected_until_ = {};
       failed_at_ = {};
+      last_served_ = now;
+      errors_.count(false, now);
+      break;
+    case AttemptOutcome::kError:
+      note_error(now);
       break;
     case AttemptOutcome::kNotRun:
       ejected_until_ = std::max(ejected_until_, now + kFullPause);
@@ -69,9 +74,9 @@
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kUnreachable: {
       // What other nodes have tried in vain counts: else each would begin with the shortest pause.
-      failures_ = std::max(failures_, peer_ejections_.failures(last_heard_)) + 1;
+      failures_ = std::max(failures_, peer_ejections_.failures(last_heard_, last_served_)) + 1;
       if (failures_ < kFailuresToEject && outcome == AttemptOutcome::kFailed) break;
-      eject(now);
+      eject(now, false);
       break;
     }
     case AttemptOutcome::kAbandoned:
@@ -79,7 +84,16 @@
   }
 }
 
-void Runner::eject(TimePoint now) {
+/// Errors that make the runner suspect eject it, and so does each further one until it has served.
+void Runner::note_error(TimePoint now) {
+  errors_.count(true, now);
+  if (!suspect(now)) return;
+  failures_ = std::max(failures_, peer_ejections_.failures(last_heard_, last_served_)) + 1;
+  eject(now, true);
+}
+
+void Runner::eject(TimePoint now, bool by_errors) {
+  failed_by_errors_ = by_errors;
   const std::uint32_t doublings = std::min<std::uint32_t>(failures_ - 1, kMostDoublings);
   const Duration pause = std::min(kFirstEjection * (1U << doublings), kLongestEjection);
   ejected_until_ = now + pause;
@@ -88,18 +102,20 @@
   log_event(Event::kRunnerEjected, {{"runner", record_.id},
                                     {"address", record_.address},
                                     {"failures", std::to_string(failures_)},
+                                    {"by_errors", by_errors ? "yes" : "no"},
                                     {"pause_ms", std::to_string(pause_ms)}});
 }
 
 bool Runner::own_failure_stands() const {
-  return failed_at_ > last_heard_;
+  return failed_at_ > (failed_by_errors_ ? last_served_ : last_heard_);
 }
 
 bool Runner::ejected(TimePoint now) const {
   if (now < ejected_until_) return true;
   const bool own_failure = own_failure_stands();
-  const TimePoint peers_until = peer_ejections_.ejected_until(last_heard_, own_failure);
-  if (now < peers_until) return true;
+  const TimePoint peers_until =
+      peer_ejections_.ejected_until(last_heard_, last_served_, own_failure);
+  if (now < peers_until || errors_.suspect(now)) return true;
   const bool on_trial = own_failure || peers_until != TimePoint{};
   return on_trial && in_flight_ + peer_in_flight_ > 0;
 }
@@ -116,7 +132,10 @@
 
 std::optional<PeerEjection> Runner::own_ejection(TimePoint now) const {
   if (now >= ejected_until_ || !own_failure_stands()) return std::nullopt;
-  return PeerEjection{.failed_at = failed_at_, .until = ejected_until_, .failures = failures_};
+  return PeerEjection{.failed_at = failed_at_,
+                      .until = ejected_until_,
+                      .failures = failures_,
+                      .by_errors = failed_by_errors_};
 }
 
 void Runner::take_report(const LoadReport& report, TimePoint now) {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -14,6 +14,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "routing/peer_ejections.h"
+#include "routing/runner_errors.h"
 
 namespace stoathold {
 
@@ -42,6 +43,7 @@
   kServed,
   kNotRun,       ///< The runner turned it away.
   kFailed,       ///< Reset, cut off, spoiled or silent.
+  kError,        ///< The runner answered with an error of its own.
   kUnreachable,  ///< No connection.
   kAbandoned,    ///< Ended by us or the caller; tells nothing.
 };
@@ -81,6 +83,18 @@
   [[nodiscard]] bool ejected(TimePoint now) const;
   /// Another node of the zone reports failed attempts at this runner.
   void take_peer_ejection(const PeerEjection& ejection, TimePoint now);
+  /// Another node of the zone reports what answers it had from this runner.
+  void take_answer_counts(std::uint64_t node, const AnswerCounts& counts, TimePoint now) {
+    errors_.take_report(node, counts, now);
+  }
+  /// Returns what answers this node had from it, if other nodes should know.
+  [[nodiscard]] std::optional<AnswerCounts> answer_counts(TimePoint now) const {
+    return errors_.own_report(now);
+  }
+  /// Whether it fails much of what it is given, though it answers.
+  [[nodiscard]] bool suspect(TimePoint now) const {
+    return errors_.suspect(now) || (failed_by_errors_ && own_failure_stands());
+  }
   /// What this node's own failed attempts say, to report it to other nodes; nothing if the runner
   /// is not ejected by them.
   /// @return the report without its reporter.
@@ -121,8 +135,10 @@
   [[nodiscard]] std::uint32_t failures() const { return failures_; }
 
  private:
-  void eject(TimePoint now);
-  /// Whether this node's last attempts failed and nothing was heard from the runner since.
+  void eject(TimePoint now, bool by_errors);
+  void note_error(TimePoint now);
+  /// Whether this node's last attempts failed and nothing has refuted that: that the runner was
+  /// heard, or, if it answers with errors, that it served a request.
   [[nodiscard]] bool own_failure_stands() const;
 
   RunnerRecord record_;
@@ -134,6 +150,9 @@
   std::uint32_t failures_ = 0;
   TimePoint ejected_until_{};
   TimePoint failed_at_{};  ///< The failed attempt that last ejected it; the clock's start: none.
+  bool failed_by_errors_ = false;  ///< The last failed attempts were answered with errors.
+  TimePoint last_served_{};
+  RunnerErrors errors_;
   PeerEjections peer_ejections_;
   LoadReport report_;
   TimePoint report_time_{};
--- a/src/tenancy/tenant_limits.cc
+++ b/src/tenancy/tenant_limits.cc
@@ -1,7 +1,6 @@
 #include "tenancy/tenant_limits.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "base/ids.h"
 
@@ -15,9 +14,6 @@
 /// A silent node is taken to be gone after this time, while others are heard: longer than links or
 /// the store have been cut in any deployment's list of faults (12 s).
 constexpr Duration kGoneAfter = std::chrono::seconds(20);
-/// Time in which a count of recent requests falls to 1/e of itself: some periods of the quickest
-/// swing of arrivals that a share should not follow.
-constexpr double kRecentSeconds = 3.0;
 /// Weight of a node without requests, in requests: it may admit a little when it is cut off.
 constexpr double kIdleWeight = 0.1;
 /// Nodes that a process assumes before it has heard of any: its share before it joins the gossip.
@@ -27,16 +23,6 @@
 
 }  // namespace
 
-void DecayingCount::add(double count, TimePoint now) {
-  count_ = value(now) + count;
-  updated_ = now;
-}
-
-double DecayingCount::value(TimePoint now) const {
-  if (count_ == 0) return 0;
-  return count_ * std::exp(-to_seconds(now - updated_) / kRecentSeconds);
-}
-
 TenantLimits::Bucket& TenantLimits::bucket_of(std::uint64_t tenant) {
   return buckets_[tenant];
 }
--- a/src/tenancy/tenant_limits.h
+++ b/src/tenancy/tenant_limits.h
@@ -20,6 +20,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/decaying_count.h"
 #include "base/time.h"
 #include "tenancy/tenant_directory.h"
 #include "tenancy/tenant_usage.h"
@@ -32,16 +33,9 @@
   Duration retry_after{0};  ///< If refused: until a request would be admitted, as far as is known.
 };
 
-/// A count that halves again and again, so that it says how much came lately.
-class DecayingCount {
- public:
-  void add(double count, TimePoint now);
-  [[nodiscard]] double value(TimePoint now) const;
-
- private:
-  double count_ = 0;
-  TimePoint updated_{};
-};
+/// Time in which a count of recent requests falls to 1/e of itself: as long as the quickest swing of
+/// arrivals seen (3.4 s low, 2.4 s high), which a share should not follow.
+inline constexpr Duration kRecentMemory = std::chrono::seconds(3);
 
 /// The buckets of all tenants, as this node sees them. Used on one thread.
 class TenantLimits {
@@ -79,7 +73,7 @@
   /// What one other node has admitted for a tenant.
   struct NodeUse {
     std::uint32_t admitted = 0;
-    DecayingCount lately;
+    DecayingCount lately{kRecentMemory};
     double silent_share = 0;  ///< Its part of the limit since it fell silent; 0: it has not.
     double assumed = 0;       ///< Taken from the bucket for it while it was silent.
     TimePoint changed{};
@@ -91,7 +85,7 @@
     TimePoint filled{};
     double connected_share = 1;  ///< Part of the limit for the nodes that hear one another.
     std::uint32_t own_admitted = 0;
-    DecayingCount own_lately;
+    DecayingCount own_lately{kRecentMemory};
     TimePoint own_changed{};
     std::unordered_map<std::uint64_t, NodeUse> nodes;
   };
--- a/tests/routing/peer_ejections_test.cc
+++ b/tests/routing/peer_ejections_test.cc
@@ -27,32 +27,32 @@
   PeerEjections ejections;
   ejections.take(report(1, 0, 500), kStart);
   ejections.take(report(1, 10, 600), kStart);
-  EXPECT_EQ(ejections.ejected_until(kNever, false), kNever);
+  EXPECT_EQ(ejections.ejected_until(kNever, {}, false), kNever);
 }
 
 TEST(PeerEjectionsTest, TwoReportersEjectUntilTheFirstOfThemTriesAgain) {
   PeerEjections ejections;
   ejections.take(report(1, 0, 500), kStart);
   ejections.take(report(2, 0, 900), kStart);
-  EXPECT_EQ(ejections.ejected_until(kNever, false), after_ms(500));
+  EXPECT_EQ(ejections.ejected_until(kNever, {}, false), after_ms(500));
   ejections.take(report(3, 0, 700), kStart);
-  EXPECT_EQ(ejections.ejected_until(kNever, false), after_ms(700));
+  EXPECT_EQ(ejections.ejected_until(kNever, {}, false), after_ms(700));
 }
 
 TEST(PeerEjectionsTest, AnOwnFailureCountsAsAReport) {
   PeerEjections ejections;
   ejections.take(report(1, 0, 500), kStart);
-  EXPECT_EQ(ejections.ejected_until(kNever, true), after_ms(500));
+  EXPECT_EQ(ejections.ejected_until(kNever, {}, true), after_ms(500));
 }
 
 TEST(PeerEjectionsTest, WhatWasHeardSinceRefutesAReport) {
   PeerEjections ejections;
   ejections.take(report(1, 0, 500, 3), kStart);
   ejections.take(report(2, 20, 900, 2), kStart);
-  EXPECT_EQ(ejections.failures(kNever), 3U);
-  EXPECT_EQ(ejections.ejected_until(after_ms(10), false), kNever);
-  EXPECT_EQ(ejections.failures(after_ms(10)), 2U);
-  EXPECT_EQ(ejections.failures(after_ms(20)), 0U);
+  EXPECT_EQ(ejections.failures(kNever, {}), 3U);
+  EXPECT_EQ(ejections.ejected_until(after_ms(10), {}, false), kNever);
+  EXPECT_EQ(ejections.failures(after_ms(10), {}), 2U);
+  EXPECT_EQ(ejections.failures(after_ms(20), {}), 0U);
 }
 
 /// Nodes of one zone that know the same runner, which answers nobody. Reports are delivered after
--- /dev/null
+++ b/tests/routing/runner_errors_test.cc
@@ -0,0 +1,118 @@
+#include "routing/runner_errors.h"
+
+#include <gtest/gtest.h>
+
+#include "gateway/attempt_result.h"
+#include "routing/runner_registry.h"
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+
+TEST(RunnerErrorsTest, OneErrorIsTheItemsAndTwoAreTheRunners) {
+  RunnerErrors errors;
+  errors.count(true, kStart);
+  EXPECT_FALSE(errors.suspect(kStart));
+  errors.count(true, kStart);
+  EXPECT_TRUE(errors.suspect(kStart));
+}
+
+TEST(RunnerErrorsTest, FewErrorsAmongManyAnswersAreTheItems) {
+  RunnerErrors errors;
+  for (int i = 0; i < 20; ++i) errors.count(false, kStart);
+  errors.count(true, kStart);
+  errors.count(true, kStart);
+  EXPECT_FALSE(errors.suspect(kStart));
+}
+
+TEST(RunnerErrorsTest, NodesThatSawOneErrorEachConvictTogether) {
+  RunnerErrors first;
+  RunnerErrors second;
+  first.count(true, kStart);
+  second.count(true, kStart);
+  const auto report = first.own_report(kStart);
+  ASSERT_TRUE(report);
+  second.take_report(7, *report, kStart);
+  EXPECT_TRUE(second.suspect(kStart));
+  // A repeated report counts once.
+  RunnerErrors third;
+  third.take_report(7, *report, kStart);
+  third.take_report(7, *report, kStart);
+  EXPECT_FALSE(third.suspect(kStart));
+}
+
+TEST(RunnerErrorsTest, OldErrorsAreForgotten) {
+  RunnerErrors errors;
+  errors.count(true, kStart);
+  errors.count(true, kStart);
+  EXPECT_FALSE(errors.suspect(kStart + seconds(5)));
+  EXPECT_FALSE(errors.own_report(kStart + seconds(10)));
+}
+
+Runner make_runner() { return Runner({"r1", "chat", "10.0.0.1:80", "zone", 10, false}); }
+
+void fail_with_error(Runner& runner, TimePoint now) {
+  runner.begin_attempt();
+  runner.heard(now);
+  runner.end_attempt(evidence_of(AttemptResult::kFailed), now);
+}
+
+// An item's 500 once counted as no evidence, and one that was passed on as a served request: a
+// runner that failed all it was given looked idle and was given ever more.
+TEST(RunnerErrorsTest, ARunnerThatAnswersWithErrorsIsEjectedThoughItIsHeard) {
+  Runner runner = make_runner();
+  fail_with_error(runner, kStart);
+  EXPECT_FALSE(runner.ejected(kStart));
+  fail_with_error(runner, kStart);
+  EXPECT_TRUE(runner.ejected(kStart));
+  runner.heard(kStart + milliseconds(1));
+  EXPECT_TRUE(runner.ejected(kStart + milliseconds(2)));
+  ASSERT_TRUE(runner.own_ejection(kStart + milliseconds(2)));
+  EXPECT_TRUE(runner.own_ejection(kStart + milliseconds(2))->by_errors);
+}
+
+TEST(RunnerErrorsTest, APassedOnErrorIsEvidenceToo) {
+  EXPECT_EQ(evidence_of(AttemptResult::kErrorPassedOn), AttemptOutcome::kError);
+  EXPECT_EQ(evidence_of(AttemptResult::kFailed), AttemptOutcome::kError);
+}
+
+TEST(RunnerErrorsTest, AfterThePauseOneRequestIsTriedAndServiceBringsTheRunnerBack) {
+  Runner runner = make_runner();
+  fail_with_error(runner, kStart);
+  fail_with_error(runner, kStart);
+  const TimePoint later = kStart + seconds(6);
+  EXPECT_FALSE(runner.ejected(later));
+  runner.begin_attempt();
+  EXPECT_TRUE(runner.ejected(later));  // One is on its way.
+  runner.end_attempt(AttemptOutcome::kServed, later);
+  EXPECT_FALSE(runner.ejected(later + milliseconds(1)));
+}
+
+TEST(RunnerErrorsTest, AFailedTrialEjectsForLonger) {
+  Runner runner = make_runner();
+  fail_with_error(runner, kStart);
+  fail_with_error(runner, kStart);
+  const TimePoint later = kStart + seconds(6);
+  fail_with_error(runner, later);
+  EXPECT_TRUE(runner.ejected(later + milliseconds(900)));
+}
+
+TEST(RunnerErrorsTest, OneNodesReportOfErrorsIsEnough) {
+  Runner runner = make_runner();
+  runner.heard(kStart);
+  runner.take_peer_ejection({.reporter = 7,
+                             .failed_at = kStart,
+                             .until = kStart + seconds(1),
+                             .failures = 2,
+                             .by_errors = true},
+                            kStart);
+  runner.heard(kStart + milliseconds(100));
+  EXPECT_TRUE(runner.ejected(kStart + milliseconds(200)));
+}
+
+}  // namespace
+}  // namespace stoathold
--- a/tests/tenancy/limit_fleet.h
+++ b/tests/tenancy/limit_fleet.h
@@ -202,7 +202,7 @@
       : network_(network), directory_(directory) {
     const std::size_t nodes = network.zone_of.size();
     const std::size_t tenants = directory.tenants().size();
-    demand_.resize(nodes, std::vector<DecayingCount>(tenants));
+    demand_.resize(nodes, std::vector<DecayingCount>(tenants, DecayingCount(kRecentMemory)));
     buckets_.resize(nodes, std::vector<PlainBucket>(tenants));
     seen_.resize(nodes, std::vector<double>(tenants, 0));
   }
@@ -288,7 +288,7 @@
   struct Lease {
     double tokens = 0;
     TimePoint expires{};
-    DecayingCount demand;
+    DecayingCount demand{kRecentMemory};
     PlainBucket alone;
   };
 
