Online work takes the slot of a batch item at once

Cause: an online request that found no slot waited 20 ms before batch work was asked for one and 100 ms before another, although the slot of a batch item is free again some milliseconds after it is asked for, and resuming an item costs the reading of a short prompt.

Change: such a request goes at once to a runner where a batch item can be made to yield, and the item's node is asked in the same moment; the request spends the milliseconds in the runner's own queue. Yielded slots count as free until the next digest. The other nodes hear for 30 ms that online work waited, so that their batch stays out.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -68,7 +68,9 @@
 }
 
 void ItemRun::yield() {
+  if (yielding_ || !runner_) return;
   yielding_ = true;
+  runner_->begin_yield();
   if (upstream_) upstream_->cancel();
 }
 
@@ -240,6 +242,7 @@
   if (status == UpstreamStatus::kOk) result = co_await take_answer(*runner);
   if (yielding_ && result != AttemptResult::kCompleted) result = AttemptResult::kYielded;
   if (stopped_) result = AttemptResult::kStopped;
+  if (yielding_) runner->end_yield();
   runner_.reset();
   if (result == AttemptResult::kCompleted) {
     upstream->release();
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -60,7 +60,8 @@
     Runner* runner = registry_.find_hash(use.runner);
     if (runner == nullptr) continue;
     runner->change_peer_use(sign * static_cast<std::int64_t>(use.in_flight),
-                            sign * static_cast<std::int64_t>(use.backlog_tokens));
+                            sign * static_cast<std::int64_t>(use.backlog_tokens),
+                            sign * static_cast<std::int64_t>(use.batch_in_flight));
   }
 }
 
@@ -116,6 +117,16 @@
   return count;
 }
 
+/// From now on the slot counts as free, until the node's next digest.
+void PeerUseTable::take_off_one(RunnerUse& use) {
+  --use.batch_in_flight;
+  if (use.in_flight == 0) return;
+  --use.in_flight;
+  Runner* runner = registry_.find_hash(use.runner);
+  const bool counted = counted_revision_ == registry_.revision();
+  if (runner != nullptr && counted) runner->change_peer_use(-1, 0, -1);
+}
+
 std::optional<PeerUseTable::Endpoint> PeerUseTable::take_batch_place(const YieldRequest& request) {
   PeerState* most = nullptr;
   std::uint32_t most_items = 0;
@@ -129,7 +140,7 @@
   const auto use = std::find_if(most->uses.begin(), most->uses.end(), [&](const RunnerUse& entry) {
     return is_batch_at(entry, request);
   });
-  if (use != most->uses.end()) --use->batch_in_flight;
+  if (use != most->uses.end()) take_off_one(*use);
   return most->endpoint;
 }
 
--- a/src/routing/peer_use_table.h
+++ b/src/routing/peer_use_table.h
@@ -51,6 +51,7 @@
   enum class Direction : std::uint8_t { kAdd, kRemove };
   void count(const PeerState& state, Direction direction);
   void count_all_anew();
+  void take_off_one(RunnerUse& use);
   void note_heard(const PeerState& state, TimePoint now);
   void publish_demand(TimePoint now);
   [[nodiscard]] bool uses_less(const PeerState& before, const PeerState& after) const;
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -19,6 +19,8 @@
 /// and so long again before it is asked once more.
 constexpr Duration kYieldAfter = std::chrono::milliseconds(20);
 constexpr Duration kYieldAgain = std::chrono::milliseconds(100);
+/// Online work that had to make batch work yield is reported as waiting for so long: some digests.
+constexpr Duration kDemandShown = std::chrono::milliseconds(30);
 /// Part of a runner's places that batch leaves free just after online work had to wait, and the
 /// time in which that falls to nothing.
 constexpr double kBurstMargin = 0.4;
@@ -65,12 +67,29 @@
   }
   Selection& selection = ticket.selection_;
   selection = select_runner(registry_, wanted, now);
-  if (!selection.runner) return false;
+  if (!selection.runner) return preempt(ticket, wanted, now);
   selection.runner->begin_attempt(selection.tokens_to_read, request.work);
   if (use_listener_) use_listener_();
   return true;
 }
 
+/// Online work takes the slot of a batch item without waiting for it to come free: the request waits
+/// in the runner's own queue for the moment that the item takes to end.
+bool PlacementQueue::preempt(PlacementTicket& ticket, SelectionRequest wanted, TimePoint now) {
+  const bool allowed = ticket.request_.work == WorkClass::kOnline && yield_handler_;
+  if (!allowed || ticket.selection_.failure != SelectionFailure::kAllBusy) return false;
+  wanted.preempt_batch = true;
+  Selection selection = select_runner(registry_, wanted, now);
+  if (!selection.runner) return false;
+  ticket.selection_ = selection;
+  last_demand_[wanted.service] = now;
+  preempted_at_[wanted.service] = now;
+  yield_handler_(wanted.service, selection.runner.get());
+  selection.runner->begin_attempt(selection.tokens_to_read, ticket.request_.work);
+  if (use_listener_) use_listener_();
+  return true;
+}
+
 asio::awaitable<std::shared_ptr<Runner>> PlacementQueue::acquire(
     std::shared_ptr<PlacementTicket> ticket) {
   const TimePoint now = monotonic_now();
@@ -109,6 +128,10 @@
     if (ticket->request_.work != WorkClass::kOnline) continue;
     services.insert(ticket->request_.selection.service);
   }
+  const TimePoint now = monotonic_now();
+  for (const auto& [service, time] : preempted_at_) {
+    if (now - time < kDemandShown) services.insert(service);
+  }
   return services;
 }
 
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -91,6 +91,7 @@
   };
 
   bool try_place(PlacementTicket& ticket, TimePoint now);
+  bool preempt(PlacementTicket& ticket, SelectionRequest wanted, TimePoint now);
   [[nodiscard]] double batch_margin(const std::string& service, TimePoint now);
   using Filter = std::function<bool(const PlacementRequest&, TimePoint now)>;
 
@@ -106,6 +107,8 @@
   std::set<std::shared_ptr<PlacementTicket>, MoreUrgent> waiting_;
   /// When online work last waited for a service, at this node or another of the zone.
   std::map<std::string, TimePoint> last_demand_;
+  /// When online work of this node last made batch work yield.
+  std::map<std::string, TimePoint> preempted_at_;
   std::uint64_t next_number_ = 0;
   boost::asio::steady_timer watch_timer_;
   bool watching_ = false;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -2,6 +2,7 @@
 /// The runners that the platform's directory lists, and what this node has seen of each.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -106,13 +107,22 @@
   [[nodiscard]] bool overcommitted() const { return in_flight_ + peer_in_flight_ > slots(); }
   /// Those of `in_flight` that are batch items.
   [[nodiscard]] std::uint32_t batch_in_flight() const { return batch_in_flight_; }
+  /// A batch item of this node at the runner was asked to give its slot back, or has done so.
+  void begin_yield() { ++yielding_; }
+  void end_yield() { --yielding_; }
+  /// Batch items there, of all nodes of the zone, that could be asked to give a slot back.
+  [[nodiscard]] std::uint32_t preemptible() const {
+    return batch_in_flight_ - std::min(batch_in_flight_, yielding_) + peer_batch_in_flight_;
+  }
   /// Prompt tokens that this node has sent and that have not been read yet.
   [[nodiscard]] std::uint32_t backlog_tokens() const { return backlog_tokens_; }
   /// The same of all nodes that tell this one.
   [[nodiscard]] std::uint32_t total_backlog() const { return backlog_tokens_ + peer_backlog_; }
   /// What the other nodes of the zone have there.
-  void set_peer_use(std::uint32_t in_flight, std::uint32_t backlog_tokens) {
+  void set_peer_use(std::uint32_t in_flight, std::uint32_t backlog_tokens,
+                    std::uint32_t batch_in_flight = 0) {
     peer_in_flight_ = in_flight;
+    peer_batch_in_flight_ = batch_in_flight;
     peer_backlog_ = backlog_tokens;
   }
   /// Nodes of the runner's own zone, which know its load best, have told it.
@@ -121,7 +131,9 @@
   /// Whether that was told just now.
   [[nodiscard]] bool zone_load_known(TimePoint now) const;
   /// Adds differences to it.
-  void change_peer_use(std::int64_t in_flight, std::int64_t backlog_tokens) {
+  void change_peer_use(std::int64_t in_flight, std::int64_t backlog_tokens,
+                       std::int64_t batch_in_flight) {
+    peer_batch_in_flight_ = static_cast<std::uint32_t>(peer_batch_in_flight_ + batch_in_flight);
     peer_in_flight_ = static_cast<std::uint32_t>(peer_in_flight_ + in_flight);
     peer_backlog_ = static_cast<std::uint32_t>(peer_backlog_ + backlog_tokens);
   }
@@ -164,6 +176,8 @@
   std::uint32_t own_at_zone_load_ = 0;  ///< Requests of this node there, when they told it.
   std::uint32_t peer_in_flight_ = 0;
   std::uint32_t peer_backlog_ = 0;
+  std::uint32_t peer_batch_in_flight_ = 0;
+  std::uint32_t yielding_ = 0;  ///< Own batch items there that were asked to yield.
 };
 
 /// All runners known. Used on one thread; a runner lives on while a request holds it.
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -45,6 +45,21 @@
   return healthy.empty() ? ejected : healthy;
 }
 
+/// Keeps the runners at which one batch item less makes room for one request. They count as loaded
+/// as if all batch items there were gone, so that the one with most of them is taken.
+void keep_preemptible(std::vector<Candidate>& candidates, const std::string& zone) {
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    const Runner& runner = *candidate.runner;
+    const double half_slot = 0.5 / runner.slots();
+    const bool only_full = candidate.load < 1 + half_slot;
+    return runner.preemptible() == 0 || !only_full || runner.record().zone != zone;
+  });
+  for (auto& candidate : candidates) {
+    candidate.load -= static_cast<double>(candidate.runner->preemptible()) /
+                      candidate.runner->slots();
+  }
+}
+
 /// Nodes of other zones use a runner there without telling this node. So such a runner takes work
 /// only if it has told its load just now, or as one of few trials that make it tell.
 bool may_spill_to(const Candidate& candidate, std::size_t trials, TimePoint now) {
@@ -134,6 +149,7 @@
         runners.empty() ? SelectionFailure::kUnknownService : SelectionFailure::kAllExcluded;
     return selection;
   }
+  if (request.preempt_batch) keep_preemptible(candidates, request.zone);
   if (request.load_limit > 0) {
     std::erase_if(candidates,
                   [&](const Candidate& candidate) { return candidate.load >= request.load_limit; });
--- a/tests/routing/peer_ejections_test.cc
+++ b/tests/routing/peer_ejections_test.cc
@@ -122,7 +122,7 @@
 
   void change_peer_use(const Runner& user, int change) {
     for (auto& runner : runners_) {
-      if (&runner != &user) runner.change_peer_use(change, 0);
+      if (&runner != &user) runner.change_peer_use(change, 0, 0);
     }
   }
 
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -91,6 +91,39 @@
   EXPECT_EQ(asked, (std::vector<std::string>{"chat"}));
 }
 
+// Online work once waited 20 ms before batch work was asked for a slot, and 100 ms before another.
+TEST_F(PlacementQueueTest, OnlineWorkTakesABatchSlotAtOnce) {
+  std::vector<const Runner*> asked;
+  queue.set_yield_handler(
+      [&](const std::string&, const Runner* runner) { asked.push_back(runner); });
+  wait("batch", make_request(WorkClass::kBatch));
+  wait("online", make_request(WorkClass::kOnline));
+  EXPECT_EQ(order, (std::vector<std::string>{"batch", "online"}));
+  EXPECT_EQ(asked, (std::vector<const Runner*>{registry.all().at("r1").get()}));
+  // The others are told, so that their batch work stays out for a moment.
+  EXPECT_TRUE(queue.services_in_demand().contains("chat"));
+  // The one batch item can make room once: the next request waits.
+  registry.all().at("r1")->begin_yield();
+  wait("next", make_request(WorkClass::kOnline));
+  EXPECT_EQ(order.size(), 2U);
+  registry.all().at("r1")->end_yield();
+}
+
+TEST_F(PlacementQueueTest, BatchWorkTakesNoSlotFromBatchWork) {
+  int asked = 0;
+  queue.set_yield_handler([&](const std::string&, const Runner*) { ++asked; });
+  wait("first", make_request(WorkClass::kBatch));
+  wait("second", make_request(WorkClass::kBatch));
+  EXPECT_EQ(order, (std::vector<std::string>{"first"}));
+  EXPECT_EQ(asked, 0);
+}
+
+TEST_F(PlacementQueueTest, DemandOfOtherNodesIsNotReportedAsOwn) {
+  registry.set_peer_demand({stable_hash("chat")});
+  wait("batch", make_request(WorkClass::kBatch));
+  EXPECT_TRUE(queue.services_in_demand().empty());
+}
+
 TEST_F(PlacementQueueTest, BatchYieldsAtARunnerThatHasMoreRequestsThanPlaces) {
   std::vector<const Runner*> asked;
   queue.set_yield_handler(
