A slot that comes free is taken by one of the nodes that wait for it

Cause: all nodes that wait learn of a free slot from the same digest and took it at the same moment; one request ran, the others waited in the runner's queue, which knows neither deadlines nor priorities.

Change: from the digest that shows a slot free each node computes the same order of the nodes that wait (weighted rendezvous by what waits there); the first takes it at once, each further one 15 ms later if it is still free. Digests carry how many requests wait.

--- a/src/gateway/answer_pace.cc
+++ b/src/gateway/answer_pace.cc
@@ -44,8 +44,7 @@
   const Pace& pace = found->second;
   const Duration own_gap = pace.gap.value();
   const Duration gap = own_gap.count() > 0 ? own_gap : pace.reported_gap;
-  const double left =
-      pace.tokens_per_event.events_of(allowed) - static_cast<double>(made.value);
+  const double left = pace.tokens_per_event.events_of(allowed) - static_cast<double>(made.value);
   return scale(gap, std::max(0.0, left));
 }
 
--- a/src/gateway/caller_check.cc
+++ b/src/gateway/caller_check.cc
@@ -27,8 +27,7 @@
   const CallerIdentity identity =
       configuration.tenants.identify(check.caller.key, anonymous_access);
   const bool keys_in_use = !configuration.tenants.tenants().empty();
-  const bool unknown_key =
-      keys_in_use && !check.caller.key.empty() && identity.tenant == nullptr;
+  const bool unknown_key = keys_in_use && !check.caller.key.empty() && identity.tenant == nullptr;
   if (!identity.allowed() || (check.route == nullptr && unknown_key)) {
     refuse(check, kUnauthorized, check.caller.key.empty() ? "key_missing" : "key_unknown");
     return check;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -123,8 +123,8 @@
     co_return;
   }
   const TimePoint start = monotonic_now();
-  const auto request = std::make_shared<OnlineRequest>(context_, exchange, configuration, route,
-                                                       check.caller);
+  const auto request =
+      std::make_shared<OnlineRequest>(context_, exchange, configuration, route, check.caller);
   const RequestOutcome outcome = co_await request->serve();
   if (outcome == RequestOutcome::kRefused) {
     context_.tenant_limits.give_back(check.caller.tenant, monotonic_now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,8 +14,7 @@
 
 /// Serves requests of routes that take batch jobs.
 using BatchSubmissionHandler = std::function<boost::asio::awaitable<void>(
-    HttpExchange&, std::shared_ptr<const ServingConfiguration>, const Route&,
-    const Caller&)>;
+    HttpExchange&, std::shared_ptr<const ServingConfiguration>, const Route&, const Caller&)>;
 
 /// The entrance for callers. Used on one thread; outlives all requests.
 class Gateway {
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -24,7 +24,7 @@
   std::uint32_t index = 0;
   std::string item_id;
   std::string host;
-  std::string path;  ///< The job was submitted to; finds the route.
+  std::string path;    ///< The job was submitted to; finds the route.
   std::string tenant;  ///< Whose job it is; empty: anonymous.
   std::int64_t submitted_ms = 0;
 };
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -167,7 +167,7 @@
     ItemProgress progress;
     const ItemProgress* known = store_.progress_of(item.job, item.index);
     if (known != nullptr) progress = *known;
-    ItemContext context{item.job, item.index, listed.id, job->host,
+    ItemContext context{item.job,  item.index,  listed.id,        job->host,
                         job->path, job->tenant, job->submitted_ms};
     const auto run = std::make_shared<ItemRun>(context_, std::move(context), std::move(request),
                                                std::move(progress), settings_.clock_skew);
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -66,8 +66,7 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
-std::uint64_t JobTable::queued_tokens(const std::string& route,
-                                      const std::string& tenant) const {
+std::uint64_t JobTable::queued_tokens(const std::string& route, const std::string& tenant) const {
   std::uint64_t sum = 0;
   for (const auto& [key, job] : jobs_) {
     if (!job.open() || job.submission.route != route) continue;
--- a/src/routing/configuration_catch_up.cc
+++ b/src/routing/configuration_catch_up.cc
@@ -46,8 +46,7 @@
   HttpReply reply = co_await client_.call(std::move(call));
   StoredRecord record;
   const std::string_view offset = reply.header(kRecordOffsetHeader);
-  const auto parsed =
-      std::from_chars(offset.data(), offset.data() + offset.size(), record.offset);
+  const auto parsed = std::from_chars(offset.data(), offset.data() + offset.size(), record.offset);
   if (reply.ok() && parsed.ec == std::errc{}) {
     record.value = std::move(reply.body);
     apply_(record);
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -63,6 +63,17 @@
   }
 };
 
+/// Online work that waits at the sender.
+struct ServiceDemand {
+  std::uint64_t service = 0;  ///< Hash of its name.
+  std::uint16_t waiting = 0;  ///< Requests; 0: none any more, but some had to just now.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(service, waiting);
+  }
+};
+
 /// All runners that the sender uses, or those of the receiver's zone.
 struct LoadDigest {
   std::uint64_t sender = 0;    ///< Hash of the node's name and start.
@@ -70,7 +81,7 @@
   std::uint64_t zone = 0;      ///< Hash of the sender's zone.
   std::vector<RunnerUse> uses;
   std::vector<EjectedRunner> ejected;  ///< Told inside the zone only.
-  std::vector<std::uint64_t> demand;   ///< Hashes of services for which online work waits.
+  std::vector<ServiceDemand> demand;   ///< Services for which online work waits.
   std::string origin;                  ///< Sender's `ip:port` if another node may pass this on.
   bool pass_on = false;                ///< The receiver passes it on inside its zone.
   /// Nodes of the sender's zone that it has heard itself just now; told now and then.
--- a/src/routing/peer_ejections.h
+++ b/src/routing/peer_ejections.h
@@ -20,10 +20,10 @@
 
 /// The reports about one runner, the newest of each reporter.
 ///
-/// A single report of silence proves nothing: its sender may be cut off itself. And it is refuted by
-/// anything that any node has heard from the runner since. A report of errors was made by the
-/// runner's own answers: one is enough, and only a served request refutes it. So a runner is ejected only while enough
-/// reports stand that nothing has refuted. Used on one thread.
+/// A single report of silence proves nothing: its sender may be cut off itself. And it is refuted
+/// by anything that any node has heard from the runner since. A report of errors was made by the
+/// runner's own answers: one is enough, and only a served request refutes it. So a runner is
+/// ejected only while enough reports stand that nothing has refuted. Used on one thread.
 class PeerEjections {
  public:
   /// Takes a report; an older one of the same reporter is replaced.
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -62,7 +62,7 @@
       zone_(std::move(zone)),
       sender_(sender),
       socket_(executor_),
-      peer_uses_(registry, zone_),
+      peer_uses_(registry, zone_, sender_),
       buffer_(kMaxDatagramBytes * 2, '\0'),
       send_timer_(executor_),
       expiry_timer_(executor_),
@@ -151,7 +151,7 @@
     }
   }
   if (digest.pass_on) pass_on(digest);
-  const bool place_may_be_free = peer_uses_.take(std::move(digest), endpoint, now);
+  const bool place_may_be_free = peer_uses_.take(std::move(digest), endpoint, own_demand(), now);
   if (place_may_be_free && listener_) listener_();
 }
 
@@ -202,6 +202,10 @@
   return true;
 }
 
+std::vector<ServiceDemand> PeerLoads::own_demand() const {
+  return demand_source_ ? demand_source_() : std::vector<ServiceDemand>{};
+}
+
 LoadDigest PeerLoads::make_digest(const std::string& zone) {
   LoadDigest digest;
   digest.sender = sender_;
@@ -223,8 +227,7 @@
               });
     digest.uses.resize(kMaxUses);
   }
-  const auto demand = demand_source_ ? demand_source_() : std::set<std::string>{};
-  for (const auto& service : demand) digest.demand.push_back(stable_hash(service));
+  digest.demand = own_demand();
   return digest;
 }
 
@@ -337,8 +340,8 @@
   for (const auto& [zone, peers] : far_) send_to(peers[far_turn_ % peers.size()], bytes);
 }
 
-/// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone do, to
-/// different nodes, so that one lost message or one lost node costs nothing.
+/// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone do,
+/// to different nodes, so that one lost message or one lost node costs nothing.
 void PeerLoads::send_tenant_usage() {
   const TimePoint now = monotonic_now();
   if (far_.empty() || !near_.is_zone_reporter(socket_.local_endpoint(), now)) return;
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -45,8 +45,8 @@
   void start();
   /// The other nodes, of all zones.
   void set_peers(const std::vector<PeerAddress>& peers);
-  /// Called for the services for which online work waits here, when a digest is made.
-  using DemandSource = std::function<std::set<std::string>()>;
+  /// Called for the online work that waits here.
+  using DemandSource = std::function<std::vector<ServiceDemand>()>;
   void set_demand_source(DemandSource source) { demand_source_ = std::move(source); }
   /// Called when another node's use or demand has changed.
   void set_change_listener(std::function<void()> listener) { listener_ = std::move(listener); }
@@ -106,6 +106,7 @@
   [[nodiscard]] Duration send_interval() const;
   /// @param zone only runners of this zone; empty: all.
   [[nodiscard]] LoadDigest make_digest(const std::string& zone);
+  [[nodiscard]] std::vector<ServiceDemand> own_demand() const;
   [[nodiscard]] std::vector<EjectedRunner> make_ejections(TimePoint now) const;
   [[nodiscard]] std::vector<RunnerAnswers> make_answer_counts(TimePoint now) const;
 
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -12,25 +12,32 @@
 
 /// Online work that waits is told again and again; what was told longer ago counts no more.
 constexpr Duration kDemandLifetime = std::chrono::milliseconds(250);
+/// A node that waits says so again every 20 ms at least; it is a contender for so long.
+constexpr Duration kContenderLifetime = std::chrono::milliseconds(60);
 /// What a silent node said counts no longer after this time.
 constexpr Duration kLifetime = std::chrono::milliseconds(1500);
 
 }  // namespace
 
-PeerUseTable::PeerUseTable(RunnerRegistry& registry, std::string zone)
-    : registry_(registry), zone_(std::move(zone)), zone_hash_(stable_hash(zone_)) {}
+PeerUseTable::PeerUseTable(RunnerRegistry& registry, std::string zone, std::uint64_t self)
+    : registry_(registry), zone_(std::move(zone)), zone_hash_(stable_hash(zone_)), self_(self) {}
 
 bool PeerUseTable::is_news(const LoadDigest& digest) const {
   const auto found = states_.find(digest.sender);
   return found == states_.end() || digest.sequence > found->second.sequence;
 }
 
-bool PeerUseTable::take(LoadDigest digest, const Endpoint& endpoint, TimePoint now) {
-  PeerState& state = states_[digest.sender];
+bool PeerUseTable::take(LoadDigest digest, const Endpoint& endpoint,
+                        const std::vector<ServiceDemand>& own_demand, TimePoint now) {
+  const std::uint64_t sender = digest.sender;
+  PeerState& state = states_[sender];
   PeerState next{digest.sequence,         digest.zone, now, endpoint, std::move(digest.uses),
                  std::move(digest.demand)};
   const bool all_known = counted_revision_ == registry_.revision();
   const bool less = uses_less(state, next);
+  if (less && next.zone == zone_hash_) {
+    arbitrate_free_slots(sender, state, next, own_demand, now);
+  }
   const bool demand = !state.demand.empty() || !next.demand.empty();
   if (all_known) count(state, Direction::kRemove);
   state = std::move(next);
@@ -54,6 +61,49 @@
   });
 }
 
+std::vector<SlotContender> PeerUseTable::contenders_for(
+    const std::string& service, const std::vector<ServiceDemand>& own_demand, TimePoint now) const {
+  const std::uint64_t hash = stable_hash(service);
+  std::vector<SlotContender> contenders;
+  const auto add = [&](std::uint64_t node, const std::vector<ServiceDemand>& demands) {
+    for (const auto& demand : demands) {
+      if (demand.service == hash && demand.waiting > 0)
+        contenders.push_back({node, demand.waiting});
+    }
+  };
+  add(self_, own_demand);
+  for (const auto& [node, state] : states_) {
+    const bool fresh = now - state.received <= kContenderLifetime;
+    if (fresh && state.zone == zone_hash_) add(node, state.demand);
+  }
+  return contenders;
+}
+
+/// The sender has given slots back. Of the nodes that wait, this one may not be the first to take
+/// them.
+void PeerUseTable::arbitrate_free_slots(std::uint64_t sender, const PeerState& before,
+                                        const PeerState& after,
+                                        const std::vector<ServiceDemand>& own_demand,
+                                        TimePoint now) {
+  for (const auto& old_use : before.uses) {
+    const auto same = std::find_if(after.uses.begin(), after.uses.end(), [&](const RunnerUse& use) {
+      return use.runner == old_use.runner;
+    });
+    const std::uint32_t left = same == after.uses.end() ? 0 : same->in_flight;
+    if (left >= old_use.in_flight) continue;
+    Runner* runner = registry_.find_hash(old_use.runner);
+    if (runner == nullptr) continue;
+    const auto contenders = contenders_for(runner->record().service, own_demand, now);
+    if (contenders.empty()) continue;
+    for (std::uint32_t freed = left; freed < old_use.in_flight; ++freed) {
+      const std::uint64_t slot =
+          mix_hashes(mix_hashes(sender, after.sequence), mix_hashes(old_use.runner, freed));
+      const Duration wait = slot_wait(rank_for_slot(self_, contenders, slot));
+      if (wait.count() > 0) runner->reserve_for_others(now + wait, now);
+    }
+  }
+}
+
 void PeerUseTable::count(const PeerState& state, Direction direction) {
   const int sign = direction == Direction::kAdd ? 1 : -1;
   for (const auto& use : state.uses) {
@@ -85,7 +135,7 @@
   std::set<std::uint64_t> services;
   for (const auto& [sender, state] : states_) {
     if (state.zone != zone_hash_ || now - state.received > kDemandLifetime) continue;
-    services.insert(state.demand.begin(), state.demand.end());
+    for (const auto& demand : state.demand) services.insert(demand.service);
   }
   demand_published_ = !services.empty();
   registry_.set_peer_demand(std::move(services));
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <vector>
 
+#include "base/ids.h"
+
 namespace stoathold {
 namespace {
 
@@ -73,8 +75,8 @@
   return true;
 }
 
-/// Online work takes the slot of a batch item without waiting for it to come free: the request waits
-/// in the runner's own queue for the moment that the item takes to end.
+/// Online work takes the slot of a batch item without waiting for it to come free: the request
+/// waits in the runner's own queue for the moment that the item takes to end.
 bool PlacementQueue::preempt(PlacementTicket& ticket, SelectionRequest wanted, TimePoint now) {
   const bool allowed = ticket.request_.work == WorkClass::kOnline && yield_handler_;
   if (!allowed || ticket.selection_.failure != SelectionFailure::kAllBusy) return false;
@@ -122,17 +124,19 @@
   if (!waiting_.empty()) dispatch();
 }
 
-std::set<std::string> PlacementQueue::services_in_demand() const {
-  std::set<std::string> services;
+std::vector<ServiceDemand> PlacementQueue::online_demand() const {
+  std::map<std::string, std::uint16_t> waiting;
   for (const auto& ticket : waiting_) {
     if (ticket->request_.work != WorkClass::kOnline) continue;
-    services.insert(ticket->request_.selection.service);
+    ++waiting[ticket->request_.selection.service];
   }
   const TimePoint now = monotonic_now();
   for (const auto& [service, time] : preempted_at_) {
-    if (now - time < kDemandShown) services.insert(service);
+    if (now - time < kDemandShown) waiting.try_emplace(service, 0);
   }
-  return services;
+  std::vector<ServiceDemand> demand;
+  for (const auto& [service, count] : waiting) demand.push_back({stable_hash(service), count});
+  return demand;
 }
 
 void PlacementQueue::dispatch() {
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 
+#include "routing/load_messages.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_selector.h"
 
@@ -81,8 +82,8 @@
   void set_use_listener(std::function<void()> listener) { use_listener_ = std::move(listener); }
   /// Returns how many wait.
   [[nodiscard]] std::size_t waiting(WorkClass work) const;
-  /// Returns the services for which online work waits.
-  [[nodiscard]] std::set<std::string> services_in_demand() const;
+  /// Returns the online work that waits, and that which had to wait just now.
+  [[nodiscard]] std::vector<ServiceDemand> online_demand() const;
 
  private:
   struct MoreUrgent {
--- a/src/routing/runner_errors.cc
+++ b/src/routing/runner_errors.cc
@@ -28,9 +28,8 @@
 
 void RunnerErrors::take_report(std::uint64_t node, const AnswerCounts& counts, TimePoint now) {
   if (reported_.size() >= kMaxNodes) {
-    std::erase_if(reported_, [now](const auto& entry) {
-      return entry.second.errors.value(now) < kForgotten;
-    });
+    std::erase_if(reported_,
+                  [now](const auto& entry) { return entry.second.errors.value(now) < kForgotten; });
   }
   Counts& entry = reported_[node];
   entry.errors.set(counts.errors, now);
--- a/src/routing/runner_errors.h
+++ b/src/routing/runner_errors.h
@@ -17,10 +17,10 @@
   double served = 0;  ///< Whole answers.
 };
 
-/// A runner may say that it is well and fail what it is given. Since it fails at once it looks idle,
-/// so that ever more work would go to it. Each node sees few of its answers, so nodes report their
-/// counts to one another. An item of a batch job that fails everywhere makes few errors among many
-/// answers, and no runner suspect. Used on one thread.
+/// A runner may say that it is well and fail what it is given. Since it fails at once it looks
+/// idle, so that ever more work would go to it. Each node sees few of its answers, so nodes report
+/// their counts to one another. An item of a batch job that fails everywhere makes few errors among
+/// many answers, and no runner suspect. Used on one thread.
 class RunnerErrors {
  public:
   /// An answer came.
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -166,8 +166,18 @@
   return age_text(report_time_, now);
 }
 
+std::uint32_t Runner::reserved(TimePoint now) const {
+  return static_cast<std::uint32_t>(std::count_if(reserved_until_.begin(), reserved_until_.end(),
+                                                  [now](TimePoint until) { return until > now; }));
+}
+
+void Runner::reserve_for_others(TimePoint until, TimePoint now) {
+  std::erase_if(reserved_until_, [now](TimePoint end) { return end <= now; });
+  reserved_until_.push_back(until);
+}
+
 double Runner::load(TimePoint now) const {
-  const double known = in_flight_ + peer_in_flight_;
+  const double known = in_flight_ + peer_in_flight_ + reserved(now);
   double expected = known;
   const Duration age = now - report_time_;
   if (age < kReportLifetime && report_time_ != TimePoint{}) {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -103,6 +103,8 @@
   /// Requests expected to be at the runner, running and waiting, per slot.
   [[nodiscard]] double load(TimePoint now) const;
   [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+  /// Other nodes come first for a slot that has come free: until then it counts as taken.
+  void reserve_for_others(TimePoint until, TimePoint now);
   /// Whether the nodes of the zone have more requests there than it has places.
   [[nodiscard]] bool overcommitted() const { return in_flight_ + peer_in_flight_ > slots(); }
   /// Those of `in_flight` that are batch items.
@@ -177,6 +179,8 @@
   std::uint32_t peer_in_flight_ = 0;
   std::uint32_t peer_backlog_ = 0;
   std::uint32_t peer_batch_in_flight_ = 0;
+  [[nodiscard]] std::uint32_t reserved(TimePoint now) const;
+  std::vector<TimePoint> reserved_until_;
   std::uint32_t yielding_ = 0;  ///< Own batch items there that were asked to yield.
 };
 
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -55,8 +55,8 @@
     return runner.preemptible() == 0 || !only_full || runner.record().zone != zone;
   });
   for (auto& candidate : candidates) {
-    candidate.load -= static_cast<double>(candidate.runner->preemptible()) /
-                      candidate.runner->slots();
+    candidate.load -=
+        static_cast<double>(candidate.runner->preemptible()) / candidate.runner->slots();
   }
 }
 
--- a/src/tenancy/tenant_limits.cc
+++ b/src/tenancy/tenant_limits.cc
@@ -103,7 +103,8 @@
   fill(bucket, now);
   if (bucket.level < 1) {
     const double missing = 1 - bucket.level;
-    const double seconds = missing / (bucket.limit.per_second * std::max(kIdleWeight / 100, bucket.connected_share));
+    const double seconds =
+        missing / (bucket.limit.per_second * std::max(kIdleWeight / 100, bucket.connected_share));
     return {false, scale(std::chrono::seconds(1), seconds)};
   }
   bucket.level -= 1;
@@ -197,8 +198,8 @@
 }
 
 void TenantLimits::forget_gone(TimePoint now) {
-  const auto gone = std::erase_if(
-      heard_, [&](const auto& entry) { return now - entry.second > kGoneAfter; });
+  const auto gone =
+      std::erase_if(heard_, [&](const auto& entry) { return now - entry.second > kGoneAfter; });
   if (gone == 0) return;
   fill_all(now);
   std::erase_if(silent_, [&](std::uint64_t node) { return !heard_.contains(node); });
--- a/src/tenancy/tenant_limits.h
+++ b/src/tenancy/tenant_limits.h
@@ -4,8 +4,8 @@
 /// Each node keeps a token bucket of each limited tenant for the whole fleet: it is filled at the
 /// tenant's rate up to its burst, and emptied by what this node admits and by what the other nodes
 /// report to have admitted. Reports are counters that only rise, so a lost one costs nothing. They
-/// are as old as the gossip that carries them; what is admitted meanwhile makes the bucket negative,
-/// and is paid back before anything else is admitted.
+/// are as old as the gossip that carries them; what is admitted meanwhile makes the bucket
+/// negative, and is paid back before anything else is admitted.
 ///
 /// A node that falls silent may be cut off and still admit. While it is silent each other node
 /// takes from its bucket what the silent one may admit by itself: its share of the limit, which is
@@ -33,8 +33,8 @@
   Duration retry_after{0};  ///< If refused: until a request would be admitted, as far as is known.
 };
 
-/// Time in which a count of recent requests falls to 1/e of itself: as long as the quickest swing of
-/// arrivals seen (3.4 s low, 2.4 s high), which a share should not follow.
+/// Time in which a count of recent requests falls to 1/e of itself: as long as the quickest swing
+/// of arrivals seen (3.4 s low, 2.4 s high), which a share should not follow.
 inline constexpr Duration kRecentMemory = std::chrono::seconds(3);
 
 /// The buckets of all tenants, as this node sees them. Used on one thread.
--- a/tests/jobs/item_run_test.cc
+++ b/tests/jobs/item_run_test.cc
@@ -18,7 +18,8 @@
   request.headers = {{context.dialect.token_usage, "350,1420"}};
   ItemProgress progress;
   progress.last_event = 42;
-  const auto run = std::make_shared<ItemRun>(context, ItemContext{}, request, progress, Duration{0});
+  const auto run =
+      std::make_shared<ItemRun>(context, ItemContext{}, request, progress, Duration{0});
   EXPECT_EQ(run->schedule().rest, std::chrono::milliseconds(100 * 34));
 }
 
--- a/tests/platform/job_api_test.cc
+++ b/tests/platform/job_api_test.cc
@@ -63,9 +63,8 @@
     request.method = method;
     request.target = target;
     request.body = std::move(body);
-    request.headers = {{"Host", kHost},
-                       {"Stoathold-Attempt-Id", "j1"},
-                       {"Stoathold-Max-Wait-Ms", wait_ms}};
+    request.headers = {
+        {"Host", kHost}, {"Stoathold-Attempt-Id", "j1"}, {"Stoathold-Max-Wait-Ms", wait_ms}};
     if (!key.empty()) request.headers.push_back({"Stoathold-Key", key});
     HttpClient client(loop.get_executor());
     return run_awaitable(loop, client.call(std::move(request)));
@@ -116,9 +115,7 @@
 TEST_F(JobApiTest, AReadThatIsHeldWhileItsKeyIsTakenAwayIsAnswered) {
   ASSERT_EQ(submit(), 202);
   boost::asio::steady_timer timer(loop, std::chrono::milliseconds(30));
-  timer.async_wait([&](boost::system::error_code) {
-    configure({{"alder", {"a2"}, {}, {}}});
-  });
+  timer.async_wait([&](boost::system::error_code) { configure({{"alder", {"a2"}, {}, {}}}); });
   EXPECT_EQ(call("GET", "/api/lots/j1?after_rev=0", "a1", {}, "1000").status, 200);
 }
 
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -11,7 +11,7 @@
 
 TEST(LoadDigestTest, DamageIsNoticed) {
   const LoadDigest digest{
-      1,  2,     3,         {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {{14, 15, 16, 17}}, {11},
+      1,  2,     3,         {{3, 4, 2, 5, 6}, {7, 8, 1, 9, 10}}, {{14, 15, 16, 17}}, {{11, 1}},
       {}, false, {{12, 13}}};
   const std::string bytes = encode_message(digest);
   PeerLoadMessage read;
@@ -202,8 +202,10 @@
   Node waiting(loop, "a", 1);
   Node near(loop, "a", 2);
   bool waits = true;
-  waiting.loads.set_demand_source(
-      [&] { return waits ? std::set<std::string>{"chat"} : std::set<std::string>{}; });
+  waiting.loads.set_demand_source([&] {
+    return waits ? std::vector<ServiceDemand>{{stable_hash("chat"), 1}}
+                 : std::vector<ServiceDemand>{};
+  });
   waiting.loads.set_peers({{near.loads.address(), "a"}});
   waiting.loads.use_changed();
   run_until([&] { return near.registry.peers_wait_for("chat"); });
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -101,7 +101,8 @@
   EXPECT_EQ(order, (std::vector<std::string>{"batch", "online"}));
   EXPECT_EQ(asked, (std::vector<const Runner*>{registry.all().at("r1").get()}));
   // The others are told, so that their batch work stays out for a moment.
-  EXPECT_TRUE(queue.services_in_demand().contains("chat"));
+  ASSERT_EQ(queue.online_demand().size(), 1U);
+  EXPECT_EQ(queue.online_demand()[0].waiting, 0U);
   // The one batch item can make room once: the next request waits.
   registry.all().at("r1")->begin_yield();
   wait("next", make_request(WorkClass::kOnline));
@@ -121,7 +122,7 @@
 TEST_F(PlacementQueueTest, DemandOfOtherNodesIsNotReportedAsOwn) {
   registry.set_peer_demand({stable_hash("chat")});
   wait("batch", make_request(WorkClass::kBatch));
-  EXPECT_TRUE(queue.services_in_demand().empty());
+  EXPECT_TRUE(queue.online_demand().empty());
 }
 
 TEST_F(PlacementQueueTest, BatchYieldsAtARunnerThatHasMoreRequestsThanPlaces) {
--- a/tests/routing/runner_errors_test.cc
+++ b/tests/routing/runner_errors_test.cc
@@ -53,7 +53,9 @@
   EXPECT_FALSE(errors.own_report(kStart + seconds(10)));
 }
 
-Runner make_runner() { return Runner({"r1", "chat", "10.0.0.1:80", "zone", 10, false}); }
+Runner make_runner() {
+  return Runner({"r1", "chat", "10.0.0.1:80", "zone", 10, false});
+}
 
 void fail_with_error(Runner& runner, TimePoint now) {
   runner.begin_attempt();
--- a/tests/tenancy/compare_limits.cc
+++ b/tests/tenancy/compare_limits.cc
@@ -41,10 +41,12 @@
          plays_of(size.nodes, size.zones, size.tenants, size.requests, seed)) {
       for (const auto& [way_name, way] : kWays) {
         const Outcome outcome = play(what, way);
-        std::printf("%4zu nodes %-7s %-8s overshoot %5.2f  wrongly refused %6.2f  waited %6.1f  "
-                    "messages %6.1f\n",
-                    size.nodes, name, way_name, outcome.overshoot, outcome.wrongly_refused,
-                    outcome.waited, outcome.messages);
+        std::printf(
+            "%4zu nodes %-7s %-8s overshoot %5.2f  wrongly refused %6.2f  waited %6.1f  "
+            "messages %6.1f\n",
+            size.nodes, name, way_name, outcome.overshoot, outcome.wrongly_refused, outcome.waited,
+            outcome.messages);
+        std::fflush(stdout);
       }
     }
   }
--- a/tests/tenancy/limit_fleet.h
+++ b/tests/tenancy/limit_fleet.h
@@ -45,10 +45,10 @@
 
 /// What came out.
 struct Outcome {
-  double overshoot = 0;          ///< Most admitted in a window over what the rule allows; 1: just so.
-  double wrongly_refused = 0;    ///< In 1,000 requests, more than one bucket for all would refuse.
-  double messages = 0;           ///< Sent by a node in a second.
-  double waited = 0;             ///< In 1,000 requests that had to wait for another node.
+  double overshoot = 0;        ///< Most admitted in a window over what the rule allows; 1: just so.
+  double wrongly_refused = 0;  ///< In 1,000 requests, more than one bucket for all would refuse.
+  double messages = 0;         ///< Sent by a node in a second.
+  double waited = 0;           ///< In 1,000 requests that had to wait for another node.
 };
 
 /// One way to hold the limits.
@@ -111,7 +111,8 @@
       Node& node = *nodes_[i];
       const bool due = (tick + static_cast<std::int64_t>(i)) % 10 == 0;
       if (due) node.gossip.check_silence(now);
-      if (node.changed || due) send_report(i, (tick + static_cast<std::int64_t>(i)) % 100 == 0, now);
+      if (node.changed || due)
+        send_report(i, (tick + static_cast<std::int64_t>(i)) % 100 == 0, now);
       node.changed = false;
     }
     if (tick % 10 == 0) {
@@ -209,7 +210,8 @@
   bool admit(std::size_t node, std::size_t tenant, TimePoint now) override {
     demand_[node][tenant].add(1, now);
     const double own = demand_[node][tenant].value(now) + kIdle;
-    const double all = std::max(own, seen_[node][tenant] + kIdle * static_cast<double>(seen_.size()));
+    const double all =
+        std::max(own, seen_[node][tenant] + kIdle * static_cast<double>(seen_.size()));
     const RateLimit& limit = directory_.tenants()[tenant].limit;
     return buckets_[node][tenant].take(limit.per_second * own / all, limit.burst * own / all, now);
   }
--- a/tests/tenancy/tenant_fleet_test.cc
+++ b/tests/tenancy/tenant_fleet_test.cc
@@ -11,7 +11,9 @@
 /// reach the bucket in another order.
 constexpr double kFewRefusals = 3;
 
-Play small_fleet() { return {.nodes = 9, .requests_per_second = 120}; }
+Play small_fleet() {
+  return {.nodes = 9, .requests_per_second = 120};
+}
 
 TEST(TenantFleetTest, UsualTrafficIsHardlyEverRefused) {
   for (const double skew : {0.0, 1.0}) {
