Late work leaves slots to work of other nodes that can be in time

Cause: a node without waiting work that could be in time gave its slots to late work, while other nodes of the zone had work that could.

Change: digests count only waiting work that can be in time, and while another node reports some, late work waits. Online work waits 2 s at most (1.5 s): until the valley, and less than callers do.

--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -29,8 +29,9 @@
 constexpr int kPatienceFactor = 4;
 /// Load at which a runner has no place left.
 constexpr double kFullLoad = 1.0;
-/// Longest wait for a place: soon after, callers have no use for the answer.
-constexpr Duration kLongestWait = std::chrono::milliseconds(1500);
+/// Longest wait for a slot: soon after, callers give a stream up (2 s, or a multiple of their
+/// objectives, on all deployments).
+constexpr Duration kLongestWait = std::chrono::milliseconds(2000);
 /// Runners that may turn a request away before it is refused.
 constexpr std::uint32_t kMaxSends = 6;
 /// A request that is not run now is told to come back after this time, in seconds.
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -66,7 +66,7 @@
 /// Online work that waits at the sender.
 struct ServiceDemand {
   std::uint64_t service = 0;  ///< Hash of its name.
-  std::uint16_t waiting = 0;  ///< Requests; 0: none any more, but some had to just now.
+  std::uint16_t waiting = 0;  ///< Requests that can still be in time; 0: only others wait.
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -133,12 +133,18 @@
 
 void PeerUseTable::publish_demand(TimePoint now) {
   std::set<std::uint64_t> services;
+  std::set<std::uint64_t> urgent;
   for (const auto& [sender, state] : states_) {
     if (state.zone != zone_hash_ || now - state.received > kDemandLifetime) continue;
-    for (const auto& demand : state.demand) services.insert(demand.service);
+    const bool fresh = now - state.received <= kContenderLifetime;
+    for (const auto& demand : state.demand) {
+      services.insert(demand.service);
+      if (fresh && demand.waiting > 0) urgent.insert(demand.service);
+    }
   }
   demand_published_ = !services.empty();
   registry_.set_peer_demand(std::move(services));
+  registry_.set_peer_urgent_demand(std::move(urgent));
 }
 
 bool PeerUseTable::expire(TimePoint now) {
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -125,12 +125,13 @@
 }
 
 std::vector<ServiceDemand> PlacementQueue::online_demand() const {
+  const TimePoint now = monotonic_now();
   std::map<std::string, std::uint16_t> waiting;
   for (const auto& ticket : waiting_) {
     if (ticket->request_.work != WorkClass::kOnline) continue;
-    ++waiting[ticket->request_.selection.service];
+    const bool in_time = now < ticket->request_.due;
+    waiting[ticket->request_.selection.service] += in_time ? 1 : 0;
   }
-  const TimePoint now = monotonic_now();
   for (const auto& [service, time] : preempted_at_) {
     if (now - time < kDemandShown) waiting.try_emplace(service, 0);
   }
@@ -144,7 +145,11 @@
   dispatching_ = true;
   // What can still be in time goes first: a late answer is worth less, however long it has waited.
   dispatch_some([](const PlacementRequest& request, TimePoint now) { return now < request.due; });
-  dispatch_some([](const PlacementRequest&, TimePoint) { return true; });
+  // Slots of the zone go to such work of any node before they go to late work of this one.
+  dispatch_some([this](const PlacementRequest& request, TimePoint) {
+    const bool online = request.work == WorkClass::kOnline;
+    return !online || !registry_.peers_wait_in_time_for(request.selection.service);
+  });
   dispatching_ = false;
 }
 
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -205,6 +205,13 @@
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Services, by the hash of their names, for which online work waits at other nodes of the zone.
   void set_peer_demand(std::set<std::uint64_t> services) { peer_demand_ = std::move(services); }
+  /// Services, by the hash of their names, for which online work waits at other nodes of the zone
+  /// that can still be in time.
+  void set_peer_urgent_demand(std::set<std::uint64_t> services) {
+    peer_urgent_demand_ = std::move(services);
+  }
+  /// Whether online work for the service that can still be in time waits at another node.
+  [[nodiscard]] bool peers_wait_in_time_for(const std::string& service) const;
   /// Whether online work for the service waits at another node of the zone.
   [[nodiscard]] bool peers_wait_for(const std::string& service) const;
 
@@ -217,6 +224,7 @@
   std::unordered_map<std::uint64_t, Runner*> by_hash_;
   std::uint64_t revision_ = 1;
   std::set<std::uint64_t> peer_demand_;
+  std::set<std::uint64_t> peer_urgent_demand_;
 };
 
 }  // namespace stoathold
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -78,6 +78,20 @@
   EXPECT_EQ(order, (std::vector<std::string>{"first", "in time", "late"}));
 }
 
+TEST_F(PlacementQueueTest, LateWorkLeavesSlotsToWorkOfOtherNodesThatCanBeInTime) {
+  wait("first", make_request(WorkClass::kOnline));
+  PlacementRequest late = make_request(WorkClass::kOnline);
+  late.due = monotonic_now() - std::chrono::seconds(1);
+  wait("late", late);
+  registry.set_peer_urgent_demand({stable_hash("chat")});
+  free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"first"}));
+  registry.set_peer_urgent_demand({});
+  queue.loads_changed();
+  run();
+  EXPECT_EQ(order, (std::vector<std::string>{"first", "late"}));
+}
+
 TEST_F(PlacementQueueTest, OnlineWorkThatWaitsAsksBatchToYield) {
   std::vector<std::string> asked;
   queue.set_yield_handler(
