Items that will be late go last and yield first

Cause: among items the one that must have begun earliest went first, so that in a full fleet items that could not be in time any more took the slots of those that could.

Change: items that can be in time go first, by slack; late ones after them; a late one yields first. Online work still goes before all batch work, whether it is late or not.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -108,9 +108,8 @@
                        .excluded = runners_to_avoid(service),
                        .connected = context_.connected()};
   request.priority = route.priority;
-  // Who must begin first goes first. It always lies in the past, unlike that of an online request
-  // that can still be in time, which goes before all batch work.
-  request.due = now - schedule.age - schedule.rest;
+  // Who must begin first goes first, and what will be late anyway goes last.
+  request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -27,6 +27,16 @@
 constexpr Duration kSlowStart = std::chrono::seconds(4);
 constexpr std::size_t kFirstItems = 6;
 
+/// Which run gives its slot back: the greatest. One that will be late anyway loses least, then the
+/// one with the most time, then the newest.
+struct YieldOrder {
+  bool late = false;
+  Duration slack{0};
+  TimePoint placed_at{};
+
+  auto operator<=>(const YieldOrder&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
 }  // namespace
 
 JobRunner::JobRunner(GatewayContext& context, JobStore& store, RecordLog& log,
@@ -118,7 +128,7 @@
 
 bool JobRunner::yield_place(const YieldRequest& request) {
   std::shared_ptr<ItemRun> chosen;
-  Duration most_slack{0};
+  YieldOrder best;
   for (const auto& [key, job] : jobs_) {
     for (const auto& [index, run] : job->runs) {
       const auto& runner = run->runner();
@@ -126,12 +136,11 @@
       const RunnerRecord& record = runner->record();
       if (record.service != request.service || record.zone != request.zone) continue;
       if (request.runner != 0 && request.runner != runner->hash()) continue;
-      const Duration slack = run->schedule().slack();
-      const bool more_slack = !chosen || slack > most_slack;
-      const bool newer = chosen && slack == most_slack && run->placed_at() > chosen->placed_at();
-      if (!more_slack && !newer) continue;
+      const ItemSchedule schedule = run->schedule();
+      const YieldOrder order{schedule.late(), schedule.slack(), run->placed_at()};
+      if (chosen && order <= best) continue;
       chosen = run;
-      most_slack = slack;
+      best = order;
     }
   }
   if (chosen) chosen->yield();
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -41,8 +41,8 @@
   /// Planned stop: gives the slots up with their progress written, and leaves the group.
   boost::asio::awaitable<void> stop();
 
-  /// A run at a runner that the request names gives its place back: the one with the most slack,
-  /// the newest of those that have the same.
+  /// A run at a runner that the request names gives its slot back: one that will be late anyway, or
+  /// the one with the most slack.
   /// @return false if there is none.
   bool yield_place(const YieldRequest& request);
 
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -144,12 +144,23 @@
   if (dispatching_) return;
   dispatching_ = true;
   // What can still be in time goes first: a late answer is worth less, however long it has waited.
-  dispatch_some([](const PlacementRequest& request, TimePoint now) { return now < request.due; });
+  const auto in_time = [](const PlacementRequest& request, TimePoint now) {
+    return now < request.due;
+  };
+  const auto online = [](const PlacementRequest& request) {
+    return request.work == WorkClass::kOnline;
+  };
+  dispatch_some([&](const PlacementRequest& request, TimePoint now) {
+    return online(request) && in_time(request, now);
+  });
   // Slots of the zone go to such work of any node before they go to late work of this one.
-  dispatch_some([this](const PlacementRequest& request, TimePoint) {
-    const bool online = request.work == WorkClass::kOnline;
-    return !online || !registry_.peers_wait_in_time_for(request.selection.service);
+  dispatch_some([&](const PlacementRequest& request, TimePoint) {
+    return online(request) && !registry_.peers_wait_in_time_for(request.selection.service);
+  });
+  dispatch_some([&](const PlacementRequest& request, TimePoint now) {
+    return !online(request) && in_time(request, now);
   });
+  dispatch_some([&](const PlacementRequest& request, TimePoint) { return !online(request); });
   dispatching_ = false;
 }
 
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -78,6 +78,21 @@
   EXPECT_EQ(order, (std::vector<std::string>{"first", "in time", "late"}));
 }
 
+TEST_F(PlacementQueueTest, BatchThatCanBeInTimeOvertakesBatchThatCannot) {
+  wait("first", make_request(WorkClass::kOnline));
+  PlacementRequest late = make_request(WorkClass::kBatch);
+  late.due = monotonic_now() - std::chrono::seconds(5);
+  wait("late", late);
+  PlacementRequest in_time = make_request(WorkClass::kBatch);
+  in_time.due = monotonic_now() + std::chrono::seconds(5);
+  wait("in time", in_time);
+  PlacementRequest late_online = make_request(WorkClass::kOnline);
+  late_online.due = monotonic_now() - std::chrono::seconds(1);
+  wait("late online", late_online);
+  for (int i = 0; i < 3; ++i) free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"first", "late online", "in time", "late"}));
+}
+
 TEST_F(PlacementQueueTest, LateWorkLeavesSlotsToWorkOfOtherNodesThatCanBeInTime) {
   wait("first", make_request(WorkClass::kOnline));
   PlacementRequest late = make_request(WorkClass::kOnline);
