--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -88,7 +88,7 @@
             "service": "chat", "address": self.runner_routes[name], "zone": "z1", "slots": 4,
             "state": state})
 
-    def configure(self, version, extra_routes=()):
+    def configure(self, version, extra_routes=(), tenants=None):
         routes = [
             {"name": "ask", "host": HOST, "path_prefix": "/ask/", "kind": "streaming",
              "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat", "max_attempts": 2,
@@ -96,8 +96,9 @@
             {"name": "drafts", "host": HOST, "path_prefix": "/drafts/", "kind": "batch",
              "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat", "max_attempts": 3,
              "completion_target_ms": 20000, "retention_s": 600, "max_queued_tokens": 100000}]
+        more = {} if tenants is None else {"tenants": tenants}
         self.append("keyed.op", "config", {
-            "version": version, "routes": routes + list(extra_routes),
+            **more, "version": version, "routes": routes + list(extra_routes),
             "services": [{"name": "chat", "health_path": "/health"}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
@@ -111,28 +112,31 @@
         status, _, _ = call(address, "POST", "/admin/faults", values)
         assert status == 200, status
 
-    def ask(self, node, request, body=b"q"):
+    def ask(self, node, request, body=b"q", key=None):
+        keys = {} if key is None else {"Stoathold-Key": key}
         return call(self.nodes[node], "POST", "/ask/1", body,
-                    {"Host": HOST, "Stoathold-Attempt-Id": request,
+                    {**keys, "Host": HOST, "Stoathold-Attempt-Id": request,
                      "Stoathold-Deadline-Ms": "15000"})
 
-    def submit(self, node, job, count=3):
+    def submit(self, node, job, count=3, key=None):
+        keys = {} if key is None else {"Stoathold-Key": key}
         items = [{"id": "%s-%d" % (job, i), "path": "/drafts/1", "headers": {"Stoathold-Model": "m"},
                   "body": base64.b64encode(b"%d" % i * 700).decode(), "token_count": 100}
                  for i in range(count)]
         return call(self.nodes[node], "POST", "/drafts/x", {"items": items},
-                    {"Host": HOST, "Stoathold-Attempt-Id": job})[0]
+                    {**keys, "Host": HOST, "Stoathold-Attempt-Id": job})[0]
 
-    def results(self, node, job, after=0):
+    def results(self, node, job, after=0, key=None):
+        keys = {} if key is None else {"Stoathold-Key": key}
         return call_json(self.nodes[node], "GET", "/api/lots/%s?after_rev=%d" % (job, after), None,
-                         {"Host": HOST, "Stoathold-Max-Wait-Ms": "1000"})
+                         {**keys, "Host": HOST, "Stoathold-Max-Wait-Ms": "1000"})
 
-    def wait_results(self, node, job, count):
+    def wait_results(self, node, job, count, key=None):
         """Reads on until all results are there; returns them in their positions."""
         found = []
 
         def complete():
-            status, page = self.results(node, job, len(found))
+            status, page = self.results(node, job, len(found), key)
             if status == 200:
                 found.extend(page["results"])
             return len(found) >= count
