Plain words in routing; errors of datagrams have a log line

told, tells, near and far become report, list, local and remote; the receive loop of the datagrams dropped each error without a line, as did the sending. No behaviour meant to change beside the lines.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -113,6 +113,9 @@
                "The nodes that hold slots, and those of the zone that share loads, changed."},
     EventEntry{Event::kReplicaReset, "replica_reset", EventLevel::kInfo,
                "A partition's history was gone; its newest records were read instead."},
+    EventEntry{
+        Event::kPeerDatagramFailed, "peer_datagram_failed", EventLevel::kWarning,
+        "A datagram between nodes could not be sent or received; the next one holds all again."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -67,6 +67,7 @@
   kStoreRegained = 1605,
   kPeersChanged = 1606,
   kReplicaReset = 1607,
+  kPeerDatagramFailed = 1608,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/base/event_rate_limiter.cc
+++ b/src/base/event_rate_limiter.cc
@@ -19,6 +19,7 @@
     case Event::kNoRoute:
     case Event::kCallerRefused:
     case Event::kTenantOverLimit:
+    case Event::kPeerDatagramFailed:
       return kSuccessLinesPerWindow;
     default:
       return kLinesPerWindow;
--- a/src/gateway/attempt_result.h
+++ b/src/gateway/attempt_result.h
@@ -26,7 +26,7 @@
 /// Returns the result's name for logs and metrics.
 std::string_view to_string(AttemptResult result);
 
-/// What the result tells about the runner.
+/// What the result says about the runner.
 AttemptOutcome evidence_of(AttemptResult result);
 
 }  // namespace stoathold
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -34,7 +34,7 @@
 constexpr Duration kLongestWait = std::chrono::milliseconds(2000);
 /// Runners that may turn a request away before it is refused.
 constexpr std::uint32_t kMaxSends = 6;
-/// A request that is not run now is told to come back after this time, in seconds.
+/// Time after which a request that is not run now should come back, in seconds.
 constexpr const char* kRetryAfterSeconds = "0.2";
 /// Assumed where neither caller nor route bounds a request.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
@@ -88,8 +88,8 @@
 void OnlineRequest::read_request() {
   const HeaderDialect& dialect = context_.dialect;
   Duration allowed = route_.timeout.count() > 0 ? route_.timeout : kDefaultTimeout;
-  const auto told = parse_number(exchange_.header(dialect.deadline_ms));
-  if (told) allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*told));
+  const auto stated = parse_number(exchange_.header(dialect.deadline_ms));
+  if (stated) allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*stated));
   deadline_ = arrival_ + allowed;
   id_ = std::string(exchange_.header(dialect.request_id));
   last_event_ = parse_number(exchange_.header(dialect.last_event_id));
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -21,7 +21,7 @@
 /// How a request ended, for logs and metrics.
 enum class RequestOutcome : std::uint8_t {
   kServed,      ///< The runner's whole answer was passed on, whatever its status.
-  kRefused,     ///< Not run; the caller was told when to come back.
+  kRefused,     ///< Not run; the caller was given a time to come back.
   kFailed,      ///< It may have run, and there is no answer.
   kBrokenOff,   ///< The answer ended early.
   kTimedOut,    ///< Its time was up.
--- a/src/gateway/runner_answer.h
+++ b/src/gateway/runner_answer.h
@@ -8,7 +8,7 @@
 
 namespace stoathold {
 
-/// Takes in that a runner has answered: it lives, has read the prompt, and tells its load.
+/// Takes in that a runner has answered: it lives, has read the prompt, and reports its load.
 /// @param tokens_to_read the prompt's tokens that were counted as unread; 0 afterwards.
 void note_answer(Runner& runner, const UpstreamHead& head, const HeaderDialect& dialect,
                  std::uint32_t& tokens_to_read);
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t kIdlePerAddress = 8;
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr std::uint32_t kHeadBytes = 64U * 1024;
-/// Assumed when a runner does not tell how long it keeps idle connections.
+/// Assumed when a runner does not state how long it keeps idle connections.
 constexpr Duration kDefaultKeepAlive = std::chrono::seconds(1);
 /// Part of the runner's idle time within which a connection is used again. The rest is for bytes
 /// under way: a runner that closes just then would leave the request's fate unknown.
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -20,7 +20,7 @@
 
 namespace stoathold {
 
-/// What a job runner is told at start.
+/// Settings of a job runner.
 struct JobRunnerSettings {
   std::string member_name;      ///< Of this node in the workers' group; the same after a restart.
   Duration status_lifetime{0};  ///< Results stay readable this long after the submission.
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -15,7 +15,7 @@
   JobSubmission submission;
   bool ended = false;                 ///< Its submitter ended it: nothing more is run.
   bool finished = false;              ///< All of its items are listed.
-  std::uint64_t finished_tokens = 0;  ///< Of its listed items, as last told; may lag.
+  std::uint64_t finished_tokens = 0;  ///< Of its listed items, as last reported; may lag.
 
   [[nodiscard]] bool open() const { return !ended && !finished; }
 };
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -84,7 +84,7 @@
   std::vector<ServiceDemand> demand;   ///< Services for which online work waits.
   std::string origin;                  ///< Sender's `ip:port` if another node may pass this on.
   bool pass_on = false;                ///< The receiver passes it on inside its zone.
-  /// Nodes of the sender's zone that it has heard itself just now; told now and then.
+  /// Nodes of the sender's zone that it has heard itself just now; listed now and then.
   std::vector<NodeEndpoint> neighbours;
   std::uint64_t configuration_version = 0;  ///< In force at the sender; 0: none yet.
   std::vector<TenantUsage> tenants;         ///< What the sender admitted; inside the zone only.
--- a/src/routing/member_name.h
+++ b/src/routing/member_name.h
@@ -8,7 +8,7 @@
 
 namespace stoathold {
 
-/// A node as its group name tells it.
+/// A node as its group name describes it.
 struct MemberName {
   std::string node;
   std::string zone;
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -7,9 +7,10 @@
 
 /// Nodes of a zone that report its loads to other zones: the loss of one leaves the other.
 constexpr std::ptrdiff_t kZoneReporters = 2;
-/// Most nodes told of in one message.
-constexpr std::size_t kMostTold = 64;
-/// A node that was heard within this time is told of. Nodes say something at least once a second.
+/// Most nodes listed in one message.
+constexpr std::size_t kMaxNeighboursReported = 64;
+/// A node that was heard within this time is listed in messages. Nodes send something at least once
+/// a second.
 constexpr Duration kHeardLately = std::chrono::milliseconds(2500);
 /// A node that is not listed and of which nothing was heard for this time is forgotten.
 constexpr Duration kLifetime = std::chrono::seconds(5);
@@ -42,8 +43,8 @@
 
 void NeighbourTable::learn(const std::vector<NodeEndpoint>& neighbours, const Endpoint& self,
                            TimePoint now) {
-  for (const auto& told : neighbours) {
-    const Endpoint endpoint(boost::asio::ip::address_v4(told.ip), told.port);
+  for (const auto& reported : neighbours) {
+    const Endpoint endpoint(boost::asio::ip::address_v4(reported.ip), reported.port);
     if (endpoint != self) entry(endpoint).mentioned = now;
   }
 }
@@ -63,13 +64,13 @@
 }
 
 std::vector<NodeEndpoint> NeighbourTable::heard_lately(TimePoint now) const {
-  std::vector<NodeEndpoint> told;
+  std::vector<NodeEndpoint> reported;
   for (const auto& neighbour : neighbours_) {
     if (!neighbour.heard_lately(now) || !neighbour.endpoint.address().is_v4()) continue;
-    told.push_back({neighbour.endpoint.address().to_v4().to_uint(), neighbour.endpoint.port()});
-    if (told.size() >= kMostTold) break;
+    reported.push_back({neighbour.endpoint.address().to_v4().to_uint(), neighbour.endpoint.port()});
+    if (reported.size() >= kMaxNeighboursReported) break;
   }
-  return told;
+  return reported;
 }
 
 }  // namespace stoathold
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -27,7 +27,7 @@
   /// Forgets who is neither listed nor heard of.
   void expire(TimePoint now);
 
-  /// Returns the nodes that this one has heard itself lately, to tell others of them.
+  /// Returns the nodes that this one has heard itself lately, to list them in messages.
   [[nodiscard]] std::vector<NodeEndpoint> heard_lately(TimePoint now) const;
   /// Whether this node reports the zone's loads to other zones: the few with the lowest addresses
   /// do. Nodes that know different neighbours may disagree for a while; then more or fewer report.
--- a/src/routing/peer_ejections.h
+++ b/src/routing/peer_ejections.h
@@ -35,7 +35,7 @@
   ///        report.
   [[nodiscard]] TimePoint ejected_until(TimePoint last_heard, TimePoint last_served,
                                         bool own_failure) const;
-  /// Returns the largest number of failures in a row that a report tells of which nothing has
+  /// Returns the largest number of failures in a row that a report states and nothing has
   /// refuted; 0 if there is none.
   [[nodiscard]] std::uint32_t failures(TimePoint last_heard, TimePoint last_served) const;
 
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <limits>
 
+#include "base/event_log.h"
 #include "base/ids.h"
 #include "net/http.h"
 
@@ -19,9 +20,9 @@
 constexpr std::size_t kMaxUses = 80;
 /// Most ejected runners reported in one message: it stays below the size of a datagram.
 constexpr std::size_t kMaxEjections = 30;
-/// Runners of a zone that are told of in one message.
+/// Runners of a zone that one message reports on.
 constexpr std::size_t kMaxZoneLoads = 150;
-/// Most runners of whose answers one message tells.
+/// Most runners on whose answers one message reports.
 constexpr std::size_t kMaxAnswerCounts = 20;
 /// Counts of answers are reported in tenths.
 constexpr double kAnswerUnit = 10;
@@ -30,17 +31,17 @@
 /// Changes within this time go out together.
 constexpr Duration kCoalesce = std::chrono::milliseconds(3);
 constexpr Duration kSendInterval = std::chrono::milliseconds(12);
-/// Each node that is told makes the interval longer, so that the messages that a node sends and
-/// receives do not grow with the square of the zone's nodes.
-/// At 1 ms digests were older than a short request takes in zones of 42 to 59 nodes; at 0.25 ms the
-/// processor time of such a day did not rise (166 and 162 s).
+/// Each node that gets digests makes the interval longer, so that the messages that a node sends
+/// and receives do not grow with the square of the zone's nodes. At 1 ms digests were older than a
+/// short request takes in zones of 42 to 59 nodes; at 0.25 ms the processor time of such a day did
+/// not rise (166 and 162 s).
 constexpr Duration kSendIntervalPerPeer = std::chrono::microseconds(250);
 /// A node that uses runners says so at least this often.
 constexpr Duration kRepeatInterval = std::chrono::milliseconds(500);
 /// A node that uses none says so at least this often: the others learn that it is there.
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1000);
-/// Nodes of other zones are told of the use of their runners this often.
-constexpr Duration kFarInterval = std::chrono::milliseconds(250);
+/// Nodes of other zones get reports on the use of their runners this often.
+constexpr Duration kRemoteReportInterval = std::chrono::milliseconds(250);
 
 std::int64_t milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -83,7 +84,7 @@
 
 std::vector<std::string> PeerLoads::live_neighbours() const {
   std::vector<std::string> addresses;
-  for (const auto& node : near_.heard_lately(monotonic_now())) {
+  for (const auto& node : zone_nodes_.heard_lately(monotonic_now())) {
     const asio::ip::address_v4 ip(node.ip);
     addresses.push_back(ip.to_string() + ":" + std::to_string(node.port));
   }
@@ -97,24 +98,28 @@
 }
 
 void PeerLoads::set_peers(const std::vector<PeerAddress>& peers) {
-  far_.clear();
+  remote_zones_.clear();
   std::vector<Endpoint> listed;
   for (const auto& peer : peers) {
     asio::ip::tcp::endpoint endpoint;
     if (!parse_endpoint(peer.address, endpoint)) continue;
-    auto& group = peer.zone == zone_ ? listed : far_[peer.zone];
+    auto& group = peer.zone == zone_ ? listed : remote_zones_[peer.zone];
     group.emplace_back(endpoint.address(), endpoint.port());
   }
-  near_.set_listed(listed);
+  zone_nodes_.set_listed(listed);
 }
 
 void PeerLoads::receive() {
-  socket_.async_receive_from(asio::buffer(buffer_), from_,
-                             [this](boost::system::error_code error, std::size_t size) {
-                               if (error == asio::error::operation_aborted) return;
-                               if (!error) take(buffer_.substr(0, size));
-                               receive();
-                             });
+  socket_.async_receive_from(
+      asio::buffer(buffer_), from_, [this](boost::system::error_code error, std::size_t size) {
+        if (error == asio::error::operation_aborted) return;
+        if (error) {
+          log_event(Event::kPeerDatagramFailed, {{"step", "receive"}, {"error", error.message()}});
+        } else {
+          take(buffer_.substr(0, size));
+        }
+        receive();
+      });
 }
 
 void PeerLoads::take(const std::string& bytes) {
@@ -140,8 +145,8 @@
   if (parse_endpoint(digest.origin, origin)) endpoint = {origin.address(), origin.port()};
   const TimePoint now = monotonic_now();
   if (digest.zone == stable_hash(zone_)) {
-    near_.heard(endpoint, now);
-    near_.learn(digest.neighbours, socket_.local_endpoint(), now);
+    zone_nodes_.heard(endpoint, now);
+    zone_nodes_.learn(digest.neighbours, socket_.local_endpoint(), now);
     take_ejections(digest, now);
     if (pace_listener_) std::for_each(digest.paces.begin(), digest.paces.end(), pace_listener_);
     if (tenant_gossip_) tenant_gossip_->take_report(digest.sender, digest.tenants, now);
@@ -176,13 +181,13 @@
   }
 }
 
-/// Loads of another zone's runners, told by a node there.
+/// Loads of another zone's runners, reported by a node there.
 void PeerLoads::take_zone_loads(ZoneLoads loads) {
   if (loads.zone == stable_hash(zone_)) return;
   const TimePoint now = monotonic_now();
-  for (const auto& told : loads.loads) {
-    Runner* runner = registry_.find_hash(told.runner);
-    if (runner != nullptr) runner->take_zone_load(told.percent / kPercent, now);
+  for (const auto& reported : loads.loads) {
+    Runner* runner = registry_.find_hash(reported.runner);
+    if (runner != nullptr) runner->take_zone_load(reported.percent / kPercent, now);
   }
   if (loads.pass_on) pass_on(std::move(loads));
   if (listener_) listener_();
@@ -192,7 +197,7 @@
 void PeerLoads::pass_on(Message message) {
   message.pass_on = false;
   const std::string bytes = encode_message(message);
-  near_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
 bool PeerLoads::ask_for_place(const YieldRequest& request) {
@@ -263,11 +268,11 @@
 }
 
 Duration PeerLoads::send_interval() const {
-  return std::max<Duration>(kSendInterval, near_.size() * kSendIntervalPerPeer);
+  return std::max<Duration>(kSendInterval, zone_nodes_.size() * kSendIntervalPerPeer);
 }
 
 void PeerLoads::schedule_send() {
-  if (send_scheduled_ || near_.empty()) return;
+  if (send_scheduled_ || zone_nodes_.empty()) return;
   send_scheduled_ = true;
   const TimePoint now = monotonic_now();
   const TimePoint earliest = std::max(now + kCoalesce, last_sent_ + send_interval());
@@ -283,48 +288,52 @@
   LoadDigest digest = make_digest({});
   digest.ejected = make_ejections(last_sent_);
   digest.answers = make_answer_counts(last_sent_);
-  const bool thorough = last_sent_ - neighbours_told_ >= kHeartbeatInterval;
+  const bool thorough = last_sent_ - neighbours_reported_ >= kHeartbeatInterval;
   if (tenant_gossip_) digest.tenants = tenant_gossip_->make_report(thorough, last_sent_);
   if (version_source_) digest.configuration_version = version_source_();
   if (thorough) {
-    digest.neighbours = near_.heard_lately(last_sent_);
+    digest.neighbours = zone_nodes_.heard_lately(last_sent_);
     if (pace_source_) digest.paces = pace_source_();
-    neighbours_told_ = last_sent_;
+    neighbours_reported_ = last_sent_;
   }
   in_use_ = !digest.uses.empty();
   const std::string bytes = encode_message(digest);
-  near_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
 void PeerLoads::send_to(const Endpoint& peer, const std::string& bytes) {
-  boost::system::error_code ignored;
-  socket_.send_to(asio::buffer(bytes), peer, 0, ignored);
+  boost::system::error_code error;
+  socket_.send_to(asio::buffer(bytes), peer, 0, error);
+  if (!error) return;
+  const std::string address = peer.address().to_string() + ":" + std::to_string(peer.port());
+  log_event(Event::kPeerDatagramFailed,
+            {{"step", "send"}, {"peer", address}, {"error", error.message()}});
 }
 
 /// Tells a node of each zone whose runners this node uses, and once of the end of that. Each time
 /// another node, so that one that is gone costs one message.
-void PeerLoads::send_far() {
+void PeerLoads::report_remote_use() {
   std::set<std::string> used;
   for (const auto& [id, runner] : registry_.all()) {
     if (runner->in_flight() > 0) used.insert(runner->record().zone);
   }
-  for (const auto& [zone, peers] : far_) {
+  for (const auto& [zone, peers] : remote_zones_) {
     const bool uses = used.contains(zone);
-    if (!uses && !told_far_.contains(zone)) continue;
+    if (!uses && !reported_zones_.contains(zone)) continue;
     LoadDigest digest = make_digest(zone);
     digest.origin = address();
     digest.pass_on = true;
-    send_to(peers[far_turn_ % peers.size()], encode_message(digest));
+    send_to(peers[remote_turn_ % peers.size()], encode_message(digest));
   }
-  ++far_turn_;
-  told_far_ = std::move(used);
+  ++remote_turn_;
+  reported_zones_ = std::move(used);
 }
 
 /// Other zones send work here when theirs is full: what they know of the runners here keeps them
 /// from filling these as well.
 void PeerLoads::send_zone_loads() {
   const TimePoint now = monotonic_now();
-  if (far_.empty() || !near_.is_zone_reporter(socket_.local_endpoint(), now)) return;
+  if (remote_zones_.empty() || !zone_nodes_.is_zone_reporter(socket_.local_endpoint(), now)) return;
   ZoneLoads message;
   message.zone = stable_hash(zone_);
   message.pass_on = true;
@@ -337,16 +346,18 @@
     if (message.loads.size() >= kMaxZoneLoads) break;
   }
   const std::string bytes = encode_message(message);
-  for (const auto& [zone, peers] : far_) send_to(peers[far_turn_ % peers.size()], bytes);
+  for (const auto& [zone, peers] : remote_zones_)
+    send_to(peers[remote_turn_ % peers.size()], bytes);
 }
 
 /// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone do,
 /// to different nodes, so that one lost message or one lost node costs nothing.
 void PeerLoads::send_tenant_usage() {
   const TimePoint now = monotonic_now();
-  if (far_.empty() || !near_.is_zone_reporter(socket_.local_endpoint(), now)) return;
+  if (remote_zones_.empty() || !zone_nodes_.is_zone_reporter(socket_.local_endpoint(), now)) return;
   const std::string bytes = encode_message(tenant_gossip_->make_zone_report(now));
-  for (const auto& [zone, peers] : far_) send_to(peers[tenant_turn_ % peers.size()], bytes);
+  for (const auto& [zone, peers] : remote_zones_)
+    send_to(peers[tenant_turn_ % peers.size()], bytes);
   tenant_turn_ += 1 + sender_ % 2;
 }
 
@@ -365,13 +376,13 @@
 }
 
 void PeerLoads::schedule_expiry() {
-  expiry_timer_.expires_after(kFarInterval);
+  expiry_timer_.expires_after(kRemoteReportInterval);
   expiry_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     const TimePoint now = monotonic_now();
-    near_.expire(now);
+    zone_nodes_.expire(now);
     if (peer_uses_.expire(now) && listener_) listener_();
-    send_far();
+    report_remote_use();
     send_zone_loads();
     const Duration repeat = in_use_ ? kRepeatInterval : kHeartbeatInterval;
     if (now - last_sent_ >= repeat) schedule_send();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -1,10 +1,10 @@
 /// @file
-/// What nodes tell one another about their use of runners.
+/// What nodes report to one another about their use of runners.
 ///
-/// Runners know all of their load but tell it only in answers, which come seldom at any one node.
+/// Runners know all of their load but report it only in answers, which come seldom at any one node.
 /// So each node sends its own use to the others of its zone whenever it changes. Of the use of
-/// another zone's runners it seldom tells one node there, which passes that on inside its zone, so
-/// that few bytes cross between zones. A lost message costs nothing: the next one holds
+/// another zone's runners it seldom reports to one node there, which passes that on inside its
+/// zone, so that few bytes cross between zones. A lost message costs nothing: the next one holds
 /// everything again. A node whose online work finds no place asks the node that runs the most batch
 /// items in its zone to give one back.
 #pragma once
@@ -80,7 +80,7 @@
   void use_changed();
   /// The address bound, with the port that was taken.
   [[nodiscard]] std::string address() const;
-  [[nodiscard]] std::size_t peer_count() const { return near_.size(); }
+  [[nodiscard]] std::size_t peer_count() const { return zone_nodes_.size(); }
   /// Returns the addresses (`ip:port`) of the zone's nodes that were heard just now.
   [[nodiscard]] std::vector<std::string> live_neighbours() const;
 
@@ -96,13 +96,13 @@
   void pass_on(Message message);
   void schedule_send();
   void send();
-  void send_far();
+  void report_remote_use();
   void send_zone_loads();
   void send_to(const Endpoint& peer, const std::string& bytes);
   void schedule_expiry();
   void schedule_tenant_reports();
   void send_tenant_usage();
-  /// Shortest time between two digests: longer the more nodes are told.
+  /// Shortest time between two digests: longer the more nodes receive them.
   [[nodiscard]] Duration send_interval() const;
   /// @param zone only runners of this zone; empty: all.
   [[nodiscard]] LoadDigest make_digest(const std::string& zone);
@@ -116,10 +116,10 @@
   std::uint64_t sender_;
   std::uint64_t sequence_ = 0;
   boost::asio::ip::udp::socket socket_;
-  NeighbourTable near_;                               ///< Nodes of this zone.
-  std::map<std::string, std::vector<Endpoint>> far_;  ///< Nodes of other zones, by zone.
-  std::set<std::string> told_far_;                    ///< Zones that know of use there.
-  std::size_t far_turn_ = 0;                          ///< Picks the node of a zone that is told.
+  NeighbourTable zone_nodes_;                                  ///< Nodes of this zone.
+  std::map<std::string, std::vector<Endpoint>> remote_zones_;  ///< Nodes of other zones, by zone.
+  std::set<std::string> reported_zones_;                       ///< Zones that know of use there.
+  std::size_t remote_turn_ = 0;  ///< Picks the node of a zone that gets the report.
   DemandSource demand_source_;
   std::function<void()> listener_;
   YieldHandler yield_handler_;
@@ -136,7 +136,7 @@
   boost::asio::steady_timer tenant_timer_;
   std::size_t tenant_turn_ = 0;  ///< Picks the node of a zone that gets the zone's report.
   TimePoint last_sent_{};
-  TimePoint neighbours_told_{};
+  TimePoint neighbours_reported_{};
   bool send_scheduled_ = false;
   bool in_use_ = false;
 };
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -10,7 +10,7 @@
 namespace stoathold {
 namespace {
 
-/// Online work that waits is told again and again; what was told longer ago counts no more.
+/// Online work that waits is reported again and again; an older report counts no more.
 constexpr Duration kDemandLifetime = std::chrono::milliseconds(250);
 /// A node that waits says so again every 20 ms at least; it is a contender for so long.
 constexpr Duration kContenderLifetime = std::chrono::milliseconds(60);
--- a/src/routing/peer_use_table.h
+++ b/src/routing/peer_use_table.h
@@ -26,7 +26,7 @@
   /// @param self this node, as in its own digests.
   PeerUseTable(RunnerRegistry& registry, std::string zone, std::uint64_t self);
 
-  /// Whether a digest is newer than what its sender told before.
+  /// Whether a digest is newer than what its sender reported before.
   [[nodiscard]] bool is_news(const LoadDigest& digest) const;
   /// Takes a digest in.
   /// @param endpoint where its sender is reached.
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -70,7 +70,7 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire(std::shared_ptr<PlacementTicket> ticket);
   /// A place may have become free, or was taken.
   void capacity_changed();
-  /// Other nodes told their use of runners: a place may have become free.
+  /// Other nodes reported their use of runners: a place may have become free.
   void loads_changed();
   /// Online work that was sent to the runner has had no answer for `yield_delay`: batch work there
   /// gives a place back if the runner has more requests than places.
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -20,7 +20,8 @@
 /// How long a report is evidence of free places at a runner that nodes of other zones use.
 constexpr Duration kReportTrusted = std::chrono::milliseconds(1000);
 constexpr Duration kReportLifetime = std::chrono::milliseconds(2500);
-/// How long the load that another zone told of its runner counts; it is told four times a second.
+/// How long the load that another zone reported of its runner counts; reports come four times a
+/// second.
 constexpr Duration kZoneLoadLifetime = std::chrono::milliseconds(700);
 
 /// Milliseconds since a moment, for logs; `never` if it is the start of the clock.
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -39,14 +39,14 @@
 /// Online work goes before batch work, whatever its age.
 enum class WorkClass : std::uint8_t { kOnline, kBatch };
 
-/// How an attempt at a runner ended, as far as it tells about the runner.
+/// How an attempt at a runner ended, as far as it is evidence about the runner.
 enum class AttemptOutcome : std::uint8_t {
   kServed,
   kNotRun,       ///< The runner turned it away.
   kFailed,       ///< Reset, cut off, spoiled or silent.
   kError,        ///< The runner answered with an error of its own.
   kUnreachable,  ///< No connection.
-  kAbandoned,    ///< Ended by us or the caller; tells nothing.
+  kAbandoned,    ///< Ended by us or the caller; no evidence.
 };
 
 /// One runner: its record, and the evidence that this node has of its load and health.
@@ -118,7 +118,7 @@
   }
   /// Prompt tokens that this node has sent and that have not been read yet.
   [[nodiscard]] std::uint32_t backlog_tokens() const { return backlog_tokens_; }
-  /// The same of all nodes that tell this one.
+  /// The same of all nodes that report to this one.
   [[nodiscard]] std::uint32_t total_backlog() const { return backlog_tokens_ + peer_backlog_; }
   /// What the other nodes of the zone have there.
   void set_peer_use(std::uint32_t in_flight, std::uint32_t backlog_tokens,
@@ -127,10 +127,10 @@
     peer_batch_in_flight_ = batch_in_flight;
     peer_backlog_ = backlog_tokens;
   }
-  /// Nodes of the runner's own zone, which know its load best, have told it.
+  /// Nodes of the runner's own zone, which know its load best, have reported it.
   /// @param load requests there per place.
   void take_zone_load(double load, TimePoint now);
-  /// Whether that was told just now.
+  /// Whether that was reported just now.
   [[nodiscard]] bool zone_load_known(TimePoint now) const;
   /// Adds differences to it.
   void change_peer_use(std::int64_t in_flight, std::int64_t backlog_tokens,
@@ -140,10 +140,10 @@
     peer_backlog_ = static_cast<std::uint32_t>(peer_backlog_ + backlog_tokens);
   }
   [[nodiscard]] std::uint32_t slots() const;
-  /// Whether its load is known here although others may use it: it told it just now, or it tells
-  /// none at all.
+  /// Whether its load is known here although others may use it: it reported it just now, or it
+  /// reports none at all.
   [[nodiscard]] bool load_known(TimePoint now) const;
-  /// Milliseconds since it told its load, for logs; `never` if it has not.
+  /// Milliseconds since it reported its load, for logs; `never` if it has not.
   [[nodiscard]] std::string load_age_text(TimePoint now) const;
   /// Failed attempts since the last served one.
   [[nodiscard]] std::uint32_t failures() const { return failures_; }
@@ -173,9 +173,9 @@
   TimePoint last_heard_{};
   std::uint32_t known_at_report_ = 0;  ///< In flight from the nodes known, when the report came.
   std::uint32_t backlog_tokens_ = 0;
-  double zone_load_ = 0;  ///< Load that the nodes of its zone told.
+  double zone_load_ = 0;  ///< Load that the nodes of its zone reported.
   TimePoint zone_load_time_{};
-  std::uint32_t own_at_zone_load_ = 0;  ///< Requests of this node there, when they told it.
+  std::uint32_t own_at_zone_load_ = 0;  ///< Requests of this node there, when they reported it.
   std::uint32_t peer_in_flight_ = 0;
   std::uint32_t peer_backlog_ = 0;
   std::uint32_t peer_batch_in_flight_ = 0;
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -9,9 +9,9 @@
 
 /// Load up to which a runner of the own zone is preferred to others.
 constexpr double kZoneSpillLoad = 0.9;
-/// Load, as its own zone told it, up to which a runner of another zone takes work: what others send
-/// there at the same moment is not known yet.
-constexpr double kFarLoad = 0.75;
+/// Load, as its own zone reported it, up to which a runner of another zone takes work: what others
+/// send there at the same moment is not known yet.
+constexpr double kRemoteLoadLimit = 0.75;
 /// Requests at runners of other zones whose load is not known, over all of them.
 constexpr std::size_t kSpillTrials = 2;
 /// Prompt tokens that weigh as much as a runner's whole load: both make a first token come later.
@@ -61,32 +61,32 @@
 }
 
 /// Nodes of other zones use a runner there without telling this node. So such a runner takes work
-/// only if it has told its load just now, or as one of few trials that make it tell.
+/// only if it has reported its load just now, or as one of few trials that make it do so.
 bool may_spill_to(const Candidate& candidate, std::size_t trials, TimePoint now) {
-  if (candidate.runner->zone_load_known(now)) return candidate.load < kFarLoad;
+  if (candidate.runner->zone_load_known(now)) return candidate.load < kRemoteLoadLimit;
   if (candidate.runner->load_known(now)) return true;
   return candidate.runner->in_flight() == 0 && trials < kSpillTrials;
 }
 
 std::vector<Candidate> prefer_zone(const std::vector<Candidate>& candidates,
                                    const std::string& zone, TimePoint now) {
-  std::vector<Candidate> near;
-  std::vector<Candidate> far;
+  std::vector<Candidate> local;
+  std::vector<Candidate> remote;
   std::size_t trials = 0;
   for (const auto& candidate : candidates) {
     if (candidate.runner->record().zone == zone) {
-      near.push_back(candidate);
+      local.push_back(candidate);
     } else if (!candidate.runner->load_known(now) && candidate.runner->in_flight() > 0) {
       ++trials;
     }
   }
-  std::erase_if(near, [](const Candidate& candidate) { return candidate.load >= kZoneSpillLoad; });
-  if (!near.empty()) return near;
+  std::erase_if(local, [](const Candidate& candidate) { return candidate.load >= kZoneSpillLoad; });
+  if (!local.empty()) return local;
   for (const auto& candidate : candidates) {
-    const bool is_near = candidate.runner->record().zone == zone;
-    if (is_near || may_spill_to(candidate, trials, now)) far.push_back(candidate);
+    const bool is_local = candidate.runner->record().zone == zone;
+    if (is_local || may_spill_to(candidate, trials, now)) remote.push_back(candidate);
   }
-  return far;
+  return remote;
 }
 
 /// Rendezvous hashing: the same prefix ranks the same runner highest at every node of a zone, so
@@ -158,16 +158,16 @@
       return selection;
     }
   }
-  std::vector<Candidate> near = prefer_zone(candidates, request.zone, now);
-  if (near.empty()) {
+  std::vector<Candidate> local = prefer_zone(candidates, request.zone, now);
+  if (local.empty()) {
     selection.failure = SelectionFailure::kAllBusy;
     return selection;
   }
-  compute_costs(near, request);
-  const Candidate& chosen = cheapest(near, request);
+  compute_costs(local, request);
+  const Candidate& chosen = cheapest(local, request);
   selection.runner = chosen.runner;
   selection.tokens_to_read = chosen.tokens_to_read;
-  selection.candidates = static_cast<std::uint32_t>(near.size());
+  selection.candidates = static_cast<std::uint32_t>(local.size());
   selection.load = chosen.load;
   selection.backlog_tokens = chosen.runner->total_backlog();
   selection.warm = chosen.warm;
