--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,10 @@
 /// A node that knows no configuration yet asks callers to come back after this time, in seconds.
 constexpr const char* kNotReadyRetrySeconds = "0.3";
 
+/// Times to come back are written in hundredths, cut off: they must not come out as too early.
+constexpr double kRetryRoundingSeconds = 0.01;
+constexpr int kNotFound = 404;
+
 std::string_view kind_name(RouteKind kind) {
   switch (kind) {
     case RouteKind::kSafe:
@@ -76,7 +80,7 @@
                                       const ServingConfiguration& configuration,
                                       const CallerCheck& check) {
   ++context_.metrics.refusals[check.reason];
-  const Event event = check.status == 404 ? Event::kNoRoute : Event::kCallerRefused;
+  const Event event = check.status == kNotFound ? Event::kNoRoute : Event::kCallerRefused;
   log_event(event, {{"request", std::string(exchange.header(context_.dialect.request_id))},
                     {"host", normalize_host(exchange.header("Host"))},
                     {"reason", check.reason},
@@ -104,7 +108,8 @@
              {"retry_after_ms", milliseconds_text(retry_after)},
              {"silent_nodes", std::to_string(context_.tenant_limits.silent_nodes())},
              {"configuration", std::to_string(configuration.version)}});
-  std::vector<HttpHeader> headers{{"Retry-After", decimal_text(to_seconds(retry_after))}};
+  const double seconds = to_seconds(retry_after) + kRetryRoundingSeconds;
+  std::vector<HttpHeader> headers{{"Retry-After", decimal_text(seconds)}};
   co_await exchange.respond(429, "application/json", R"({"error":"tenant_limit"})",
                             std::move(headers));
 }
--- a/tests/gateway/tenant_access_test.cc
+++ b/tests/gateway/tenant_access_test.cc
@@ -132,11 +132,15 @@
 }
 
 TEST_F(TenantAccessTest, MoreThanTheLimitIsRefusedWithATimeToComeBack) {
+  context.tenant_limits.node_heard(7, monotonic_now());
   configure({{"alder", {kKey}, {}, {0.01, 1}}});
   EXPECT_EQ(ask("/x/1", kKey).status, 200);
   const HttpReply refused = ask("/x/1", kKey);
   EXPECT_EQ(refused.status, 429);
-  EXPECT_FALSE(refused.header("Retry-After").empty());
+  // One request in 100 s; the caller that comes back then is admitted.
+  const double retry_after = std::stod(std::string(refused.header("Retry-After")));
+  EXPECT_GT(retry_after, 90);
+  EXPECT_LE(retry_after, 101);
   EXPECT_EQ(runner.requests.size(), 1U);
   EXPECT_EQ((context.metrics.tenant_requests[{"alder", "refused"}]), 1U);
 }
