An item that fails everywhere is evidence against a runner once

A bad item thus blamed good runners.

Change: an error counts against a runner only the first time that the item fails there. The test is as it was and passes; all 19 of platform_path do.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -256,9 +256,18 @@
   co_return result;
 }
 
+/// An item that fails everywhere is evidence against a runner once, however often it is tried
+/// there.
+AttemptOutcome ItemRun::evidence_against(const Runner& runner, AttemptResult result) const {
+  const bool failed_before =
+      std::find(failed_at_.begin(), failed_at_.end(), runner.record().id) != failed_at_.end();
+  const bool repeated = result == AttemptResult::kFailed && failed_before;
+  return repeated ? AttemptOutcome::kAbandoned : evidence_of(result);
+}
+
 void ItemRun::note_attempt(Runner& runner, AttemptResult result) {
-  runner.end_attempt(evidence_of(result), monotonic_now(), std::exchange(tokens_to_read_, 0),
-                     WorkClass::kBatch);
+  runner.end_attempt(evidence_against(runner, result), monotonic_now(),
+                     std::exchange(tokens_to_read_, 0), WorkClass::kBatch);
   if (result == AttemptResult::kCompleted) return;
   log_event(Event::kItemAttemptFailed, {{"job", item_.job},
                                         {"item", item_.item_id},
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -76,6 +76,7 @@
   [[nodiscard]] std::vector<std::string> runners_to_avoid(const std::string& service) const;
   [[nodiscard]] bool has_failed_for_good(const Route& route) const;
   void log_choice(const Selection& choice, const ItemSchedule& schedule);
+  [[nodiscard]] AttemptOutcome evidence_against(const Runner& runner, AttemptResult result) const;
   void note_attempt(Runner& runner, AttemptResult result);
 
   GatewayContext& context_;
