--- /dev/null
+++ b/src/gateway/online_outcome.cc
@@ -0,0 +1,75 @@
+// How a request ends without a runner's whole answer, and what is logged of it.
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "gateway/log_fields.h"
+#include "gateway/online_request.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Time after which a request that is not run now should come back, in seconds.
+constexpr const char* kRetryAfterSeconds = "0.2";
+
+}  // namespace
+
+ContentHash OnlineRequest::content() const {
+  return content_hash({.tenant = caller_.tenant,
+                       .host = route_.host,
+                       .target = exchange_.target(),
+                       .body = exchange_.body()});
+}
+
+asio::awaitable<void> OnlineRequest::finish_without_answer() {
+  if (head_sent_) {
+    exchange_.abort();
+    if (!stopped_) outcome_ = RequestOutcome::kBrokenOff;
+    co_return;
+  }
+  if (stopped_ && outcome_ == RequestOutcome::kCallerGone) co_return;
+  if (stopped_) {
+    co_await refuse(504, RequestOutcome::kTimedOut, "deadline");
+  } else if (runs_ == 0) {
+    co_await refuse(503, RequestOutcome::kRefused, "no_runner");
+  } else {
+    co_await refuse(502, RequestOutcome::kFailed, "runner_failed");
+  }
+}
+
+asio::awaitable<void> OnlineRequest::refuse(int status, RequestOutcome outcome,
+                                            const char* reason) {
+  outcome_ = outcome;
+  ++context_.metrics.refusals[reason];
+  log_event(Event::kRequestUnanswered,
+            {{"request", id_},
+             {"route", route_.name},
+             {"status", std::to_string(status)},
+             {"reason", reason},
+             {"sends", std::to_string(sends_)},
+             {"runs", std::to_string(runs_)},
+             {"runners_known", std::to_string(context_.runners.of_service(service_).size())},
+             {"configuration", std::to_string(configuration_->version)},
+             {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
+  std::vector<HttpHeader> headers;
+  if (status == 503) headers.push_back({"Retry-After", kRetryAfterSeconds});
+  std::string body = std::string("{\"error\":\"") + reason + "\"}";
+  co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
+}
+
+void OnlineRequest::log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status) {
+  const std::uint64_t last = last_event_.value_or(0);
+  log_event(Event::kAttemptFailed, {{"request", id_},
+                                    {"runner", runner.record().id},
+                                    {"address", runner.record().address},
+                                    {"result", std::string(to_string(result))},
+                                    {"step", std::string(to_string(status))},
+                                    {"stage", std::string(to_string(stage_))},
+                                    {"content", to_hex(value_of(content()))},
+                                    {"choice", choice_},
+                                    {"failures", std::to_string(runner.failures())},
+                                    {"last_event", std::to_string(last)},
+                                    {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
+}
+
+}  // namespace stoathold
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -56,8 +56,8 @@
 }
 
 void OnlineRequest::note_first_event() {
-  if (attempt_answered_) return;
-  attempt_answered_ = true;
+  if (stage_ == RunStage::kDelivering) return;
+  stage_ = RunStage::kDelivering;
   context_.first_event_times.observe(route_.name, monotonic_now() - attempt_start_);
 }
 
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -34,8 +34,6 @@
 constexpr Duration kLongestWait = std::chrono::milliseconds(2000);
 /// Runners that may turn a request away before it is refused.
 constexpr std::uint32_t kMaxSends = 6;
-/// Time after which a request that is not run now should come back, in seconds.
-constexpr const char* kRetryAfterSeconds = "0.2";
 /// Assumed where neither caller nor route bounds a request.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
 
@@ -272,7 +270,7 @@
   runner_queue_timer_.async_wait(
       [weak = weak_from_this(), runner](boost::system::error_code error) {
         const auto self = weak.lock();
-        if (error || !self || self->stopped_ || self->attempt_answered_) return;
+        if (error || !self || self->stopped_ || self->stage_ == RunStage::kDelivering) return;
         const bool asked = self->context_.placement.relieve(*runner);
         self->watch_runner_queue(runner, asked);
       });
@@ -284,7 +282,7 @@
   upstream->set_deadline(deadline_);
   patience_ = Duration{0};
   attempt_start_ = monotonic_now();
-  attempt_answered_ = false;
+  stage_ = RunStage::kWaiting;
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
   AttemptResult result = classify_failure(status);
   if (status == UpstreamStatus::kOk) {
@@ -295,6 +293,7 @@
     status = co_await upstream->read_head();
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
+      stage_ = RunStage::kBegun;
       note_answer(*runner, upstream->head(), context_.dialect, tokens_to_read_);
       result = co_await take_answer(*runner);
     }
@@ -318,53 +317,4 @@
   return status == UpstreamStatus::kNotSent ? AttemptResult::kUnreachable : AttemptResult::kBroken;
 }
 
-asio::awaitable<void> OnlineRequest::finish_without_answer() {
-  if (head_sent_) {
-    exchange_.abort();
-    if (!stopped_) outcome_ = RequestOutcome::kBrokenOff;
-    co_return;
-  }
-  if (stopped_ && outcome_ == RequestOutcome::kCallerGone) co_return;
-  if (stopped_) {
-    co_await refuse(504, RequestOutcome::kTimedOut, "deadline");
-  } else if (runs_ == 0) {
-    co_await refuse(503, RequestOutcome::kRefused, "no_runner");
-  } else {
-    co_await refuse(502, RequestOutcome::kFailed, "runner_failed");
-  }
-}
-
-asio::awaitable<void> OnlineRequest::refuse(int status, RequestOutcome outcome,
-                                            const char* reason) {
-  outcome_ = outcome;
-  ++context_.metrics.refusals[reason];
-  log_event(Event::kRequestUnanswered,
-            {{"request", id_},
-             {"route", route_.name},
-             {"status", std::to_string(status)},
-             {"reason", reason},
-             {"sends", std::to_string(sends_)},
-             {"runs", std::to_string(runs_)},
-             {"runners_known", std::to_string(context_.runners.of_service(service_).size())},
-             {"configuration", std::to_string(configuration_->version)},
-             {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
-  std::vector<HttpHeader> headers;
-  if (status == 503) headers.push_back({"Retry-After", kRetryAfterSeconds});
-  std::string body = std::string("{\"error\":\"") + reason + "\"}";
-  co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
-}
-
-void OnlineRequest::log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status) {
-  const std::uint64_t last = last_event_.value_or(0);
-  log_event(Event::kAttemptFailed, {{"request", id_},
-                                    {"runner", runner.record().id},
-                                    {"address", runner.record().address},
-                                    {"result", std::string(to_string(result))},
-                                    {"step", std::string(to_string(status))},
-                                    {"choice", choice_},
-                                    {"failures", std::to_string(runner.failures())},
-                                    {"last_event", std::to_string(last)},
-                                    {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
-}
-
 }  // namespace stoathold
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -15,6 +15,8 @@
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
 #include "net/http.h"
+#include "quarantine/request_content.h"
+#include "quarantine/run_stage.h"
 
 namespace stoathold {
 
@@ -65,6 +67,7 @@
 
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   [[nodiscard]] AttemptResult classify_failure(UpstreamStatus status) const;
+  [[nodiscard]] ContentHash content() const;
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
   [[nodiscard]] bool lost_access() const;
@@ -101,7 +104,7 @@
   std::vector<std::string> tried_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   TimePoint attempt_start_{};
-  bool attempt_answered_ = false;  ///< The current attempt has brought an event.
+  RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/ids.h"
 #include "gateway/choice_fields.h"
 #include "gateway/headers.h"
 #include "gateway/log_fields.h"
@@ -237,11 +238,15 @@
   runner_ = runner;
   placed_at_ = monotonic_now();
   yielding_ = false;
+  stage_ = RunStage::kWaiting;
   UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
   AttemptResult result =
       status == UpstreamStatus::kNotSent ? AttemptResult::kUnreachable : AttemptResult::kBroken;
   if (status == UpstreamStatus::kOk) status = co_await upstream->read_head();
-  if (status == UpstreamStatus::kOk) result = co_await take_answer(*runner);
+  if (status == UpstreamStatus::kOk) {
+    stage_ = RunStage::kBegun;
+    result = co_await take_answer(*runner);
+  }
   if (yielding_ && result != AttemptResult::kCompleted) result = AttemptResult::kYielded;
   if (stopped_) result = AttemptResult::kStopped;
   if (yielding_) runner->end_yield();
@@ -265,6 +270,11 @@
   return repeated ? AttemptOutcome::kAbandoned : evidence_of(result);
 }
 
+ContentHash ItemRun::content() const {
+  return content_hash(
+      {.tenant = item_.tenant, .host = item_.host, .target = request_.path, .body = request_.body});
+}
+
 void ItemRun::note_attempt(Runner& runner, AttemptResult result) {
   runner.end_attempt(evidence_against(runner, result), monotonic_now(),
                      std::exchange(tokens_to_read_, 0), WorkClass::kBatch);
@@ -273,6 +283,8 @@
                                         {"item", item_.item_id},
                                         {"runner", runner.record().id},
                                         {"result", std::string(to_string(result))},
+                                        {"stage", std::string(to_string(stage_))},
+                                        {"content", to_hex(value_of(content()))},
                                         {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
@@ -320,6 +332,7 @@
       if (progress_.last_event > 0) progress_.text.push_back('\n');
       progress_.text += event_data(event->raw);
       progress_.last_event = *event->id;
+      stage_ = RunStage::kDelivering;
     }
     note_event_gap(window);
   }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -15,6 +15,8 @@
 #include "gateway/prompt_prefix.h"
 #include "jobs/item_schedule.h"
 #include "jobs/job_records.h"
+#include "quarantine/request_content.h"
+#include "quarantine/run_stage.h"
 
 namespace stoathold {
 
@@ -77,6 +79,7 @@
   [[nodiscard]] bool has_failed_for_good(const Route& route) const;
   void log_choice(const Selection& choice, const ItemSchedule& schedule);
   [[nodiscard]] AttemptOutcome evidence_against(const Runner& runner, AttemptResult result) const;
+  [[nodiscard]] ContentHash content() const;
   void note_attempt(Runner& runner, AttemptResult result);
 
   GatewayContext& context_;
@@ -94,6 +97,7 @@
   std::shared_ptr<Runner> runner_;
   TimePoint placed_at_{};
   std::uint32_t sends_ = 0;
+  RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
   /// Runners that answered this run with an error of their own.
   std::vector<std::string> failed_at_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
