--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -115,6 +115,8 @@
       command->add_option("--slots", options.runner.slots, "Requests at once");
       command->add_option("--events", options.runner.events, "Events of a stream");
       command->add_option("--gap-ms", options.gap_ms, "Pause before each event");
+      command->add_option("--crash-body", options.runner.crash_body,
+                          "Ends when it begins to run a request with this body");
     } else if (std::string(kind) == "link") {
       command->add_option("--target", options.target, "ip:port that the link leads to")->required();
       command->add_option("--admin-listen", options.admin_listen, "ip:port of the admin requests");
--- a/emulator/inference_runner_stand_in.cc
+++ b/emulator/inference_runner_stand_in.cc
@@ -1,5 +1,6 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <cstdlib>
 #include <map>
 
 #include "emulator/admin.h"
@@ -13,6 +14,9 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
+/// Of a process that a request has crashed.
+constexpr int kCrashExitCode = 3;
+
 /// Faults of the next requests, set by tests.
 struct RunnerFaults {
   bool not_run = false;               ///< Turns every request away.
@@ -126,6 +130,9 @@
     ResponseHead head;
     head.headers = std::move(headers);
     bool open = co_await exchange.start_response(head);
+    const bool crashes =
+        !parameters_.crash_body.empty() && exchange.body() == parameters_.crash_body;
+    if (crashes) std::_Exit(kCrashExitCode);
     const std::uint64_t done = parse_number(exchange.header(dialect_.last_event_id)).value_or(0);
     std::uint64_t made = 0;
     for (std::uint64_t event = done + 1; open && event <= parameters_.events; ++event) {
--- a/emulator/stand_in.h
+++ b/emulator/stand_in.h
@@ -53,6 +53,8 @@
   std::uint32_t slots = 4;
   std::uint64_t events = 5;                     ///< Of each stream.
   Duration gap = std::chrono::milliseconds(5);  ///< Before each event.
+  /// The process ends as soon as it has begun to answer a request with this body; empty: never.
+  std::string crash_body;
 };
 
 /// A runner as the users' platform shows it. Admin: `POST /admin/faults` with any of `not_run`,
