--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -99,6 +99,13 @@
                "A request carried no key or one that no tenant has; it got 401."},
     EventEntry{Event::kTenantOverLimit, "tenant_over_limit", EventLevel::kInfo,
                "A tenant has asked for more than its rate and burst over all nodes; it got 429."},
+    EventEntry{Event::kRequestQuarantined, "request_quarantined", EventLevel::kWarning,
+               "A request with which runner after runner ended is kept from all runners."},
+    EventEntry{Event::kQuarantineEnded, "quarantine_ended", EventLevel::kInfo,
+               "A request may reach runners again: its time is up, or an operator has lifted it."},
+    EventEntry{Event::kRunnerEndedWithRequest, "runner_ended_with_request", EventLevel::kInfo,
+               "A runner closed its connection before the first event of an answer; the stage says "
+               "whether the request had begun to run."},
     EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
                "The directory lists a runner, or lists it with other values."},
     EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/header_dialect.h"
 #include "gateway/upstream.h"
+#include "quarantine/quarantine.h"
 #include "routing/configuration.h"
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
@@ -27,7 +28,10 @@
         dialect(std::move(dialect_in)),
         zone(std::move(zone_in)),
         placement(executor, runners),
-        pool(executor, dialect) {}
+        pool(executor, dialect),
+        quarantine([this](std::uint64_t runner) { return runners.last_heard(runner); }) {
+    quarantine.set_change_listener([this] { placement.drop_hopeless(); });
+  }
 
   /// Returns the predicate of choices between runners: whether an idle connection to it is kept.
   [[nodiscard]] std::function<bool(const Runner&)> connected() const {
@@ -42,6 +46,7 @@
   TrafficSplit split;
   PlacementQueue placement;
   UpstreamPool pool;
+  Quarantine quarantine;
   GatewayMetrics metrics;
   TenantLimits tenant_limits;
   DurationsByRoute first_event_times;  ///< From the sending of a request to its first event.
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -14,11 +14,42 @@
 
 }  // namespace
 
-ContentHash OnlineRequest::content() const {
-  return content_hash({.tenant = caller_.tenant,
-                       .host = route_.host,
-                       .target = exchange_.target(),
-                       .body = exchange_.body()});
+ContentHash OnlineRequest::content() {
+  if (!content_) {
+    content_ = content_hash({.tenant = caller_.tenant,
+                             .host = route_.host,
+                             .target = exchange_.target(),
+                             .body = exchange_.body()});
+  }
+  return *content_;
+}
+
+bool OnlineRequest::is_quarantined() {
+  const Quarantine& quarantine = context_.quarantine;
+  return !quarantine.empty() && quarantine.holds(content(), monotonic_now());
+}
+
+/// A runner that closed its connection before the first event may have ended with the request.
+void OnlineRequest::note_for_quarantine(const Runner& runner, AttemptResult result) {
+  Quarantine& quarantine = context_.quarantine;
+  const TimePoint now = monotonic_now();
+  if (result == AttemptResult::kCompleted && quarantine.watches_progress()) {
+    quarantine.note_progress(content(), now);
+  }
+  const bool ended = result == AttemptResult::kBroken && upstream_->closed_by_runner();
+  if (!ended || stage_ == RunStage::kDelivering) return;
+  quarantine.note_end({content(), runner.hash(), stage_, now}, wall_clock_ms());
+}
+
+/// Held back, it would only keep its caller waiting for what nobody will run.
+asio::awaitable<void> OnlineRequest::refuse_quarantined(std::shared_ptr<Runner> runner) {
+  if (runner) give_place_back(*runner);
+  if (head_sent_ || runs_ > 0) {
+    co_await finish_without_answer();
+    co_return;
+  }
+  const Duration left = context_.quarantine.time_left(content(), monotonic_now());
+  co_await refuse(503, RequestOutcome::kRefused, "quarantined", decimal_text(to_seconds(left)));
 }
 
 asio::awaitable<void> OnlineRequest::finish_without_answer() {
@@ -37,8 +68,8 @@
   }
 }
 
-asio::awaitable<void> OnlineRequest::refuse(int status, RequestOutcome outcome,
-                                            const char* reason) {
+asio::awaitable<void> OnlineRequest::refuse(int status, RequestOutcome outcome, const char* reason,
+                                            std::string retry_after) {
   outcome_ = outcome;
   ++context_.metrics.refusals[reason];
   log_event(Event::kRequestUnanswered,
@@ -46,13 +77,15 @@
              {"route", route_.name},
              {"status", std::to_string(status)},
              {"reason", reason},
+             {"content", to_hex(value_of(content()))},
              {"sends", std::to_string(sends_)},
              {"runs", std::to_string(runs_)},
              {"runners_known", std::to_string(context_.runners.of_service(service_).size())},
              {"configuration", std::to_string(configuration_->version)},
              {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
   std::vector<HttpHeader> headers;
-  if (status == 503) headers.push_back({"Retry-After", kRetryAfterSeconds});
+  if (retry_after.empty()) retry_after = kRetryAfterSeconds;
+  if (status == 503) headers.push_back({"Retry-After", std::move(retry_after)});
   std::string body = std::string("{\"error\":\"") + reason + "\"}";
   co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
 }
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -152,6 +152,7 @@
   const Duration first_event = context_.first_event_times.expected(route_.name);
   request.due = arrival_ + route_.latency_objective - first_event;
   request.give_up = std::min(arrival_ + kLongestWait, deadline_);
+  request.hopeless = [this] { return is_quarantined(); };
   if (head_sent_) {
     // The caller is reading: the next event is due however long ago the request came.
     const TimePoint now = monotonic_now();
@@ -179,7 +180,15 @@
 
 asio::awaitable<void> OnlineRequest::run_attempts() {
   while (!stopped_ && sends_ < kMaxSends) {
-    const auto runner = co_await place();
+    // A request that ends its runners comes again under other ids, at any node: known by its
+    // content, it ends 3 of them and those it has reached meanwhile; known by its id it ended 40
+    // of 12.
+    std::shared_ptr<Runner> runner;
+    if (!is_quarantined()) runner = co_await place();
+    if (!stopped_ && is_quarantined()) {
+      co_await refuse_quarantined(runner);
+      co_return;
+    }
     if (!runner) break;
     if (lost_access()) {
       co_await refuse_lost_access(*runner);
@@ -204,10 +213,14 @@
   return !is_still_allowed(*context_.configuration, route_, caller_);
 }
 
-asio::awaitable<void> OnlineRequest::refuse_lost_access(Runner& runner) {
+void OnlineRequest::give_place_back(Runner& runner) {
   runner.end_attempt(AttemptOutcome::kAbandoned, monotonic_now(),
                      std::exchange(tokens_to_read_, 0));
   context_.placement.capacity_changed();
+}
+
+asio::awaitable<void> OnlineRequest::refuse_lost_access(Runner& runner) {
+  give_place_back(runner);
   if (runs_ > 0) {
     co_await finish_without_answer();
   } else {
@@ -300,6 +313,7 @@
   }
   runner_queue_timer_.cancel();
   if (may_have_run(result)) ++runs_;
+  note_for_quarantine(*runner, result);
   if (result == AttemptResult::kCompleted || result == AttemptResult::kErrorPassedOn) {
     upstream->release();
   } else {
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -63,11 +63,16 @@
   boost::asio::awaitable<bool> send_head();
   boost::asio::awaitable<bool> send_whole_events(std::string_view bytes, bool& spoiled);
   boost::asio::awaitable<void> finish_without_answer();
-  boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason);
+  boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason,
+                                      std::string retry_after = {});
+  boost::asio::awaitable<void> refuse_quarantined(std::shared_ptr<Runner> runner);
 
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   [[nodiscard]] AttemptResult classify_failure(UpstreamStatus status) const;
-  [[nodiscard]] ContentHash content() const;
+  [[nodiscard]] ContentHash content();
+  [[nodiscard]] bool is_quarantined();
+  void note_for_quarantine(const Runner& runner, AttemptResult result);
+  void give_place_back(Runner& runner);
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
   [[nodiscard]] bool lost_access() const;
@@ -105,6 +110,7 @@
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   TimePoint attempt_start_{};
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
+  std::optional<ContentHash> content_;   ///< Hashed when it is first needed.
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -52,6 +52,13 @@
   return result.ec == std::errc{} ? Duration(std::chrono::seconds(seconds)) : kDefaultKeepAlive;
 }
 
+/// Whether the other side closed or reset the connection, rather than sent what is no answer.
+bool is_close(const boost::system::error_code& error) {
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe || error == http::error::end_of_stream ||
+         error == http::error::partial_message;
+}
+
 /// Whether an idle connection is open and holds no bytes that nobody asked for.
 bool is_clean(Tcp::socket& socket) {
   return peek_socket(socket) == asio::error::would_block;
@@ -207,6 +214,7 @@
   std::string request_id;
   http::request<http::string_body> request;
   bool written = false;
+  bool closed_by_runner = false;
   std::unique_ptr<Tcp::socket> socket;
   beast::flat_buffer buffer;
   std::unique_ptr<Parser> parser;
@@ -255,6 +263,7 @@
 asio::awaitable<UpstreamStatus> UpstreamExchange::State::read_next_head() {
   start_parser();
   const auto [error, count] = co_await http::async_read_header(*socket, buffer, *parser, kNoThrow);
+  closed_by_runner = ended == UpstreamStatus::kOk && is_close(error);
   if (error || ended != UpstreamStatus::kOk) co_return failure(UpstreamStatus::kBroken);
   co_return UpstreamStatus::kOk;
 }
@@ -286,6 +295,7 @@
     if (!view.empty() || parser->is_done()) break;
     auto [error, count] = co_await socket->async_read_some(buffer.prepare(kReadBytes), kNoThrow);
     buffer.commit(count);
+    closed_by_runner = ended == UpstreamStatus::kOk && is_close(error);
     if (error == asio::error::eof) {
       error = {};
       parser->put_eof(error);
@@ -356,6 +366,10 @@
   co_return co_await state->read_some(view);
 }
 
+bool UpstreamExchange::closed_by_runner() const {
+  return state_->closed_by_runner;
+}
+
 void UpstreamExchange::set_deadline(TimePoint deadline) {
   state_->set_deadline(deadline);
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -96,6 +96,8 @@
   /// Asked when the deadline has passed: a later one, or nothing to let the step end.
   using DeadlineExtender = std::function<std::optional<TimePoint>()>;
   void set_deadline_extender(DeadlineExtender extender);
+  /// Whether a step failed since the runner closed or reset the connection.
+  [[nodiscard]] bool closed_by_runner() const;
   /// Ends the request: the connection is closed, so that the runner stops work.
   void cancel();
   /// The whole answer was read: keeps the connection for others if it is fit for that.
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -29,6 +29,8 @@
 constexpr Duration kPlacementTime = std::chrono::seconds(2);
 /// Between looks for a configuration or a route.
 constexpr Duration kRoutePause = std::chrono::milliseconds(100);
+/// Between looks whether an item may reach runners again.
+constexpr Duration kQuarantinePause = std::chrono::seconds(1);
 /// A route must be missing this long before its items are given up.
 constexpr Duration kRouteGrace = std::chrono::seconds(5);
 /// Load up to which a runner is given items. Online work takes their slots back within
@@ -50,6 +52,10 @@
       request_(std::move(request)),
       progress_(std::move(progress)),
       clock_skew_(clock_skew),
+      content_(content_hash({.tenant = item_.tenant,
+                             .host = item_.host,
+                             .target = request_.path,
+                             .body = request_.body})),
       timer_(context.executor) {
   progress_.job = item_.job;
   progress_.item = item_.index;
@@ -112,6 +118,7 @@
   // Who must begin first goes first, and what will be late anyway goes last.
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
+  request.hopeless = [this] { return is_quarantined(); };
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   const Selection choice = ticket_->selection();
@@ -185,6 +192,11 @@
     }
     route_missing_since.reset();
     if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
+    if (is_quarantined()) {
+      // Given up when its retention is over, as an item that no runner can do.
+      co_await pause(kQuarantinePause);
+      continue;
+    }
     const auto runner = co_await place(*route);
     if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
@@ -256,6 +268,7 @@
   } else {
     upstream->cancel();
   }
+  note_for_quarantine(*runner, result);
   upstream_.reset();
   note_attempt(*runner, result);
   co_return result;
@@ -270,9 +283,20 @@
   return repeated ? AttemptOutcome::kAbandoned : evidence_of(result);
 }
 
-ContentHash ItemRun::content() const {
-  return content_hash(
-      {.tenant = item_.tenant, .host = item_.host, .target = request_.path, .body = request_.body});
+bool ItemRun::is_quarantined() const {
+  return context_.quarantine.holds(content_, monotonic_now());
+}
+
+/// An item that got on did not end its runner as it began; the next run goes on behind that.
+void ItemRun::note_for_quarantine(const Runner& runner, AttemptResult result) {
+  Quarantine& quarantine = context_.quarantine;
+  const TimePoint now = monotonic_now();
+  if (stage_ == RunStage::kDelivering) {
+    if (quarantine.watches_progress()) quarantine.note_progress(content_, now);
+    return;
+  }
+  const bool ended = result == AttemptResult::kBroken && upstream_->closed_by_runner();
+  if (ended) quarantine.note_end({content_, runner.hash(), stage_, now}, wall_clock_ms());
 }
 
 void ItemRun::note_attempt(Runner& runner, AttemptResult result) {
@@ -284,7 +308,7 @@
                                         {"runner", runner.record().id},
                                         {"result", std::string(to_string(result))},
                                         {"stage", std::string(to_string(stage_))},
-                                        {"content", to_hex(value_of(content()))},
+                                        {"content", to_hex(value_of(content_))},
                                         {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -79,7 +79,8 @@
   [[nodiscard]] bool has_failed_for_good(const Route& route) const;
   void log_choice(const Selection& choice, const ItemSchedule& schedule);
   [[nodiscard]] AttemptOutcome evidence_against(const Runner& runner, AttemptResult result) const;
-  [[nodiscard]] ContentHash content() const;
+  void note_for_quarantine(const Runner& runner, AttemptResult result);
+  [[nodiscard]] bool is_quarantined() const;
   void note_attempt(Runner& runner, AttemptResult result);
 
   GatewayContext& context_;
@@ -87,6 +88,7 @@
   ItemRequest request_;
   ItemProgress progress_;
   Duration clock_skew_;
+  ContentHash content_;
   PromptPrefix prompt_;
   TokenCount answer_tokens_;          ///< Most of the item; 0: not known.
   std::string route_name_;            ///< As last looked up.
--- /dev/null
+++ b/src/quarantine/quarantine.h
@@ -0,0 +1,106 @@
+/// @file
+/// Keeps requests that end the runners which run them away from all runners.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "quarantine/quarantine_messages.h"
+#include "quarantine/runner_end_table.h"
+
+namespace stoathold {
+
+/// One request that no runner is given.
+struct QuarantinedRequest {
+  std::int64_t since_ms = 0;  ///< Time of day of the node that put it there.
+  TimePoint until{};          ///< On this node's clock.
+  bool recorded = false;      ///< The log is known to hold it.
+};
+
+/// What is known of requests that end runners: the ends that nodes have seen, and the requests that
+/// these condemn. Ends are told from node to node; a request that is condemned is a record of the
+/// log, which outlasts every node. Used on one thread.
+///
+/// A request leaves after `kQuarantineTime`. From then on one more end condemns it again.
+class Quarantine {
+ public:
+  static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
+
+  /// @param last_heard when a runner was last heard; a runner that was heard after its end lives.
+  explicit Quarantine(RunnerEndTable::LastHeard last_heard) : ends_(std::move(last_heard)) {}
+
+  /// Called with each request that is condemned with an end that this node saw, for the log.
+  using CondemnedHandler = std::function<void(ContentHash, const QuarantineRecord&)>;
+  void set_condemned_handler(CondemnedHandler handler) { condemned_handler_ = std::move(handler); }
+  /// Called whenever there is something to tell other nodes.
+  void set_news_listener(std::function<void()> listener) { news_listener_ = std::move(listener); }
+  /// Called whenever a request was put in quarantine.
+  void set_change_listener(std::function<void()> listener) {
+    change_listener_ = std::move(listener);
+  }
+
+  /// Whether any request is kept from runners; if none is, nobody need hash one.
+  [[nodiscard]] bool empty() const { return quarantined_.empty(); }
+  /// Whether the request is kept from runners.
+  [[nodiscard]] bool holds(ContentHash content, TimePoint now) const;
+  /// How long it still is.
+  [[nodiscard]] Duration time_left(ContentHash content, TimePoint now) const;
+  [[nodiscard]] std::size_t size() const { return quarantined_.size(); }
+  /// Requests with ends that are remembered.
+  [[nodiscard]] std::size_t suspects() const { return ends_.size(); }
+
+  /// A runner ended with a request of this node.
+  void note_end(const RunnerEnd& end, std::int64_t time_of_day_ms);
+  /// A request of this node was served, or a batch item got on.
+  void note_progress(ContentHash content, TimePoint now);
+  /// Whether progress of requests is of interest: it is not while no ends are known.
+  [[nodiscard]] bool watches_progress() const { return !ends_.empty(); }
+
+  /// Returns what is to be told to the nodes of the own zone, and empties that list.
+  [[nodiscard]] std::vector<EndReport> take_zone_news(TimePoint now);
+  /// Returns what is to be told to the nodes of other zones. Each news is returned a few times,
+  /// since messages get lost.
+  [[nodiscard]] std::vector<EndReport> take_remote_news(TimePoint now);
+  /// Takes what another node tells.
+  void take_reports(const std::vector<EndReport>& reports, TimePoint now,
+                    std::int64_t time_of_day_ms);
+
+  /// The log holds this record of a request.
+  void take_record(ContentHash content, const QuarantineRecord& record, TimePoint now,
+                   std::int64_t time_of_day_ms);
+  /// The log no longer holds one: an operator has lifted the quarantine, or its time was up.
+  void lift(ContentHash content);
+  /// The log holds just these requests; others that it held before were lifted.
+  void keep_only(const std::set<ContentHash>& contents);
+  /// Ends quarantines whose time is up, and forgets old ends.
+  /// @return the requests that have left.
+  std::vector<ContentHash> expire(TimePoint now);
+
+ private:
+  struct News {
+    EndReport report;
+    TimePoint at{};
+    int repeats_left = 0;
+  };
+
+  void judge(ContentHash content, std::int64_t time_of_day_ms, TimePoint now);
+  void add_news(const EndReport& report, TimePoint at);
+  static std::vector<EndReport> take_some(std::vector<News>& news, TimePoint now);
+
+  RunnerEndTable ends_;
+  std::map<ContentHash, QuarantinedRequest> quarantined_;
+  std::set<ContentHash> on_probation_;
+  std::set<ContentHash> seen_here_;  ///< Those with an end that this node saw itself.
+  std::vector<News> zone_news_;
+  std::vector<News> remote_news_;
+  CondemnedHandler condemned_handler_;
+  std::function<void()> news_listener_;
+  std::function<void()> change_listener_;
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/quarantine/quarantine_log.cc
@@ -0,0 +1,112 @@
+#include "quarantine/quarantine_log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "core/codec.h"
+#include "store/backoff.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+const PartitionName kQuarantinePartition{"quarantine", 0};
+/// How long a read waits for a record: one call in this time is what following costs a node.
+constexpr Duration kReadWait = std::chrono::seconds(5);
+/// Between two looks for quarantines whose time is up.
+constexpr Duration kExpiryInterval = std::chrono::seconds(5);
+
+}  // namespace
+
+QuarantineLog::QuarantineLog(asio::any_io_executor executor, RecordLog& log, Quarantine& quarantine)
+    : executor_(std::move(executor)),
+      log_(log),
+      quarantine_(quarantine),
+      replica_(std::make_shared<PartitionReplica>(log, kQuarantinePartition, *this)) {
+  quarantine_.set_condemned_handler(
+      [this](ContentHash content, const QuarantineRecord& record) { write(content, &record); });
+}
+
+void QuarantineLog::start() {
+  const auto forever = [] { return true; };
+  asio::co_spawn(executor_, replica_->follow(forever, Duration{0}, kReadWait), asio::detached);
+  asio::co_spawn(executor_, expire_now_and_then(), asio::detached);
+}
+
+void QuarantineLog::apply(const StoredRecord& record) {
+  std::uint64_t hash = 0;
+  QuarantineRecord value;
+  const bool readable =
+      parse_hex(record.key, hash) && (record.value.empty() || decode_value(record.value, value));
+  if (!readable) {
+    log_event(Event::kRecordMalformed,
+              {{"key", record.key}, {"offset", std::to_string(record.offset)}});
+    return;
+  }
+  if (record.value.empty()) {
+    quarantine_.lift(ContentHash{hash});
+  } else {
+    quarantine_.take_record(ContentHash{hash}, value, monotonic_now(), wall_clock_ms());
+  }
+}
+
+void QuarantineLog::reset(const std::vector<StoredRecord>& newest) {
+  std::set<ContentHash> contents;
+  for (const auto& record : newest) {
+    apply(record);
+    std::uint64_t hash = 0;
+    if (!record.value.empty() && parse_hex(record.key, hash)) contents.insert(ContentHash{hash});
+  }
+  quarantine_.keep_only(contents);
+}
+
+void QuarantineLog::write(ContentHash content, const QuarantineRecord* record) {
+  unwritten_[to_hex(value_of(content))] = record == nullptr ? "" : encode_value(*record);
+  if (record != nullptr) written_.insert(content);
+  if (writing_) return;
+  writing_ = true;
+  asio::co_spawn(executor_, write_all(), asio::detached);
+}
+
+/// A record without an answer is written again: twice the same record does no harm.
+asio::awaitable<void> QuarantineLog::write_all() {
+  Backoff backoff;
+  asio::steady_timer timer(executor_);
+  while (!unwritten_.empty()) {
+    const auto batch = unwritten_;
+    std::vector<KeyedRecord> records;
+    for (const auto& [key, value] : batch) records.push_back({key, value});
+    const AppendResult result =
+        co_await log_.append(kQuarantinePartition, std::move(records), std::nullopt);
+    if (result.status == LogStatus::kOk) {
+      backoff.reset();
+      std::erase_if(unwritten_, [&](const auto& entry) {
+        const auto sent = batch.find(entry.first);
+        return sent != batch.end() && sent->second == entry.second;
+      });
+      continue;
+    }
+    timer.expires_after(backoff.next());
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  writing_ = false;
+}
+
+asio::awaitable<void> QuarantineLog::expire_now_and_then() {
+  asio::steady_timer timer(executor_);
+  while (true) {
+    timer.expires_after(kExpiryInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    for (const ContentHash content : quarantine_.expire(monotonic_now())) {
+      if (written_.erase(content) > 0) write(content, nullptr);
+    }
+  }
+}
+
+}  // namespace stoathold
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "quarantine/quarantine_messages.h"
 #include "routing/route_pace.h"
 #include "tenancy/tenant_usage.h"
 
@@ -134,7 +135,8 @@
 };
 
 /// One datagram.
-using PeerLoadMessage = std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage>;
+using PeerLoadMessage =
+    std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage, EndReports>;
 
 std::string encode_message(const PeerLoadMessage& message);
 /// Returns false if the bytes are malformed.
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -20,14 +20,10 @@
 constexpr std::size_t kMaxUses = 80;
 /// Most ejected runners reported in one message: it stays below the size of a datagram.
 constexpr std::size_t kMaxEjections = 30;
-/// Runners of a zone that one message reports on.
-constexpr std::size_t kMaxZoneLoads = 150;
 /// Most runners on whose answers one message reports.
 constexpr std::size_t kMaxAnswerCounts = 20;
 /// Counts of answers are reported in tenths.
 constexpr double kAnswerUnit = 10;
-constexpr double kPercent = 100;
-constexpr double kMostPercent = 255;
 /// Changes within this time go out together.
 constexpr Duration kCoalesce = std::chrono::milliseconds(3);
 constexpr Duration kSendInterval = std::chrono::milliseconds(12);
@@ -67,7 +63,8 @@
       buffer_(kMaxDatagramBytes * 2, '\0'),
       send_timer_(executor_),
       expiry_timer_(executor_),
-      tenant_timer_(executor_) {
+      tenant_timer_(executor_),
+      ends_timer_(executor_) {
   std::string host;
   std::uint16_t port = 0;
   split_address(listen, host, port);
@@ -132,6 +129,8 @@
   } else if (auto* usage = std::get_if<ZoneTenantUsage>(&message)) {
     if (tenant_gossip_) tenant_gossip_->take_zone_report(*usage, monotonic_now());
     if (usage->pass_on) pass_on(std::move(*usage));
+  } else if (auto* ends = std::get_if<EndReports>(&message)) {
+    take_end_reports(std::move(*ends));
   } else if (yield_handler_) {
     yield_handler_(std::get<YieldRequest>(message));
   }
@@ -181,25 +180,6 @@
   }
 }
 
-/// Loads of another zone's runners, reported by a node there.
-void PeerLoads::take_zone_loads(ZoneLoads loads) {
-  if (loads.zone == stable_hash(zone_)) return;
-  const TimePoint now = monotonic_now();
-  for (const auto& reported : loads.loads) {
-    Runner* runner = registry_.find_hash(reported.runner);
-    if (runner != nullptr) runner->take_zone_load(reported.percent / kPercent, now);
-  }
-  if (loads.pass_on) pass_on(std::move(loads));
-  if (listener_) listener_();
-}
-
-template <typename Message>
-void PeerLoads::pass_on(Message message) {
-  message.pass_on = false;
-  const std::string bytes = encode_message(message);
-  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
-}
-
 bool PeerLoads::ask_for_place(const YieldRequest& request) {
   const auto asked = peer_uses_.take_batch_place(request);
   if (!asked) return false;
@@ -310,57 +290,6 @@
             {{"step", "send"}, {"peer", address}, {"error", error.message()}});
 }
 
-/// Tells a node of each zone whose runners this node uses, and once of the end of that. Each time
-/// another node, so that one that is gone costs one message.
-void PeerLoads::report_remote_use() {
-  std::set<std::string> used;
-  for (const auto& [id, runner] : registry_.all()) {
-    if (runner->in_flight() > 0) used.insert(runner->record().zone);
-  }
-  for (const auto& [zone, peers] : remote_zones_) {
-    const bool uses = used.contains(zone);
-    if (!uses && !reported_zones_.contains(zone)) continue;
-    LoadDigest digest = make_digest(zone);
-    digest.origin = address();
-    digest.pass_on = true;
-    send_to(peers[remote_turn_ % peers.size()], encode_message(digest));
-  }
-  ++remote_turn_;
-  reported_zones_ = std::move(used);
-}
-
-/// Other zones send work here when theirs is full: what they know of the runners here keeps them
-/// from filling these as well.
-void PeerLoads::send_zone_loads() {
-  const TimePoint now = monotonic_now();
-  if (remote_zones_.empty() || !zone_nodes_.is_zone_reporter(socket_.local_endpoint(), now)) return;
-  ZoneLoads message;
-  message.zone = stable_hash(zone_);
-  message.pass_on = true;
-  for (const auto& [id, runner] : registry_.all()) {
-    if (runner->record().zone != zone_ || !runner->available()) continue;
-    const bool usable = !runner->ejected(now);
-    const double percent = usable ? runner->load(now) * kPercent : kMostPercent;
-    message.loads.push_back(
-        {runner->hash(), static_cast<std::uint8_t>(std::min(percent, kMostPercent))});
-    if (message.loads.size() >= kMaxZoneLoads) break;
-  }
-  const std::string bytes = encode_message(message);
-  for (const auto& [zone, peers] : remote_zones_)
-    send_to(peers[remote_turn_ % peers.size()], bytes);
-}
-
-/// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone do,
-/// to different nodes, so that one lost message or one lost node costs nothing.
-void PeerLoads::send_tenant_usage() {
-  const TimePoint now = monotonic_now();
-  if (remote_zones_.empty() || !zone_nodes_.is_zone_reporter(socket_.local_endpoint(), now)) return;
-  const std::string bytes = encode_message(tenant_gossip_->make_zone_report(now));
-  for (const auto& [zone, peers] : remote_zones_)
-    send_to(peers[tenant_turn_ % peers.size()], bytes);
-  tenant_turn_ += 1 + sender_ % 2;
-}
-
 void PeerLoads::schedule_tenant_reports() {
   tenant_timer_.expires_after(kTenantReportInterval);
   tenant_timer_.async_wait([this](boost::system::error_code error) {
@@ -384,6 +313,7 @@
     if (peer_uses_.expire(now) && listener_) listener_();
     report_remote_use();
     send_zone_loads();
+    send_remote_end_reports();
     const Duration repeat = in_use_ ? kRepeatInterval : kHeartbeatInterval;
     if (now - last_sent_ >= repeat) schedule_send();
     schedule_expiry();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "quarantine/quarantine.h"
 #include "routing/load_messages.h"
 #include "routing/neighbour_table.h"
 #include "routing/peer_use_table.h"
@@ -57,6 +58,8 @@
   void share_tenant_usage(TenantLimits& limits) {
     tenant_gossip_.emplace(limits, sender_, stable_hash(zone_));
   }
+  /// Tells other nodes of runners that ended under requests. The quarantine outlives this object.
+  void share_runner_ends(Quarantine& quarantine);
   /// Called for the version of the configuration that is in force here, when a digest is made.
   void set_version_source(std::function<std::uint64_t()> source) {
     version_source_ = std::move(source);
@@ -92,8 +95,17 @@
   void take_digest(LoadDigest digest);
   void take_ejections(const LoadDigest& digest, TimePoint now);
   void take_zone_loads(ZoneLoads loads);
+  /// Sends a message of another zone to the nodes of this one.
   template <typename Message>
-  void pass_on(Message message);
+  void pass_on(Message message) {
+    message.pass_on = false;
+    const std::string bytes = encode_message(message);
+    zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+  }
+  void take_end_reports(EndReports reports);
+  void schedule_end_reports();
+  void send_end_reports();
+  void send_remote_end_reports();
   void schedule_send();
   void send();
   void report_remote_use();
@@ -125,6 +137,7 @@
   YieldHandler yield_handler_;
   PeerUseTable peer_uses_;
   std::optional<TenantGossip> tenant_gossip_;
+  Quarantine* quarantine_ = nullptr;  ///< Null: ends are not told.
   std::function<std::uint64_t()> version_source_;
   VersionListener version_listener_;
   PaceSource pace_source_;
@@ -134,6 +147,8 @@
   boost::asio::steady_timer send_timer_;
   boost::asio::steady_timer expiry_timer_;
   boost::asio::steady_timer tenant_timer_;
+  boost::asio::steady_timer ends_timer_;
+  bool ends_scheduled_ = false;
   std::size_t tenant_turn_ = 0;  ///< Picks the node of a zone that gets the zone's report.
   TimePoint last_sent_{};
   TimePoint neighbours_reported_{};
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -140,6 +140,13 @@
   return demand;
 }
 
+void PlacementQueue::drop_hopeless() {
+  // Cancelled tickets leave the queue when their waits return, not in this loop.
+  for (const auto& ticket : waiting_) {
+    if (ticket->request_.hopeless && ticket->request_.hopeless()) ticket->cancel();
+  }
+}
+
 void PlacementQueue::dispatch() {
   if (dispatching_) return;
   dispatching_ = true;
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -26,6 +26,8 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   TimePoint due{};             ///< In time if placed by then.
   TimePoint give_up{};         ///< No longer worth placing.
+  /// Whether it must not be placed any more, as its circumstances have changed; null: never.
+  std::function<bool()> hopeless;
 };
 
 /// A request for a place. Held by who waits; `cancel` ends the wait.
@@ -70,6 +72,8 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire(std::shared_ptr<PlacementTicket> ticket);
   /// A place may have become free, or was taken.
   void capacity_changed();
+  /// Ends the wait of all that must not be placed any more.
+  void drop_hopeless();
   /// Other nodes reported their use of runners: a place may have become free.
   void loads_changed();
   /// Online work that was sent to the runner has had no answer for `yield_delay`: batch work there
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -257,6 +257,12 @@
   return found == by_hash_.end() ? nullptr : found->second;
 }
 
+std::optional<TimePoint> RunnerRegistry::last_heard(std::uint64_t hash) const {
+  const Runner* runner = find_hash(hash);
+  const bool heard = runner != nullptr && runner->last_heard() != TimePoint{};
+  return heard ? std::optional(runner->last_heard()) : std::nullopt;
+}
+
 const std::vector<std::shared_ptr<Runner>>& RunnerRegistry::of_service(
     const std::string& service) const {
   static const std::vector<std::shared_ptr<Runner>> kNone;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -201,6 +201,9 @@
   }
   /// Returns the runner whose id has this hash, or null. Valid until the registry changes.
   [[nodiscard]] Runner* find_hash(std::uint64_t hash) const;
+  /// Returns when anything last came from the runner whose id has this hash; nothing if it is not
+  /// listed, or was never heard.
+  [[nodiscard]] std::optional<TimePoint> last_heard(std::uint64_t hash) const;
   /// Rises whenever a runner comes or goes.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Services, by the hash of their names, for which online work waits at other nodes of the zone.
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -16,9 +16,6 @@
 
 /// Most bytes asked for in one read.
 constexpr std::uint64_t kReadBytes = 1024UL * 1024;
-/// How long a follower's read waits for a record. It bounds how long a connection that went silent
-/// delays news: the read is given up shortly after it.
-constexpr Duration kFollowWait = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -98,17 +95,18 @@
   co_return co_await read_once(wait, at_end);
 }
 
-asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running, Duration pace) {
+asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running, Duration pace,
+                                               Duration wait) {
   const auto self = shared_from_this();
   asio::steady_timer timer(co_await asio::this_coro::executor);
   Backoff backoff;
   while (running()) {
     // After a failure the next read does not wait, so that the first answer shows at once.
     const bool steady = health_.loaded && health_.last == LogStatus::kOk;
-    const Duration wait = steady ? kFollowWait : Duration{0};
+    const Duration read_wait = steady ? wait : Duration{0};
     bool at_end = false;
     const RecordOffset before = next_offset_;
-    const LogStatus status = co_await read_once(wait, at_end);
+    const LogStatus status = co_await read_once(read_wait, at_end);
     if (status == LogStatus::kOk) {
       backoff.reset();
       const bool pause = at_end && next_offset_ > before && pace.count() > 0;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -48,7 +48,11 @@
   /// Follows the partition for as long as `running` holds.
   /// @param pace time between two reads that bring records: each record of a busy partition would
   ///        else cost a call of every node that follows it.
-  boost::asio::awaitable<void> follow(std::function<bool()> running, Duration pace = Duration{0});
+  /// @param wait how long a read waits for a record. It bounds how long a connection that went
+  /// silent
+  ///        delays news: the read is given up shortly after it.
+  boost::asio::awaitable<void> follow(std::function<bool()> running, Duration pace = Duration{0},
+                                      Duration wait = std::chrono::milliseconds(2000));
 
   [[nodiscard]] const PartitionName& name() const { return partition_; }
   /// Offset of the first record not yet applied; the end of the partition as far as it is known.
--- /dev/null
+++ b/tests/quarantine/quarantine_test.cc
@@ -0,0 +1,100 @@
+#include "quarantine/quarantine.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+constexpr ContentHash kDeadly{1};
+constexpr std::int64_t kTimeOfDayMs = 1'700'000'000'000;
+
+TimePoint at(Duration since_start) {
+  return TimePoint{} + std::chrono::seconds(1) + since_start;
+}
+
+Quarantine make_quarantine() {
+  return Quarantine([](std::uint64_t) { return std::nullopt; });
+}
+
+void end_runners(Quarantine& quarantine, std::uint64_t first, std::uint64_t last,
+                 Duration when = Duration{0}) {
+  for (std::uint64_t runner = first; runner <= last; ++runner) {
+    quarantine.note_end({kDeadly, runner, RunStage::kBegun, at(when)}, kTimeOfDayMs);
+  }
+}
+
+TEST(QuarantineTest, NodesThatEachSawOneEndCondemnTogether) {
+  std::vector<Quarantine> nodes;
+  for (int i = 0; i < 3; ++i) nodes.push_back(make_quarantine());
+  int written = 0;
+  for (auto& node : nodes) {
+    node.set_condemned_handler([&](ContentHash, const QuarantineRecord&) { ++written; });
+  }
+  for (std::uint64_t i = 0; i < 3; ++i) end_runners(nodes[i], i + 1, i + 1);
+  for (std::size_t from = 0; from < 3; ++from) {
+    const auto news = nodes[from].take_zone_news(at({}));
+    for (std::size_t to = 0; to < 3; ++to) {
+      if (to != from) nodes[to].take_reports(news, at({}), kTimeOfDayMs);
+    }
+  }
+  for (auto& node : nodes) EXPECT_TRUE(node.holds(kDeadly, at({})));
+  EXPECT_EQ(written, 3);
+}
+
+TEST(QuarantineTest, NewsIsToldSeveralTimesAndNoMore) {
+  Quarantine node = make_quarantine();
+  end_runners(node, 1, 1);
+  EXPECT_EQ(node.take_zone_news(at({})).size(), 1U);
+  EXPECT_EQ(node.take_zone_news(at({})).size(), 1U);
+  EXPECT_TRUE(node.take_zone_news(at({})).empty());
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(node.take_remote_news(at({})).size(), 1U);
+  EXPECT_TRUE(node.take_remote_news(at({})).empty());
+}
+
+TEST(QuarantineTest, TheEndOfAWaitingRequestIsNotToldToOtherZonesAtOnce) {
+  Quarantine node = make_quarantine();
+  node.note_end({kDeadly, 1, RunStage::kWaiting, at({})}, kTimeOfDayMs);
+  EXPECT_TRUE(node.take_remote_news(at({})).empty());
+  node.note_end({kDeadly, 2, RunStage::kWaiting, at({})}, kTimeOfDayMs);
+  EXPECT_EQ(node.take_remote_news(at({})).size(), 1U);
+}
+
+TEST(QuarantineTest, ARecordOfTheLogCountsForItsAge) {
+  Quarantine node = make_quarantine();
+  const std::int64_t minutes_9 = 9 * 60 * 1000;
+  node.take_record(kDeadly, {kTimeOfDayMs - minutes_9, 3}, at({}), kTimeOfDayMs);
+  EXPECT_TRUE(node.holds(kDeadly, at(std::chrono::seconds(59))));
+  EXPECT_FALSE(node.holds(kDeadly, at(std::chrono::seconds(61))));
+}
+
+TEST(QuarantineTest, AfterItsTimeOneMoreEndCondemnsAgain) {
+  Quarantine node = make_quarantine();
+  end_runners(node, 1, 3);
+  const Duration later = Quarantine::kQuarantineTime + std::chrono::seconds(1);
+  EXPECT_FALSE(node.holds(kDeadly, at(later)));
+  EXPECT_EQ(node.expire(at(later)).size(), 1U);
+  end_runners(node, 4, 4, later);
+  EXPECT_TRUE(node.holds(kDeadly, at(later)));
+}
+
+TEST(QuarantineTest, ALiftedRequestStartsAnew) {
+  Quarantine node = make_quarantine();
+  end_runners(node, 1, 3);
+  node.lift(kDeadly);
+  EXPECT_FALSE(node.holds(kDeadly, at({})));
+  end_runners(node, 4, 5);
+  EXPECT_FALSE(node.holds(kDeadly, at({})));
+}
+
+TEST(QuarantineTest, WhatIsNotYetInTheLogSurvivesTheLossOfItsHistory) {
+  Quarantine node = make_quarantine();
+  end_runners(node, 1, 3);
+  node.keep_only({});
+  EXPECT_TRUE(node.holds(kDeadly, at({})));
+  node.take_record(kDeadly, {kTimeOfDayMs, 3}, at({}), kTimeOfDayMs);
+  node.keep_only({});
+  EXPECT_FALSE(node.holds(kDeadly, at({})));
+}
+
+}  // namespace
+}  // namespace stoathold
