--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -63,7 +63,7 @@
     request.address = server.address();
     request.method = "POST";
     request.target = std::move(target);
-    request.headers = {{"Host", kHost}, {"X-Request-Id", "id-1"}, {"X-Deadline-Ms", "15000"}};
+    request.headers = {{"Host", kHost}, {"X-Request-Id", "id-1"}, {"X-Deadline-Ms", deadline_ms}};
     request.timeout = std::chrono::seconds(20);
     const HttpReply reply = co_await client.call(std::move(request));
     CallerView view;
@@ -74,6 +74,7 @@
     co_return view;
   }
 
+  std::string deadline_ms = "15000";
   boost::asio::io_context loop;
   GatewayContext context;
   Gateway gateway;
@@ -238,6 +239,20 @@
   EXPECT_EQ(context.runners.all().at("r1")->in_flight(), 0U);
 }
 
+/// The connection of a caller whose time was up in the middle of an attempt was closed without an
+/// answer: the end of its time ended the attempt, and an attempt that was ended so counted as answered.
+TEST_F(OnlineRequestTest, ACallerWhoseTimeIsUpDuringAnAttemptGetsAnAnswer) {
+  configure(RouteKind::kStreaming, true);
+  ScriptedAnswer silent("");
+  silent.pause = std::chrono::seconds(20);
+  ScriptedRunner runner(loop, {silent});
+  add_runner(runner);
+  deadline_ms = "200";
+  const CallerView view = ask();
+  EXPECT_TRUE(view.complete);
+  EXPECT_EQ(view.status, 504);
+}
+
 TEST_F(OnlineRequestTest, ARequestWaitsForTheFirstConfiguration) {
   ScriptedRunner runner(loop, {{stream_head() + chunk(event(1)) + kLastChunk}});
   add_runner(runner);
