--- a/src/base/time.h
+++ b/src/base/time.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace stoathold {
 
@@ -23,9 +24,14 @@
 using TimePoint = CoreClock::time_point;
 
 /// Returns the real monotonic time; for drivers (`server`, `bench`) only, never for the core.
+///
+/// It counts the time for which the machine is suspended, which the steady clock of C++ does not:
+/// whatever a node believes has grown that much older meanwhile, and callers have waited that long.
 inline TimePoint monotonic_now() {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint{std::chrono::duration_cast<Duration>(since_start)};
+  timespec since_boot{};
+  clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  return TimePoint{std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec))};
 }
 
 /// Returns the time of day in milliseconds since the epoch; for drivers only. It may jump, and
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,10 +1,10 @@
 #include "gateway/gateway.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/timer.h"
 #include "gateway/log_fields.h"
 #include "gateway/online_request.h"
 
@@ -47,7 +47,7 @@
 
 asio::awaitable<void> Gateway::wait_for_configuration() {
   const TimePoint until = monotonic_now() + kConfigurationWait;
-  asio::steady_timer timer(context_.executor);
+  Timer timer(context_.executor);
   while (!context_.configuration && monotonic_now() < until) {
     timer.expires_after(kConfigurationPoll);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -37,10 +37,9 @@
 /// Assumed where neither caller nor route bounds a request.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
 
-/// Whether the caller has its answer, or is gone.
+/// Whether the caller has its answer.
 bool is_final(AttemptResult result) {
-  return result == AttemptResult::kCompleted || result == AttemptResult::kErrorPassedOn ||
-         result == AttemptResult::kStopped;
+  return result == AttemptResult::kCompleted || result == AttemptResult::kErrorPassedOn;
 }
 
 /// Whether the request may have run without an answer for the caller.
@@ -190,6 +189,12 @@
       co_return;
     }
     if (!runner) break;
+    // After a suspension a place may be found before the timer of the deadline has fired.
+    if (monotonic_now() >= deadline_) {
+      give_place_back(*runner);
+      stop(RequestOutcome::kTimedOut);
+      break;
+    }
     if (lost_access()) {
       co_await refuse_lost_access(*runner);
       co_return;
@@ -199,6 +204,8 @@
     const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
     if (is_final(result)) co_return;
+    // A caller whose time was up still gets its 504; closed, the connection would tell it nothing.
+    if (result == AttemptResult::kStopped) break;
     if (may_have_run(result)) {
       if (!may_run_again()) break;
       if (head_sent_) ++context_.metrics.resumes;
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "gateway/attempt_result.h"
 #include "gateway/caller_check.h"
 #include "gateway/event_framer.h"
@@ -98,8 +98,8 @@
   PromptPrefix prompt_;
   std::vector<HttpHeader> forwarded_headers_;
 
-  boost::asio::steady_timer deadline_timer_;
-  boost::asio::steady_timer runner_queue_timer_;
+  Timer deadline_timer_;
+  Timer runner_queue_timer_;
   std::shared_ptr<PlacementTicket> ticket_;
   std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<UpstreamExchange> upstream_;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <map>
 
+#include "base/timer.h"
 #include "net/beast_helpers.h"
 #include "routing/latency_quantile.h"
 
@@ -205,7 +206,7 @@
   void copy_head();
 
   UpstreamPool::State& pool;
-  asio::steady_timer timer;
+  Timer timer;
   TimePoint deadline{};
   TimePoint armed_until{};
   DeadlineExtender extender;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "gateway/attempt_result.h"
 #include "gateway/event_framer.h"
 #include "gateway/gateway_context.h"
@@ -104,7 +104,7 @@
   std::vector<std::string> failed_at_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   bool yielding_ = false;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   bool stopped_ = false;
 };
 
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/timer.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -95,7 +96,7 @@
 
 asio::awaitable<void> JobRunner::load_job(JobKey key, std::shared_ptr<ActiveJob> job) {
   Backoff backoff;
-  asio::steady_timer timer(context_.executor);
+  Timer timer(context_.executor);
   while (!job->stopped) {
     LogStatus status = co_await store_.refresh_results(key);
     if (status == LogStatus::kOk) status = co_await store_.refresh_progress(key);
@@ -162,7 +163,7 @@
   const JobItem& listed = job->items[item.index];
   ItemRequest request;
   Backoff backoff;
-  asio::steady_timer timer(context_.executor);
+  Timer timer(context_.executor);
   while (!job->stopped) {
     const LookupStatus status = co_await store_.read_request(item.job, item.index, listed, request);
     if (status == LookupStatus::kFound) break;
@@ -214,7 +215,7 @@
 
 /// Each item has a durable result now, of this node or read from the log.
 asio::awaitable<void> JobRunner::finish_job(JobKey key, std::shared_ptr<ActiveJob> job) {
-  asio::steady_timer timer(context_.executor);
+  Timer timer(context_.executor);
   Backoff backoff;
   while (!job->stopped) {
     const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kFinished, key, "1");
@@ -255,7 +256,7 @@
 }
 
 asio::awaitable<void> JobRunner::maintain() {
-  asio::steady_timer timer(context_.executor);
+  Timer timer(context_.executor);
   int round = 0;
   while (!stopping_) {
     timer.expires_after(kUpkeepInterval);
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -4,12 +4,12 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 
+#include "base/timer.h"
 #include "gateway/gateway_context.h"
 #include "jobs/checkpoint_table.h"
 #include "jobs/item_run.h"
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -4,10 +4,10 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/ids.h"
+#include "base/timer.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -57,7 +57,7 @@
 }
 
 asio::awaitable<void> JobStore::pause(Duration duration) {
-  asio::steady_timer timer(executor_, duration);
+  Timer timer(executor_, duration);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
@@ -100,7 +100,7 @@
 /// Of a large fleet's nodes few run jobs; were all to follow them, most of the calls to the log
 /// would be theirs.
 asio::awaitable<void> JobStore::keep_up(JobsPartition& partition) {
-  partition.rest = std::make_unique<asio::steady_timer>(executor_);
+  partition.rest = std::make_unique<Timer>(executor_);
   const std::function<bool()> running = [this] { return running_jobs_; };
   while (true) {
     co_await partition.replica->follow(running, kFollowPace);
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -4,11 +4,11 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 
+#include "base/timer.h"
 #include "jobs/job_records.h"
 #include "jobs/job_table.h"
 #include "jobs/listed_results.h"
@@ -119,7 +119,7 @@
     std::unique_ptr<JobTable> table;
     std::shared_ptr<PartitionReplica> replica;
     bool followed = false;
-    std::unique_ptr<boost::asio::steady_timer> rest;  ///< Ends the rest of a node without jobs.
+    std::unique_ptr<Timer> rest;  ///< Ends the rest of a node without jobs.
   };
 
   /// Whether a job fits the limit on the tokens that may wait on its route.
--- a/src/jobs/slot_membership.cc
+++ b/src/jobs/slot_membership.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/timer.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -60,7 +60,7 @@
 }
 
 asio::awaitable<void> SlotMembership::run() {
-  asio::steady_timer timer(executor_);
+  Timer timer(executor_);
   Backoff backoff;
   bool reachable = true;
   while (!leaving_) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <system_error>
 
+#include "base/timer.h"
 #include "net/beast_helpers.h"
 #include "net/http.h"
 
@@ -231,7 +232,7 @@
       auto [error, socket] = co_await acceptor.async_accept(own_executor, kNoThrow);
       if (error == asio::error::operation_aborted || stopped) co_return;
       if (error) {
-        asio::steady_timer pause(co_await asio::this_coro::executor, std::chrono::milliseconds(50));
+        Timer pause(co_await asio::this_coro::executor, std::chrono::milliseconds(50));
         co_await pause.async_wait(kNoThrow);
         continue;
       }
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -8,6 +8,7 @@
 #include <system_error>
 #include <unordered_map>
 
+#include "base/timer.h"
 #include "net/http.h"
 
 namespace stoathold {
@@ -53,7 +54,7 @@
     std::size_t queued_bytes = 0;
     bool running = false;
     bool connected = false;
-    std::chrono::steady_clock::time_point retry_at;
+    TimePoint retry_at;
   };
 
   State(asio::any_io_executor executor_in, Receiver receiver_in)
@@ -69,8 +70,7 @@
   }
 
   void enqueue(const std::shared_ptr<Link>& link, const std::string& address, std::string frame) {
-    if (link->queued_bytes + frame.size() > kQueuedBytesLimit ||
-        std::chrono::steady_clock::now() < link->retry_at) {
+    if (link->queued_bytes + frame.size() > kQueuedBytesLimit || monotonic_now() < link->retry_at) {
       ++dropped;
       return;
     }
@@ -89,7 +89,7 @@
     const Tcp::endpoint endpoint(asio::ip::make_address(host, error), port);
     if (error) co_return false;
     link->socket = Tcp::socket(link->strand);
-    asio::steady_timer timer(link->strand, kConnectTimeout);
+    Timer timer(link->strand, kConnectTimeout);
     timer.async_wait([link](boost::system::error_code timer_error) {
       boost::system::error_code ignored;
       if (!timer_error && !link->connected) link->socket.close(ignored);
@@ -123,7 +123,7 @@
         dropped += link->queue.size();
         link->queue.clear();
         link->queued_bytes = 0;
-        link->retry_at = std::chrono::steady_clock::now() + kReconnectPause;
+        link->retry_at = monotonic_now() + kReconnectPause;
         break;
       }
       const std::string frame = std::move(link->queue.front());
@@ -150,7 +150,7 @@
       auto [error, socket] = co_await acceptor.async_accept(asio::make_strand(executor), kNoThrow);
       if (error == asio::error::operation_aborted || stopped) co_return;
       if (error) {
-        asio::steady_timer pause(acceptor.get_executor(), kReconnectPause);
+        Timer pause(acceptor.get_executor(), kReconnectPause);
         co_await pause.async_wait(kNoThrow);
         continue;
       }
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -3,11 +3,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/timer.h"
 #include "core/codec.h"
 #include "store/backoff.h"
 
@@ -77,7 +77,7 @@
 /// A record without an answer is written again: twice the same record does no harm.
 asio::awaitable<void> QuarantineLog::write_all() {
   Backoff backoff;
-  asio::steady_timer timer(executor_);
+  Timer timer(executor_);
   while (!unwritten_.empty()) {
     const auto batch = unwritten_;
     std::vector<KeyedRecord> records;
@@ -99,7 +99,7 @@
 }
 
 asio::awaitable<void> QuarantineLog::expire_now_and_then() {
-  asio::steady_timer timer(executor_);
+  Timer timer(executor_);
   while (true) {
     timer.expires_after(kExpiryInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -11,7 +11,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
@@ -20,6 +19,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/timer.h"
 #include "quarantine/quarantine.h"
 #include "routing/load_messages.h"
 #include "routing/neighbour_table.h"
@@ -144,10 +144,10 @@
   PaceListener pace_listener_;
   std::string buffer_;
   Endpoint from_;
-  boost::asio::steady_timer send_timer_;
-  boost::asio::steady_timer expiry_timer_;
-  boost::asio::steady_timer tenant_timer_;
-  boost::asio::steady_timer ends_timer_;
+  Timer send_timer_;
+  Timer expiry_timer_;
+  Timer tenant_timer_;
+  Timer ends_timer_;
   bool ends_scheduled_ = false;
   std::size_t tenant_turn_ = 0;  ///< Picks the node of a zone that gets the zone's report.
   TimePoint last_sent_{};
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -7,12 +7,12 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 
+#include "base/timer.h"
 #include "routing/load_messages.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_selector.h"
@@ -47,7 +47,7 @@
  private:
   friend class PlacementQueue;
   PlacementRequest request_;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   Selection selection_;
   TimePoint ask_yield_at_{};
   std::uint64_t number_ = 0;
@@ -115,7 +115,7 @@
   /// When online work of this node last made batch work yield.
   std::map<std::string, TimePoint> preempted_at_;
   std::uint64_t next_number_ = 0;
-  boost::asio::steady_timer watch_timer_;
+  Timer watch_timer_;
   bool watching_ = false;
   bool dispatching_ = false;
 };
--- a/src/server/node_runtime.h
+++ b/src/server/node_runtime.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/timer.h"
 #include "core/node_core.h"
 #include "net/engine_client.h"
 #include "net/log_client.h"
@@ -95,7 +96,7 @@
   WaiterTable<ShardAnswer> calls_;
   WaiterTable<ChangeOutcome> changes_;
 
-  boost::asio::steady_timer tick_timer_;
+  Timer tick_timer_;
   TimePoint next_machine_read_;
   TimePoint next_load_poll_;
   TimePoint next_check_;
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "base/timer.h"
 #include "net/http.h"
 #include "server/caller_api.h"
 #include "server/node_runtime.h"
@@ -39,7 +40,7 @@
   runtime.start();
   server.start();
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  asio::steady_timer farewell(context);
+  Timer farewell(context);
   signals.async_wait([&](boost::system::error_code error, int /*signal*/) {
     if (error) return;
     runtime.drain([&] {
--- a/src/server/one_shot.h
+++ b/src/server/one_shot.h
@@ -6,7 +6,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdint>
 #include <memory>
@@ -14,6 +13,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "base/timer.h"
+
 namespace stoathold {
 
 /// Carries one value to a coroutine on `executor` (a strand). Shared by both sides.
@@ -21,7 +22,7 @@
 class OneShot : public std::enable_shared_from_this<OneShot<Value>> {
  public:
   explicit OneShot(const boost::asio::any_io_executor& executor)
-      : timer_(executor, boost::asio::steady_timer::time_point::max()) {}
+      : timer_(executor, Timer::time_point::max()) {}
 
   /// Provides the value; later calls are ignored. Any thread.
   void set(Value value) {
@@ -42,7 +43,7 @@
   }
 
  private:
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   std::optional<Value> value_;
 };
 
--- a/src/server/online_session.cc
+++ b/src/server/online_session.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "base/timer.h"
 #include "net/event_splitter.h"
 #include "server/refusal.h"
 
@@ -45,7 +46,7 @@
       name_(std::move(name)),
       wants_stream_(wants_stream),
       end_(std::make_shared<OneShot<SessionEnd>>(exchange.executor())),
-      idle_(exchange.executor(), asio::steady_timer::time_point::max()) {}
+      idle_(exchange.executor(), Timer::time_point::max()) {}
 
 asio::awaitable<bool> OnlineSession::on_events(std::string_view events,
                                                std::uint32_t /*last_token*/) {
--- a/src/server/online_session.h
+++ b/src/server/online_session.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "base/timer.h"
 #include "net/engine_client.h"
 #include "net/http.h"
 #include "server/one_shot.h"
@@ -57,7 +58,7 @@
   std::string collected_;
   std::uint32_t streams_ = 0;
   std::shared_ptr<OneShot<SessionEnd>> end_;
-  boost::asio::steady_timer idle_;
+  Timer idle_;
 };
 
 /// Joins the text of a run of server-sent events; events without text are passed over.
--- a/src/server/operator_api.cc
+++ b/src/server/operator_api.cc
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "base/event_log.h"
+#include "base/timer.h"
 #include "net/http_target.h"
 #include "server/metrics.h"
 #include "server/refusal.h"
@@ -251,7 +252,7 @@
   TimePoint last_line = monotonic_now();
   const bool started = co_await exchange.start_stream("application/x-ndjson");
   if (!started) co_return;
-  asio::steady_timer timer(exchange.executor());
+  Timer timer(exchange.executor());
   while (monotonic_now() < end && runtime.core().readiness().ready) {
     std::string lines = changes_since(runtime, kind, from, known);
     const bool idle = monotonic_now() - last_line > kWatchKeepAlive;
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/timer.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -98,7 +98,7 @@
 asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running, Duration pace,
                                                Duration wait) {
   const auto self = shared_from_this();
-  asio::steady_timer timer(co_await asio::this_coro::executor);
+  Timer timer(co_await asio::this_coro::executor);
   Backoff backoff;
   while (running()) {
     // After a failure the next read does not wait, so that the first answer shows at once.
