--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -98,13 +98,23 @@
   Backoff backoff;
   Timer timer(context_.executor);
   while (!job->stopped) {
+    const char* step = "results";
     LogStatus status = co_await store_.refresh_results(key);
-    if (status == LogStatus::kOk) status = co_await store_.refresh_progress(key);
+    if (status == LogStatus::kOk) {
+      step = "progress";
+      status = co_await store_.refresh_progress(key);
+    }
     if (status == LogStatus::kOk) break;
+    log_event(Event::kJobLoadRetried,
+              {{"job", key}, {"step", step}, {"status", std::string(to_string(status))}});
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (job->stopped) co_return;
+  log_event(Event::kJobLoaded, {{"job", key},
+                                {"listed", std::to_string(store_.results_of(key).listed().size())},
+                                {"waiting", std::to_string(waiting_.size())},
+                                {"running", std::to_string(running_items_)}});
   const ListedResults& results = store_.results_of(key);
   for (std::uint32_t index = 0; index < job->items.size(); ++index) {
     if (results.is_listed(index)) {
@@ -169,6 +179,8 @@
     if (status == LookupStatus::kFound) break;
     if (status == LookupStatus::kAbsent) {
       log_event(Event::kItemUnreadable, {{"job", item.job}, {"item", listed.id}});
+    } else {
+      log_event(Event::kItemReadRetried, {{"job", item.job}, {"item", listed.id}});
     }
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -240,7 +240,8 @@
 }
 
 /// The connection of a caller whose time was up in the middle of an attempt was closed without an
-/// answer: the end of its time ended the attempt, and an attempt that was ended so counted as answered.
+/// answer: the end of its time ended the attempt, and an attempt that was ended so counted as
+/// answered.
 TEST_F(OnlineRequestTest, ACallerWhoseTimeIsUpDuringAnAttemptGetsAnAnswer) {
   configure(RouteKind::kStreaming, true);
   ScriptedAnswer silent("");
