--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -17,6 +17,7 @@
         self.unsafe = {}
         self.accepted = {}
         self.positions = {}
+        self.runner_ends = 0
 
     def count(self, what):
         with self.lock:
@@ -29,6 +30,8 @@
     def stream_answered(self, request, status, body, whole):
         """A stream that may be resumed: whole or visibly cut, never wrong."""
         self.count("stream %s" % (status if whole else "cut"))
+        if b"quarantined" in body:
+            self.break_one("stream %s: kept from runners, but it ends none" % request)
         if status != 200:
             return
         text = body.decode(errors="replace")
@@ -37,11 +40,31 @@
         if not whole and not stream_text("q").startswith(text):
             self.break_one("stream %s: cut, and not a part of the answer: %r" % (request, text))
 
+    def deadly_answered(self, status, body, whole):
+        """A request that ends its runners: never a success."""
+        self.count("deadly %s" % (status if whole else "cut"))
+        if whole and status == 200:
+            self.break_one("deadly: answered as a success: %r" % body)
+
+    def runner_ended(self):
+        self.count("runner ended by a request")
+        with self.lock:
+            self.runner_ends += 1
+
+    def check_runner_ends(self, disturbances):
+        """Three ends, and three more sends, are what one request may cost. Each disturbance of nodes
+        or of their links may make one node forget what it saw, and let it learn again later."""
+        most = 6 + 2 * disturbances
+        if self.runner_ends > most:
+            self.break_one("%d runners ended by one request, at most %d" % (self.runner_ends, most))
+
     def unsafe_answered(self, request, status, body):
         """A request that runs at most once; `status` is None if there was no whole answer."""
         self.count("unsafe %s" % status)
         with self.lock:
             self.unsafe[request] = status
+        if b"quarantined" in body:
+            self.break_one("unsafe %s: kept from runners, but it ends none" % request)
         if status == 200 and body.decode() != stream_text("q"):
             self.break_one("unsafe %s: a wrong answer" % request)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
 from platform_fleet import EVENTS, HOST, Platform  # noqa: E402
-from fleet import BUILD, Process, call, call_json, wait_for  # noqa: E402
+from fleet import call, call_json, wait_for  # noqa: E402
 
 from link_proxy import LinkLoop  # noqa: E402
 from promises import Promises  # noqa: E402
@@ -28,6 +28,9 @@
 UNSAFE_ROUTE = {"name": "once", "host": HOST, "path_prefix": "/once/", "kind": "unsafe",
                 "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat",
                 "max_attempts": 3}
+# Ends each runner that begins to run it; the runner's process ends with this code.
+DEADLY = "deadly"
+CRASH_EXIT_CODE = 3
 
 
 class Soak:
@@ -41,13 +44,16 @@
         self.store_links = []
         self.runner_links = {}
         self.promises = Promises()
-        self.platform = Platform(directory, NODES, RUNNERS, self.make_link)
+        self.platform = Platform(directory, NODES, RUNNERS, self.make_link, DEADLY)
         self.directory = directory
         self.runner_ids = {name: name for name in self.platform.runners}
         self.known_runs = {}
         self.items_may_fail = False
         self.version = 1
         self.stopped = threading.Event()
+        self.judged = threading.Event()
+        self.runners_lock = threading.Lock()
+        self.disturbances = 0
 
     def make_link(self, kind, name, address):
         link = self.links.open(address)
@@ -75,6 +81,12 @@
         self.promises.stream_answered(
             request, *self.call(node, "POST", "/ask/1", b"q", headers))
 
+    def deadly(self, node, request):
+        """The one request that ends its runners, under another id each time."""
+        headers = {"Stoathold-Attempt-Id": request, "Stoathold-Deadline-Ms": "15000"}
+        self.promises.deadly_answered(
+            *self.call(node, "POST", "/ask/1", DEADLY.encode(), headers))
+
     def unsafe(self, node, request):
         headers = {"Stoathold-Attempt-Id": request, "Stoathold-Deadline-Ms": "15000"}
         status, body, whole = self.call(node, "POST", "/once/1", b"q", headers)
@@ -111,7 +123,9 @@
             name = "c%dx%d" % (number, turn)
             node = plan.randrange(NODES)
             kind = plan.random()
-            if kind < 0.4:
+            if kind < 0.03:
+                self.deadly(node, name)
+            elif kind < 0.4:
                 self.stream(node, name)
             elif kind < 0.7:
                 self.unsafe(node, name)
@@ -179,36 +193,61 @@
         kind = self.random.choice(["restart", "break", "spoil", "foreign", "turn away", "fail"])
         self.note("runner %s: %s" % (name, kind))
         if kind == "restart":
-            self.restart_runner(name)
+            with self.runners_lock:
+                self.restart_runner(name)
             return lambda: None
         values = {"break": {"break_after": 2}, "spoil": {"spoiled_answers": 5},
                   "foreign": {"foreign_answers": 5}, "turn away": {"not_run": True},
                   "fail": {"error_status": 500}}[kind]
         if kind == "fail":
             self.items_may_fail = True
-        self.platform.faults(address, **values)
-        return lambda: self.platform.faults(
+        self.set_runner_faults(address, **values)
+        return lambda: self.set_runner_faults(
             address, break_after=0, spoiled_answers=0, foreign_answers=0, not_run=False,
             error_status=0)
 
+    def set_runner_faults(self, address, **values):
+        """A runner that has just ended has no faults, and begins without any."""
+        try:
+            self.platform.faults(address, **values)
+        except (OSError, http.client.HTTPException):
+            self.note("runner at %s is away" % address)
+
     def restart_runner(self, name):
         """Ends a runner; the next start at its address has another identity."""
         index = sorted(self.platform.runners).index(name)
+        self.revive_runner(name, index)
         self.collect_runs(name)
         self.platform.runner_processes[index].kill()
+        self.start_runner_again(name, index)
+
+    def revive_runners(self):
+        """Runners that a request has ended come back after a while, as another start."""
+        while not self.judged.wait(0.2):
+            with self.runners_lock:
+                for index, name in enumerate(sorted(self.platform.runners)):
+                    self.revive_runner(name, index)
+
+    def revive_runner(self, name, index):
+        if self.platform.runner_processes[index].handle.poll() == CRASH_EXIT_CODE:
+            self.promises.runner_ended()
+            self.start_runner_again(name, index)
+
+    def start_runner_again(self, name, index):
         self.platform.append_raw("keyed.servers", self.runner_ids[name], b"")
         self.runner_ids[name] = "%s.%d" % (name, self.random.randrange(10**6))
-        self.platform.runner_processes[index] = Process(
-            self.runner_ids[name],
-            [BUILD / "apps/stoathold-emulator", "inference-runner", "--listen",
-             self.platform.runners[name], "--id", self.runner_ids[name], "--events", EVENTS],
-            self.directory)
+        self.platform.runner_processes[index] = self.platform.start_runner(
+            name, self.runner_ids[name])
         wait_for(lambda: call(self.platform.runners[name], "GET", "/admin/runs")[0] == 200, name)
         self.platform.list_runner(name, runner_id=self.runner_ids[name])
 
     def collect_runs(self, name):
-        for request, runs in call_json(
-                self.platform.runners[name], "GET", "/admin/runs")[1].items():
+        """Adds up what ran at a runner; a runner that has just ended tells nothing."""
+        try:
+            told = call_json(self.platform.runners[name], "GET", "/admin/runs")[1]
+        except (OSError, http.client.HTTPException):
+            return
+        for request, runs in told.items():
             self.known_runs[request] = self.known_runs.get(request, 0) + runs
 
     def fault_store(self):
@@ -235,13 +274,15 @@
         self.platform.wait_ready()
         callers = [threading.Thread(target=self.caller, args=(number,), daemon=True)
                    for number in range(CALLERS)]
-        for thread in callers:
+        reviver = threading.Thread(target=self.revive_runners, daemon=True)
+        for thread in callers + [reviver]:
             thread.start()
         for _ in range(self.steps):
             faults = [self.fault_link, self.fault_node, self.fault_runner, self.fault_store,
                       self.change_configuration]
-            heals = [fault() for fault in
-                     self.random.sample(faults, self.random.choice([1, 1, 2, 3]))]
+            chosen = self.random.sample(faults, self.random.choice([1, 1, 2, 3]))
+            self.disturbances += len(chosen)
+            heals = [fault() for fault in chosen]
             time.sleep(self.random.choice([0.3, 1.0, 3.0]))
             for heal in heals:
                 heal()
@@ -250,6 +291,8 @@
         for thread in callers:
             thread.join(120)
         self.settle()
+        self.judged.set()
+        reviver.join(60)
 
     def settle(self):
         """Without faults every accepted job ends, and what was seen can be judged."""
@@ -270,6 +313,7 @@
         for name in self.platform.runners:
             self.collect_runs(name)
         self.promises.check_unsafe(self.known_runs)
+        self.promises.check_runner_ends(self.disturbances)
         self.promises.check_results(self.items_may_fail)
 
 
