--- a/src/ctl/log_story.cc
+++ b/src/ctl/log_story.cc
@@ -50,6 +50,10 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+/// Events that tell of all copies of a request, whatever their ids.
+constexpr std::array<std::string_view, 3> kContentNews{"runner_ended_with_request",
+                                                       "request_quarantined", "quarantine_ended"};
+
 /// A job's key in the log ends with its id.
 bool tells_of(const LogLine& line, const std::string& id) {
   if (line.field("request") == id || line.field("item") == id) return true;
@@ -80,14 +84,20 @@
   std::vector<LogLine> story;
   std::set<std::string> runners;
   std::set<std::string> nodes;
+  std::set<std::string> contents;
   std::string last;
   for (const auto& line : lines) {
     if (!tells_of(line, id)) continue;
     story.push_back(line);
     nodes.insert(line.node);
     if (!line.field("runner").empty()) runners.insert(line.field("runner"));
+    if (!line.field("content").empty()) contents.insert(line.field("content"));
     last = std::max(last, line.time);
   }
+  for (const auto& line : lines) {
+    const bool of_copies = contents.contains(line.field("content"));
+    if (of_copies && is_one_of(kContentNews, line.name)) story.push_back(line);
+  }
   // Of each kind of news a node got before the end, the newest is what it acted on.
   std::map<std::string, LogLine> news;
   for (const auto& line : lines) {
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -313,6 +313,7 @@
     if (peer_uses_.expire(now) && listener_) listener_();
     report_remote_use();
     send_zone_loads();
+    send_end_reports();
     send_remote_end_reports();
     const Duration repeat = in_use_ ? kRepeatInterval : kHeartbeatInterval;
     if (now - last_sent_ >= repeat) schedule_send();
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -103,16 +103,17 @@
 }
 
 void PeerLoads::send_end_reports() {
+  if (quarantine_ == nullptr || zone_nodes_.empty()) return;
   const EndReports message{.reports = quarantine_->take_zone_news(monotonic_now())};
   if (message.reports.empty()) return;
   const std::string bytes = encode_message(message);
   zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
 }
 
-/// Sent again by the timer of the other reports to another node of each zone, so that one that is
-/// gone or one lost message costs nothing.
+/// Sent again by the timer of the other reports, since messages get lost; to another node of each
+/// zone, so that one that is gone or one lost message costs nothing.
 void PeerLoads::send_remote_end_reports() {
-  if (quarantine_ == nullptr) return;
+  if (quarantine_ == nullptr || remote_zones_.empty()) return;
   const EndReports message{.reports = quarantine_->take_remote_news(monotonic_now()),
                            .pass_on = true};
   if (message.reports.empty()) return;
--- a/tests/ctl/log_story_test.cc
+++ b/tests/ctl/log_story_test.cc
@@ -16,6 +16,10 @@
 {"time":"02","level":"info","event":1604,"name":"store_lost","node":"n2"}
 {"time":"06","level":"info","event":1506,"name":"request_unanswered","node":"n1","request":"q1","status":"502"}
 {"time":"09","level":"info","event":1605,"name":"store_regained","node":"n1"}
+{"time":"08","level":"info","event":1505,"name":"attempt_failed","node":"n3","request":"q2","content":"c1"}
+{"time":"04","level":"info","event":1518,"name":"runner_ended_with_request","node":"n4","content":"c1"}
+{"time":"09","level":"warning","event":1516,"name":"request_quarantined","node":"n4","content":"c1"}
+{"time":"09","level":"warning","event":1516,"name":"request_quarantined","node":"n4","content":"c2"}
 not a structured line {
 {"time":"07","level":"info","event":1408,"name":"item_done","node":"n2","job":"aa.j1","item":"i1"}
 )";
@@ -35,6 +39,12 @@
                                       "06 request_unanswered"}));
 }
 
+TEST(LogStoryTest, WhatOtherNodesSawOfCopiesOfARequestBelongsToIt) {
+  EXPECT_EQ(story_of("q2"),
+            (std::vector<std::string>{"04 runner_ended_with_request", "08 attempt_failed",
+                                      "09 request_quarantined"}));
+}
+
 TEST(LogStoryTest, ItemsAndJobsAreFoundByTheirIds) {
   EXPECT_EQ(story_of("j1").back(), "07 item_done");
   EXPECT_EQ(story_of("i1").back(), "07 item_done");
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -198,6 +198,32 @@
   EXPECT_FALSE(third.runner("b1").ejected(monotonic_now()));
 }
 
+TEST_F(SharedRunnersTest, EndsOfRunnersAreToldInTheZoneAndPassedOnInOthers) {
+  const ContentHash deadly{7};
+  Node first(loop, "a", 1);
+  Node second(loop, "a", 2);
+  Node far(loop, "b", 3);
+  Node also_far(loop, "b", 4);
+  std::vector<std::unique_ptr<Quarantine>> quarantines;
+  for (Node* node : {&first, &second, &far, &also_far}) {
+    quarantines.push_back(std::make_unique<Quarantine>([](std::uint64_t) { return std::nullopt; }));
+    node->loads.share_runner_ends(*quarantines.back());
+  }
+  const auto holds = [&](std::size_t node) {
+    return quarantines[node]->holds(deadly, monotonic_now());
+  };
+  // Seen before any other node is known: told once there is somebody to tell.
+  quarantines[0]->note_end({deadly, 11, RunStage::kBegun, monotonic_now()}, 0);
+  run_until([&, turn = 0]() mutable { return ++turn > 5; });
+  first.loads.set_peers({{second.loads.address(), "a"}, {far.loads.address(), "b"}});
+  far.loads.set_peers({{also_far.loads.address(), "b"}});
+  quarantines[0]->note_end({deadly, 12, RunStage::kBegun, monotonic_now()}, 0);
+  quarantines[2]->note_end({deadly, 13, RunStage::kBegun, monotonic_now()}, 0);
+  run_until([&] { return holds(2) && holds(3); });
+  quarantines[1]->note_end({deadly, 14, RunStage::kBegun, monotonic_now()}, 0);
+  run_until([&] { return holds(1); });
+}
+
 TEST_F(SharedRunnersTest, DemandIsToldInsideTheZoneAndGrowsOld) {
   Node waiting(loop, "a", 1);
   Node near(loop, "a", 2);
