--- /dev/null
+++ b/bench/quarantine.cc
@@ -0,0 +1,67 @@
+/// @file
+/// `stoathold-quarantine-bench`: processor time that the quarantine adds to a request and to the
+/// end of a runner (Google Benchmark).
+#include "quarantine/quarantine.h"
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+namespace stoathold {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::seconds(100)};
+constexpr std::uint64_t kFullTable = 4096;
+
+Quarantine make_quarantine() {
+  return Quarantine([](std::uint64_t) { return std::nullopt; });
+}
+
+/// One arrival, as `OnlineRequest` checks it.
+bool check(const Quarantine& quarantine, const std::string& body) {
+  if (quarantine.empty()) return false;
+  const ContentHash content =
+      content_hash({.tenant = "t", .host = "a.example", .target = "/x/1", .body = body});
+  return quarantine.holds(content, kNow);
+}
+
+void arrival_with_an_empty_quarantine(benchmark::State& state) {
+  const Quarantine quarantine = make_quarantine();
+  const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
+  for (auto _ : state) benchmark::DoNotOptimize(check(quarantine, body));
+}
+
+void arrival_with_requests_in_quarantine(benchmark::State& state) {
+  Quarantine quarantine = make_quarantine();
+  for (std::uint64_t content = 1; content <= 100; ++content) {
+    quarantine.take_record(ContentHash{content}, {.since_ms = 0, .ends = 3}, kNow, 0);
+  }
+  const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
+  for (auto _ : state) benchmark::DoNotOptimize(check(quarantine, body));
+}
+
+/// A runner ends with requests, in a table that is full of others; 17 is a runner's slots.
+void end_of_a_runner(benchmark::State& state) {
+  Quarantine quarantine = make_quarantine();
+  std::uint64_t runner = 0;
+  std::uint64_t content = 0;
+  const auto end_with = [&](std::int64_t requests) {
+    ++runner;
+    for (std::int64_t i = 0; i < requests; ++i) {
+      quarantine.note_end({ContentHash{++content}, runner, RunStage::kWaiting, kNow}, 0);
+    }
+    while (!quarantine.take_zone_news(kNow).empty()) {
+    }
+  };
+  while (quarantine.suspects() < kFullTable) end_with(state.range(0));
+  for (auto _ : state) end_with(state.range(0));
+}
+
+BENCHMARK(arrival_with_an_empty_quarantine)->Arg(2000)->Arg(100000);
+BENCHMARK(arrival_with_requests_in_quarantine)->Arg(2000)->Arg(100000);
+BENCHMARK(end_of_a_runner)->Arg(1)->Arg(17);
+
+}  // namespace
+}  // namespace stoathold
+
+BENCHMARK_MAIN();
