--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -117,7 +117,7 @@
   const bool again = on_probation_.contains(content) && ends_.weight_against(content) > 0;
   if (!again && !ends_.condemns(content)) return;
   const bool seen_here = seen_here_.contains(content);
-  quarantined_[content] = {.since_ms = time_of_day_ms, .until = now + kQuarantineTime};
+  quarantined_[content] = {.until = now + kQuarantineTime};
   const std::size_t ends = ends_.ends_of(content);
   log_event(Event::kRequestQuarantined, {{"content", to_hex(value_of(content))},
                                          {"ends", std::to_string(ends)},
@@ -138,7 +138,6 @@
   QuarantinedRequest& request = quarantined_[content];
   request.recorded = true;
   if (known) return;
-  request.since_ms = record.since_ms;
   request.until = until;
   log_event(Event::kRequestQuarantined, {{"content", to_hex(value_of(content))},
                                          {"ends", std::to_string(record.ends)},
@@ -147,9 +146,9 @@
 }
 
 void Quarantine::lift(ContentHash content) {
+  if (quarantined_.erase(content) == 0) return;
   ends_.forget(content);
   on_probation_.erase(content);
-  if (quarantined_.erase(content) == 0) return;
   log_event(Event::kQuarantineEnded,
             {{"content", to_hex(value_of(content))}, {"reason", "lifted"}});
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -17,9 +17,8 @@
 
 /// One request that no runner is given.
 struct QuarantinedRequest {
-  std::int64_t since_ms = 0;  ///< Time of day of the node that put it there.
-  TimePoint until{};          ///< On this node's clock.
-  bool recorded = false;      ///< The log is known to hold it.
+  TimePoint until{};
+  bool recorded = false;  ///< The log is known to hold it.
 };
 
 /// What is known of requests that end runners: the ends that nodes have seen, and the requests that
@@ -73,7 +72,8 @@
   /// The log holds this record of a request.
   void take_record(ContentHash content, const QuarantineRecord& record, TimePoint now,
                    std::int64_t time_of_day_ms);
-  /// The log no longer holds one: an operator has lifted the quarantine, or its time was up.
+  /// The log no longer holds one: an operator has lifted the quarantine. Of one whose time was up
+  /// nothing changes: the next end condemns it again.
   void lift(ContentHash content);
   /// The log holds just these requests; others that it held before were lifted.
   void keep_only(const std::set<ContentHash>& contents);
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -77,6 +77,16 @@
   EXPECT_TRUE(node.holds(kDeadly, at(later)));
 }
 
+TEST(QuarantineTest, TheEndOfTheRecordOfOneWhoseTimeWasUpChangesNothing) {
+  Quarantine node = make_quarantine();
+  end_runners(node, 1, 3);
+  const Duration later = Quarantine::kQuarantineTime + std::chrono::seconds(1);
+  node.expire(at(later));
+  node.lift(kDeadly);
+  end_runners(node, 4, 4, later);
+  EXPECT_TRUE(node.holds(kDeadly, at(later)));
+}
+
 TEST(QuarantineTest, ALiftedRequestStartsAnew) {
   Quarantine node = make_quarantine();
   end_runners(node, 1, 3);
