--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -53,13 +53,6 @@
   return result.ec == std::errc{} ? Duration(std::chrono::seconds(seconds)) : kDefaultKeepAlive;
 }
 
-/// Whether the other side closed or reset the connection, rather than sent what is no answer.
-bool is_close(const boost::system::error_code& error) {
-  return error == asio::error::eof || error == asio::error::connection_reset ||
-         error == asio::error::broken_pipe || error == http::error::end_of_stream ||
-         error == http::error::partial_message;
-}
-
 /// Whether an idle connection is open and holds no bytes that nobody asked for.
 bool is_clean(Tcp::socket& socket) {
   return peek_socket(socket) == asio::error::would_block;
@@ -264,7 +257,7 @@
 asio::awaitable<UpstreamStatus> UpstreamExchange::State::read_next_head() {
   start_parser();
   const auto [error, count] = co_await http::async_read_header(*socket, buffer, *parser, kNoThrow);
-  closed_by_runner = ended == UpstreamStatus::kOk && is_close(error);
+  closed_by_runner = ended == UpstreamStatus::kOk && is_closed_by_peer(error);
   if (error || ended != UpstreamStatus::kOk) co_return failure(UpstreamStatus::kBroken);
   co_return UpstreamStatus::kOk;
 }
@@ -296,7 +289,7 @@
     if (!view.empty() || parser->is_done()) break;
     auto [error, count] = co_await socket->async_read_some(buffer.prepare(kReadBytes), kNoThrow);
     buffer.commit(count);
-    closed_by_runner = ended == UpstreamStatus::kOk && is_close(error);
+    closed_by_runner = ended == UpstreamStatus::kOk && is_closed_by_peer(error);
     if (error == asio::error::eof) {
       error = {};
       parser->put_eof(error);
--- a/src/net/beast_helpers.h
+++ b/src/net/beast_helpers.h
@@ -52,4 +52,13 @@
   return error;
 }
 
+/// Whether the other side closed or reset the connection, rather than sent what is no answer.
+inline bool is_closed_by_peer(const boost::system::error_code& error) {
+  namespace asio = boost::asio;
+  namespace http = boost::beast::http;
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe || error == http::error::end_of_stream ||
+         error == http::error::partial_message;
+}
+
 }  // namespace stoathold
