--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -47,6 +47,7 @@
       settings_(std::move(settings)),
       writer_(context.executor, store,
               [this](const ItemResult& result) { result_durable(result); }),
+      loader_(context.executor, store),
       membership_(
           context.executor, log, settings_.member_name,
           SlotHandlers{
@@ -91,26 +92,12 @@
   job->items = entry.submission.items;
   jobs_.emplace(key, job);
   log_event(Event::kJobStarted, {{"job", key}, {"items", std::to_string(job->items.size())}});
-  asio::co_spawn(context_.executor, load_job(key, job), asio::detached);
+  loader_.add({.key = key,
+               .wanted = [job] { return !job->stopped; },
+               .loaded = [this, key, job] { job_loaded(key, job); }});
 }
 
-asio::awaitable<void> JobRunner::load_job(JobKey key, std::shared_ptr<ActiveJob> job) {
-  Backoff backoff;
-  Timer timer(context_.executor);
-  while (!job->stopped) {
-    const char* step = "results";
-    LogStatus status = co_await store_.refresh_results(key);
-    if (status == LogStatus::kOk) {
-      step = "progress";
-      status = co_await store_.refresh_progress(key);
-    }
-    if (status == LogStatus::kOk) break;
-    log_event(Event::kJobLoadRetried,
-              {{"job", key}, {"step", step}, {"status", std::string(to_string(status))}});
-    timer.expires_after(backoff.next());
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-  if (job->stopped) co_return;
+void JobRunner::job_loaded(const JobKey& key, const std::shared_ptr<ActiveJob>& job) {
   log_event(Event::kJobLoaded, {{"job", key},
                                 {"listed", std::to_string(store_.results_of(key).listed().size())},
                                 {"waiting", std::to_string(waiting_.size())},
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_context.h"
 #include "jobs/checkpoint_table.h"
 #include "jobs/item_run.h"
+#include "jobs/job_loader.h"
 #include "jobs/job_store.h"
 #include "jobs/result_writer.h"
 #include "jobs/slot_membership.h"
@@ -77,7 +78,7 @@
 
   void job_changed(const JobKey& key, const JobEntry& job);
   void start_job(const JobKey& key, const JobEntry& job);
-  boost::asio::awaitable<void> load_job(JobKey key, std::shared_ptr<ActiveJob> job);
+  void job_loaded(const JobKey& key, const std::shared_ptr<ActiveJob>& job);
   void stop_job(const JobKey& key, bool keep_progress);
   void start_waiting();
   boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job);
@@ -95,6 +96,7 @@
   JobStore& store_;
   JobRunnerSettings settings_;
   ResultWriter writer_;
+  JobLoader loader_;
   SlotMembership membership_;
   std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
   std::set<WaitingItem> waiting_;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -288,7 +288,7 @@
     range.after = body_record_key(key, index, 0);
     range.after.pop_back();
     range.through = body_record_key(key, index, item.body_records - 1);
-    result = co_await log_.read_newest(partition, range);
+    result = co_await log_.read_newest(partition, range, kPagePatience);
     std::sort(
         result.records.begin(), result.records.end(),
         [](const StoredRecord& left, const StoredRecord& right) { return left.key < right.key; });
@@ -304,19 +304,19 @@
   co_return decode(encoded, request) ? LookupStatus::kFound : LookupStatus::kAbsent;
 }
 
-asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key) {
+asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, Duration patience) {
   const PartitionName partition{kResultsTopic, job_partition(key, log_.limits().partitions)};
   const KeyRange range = results_[key].unread_range(key);
-  ReadResult read = co_await log_.read_newest(partition, range);
+  ReadResult read = co_await log_.read_newest(partition, range, patience);
   const LogStatus status = read.status;
   if (status == LogStatus::kOk) results_[key].add(std::move(read));
   co_return status;
 }
 
-asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key) {
+asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key, Duration patience) {
   const PartitionName partition{kProgressTopic, job_partition(key, log_.limits().partitions)};
   const KeyRange range = progress_key_range(key);
-  const ReadResult read = co_await log_.read_newest(partition, range);
+  const ReadResult read = co_await log_.read_newest(partition, range, patience);
   if (read.status == LogStatus::kOk) add_progress(read.records, progress_[key]);
   co_return read.status;
 }
@@ -358,7 +358,7 @@
   for (const char* topic : {kBodiesTopic, kResultsTopic, kProgressTopic}) {
     const PartitionName partition{topic, number};
     const KeyRange range = job_key_range(key);
-    const ReadResult found = co_await log_.read_newest(partition, range);
+    const ReadResult found = co_await log_.read_newest(partition, range, kPagePatience);
     if (found.status != LogStatus::kOk) co_return;
     for (std::size_t first = 0; first < found.records.size(); first += kDeletionsPerCall) {
       std::vector<KeyedRecord> deletions;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -85,9 +85,10 @@
 
   /// Brings the results of a job up to date with the log. Reads this job's records only, so that
   /// what a node reads follows from what it is asked, not from what all nodes write.
-  boost::asio::awaitable<LogStatus> refresh_results(JobKey key);
+  /// @param patience how long each page of the read may take.
+  boost::asio::awaitable<LogStatus> refresh_results(JobKey key, Duration patience = kPagePatience);
   /// Brings the progress of a job's items up to date with the log.
-  boost::asio::awaitable<LogStatus> refresh_progress(JobKey key);
+  boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, Duration patience = kPagePatience);
   /// Writes progress records; a failure is harmless.
   boost::asio::awaitable<LogStatus> write_progress(std::uint32_t partition,
                                                    std::vector<KeyedRecord> records);
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -41,7 +41,7 @@
 asio::awaitable<LogStatus> PartitionReplica::load_newest() {
   // GCC 12 destroys an aggregate temporary inside a co_await expression twice.
   const KeyRange all_keys;
-  ReadResult result = co_await log_.read_newest(partition_, all_keys);
+  ReadResult result = co_await log_.read_newest(partition_, all_keys, kPagePatience);
   if (result.status != LogStatus::kOk) co_return result.status;
   if (result.end < next_offset_) co_return LogStatus::kOk;
   std::erase_if(result.records,
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -102,6 +102,9 @@
   Duration minimum_time_to_live{0};  ///< Shortest time to live of a group's member.
 };
 
+/// How long a page of the newest records may take where somebody waits for the answer.
+inline constexpr Duration kPagePatience = std::chrono::seconds(1);
+
 /// The durable log. Used on one thread; calls may overlap.
 class RecordLog {
  public:
@@ -122,8 +125,9 @@
 
   /// Reads the newest record of each key in a range, in no promised order. Records appended while
   /// this runs may be missing; those below `end` are all there.
-  virtual boost::asio::awaitable<ReadResult> read_newest(PartitionName partition,
-                                                         KeyRange range) = 0;
+  /// @param patience how long each page may take; a page holds up to 1 MB.
+  virtual boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
+                                                         Duration patience) = 0;
 
   /// Joins a group or stays in it, and learns the slots held.
   virtual boost::asio::awaitable<GroupAssignment> join(GroupMember member) = 0;
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -101,7 +101,8 @@
     co_return result;
   }
 
-  boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range) override {
+  boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
+                                                 Duration /*patience*/) override {
     ReadResult result;
     result.status = LogStatus::kNotDone;
     if (newest_time.count() > 0) {
