--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 from link_proxy import LinkLoop  # noqa: E402
 from promises import Promises  # noqa: E402
 
+# Of each seed unless told otherwise; CI plays these.
 NODES = 3
 RUNNERS = 3
 CALLERS = 4
@@ -36,7 +37,8 @@
 class Soak:
     """One run of a seed."""
 
-    def __init__(self, seed, steps, directory):
+    def __init__(self, seed, steps, directory, nodes=NODES, runners=RUNNERS):
+        self.node_count = nodes
         self.seed = seed
         self.steps = steps
         self.random = random.Random(seed)
@@ -44,7 +46,7 @@
         self.store_links = []
         self.runner_links = {}
         self.promises = Promises()
-        self.platform = Platform(directory, NODES, RUNNERS, self.make_link, DEADLY)
+        self.platform = Platform(directory, nodes, runners, self.make_link, DEADLY)
         self.directory = directory
         self.runner_ids = {name: name for name in self.platform.runners}
         self.known_runs = {}
@@ -121,7 +123,7 @@
         while not self.stopped.is_set():
             turn += 1
             name = "c%dx%d" % (number, turn)
-            node = plan.randrange(NODES)
+            node = plan.randrange(self.node_count)
             kind = plan.random()
             if kind < 0.03:
                 self.deadly(node, name)
@@ -130,7 +132,7 @@
             elif kind < 0.7:
                 self.unsafe(node, name)
             elif kind < 0.8:
-                order = list(range(NODES)) * 2
+                order = list(range(self.node_count)) * 2
                 plan.shuffle(order)
                 self.submit(order, name)
             else:
@@ -168,7 +170,7 @@
         return link.heal
 
     def fault_node(self):
-        index = self.random.randrange(NODES)
+        index = self.random.randrange(self.node_count)
         process = self.platform.node_processes[index]
         kind = self.random.choice(["kill", "freeze", "stop", "kill all"])
         self.note("node %d: %s" % (index, kind))
@@ -298,7 +300,7 @@
         """Without faults every accepted job ends, and what was seen can be judged."""
         self.platform.wait_ready()
         for job, count in self.promises.accepted.items():
-            node = len(job) % NODES
+            node = len(job) % self.node_count
 
             def whole():
                 # A client reads on behind what it has; what stands before is read again below.
@@ -317,10 +319,10 @@
         self.promises.check_results(self.items_may_fail)
 
 
-def run_seed(seed, steps):
+def run_seed(seed, steps, nodes=NODES, runners=RUNNERS):
     """Returns whether all promises held; a failed run's logs are kept."""
     directory = tempfile.mkdtemp(prefix="soak-%d-" % seed)
-    soak = Soak(seed, steps, directory)
+    soak = Soak(seed, steps, directory, nodes, runners)
     try:
         soak.play()
     finally:
@@ -347,12 +349,15 @@
     parser.add_argument("--seed", type=int, help="play this seed; default: those of seeds.txt")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--steps", type=int, default=6, help="groups of faults")
+    parser.add_argument("--nodes", type=int, default=NODES)
+    parser.add_argument("--runners", type=int, default=RUNNERS)
     options = parser.parse_args()
     if options.seed is None:
         seeds = seeds_of(pathlib.Path(__file__).with_name("seeds.txt"))
     else:
         seeds = range(options.seed, options.seed + options.seeds)
-    failed = [seed for seed in seeds if not run_seed(seed, options.steps)]
+    failed = [seed for seed in seeds if not run_seed(
+        seed, options.steps, options.nodes, options.runners)]
     print("%d passed, %d failed" % (len(seeds) - len(failed), len(failed)))
     sys.exit(1 if failed else 0)
 
