--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -63,6 +63,7 @@
     request.address = server.address();
     request.method = "POST";
     request.target = std::move(target);
+    request.body = body;
     request.headers = {{"Host", kHost}, {"X-Request-Id", "id-1"}, {"X-Deadline-Ms", deadline_ms}};
     request.timeout = std::chrono::seconds(20);
     const HttpReply reply = co_await client.call(std::move(request));
@@ -75,6 +76,7 @@
   }
 
   std::string deadline_ms = "15000";
+  std::string body = "question";
   boost::asio::io_context loop;
   GatewayContext context;
   Gateway gateway;
@@ -282,5 +284,81 @@
   EXPECT_EQ(asked, context.runners.all().at("r1").get());
 }
 
+TEST_F(OnlineRequestTest, ARequestUnderWhichThreeRunnersEndedReachesNoMore) {
+  configure(RouteKind::kStreaming, true);
+  const ScriptedAnswer ends(stream_head(), true);
+  std::vector<std::unique_ptr<ScriptedRunner>> runners;
+  for (int i = 0; i < 6; ++i) {
+    runners.push_back(std::make_unique<ScriptedRunner>(loop, std::vector{ends}));
+    add_runner(*runners.back());
+  }
+  // A runner that has ended is gone from the directory before the next copy comes.
+  const auto ask_once_more = [&] {
+    const CallerView view = ask();
+    for (std::size_t i = 0; i < runners.size(); ++i) {
+      if (!runners[i]->requests.empty()) context.runners.remove("r" + std::to_string(i + 1));
+    }
+    return view;
+  };
+  EXPECT_EQ(ask_once_more().status, 502);
+  EXPECT_EQ(ask_once_more().status, 502);
+  const CallerView refused = ask_once_more();
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_NE(refused.body.find("quarantined"), std::string::npos);
+  EXPECT_GT(std::stod(refused.retry_after), 500);
+  std::size_t sends = 0;
+  for (const auto& runner : runners) sends += runner->requests.size();
+  EXPECT_EQ(sends, 3U);
+}
+
+TEST_F(OnlineRequestTest, AnotherRequestAtTheSamePathIsServed) {
+  configure(RouteKind::kStreaming, true);
+  ScriptedRunner runner(loop, {{stream_head() + chunk(event(1)) + kLastChunk}});
+  add_runner(runner);
+  const auto content = [](const char* text) {
+    return content_hash({.tenant = "", .host = kHost, .target = "/x/1", .body = text});
+  };
+  context.quarantine.take_record(content("deadly"), {wall_clock_ms(), 3}, monotonic_now(),
+                                 wall_clock_ms());
+  EXPECT_EQ(ask().status, 200);
+  body = "deadly";
+  EXPECT_EQ(ask().status, 503);
+  EXPECT_EQ(runner.requests.size(), 1U);
+}
+
+TEST_F(OnlineRequestTest, ARequestThatWaitsIsRefusedAsSoonAsItIsKnownToEndRunners) {
+  configure(RouteKind::kStreaming, true);
+  ScriptedRunner runner(loop, {{stream_head() + chunk(event(1)) + kLastChunk}});
+  add_runner(runner);
+  const auto full = context.runners.all().at("r1");
+  while (full->in_flight() < 10) full->begin_attempt();
+  std::optional<CallerView> view;
+  boost::asio::co_spawn(
+      loop, [&]() -> boost::asio::awaitable<void> { view = co_await call("/x/1"); },
+      boost::asio::detached);
+  while (context.placement.waiting(WorkClass::kOnline) == 0) loop.run_one();
+  const ContentHash content =
+      content_hash({.tenant = "", .host = kHost, .target = "/x/1", .body = body});
+  context.quarantine.take_record(content, {wall_clock_ms(), 3}, monotonic_now(), wall_clock_ms());
+  // Far fewer turns than the hundred in which a wait of two seconds looks for a place.
+  for (int turn = 0; turn < 50 && !view; ++turn) loop.run_one();
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->status, 503);
+  EXPECT_TRUE(runner.requests.empty());
+}
+
+TEST_F(OnlineRequestTest, AStreamThatBrokeAfterAnEventIsNoEvidenceAgainstItsRequest) {
+  configure(RouteKind::kStreaming, false, 1);
+  const ScriptedAnswer breaks(stream_head() + chunk(event(1)), true);
+  std::vector<std::unique_ptr<ScriptedRunner>> runners;
+  for (int i = 0; i < 4; ++i) {
+    runners.push_back(std::make_unique<ScriptedRunner>(loop, std::vector{breaks}));
+    add_runner(*runners.back());
+  }
+  for (int i = 0; i < 4; ++i) EXPECT_FALSE(ask().complete);
+  EXPECT_TRUE(context.quarantine.empty());
+  EXPECT_EQ(context.quarantine.suspects(), 0U);
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/gateway/suspension_test.cc
+++ b/tests/gateway/suspension_test.cc
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include "gateway/gateway.h"
+#include "routing/neighbour_table.h"
+#include "tenancy/tenant_gossip.h"
 #include "tests/gateway/scripted_runner.h"
 #include "tests/gateway/suspended_clock.h"
 #include "tests/jobs/run_awaitable.h"
@@ -116,5 +118,53 @@
   EXPECT_EQ(status, 504);
 }
 
+TEST_F(SuspensionTest, OtherNodesCountAsSilentUntilTheyAreHeardAgain) {
+  const TenantDirectory directory{{{"alder", {"key"}, {}, {10, 0}}}};
+  TenantLimits limits;
+  limits.set_tenants(directory, monotonic_now());
+  TenantGossip gossip(limits, 1, 10);
+  NeighbourTable neighbours;
+  const NeighbourTable::Endpoint other(boost::asio::ip::make_address("127.0.0.1"), 7000);
+  const auto hear = [&] {
+    gossip.take_report(2, {}, monotonic_now());
+    neighbours.heard(other, monotonic_now());
+    gossip.check_silence(monotonic_now());
+  };
+  hear();
+  EXPECT_EQ(limits.silent_nodes(), 0U);
+  EXPECT_EQ(neighbours.heard_lately(monotonic_now()).size(), 1U);
+  suspend_machine(kSuspension);
+  gossip.check_silence(monotonic_now());
+  EXPECT_EQ(limits.silent_nodes(), 1U) << "its share of each limit would be given out twice";
+  EXPECT_TRUE(neighbours.heard_lately(monotonic_now()).empty());
+  hear();
+  EXPECT_EQ(limits.silent_nodes(), 0U);
+}
+
+TEST_F(SuspensionTest, WhatIsKnownOfRunnersGrowsOldMeanwhile) {
+  Runner runner({"r1", "chat", "127.0.0.1:1", "zone", 10, false});
+  runner.begin_attempt();
+  runner.end_attempt(AttemptOutcome::kUnreachable, monotonic_now());
+  runner.take_zone_load(0.5, monotonic_now());
+  runner.take_report({.running = 5, .waiting = 0, .slots = 10}, monotonic_now());
+  EXPECT_TRUE(runner.ejected(monotonic_now()));
+  EXPECT_GT(runner.load(monotonic_now()), 0.4);
+  suspend_machine(kSuspension);
+  EXPECT_FALSE(runner.ejected(monotonic_now()));
+  EXPECT_FALSE(runner.zone_load_known(monotonic_now()));
+  EXPECT_EQ(runner.load(monotonic_now()), 0);
+}
+
+TEST_F(SuspensionTest, ARequestStaysInQuarantineForTheTimeThatEverybodyElseCounts) {
+  Quarantine& quarantine = context.quarantine;
+  const ContentHash deadly{1};
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    quarantine.note_end({deadly, id, RunStage::kBegun, monotonic_now()}, wall_clock_ms());
+  }
+  EXPECT_TRUE(quarantine.holds(deadly, monotonic_now()));
+  suspend_machine(Quarantine::kQuarantineTime);
+  EXPECT_FALSE(quarantine.holds(deadly, monotonic_now()));
+}
+
 }  // namespace
 }  // namespace stoathold
