--- a/tests/gateway/suspension_test.cc
+++ b/tests/gateway/suspension_test.cc
@@ -5,61 +5,24 @@
 /// waited, and sent requests on connections that the other side had closed long before.
 #include <gtest/gtest.h>
 
-#include "gateway/gateway.h"
 #include "routing/neighbour_table.h"
 #include "tenancy/tenant_gossip.h"
-#include "tests/gateway/scripted_runner.h"
+#include "tests/gateway/gateway_fixture.h"
 #include "tests/gateway/suspended_clock.h"
-#include "tests/jobs/run_awaitable.h"
 
 namespace stoathold {
 namespace {
 
-constexpr const char* kHost = "a.example";
 constexpr Duration kSuspension = std::chrono::seconds(10);
 
 /// A gateway before one runner with a single slot, and callers who wait 5 s.
-class SuspensionTest : public testing::Test {
+class SuspensionTest : public GatewayFixture {
  protected:
-  SuspensionTest()
-      : context(loop.get_executor(), HeaderDialect{}, "zone"),
-        gateway(context, nullptr),
-        server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
-               [this](HttpExchange& exchange) { return gateway.serve(exchange); }) {
-    server.start();
-    ServingConfiguration configuration;
-    configuration.version = 1;
-    Route route;
-    route.name = "r";
-    route.host = kHost;
-    route.path_prefix = "/x/";
-    route.kind = RouteKind::kStreaming;
-    route.services = {{"chat", 1}};
-    route.timeout = std::chrono::seconds(100);
-    route.latency_objective = std::chrono::seconds(1);
-    route.max_attempts = 2;
-    configuration.routes.push_back(route);
-    context.configuration = std::make_shared<const ServingConfiguration>(configuration);
+  SuspensionTest() {
+    slots = 1;
+    deadline_ms = "5000";
+    configure(RouteKind::kStreaming, false);
   }
-  void add_runner(ScriptedRunner& runner) {
-    context.runners.upsert({"r1", "chat", runner.address(), "zone", 1, false});
-  }
-  boost::asio::awaitable<int> call(std::string deadline_ms = "5000") {
-    HttpClient client(loop.get_executor());
-    HttpCall request;
-    request.address = server.address();
-    request.method = "POST";
-    request.target = "/x/1";
-    request.headers = {{"Host", kHost}, {"X-Request-Id", "id-1"}, {"X-Deadline-Ms", deadline_ms}};
-    request.timeout = std::chrono::seconds(100);
-    const HttpReply reply = co_await client.call(std::move(request));
-    co_return reply.status;
-  }
-
-  boost::asio::io_context loop;
-  GatewayContext context;
-  Gateway gateway;
-  HttpServer server;
 };
 
 TEST_F(SuspensionTest, TimeGoesOnWhileTheMachineIsSuspended) {
@@ -73,16 +36,16 @@
   add_runner(runner);
   const auto only = context.runners.all().at("r1");
   only->begin_attempt();  // Its slot is taken: the request waits.
-  std::optional<int> status;
+  std::optional<CallerView> view;
   boost::asio::co_spawn(
-      loop, [&]() -> boost::asio::awaitable<void> { status = co_await call(); },
+      loop, [&]() -> boost::asio::awaitable<void> { view = co_await call("/x/1"); },
       boost::asio::detached);
   while (context.placement.waiting(WorkClass::kOnline) == 0) loop.run_one();
   suspend_machine(kSuspension);
   only->end_attempt(AttemptOutcome::kServed, monotonic_now());
   context.placement.capacity_changed();
-  while (!status) loop.run_one();
-  EXPECT_EQ(status, 504);
+  while (!view) loop.run_one();
+  EXPECT_EQ(view->status, 504);
   EXPECT_TRUE(runner.requests.empty());
 }
 
@@ -93,29 +56,31 @@
       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   ScriptedRunner runner(loop, {{head + chunk(event(1)) + kLastChunk}});
   add_runner(runner);
-  EXPECT_EQ(run_awaitable(loop, call()), 200);
+  EXPECT_EQ(ask().status, 200);
   EXPECT_TRUE(context.pool.has_idle(runner.address()));
   suspend_machine(kSuspension);
   EXPECT_FALSE(context.pool.has_idle(runner.address()));
-  EXPECT_EQ(run_awaitable(loop, call()), 200);
+  EXPECT_EQ(ask().status, 200);
   EXPECT_EQ(runner.connections, 2);
 }
 
 TEST_F(SuspensionTest, TimersThatAreDueFireWithTheNextOneThatComesUp) {
+  deadline_ms = "60000";
   ScriptedAnswer silent("");
   silent.pause = std::chrono::seconds(60);
   ScriptedRunner runner(loop, {silent});
   add_runner(runner);
-  std::optional<int> status;
+  std::optional<CallerView> view;
   boost::asio::co_spawn(
-      loop, [&]() -> boost::asio::awaitable<void> { status = co_await call("60000"); },
+      loop, [&]() -> boost::asio::awaitable<void> { view = co_await call("/x/1"); },
       boost::asio::detached);
   while (runner.requests.empty()) loop.run_one();
   suspend_machine(std::chrono::seconds(70));
   // The request looks at the runner's queue ten times a second: 100 turns of the loop are far less
   // than the 60 s that it would wait if the machine had not been suspended.
-  for (int turn = 0; turn < 100 && !status; ++turn) loop.run_one();
-  EXPECT_EQ(status, 504);
+  for (int turn = 0; turn < 100 && !view; ++turn) loop.run_one();
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->status, 504);
 }
 
 TEST_F(SuspensionTest, OtherNodesCountAsSilentUntilTheyAreHeardAgain) {
--- /dev/null
+++ b/tests/quarantine/quarantine_log_test.cc
@@ -0,0 +1,85 @@
+#include "quarantine/quarantine_log.h"
+
+#include <gtest/gtest.h>
+
+#include "base/ids.h"
+#include "tests/jobs/faulty_record_log.h"
+
+namespace stoathold {
+namespace {
+
+constexpr ContentHash kDeadly{7};
+const PartitionName kPartition{"quarantine", 0};
+
+/// A node on a log that several share.
+struct Node {
+  Node(boost::asio::io_context& loop, std::shared_ptr<emulator::LogModel> model)
+      : log(std::move(model), LogLimits{}), records(loop.get_executor(), log, quarantine) {
+    records.start();
+  }
+  [[nodiscard]] bool holds() const { return quarantine.holds(kDeadly, monotonic_now()); }
+
+  Quarantine quarantine{[](std::uint64_t) { return std::nullopt; }};
+  FaultyRecordLog log;
+  QuarantineLog records;
+};
+
+class QuarantineLogTest : public testing::Test {
+ protected:
+  void condemn(Node& node) {
+    for (std::uint64_t runner = 1; runner <= 3; ++runner) {
+      node.quarantine.note_end({kDeadly, runner, RunStage::kBegun, monotonic_now()},
+                               wall_clock_ms());
+    }
+  }
+  template <typename Condition>
+  void run_until(Condition condition) {
+    for (int turn = 0; turn < 10000 && !condition(); ++turn) loop.run_one();
+    EXPECT_TRUE(condition());
+  }
+  [[nodiscard]] std::size_t records() const {
+    return model->read_newest(kPartition, KeyRange{}).records.size();
+  }
+
+  boost::asio::io_context loop;
+  std::shared_ptr<emulator::LogModel> model = std::make_shared<emulator::LogModel>();
+};
+
+TEST_F(QuarantineLogTest, ANodeThatBeginsLaterKnowsTheRequest) {
+  Node first(loop, model);
+  condemn(first);
+  run_until([&] { return records() == 1; });
+  Node second(loop, model);
+  run_until([&] { return second.holds(); });
+}
+
+TEST_F(QuarantineLogTest, TheRecordIsWrittenOnceTheLogTakesIt) {
+  Node first(loop, model);
+  first.log.faults.down = true;
+  condemn(first);
+  run_until([&, turn = 0]() mutable { return ++turn > 3; });
+  EXPECT_EQ(records(), 0U);
+  first.log.faults.down = false;
+  first.log.faults.drop_appends = 2;
+  run_until([&] { return records() == 1; });
+}
+
+TEST_F(QuarantineLogTest, AnOperatorLiftsItByDeletingTheRecord) {
+  Node first(loop, model);
+  Node second(loop, model);
+  condemn(first);
+  run_until([&] { return second.holds(); });
+  model->append(kPartition, {{to_hex(value_of(kDeadly)), ""}}, std::nullopt);
+  run_until([&] { return !first.holds() && !second.holds(); });
+}
+
+TEST_F(QuarantineLogTest, AMalformedRecordIsPassedOver) {
+  model->append(kPartition, {{"no hash", "x"}, {to_hex(8), "x"}}, std::nullopt);
+  Node first(loop, model);
+  condemn(first);
+  run_until([&] { return records() == 3; });
+  EXPECT_EQ(first.quarantine.size(), 1U);
+}
+
+}  // namespace
+}  // namespace stoathold
