--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -82,7 +82,7 @@
 /// on: on one such machine 22 reads were given up and one job took 20.6 s until it was read, while
 /// its large neighbours needed 0.4 to 1.9 s. Jobs that were never read were never run.
 ///
-///     job_load_retried  front-wels-hall-17  step=results  status=unknown
+///     job_load_retried  step=results  status=unknown
 TEST_F(JobRunnerTest, JobsThatAreTakenUpTogetherAreReadAFewAtATime) {
   constexpr std::size_t kJobs = 12;
   for (std::size_t i = 0; i < kJobs; ++i) submit_finished("j" + std::to_string(i));
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,7 +48,6 @@
         self.promises = Promises()
         self.platform = Platform(directory, nodes, runners, self.make_link, DEADLY)
         self.directory = directory
-        self.runner_ids = {name: name for name in self.platform.runners}
         self.known_runs = {}
         self.items_may_fail = False
         self.version = 1
@@ -220,31 +219,22 @@
 
     def restart_runner(self, name):
         """Ends a runner; the next start at its address has another identity."""
-        index = sorted(self.platform.runners).index(name)
-        self.revive_runner(name, index)
+        self.revive_runner(name)
         self.collect_runs(name)
-        self.platform.runner_processes[index].kill()
-        self.start_runner_again(name, index)
+        self.platform.runner_process(name).kill()
+        self.platform.start_runner_again(name)
 
     def revive_runners(self):
         """Runners that a request has ended come back after a while, as another start."""
         while not self.judged.wait(0.2):
             with self.runners_lock:
-                for index, name in enumerate(sorted(self.platform.runners)):
-                    self.revive_runner(name, index)
+                for name in self.platform.runners:
+                    self.revive_runner(name)
 
-    def revive_runner(self, name, index):
-        if self.platform.runner_processes[index].handle.poll() == CRASH_EXIT_CODE:
+    def revive_runner(self, name):
+        if self.platform.runner_process(name).handle.poll() == CRASH_EXIT_CODE:
             self.promises.runner_ended()
-            self.start_runner_again(name, index)
-
-    def start_runner_again(self, name, index):
-        self.platform.append_raw("keyed.servers", self.runner_ids[name], b"")
-        self.runner_ids[name] = "%s.%d" % (name, self.random.randrange(10**6))
-        self.platform.runner_processes[index] = self.platform.start_runner(
-            name, self.runner_ids[name])
-        wait_for(lambda: call(self.platform.runners[name], "GET", "/admin/runs")[0] == 200, name)
-        self.platform.list_runner(name, runner_id=self.runner_ids[name])
+            self.platform.start_runner_again(name)
 
     def collect_runs(self, name):
         """Adds up what ran at a runner; a runner that has just ended tells nothing."""
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -77,19 +77,26 @@
     def replace_ended_runners(self):
         """Starts each runner that has ended under a new identity, and lists it; returns how many."""
         ended = 0
-        for index, name in enumerate(self.runners):
-            process = self.runner_processes[index]
-            if process.handle.poll() is None:
+        for name in self.runners:
+            if self.runner_process(name).handle.poll() is None:
                 continue
             ended += 1
-            self.runner_starts += 1
-            old, new = process.name, "%s.%d" % (name, self.runner_starts)
-            self.runner_processes[index] = self.start_runner(name, new)
-            wait_for(lambda n=name: call(self.runners[n], "GET", "/admin/runs")[0] == 200, new)
-            self.append_raw("keyed.servers", old, b"")
-            self.list_runner(name, runner_id=new)
+            self.start_runner_again(name)
         return ended
 
+    def runner_process(self, name):
+        return self.runner_processes[list(self.runners).index(name)]
+
+    def start_runner_again(self, name):
+        """A runner that has ended comes back at its address under a new identity."""
+        index = list(self.runners).index(name)
+        self.runner_starts += 1
+        new = "%s.%d" % (name, self.runner_starts)
+        self.append_raw("keyed.servers", self.runner_processes[index].name, b"")
+        self.runner_processes[index] = self.start_runner(name, new)
+        wait_for(lambda: call(self.runners[name], "GET", "/admin/runs")[0] == 200, new)
+        self.list_runner(name, runner_id=new)
+
     def cut_off_store(self, index):
         """From now on a node finds nothing where it takes the store to be."""
         settings = json.loads(self.settings[index].read_text())
--- a/tests/system/runner_ending_requests_test.py
+++ b/tests/system/runner_ending_requests_test.py
@@ -6,7 +6,7 @@
 it broke off. The lines of the failed attempts showed it: at 32 of 39 ends exactly one request had the
 head of its answer and no event, as in
 
-    attempt_failed request=16275dd0dd68bf28 runner=i-c6e11dc23c result=broken step=ok last_event=0
+    attempt_failed runner=i-c6e11dc23c result=broken step=ok last_event=0
 
 while all others that broke there either had events (last_event above 0) or no head (step=broken).
 """
