--- a/bench/quarantine.cc
+++ b/bench/quarantine.cc
@@ -1,12 +1,12 @@
 /// @file
 /// `stoathold-quarantine-bench`: processor time that the quarantine adds to a request and to the
 /// end of a runner (Google Benchmark).
-#include "quarantine/quarantine.h"
-
 #include <benchmark/benchmark.h>
 
 #include <string>
 
+#include "quarantine/quarantine_check.h"
+
 namespace stoathold {
 namespace {
 
@@ -18,15 +18,14 @@
 }
 
 /// One arrival, as `OnlineRequest` checks it.
-bool check(const Quarantine& quarantine, const std::string& body) {
-  if (quarantine.empty()) return false;
-  const ContentHash content =
-      content_hash({.tenant = "t", .host = "a.example", .target = "/x/1", .body = body});
-  return quarantine.holds(content, kNow);
+bool check(Quarantine& quarantine, const std::string& body) {
+  return QuarantineCheck(quarantine,
+                         {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body})
+      .is_quarantined();
 }
 
 void arrival_with_an_empty_quarantine(benchmark::State& state) {
-  const Quarantine quarantine = make_quarantine();
+  Quarantine quarantine = make_quarantine();
   const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
   for (auto _ : state) benchmark::DoNotOptimize(check(quarantine, body));
 }
@@ -34,7 +33,7 @@
 void arrival_with_requests_in_quarantine(benchmark::State& state) {
   Quarantine quarantine = make_quarantine();
   for (std::uint64_t content = 1; content <= 100; ++content) {
-    quarantine.take_record(ContentHash{content}, {.since_ms = 0, .ends = 3}, kNow, 0);
+    quarantine.take_record(ContentHash{content}, {.since_ms = 0, .ends = 3}, monotonic_now(), 0);
   }
   const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
   for (auto _ : state) benchmark::DoNotOptimize(check(quarantine, body));
@@ -48,7 +47,7 @@
   const auto end_with = [&](std::int64_t requests) {
     ++runner;
     for (std::int64_t i = 0; i < requests; ++i) {
-      quarantine.note_end({ContentHash{++content}, runner, RunStage::kWaiting, kNow}, 0);
+      quarantine.note_end({ContentHash{++content}, runner, RunStage::kWaiting, kNow});
     }
     while (!quarantine.take_zone_news(kNow).empty()) {
     }
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -14,33 +14,6 @@
 
 }  // namespace
 
-ContentHash OnlineRequest::content() {
-  if (!content_) {
-    content_ = content_hash({.tenant = caller_.tenant,
-                             .host = route_.host,
-                             .target = exchange_.target(),
-                             .body = exchange_.body()});
-  }
-  return *content_;
-}
-
-bool OnlineRequest::is_quarantined() {
-  const Quarantine& quarantine = context_.quarantine;
-  return !quarantine.empty() && quarantine.holds(content(), monotonic_now());
-}
-
-/// A runner that closed its connection before the first event may have ended with the request.
-void OnlineRequest::note_for_quarantine(const Runner& runner, AttemptResult result) {
-  Quarantine& quarantine = context_.quarantine;
-  const TimePoint now = monotonic_now();
-  if (result == AttemptResult::kCompleted && quarantine.watches_progress()) {
-    quarantine.note_progress(content(), now);
-  }
-  const bool ended = result == AttemptResult::kBroken && upstream_->closed_by_runner();
-  if (!ended || stage_ == RunStage::kDelivering) return;
-  quarantine.note_end({content(), runner.hash(), stage_, now}, wall_clock_ms());
-}
-
 /// Held back, it would only keep its caller waiting for what nobody will run.
 asio::awaitable<void> OnlineRequest::refuse_quarantined(std::shared_ptr<Runner> runner) {
   if (runner) give_place_back(*runner);
@@ -48,7 +21,7 @@
     co_await finish_without_answer();
     co_return;
   }
-  const Duration left = context_.quarantine.time_left(content(), monotonic_now());
+  const Duration left = quarantine_check_.time_left();
   co_await refuse(503, RequestOutcome::kRefused, "quarantined", decimal_text(to_seconds(left)));
 }
 
@@ -77,7 +50,7 @@
              {"route", route_.name},
              {"status", std::to_string(status)},
              {"reason", reason},
-             {"content", to_hex(value_of(content()))},
+             {"content", to_hex(value_of(quarantine_check_.content()))},
              {"sends", std::to_string(sends_)},
              {"runs", std::to_string(runs_)},
              {"runners_known", std::to_string(context_.runners.of_service(service_).size())},
@@ -98,7 +71,7 @@
                                     {"result", std::string(to_string(result))},
                                     {"step", std::string(to_string(status))},
                                     {"stage", std::string(to_string(stage_))},
-                                    {"content", to_hex(value_of(content()))},
+                                    {"content", to_hex(value_of(quarantine_check_.content()))},
                                     {"choice", choice_},
                                     {"failures", std::to_string(runner.failures())},
                                     {"last_event", std::to_string(last)},
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -75,6 +75,10 @@
       configuration_(std::move(configuration)),
       route_(route),
       caller_(std::move(caller)),
+      quarantine_check_(context.quarantine, {.tenant = caller_.tenant,
+                                             .host = route.host,
+                                             .target = exchange.target(),
+                                             .body = exchange.body()}),
       service_(context.split.next_service(route)),
       arrival_(monotonic_now()),
       deadline_timer_(exchange.executor()),
@@ -151,7 +155,7 @@
   const Duration first_event = context_.first_event_times.expected(route_.name);
   request.due = arrival_ + route_.latency_objective - first_event;
   request.give_up = std::min(arrival_ + kLongestWait, deadline_);
-  request.hopeless = [this] { return is_quarantined(); };
+  request.hopeless = [this] { return quarantine_check_.is_quarantined(); };
   if (head_sent_) {
     // The caller is reading: the next event is due however long ago the request came.
     const TimePoint now = monotonic_now();
@@ -183,8 +187,8 @@
     // content, it ends 3 of them and those it has reached meanwhile; known by its id it ended 40
     // of 12.
     std::shared_ptr<Runner> runner;
-    if (!is_quarantined()) runner = co_await place();
-    if (!stopped_ && is_quarantined()) {
+    if (!quarantine_check_.is_quarantined()) runner = co_await place();
+    if (!stopped_ && quarantine_check_.is_quarantined()) {
       co_await refuse_quarantined(runner);
       co_return;
     }
@@ -320,7 +324,11 @@
   }
   runner_queue_timer_.cancel();
   if (may_have_run(result)) ++runs_;
-  note_for_quarantine(*runner, result);
+  quarantine_check_.note_run(
+      {.runner = runner->hash(),
+       .stage = stage_,
+       .progressed = result == AttemptResult::kCompleted,
+       .closed_by_runner = result == AttemptResult::kBroken && upstream->closed_by_runner()});
   if (result == AttemptResult::kCompleted || result == AttemptResult::kErrorPassedOn) {
     upstream->release();
   } else {
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -15,8 +15,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
 #include "net/http.h"
-#include "quarantine/request_content.h"
-#include "quarantine/run_stage.h"
+#include "quarantine/quarantine_check.h"
 
 namespace stoathold {
 
@@ -69,9 +68,6 @@
 
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   [[nodiscard]] AttemptResult classify_failure(UpstreamStatus status) const;
-  [[nodiscard]] ContentHash content();
-  [[nodiscard]] bool is_quarantined();
-  void note_for_quarantine(const Runner& runner, AttemptResult result);
   void give_place_back(Runner& runner);
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
@@ -91,6 +87,7 @@
   std::shared_ptr<const ServingConfiguration> configuration_;
   const Route& route_;
   Caller caller_;
+  QuarantineCheck quarantine_check_;
   std::string service_;
   std::string id_;
   TimePoint arrival_;
@@ -110,7 +107,6 @@
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   TimePoint attempt_start_{};
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
-  std::optional<ContentHash> content_;   ///< Hashed when it is first needed.
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -52,10 +52,10 @@
       request_(std::move(request)),
       progress_(std::move(progress)),
       clock_skew_(clock_skew),
-      content_(content_hash({.tenant = item_.tenant,
-                             .host = item_.host,
-                             .target = request_.path,
-                             .body = request_.body})),
+      quarantine_check_(context.quarantine, {.tenant = item_.tenant,
+                                             .host = item_.host,
+                                             .target = request_.path,
+                                             .body = request_.body}),
       timer_(context.executor) {
   progress_.job = item_.job;
   progress_.item = item_.index;
@@ -118,7 +118,7 @@
   // Who must begin first goes first, and what will be late anyway goes last.
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
-  request.hopeless = [this] { return is_quarantined(); };
+  request.hopeless = [this] { return quarantine_check_.is_quarantined(); };
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   const Selection choice = ticket_->selection();
@@ -192,7 +192,7 @@
     }
     route_missing_since.reset();
     if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
-    if (is_quarantined()) {
+    if (quarantine_check_.is_quarantined()) {
       // Given up when its retention is over, as an item that no runner can do.
       co_await pause(kQuarantinePause);
       continue;
@@ -268,7 +268,12 @@
   } else {
     upstream->cancel();
   }
-  note_for_quarantine(*runner, result);
+  // An item that got on did not end its runner as it began; the next run goes on behind that.
+  quarantine_check_.note_run(
+      {.runner = runner->hash(),
+       .stage = stage_,
+       .progressed = stage_ == RunStage::kDelivering,
+       .closed_by_runner = result == AttemptResult::kBroken && upstream->closed_by_runner()});
   upstream_.reset();
   note_attempt(*runner, result);
   co_return result;
@@ -283,22 +288,6 @@
   return repeated ? AttemptOutcome::kAbandoned : evidence_of(result);
 }
 
-bool ItemRun::is_quarantined() const {
-  return context_.quarantine.holds(content_, monotonic_now());
-}
-
-/// An item that got on did not end its runner as it began; the next run goes on behind that.
-void ItemRun::note_for_quarantine(const Runner& runner, AttemptResult result) {
-  Quarantine& quarantine = context_.quarantine;
-  const TimePoint now = monotonic_now();
-  if (stage_ == RunStage::kDelivering) {
-    if (quarantine.watches_progress()) quarantine.note_progress(content_, now);
-    return;
-  }
-  const bool ended = result == AttemptResult::kBroken && upstream_->closed_by_runner();
-  if (ended) quarantine.note_end({content_, runner.hash(), stage_, now}, wall_clock_ms());
-}
-
 void ItemRun::note_attempt(Runner& runner, AttemptResult result) {
   runner.end_attempt(evidence_against(runner, result), monotonic_now(),
                      std::exchange(tokens_to_read_, 0), WorkClass::kBatch);
@@ -308,7 +297,7 @@
                                         {"runner", runner.record().id},
                                         {"result", std::string(to_string(result))},
                                         {"stage", std::string(to_string(stage_))},
-                                        {"content", to_hex(value_of(content_))},
+                                        {"content", to_hex(value_of(quarantine_check_.content()))},
                                         {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -15,8 +15,7 @@
 #include "gateway/prompt_prefix.h"
 #include "jobs/item_schedule.h"
 #include "jobs/job_records.h"
-#include "quarantine/request_content.h"
-#include "quarantine/run_stage.h"
+#include "quarantine/quarantine_check.h"
 
 namespace stoathold {
 
@@ -79,8 +78,6 @@
   [[nodiscard]] bool has_failed_for_good(const Route& route) const;
   void log_choice(const Selection& choice, const ItemSchedule& schedule);
   [[nodiscard]] AttemptOutcome evidence_against(const Runner& runner, AttemptResult result) const;
-  void note_for_quarantine(const Runner& runner, AttemptResult result);
-  [[nodiscard]] bool is_quarantined() const;
   void note_attempt(Runner& runner, AttemptResult result);
 
   GatewayContext& context_;
@@ -88,7 +85,7 @@
   ItemRequest request_;
   ItemProgress progress_;
   Duration clock_skew_;
-  ContentHash content_;
+  QuarantineCheck quarantine_check_;
   PromptPrefix prompt_;
   TokenCount answer_tokens_;          ///< Most of the item; 0: not known.
   std::string route_name_;            ///< As last looked up.
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -26,8 +26,6 @@
   JobLoader(boost::asio::any_io_executor executor, JobStore& store);
 
   void add(JobLoad load);
-  /// Jobs that wait to be read.
-  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
 
  private:
   boost::asio::awaitable<void> read_queue();
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -1,11 +1,11 @@
 #include "quarantine/quarantine.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/saturated.h"
 
 namespace stoathold {
 namespace {
@@ -23,12 +23,6 @@
 /// Ends with a request from which on other zones hear of those whose runs had not begun.
 constexpr std::size_t kEndsToTellZones = 2;
 
-std::uint16_t milliseconds_since(TimePoint at, TimePoint now) {
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
-  constexpr std::int64_t kLongest = std::numeric_limits<std::uint16_t>::max();
-  return static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, kLongest));
-}
-
 }  // namespace
 
 bool Quarantine::holds(ContentHash content, TimePoint now) const {
@@ -42,7 +36,7 @@
                                      : std::max(Duration{0}, found->second.until - now);
 }
 
-void Quarantine::note_end(const RunnerEnd& end, std::int64_t time_of_day_ms) {
+void Quarantine::note_end(const RunnerEnd& end) {
   if (!ends_.add(end)) return;
   if (seen_here_.size() >= kMostSeenHere) seen_here_.clear();
   seen_here_.insert(end.content);
@@ -54,7 +48,7 @@
              {"ends", std::to_string(ends_.ends_of(end.content))},
              {"weight", std::to_string(ends_.weight_against(end.content))}});
   add_news({.content = value_of(end.content), .runner = end.runner, .begun = begun}, end.at);
-  judge(end.content, time_of_day_ms, end.at);
+  judge(end.content, end.at);
 }
 
 void Quarantine::note_progress(ContentHash content, TimePoint now) {
@@ -88,7 +82,7 @@
   std::vector<EndReport> reports;
   for (auto& entry : news) {
     if (reports.size() >= kMostReports) break;
-    entry.report.ms_ago = milliseconds_since(entry.at, now);
+    entry.report.ms_ago = saturated_milliseconds(now - entry.at);
     reports.push_back(entry.report);
     --entry.repeats_left;
   }
@@ -96,8 +90,7 @@
   return reports;
 }
 
-void Quarantine::take_reports(const std::vector<EndReport>& reports, TimePoint now,
-                              std::int64_t time_of_day_ms) {
+void Quarantine::take_reports(const std::vector<EndReport>& reports, TimePoint now) {
   for (const auto& report : reports) {
     const ContentHash content{report.content};
     const TimePoint at = now - std::chrono::milliseconds(report.ms_ago);
@@ -107,12 +100,12 @@
     }
     const RunStage stage = report.begun ? RunStage::kBegun : RunStage::kWaiting;
     if (ends_.add({content, report.runner, stage, at})) {
-      judge(content, time_of_day_ms, now);
+      judge(content, now);
     }
   }
 }
 
-void Quarantine::judge(ContentHash content, std::int64_t time_of_day_ms, TimePoint now) {
+void Quarantine::judge(ContentHash content, TimePoint now) {
   if (holds(content, now)) return;
   const bool again = on_probation_.contains(content) && ends_.weight_against(content) > 0;
   if (!again && !ends_.condemns(content)) return;
@@ -123,9 +116,8 @@
                                          {"ends", std::to_string(ends)},
                                          {"weight", std::to_string(ends_.weight_against(content))},
                                          {"source", seen_here ? "own" : "other_nodes"}});
-  const QuarantineRecord record{time_of_day_ms, static_cast<std::uint32_t>(ends)};
   // The nodes that saw the ends write it; they are few, and those who only heard of them are many.
-  if (seen_here && condemned_handler_) condemned_handler_(content, record);
+  if (seen_here && condemned_handler_) condemned_handler_(content, ends);
   if (change_listener_) change_listener_();
 }
 
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -33,8 +33,9 @@
   /// @param last_heard when a runner was last heard; a runner that was heard after its end lives.
   explicit Quarantine(RunnerEndTable::LastHeard last_heard) : ends_(std::move(last_heard)) {}
 
-  /// Called with each request that is condemned with an end that this node saw, for the log.
-  using CondemnedHandler = std::function<void(ContentHash, const QuarantineRecord&)>;
+  /// Called with each request that is condemned with an end that this node saw, for the log, and
+  /// with the number of runners that have ended with it.
+  using CondemnedHandler = std::function<void(ContentHash, std::size_t ends)>;
   void set_condemned_handler(CondemnedHandler handler) { condemned_handler_ = std::move(handler); }
   /// Called whenever there is something to tell other nodes.
   void set_news_listener(std::function<void()> listener) { news_listener_ = std::move(listener); }
@@ -54,7 +55,7 @@
   [[nodiscard]] std::size_t suspects() const { return ends_.size(); }
 
   /// A runner ended with a request of this node.
-  void note_end(const RunnerEnd& end, std::int64_t time_of_day_ms);
+  void note_end(const RunnerEnd& end);
   /// A request of this node was served, or a batch item got on.
   void note_progress(ContentHash content, TimePoint now);
   /// Whether progress of requests is of interest: it is not while no ends are known.
@@ -66,8 +67,7 @@
   /// since messages get lost.
   [[nodiscard]] std::vector<EndReport> take_remote_news(TimePoint now);
   /// Takes what another node tells.
-  void take_reports(const std::vector<EndReport>& reports, TimePoint now,
-                    std::int64_t time_of_day_ms);
+  void take_reports(const std::vector<EndReport>& reports, TimePoint now);
 
   /// The log holds this record of a request.
   void take_record(ContentHash content, const QuarantineRecord& record, TimePoint now,
@@ -88,7 +88,7 @@
     int repeats_left = 0;
   };
 
-  void judge(ContentHash content, std::int64_t time_of_day_ms, TimePoint now);
+  void judge(ContentHash content, TimePoint now);
   void add_news(const EndReport& report, TimePoint at);
   static std::vector<EndReport> take_some(std::vector<News>& news, TimePoint now);
 
--- /dev/null
+++ b/src/quarantine/quarantine_check.cc
@@ -0,0 +1,28 @@
+#include "quarantine/quarantine_check.h"
+
+namespace stoathold {
+
+ContentHash QuarantineCheck::content() {
+  if (!content_) content_ = content_hash(parts_);
+  return *content_;
+}
+
+bool QuarantineCheck::is_quarantined() {
+  return !quarantine_.empty() && quarantine_.holds(content(), monotonic_now());
+}
+
+Duration QuarantineCheck::time_left() {
+  return quarantine_.time_left(content(), monotonic_now());
+}
+
+void QuarantineCheck::note_run(const EndedRun& run) {
+  const TimePoint now = monotonic_now();
+  if (run.progressed) {
+    if (quarantine_.watches_progress()) quarantine_.note_progress(content(), now);
+    return;
+  }
+  if (!run.closed_by_runner || run.stage == RunStage::kDelivering) return;
+  quarantine_.note_end({content(), run.runner, run.stage, now});
+}
+
+}  // namespace stoathold
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -29,8 +29,11 @@
       log_(log),
       quarantine_(quarantine),
       replica_(std::make_shared<PartitionReplica>(log, kQuarantinePartition, *this)) {
-  quarantine_.set_condemned_handler(
-      [this](ContentHash content, const QuarantineRecord& record) { write(content, &record); });
+  quarantine_.set_condemned_handler([this](ContentHash content, std::size_t ends) {
+    const QuarantineRecord record{wall_clock_ms(), static_cast<std::uint32_t>(ends)};
+    written_.insert(content);
+    write(content, encode_value(record));
+  });
 }
 
 void QuarantineLog::start() {
@@ -66,9 +69,8 @@
   quarantine_.keep_only(contents);
 }
 
-void QuarantineLog::write(ContentHash content, const QuarantineRecord* record) {
-  unwritten_[to_hex(value_of(content))] = record == nullptr ? "" : encode_value(*record);
-  if (record != nullptr) written_.insert(content);
+void QuarantineLog::write(ContentHash content, std::string value) {
+  unwritten_[to_hex(value_of(content))] = std::move(value);
   if (writing_) return;
   writing_ = true;
   asio::co_spawn(executor_, write_all(), asio::detached);
@@ -104,7 +106,7 @@
     timer.expires_after(kExpiryInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     for (const ContentHash content : quarantine_.expire(monotonic_now())) {
-      if (written_.erase(content) > 0) write(content, nullptr);
+      if (written_.erase(content) > 0) write(content, {});
     }
   }
 }
--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -26,7 +26,7 @@
   void reset(const std::vector<StoredRecord>& newest) override;
 
  private:
-  void write(ContentHash content, const QuarantineRecord* record);
+  void write(ContentHash content, std::string value);
   boost::asio::awaitable<void> write_all();
   boost::asio::awaitable<void> expire_now_and_then();
 
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <limits>
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/saturated.h"
 #include "net/http.h"
 
 namespace stoathold {
@@ -39,17 +39,6 @@
 /// Nodes of other zones get reports on the use of their runners this often.
 constexpr Duration kRemoteReportInterval = std::chrono::milliseconds(250);
 
-std::int64_t milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-/// Returns the value, or the largest that the type holds if it is larger.
-template <typename Number>
-Number saturated(std::int64_t value) {
-  constexpr std::int64_t kLargest = std::numeric_limits<Number>::max();
-  return static_cast<Number>(std::min(value, kLargest));
-}
-
 }  // namespace
 
 PeerLoads::PeerLoads(asio::any_io_executor executor, RunnerRegistry& registry,
@@ -203,7 +192,7 @@
     digest.uses.push_back({runner->hash(), static_cast<std::uint16_t>(runner->in_flight()),
                            static_cast<std::uint16_t>(runner->batch_in_flight()),
                            runner->backlog_tokens(),
-                           saturated<std::uint16_t>(milliseconds(now - runner->last_heard()))});
+                           saturated_milliseconds(now - runner->last_heard())});
   }
   if (digest.uses.size() > kMaxUses) {
     std::sort(digest.uses.begin(), digest.uses.end(),
@@ -221,8 +210,8 @@
   for (const auto& [id, runner] : registry_.all()) {
     const auto own = runner->own_ejection(now);
     if (!own) continue;
-    ejected.push_back({runner->hash(), saturated<std::uint16_t>(milliseconds(now - own->failed_at)),
-                       saturated<std::uint16_t>(milliseconds(own->until - now)),
+    ejected.push_back({runner->hash(), saturated_milliseconds(now - own->failed_at),
+                       saturated_milliseconds(own->until - now),
                        saturated<std::uint8_t>(own->failures), own->by_errors});
     if (ejected.size() >= kMaxEjections) break;
   }
@@ -278,7 +267,7 @@
   }
   in_use_ = !digest.uses.empty();
   const std::string bytes = encode_message(digest);
-  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+  send_to_zone(bytes);
 }
 
 void PeerLoads::send_to(const Endpoint& peer, const std::string& bytes) {
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -99,9 +99,13 @@
   template <typename Message>
   void pass_on(Message message) {
     message.pass_on = false;
-    const std::string bytes = encode_message(message);
-    zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+    send_to_zone(encode_message(message));
   }
+  /// Sends to all nodes of this zone.
+  void send_to_zone(const std::string& bytes);
+  /// Sends to one node of each other zone.
+  /// @param turn picks the node: another one for the next turn.
+  void send_to_other_zones(const std::string& bytes, std::size_t turn);
   void take_end_reports(EndReports reports);
   void schedule_end_reports();
   void send_end_reports();
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -16,6 +16,14 @@
 
 }  // namespace
 
+void PeerLoads::send_to_zone(const std::string& bytes) {
+  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+}
+
+void PeerLoads::send_to_other_zones(const std::string& bytes, std::size_t turn) {
+  for (const auto& [zone, peers] : remote_zones_) send_to(peers[turn % peers.size()], bytes);
+}
+
 /// Loads of another zone's runners, reported by a node there.
 void PeerLoads::take_zone_loads(ZoneLoads loads) {
   if (loads.zone == stable_hash(zone_)) return;
@@ -64,8 +72,7 @@
     if (message.loads.size() >= kMaxZoneLoads) break;
   }
   const std::string bytes = encode_message(message);
-  for (const auto& [zone, peers] : remote_zones_)
-    send_to(peers[remote_turn_ % peers.size()], bytes);
+  send_to_other_zones(bytes, remote_turn_);
 }
 
 /// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone do,
@@ -74,8 +81,7 @@
   const TimePoint now = monotonic_now();
   if (remote_zones_.empty() || !zone_nodes_.is_zone_reporter(socket_.local_endpoint(), now)) return;
   const std::string bytes = encode_message(tenant_gossip_->make_zone_report(now));
-  for (const auto& [zone, peers] : remote_zones_)
-    send_to(peers[tenant_turn_ % peers.size()], bytes);
+  send_to_other_zones(bytes, tenant_turn_);
   tenant_turn_ += 1 + sender_ % 2;
 }
 
@@ -86,7 +92,7 @@
 
 void PeerLoads::take_end_reports(EndReports reports) {
   if (quarantine_ == nullptr) return;
-  quarantine_->take_reports(reports.reports, monotonic_now(), wall_clock_ms());
+  quarantine_->take_reports(reports.reports, monotonic_now());
   if (reports.pass_on) pass_on(std::move(reports));
 }
 
@@ -107,7 +113,7 @@
   const EndReports message{.reports = quarantine_->take_zone_news(monotonic_now())};
   if (message.reports.empty()) return;
   const std::string bytes = encode_message(message);
-  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+  send_to_zone(bytes);
 }
 
 /// Sent again by the timer of the other reports, since messages get lost; to another node of each
@@ -118,8 +124,7 @@
                            .pass_on = true};
   if (message.reports.empty()) return;
   const std::string bytes = encode_message(message);
-  for (const auto& [zone, peers] : remote_zones_)
-    send_to(peers[remote_turn_ % peers.size()], bytes);
+  send_to_other_zones(bytes, remote_turn_);
   ++remote_turn_;
 }
 
--- a/tests/gateway/suspension_test.cc
+++ b/tests/gateway/suspension_test.cc
@@ -124,7 +124,7 @@
   Quarantine& quarantine = context.quarantine;
   const ContentHash deadly{1};
   for (std::uint64_t id = 1; id <= 3; ++id) {
-    quarantine.note_end({deadly, id, RunStage::kBegun, monotonic_now()}, wall_clock_ms());
+    quarantine.note_end({deadly, id, RunStage::kBegun, monotonic_now()});
   }
   EXPECT_TRUE(quarantine.holds(deadly, monotonic_now()));
   suspend_machine(Quarantine::kQuarantineTime);
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -33,6 +33,16 @@
   return timing;
 }
 
+/// Sizes that make small jobs of many records, and few slots.
+inline LogLimits small_limits() {
+  LogLimits limits;
+  limits.record_bytes = 2000;
+  limits.call_bytes = 8000;
+  limits.partitions = 4;
+  limits.group_slots = 16;
+  return limits;
+}
+
 /// One node's way to a log that several share. Calls complete at once, but a read that may wait for
 /// records and finds none waits for all of its time.
 class FaultyRecordLog final : public RecordLog {
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -13,15 +13,6 @@
 constexpr const char* kHost = "drafts.example";
 constexpr std::uint32_t kSlots = 16;
 
-LogLimits limits() {
-  LogLimits limits;
-  limits.record_bytes = 2000;
-  limits.call_bytes = 8000;
-  limits.partitions = 4;
-  limits.group_slots = kSlots;
-  return limits;
-}
-
 NewJob make_job(const std::string& id) {
   NewJob job;
   job.submission.id = id;
@@ -41,7 +32,7 @@
  protected:
   JobRunnerTest()
       : model(std::make_shared<emulator::LogModel>()),
-        log(model, limits()),
+        log(model, small_limits()),
         context(loop.get_executor(), HeaderDialect{}, "zone"),
         store(loop.get_executor(), log, "node", quick_timing()),
         runner(context, store, log, JobRunnerSettings{"node", {}, {}}) {
@@ -58,7 +49,7 @@
       return std::vector<KeyedRecord>{
           {result_record_key(key, 0, store.unique_name()), encode(result)}};
     };
-    const std::uint32_t partition = job_partition(key, limits().partitions);
+    const std::uint32_t partition = job_partition(key, small_limits().partitions);
     EXPECT_TRUE(run_awaitable(loop, store.append_results(partition, make, [] { return true; })));
   }
   [[nodiscard]] std::size_t finished_jobs() const {
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -10,15 +10,6 @@
 
 constexpr const char* kHost = "drafts.example";
 
-LogLimits small_limits() {
-  LogLimits limits;
-  limits.record_bytes = 2000;
-  limits.call_bytes = 8000;
-  limits.partitions = 4;
-  limits.group_slots = 16;
-  return limits;
-}
-
 NewJob make_job(const std::string& id, std::size_t items, std::uint64_t tokens = 100,
                 std::size_t body_bytes = 10) {
   NewJob job;
--- a/tests/platform/job_api_test.cc
+++ b/tests/platform/job_api_test.cc
@@ -17,7 +17,7 @@
  protected:
   JobApiTest()
       : context(loop.get_executor(), header_dialect(), "zone"),
-        log(std::make_shared<emulator::LogModel>(), limits()),
+        log(std::make_shared<emulator::LogModel>(), small_limits()),
         store(loop.get_executor(), log, "writer", quick_timing()),
         api(context, store, nullptr),
         server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
@@ -26,14 +26,6 @@
     configure({{"alder", {"a1", "a2"}, {}, {}}, {"birch", {"b1"}, {}, {}}});
   }
 
-  static LogLimits limits() {
-    LogLimits limits;
-    limits.record_bytes = 2000;
-    limits.call_bytes = 8000;
-    limits.partitions = 4;
-    limits.group_slots = 16;
-    return limits;
-  }
   boost::asio::awaitable<void> serve(HttpExchange& exchange) {
     if (JobApi::owns(exchange.target())) {
       co_await api.serve(exchange);
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -112,10 +112,10 @@
           const auto found = heard_.find(runner);
           return found == heard_.end() ? std::nullopt : std::optional(found->second);
         });
-    node.quarantine->set_condemned_handler(
-        [this](ContentHash content, const QuarantineRecord& record) {
-          if (plan_.log) records_.emplace(content, std::pair(now_ + milliseconds(20), record));
-        });
+    node.quarantine->set_condemned_handler([this](ContentHash content, std::size_t ends) {
+      const QuarantineRecord record{0, static_cast<std::uint32_t>(ends)};
+      if (plan_.log) records_.emplace(content, std::pair(now_ + milliseconds(20), record));
+    });
     for (const auto& [content, record] : delivered_) {
       node.quarantine->take_record(content, record, now_, 0);
     }
@@ -221,7 +221,7 @@
     node.own.note_end(ContentHash{run.content});
     if (now_ >= run.delivers) return;
     const RunStage stage = now_ >= run.begins ? RunStage::kBegun : RunStage::kWaiting;
-    node.quarantine->note_end({ContentHash{run.content}, runner, stage, now_}, 0);
+    node.quarantine->note_end({ContentHash{run.content}, runner, stage, now_});
   }
 
   void post(std::size_t from, std::size_t to, const std::vector<EndReport>& reports, bool pass_on) {
@@ -257,7 +257,7 @@
       return true;
     });
     for (const Message& message : due) {
-      nodes_[message.to].quarantine->take_reports(message.reports, now_, 0);
+      nodes_[message.to].quarantine->take_reports(message.reports, now_);
       if (message.pass_on) tell_zone(message.to, message.reports);
     }
     for (const auto& [content, entry] : records_) {
--- a/tests/quarantine/quarantine_log_test.cc
+++ b/tests/quarantine/quarantine_log_test.cc
@@ -28,8 +28,7 @@
  protected:
   void condemn(Node& node) {
     for (std::uint64_t runner = 1; runner <= 3; ++runner) {
-      node.quarantine.note_end({kDeadly, runner, RunStage::kBegun, monotonic_now()},
-                               wall_clock_ms());
+      node.quarantine.note_end({kDeadly, runner, RunStage::kBegun, monotonic_now()});
     }
   }
   template <typename Condition>
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -19,7 +19,7 @@
 void end_runners(Quarantine& quarantine, std::uint64_t first, std::uint64_t last,
                  Duration when = Duration{0}) {
   for (std::uint64_t runner = first; runner <= last; ++runner) {
-    quarantine.note_end({kDeadly, runner, RunStage::kBegun, at(when)}, kTimeOfDayMs);
+    quarantine.note_end({kDeadly, runner, RunStage::kBegun, at(when)});
   }
 }
 
@@ -28,13 +28,13 @@
   for (int i = 0; i < 3; ++i) nodes.push_back(make_quarantine());
   int written = 0;
   for (auto& node : nodes) {
-    node.set_condemned_handler([&](ContentHash, const QuarantineRecord&) { ++written; });
+    node.set_condemned_handler([&](ContentHash, std::size_t) { ++written; });
   }
   for (std::uint64_t i = 0; i < 3; ++i) end_runners(nodes[i], i + 1, i + 1);
   for (std::size_t from = 0; from < 3; ++from) {
     const auto news = nodes[from].take_zone_news(at({}));
     for (std::size_t to = 0; to < 3; ++to) {
-      if (to != from) nodes[to].take_reports(news, at({}), kTimeOfDayMs);
+      if (to != from) nodes[to].take_reports(news, at({}));
     }
   }
   for (auto& node : nodes) EXPECT_TRUE(node.holds(kDeadly, at({})));
@@ -53,9 +53,9 @@
 
 TEST(QuarantineTest, TheEndOfAWaitingRequestIsNotToldToOtherZonesAtOnce) {
   Quarantine node = make_quarantine();
-  node.note_end({kDeadly, 1, RunStage::kWaiting, at({})}, kTimeOfDayMs);
+  node.note_end({kDeadly, 1, RunStage::kWaiting, at({})});
   EXPECT_TRUE(node.take_remote_news(at({})).empty());
-  node.note_end({kDeadly, 2, RunStage::kWaiting, at({})}, kTimeOfDayMs);
+  node.note_end({kDeadly, 2, RunStage::kWaiting, at({})});
   EXPECT_EQ(node.take_remote_news(at({})).size(), 1U);
 }
 
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -213,14 +213,14 @@
     return quarantines[node]->holds(deadly, monotonic_now());
   };
   // Seen before any other node is known: told once there is somebody to tell.
-  quarantines[0]->note_end({deadly, 11, RunStage::kBegun, monotonic_now()}, 0);
+  quarantines[0]->note_end({deadly, 11, RunStage::kBegun, monotonic_now()});
   run_until([&, turn = 0]() mutable { return ++turn > 5; });
   first.loads.set_peers({{second.loads.address(), "a"}, {far.loads.address(), "b"}});
   far.loads.set_peers({{also_far.loads.address(), "b"}});
-  quarantines[0]->note_end({deadly, 12, RunStage::kBegun, monotonic_now()}, 0);
-  quarantines[2]->note_end({deadly, 13, RunStage::kBegun, monotonic_now()}, 0);
+  quarantines[0]->note_end({deadly, 12, RunStage::kBegun, monotonic_now()});
+  quarantines[2]->note_end({deadly, 13, RunStage::kBegun, monotonic_now()});
   run_until([&] { return holds(2) && holds(3); });
-  quarantines[1]->note_end({deadly, 14, RunStage::kBegun, monotonic_now()}, 0);
+  quarantines[1]->note_end({deadly, 14, RunStage::kBegun, monotonic_now()});
   run_until([&] { return holds(1); });
 }
 
