The store's stand-in answers newest records in pages of 1 MB

Cause: the platform's store fills a page of newest records up to 500 records or 1 MB, whatever key comes last; the stand-in knew only the 500, so that no test showed what a page of full records costs. Change: the model of the log makes such pages, and the stand-in of the store answers them.

--- a/emulator/log_model.cc
+++ b/emulator/log_model.cc
@@ -64,6 +64,24 @@
   return result;
 }
 
+NewestPage LogModel::read_newest_page(const PartitionName& name, const std::string& after) const {
+  NewestPage page;
+  const auto found = partitions_.find(name);
+  if (found == partitions_.end()) return page;
+  const Partition& partition = found->second;
+  page.end = partition.end();
+  std::uint64_t bytes = 0;
+  auto next = partition.newest.upper_bound(after);
+  for (; next != partition.newest.end(); ++next) {
+    bytes += next->second.value.size();
+    const bool full = page.records.size() == kNewestPageRecords || bytes > kNewestPageBytes;
+    if (full && !page.records.empty()) break;
+    page.records.push_back(next->second);
+  }
+  page.more = next != partition.newest.end();
+  return page;
+}
+
 void LogModel::drop_history() {
   for (auto& [name, partition] : partitions_) {
     partition.first = partition.end();
--- a/emulator/log_model.h
+++ b/emulator/log_model.h
@@ -15,6 +15,18 @@
 
 namespace stoathold::emulator {
 
+/// Most records on a page of the newest ones, and most bytes of their values. A page holds one
+/// record at least.
+inline constexpr std::size_t kNewestPageRecords = 500;
+inline constexpr std::uint64_t kNewestPageBytes = 1024UL * 1024;
+
+/// A page of the newest records of a partition's keys.
+struct NewestPage {
+  std::vector<StoredRecord> records;  ///< In the order of the keys.
+  RecordOffset end = 0;               ///< Of the partition.
+  bool more = false;                  ///< Keys follow behind the last one.
+};
+
 /// Partitions of keyed topics. A partition's history may be dropped; the newest record of each key
 /// stays, unless it deletes the key.
 class LogModel {
@@ -27,6 +39,9 @@
                                 std::uint64_t max_bytes) const;
   /// Reads the newest records of the keys in a range, in the order of the keys.
   [[nodiscard]] ReadResult read_newest(const PartitionName& name, const KeyRange& range) const;
+  /// Reads a page of the newest records, of the keys behind `after`: the store knows no last key.
+  [[nodiscard]] NewestPage read_newest_page(const PartitionName& name,
+                                            const std::string& after) const;
   /// Drops the history of all partitions.
   void drop_history();
 
--- a/emulator/metadata_store_stand_in.cc
+++ b/emulator/metadata_store_stand_in.cc
@@ -14,7 +14,6 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-constexpr std::size_t kPageRecords = 500;
 /// Calls with this header are the operator's: the store serves them also while it fails the nodes.
 constexpr const char* kOperatorHeader = "X-Operator";
 constexpr std::uint32_t kPartitions = 8;
@@ -200,12 +199,10 @@
   }
 
   asio::awaitable<void> newest(HttpExchange& exchange, const HttpTarget& target) {
-    KeyRange range;
-    range.after = target.parameter("after_rev").value_or("");
-    const ReadResult result = model_.read_newest(partition_of(target), range);
+    const NewestPage page =
+        model_.read_newest_page(partition_of(target), target.parameter("after_rev").value_or(""));
     json::array items;
-    for (const auto& record : result.records) {
-      if (items.size() == kPageRecords) break;
+    for (const auto& record : page.records) {
       json::object item;
       item["tls_key"] = record.key;
       item["value"] = cereal::base64::encode(
@@ -214,9 +211,9 @@
       items.push_back(std::move(item));
     }
     json::object answer;
-    answer["more"] = items.size() < result.records.size();
+    answer["more"] = page.more;
     answer["items"] = std::move(items);
-    answer["end"] = result.end;
+    answer["end"] = page.end;
     std::string text = json::serialize(answer);
     co_await exchange.respond(200, "application/json", std::move(text));
   }
