Tests that fail: reads of the log bring what other jobs have, without a bound

The log of the tests answered just the keys asked for, so that no test saw it. Conclusion: the faults are there, and need no sockets to be seen; that they lose items is not shown by this.

--- /dev/null
+++ b/tests/jobs/one_job_reads_test.cc
@@ -0,0 +1,87 @@
+#include <numeric>
+
+#include "tests/jobs/job_reads_fixture.h"
+
+namespace stoathold {
+namespace {
+
+/// Reads for one job among many.
+class OneJobReadsTest : public JobReadsFixture {
+ protected:
+  /// Submits jobs with results of some of their items, and marks them finished if all are listed.
+  void submit_listed(JobNode& node, const std::vector<std::size_t>& numbers, std::size_t listed) {
+    std::vector<std::uint32_t> items(listed);
+    std::iota(items.begin(), items.end(), 0);
+    for (const std::size_t number : numbers) {
+      submit(node, make_job(number));
+      write_results(node, number, items);
+      if (listed < kJobItems) continue;
+      const JobKey key = make_job_key(kHost, job_id(number));
+      EXPECT_EQ(run_awaitable(loop, node.store.mark(kHost, JobRecordKind::kFinished, key, "1")),
+                LogStatus::kOk);
+    }
+  }
+};
+
+/// Callers read each open job about twice a second, at any node. A read asks for the results from
+/// the first item on that isn't listed, so that results of later items come again with each poll,
+/// and the page is filled up to 1 MB with the results of other jobs. In the second region all nodes
+/// share 60 Mbit/s with these reads. Here 20 polls of a job with 240 kB of results, of which each
+/// brings one more, carry 10.6 MB: 44 times the results.
+TEST_F(OneJobReadsTest, ACallerWhoPollsReadsEachResultAboutOnce) {
+  constexpr std::size_t kOthers = 100;
+  constexpr std::size_t kPolledJob = kOthers / 2;
+  constexpr std::uint32_t kPolledItems = 20;
+  JobNode& worker = add_node("worker");
+  std::vector<std::size_t> others;
+  for (std::size_t number = 0; number <= kOthers; ++number) {
+    if (number != kPolledJob) others.push_back(number);
+  }
+  submit_listed(worker, others, kJobItems / 2);
+  submit(worker, make_job(kPolledJob, kPolledItems));
+  model->drop_history();
+
+  JobNode& asked = add_node("asked");
+  const JobKey key = make_job_key(kHost, job_id(kPolledJob));
+  for (std::uint32_t poll = 0; poll < kPolledItems; ++poll) {
+    // Every item once, the first one in the second half of the polls.
+    const std::uint32_t item = (7 * poll + 3) % kPolledItems;
+    write_results(worker, kPolledJob, {item});
+    const ResultPage page =
+        run_awaitable(loop, asked.store.read_results(kHost, key, poll, Duration{0}));
+    ASSERT_EQ(page.status, LookupStatus::kFound);
+    ASSERT_EQ(page.results->listed().size(), poll + 1);
+    EXPECT_EQ(page.results->listed().back().item, item);
+  }
+  EXPECT_LE(asked.log.read_beside(kJobsTopic).bytes, 3 * kPolledItems * kResultBytes);
+}
+
+/// To erase a job its keys are read with all their values, and the page is filled up to 1 MB with
+/// other jobs, once for requests and once for results; a fleet erases as many jobs as it takes.
+/// Here the erasure of one of 200 jobs with 270 kB reads 2.1 MB.
+TEST_F(OneJobReadsTest, AJobIsErasedWithoutReadingOthers) {
+  constexpr std::size_t kJobs = 200;
+  constexpr std::size_t kErasedJob = 20;
+  JobNode& worker = add_node("worker");
+  std::vector<std::size_t> numbers(kJobs);
+  std::iota(numbers.begin(), numbers.end(), 0);
+  submit_listed(worker, numbers, kJobItems);
+  model->drop_history();
+
+  JobNode& eraser = add_node("eraser");
+  const JobKey key = make_job_key(kHost, job_id(kErasedJob));
+  const JobEntry* job = nullptr;
+  ASSERT_EQ(run_awaitable(loop, eraser.store.find(kHost, key, job)), LookupStatus::kFound);
+  const JobItem first_item = job->submission.items.front();
+  run(eraser.store.erase(kHost, key));
+  EXPECT_LE(eraser.log.read_beside(kJobsTopic).bytes, 3 * (kRequestsBytes + kResultsBytes));
+
+  JobNode& other = add_node("other");
+  EXPECT_EQ(run_awaitable(loop, other.store.find(kHost, key, job)), LookupStatus::kAbsent);
+  ItemRequest request;
+  EXPECT_EQ(run_awaitable(loop, other.store.read_request(key, 0, first_item, request)),
+            LookupStatus::kAbsent);
+}
+
+}  // namespace
+}  // namespace stoathold
--- /dev/null
+++ b/tests/jobs/paged_record_log.h
@@ -0,0 +1,170 @@
+/// @file
+/// A record log for tests that carries pages as the metadata store does, and counts them.
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <string>
+#include <vector>
+
+#include "base/timer.h"
+#include "emulator/log_model.h"
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// Sizes of the metadata store, and as many slots as it deals.
+inline LogLimits store_limits() {
+  LogLimits limits;
+  limits.record_bytes = 256UL * 1024;
+  limits.call_bytes = 2UL * 1024 * 1024;
+  limits.partitions = 8;
+  limits.group_slots = 128;
+  return limits;
+}
+
+/// What reads of topics brought.
+struct ReadCount {
+  std::size_t calls = 0;    ///< Each page of newest records is one.
+  std::uint64_t bytes = 0;  ///< Of the keys and values carried, asked for or not.
+};
+
+/// One node's way to a log that several share; the node holds all slots of its group.
+///
+/// A page of newest records holds whatever keys follow, up to 500 records or 1 MB: what lies behind
+/// the range that was asked for is carried too, and dropped by the reader. No call fails.
+class PagedRecordLog final : public RecordLog {
+ public:
+  PagedRecordLog(std::shared_ptr<emulator::LogModel> model, boost::asio::any_io_executor executor)
+      : model_(std::move(model)), limits_(store_limits()), gate_(std::move(executor)) {
+    close_gate();
+  }
+
+  /// From now on reads of topics whose names begin so wait until `release` is called.
+  void hold_reads(std::string topic_prefix) { held_prefix_ = std::move(topic_prefix); }
+  /// Lets the reads that wait now go on; later ones wait again.
+  void release() {
+    gate_.cancel();
+    close_gate();
+  }
+  /// Most reads that have waited at once.
+  [[nodiscard]] int most_held() const { return most_held_; }
+
+  /// What was read of the topics whose names begin so.
+  [[nodiscard]] ReadCount read_of(const std::string& topic_prefix) const {
+    return sum([&](const std::string& topic) { return topic.starts_with(topic_prefix); });
+  }
+  /// What was read of all others.
+  [[nodiscard]] ReadCount read_beside(const std::string& topic_prefix) const {
+    return sum([&](const std::string& topic) { return !topic.starts_with(topic_prefix); });
+  }
+
+  const LogLimits& limits() const override { return limits_; }
+
+  boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
+                                          std::uint64_t max_bytes, Duration wait) override {
+    co_await travel(partition.topic);
+    ReadResult result = model_->read(partition, from, max_bytes);
+    if (result.status == LogStatus::kOk && result.records.empty() && wait.count() > 0) {
+      Timer timer(gate_.get_executor(), wait);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    count(partition.topic, result.records);
+    co_return result;
+  }
+
+  boost::asio::awaitable<AppendResult> append(PartitionName partition,
+                                              std::vector<KeyedRecord> records,
+                                              std::optional<RecordOffset> expected_end) override {
+    co_return model_->append(partition, records, expected_end);
+  }
+
+  boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
+                                                 Duration /*patience*/) override {
+    ReadResult result;
+    emulator::NewestPage page;
+    bool first_page = true;
+    bool more = true;
+    while (more) {
+      co_await travel(partition.topic);
+      page = model_->read_newest_page(partition, range.after);
+      count(partition.topic, page.records);
+      if (first_page) result.end = page.end;
+      first_page = false;
+      more = page.more;
+      for (auto& record : page.records) {
+        range.after = record.key;
+        const bool behind = !range.through.empty() && record.key > range.through;
+        if (behind) more = false;
+        if (!behind) result.records.push_back(std::move(record));
+      }
+    }
+    result.status = LogStatus::kOk;
+    co_return result;
+  }
+
+  boost::asio::awaitable<GroupAssignment> join(GroupMember /*member*/) override {
+    GroupAssignment assignment;
+    assignment.status = LogStatus::kOk;
+    assignment.generation = 1;
+    assignment.slots.resize(limits_.group_slots);
+    std::iota(assignment.slots.begin(), assignment.slots.end(), 0);
+    co_return assignment;
+  }
+  boost::asio::awaitable<MemberList> members(std::string /*group*/) override {
+    MemberList list;
+    list.status = LogStatus::kOk;
+    list.names = {"node"};
+    co_return list;
+  }
+  boost::asio::awaitable<LogStatus> leave(GroupMember /*member*/) override {
+    co_return LogStatus::kOk;
+  }
+
+ private:
+  /// A call leaves the caller's turn of the loop, so that calls overlap, and waits while it is
+  /// held.
+  boost::asio::awaitable<void> travel(std::string topic) {
+    co_await boost::asio::post(gate_.get_executor(), boost::asio::use_awaitable);
+    if (held_prefix_.empty() || !topic.starts_with(held_prefix_)) co_return;
+    most_held_ = std::max(most_held_, ++held_);
+    boost::system::error_code opened;
+    co_await gate_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, opened));
+    --held_;
+  }
+  void close_gate() { gate_.expires_at(boost::asio::steady_timer::time_point::max()); }
+
+  void count(const std::string& topic, const std::vector<StoredRecord>& records) {
+    ReadCount& reads = reads_[topic];
+    ++reads.calls;
+    for (const auto& record : records) reads.bytes += record.key.size() + record.value.size();
+  }
+  template <typename Predicate>
+  [[nodiscard]] ReadCount sum(const Predicate& counts) const {
+    ReadCount total;
+    for (const auto& [topic, reads] : reads_) {
+      if (!counts(topic)) continue;
+      total.calls += reads.calls;
+      total.bytes += reads.bytes;
+    }
+    return total;
+  }
+
+  std::shared_ptr<emulator::LogModel> model_;
+  LogLimits limits_;
+  boost::asio::steady_timer gate_;  ///< Never due; cancelled to let the reads go on.
+  std::string held_prefix_;
+  int held_ = 0;
+  int most_held_ = 0;
+  std::map<std::string, ReadCount> reads_;
+};
+
+}  // namespace stoathold
