--- a/emulator/metadata_store_stand_in.cc
+++ b/emulator/metadata_store_stand_in.cc
@@ -14,7 +14,9 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
+/// Most records and bytes of values in a page of the newest records; one record at least.
 constexpr std::size_t kPageRecords = 500;
+constexpr std::size_t kPageBytes = 1U << 20U;
 /// Calls with this header are the operator's: the store serves them also while it fails the nodes.
 constexpr const char* kOperatorHeader = "X-Operator";
 constexpr std::uint32_t kPartitions = 8;
@@ -204,8 +206,10 @@
     range.after = target.parameter("after_rev").value_or("");
     const ReadResult result = model_.read_newest(partition_of(target), range);
     json::array items;
+    std::size_t bytes = 0;
     for (const auto& record : result.records) {
-      if (items.size() == kPageRecords) break;
+      bytes += record.key.size() + record.value.size();
+      if (items.size() == kPageRecords || (bytes > kPageBytes && !items.empty())) break;
       json::object item;
       item["tls_key"] = record.key;
       item["value"] = cereal::base64::encode(
