--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -114,6 +114,8 @@
       command->add_option("--id", options.runner.id, "Id of this start of the runner");
       command->add_option("--slots", options.runner.slots, "Requests at once");
       command->add_option("--events", options.runner.events, "Events of a stream");
+      command->add_option("--event-bytes", options.runner.event_bytes,
+                          "Most bytes of the request's body that an event repeats");
       command->add_option("--gap-ms", options.gap_ms, "Pause before each event");
       command->add_option("--crash-body", options.runner.crash_body,
                           "Ends when it begins to run a request with this body");
--- a/emulator/inference_runner_stand_in.cc
+++ b/emulator/inference_runner_stand_in.cc
@@ -133,13 +133,14 @@
     const bool crashes =
         !parameters_.crash_body.empty() && exchange.body() == parameters_.crash_body;
     if (crashes) std::_Exit(kCrashExitCode);
+    const std::string echo = exchange.body().substr(0, parameters_.event_bytes);
     const std::uint64_t done = parse_number(exchange.header(dialect_.last_event_id)).value_or(0);
     std::uint64_t made = 0;
     for (std::uint64_t event = done + 1; open && event <= parameters_.events; ++event) {
       timer.expires_after(parameters_.gap);
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-      const std::string text = "id: " + std::to_string(event) + "\ndata: " + exchange.body() + "#" +
-                               std::to_string(event) + "\n\n";
+      const std::string text =
+          "id: " + std::to_string(event) + "\ndata: " + echo + "#" + std::to_string(event) + "\n\n";
       if (faults_.break_after > 0 && made++ >= faults_.break_after) {
         // Partway through an event, as a runner that dies does.
         co_await exchange.write(std::string_view(text).substr(0, text.size() / 2));
--- a/emulator/stand_in.h
+++ b/emulator/stand_in.h
@@ -52,6 +52,7 @@
   std::string id = "runner-1";
   std::uint32_t slots = 4;
   std::uint64_t events = 5;                     ///< Of each stream.
+  std::uint64_t event_bytes = 1U << 20U;        ///< Most bytes of the request's body in an event.
   Duration gap = std::chrono::milliseconds(5);  ///< Before each event.
   /// The process ends as soon as it has begun to answer a request with this body; empty: never.
   std::string crash_body;
