--- a/tests/soak/link_proxy.py
+++ b/tests/soak/link_proxy.py
@@ -1,17 +1,43 @@
-"""TCP proxies on loopback whose connections can be delayed, reset, cut one way or silenced."""
+"""TCP proxies on loopback that can be delayed, bounded, reset, cut one way or silenced."""
 
 import asyncio
 import threading
 
 COPY_BYTES = 65536
+# A bounded direction takes turns between its connections this often.
+BOUNDED_COPY_BYTES = 8192
 LOOK_SECONDS = 0.02
 
 
+class Direction:
+    """One direction of a link: all its connections share the rate, and `bytes` counts them all.
+
+    A cut direction swallows bytes: the peer sees silence, as behind a broken route.
+    """
+
+    def __init__(self):
+        self.bytes_per_second = None
+        self.bytes = 0
+        self.cut = False
+        self.free_at = 0.0
+
+    def chunk_bytes(self):
+        return BOUNDED_COPY_BYTES if self.bytes_per_second else COPY_BYTES
+
+    async def carry(self, count):
+        """Waits until `count` more bytes have gone over the link."""
+        self.bytes += count
+        if not self.bytes_per_second:
+            return
+        now = asyncio.get_running_loop().time()
+        self.free_at = max(now, self.free_at) + count / self.bytes_per_second
+        await asyncio.sleep(self.free_at - now)
+
+
 class Link:
     """One proxy. Faults are set from any thread; the event loop's thread does all the rest.
 
-    A cut direction swallows bytes: the peer sees silence, as behind a broken route. A silenced link
-    swallows both ways and lets new connections hang.
+    A silenced link swallows both ways and lets new connections hang.
     """
 
     def __init__(self, target):
@@ -19,21 +45,27 @@
         self.target = (host, int(port))
         self.address = None
         self.delay_seconds = 0.0
-        self.cut_forward = False
-        self.cut_back = False
+        self.forward = Direction()
+        self.back = Direction()
         self.writers = set()
 
+    def bound(self, bytes_per_second):
+        """Bounds the rate of each direction; None: no bound."""
+        self.forward.bytes_per_second = bytes_per_second
+        self.back.bytes_per_second = bytes_per_second
+
     def heal(self):
+        """Ends all faults; a bound on the rate is none."""
         self.delay_seconds = 0.0
-        self.cut_forward = False
-        self.cut_back = False
+        self.forward.cut = False
+        self.back.cut = False
 
     def silence(self):
-        self.cut_forward = True
-        self.cut_back = True
+        self.forward.cut = True
+        self.back.cut = True
 
     async def serve(self, near_reader, near_writer):
-        while self.cut_forward and self.cut_back:
+        while self.forward.cut and self.back.cut:
             await asyncio.sleep(LOOK_SECONDS)
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
@@ -43,21 +75,21 @@
         pair = (near_writer, far_writer)
         self.writers.update(pair)
         await asyncio.gather(
-            self.copy(near_reader, far_writer, lambda: self.cut_forward),
-            self.copy(far_reader, near_writer, lambda: self.cut_back))
+            self.copy(near_reader, far_writer, self.forward),
+            self.copy(far_reader, near_writer, self.back))
         for writer in pair:
             writer.transport.abort()
             self.writers.discard(writer)
 
-    async def copy(self, reader, writer, is_cut):
+    async def copy(self, reader, writer, direction):
         try:
             while True:
-                data = await reader.read(COPY_BYTES)
+                data = await reader.read(direction.chunk_bytes())
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
-                if is_cut():
+                if direction.cut:
                     # What a cut swallows is gone: the stream cannot go on after it heals.
-                    while is_cut():
+                    while direction.cut:
                         await asyncio.sleep(LOOK_SECONDS)
                     writer.transport.abort()
                     return
@@ -65,6 +97,10 @@
                     if writer.can_write_eof():
                         writer.write_eof()
                     return
+                if writer.is_closing():
+                    # Nobody is left to read it, so nothing more is sent.
+                    return
+                await direction.carry(len(data))
                 writer.write(data)
                 await writer.drain()
         except (OSError, RuntimeError):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -161,9 +161,9 @@
         elif kind == "reset":
             self.links.reset(link)
         elif kind == "cut forward":
-            link.cut_forward = True
+            link.forward.cut = True
         elif kind == "cut back":
-            link.cut_back = True
+            link.back.cut = True
         else:
             link.silence()
         return link.heal
