The platform of the system tests takes the sizes of items and of the store

The defaults are those of before; large sizes are one record of 15 kB for a request and 12 kB for an answer, and services without runners can be added.

--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -1,6 +1,7 @@
 """Stand-ins of the users' store and runners, and real nodes that know only the store."""
 
 import base64
+import dataclasses
 import json
 import pathlib
 import signal
@@ -14,6 +15,34 @@
 EVENTS = 5
 
 
+@dataclasses.dataclass(frozen=True)
+class Sizes:
+    """Bounds of the store, sizes of items and how long jobs are kept."""
+
+    record_bytes: int = 2000
+    call_bytes: int = 8000
+    body_bytes: int = 700
+    event_bytes: int = 700  # Of the request's body that each event repeats.
+    status_seconds: int = 120
+    queued_tokens: int = 100000
+
+    def item_body(self, index):
+        """The request of the item with this index in its job."""
+        return (b"%d" % index * self.body_bytes)[:self.body_bytes]
+
+    def item_text(self, index):
+        """The whole output of that item."""
+        echo = self.item_body(index)[:self.event_bytes].decode()
+        return "\n".join("%s#%d" % (echo, i) for i in range(1, EVENTS + 1))
+
+
+# Small pieces: each request is several records, and a call holds few of them.
+SMALL_SIZES = Sizes()
+# A request of 15 kB is one record, and an answer has 12 kB; jobs outlast any test.
+LARGE_SIZES = Sizes(record_bytes=262144, call_bytes=2097152, body_bytes=15000, event_bytes=2400,
+                    status_seconds=1200, queued_tokens=100000000)
+
+
 def frame(key, value):
     """One record as the store takes it."""
     content = bytes([len(key)]) + key.encode() + value
@@ -28,8 +57,10 @@
     to run them.
     """
 
-    def __init__(self, directory, nodes=3, runners=2, link=None, crash_body=None):
+    def __init__(self, directory, nodes=3, runners=2, link=None, crash_body=None,
+                 sizes=SMALL_SIZES):
         self.directory = directory
+        self.sizes = sizes
         self.crash_body = crash_body
         self.runner_starts = 0
         link = link or (lambda kind, name, address: address)
@@ -60,9 +91,10 @@
                 "node_name": "node%d" % index, "zone": "z1", "ip": "127.0.0.1",
                 "listen": {"front": self.nodes[-1], "ready": self.ready[-1]},
                 "internal_ports": [peer, peer],
-                "bounds": {"grace_s": 8, "status_s": 120, "skew_max_ms": 5000},
+                "bounds": {"grace_s": 8, "status_s": sizes.status_seconds, "skew_max_ms": 5000},
                 "platform": {"address": link("store", "node%d" % index, self.store), "parts": 8,
-                             "record_bytes": 2000, "call_bytes": 8000, "ttl_min_ms": 1000}}))
+                             "record_bytes": sizes.record_bytes, "call_bytes": sizes.call_bytes,
+                             "ttl_min_ms": 1000}}))
             self.node_processes.append(Process(
                 "node%d" % index, [BUILD / "apps/stoathold", "--settings", settings], directory))
         for address in [self.store] + list(self.runners.values()):
@@ -72,7 +104,8 @@
         crash = [] if self.crash_body is None else ["--crash-body", self.crash_body]
         return Process(runner_id, [
             BUILD / "apps/stoathold-emulator", "inference-runner", "--listen", self.runners[name],
-            "--id", runner_id, "--events", EVENTS] + crash, self.directory)
+            "--id", runner_id, "--events", EVENTS,
+            "--event-bytes", self.sizes.event_bytes] + crash, self.directory)
 
     def replace_ended_runners(self):
         """Starts each runner that has ended under a new identity, and lists it; returns how many."""
@@ -118,18 +151,20 @@
             "service": "chat", "address": self.runner_routes[name], "zone": "z1", "slots": 4,
             "state": state})
 
-    def configure(self, version, extra_routes=(), tenants=None):
+    def configure(self, version, extra_routes=(), tenants=None, extra_services=()):
         routes = [
             {"name": "ask", "host": HOST, "path_prefix": "/ask/", "kind": "streaming",
              "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat", "max_attempts": 2,
              "session_affinity": True, "resumable": True, "gap_target_ms": 5000},
             {"name": "drafts", "host": HOST, "path_prefix": "/drafts/", "kind": "batch",
              "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat", "max_attempts": 3,
-             "completion_target_ms": 20000, "retention_s": 600, "max_queued_tokens": 100000}]
+             "completion_target_ms": 20000, "retention_s": 600,
+             "max_queued_tokens": self.sizes.queued_tokens}]
         more = {} if tenants is None else {"tenants": tenants}
         self.append("keyed.op", "config", {
             **more, "version": version, "routes": routes + list(extra_routes),
-            "services": [{"name": "chat", "health_path": "/health"}],
+            "services": [{"name": name, "health_path": "/health"}
+                         for name in ["chat", *extra_services]],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 
@@ -148,12 +183,13 @@
                     {**keys, "Host": HOST, "Stoathold-Attempt-Id": request,
                      "Stoathold-Deadline-Ms": "15000"})
 
-    def submit(self, node, job, count=3, key=None):
+    def submit(self, node, job, count=3, key=None, prefix="/drafts/"):
         keys = {} if key is None else {"Stoathold-Key": key}
-        items = [{"id": "%s-%d" % (job, i), "path": "/drafts/1", "headers": {"Stoathold-Model": "m"},
-                  "body": base64.b64encode(b"%d" % i * 700).decode(), "token_count": 100}
+        items = [{"id": "%s-%d" % (job, i), "path": prefix + "1",
+                  "headers": {"Stoathold-Model": "m"},
+                  "body": base64.b64encode(self.sizes.item_body(i)).decode(), "token_count": 100}
                  for i in range(count)]
-        return call(self.nodes[node], "POST", "/drafts/x", {"items": items},
+        return call(self.nodes[node], "POST", prefix + "x", {"items": items},
                     {**keys, "Host": HOST, "Stoathold-Attempt-Id": job})[0]
 
     def results(self, node, job, after=0, key=None):
@@ -161,6 +197,12 @@
         return call_json(self.nodes[node], "GET", "/api/lots/%s?after_rev=%d" % (job, after), None,
                          {**keys, "Host": HOST, "Stoathold-Max-Wait-Ms": "1000"})
 
+    def item_body(self, node, job, index):
+        """Asks for the request of an item: (status, body)."""
+        target = "/api/items/%s?id=%s-%d" % (job, job, index)
+        status, _, body = call(self.nodes[node], "GET", target, None, {"Host": HOST})
+        return status, body
+
     def wait_results(self, node, job, count, key=None):
         """Reads on until all results are there; returns them in their positions."""
         found = []
@@ -188,4 +230,4 @@
 
 
 def item_text(index):
-    return "\n".join("%s#%d" % (str(index) * 700, i) for i in range(1, EVENTS + 1))
+    return SMALL_SIZES.item_text(index)
