Tell where each open item of a node is: a log line each 5 s and gauges

Cause: of an accepted item on which nothing worked the logs didn't say whether its job was being read, its request was being read, it waited for a runner or its result was being written.

Change: a table of open items by stage (ItemStages), entered from JobRunner and ItemRun; a line items_open each 5 s while the node has jobs, with items by stage, the longest time in each and the item of the job that it has had for longest; gauges of the same.

Run: ctest jobs, base, platform pass.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -22,6 +22,8 @@
     EventEntry{
         Event::kLogLinesLeftOut, "log_lines_left_out", EventLevel::kWarning,
         "Lines of an event were left out to bound the log's volume; the count says how many."},
+    EventEntry{Event::kStartProgress, "start_progress", EventLevel::kInfo,
+               "The process came to a step of its start; the line says after how many seconds."},
     EventEntry{Event::kMemberSuspected, "member_suspected", EventLevel::kWarning,
                "A member fell silent and gets no new work."},
     EventEntry{Event::kMemberDead, "member_dead", EventLevel::kWarning,
@@ -75,6 +77,9 @@
                "The request of a batch item could not be read; read again."},
     EventEntry{Event::kJobLoaded, "job_loaded", EventLevel::kInfo,
                "The results and the progress of a job that this node runs are read."},
+    EventEntry{Event::kItemsOpen, "items_open", EventLevel::kInfo,
+               "Open items of this node by stage, with the seconds of the longest in each, and the "
+               "item of the job that it has had for longest."},
     EventEntry{Event::kRequestRefused, "request_refused", EventLevel::kInfo,
                "A request was refused before any dispatch."},
     EventEntry{Event::kRequestFailed, "request_failed", EventLevel::kWarning,
@@ -129,6 +134,9 @@
     EventEntry{
         Event::kPeerDatagramFailed, "peer_datagram_failed", EventLevel::kWarning,
         "A datagram between nodes could not be sent or received; the next one holds all again."},
+    EventEntry{Event::kStoreTraffic, "store_traffic", EventLevel::kInfo,
+               "Calls to the store since the last such line, by call and topic, with bytes sent "
+               "and answered and those that timed out."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -22,6 +22,7 @@
   kSettingsRefused = 1005,
   kSettingsReloaded = 1006,
   kLogLinesLeftOut = 1007,
+  kStartProgress = 1008,
   kMemberSuspected = 1101,
   kMemberDead = 1102,
   kMemberAlive = 1103,
@@ -48,6 +49,7 @@
   kJobLoadRetried = 1412,
   kItemReadRetried = 1413,
   kJobLoaded = 1414,
+  kItemsOpen = 1415,
   kRequestRefused = 1501,
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
@@ -74,6 +76,7 @@
   kPeersChanged = 1606,
   kReplicaReset = 1607,
   kPeerDatagramFailed = 1608,
+  kStoreTraffic = 1609,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -66,6 +66,17 @@
   return family;
 }
 
+/// Adds a gauge to the last family if that has its name.
+void add_gauge(const MetricValue& value, std::vector<MetricFamily>& families) {
+  if (families.empty() || families.back().name != value.name) {
+    families.push_back(make_family(value.name, value.help, MetricType::Gauge));
+  }
+  ClientMetric metric;
+  if (!value.label.name.empty()) metric.label = {make_label(value.label.name, value.label.value)};
+  metric.gauge.value = value.value;
+  families.back().metric.push_back(std::move(metric));
+}
+
 MetricFamily runner_states(const RunnerRegistry& runners) {
   MetricFamily family = make_family("stoathold_runners", "Runners by state.", MetricType::Gauge);
   const TimePoint now = monotonic_now();
@@ -145,7 +156,7 @@
       context.configuration ? static_cast<double>(context.configuration->version) : 0;
   families.push_back(
       gauge("stoathold_configuration_version", "Version of the configuration in force.", version));
-  for (const auto& value : gauges) families.push_back(gauge(value.name, value.help, value.value));
+  for (const auto& value : gauges) add_gauge(value, families);
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -187,6 +187,7 @@
       if (!route_missing_since) route_missing_since = now;
       const bool gone = configuration && now - *route_missing_since > kRouteGrace;
       if (gone) co_return make_result(ItemState::kDeadLettered);
+      enter(ItemStage::kBackingOff);
       co_await pause(kRoutePause);
       continue;
     }
@@ -194,12 +195,15 @@
     if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
     if (quarantine_check_.is_quarantined()) {
       // Given up when its retention is over, as an item that no runner can do.
+      enter(ItemStage::kQuarantined);
       co_await pause(kQuarantinePause);
       continue;
     }
+    enter(ItemStage::kWaitingForSlot);
     const auto runner = co_await place(*route);
     if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
+    enter(ItemStage::kRunning);
     const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
     ++context_.metrics.batch_items[std::string(to_string(result))];
@@ -212,6 +216,7 @@
     }
     if (progress_.last_event > events_before) backoff.reset();
     if (result == AttemptResult::kYielded) continue;
+    enter(ItemStage::kBackingOff);
     if (!stopped_) co_await pause(backoff.next());
   }
   co_return std::nullopt;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +15,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
 #include "jobs/item_schedule.h"
+#include "jobs/item_stages.h"
 #include "jobs/job_records.h"
 #include "quarantine/quarantine_check.h"
 
@@ -39,6 +41,10 @@
   ItemRun(GatewayContext& context, ItemContext item, ItemRequest request, ItemProgress progress,
           Duration clock_skew);
 
+  /// Called when the item comes to another stage.
+  using StageListener = std::function<void(ItemStage)>;
+  void set_stage_listener(StageListener listener) { stage_listener_ = std::move(listener); }
+
   /// Runs until there is a result, or nothing if it was stopped.
   boost::asio::awaitable<std::optional<ItemResult>> run();
   /// Ends the run; the runner stops work.
@@ -59,6 +65,9 @@
   }
 
  private:
+  void enter(ItemStage stage) const {
+    if (stage_listener_) stage_listener_(stage);
+  }
   boost::asio::awaitable<AttemptResult> attempt(std::shared_ptr<Runner> runner);
   boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
   boost::asio::awaitable<AttemptResult> take_events();
@@ -101,6 +110,7 @@
   std::vector<std::string> failed_at_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   bool yielding_ = false;
+  StageListener stage_listener_;
   Timer timer_;
   bool stopped_ = false;
 };
--- /dev/null
+++ b/src/jobs/item_stage_log.cc
@@ -0,0 +1,49 @@
+#include "jobs/item_stage_log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/timer.h"
+#include "gateway/log_fields.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Between two lines: an item that stands still for as long as its objective has several.
+constexpr Duration kLineInterval = std::chrono::seconds(5);
+
+}  // namespace
+
+ItemStageLog::ItemStageLog(asio::any_io_executor executor, const ItemStages& stages,
+                           ItemIds item_ids)
+    : executor_(std::move(executor)), stages_(stages), item_ids_(std::move(item_ids)) {}
+
+void ItemStageLog::write_line() const {
+  const StageSummary summary = stages_.summary(monotonic_now());
+  if (!summary.oldest) return;
+  const OldestItem& oldest = *summary.oldest;
+  log_event(Event::kItemsOpen,
+            {{"items", std::to_string(summary.open_items)},
+             {"jobs_queued", std::to_string(summary.jobs_queued)},
+             {"stages", stages_text(summary)},
+             {"job", oldest.job},
+             {"item", oldest.index ? item_ids_(oldest.job, *oldest.index) : std::string()},
+             {"stage", std::string(to_string(oldest.stage))},
+             {"stage_ms", milliseconds_text(oldest.time_in_stage)},
+             {"here_ms", milliseconds_text(oldest.time_here)}});
+}
+
+asio::awaitable<void> ItemStageLog::run(std::function<bool()> running) const {
+  Timer timer(executor_);
+  while (running()) {
+    timer.expires_after(kLineInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    write_line();
+  }
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/item_stages.cc
@@ -0,0 +1,104 @@
+#include "jobs/item_stages.h"
+
+#include <algorithm>
+
+#include "gateway/log_fields.h"
+
+namespace stoathold {
+namespace {
+
+/// Counts items that have been in a stage for a time.
+void count(StageSummary& summary, ItemStage stage, std::size_t items, Duration time_in_stage) {
+  StageCount& counted = summary.stages[static_cast<std::size_t>(stage)];
+  counted.items += items;
+  counted.oldest = std::max(counted.oldest, time_in_stage);
+  summary.open_items += items;
+}
+
+void keep_older(std::optional<OldestItem>& oldest, const OldestItem& item) {
+  const auto age = [](const OldestItem& of) { return std::pair(of.time_here, of.time_in_stage); };
+  if (!oldest || age(item) > age(*oldest)) oldest = item;
+}
+
+}  // namespace
+
+std::string_view to_string(ItemStage stage) {
+  switch (stage) {
+    case ItemStage::kJobQueued:
+      return "job_queued";
+    case ItemStage::kWaitingForTurn:
+      return "waiting_for_turn";
+    case ItemStage::kReadingRequest:
+      return "reading_request";
+    case ItemStage::kWaitingForSlot:
+      return "waiting_for_slot";
+    case ItemStage::kQuarantined:
+      return "quarantined";
+    case ItemStage::kRunning:
+      return "running";
+    case ItemStage::kBackingOff:
+      return "backing_off";
+    case ItemStage::kWritingResult:
+      break;
+  }
+  return "writing_result";
+}
+
+std::string stages_text(const StageSummary& summary) {
+  std::string text;
+  for (std::size_t i = 0; i < kItemStages; ++i) {
+    const StageCount& counted = summary.stages[i];
+    if (counted.items == 0) continue;
+    if (!text.empty()) text += ",";
+    text += std::string(to_string(static_cast<ItemStage>(i))) + "=" +
+            std::to_string(counted.items) + "/" + decimal_text(to_seconds(counted.oldest));
+  }
+  return text;
+}
+
+void ItemStages::add_job(const JobKey& job, std::size_t items, TimePoint now) {
+  jobs_[job] = {.since = now, .unread_items = items, .read = false, .items = {}};
+}
+
+void ItemStages::job_read(const JobKey& job) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) return;
+  found->second.read = true;
+  found->second.unread_items = 0;
+}
+
+void ItemStages::enter(const JobKey& job, std::uint32_t index, ItemStage stage, TimePoint now) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) return;
+  const auto [row, added] = found->second.items.try_emplace(index, Row{stage, now});
+  if (!added && row->second.stage != stage) row->second = {stage, now};
+}
+
+void ItemStages::leave(const JobKey& job, std::uint32_t index) {
+  const auto found = jobs_.find(job);
+  if (found != jobs_.end()) found->second.items.erase(index);
+}
+
+void ItemStages::forget(const JobKey& job) {
+  jobs_.erase(job);
+}
+
+StageSummary ItemStages::summary(TimePoint now) const {
+  StageSummary summary;
+  for (const auto& [key, job] : jobs_) {
+    const Duration here = now - job.since;
+    if (!job.read) {
+      ++summary.jobs_queued;
+      count(summary, ItemStage::kJobQueued, job.unread_items, here);
+      keep_older(summary.oldest, {key, std::nullopt, ItemStage::kJobQueued, here, here});
+    }
+    for (const auto& [index, row] : job.items) {
+      const Duration time_in_stage = now - row.since;
+      count(summary, row.stage, 1, time_in_stage);
+      keep_older(summary.oldest, {key, index, row.stage, time_in_stage, here});
+    }
+  }
+  return summary;
+}
+
+}  // namespace stoathold
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -59,7 +59,9 @@
               [this](std::set<std::uint32_t> slots) { return give_up_slots(std::move(slots)); },
               [this](const std::vector<std::string>& names) {
                 if (members_listener_) members_listener_(names);
-              }}) {
+              }}),
+      stage_log_(context.executor, stages_,
+                 [this](const JobKey& key, std::uint32_t index) { return item_id(key, index); }) {
   store_.set_running_jobs(false);
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
 }
@@ -68,6 +70,7 @@
   started_ = monotonic_now();
   asio::co_spawn(context_.executor, membership_.run(), asio::detached);
   asio::co_spawn(context_.executor, maintain(), asio::detached);
+  asio::co_spawn(context_.executor, stage_log_.run([this] { return !stopping_; }), asio::detached);
 }
 
 bool JobRunner::holds(const JobKey& key) const {
@@ -91,6 +94,7 @@
   job->submitted_ms = entry.submission.submitted_ms;
   job->items = entry.submission.items;
   jobs_.emplace(key, job);
+  stages_.add_job(key, job->items.size(), monotonic_now());
   log_event(Event::kJobStarted, {{"job", key}, {"items", std::to_string(job->items.size())}});
   loader_.add({.key = key,
                .wanted = [job] { return !job->stopped; },
@@ -102,6 +106,7 @@
                                 {"listed", std::to_string(store_.results_of(key).listed().size())},
                                 {"waiting", std::to_string(waiting_.size())},
                                 {"running", std::to_string(running_items_)}});
+  stages_.job_read(key);
   const ListedResults& results = store_.results_of(key);
   for (std::uint32_t index = 0; index < job->items.size(); ++index) {
     if (results.is_listed(index)) {
@@ -109,6 +114,7 @@
     } else {
       waiting_.insert({job->submitted_ms, key, index});
       job->unlisted.insert(index);
+      enter_stage(key, *job, index, ItemStage::kWaitingForTurn);
     }
   }
   if (job->unlisted.empty()) {
@@ -158,6 +164,7 @@
 
 asio::awaitable<void> JobRunner::run_item(WaitingItem item, std::shared_ptr<ActiveJob> job) {
   const JobItem& listed = job->items[item.index];
+  enter_stage(item.job, *job, item.index, ItemStage::kReadingRequest);
   ItemRequest request;
   Backoff backoff;
   Timer timer(context_.executor);
@@ -181,6 +188,8 @@
     const auto run = std::make_shared<ItemRun>(context_, std::move(context), std::move(request),
                                                std::move(progress), settings_.clock_skew);
     job->runs[item.index] = run;
+    run->set_stage_listener(
+        [this, item, job](ItemStage stage) { enter_stage(item.job, *job, item.index, stage); });
     std::optional<ItemResult> result = co_await run->run();
     job->runs.erase(item.index);
     if (result) {
@@ -189,6 +198,7 @@
                  {"item", listed.id},
                  {"state", result->state == ItemState::kCompleted ? "completed" : "dead_lettered"},
                  {"failures", std::to_string(run->progress().failures)}});
+      enter_stage(item.job, *job, item.index, ItemStage::kWritingResult);
       writer_.add(std::move(*result));
     }
   }
@@ -197,6 +207,7 @@
 }
 
 void JobRunner::result_durable(const ItemResult& result) {
+  stages_.leave(result.job, result.item);
   const auto found = jobs_.find(result.job);
   if (found == jobs_.end()) return;
   const auto job = found->second;
@@ -225,6 +236,7 @@
   if (job->stopped) co_return;
   log_event(Event::kJobFinished, {{"job", key}});
   jobs_.erase(key);
+  stages_.forget(key);
   checkpointed_.forget(key);
   counts_changed_.erase(key);
 }
@@ -235,6 +247,7 @@
   const auto job = found->second;
   jobs_.erase(found);
   job->stopped = true;
+  stages_.forget(key);
   std::erase_if(waiting_, [&](const WaitingItem& item) { return item.job == key; });
   for (const auto& [index, run] : job->runs) {
     if (keep_progress) add_checkpoint(*run);
@@ -271,6 +284,17 @@
   }
 }
 
+void JobRunner::enter_stage(const JobKey& key, const ActiveJob& job, std::uint32_t index,
+                            ItemStage stage) {
+  if (job.stopped || !job.unlisted.contains(index)) return;
+  stages_.enter(key, index, stage, monotonic_now());
+}
+
+std::string JobRunner::item_id(const JobKey& key, std::uint32_t index) const {
+  const auto job = jobs_.find(key);
+  return job == jobs_.end() ? std::string() : job->second->items[index].id;
+}
+
 void JobRunner::add_checkpoint(const ItemRun& run) {
   if (!run.has_progress()) return;
   const ItemProgress& progress = run.progress();
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -13,6 +13,8 @@
 #include "gateway/gateway_context.h"
 #include "jobs/checkpoint_table.h"
 #include "jobs/item_run.h"
+#include "jobs/item_stage_log.h"
+#include "jobs/item_stages.h"
 #include "jobs/job_loader.h"
 #include "jobs/job_store.h"
 #include "jobs/result_writer.h"
@@ -50,6 +52,8 @@
   [[nodiscard]] std::size_t running_items() const { return running_items_; }
   [[nodiscard]] std::size_t unwritten_results() const { return writer_.pending(); }
   [[nodiscard]] std::size_t waiting_items() const { return waiting_.size(); }
+  /// Where the open items are now.
+  [[nodiscard]] StageSummary item_stages() const { return stages_.summary(monotonic_now()); }
 
  private:
   /// A job that this node runs.
@@ -81,6 +85,9 @@
   void job_loaded(const JobKey& key, const std::shared_ptr<ActiveJob>& job);
   void stop_job(const JobKey& key, bool keep_progress);
   void start_waiting();
+  /// Notes an item's stage; one that was stopped, or has a durable result, has none.
+  void enter_stage(const JobKey& key, const ActiveJob& job, std::uint32_t index, ItemStage stage);
+  [[nodiscard]] std::string item_id(const JobKey& key, std::uint32_t index) const;
   boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job);
   void result_durable(const ItemResult& result);
   boost::asio::awaitable<void> finish_job(JobKey key, std::shared_ptr<ActiveJob> job);
@@ -100,6 +107,8 @@
   SlotMembership membership_;
   std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
   std::set<WaitingItem> waiting_;
+  ItemStages stages_;
+  ItemStageLog stage_log_;
   std::set<JobKey> counts_changed_;
   CheckpointTable checkpointed_;
   /// Progress that is to be written, by partition.
--- /dev/null
+++ b/tests/jobs/item_stages_test.cc
@@ -0,0 +1,89 @@
+#include "jobs/item_stages.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+TimePoint at_second(int second) {
+  return kStart + std::chrono::seconds(second);
+}
+
+TEST(ItemStagesTest, AJobThatIsNotReadCountsWithAllItsItems) {
+  ItemStages stages;
+  EXPECT_TRUE(stages.empty());
+  stages.add_job("a", 7, at_second(0));
+  stages.add_job("b", 5, at_second(2));
+  const StageSummary summary = stages.summary(at_second(3));
+  EXPECT_EQ(summary.jobs_queued, 2U);
+  EXPECT_EQ(summary.open_items, 12U);
+  EXPECT_EQ(summary.of(ItemStage::kJobQueued).items, 12U);
+  EXPECT_EQ(summary.of(ItemStage::kJobQueued).oldest, std::chrono::seconds(3));
+  ASSERT_TRUE(summary.oldest);
+  EXPECT_EQ(summary.oldest->job, "a");
+  EXPECT_FALSE(summary.oldest->index);
+}
+
+TEST(ItemStagesTest, AnItemIsInOneStageAndItsTimeThereBeginsWithIt) {
+  ItemStages stages;
+  stages.add_job("a", 2, at_second(0));
+  stages.job_read("a");
+  stages.enter("a", 0, ItemStage::kWaitingForTurn, at_second(1));
+  stages.enter("a", 1, ItemStage::kWaitingForTurn, at_second(1));
+  stages.enter("a", 1, ItemStage::kReadingRequest, at_second(4));
+  const StageSummary summary = stages.summary(at_second(6));
+  EXPECT_EQ(summary.jobs_queued, 0U);
+  EXPECT_EQ(summary.of(ItemStage::kJobQueued).items, 0U);
+  EXPECT_EQ(summary.of(ItemStage::kWaitingForTurn).items, 1U);
+  EXPECT_EQ(summary.of(ItemStage::kWaitingForTurn).oldest, std::chrono::seconds(5));
+  EXPECT_EQ(summary.of(ItemStage::kReadingRequest).oldest, std::chrono::seconds(2));
+  EXPECT_EQ(stages_text(summary), "waiting_for_turn=1/5.00,reading_request=1/2.00");
+}
+
+/// An item without a place is looked at anew every few seconds; it must not look young for that.
+TEST(ItemStagesTest, TheTimeInAStageGoesOnIfItIsEnteredAgain) {
+  ItemStages stages;
+  stages.add_job("a", 1, at_second(0));
+  stages.job_read("a");
+  stages.enter("a", 0, ItemStage::kWaitingForSlot, at_second(1));
+  stages.enter("a", 0, ItemStage::kWaitingForSlot, at_second(9));
+  const StageSummary summary = stages.summary(at_second(10));
+  EXPECT_EQ(summary.of(ItemStage::kWaitingForSlot).oldest, std::chrono::seconds(9));
+}
+
+/// An item that goes to and fro between stages is in none of them for long.
+TEST(ItemStagesTest, TheOldestItemIsOfTheJobThatIsHereForLongest) {
+  ItemStages stages;
+  stages.add_job("young", 1, at_second(5));
+  stages.add_job("zeal", 2, at_second(0));
+  for (const char* job : {"young", "zeal"}) stages.job_read(job);
+  stages.enter("young", 0, ItemStage::kRunning, at_second(5));
+  stages.enter("zeal", 0, ItemStage::kBackingOff, at_second(9));
+  stages.enter("zeal", 1, ItemStage::kWaitingForSlot, at_second(8));
+  const StageSummary summary = stages.summary(at_second(10));
+  ASSERT_TRUE(summary.oldest);
+  EXPECT_EQ(summary.oldest->job, "zeal");
+  EXPECT_EQ(summary.oldest->index, 1U);
+  EXPECT_EQ(summary.oldest->stage, ItemStage::kWaitingForSlot);
+  EXPECT_EQ(summary.oldest->time_in_stage, std::chrono::seconds(2));
+  EXPECT_EQ(summary.oldest->time_here, std::chrono::seconds(10));
+}
+
+TEST(ItemStagesTest, WhatIsDoneOrForgottenHasNoRow) {
+  ItemStages stages;
+  stages.add_job("a", 2, at_second(0));
+  stages.job_read("a");
+  stages.enter("a", 0, ItemStage::kRunning, at_second(1));
+  stages.enter("a", 1, ItemStage::kRunning, at_second(1));
+  stages.leave("a", 0);
+  EXPECT_EQ(stages.summary(at_second(2)).open_items, 1U);
+  stages.forget("a");
+  stages.enter("a", 1, ItemStage::kBackingOff, at_second(2));
+  EXPECT_TRUE(stages.empty());
+  EXPECT_FALSE(stages.summary(at_second(2)).oldest);
+}
+
+}  // namespace
+}  // namespace stoathold
