Tell what a node asks of the store by call and topic, and how far its start has come

Cause: what a restart reads, and whether reads keep one another from coming through, could be counted by call only, without bytes and without the topic; nothing said when a process knew the configuration, the runners and the jobs.

Change: the store's observer gets a typed StoreCall; StoreTraffic counts calls, time outs and bytes by call and topic; a line store_traffic each 5 s with what changed, and four counters on the metrics page. start_progress tells the seconds from the start to five steps, each once.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "base/start_progress.h"
 #include "gateway/answer_pace.h"
 #include "gateway/durations_by_route.h"
 #include "gateway/gateway_metrics.h"
@@ -48,6 +49,7 @@
   UpstreamPool pool;
   Quarantine quarantine;
   GatewayMetrics metrics;
+  StartProgress start_progress{monotonic_now()};
   TenantLimits tenant_limits;
   DurationsByRoute first_event_times;  ///< From the sending of a request to its first event.
   AnswerPace answer_pace;              ///< Of batch items.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -10,6 +10,12 @@
   sum_seconds_ += to_seconds(duration);
 }
 
+void GatewayMetrics::count_store_call(const StoreCall& call) {
+  ++store_calls[call.call + ":" + std::string(to_string(call.status))];
+  if (call.call != "read") store_latency.observe(call.duration);
+  store_traffic.add(call);
+}
+
 void GatewayMetrics::count_tenant_request(const std::string& tenant, const std::string& decision) {
   // Some hundred lines of the metrics page.
   constexpr std::size_t kMaxRows = 200;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "store/store_traffic.h"
 
 namespace stoathold {
 
@@ -43,8 +44,11 @@
   std::uint64_t requests_open = 0;
   LatencyHistogram first_event;    ///< From a request's arrival to the first byte of its answer.
   LatencyHistogram store_latency;  ///< Of calls to the store that do not wait for records.
+  StoreTraffic store_traffic;      ///< By call and topic.
   LatencyHistogram event_gap;      ///< Between two pieces of a stream.
 
+  /// Counts a call to the store.
+  void count_store_call(const StoreCall& call);
   /// Counts a request of a tenant. Once there are many tenants, further ones count together, so
   /// that the metrics page stays bounded.
   void count_tenant_request(const std::string& tenant, const std::string& decision);
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -3,6 +3,7 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <array>
 #include <limits>
 
 namespace stoathold {
@@ -105,6 +106,32 @@
   return family;
 }
 
+/// Adds one family for each number that is counted by call and topic.
+void add_store_traffic(const StoreTraffic& traffic, std::vector<MetricFamily>& families) {
+  struct Column {
+    const char* name;
+    const char* help;
+    std::uint64_t TrafficCount::*value;
+  };
+  constexpr std::array<Column, 4> kColumns{
+      Column{"stoathold_store_topic_calls_total", "Calls to the store by call and topic.",
+             &TrafficCount::calls},
+      Column{"stoathold_store_time_outs_total", "Calls given up when their time was over.",
+             &TrafficCount::time_outs},
+      Column{"stoathold_store_sent_bytes_total", "Bytes of calls to the store, without headers.",
+             &TrafficCount::bytes_sent},
+      Column{"stoathold_store_answered_bytes_total", "Bytes of answers that came whole.",
+             &TrafficCount::bytes_answered}};
+  for (const Column& column : kColumns) {
+    MetricFamily family = make_family(column.name, column.help, MetricType::Counter);
+    for (const auto& [kind, count] : traffic.counts()) {
+      add_counter(family, {make_label("call", kind.first), make_label("topic", kind.second)},
+                  count.*column.value);
+    }
+    families.push_back(std::move(family));
+  }
+}
+
 }  // namespace
 
 std::string render_gateway_metrics(const GatewayContext& context,
@@ -141,6 +168,7 @@
                                metrics.event_gap));
   families.push_back(histogram("stoathold_store_seconds", "Calls to the store that do not wait.",
                                metrics.store_latency));
+  add_store_traffic(metrics.store_traffic, families);
   families.push_back(runner_states(context.runners));
   families.push_back(gauge("stoathold_requests_open", "Requests being served.",
                            static_cast<double>(metrics.requests_open)));
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -125,6 +125,7 @@
   tokens_to_read_ = choice.tokens_to_read;
   ticket_.reset();
   if (runner) log_choice(choice, schedule);
+  if (runner) context_.start_progress.reached(StartStep::kFirstItemPlaced, monotonic_now());
   co_return runner;
 }
 
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -70,9 +70,17 @@
   });
   const PartitionName name{kJobsTopic, number};
   partition.replica = std::make_shared<PartitionReplica>(log_, name, *partition.table);
+  partition.replica->set_loaded_listener([this] { partition_loaded(); });
   return partition;
 }
 
+void JobStore::partition_loaded() const {
+  for (const auto& [number, partition] : jobs_) {
+    if (partition.followed && !partition.replica->health().loaded) return;
+  }
+  if (loaded_listener_) loaded_listener_();
+}
+
 const ItemProgress* JobStore::progress_of(const JobKey& key, std::uint32_t item) {
   const JobProgress& progress = progress_[key];
   const auto found = progress.find(item);
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -64,6 +64,10 @@
 
   /// Called whenever a job of a followed host was added or ended.
   void set_listener(JobTable::Listener listener) { listener_ = std::move(listener); }
+  /// Called whenever the jobs of the followed hosts are all read to their ends.
+  void set_loaded_listener(std::function<void()> listener) {
+    loaded_listener_ = std::move(listener);
+  }
   /// Follows the jobs of a host from now on.
   void follow_host(const std::string& host);
   /// Whether this node runs jobs. While it does, the jobs of the followed hosts are read as soon as
@@ -128,6 +132,7 @@
   /// Returns the partition of a host's jobs; starts to keep it if nothing did before.
   JobsPartition& jobs_of(const std::string& host);
   [[nodiscard]] bool is_known(const JobKey& key) const;
+  void partition_loaded() const;
   boost::asio::awaitable<LogStatus> append_bodies(JobKey key, NewJob& job, TimePoint deadline);
   boost::asio::awaitable<LogStatus> append_until(PartitionName partition,
                                                  std::vector<KeyedRecord> records,
@@ -144,6 +149,7 @@
   std::uint64_t next_unique_ = 0;
   bool running_jobs_ = true;
   JobTable::Listener listener_;
+  std::function<void()> loaded_listener_;
   std::map<std::uint32_t, JobsPartition> jobs_;
   /// Of the jobs that this node was asked for or runs.
   std::map<JobKey, ListedResults> results_;
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "base/event_log.h"
 #include "base/timer.h"
@@ -76,7 +77,8 @@
   health_.last = status;
   if (status == LogStatus::kOk) {
     health_.last_success = std::max(health_.last_success, sent);
-    health_.loaded = health_.loaded || at_end;
+    const bool was_loaded = std::exchange(health_.loaded, health_.loaded || at_end);
+    if (health_.loaded && !was_loaded && loaded_listener_) loaded_listener_();
   }
   co_return status;
 }
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -54,6 +54,11 @@
   boost::asio::awaitable<void> follow(std::function<bool()> running, Duration pace = Duration{0},
                                       Duration wait = std::chrono::milliseconds(2000));
 
+  /// Called when the partition was read to its end for the first time.
+  void set_loaded_listener(std::function<void()> listener) {
+    loaded_listener_ = std::move(listener);
+  }
+
   [[nodiscard]] const PartitionName& name() const { return partition_; }
   /// Offset of the first record not yet applied; the end of the partition as far as it is known.
   [[nodiscard]] RecordOffset next_offset() const { return next_offset_; }
@@ -69,6 +74,7 @@
   RecordSink& sink_;
   RecordOffset next_offset_ = 0;
   ReplicaHealth health_;
+  std::function<void()> loaded_listener_;
 };
 
 }  // namespace stoathold
--- /dev/null
+++ b/src/store/store_traffic.cc
@@ -0,0 +1,77 @@
+#include "store/store_traffic.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "base/timer.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Between two lines: that of the lines on open items, so that they can be put side by side.
+constexpr Duration kLineInterval = std::chrono::seconds(5);
+
+TrafficCount difference(const TrafficCount& now, const TrafficCount& before) {
+  return {now.calls - before.calls, now.time_outs - before.time_outs,
+          now.bytes_sent - before.bytes_sent, now.bytes_answered - before.bytes_answered};
+}
+
+}  // namespace
+
+void StoreTraffic::add(const StoreCall& call) {
+  TrafficCount& count = counts_[{call.call, call.topic}];
+  ++count.calls;
+  if (call.timed_out) ++count.time_outs;
+  count.bytes_sent += call.bytes_sent;
+  count.bytes_answered += call.bytes_answered;
+}
+
+StoreTraffic::Counts StoreTraffic::take_changes() {
+  Counts changes;
+  for (const auto& [kind, count] : counts_) {
+    TrafficCount& told = told_[kind];
+    if (count == told) continue;
+    changes[kind] = difference(count, told);
+    told = count;
+  }
+  return changes;
+}
+
+std::string traffic_text(const StoreTraffic::Counts& counts) {
+  std::string text;
+  for (const auto& [kind, count] : counts) {
+    if (!text.empty()) text += ",";
+    text += kind.first + ":" + kind.second + "=" + std::to_string(count.calls) + "/" +
+            std::to_string(count.bytes_sent) + "/" + std::to_string(count.bytes_answered);
+    if (count.time_outs > 0) text += "/" + std::to_string(count.time_outs);
+  }
+  return text;
+}
+
+asio::awaitable<void> log_store_traffic(StoreTraffic& traffic) {
+  Timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    timer.expires_after(kLineInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const StoreTraffic::Counts changes = traffic.take_changes();
+    if (changes.empty()) continue;
+    TrafficCount total;
+    for (const auto& [kind, count] : changes) {
+      total.calls += count.calls;
+      total.time_outs += count.time_outs;
+      total.bytes_sent += count.bytes_sent;
+      total.bytes_answered += count.bytes_answered;
+    }
+    log_event(Event::kStoreTraffic, {{"calls", std::to_string(total.calls)},
+                                     {"time_outs", std::to_string(total.time_outs)},
+                                     {"bytes_sent", std::to_string(total.bytes_sent)},
+                                     {"bytes_answered", std::to_string(total.bytes_answered)},
+                                     {"by_topic", traffic_text(changes)}});
+  }
+}
+
+}  // namespace stoathold
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -86,5 +86,27 @@
   EXPECT_LE(log.most_newest_at_once, 2);
 }
 
+/// Without a configuration there is no route: a read item backs off, and is seen there until its
+/// slot is lost.
+TEST_F(JobRunnerTest, AnOpenItemIsSeenInItsStageUntilItIsNoLongerRunHere) {
+  EXPECT_EQ(run_awaitable(loop, store.submit(make_job("open"))), SubmitStatus::kAccepted);
+  submit_finished("done");
+  loop.restart();
+  store.follow_host(kHost);
+  runner.start();
+  const auto backing_off = [&] { return runner.item_stages().of(ItemStage::kBackingOff).items; };
+  for (int turn = 0; turn < 100000 && backing_off() + finished_jobs() < 2; ++turn) loop.run_one();
+  const StageSummary summary = runner.item_stages();
+  EXPECT_EQ(summary.open_items, 1U);
+  EXPECT_EQ(summary.of(ItemStage::kBackingOff).items, 1U);
+  ASSERT_TRUE(summary.oldest);
+  EXPECT_EQ(summary.oldest->job, make_job_key(kHost, "open"));
+  EXPECT_EQ(summary.oldest->index, 0U);
+  bool stopped = false;
+  boost::asio::co_spawn(loop, runner.stop(), [&](const std::exception_ptr&) { stopped = true; });
+  while (!stopped) loop.run_one();
+  EXPECT_EQ(runner.item_stages().open_items, 0U);
+}
+
 }  // namespace
 }  // namespace stoathold
--- /dev/null
+++ b/tests/store/store_traffic_test.cc
@@ -0,0 +1,50 @@
+#include "store/store_traffic.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+StoreCall make_call(const std::string& name, const std::string& topic) {
+  StoreCall call;
+  call.call = name;
+  call.topic = topic;
+  call.status = LogStatus::kOk;
+  call.bytes_sent = 40;
+  call.bytes_answered = 1000;
+  return call;
+}
+
+TEST(StoreTrafficTest, CallsCountByNameAndTopic) {
+  StoreTraffic traffic;
+  traffic.add(make_call("read", "jobs"));
+  traffic.add(make_call("newest", "bodies"));
+  traffic.add(make_call("newest", "bodies"));
+  ASSERT_EQ(traffic.counts().size(), 2U);
+  const TrafficCount expected{2, 0, 80, 2000};
+  EXPECT_EQ(traffic.counts().at({"newest", "bodies"}), expected);
+}
+
+TEST(StoreTrafficTest, TimeOutsStandApart) {
+  StoreTraffic traffic;
+  StoreCall late = make_call("newest", "results");
+  late.bytes_answered = 0;
+  late.timed_out = true;
+  traffic.add(late);
+  traffic.add(make_call("newest", "results"));
+  EXPECT_EQ(traffic_text(traffic.counts()), "newest:results=2/80/1000/1");
+}
+
+TEST(StoreTrafficTest, ChangesAreToldOnceAndOnlyThose) {
+  StoreTraffic traffic;
+  traffic.add(make_call("read", "jobs"));
+  traffic.add(make_call("append", "results"));
+  EXPECT_EQ(traffic_text(traffic.take_changes()), "append:results=1/40/1000,read:jobs=1/40/1000");
+  EXPECT_TRUE(traffic.take_changes().empty());
+  traffic.add(make_call("read", "jobs"));
+  EXPECT_EQ(traffic_text(traffic.take_changes()), "read:jobs=1/40/1000");
+  EXPECT_EQ(traffic.counts().at({"read", "jobs"}).calls, 2U);
+}
+
+}  // namespace
+}  // namespace stoathold
