--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from platform_fleet import item_text, stream_text
+from platform_fleet import SMALL_SIZES, stream_text
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -10,7 +10,8 @@
 class Promises:
     """Collects what callers saw; `broken` holds one line for each broken promise. Thread safe."""
 
-    def __init__(self):
+    def __init__(self, sizes=SMALL_SIZES):
+        self.sizes = sizes
         self.lock = threading.Lock()
         self.broken = []
         self.counts = {}
@@ -88,6 +89,14 @@
                 if before != result:
                     self.broken.append("job %s: position %d changed" % (job, position))
 
+    def body_read(self, job, index, status, body):
+        """One read of the request of an item that is never done: there, and the bytes that came."""
+        self.count("body %s" % status)
+        if status == 404:
+            self.break_one("body of %s-%d: 404 after it was accepted" % (job, index))
+        if status == 200 and body != self.sizes.item_body(index):
+            self.break_one("body of %s-%d: other bytes" % (job, index))
+
     def next_position(self, job):
         """The first position of a job that has not been read."""
         with self.lock:
@@ -105,7 +114,8 @@
                 self.break_one("job %s: items listed: %s" % (job, ids))
             for result in results.values():
                 index = int(result["id"].rsplit("-", 1)[1])
-                if result["state"] == "completed" and result["message"] != item_text(index):
+                text = self.sizes.item_text(index)
+                if result["state"] == "completed" and result["message"] != text:
                     self.break_one("item %s: not its whole output" % result["id"])
                 if result["state"] != "completed" and not failing_items_allowed:
                     self.break_one("item %s: given up without a reason" % result["id"])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,7 +14,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
-from platform_fleet import EVENTS, HOST, Platform  # noqa: E402
+from platform_fleet import HOST, SMALL_SIZES, Platform  # noqa: E402
 from fleet import call, call_json, wait_for  # noqa: E402
 
 from link_proxy import LinkLoop  # noqa: E402
@@ -37,6 +37,8 @@
 class Soak:
     """One run of a seed."""
 
+    sizes = SMALL_SIZES
+
     def __init__(self, seed, steps, directory, nodes=NODES, runners=RUNNERS):
         self.node_count = nodes
         self.seed = seed
@@ -45,8 +47,9 @@
         self.links = LinkLoop()
         self.store_links = []
         self.runner_links = {}
-        self.promises = Promises()
-        self.platform = Platform(directory, nodes, runners, self.make_link, DEADLY)
+        self.promises = Promises(self.sizes)
+        self.platform = Platform(
+            directory, nodes, runners, self.make_link, DEADLY, self.sizes)
         self.directory = directory
         self.known_runs = {}
         self.items_may_fail = False
@@ -54,6 +57,7 @@
         self.stopped = threading.Event()
         self.judged = threading.Event()
         self.runners_lock = threading.Lock()
+        self.local = threading.local()
         self.ends_excused = 0
 
     def make_link(self, kind, name, address):
@@ -93,9 +97,13 @@
         status, body, whole = self.call(node, "POST", "/once/1", b"q", headers)
         self.promises.unsafe_answered(request, status if whole else None, body)
 
+    @staticmethod
+    def item_count(job):
+        return 1 + len(job) % 4
+
     def submit(self, nodes, job):
         """Sends a job again, to other nodes, until it is taken or the nodes are used up."""
-        count = 1 + len(job) % 4
+        count = self.item_count(job)
         for node in nodes:
             try:
                 status = self.platform.submit(node, job, count)
@@ -259,19 +267,32 @@
     def change_configuration(self):
         self.version += self.random.randrange(1, 4)
         self.note("configuration %d" % self.version)
-        self.platform.configure(self.version, [UNSAFE_ROUTE])
+        self.configure()
         return lambda: None
 
+    def configure(self):
+        self.platform.configure(self.version, [UNSAFE_ROUTE])
+
     def play(self):
         for name in self.platform.runners:
             self.platform.list_runner(name)
-        self.platform.configure(self.version, [UNSAFE_ROUTE])
+        self.configure()
         self.platform.wait_ready()
         callers = [threading.Thread(target=self.caller, args=(number,), daemon=True)
                    for number in range(CALLERS)]
         reviver = threading.Thread(target=self.revive_runners, daemon=True)
         for thread in callers + [reviver]:
             thread.start()
+        self.disturb()
+        self.stopped.set()
+        for thread in callers:
+            thread.join(120)
+        self.settle()
+        self.judged.set()
+        reviver.join(60)
+
+    def disturb(self):
+        """Groups of faults, one after another; each heals before the next."""
         for _ in range(self.steps):
             faults = [self.fault_link, self.fault_node, self.fault_runner, self.fault_store,
                       self.change_configuration]
@@ -281,16 +302,18 @@
             for heal in heals:
                 heal()
             time.sleep(self.random.choice([0.0, 0.5, 2.0]))
-        self.stopped.set()
-        for thread in callers:
-            thread.join(120)
-        self.settle()
-        self.judged.set()
-        reviver.join(60)
 
     def settle(self):
         """Without faults every accepted job ends, and what was seen can be judged."""
         self.platform.wait_ready()
+        self.wait_jobs()
+        for name in self.platform.runners:
+            self.collect_runs(name)
+        self.promises.check_unsafe(self.known_runs)
+        self.promises.check_runner_ends(self.ends_excused)
+        self.promises.check_results(self.items_may_fail)
+
+    def wait_jobs(self):
         for job, count in self.promises.accepted.items():
             node = len(job) % self.node_count
 
@@ -304,17 +327,12 @@
                 self.read(node, job, 0)
             except TimeoutError:
                 self.promises.break_one("job %s: not whole after the faults" % job)
-        for name in self.platform.runners:
-            self.collect_runs(name)
-        self.promises.check_unsafe(self.known_runs)
-        self.promises.check_runner_ends(self.ends_excused)
-        self.promises.check_results(self.items_may_fail)
 
 
-def run_seed(seed, steps, nodes=NODES, runners=RUNNERS):
-    """Returns whether all promises held; a failed run's logs are kept."""
+def run_seed(kind, seed, steps, nodes=NODES, runners=RUNNERS):
+    """Plays one kind of soak; returns whether all promises held. A failed run's logs are kept."""
     directory = tempfile.mkdtemp(prefix="soak-%d-" % seed)
-    soak = Soak(seed, steps, directory, nodes, runners)
+    soak = kind(seed, steps, directory, nodes, runners)
     try:
         soak.play()
     finally:
@@ -336,23 +354,24 @@
     return [int(words[0]) for words in lines if words and not words[0].startswith("#")]
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, help="play this seed; default: those of seeds.txt")
+def play_seeds(kind, seeds_file, description):
+    """The command line of a kind of soak: plays the seeds asked for, or those of its file."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--seed", type=int, help="play this seed; default: those of the file")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--steps", type=int, default=6, help="groups of faults")
     parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--runners", type=int, default=RUNNERS)
     options = parser.parse_args()
     if options.seed is None:
-        seeds = seeds_of(pathlib.Path(__file__).with_name("seeds.txt"))
+        seeds = seeds_of(pathlib.Path(__file__).with_name(seeds_file))
     else:
         seeds = range(options.seed, options.seed + options.seeds)
     failed = [seed for seed in seeds if not run_seed(
-        seed, options.steps, options.nodes, options.runners)]
+        kind, seed, options.steps, options.nodes, options.runners)]
     print("%d passed, %d failed" % (len(seeds) - len(failed), len(failed)))
     sys.exit(1 if failed else 0)
 
 
 if __name__ == "__main__":
-    main()
+    play_seeds(Soak, "seeds.txt", __doc__)
