Test with real processes that an item without a runner is found by logs and metrics

Change: a test of the whole path (no runner is listed, a job is submitted; items_open, the gauge, store_traffic and start_progress tell where it is).

--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -106,8 +106,11 @@
   return family;
 }
 
-/// Adds one family for each number that is counted by call and topic.
-void add_store_traffic(const StoreTraffic& traffic, std::vector<MetricFamily>& families) {
+/// Adds the calls to the store by outcome, and a family for each number that is counted by topic.
+void add_store_calls(const GatewayMetrics& metrics, std::vector<MetricFamily>& families) {
+  families.push_back(labelled_counters("stoathold_store_calls_total",
+                                       "Calls to the store by name and outcome.", "call",
+                                       metrics.store_calls));
   struct Column {
     const char* name;
     const char* help;
@@ -124,7 +127,7 @@
              &TrafficCount::bytes_answered}};
   for (const Column& column : kColumns) {
     MetricFamily family = make_family(column.name, column.help, MetricType::Counter);
-    for (const auto& [kind, count] : traffic.counts()) {
+    for (const auto& [kind, count] : metrics.store_traffic.counts()) {
       add_counter(family, {make_label("call", kind.first), make_label("topic", kind.second)},
                   count.*column.value);
     }
@@ -155,9 +158,6 @@
   families.push_back(gauge("stoathold_silent_nodes",
                            "Nodes that keep their share of each limit since nobody hears them.",
                            static_cast<double>(context.tenant_limits.silent_nodes())));
-  families.push_back(labelled_counters("stoathold_store_calls_total",
-                                       "Calls to the store by name and outcome.", "call",
-                                       metrics.store_calls));
   families.push_back(labelled_counters("stoathold_batch_attempts_total",
                                        "Attempts of batch items by how they ended.", "outcome",
                                        metrics.batch_items));
@@ -168,7 +168,7 @@
                                metrics.event_gap));
   families.push_back(histogram("stoathold_store_seconds", "Calls to the store that do not wait.",
                                metrics.store_latency));
-  add_store_traffic(metrics.store_traffic, families);
+  add_store_calls(metrics, families);
   families.push_back(runner_states(context.runners));
   families.push_back(gauge("stoathold_requests_open", "Requests being served.",
                            static_cast<double>(metrics.requests_open)));
--- a/tests/system/platform_path_test.py
+++ b/tests/system/platform_path_test.py
@@ -5,6 +5,7 @@
 
 import fcntl
 import http.client
+import json
 import os
 import select
 import signal
@@ -267,6 +268,41 @@
         wait_for(told, "the story of " + request)
         return self.text
 
+    def test_an_item_that_does_not_go_on_is_found_by_logs_and_metrics(self):
+        self.platform.configure(1)
+        self.platform.wait_ready()
+        self.assertEqual(self.platform.submit(0, "j9", count=2), 202)
+        logs = [process.log_path for process in self.platform.node_processes]
+
+        def lines(name):
+            found = []
+            for log in logs:
+                rows = [json.loads(line) for line in log.read_text().splitlines() if line[:1] == "{"]
+                found += [row for row in rows if row["name"] == name]
+            return found
+
+        def waiting():
+            return [row for row in lines("items_open")
+                    if row["stage"] == "waiting_for_slot" and row["items"] == "2"]
+
+        wait_for(waiting, "the open items")
+        told = waiting()[-1]
+        self.assertIn(told["item"], ("j9-0", "j9-1"))
+        self.assertTrue(told["stages"].startswith("waiting_for_slot=2/"), told["stages"])
+
+        def shown(value):
+            return any(value in call(ready, "GET", "/metrics")[2].decode()
+                       for ready in self.platform.ready)
+
+        wait_for(lambda: shown('stoathold_open_items{stage="waiting_for_slot"} 2'), "the gauge")
+        self.assertTrue(
+            shown('stoathold_store_answered_bytes_total{call="read",topic="job-bodies"}'))
+        wait_for(lambda: any("read:job-bodies=" in row["by_topic"]
+                             for row in lines("store_traffic")), "the traffic of requests")
+        steps = {row["step"] for row in lines("start_progress")}
+        self.assertEqual(steps, {"configuration_known", "runner_list_known", "first_slots_held",
+                                 "jobs_read"})
+
     def start_with_a_full_log_pipe(self):
         """Starts node 0 anew on a small pipe that nobody reads, and fills the pipe."""
         self.start()
