A read of many newest records goes on behind the pages that came through

Cause: a page that was late began the whole read anew, with the same time and size; pages were carried in vain and made others late. A list of 3000 runners is six pages; when 300 nodes start together they ask for 1800 of them.

--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -15,8 +16,12 @@
 
 namespace asio = boost::asio;
 
-/// Most bytes asked for in one read.
-constexpr std::uint64_t kReadBytes = 1024UL * 1024;
+/// Most and fewest bytes asked for in one read, and the longest time for a page of newest records.
+/// After a read that was not answered in time less is asked for, with more time: many nodes that
+/// start together share what the log answers a second, and what is given up was carried in vain.
+constexpr std::uint64_t kMostReadBytes = 1024UL * 1024;
+constexpr std::uint64_t kFewestReadBytes = 64UL * 1024;
+constexpr Duration kLongestPagePatience = std::chrono::seconds(8);
 
 }  // namespace
 
@@ -39,11 +44,30 @@
   apply_new(stored);
 }
 
+void PartitionReplica::adapt_reads(LogStatus status) {
+  if (status == LogStatus::kUnknown) {
+    read_bytes_ = std::max(read_bytes_ / 2, kFewestReadBytes);
+    page_patience_ = std::min(page_patience_ * 2, kLongestPagePatience);
+  } else if (status == LogStatus::kOk) {
+    read_bytes_ = std::min(read_bytes_ * 2, kMostReadBytes);
+    page_patience_ = kPagePatience;
+  }
+}
+
 asio::awaitable<LogStatus> PartitionReplica::load_newest() {
-  // GCC 12 destroys an aggregate temporary inside a co_await expression twice.
-  const KeyRange all_keys;
-  ReadResult result = co_await log_.read_newest(partition_, all_keys, kPagePatience);
-  if (result.status != LogStatus::kOk) co_return result.status;
+  ReadResult result = partial_;
+  KeyRange rest;
+  rest.after = result.resume_after;
+  ReadResult read = co_await log_.read_newest(partition_, rest, page_patience_);
+  adapt_reads(read.status);
+  if (rest.after.empty()) result.end = read.end;
+  result.resume_after = read.resume_after.empty() ? rest.after : read.resume_after;
+  std::move(read.records.begin(), read.records.end(), std::back_inserter(result.records));
+  if (read.status != LogStatus::kOk) {
+    if (result.records.size() > partial_.records.size()) partial_ = std::move(result);
+    co_return read.status;
+  }
+  partial_ = ReadResult();
   if (result.end < next_offset_) co_return LogStatus::kOk;
   std::erase_if(result.records,
                 [&](const StoredRecord& record) { return record.offset >= result.end; });
@@ -66,8 +90,9 @@
   const TimePoint sent = monotonic_now();
   at_end = false;
   const RecordOffset from = next_offset_;
-  ReadResult result = co_await log_.read(partition_, from, kReadBytes, wait);
+  ReadResult result = co_await log_.read(partition_, from, read_bytes_, wait);
   LogStatus status = result.status;
+  adapt_reads(status);
   if (status == LogStatus::kOk) {
     apply_new(result.records);
     at_end = next_offset_ >= result.end;
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -57,6 +57,9 @@
   LogStatus status = LogStatus::kUnknown;
   std::vector<StoredRecord> records;
   RecordOffset end = 0;  ///< Offset that the next appended record gets.
+  /// Of a read of newest records that failed behind its first pages: the key behind which it may go
+  /// on. `records` and `end` hold what these pages had.
+  std::string resume_after;
 };
 
 /// Where records were appended.
@@ -99,6 +102,7 @@
   std::uint64_t call_bytes = 0;      ///< Most bytes of one append.
   std::uint32_t partitions = 1;      ///< Partitions of each topic.
   std::uint32_t group_slots = 1;     ///< Slots that a group deals out.
+  std::uint32_t job_topics = 1;      ///< Topics over which each kind of a job's records is spread.
   Duration minimum_time_to_live{0};  ///< Shortest time to live of a group's member.
 };
 
@@ -124,7 +128,8 @@
                                                       std::optional<RecordOffset> expected_end) = 0;
 
   /// Reads the newest record of each key in a range, in no promised order. Records appended while
-  /// this runs may be missing; those below `end` are all there.
+  /// this runs may be missing; those below `end` are all there. When a page fails, the pages before
+  /// it are kept in the result, and the caller may go on behind them.
   /// @param patience how long each page may take; a page holds up to 1 MB.
   virtual boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
                                                          Duration patience) = 0;
--- /dev/null
+++ b/tests/store/partition_replica_test.cc
@@ -0,0 +1,147 @@
+#include "store/partition_replica.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+
+#include "tests/jobs/run_awaitable.h"
+
+namespace stoathold {
+namespace {
+
+constexpr const char* kTopic = "topic";
+
+/// Answers reads from a list; records what was asked for.
+class ScriptedRecordLog final : public RecordLog {
+ public:
+  std::deque<ReadResult> reads;         ///< Answers to `read`; none left: an empty partition's end.
+  std::deque<ReadResult> newest_reads;  ///< Answers to `read_newest`.
+  std::vector<std::uint64_t> bytes_asked;
+  std::vector<std::string> keys_asked;
+  std::vector<Duration> patience_asked;
+
+  const LogLimits& limits() const override { return limits_; }
+  boost::asio::awaitable<ReadResult> read(PartitionName /*partition*/, RecordOffset from,
+                                          std::uint64_t max_bytes, Duration /*wait*/) override {
+    bytes_asked.push_back(max_bytes);
+    ReadResult result;
+    result.status = LogStatus::kOk;
+    result.end = from;
+    if (!reads.empty()) {
+      result = reads.front();
+      reads.pop_front();
+    }
+    co_return result;
+  }
+  boost::asio::awaitable<ReadResult> read_newest(PartitionName /*partition*/, KeyRange range,
+                                                 Duration patience) override {
+    keys_asked.push_back(range.after);
+    patience_asked.push_back(patience);
+    ReadResult result = newest_reads.front();
+    newest_reads.pop_front();
+    co_return result;
+  }
+  boost::asio::awaitable<AppendResult> append(PartitionName /*partition*/,
+                                              std::vector<KeyedRecord> /*records*/,
+                                              std::optional<RecordOffset> /*end*/) override {
+    co_return AppendResult();
+  }
+  boost::asio::awaitable<GroupAssignment> join(GroupMember /*member*/) override {
+    co_return GroupAssignment();
+  }
+  boost::asio::awaitable<MemberList> members(std::string /*group*/) override {
+    co_return MemberList();
+  }
+  boost::asio::awaitable<LogStatus> leave(GroupMember /*member*/) override {
+    co_return LogStatus::kOk;
+  }
+
+ private:
+  LogLimits limits_;
+};
+
+/// Remembers what it was given.
+class RecordingSink final : public RecordSink {
+ public:
+  void apply(const StoredRecord& record) override { applied.push_back(record.key); }
+  void reset(const std::vector<StoredRecord>& newest) override {
+    for (const auto& record : newest) applied.push_back(record.key);
+  }
+  std::vector<std::string> applied;
+};
+
+class PartitionReplicaTest : public testing::Test {
+ protected:
+  static ReadResult answer(LogStatus status, RecordOffset end = 0) {
+    ReadResult result;
+    result.status = status;
+    result.end = end;
+    return result;
+  }
+  static void add(ReadResult& result, RecordOffset offset, const std::string& key) {
+    result.records.push_back({offset, key, "value"});
+  }
+  LogStatus catch_up() { return run_awaitable(loop, replica->catch_up()); }
+
+  boost::asio::io_context loop;
+  ScriptedRecordLog log;
+  RecordingSink sink;
+  std::shared_ptr<PartitionReplica> replica =
+      std::make_shared<PartitionReplica>(log, PartitionName{kTopic, 0}, sink);
+};
+
+/// When all of 300 nodes started together, each read the list of 3000 runners in six pages. A page
+/// that was late began the whole read anew, so that pages were carried in vain and others came late
+/// for it: the first request was served 30 s after the start, against 0.5 s with 30 nodes.
+TEST_F(PartitionReplicaTest, AReadOfTheNewestRecordsGoesOnBehindThePagesThatCameThrough) {
+  ReadResult first_page = answer(LogStatus::kUnknown, 7);
+  add(first_page, 4, "a");
+  add(first_page, 2, "b");
+  first_page.resume_after = "b";
+  ReadResult rest = answer(LogStatus::kOk, 9);
+  add(rest, 6, "c");
+  add(rest, 8, "d");  // Appended after the first page was read: a later read brings it.
+  log.reads = {answer(LogStatus::kTruncated), answer(LogStatus::kTruncated)};
+  log.newest_reads = {first_page, rest};
+  EXPECT_EQ(catch_up(), LogStatus::kUnknown);
+  EXPECT_TRUE(sink.applied.empty());
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(log.keys_asked, (std::vector<std::string>{"", "b"}));
+  EXPECT_EQ(sink.applied, (std::vector<std::string>{"b", "a", "c"}));
+  EXPECT_EQ(replica->next_offset(), 7U);
+  EXPECT_GT(log.patience_asked[1], log.patience_asked[0]);
+}
+
+TEST_F(PartitionReplicaTest, AfterASilenceLessIsAskedForAndMoreAgainOnceThatComesThrough) {
+  log.reads = {answer(LogStatus::kUnknown), answer(LogStatus::kUnknown), answer(LogStatus::kOk)};
+  EXPECT_EQ(catch_up(), LogStatus::kUnknown);
+  EXPECT_EQ(catch_up(), LogStatus::kUnknown);
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  ASSERT_EQ(log.bytes_asked.size(), 4U);
+  EXPECT_EQ(log.bytes_asked[1], log.bytes_asked[0] / 2);
+  EXPECT_EQ(log.bytes_asked[2], log.bytes_asked[0] / 4);
+  EXPECT_EQ(log.bytes_asked[3], log.bytes_asked[0] / 2);
+}
+
+TEST_F(PartitionReplicaTest, TheEndIsToldOnceAfterItsRecordsAreApplied) {
+  int told = 0;
+  std::size_t applied_then = 0;
+  replica->set_loaded_listener([&] {
+    ++told;
+    applied_then = sink.applied.size();
+  });
+  ReadResult page = answer(LogStatus::kOk, 2);
+  add(page, 0, "a");
+  ReadResult last = answer(LogStatus::kOk, 2);
+  add(last, 1, "b");
+  log.reads = {page, last};
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(told, 1);
+  EXPECT_EQ(applied_then, 2U);
+}
+
+}  // namespace
+}  // namespace stoathold
