--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -72,9 +72,8 @@
     EventEntry{Event::kItemListed, "item_listed", EventLevel::kInfo,
                "The result of a batch item is durable: it has its position for good."},
     EventEntry{Event::kJobLoadRetried, "job_load_retried", EventLevel::kInfo,
-               "What the log holds of a job that this node runs could not be read; read again."},
-    EventEntry{Event::kItemReadRetried, "item_read_retried", EventLevel::kInfo,
-               "The request of a batch item could not be read; read again."},
+               "Results, progress or requests of a job that this node runs could not be read; read "
+               "again."},
     EventEntry{Event::kJobLoaded, "job_loaded", EventLevel::kInfo,
                "The results and the progress of a job that this node runs are read."},
     EventEntry{Event::kItemsOpen, "items_open", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -47,7 +47,6 @@
   kSlotsChanged = 1410,
   kItemListed = 1411,
   kJobLoadRetried = 1412,
-  kItemReadRetried = 1413,
   kJobLoaded = 1414,
   kItemsOpen = 1415,
   kRequestRefused = 1501,
--- a/src/jobs/item_stages.cc
+++ b/src/jobs/item_stages.cc
@@ -26,10 +26,10 @@
   switch (stage) {
     case ItemStage::kJobQueued:
       return "job_queued";
-    case ItemStage::kWaitingForTurn:
-      return "waiting_for_turn";
     case ItemStage::kReadingRequest:
       return "reading_request";
+    case ItemStage::kWaitingForTurn:
+      return "waiting_for_turn";
     case ItemStage::kWaitingForSlot:
       return "waiting_for_slot";
     case ItemStage::kQuarantined:
--- a/src/jobs/item_stages.h
+++ b/src/jobs/item_stages.h
@@ -18,8 +18,8 @@
 /// What an open item waits for, in the order in which an item goes on.
 enum class ItemStage : std::uint8_t {
   kJobQueued,       ///< Its job's results and progress are being read, or wait to be.
-  kWaitingForTurn,  ///< Its job is read; this node works on as many items as it may.
-  kReadingRequest,
+  kReadingRequest,  ///< Its request is being read, or waits to be.
+  kWaitingForTurn,  ///< Its request is read; this node works on as many items as it may.
   kWaitingForSlot,  ///< At a runner.
   kQuarantined,     ///< Its request is kept from runners.
   kRunning,
--- /dev/null
+++ b/src/jobs/job_data_log.cc
@@ -0,0 +1,200 @@
+#include "jobs/job_data_log.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Bytes asked for beyond those of the requests themselves.
+constexpr std::uint64_t kReadSlackBytes = 1024;
+/// Bytes of a record that are not the value: length, key length and key.
+constexpr std::uint64_t kRecordOverhead = 300;
+/// Keys deleted by one append; each takes some 80 bytes.
+constexpr std::size_t kDeletionsPerAppend = 500;
+
+/// Puts the pieces of an item's request together; nothing if one is missing or cannot be read.
+std::optional<ItemRequest> assemble(const std::map<std::string, std::string>& pieces,
+                                    const JobKey& key, std::uint32_t index, const JobItem& item) {
+  std::string encoded;
+  for (std::uint32_t piece = 0; piece < item.body_records; ++piece) {
+    const auto found = pieces.find(body_record_key(key, index, piece));
+    if (found == pieces.end()) return std::nullopt;
+    encoded += found->second;
+  }
+  ItemRequest request;
+  return decode(encoded, request) ? std::optional(std::move(request)) : std::nullopt;
+}
+
+/// The keys of the requests from one item to another.
+KeyRange body_key_range(const JobKey& key, std::uint32_t first, std::uint32_t last,
+                        const JobItem& last_item) {
+  KeyRange range;
+  range.after = body_record_key(key, first, 0);
+  range.after.pop_back();
+  range.through = body_record_key(key, last, last_item.body_records - 1);
+  return range;
+}
+
+}  // namespace
+
+JobDataLog::JobDataLog(asio::any_io_executor executor, RecordLog& log, BackoffBounds retries)
+    : executor_(std::move(executor)), log_(log), retries_(retries) {}
+
+PartitionName JobDataLog::partition_of(JobData data, const JobKey& key,
+                                       std::uint32_t topics) const {
+  return job_data_partition(data, key, topics, log_.limits().partitions);
+}
+
+asio::awaitable<LogStatus> JobDataLog::append_requests(JobKey key, JobSubmission& submission,
+                                                       const std::vector<ItemRequest>& requests,
+                                                       TimePoint deadline) {
+  const LogLimits& limits = log_.limits();
+  const std::uint64_t piece_bytes = limits.record_bytes - kRecordOverhead;
+  const PartitionName partition = partition_of(JobData::kBodies, key, submission.data_topics);
+  auto& items = submission.items;
+  std::size_t item = 0;
+  while (item < items.size()) {
+    // As many whole items as fit into one call; a larger one goes alone, and in several calls.
+    std::vector<KeyedRecord> records;
+    std::vector<std::size_t> first_records;
+    std::uint64_t bytes = 0;
+    const std::size_t first_item = item;
+    while (item < items.size()) {
+      const std::string request = encode(requests[item]);
+      const std::uint64_t pieces = (request.size() + piece_bytes - 1) / piece_bytes;
+      const std::uint64_t size = request.size() + pieces * kRecordOverhead;
+      if (!records.empty() && bytes + size > limits.call_bytes) break;
+      first_records.push_back(records.size());
+      items[item].body_bytes = size;
+      items[item].body_records = static_cast<std::uint32_t>(pieces);
+      for (std::uint32_t piece = 0; piece < pieces; ++piece) {
+        records.push_back({body_record_key(key, static_cast<std::uint32_t>(item), piece),
+                           request.substr(piece * piece_bytes, piece_bytes)});
+      }
+      bytes += size;
+      ++item;
+    }
+    if (bytes > limits.call_bytes) co_return LogStatus::kRejected;
+    const AppendResult result =
+        co_await append_until(executor_, log_, partition, std::move(records), deadline, retries_);
+    if (result.status != LogStatus::kOk) co_return result.status;
+    for (std::size_t i = first_item; i < item; ++i) {
+      items[i].body_offset = result.offset + first_records[i - first_item];
+    }
+  }
+  co_return LogStatus::kOk;
+}
+
+JobDataLog::RequestSpan JobDataLog::first_span(const JobSubmission& submission,
+                                               const std::vector<std::uint32_t>& wanted,
+                                               std::uint64_t most_bytes) {
+  RequestSpan span;
+  std::uint64_t bytes = 0;
+  std::uint32_t next = wanted.front();
+  for (const std::uint32_t index : wanted) {
+    while (next <= index) bytes += submission.items[next++].body_bytes;
+    if (!span.items.empty() && bytes > most_bytes) break;
+    span.items.push_back(index);
+    span.bytes = bytes;
+  }
+  return span;
+}
+
+asio::awaitable<RequestsRead> JobDataLog::read_requests(JobKey key, const JobSubmission& submission,
+                                                        std::vector<std::uint32_t> wanted,
+                                                        ReadBounds bounds) {
+  const RequestSpan span = first_span(submission, wanted, bounds.bytes);
+  const auto& items = submission.items;
+  const std::uint32_t first = span.items.front();
+  const std::uint32_t last = span.items.back();
+  const PartitionName partition = partition_of(JobData::kBodies, key, submission.data_topics);
+  ReadResult read = co_await log_.read(partition, items[first].body_offset,
+                                       span.bytes + kReadSlackBytes, Duration{0});
+  const bool by_key = read.status == LogStatus::kTruncated;
+  if (by_key) {
+    const KeyRange range = body_key_range(key, first, last, items[last]);
+    read = co_await log_.read_newest(partition, range, bounds.patience);
+  }
+  RequestsRead result;
+  result.status = read.status;
+  if (read.status != LogStatus::kOk) co_return result;
+  std::map<std::string, std::string> pieces;
+  for (auto& record : read.records) pieces.emplace(std::move(record.key), std::move(record.value));
+  for (const std::uint32_t index : span.items) {
+    auto request = assemble(pieces, key, index, items[index]);
+    if (request) {
+      result.found.emplace(index, std::move(*request));
+    } else if (by_key || index == first) {
+      // Read by offset, the records of other jobs may have pushed the later ones out of the read.
+      result.absent.push_back(index);
+    }
+  }
+  co_return result;
+}
+
+asio::awaitable<ResultsRead> JobDataLog::read_results(JobKey key, PartitionName partition,
+                                                      RecordOffset next, KeyRange unread,
+                                                      ReadBounds bounds) {
+  ResultsRead result;
+  if (next > 0) {
+    result.records = co_await log_.read(partition, next, bounds.bytes, Duration{0});
+    auto& records = result.records.records;
+    result.at_end = next + records.size() >= result.records.end;
+    result.records.end = next + records.size();
+    std::erase_if(records, [&](const StoredRecord& record) {
+      return record.value.empty() || job_of_record_key(record.key) != key;
+    });
+    if (result.records.status != LogStatus::kTruncated) co_return result;
+  }
+  result.records = co_await log_.read_newest(partition, unread, bounds.patience);
+  result.at_end = true;
+  co_return result;
+}
+
+asio::awaitable<LogStatus> JobDataLog::delete_keys(PartitionName partition,
+                                                   std::vector<std::string> keys,
+                                                   TimePoint deadline) {
+  for (std::size_t first = 0; first < keys.size(); first += kDeletionsPerAppend) {
+    std::vector<KeyedRecord> deletions;
+    const std::size_t last = std::min(keys.size(), first + kDeletionsPerAppend);
+    for (std::size_t i = first; i < last; ++i) deletions.push_back({std::move(keys[i]), {}});
+    const AppendResult result =
+        co_await append_until(executor_, log_, partition, std::move(deletions), deadline, retries_);
+    if (result.status != LogStatus::kOk) co_return result.status;
+  }
+  co_return LogStatus::kOk;
+}
+
+asio::awaitable<LogStatus> JobDataLog::delete_requests(JobKey key, JobSubmission submission,
+                                                       TimePoint deadline) {
+  std::vector<std::string> bodies;
+  std::vector<std::string> progress;
+  for (std::uint32_t index = 0; index < submission.items.size(); ++index) {
+    progress.push_back(progress_record_key(key, index));
+    for (std::uint32_t piece = 0; piece < submission.items[index].body_records; ++piece) {
+      bodies.push_back(body_record_key(key, index, piece));
+    }
+  }
+  const std::uint32_t topics = submission.data_topics;
+  const PartitionName bodies_partition = partition_of(JobData::kBodies, key, topics);
+  const PartitionName progress_partition = partition_of(JobData::kProgress, key, topics);
+  const LogStatus status = co_await delete_keys(bodies_partition, std::move(bodies), deadline);
+  if (status != LogStatus::kOk) co_return status;
+  co_return co_await delete_keys(progress_partition, std::move(progress), deadline);
+}
+
+asio::awaitable<LogStatus> JobDataLog::delete_results(JobKey key, std::uint32_t topics,
+                                                      TimePoint deadline) {
+  const PartitionName partition = partition_of(JobData::kResults, key, topics);
+  const KeyRange range = job_key_range(key);
+  const ReadResult found = co_await log_.read_newest(partition, range, kPagePatience);
+  if (found.status != LogStatus::kOk) co_return found.status;
+  std::vector<std::string> keys;
+  for (const auto& record : found.records) keys.push_back(record.key);
+  co_return co_await delete_keys(partition, std::move(keys), deadline);
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/src/jobs/job_data_log.h
@@ -0,0 +1,86 @@
+/// @file
+/// Results, progress and requests of batch jobs in the log, read so that little else comes along.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <vector>
+
+#include "jobs/job_records.h"
+#include "jobs/listed_results.h"
+#include "store/append_until.h"
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// What a read may cost. One that failed is begun again with more time and for less.
+struct ReadBounds {
+  Duration patience = kPagePatience;    ///< For each page.
+  std::uint64_t bytes = 1024UL * 1024;  ///< Asked for; the log answers no more than 1 MB.
+};
+
+/// Requests of items that one read found.
+struct RequestsRead {
+  LogStatus status = LogStatus::kUnknown;
+  std::map<std::uint32_t, ItemRequest> found;  ///< By item. Never more than were asked for.
+  std::vector<std::uint32_t> absent;           ///< Items whose request is not where it should be.
+};
+
+/// Results of a job that one read found.
+struct ResultsRead {
+  ReadResult records;
+  bool at_end = false;  ///< Nothing more was in the log when it was read.
+};
+
+/// Reads and writes what the log holds of a job beside its submission. Keeps nothing. Used on one
+/// thread; outlives the calls in flight.
+class JobDataLog {
+ public:
+  JobDataLog(boost::asio::any_io_executor executor, RecordLog& log, BackoffBounds retries);
+
+  /// Returns where a job's records of a kind lie.
+  [[nodiscard]] PartitionName partition_of(JobData data, const JobKey& key,
+                                           std::uint32_t topics) const;
+
+  /// Makes the requests of a new job's items durable, and fills in where they lie.
+  /// @param requests one for each item of the submission.
+  boost::asio::awaitable<LogStatus> append_requests(JobKey key, JobSubmission& submission,
+                                                    const std::vector<ItemRequest>& requests,
+                                                    TimePoint deadline);
+  /// Reads the requests of the first of some items, as many as fit into one read.
+  /// @param submission outlives the call.
+  /// @param wanted item indices, ascending, at least one.
+  boost::asio::awaitable<RequestsRead> read_requests(JobKey key, const JobSubmission& submission,
+                                                     std::vector<std::uint32_t> wanted,
+                                                     ReadBounds bounds);
+  /// Reads the results behind those known: what was appended since they were read, or all of the
+  /// job's that may be unknown if the log has dropped that.
+  boost::asio::awaitable<ResultsRead> read_results(JobKey key, PartitionName partition,
+                                                   RecordOffset next, KeyRange unread,
+                                                   ReadBounds bounds);
+  /// Deletes the requests and the progress of a job's items, which are known by their keys.
+  boost::asio::awaitable<LogStatus> delete_requests(JobKey key, JobSubmission submission,
+                                                    TimePoint deadline);
+  /// Deletes the results of a job.
+  boost::asio::awaitable<LogStatus> delete_results(JobKey key, std::uint32_t topics,
+                                                   TimePoint deadline);
+
+ private:
+  /// Items in a row whose requests are read with one call.
+  struct RequestSpan {
+    std::vector<std::uint32_t> items;
+    std::uint64_t bytes = 0;  ///< From the first to the last, those between them included.
+  };
+  [[nodiscard]] static RequestSpan first_span(const JobSubmission& submission,
+                                              const std::vector<std::uint32_t>& wanted,
+                                              std::uint64_t most_bytes);
+  boost::asio::awaitable<LogStatus> delete_keys(PartitionName partition,
+                                                std::vector<std::string> keys, TimePoint deadline);
+
+  boost::asio::any_io_executor executor_;
+  RecordLog& log_;
+  BackoffBounds retries_;
+};
+
+}  // namespace stoathold
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -12,8 +12,17 @@
 constexpr std::array<std::string_view, 4> kKindPrefixes{"s.", "e.", "f.", "p."};
 constexpr std::string_view kResultPart = "/r/";
 constexpr std::string_view kProgressPart = "/p/";
+constexpr std::array<std::string_view, 3> kDataTopics{"job-results", "job-progress", "job-bodies"};
 constexpr std::uint64_t kSlotSeed = 0x736c6f74;
 
+/// A submission whose records lie in one shared topic of each kind.
+struct SharedTopicsSubmission : JobSubmission {
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, host, path, route, tenant, submitted_ms, items);
+  }
+};
+
 /// Fixed width, so that keys sort by number.
 std::string padded(std::uint32_t number) {
   std::array<char, 16> text{};
@@ -40,8 +49,14 @@
   return static_cast<std::uint32_t>(stable_hash(host) % partitions);
 }
 
-std::uint32_t job_partition(const JobKey& key, std::uint32_t partitions) {
-  return static_cast<std::uint32_t>(stable_hash(key) % partitions);
+PartitionName job_data_partition(JobData data, const JobKey& key, std::uint32_t topics,
+                                 std::uint32_t partitions) {
+  std::string topic(kDataTopics[static_cast<std::size_t>(data)]);
+  const std::uint64_t hash = stable_hash(key);
+  if (topics == 0) return {topic, static_cast<std::uint32_t>(hash % partitions)};
+  const std::uint64_t place = hash % (std::uint64_t{topics} * partitions);
+  topic += "-" + std::to_string(place / partitions);
+  return {topic, static_cast<std::uint32_t>(place % partitions)};
 }
 
 std::uint32_t job_slot(const JobKey& key, std::uint32_t slots) {
@@ -114,7 +129,11 @@
 }
 
 bool decode(const std::string& bytes, JobSubmission& submission) {
-  return decode_value(bytes, submission);
+  if (decode_value(bytes, submission)) return true;
+  SharedTopicsSubmission shared;
+  if (!decode_value(bytes, shared)) return false;
+  submission = std::move(shared);
+  return true;
 }
 bool decode(const std::string& bytes, ItemRequest& request) {
   return decode_value(bytes, request);
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -1,18 +1,20 @@
 /// @file
 /// Records of batch jobs in the durable log, and the keys under which they lie.
 ///
-/// Three topics, each a set of partitions of keyed records:
+/// Keyed records in partitions of topics:
 /// - jobs, by the hash of the host: submissions, ends, finished marks, progress counts. A
-/// submission
-///   is appended on the condition that the partition ends where its writer has read to, so that
-///   every submission is judged against all before it.
+///   submission is appended on the condition that the partition ends where its writer has read to,
+///   so that every submission is judged against all before it.
 /// - results, by the hash of the job: results of items. The order of the records is the order of
-/// the
-///   results; of an item's results the first counts.
+///   the results; of an item's results the first counts.
 /// - progress, by the hash of the job: how far running items came, so that another node goes on
-/// there.
+///   there.
 /// - bodies, by the hash of the job: the requests that the items are.
 /// A key is written once (but for progress), so that the offsets of results never change.
+///
+/// The log answers the newest records of keys in pages, and a page holds whatever lies behind the
+/// first key. So results, progress and bodies are spread over so many partitions that few live jobs
+/// share one: what is read for a job is about what the job has.
 #pragma once
 
 #include <cstdint>
@@ -27,9 +29,6 @@
 namespace stoathold {
 
 inline constexpr const char* kJobsTopic = "jobs";
-inline constexpr const char* kResultsTopic = "job-results";
-inline constexpr const char* kProgressTopic = "job-progress";
-inline constexpr const char* kBodiesTopic = "job-bodies";
 
 /// Identity of a job in the log: made of host and id, unique over all hosts.
 using JobKey = std::string;
@@ -40,8 +39,14 @@
 JobKey make_job_key(std::string_view host, std::string_view id);
 /// Partition of the jobs topic.
 std::uint32_t jobs_partition(std::string_view host, std::uint32_t partitions);
-/// Partition of the results, the progress and the bodies topic.
-std::uint32_t job_partition(const JobKey& key, std::uint32_t partitions);
+/// What the log holds of a job beside its record of the jobs topic.
+enum class JobData : std::uint8_t { kResults, kProgress, kBodies };
+
+/// Returns the partition of a job's results, progress or bodies.
+/// @param topics over which the job's records of a kind are spread (`JobSubmission::data_topics`).
+/// @param partitions of each topic.
+PartitionName job_data_partition(JobData data, const JobKey& key, std::uint32_t topics,
+                                 std::uint32_t partitions);
 /// Slot of the workers' group that runs the job.
 std::uint32_t job_slot(const JobKey& key, std::uint32_t slots);
 
@@ -68,12 +73,15 @@
   std::string tenant;             ///< Whose job it is; empty: anonymous.
   std::int64_t submitted_ms = 0;  ///< Wall clock of the accepting node, since the epoch.
   std::vector<JobItem> items;
+  /// Topics over which its results, progress and bodies are spread. 0: one shared topic of each
+  /// kind, as in records that were written before jobs were spread.
+  std::uint32_t data_topics = 0;
 
   [[nodiscard]] std::uint64_t tokens() const;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, host, path, route, tenant, submitted_ms, items);
+    archive(id, host, path, route, tenant, submitted_ms, items, data_topics);
   }
 };
 
@@ -131,7 +139,7 @@
 std::string result_record_key(const JobKey& key, std::uint32_t item, std::string_view writer);
 /// Key of an item's progress.
 std::string progress_record_key(const JobKey& key, std::uint32_t item);
-/// The job that a key of the results, the progress or the bodies topic belongs to.
+/// The job that a key of the results, the progress or the bodies belongs to.
 JobKey job_of_record_key(std::string_view key);
 /// Key of one record of an item's request.
 std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -17,6 +17,9 @@
 /// Items that one node runs at the same time, or has wait for a place: more than a whole job has,
 /// so that a large job waits for places at runners and not for its own items.
 constexpr std::size_t kMaxRunningItems = 256;
+/// Items whose requests are read and that wait to be run: while there are so many, no more are
+/// read, which bounds the memory for requests.
+constexpr std::size_t kMostWaitingItems = 64;
 /// Between rounds of upkeep: progress counts and deletion of old jobs.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
 /// Rounds of upkeep between two records of how far running items came.
@@ -47,7 +50,7 @@
       settings_(std::move(settings)),
       writer_(context.executor, store,
               [this](const ItemResult& result) { result_durable(result); }),
-      loader_(context.executor, store),
+      loader_(context.executor, store, [this] { return waiting_.size() < kMostWaitingItems; }),
       membership_(
           context.executor, log, settings_.member_name,
           SlotHandlers{
@@ -79,9 +82,13 @@
 }
 
 void JobRunner::job_changed(const JobKey& key, const JobEntry& job) {
-  if (job.ended) {
+  if (!job.open()) {
+    const bool was_run_here = jobs_.contains(key);
     stop_job(key, false);
-  } else if (job.open() && holds(key) && !stopping_) {
+    if (was_run_here) {
+      asio::co_spawn(context_.executor, store_.delete_requests(key), asio::detached);
+    }
+  } else if (holds(key) && !stopping_) {
     start_job(key, job);
   }
 }
@@ -98,29 +105,42 @@
   stages_.add_job(key, job->items.size(), monotonic_now());
   log_event(Event::kJobStarted, {{"job", key}, {"items", std::to_string(job->items.size())}});
   loader_.add({.key = key,
+               .submitted_ms = job->submitted_ms,
                .wanted = [job] { return !job->stopped; },
-               .loaded = [this, key, job] { job_loaded(key, job); }});
+               .loaded = [this, key, job] { return job_loaded(key, job); },
+               .request_read =
+                   [this, key, job](std::uint32_t index, ItemRequest request) {
+                     request_read(key, *job, index, std::move(request));
+                   }});
 }
 
-void JobRunner::job_loaded(const JobKey& key, const std::shared_ptr<ActiveJob>& job) {
+std::vector<std::uint32_t> JobRunner::job_loaded(const JobKey& key,
+                                                 const std::shared_ptr<ActiveJob>& job) {
+  const ListedResults& results = store_.results_of(key);
   log_event(Event::kJobLoaded, {{"job", key},
-                                {"listed", std::to_string(store_.results_of(key).listed().size())},
+                                {"listed", std::to_string(results.listed().size())},
                                 {"waiting", std::to_string(waiting_.size())},
                                 {"running", std::to_string(running_items_)}});
   stages_.job_read(key);
-  const ListedResults& results = store_.results_of(key);
   for (std::uint32_t index = 0; index < job->items.size(); ++index) {
     if (results.is_listed(index)) {
       job->finished_tokens += job->items[index].tokens;
     } else {
-      waiting_.insert({job->submitted_ms, key, index});
       job->unlisted.insert(index);
-      enter_stage(key, *job, index, ItemStage::kWaitingForTurn);
+      enter_stage(key, *job, index, ItemStage::kReadingRequest);
     }
   }
   if (job->unlisted.empty()) {
     asio::co_spawn(context_.executor, finish_job(key, job), asio::detached);
   }
+  return {job->unlisted.begin(), job->unlisted.end()};
+}
+
+void JobRunner::request_read(const JobKey& key, ActiveJob& job, std::uint32_t index,
+                             ItemRequest request) {
+  job.requests[index] = std::move(request);
+  enter_stage(key, job, index, ItemStage::kWaitingForTurn);
+  waiting_.insert({job.submitted_ms, key, index});
   start_waiting();
 }
 
@@ -158,28 +178,18 @@
     waiting_.erase(waiting_.begin());
     const auto job = jobs_.find(item.job);
     if (job == jobs_.end()) continue;
+    auto request = job->second->requests.extract(item.index);
+    if (request.empty()) continue;
     ++running_items_;
-    asio::co_spawn(context_.executor, run_item(item, job->second), asio::detached);
+    asio::co_spawn(context_.executor, run_item(item, job->second, std::move(request.mapped())),
+                   asio::detached);
   }
+  loader_.resume();
 }
 
-asio::awaitable<void> JobRunner::run_item(WaitingItem item, std::shared_ptr<ActiveJob> job) {
+asio::awaitable<void> JobRunner::run_item(WaitingItem item, std::shared_ptr<ActiveJob> job,
+                                          ItemRequest request) {
   const JobItem& listed = job->items[item.index];
-  enter_stage(item.job, *job, item.index, ItemStage::kReadingRequest);
-  ItemRequest request;
-  Backoff backoff;
-  Timer timer(context_.executor);
-  while (!job->stopped) {
-    const LookupStatus status = co_await store_.read_request(item.job, item.index, listed, request);
-    if (status == LookupStatus::kFound) break;
-    if (status == LookupStatus::kAbsent) {
-      log_event(Event::kItemUnreadable, {{"job", item.job}, {"item", listed.id}});
-    } else {
-      log_event(Event::kItemReadRetried, {{"job", item.job}, {"item", listed.id}});
-    }
-    timer.expires_after(backoff.next());
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
   if (!job->stopped) {
     ItemProgress progress;
     const ItemProgress* known = store_.progress_of(item.job, item.index);
@@ -224,22 +234,20 @@
   }
 }
 
-/// Each item has a durable result now, of this node or read from the log.
+/// Each item has a durable result now, of this node or read from the log. Reading the mark back
+/// stops the job.
 asio::awaitable<void> JobRunner::finish_job(JobKey key, std::shared_ptr<ActiveJob> job) {
   Timer timer(context_.executor);
   Backoff backoff;
-  while (!job->stopped) {
+  bool marked = false;
+  while (!marked && !job->stopped) {
     const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kFinished, key, "1");
-    if (status == LogStatus::kOk) break;
+    marked = status == LogStatus::kOk;
+    if (marked) break;
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  if (job->stopped) co_return;
-  log_event(Event::kJobFinished, {{"job", key}});
-  jobs_.erase(key);
-  stages_.forget(key);
-  checkpointed_.forget(key);
-  counts_changed_.erase(key);
+  if (marked) log_event(Event::kJobFinished, {{"job", key}});
 }
 
 void JobRunner::stop_job(const JobKey& key, bool keep_progress) {
@@ -301,7 +309,7 @@
   const ItemProgress& progress = run.progress();
   const ItemProgress* read = store_.progress_of(progress.job, progress.item);
   if (!checkpointed_.is_news(progress, read)) return;
-  const std::uint32_t partition = job_partition(progress.job, store_.limits().partitions);
+  const PartitionName partition = store_.partition_of(JobData::kProgress, progress.job);
   checkpoints_[partition].push_back(progress);
 }
 
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -31,7 +31,7 @@
 };
 
 /// Starts jobs when they are accepted or their slot is gained, stops them when they are ended or
-/// their slot is lost, and marks them finished. Used on one thread.
+/// finished or their slot is lost, and marks them finished. Used on one thread.
 class JobRunner {
  public:
   JobRunner(GatewayContext& context, JobStore& store, RecordLog& log, JobRunnerSettings settings);
@@ -63,6 +63,7 @@
     std::string tenant;
     std::int64_t submitted_ms = 0;
     std::vector<JobItem> items;
+    std::map<std::uint32_t, ItemRequest> requests;  ///< Of the items that wait to be run.
     std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs;
     std::uint64_t finished_tokens = 0;
     std::set<std::uint32_t> unlisted;  ///< Items without a durable result.
@@ -71,7 +72,7 @@
   void add_checkpoint(const ItemRun& run);
   [[nodiscard]] std::size_t item_limit() const;
 
-  /// An item that waits for a place, the most urgent first.
+  /// An item whose request is read and that waits to be run, the most urgent first.
   struct WaitingItem {
     std::int64_t submitted_ms = 0;
     JobKey job;
@@ -82,13 +83,16 @@
 
   void job_changed(const JobKey& key, const JobEntry& job);
   void start_job(const JobKey& key, const JobEntry& job);
-  void job_loaded(const JobKey& key, const std::shared_ptr<ActiveJob>& job);
+  /// @return the items that are to be run.
+  std::vector<std::uint32_t> job_loaded(const JobKey& key, const std::shared_ptr<ActiveJob>& job);
+  void request_read(const JobKey& key, ActiveJob& job, std::uint32_t index, ItemRequest request);
   void stop_job(const JobKey& key, bool keep_progress);
   void start_waiting();
   /// Notes an item's stage; one that was stopped, or has a durable result, has none.
   void enter_stage(const JobKey& key, const ActiveJob& job, std::uint32_t index, ItemStage stage);
   [[nodiscard]] std::string item_id(const JobKey& key, std::uint32_t index) const;
-  boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job);
+  boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job,
+                                        ItemRequest request);
   void result_durable(const ItemResult& result);
   boost::asio::awaitable<void> finish_job(JobKey key, std::shared_ptr<ActiveJob> job);
   boost::asio::awaitable<void> give_up_slots(std::set<std::uint32_t> slots);
@@ -112,7 +116,7 @@
   std::set<JobKey> counts_changed_;
   CheckpointTable checkpointed_;
   /// Progress that is to be written, by partition.
-  std::map<std::uint32_t, std::vector<ItemProgress>> checkpoints_;
+  std::map<PartitionName, std::vector<ItemProgress>> checkpoints_;
   TimePoint started_{};
   MembersListener members_listener_;
   std::size_t running_items_ = 0;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -22,8 +22,6 @@
 constexpr Duration kRestPace = std::chrono::seconds(10);
 /// Longest time that a read waits before it looks once more for a result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
-/// Most bytes asked for at once when a request is read, beyond its own.
-constexpr std::uint64_t kReadSlackBytes = 1024;
 /// Bytes of a record that are not the value: length, key length and key.
 constexpr std::uint64_t kRecordOverhead = 300;
 
@@ -50,7 +48,8 @@
     : executor_(std::move(executor)),
       log_(log),
       writer_name_(std::move(writer_name)),
-      timing_(timing) {}
+      timing_(timing),
+      data_(executor_, log, timing.retries) {}
 
 std::string JobStore::unique_name() {
   return writer_name_ + "-" + std::to_string(next_unique_++);
@@ -65,22 +64,47 @@
   const std::uint32_t number = jobs_partition(host, log_.limits().partitions);
   JobsPartition& partition = jobs_[number];
   if (partition.replica) return partition;
-  partition.table = std::make_unique<JobTable>([this](const JobKey& key, const JobEntry& job) {
-    if (listener_) listener_(key, job);
-  });
+  partition.table =
+      std::make_unique<JobTable>([this, &partition](const JobKey& key, const JobEntry& job) {
+        const bool told = partition.followed && partition.replica->health().loaded;
+        if (told && listener_) listener_(key, job);
+      });
   const PartitionName name{kJobsTopic, number};
   partition.replica = std::make_shared<PartitionReplica>(log_, name, *partition.table);
-  partition.replica->set_loaded_listener([this] { partition_loaded(); });
+  partition.replica->set_loaded_listener([this, &partition] { partition_loaded(partition); });
   return partition;
 }
 
-void JobStore::partition_loaded() const {
+void JobStore::partition_loaded(const JobsPartition& loaded) {
+  announce_open_jobs(loaded);
   for (const auto& [number, partition] : jobs_) {
     if (partition.followed && !partition.replica->health().loaded) return;
   }
   if (loaded_listener_) loaded_listener_();
 }
 
+void JobStore::announce_open_jobs(const JobsPartition& partition) {
+  if (!partition.followed || !listener_) return;
+  for (const auto& [key, job] : partition.table->jobs()) {
+    if (job.open()) listener_(key, job);
+  }
+}
+
+const JobEntry* JobStore::entry_of(const JobKey& key) const {
+  for (const auto& [number, partition] : jobs_) {
+    const JobEntry* entry = partition.table->find(key);
+    if (entry != nullptr) return entry;
+  }
+  return nullptr;
+}
+
+PartitionName JobStore::partition_of(JobData data, const JobKey& key) const {
+  const JobEntry* entry = entry_of(key);
+  const std::uint32_t topics =
+      entry != nullptr ? entry->submission.data_topics : log_.limits().job_topics;
+  return data_.partition_of(data, key, topics);
+}
+
 const ItemProgress* JobStore::progress_of(const JobKey& key, std::uint32_t item) {
   const JobProgress& progress = progress_[key];
   const auto found = progress.find(item);
@@ -92,9 +116,7 @@
   if (partition.followed) return;
   partition.followed = true;
   // A caller's read may have loaded jobs before; the replica will not deliver them again.
-  for (const auto& [key, job] : partition.table->jobs()) {
-    if (listener_) listener_(key, job);
-  }
+  if (partition.replica->health().loaded) announce_open_jobs(partition);
   asio::co_spawn(executor_, keep_up(partition), asio::detached);
 }
 
@@ -125,7 +147,7 @@
 void JobStore::for_each_job(
     const std::function<void(const JobKey&, const JobEntry&)>& visit) const {
   for (const auto& [number, partition] : jobs_) {
-    if (!partition.followed) continue;
+    if (!partition.followed || !partition.replica->health().loaded) continue;
     for (const auto& [key, job] : partition.table->jobs()) visit(key, job);
   }
 }
@@ -136,58 +158,6 @@
   return queued + job.submission.tokens() <= job.max_queued_tokens;
 }
 
-asio::awaitable<LogStatus> JobStore::append_until(PartitionName partition,
-                                                  std::vector<KeyedRecord> records,
-                                                  TimePoint deadline, AppendResult& result) {
-  Backoff backoff(timing_.retries);
-  while (true) {
-    result = co_await log_.append(partition, records, std::nullopt);
-    if (result.status == LogStatus::kOk || result.status == LogStatus::kRejected) break;
-    const Duration wait = backoff.next();
-    if (monotonic_now() + wait >= deadline) break;
-    co_await pause(wait);
-  }
-  co_return result.status;
-}
-
-asio::awaitable<LogStatus> JobStore::append_bodies(JobKey key, NewJob& job, TimePoint deadline) {
-  const LogLimits& limits = log_.limits();
-  const std::uint64_t piece_bytes = limits.record_bytes - kRecordOverhead;
-  const PartitionName partition{kBodiesTopic, job_partition(key, limits.partitions)};
-  auto& items = job.submission.items;
-  std::size_t item = 0;
-  while (item < items.size()) {
-    // As many whole items as fit into one call; a larger one goes alone, and in several calls.
-    std::vector<KeyedRecord> records;
-    std::vector<std::size_t> first_records;
-    std::uint64_t bytes = 0;
-    const std::size_t first_item = item;
-    while (item < items.size()) {
-      const std::string request = encode(job.requests[item]);
-      const std::uint64_t pieces = (request.size() + piece_bytes - 1) / piece_bytes;
-      const std::uint64_t size = request.size() + pieces * kRecordOverhead;
-      if (!records.empty() && bytes + size > limits.call_bytes) break;
-      first_records.push_back(records.size());
-      items[item].body_bytes = size;
-      items[item].body_records = static_cast<std::uint32_t>(pieces);
-      for (std::uint32_t piece = 0; piece < pieces; ++piece) {
-        records.push_back({body_record_key(key, static_cast<std::uint32_t>(item), piece),
-                           request.substr(piece * piece_bytes, piece_bytes)});
-      }
-      bytes += size;
-      ++item;
-    }
-    if (bytes > limits.call_bytes) co_return LogStatus::kRejected;
-    AppendResult result;
-    const LogStatus status = co_await append_until(partition, std::move(records), deadline, result);
-    if (status != LogStatus::kOk) co_return status;
-    for (std::size_t i = first_item; i < item; ++i) {
-      items[i].body_offset = result.offset + first_records[i - first_item];
-    }
-  }
-  co_return LogStatus::kOk;
-}
-
 asio::awaitable<SubmitStatus> JobStore::append_submission(JobsPartition& partition, JobKey key,
                                                           NewJob& job, TimePoint deadline) {
   const std::vector<KeyedRecord> records{
@@ -231,7 +201,9 @@
   if (partition.table->find(key) != nullptr) co_return SubmitStatus::kAccepted;
   if (read != LogStatus::kOk) co_return SubmitStatus::kRefused;
   if (!fits(*partition.table, job)) co_return SubmitStatus::kQuota;
-  const LogStatus bodies = co_await append_bodies(key, job, deadline);
+  job.submission.data_topics = log_.limits().job_topics;
+  const LogStatus bodies =
+      co_await data_.append_requests(key, job.submission, job.requests, deadline);
   if (bodies == LogStatus::kRejected) co_return SubmitStatus::kInvalid;
   if (bodies != LogStatus::kOk) co_return SubmitStatus::kRefused;
   co_return co_await append_submission(partition, key, job, deadline);
@@ -256,10 +228,11 @@
   const bool whole = position >= page.job->submission.items.size();
   const auto is_known = [&] { return results_[key].listed().size() > position; };
   if (!whole && !is_known()) {
-    LogStatus status = co_await refresh_results(key);
+    const ReadBounds bounds;
+    LogStatus status = co_await refresh_results(key, bounds);
     if (status == LogStatus::kOk && wait.count() > 0 && !is_known()) {
       co_await pause(std::min(wait, kResultWait));
-      status = co_await refresh_results(key);
+      status = co_await refresh_results(key, bounds);
     }
     if (status != LogStatus::kOk) page.status = LookupStatus::kUncertain;
     if (status != LogStatus::kOk) co_return page;
@@ -275,117 +248,105 @@
   JobsPartition& partition = jobs_of(host);
   const auto replica = partition.replica;
   const std::vector<KeyedRecord> records{{jobs_record_key(kind, key), std::move(value)}};
-  AppendResult result;
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
-  const LogStatus status = co_await append_until(replica->name(), records, deadline, result);
-  if (status == LogStatus::kOk) replica->apply_appended(result.offset, records);
-  co_return status;
+  const AppendResult result =
+      co_await append_until(executor_, log_, replica->name(), records, deadline, timing_.retries);
+  if (result.status == LogStatus::kOk) replica->apply_appended(result.offset, records);
+  co_return result.status;
 }
 
 asio::awaitable<LogStatus> JobStore::end(std::string host, JobKey key) {
   co_return co_await mark(host, JobRecordKind::kEnded, key, "1");
 }
 
-asio::awaitable<LookupStatus> JobStore::read_request(JobKey key, std::uint32_t index, JobItem item,
+asio::awaitable<RequestsRead> JobStore::read_requests(JobKey key, std::vector<std::uint32_t> wanted,
+                                                      ReadBounds bounds) {
+  RequestsRead nothing;
+  const JobEntry* entry = entry_of(key);
+  if (entry == nullptr) co_return nothing;
+  const JobSubmission submission = entry->submission;
+  co_return co_await data_.read_requests(key, submission, std::move(wanted), bounds);
+}
+
+asio::awaitable<LookupStatus> JobStore::read_request(JobKey key, std::uint32_t index,
                                                      ItemRequest& request) {
-  const PartitionName partition{kBodiesTopic, job_partition(key, log_.limits().partitions)};
-  const std::uint64_t bytes = item.body_bytes + kReadSlackBytes;
-  ReadResult result = co_await log_.read(partition, item.body_offset, bytes, Duration{0});
-  if (result.status == LogStatus::kTruncated) {
-    KeyRange range;
-    range.after = body_record_key(key, index, 0);
-    range.after.pop_back();
-    range.through = body_record_key(key, index, item.body_records - 1);
-    result = co_await log_.read_newest(partition, range, kPagePatience);
-    std::sort(
-        result.records.begin(), result.records.end(),
-        [](const StoredRecord& left, const StoredRecord& right) { return left.key < right.key; });
-  }
-  if (result.status != LogStatus::kOk) co_return LookupStatus::kUncertain;
-  std::string encoded;
-  for (std::uint32_t piece = 0; piece < item.body_records; ++piece) {
-    const bool present = piece < result.records.size() &&
-                         result.records[piece].key == body_record_key(key, index, piece);
-    if (!present) co_return LookupStatus::kAbsent;
-    encoded += result.records[piece].value;
-  }
-  co_return decode(encoded, request) ? LookupStatus::kFound : LookupStatus::kAbsent;
+  const ReadBounds bounds;
+  const std::vector<std::uint32_t> wanted{index};
+  RequestsRead read = co_await read_requests(key, wanted, bounds);
+  if (read.status != LogStatus::kOk) co_return LookupStatus::kUncertain;
+  if (read.found.empty()) co_return LookupStatus::kAbsent;
+  request = std::move(read.found.begin()->second);
+  co_return LookupStatus::kFound;
 }
 
-asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, Duration patience) {
-  const PartitionName partition{kResultsTopic, job_partition(key, log_.limits().partitions)};
-  const KeyRange range = results_[key].unread_range(key);
-  ReadResult read = co_await log_.read_newest(partition, range, patience);
-  const LogStatus status = read.status;
-  if (status == LogStatus::kOk) results_[key].add(std::move(read));
-  co_return status;
+asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, ReadBounds bounds) {
+  const PartitionName partition = partition_of(JobData::kResults, key);
+  while (true) {
+    const RecordOffset next = results_[key].next_offset();
+    const KeyRange unread = results_[key].unread_range(key);
+    ResultsRead read = co_await data_.read_results(key, partition, next, unread, bounds);
+    const LogStatus status = read.records.status;
+    if (status != LogStatus::kOk) co_return status;
+    results_[key].add(std::move(read.records));
+    if (read.at_end) co_return status;
+  }
 }
 
-asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key, Duration patience) {
-  const PartitionName partition{kProgressTopic, job_partition(key, log_.limits().partitions)};
+asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key, ReadBounds bounds) {
+  const PartitionName partition = partition_of(JobData::kProgress, key);
   const KeyRange range = progress_key_range(key);
-  const ReadResult read = co_await log_.read_newest(partition, range, patience);
+  const ReadResult read = co_await log_.read_newest(partition, range, bounds.patience);
   if (read.status == LogStatus::kOk) add_progress(read.records, progress_[key]);
   co_return read.status;
 }
 
-asio::awaitable<LogStatus> JobStore::write_progress(std::uint32_t partition,
+asio::awaitable<LogStatus> JobStore::write_progress(PartitionName partition,
                                                     std::vector<KeyedRecord> records) {
-  const PartitionName name{kProgressTopic, partition};
-  const AppendResult result = co_await log_.append(name, std::move(records), std::nullopt);
+  const AppendResult result = co_await log_.append(partition, std::move(records), std::nullopt);
   co_return result.status;
 }
 
-asio::awaitable<bool> JobStore::append_results(std::uint32_t partition,
+asio::awaitable<bool> JobStore::append_results(PartitionName partition,
                                                std::function<std::vector<KeyedRecord>()> make,
                                                std::function<bool()> running) {
-  const PartitionName name{kResultsTopic, partition};
   Backoff backoff(timing_.retries);
   while (running()) {
-    const AppendResult result = co_await log_.append(name, make(), std::nullopt);
+    const AppendResult result = co_await log_.append(partition, make(), std::nullopt);
     if (result.status == LogStatus::kOk) co_return true;
     co_await pause(backoff.next());
   }
   co_return false;
 }
 
-bool JobStore::is_known(const JobKey& key) const {
-  return std::any_of(jobs_.begin(), jobs_.end(),
-                     [&](const auto& entry) { return entry.second.table->find(key) != nullptr; });
+void JobStore::forget_erased() {
+  std::erase_if(results_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
+  std::erase_if(progress_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
 }
 
-void JobStore::forget_erased() {
-  std::erase_if(results_, [&](const auto& entry) { return !is_known(entry.first); });
-  std::erase_if(progress_, [&](const auto& entry) { return !is_known(entry.first); });
+asio::awaitable<void> JobStore::delete_requests(JobKey key) {
+  const JobEntry* entry = entry_of(key);
+  if (entry == nullptr) co_return;
+  const TimePoint deadline = monotonic_now() + timing_.settle_time;
+  co_await data_.delete_requests(key, entry->submission, deadline);
 }
 
 asio::awaitable<void> JobStore::erase(std::string host, JobKey key) {
-  const std::uint32_t number = job_partition(key, log_.limits().partitions);
+  const JobEntry* entry = entry_of(key);
+  if (entry == nullptr) co_return;
+  const JobSubmission submission = entry->submission;
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
-  constexpr std::size_t kDeletionsPerCall = 500;
-  for (const char* topic : {kBodiesTopic, kResultsTopic, kProgressTopic}) {
-    const PartitionName partition{topic, number};
-    const KeyRange range = job_key_range(key);
-    const ReadResult found = co_await log_.read_newest(partition, range, kPagePatience);
-    if (found.status != LogStatus::kOk) co_return;
-    for (std::size_t first = 0; first < found.records.size(); first += kDeletionsPerCall) {
-      std::vector<KeyedRecord> deletions;
-      const std::size_t last = std::min(found.records.size(), first + kDeletionsPerCall);
-      for (std::size_t i = first; i < last; ++i) deletions.push_back({found.records[i].key, {}});
-      AppendResult result;
-      const LogStatus status =
-          co_await append_until(partition, std::move(deletions), deadline, result);
-      if (status != LogStatus::kOk) co_return;
-    }
-  }
+  LogStatus status = co_await data_.delete_requests(key, submission, deadline);
+  if (status != LogStatus::kOk) co_return;
+  status = co_await data_.delete_results(key, submission.data_topics, deadline);
+  if (status != LogStatus::kOk) co_return;
   const auto replica = jobs_of(host).replica;
   std::vector<KeyedRecord> marks;
   for (const auto kind : {JobRecordKind::kEnded, JobRecordKind::kFinished, JobRecordKind::kProgress,
                           JobRecordKind::kSubmitted}) {
     marks.push_back({jobs_record_key(kind, key), {}});
   }
-  AppendResult result;
-  co_await append_until(replica->name(), std::move(marks), deadline, result);
+  co_await append_until(executor_, log_, replica->name(), std::move(marks), deadline,
+                        timing_.retries);
 }
 
 }  // namespace stoathold
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -9,10 +9,11 @@
 #include <memory>
 
 #include "base/timer.h"
+#include "jobs/job_data_log.h"
 #include "jobs/job_records.h"
 #include "jobs/job_table.h"
 #include "jobs/listed_results.h"
-#include "store/backoff.h"
+#include "store/append_until.h"
 
 namespace stoathold {
 
@@ -62,7 +63,9 @@
   JobStore(boost::asio::any_io_executor executor, RecordLog& log, std::string writer_name,
            JobStoreTiming timing = {});
 
-  /// Called whenever a job of a followed host was added or ended.
+  /// Called for each open job of a followed host once its jobs are read to their end, and from then
+  /// on whenever one is added, is ended or is finished. Not before: a node that starts reads the
+  /// submissions of the last minutes in front of the marks that most of these jobs are finished.
   void set_listener(JobTable::Listener listener) { listener_ = std::move(listener); }
   /// Called whenever the jobs of the followed hosts are all read to their ends.
   void set_loaded_listener(std::function<void()> listener) {
@@ -84,23 +87,30 @@
   /// Ends a job; done once this returns `kOk`.
   boost::asio::awaitable<LogStatus> end(std::string host, JobKey key);
   /// Reads the request that an item is.
-  boost::asio::awaitable<LookupStatus> read_request(JobKey key, std::uint32_t index, JobItem item,
+  boost::asio::awaitable<LookupStatus> read_request(JobKey key, std::uint32_t index,
                                                     ItemRequest& request);
+  /// Reads the requests of the first of some items of a job, as many as fit into one read.
+  /// @param wanted item indices, ascending, at least one.
+  boost::asio::awaitable<RequestsRead> read_requests(JobKey key, std::vector<std::uint32_t> wanted,
+                                                     ReadBounds bounds);
 
-  /// Brings the results of a job up to date with the log. Reads this job's records only, so that
-  /// what a node reads follows from what it is asked, not from what all nodes write.
-  /// @param patience how long each page of the read may take.
-  boost::asio::awaitable<LogStatus> refresh_results(JobKey key, Duration patience = kPagePatience);
+  /// Brings the results of a job up to date with the log: reads what was added since the last time.
+  boost::asio::awaitable<LogStatus> refresh_results(JobKey key, ReadBounds bounds);
   /// Brings the progress of a job's items up to date with the log.
-  boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, Duration patience = kPagePatience);
+  boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, ReadBounds bounds);
+  /// Returns the partition that holds a job's results, its progress or its requests.
+  [[nodiscard]] PartitionName partition_of(JobData data, const JobKey& key) const;
   /// Writes progress records; a failure is harmless.
-  boost::asio::awaitable<LogStatus> write_progress(std::uint32_t partition,
+  boost::asio::awaitable<LogStatus> write_progress(PartitionName partition,
                                                    std::vector<KeyedRecord> records);
-  /// Adds records to a job's partition of the results; tries until it is done or `running` ends.
+  /// Adds records to a partition of results; tries until it is done or `running` ends.
   /// @param make called for each try, since a result needs a new key each time.
-  boost::asio::awaitable<bool> append_results(std::uint32_t partition,
+  boost::asio::awaitable<bool> append_results(PartitionName partition,
                                               std::function<std::vector<KeyedRecord>()> make,
                                               std::function<bool()> running);
+  /// Deletes the requests and the progress of a job that is finished or ended: nobody needs them
+  /// any more, and what is read of open jobs stays small. If it fails, `erase` does it.
+  boost::asio::awaitable<void> delete_requests(JobKey key);
   /// Adds a mark to a job (finished, progress).
   boost::asio::awaitable<LogStatus> mark(std::string host, JobRecordKind kind, JobKey key,
                                          std::string value);
@@ -114,7 +124,7 @@
   [[nodiscard]] const ListedResults& results_of(const JobKey& key);
   /// Returns how far an item came as far as it is known here, or null.
   [[nodiscard]] const ItemProgress* progress_of(const JobKey& key, std::uint32_t item);
-  /// Calls `visit` for each job of the followed hosts.
+  /// Calls `visit` for each job of the followed hosts whose jobs are read to their end.
   void for_each_job(const std::function<void(const JobKey&, const JobEntry&)>& visit) const;
   [[nodiscard]] const LogLimits& limits() const { return log_.limits(); }
 
@@ -131,12 +141,11 @@
   [[nodiscard]] static bool fits(const JobTable& table, const NewJob& job);
   /// Returns the partition of a host's jobs; starts to keep it if nothing did before.
   JobsPartition& jobs_of(const std::string& host);
-  [[nodiscard]] bool is_known(const JobKey& key) const;
-  void partition_loaded() const;
-  boost::asio::awaitable<LogStatus> append_bodies(JobKey key, NewJob& job, TimePoint deadline);
-  boost::asio::awaitable<LogStatus> append_until(PartitionName partition,
-                                                 std::vector<KeyedRecord> records,
-                                                 TimePoint deadline, AppendResult& result);
+  /// Tells the listener of all open jobs of a partition that is read to its end.
+  void announce_open_jobs(const JobsPartition& partition);
+  void partition_loaded(const JobsPartition& loaded);
+  /// Returns the job, whichever host it is of, or null.
+  [[nodiscard]] const JobEntry* entry_of(const JobKey& key) const;
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
                                                          NewJob& job, TimePoint deadline);
   boost::asio::awaitable<void> pause(Duration duration);
@@ -147,6 +156,7 @@
   std::string writer_name_;
   JobStoreTiming timing_;
   std::uint64_t next_unique_ = 0;
+  JobDataLog data_;
   bool running_jobs_ = true;
   JobTable::Listener listener_;
   std::function<void()> loaded_listener_;
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -4,6 +4,18 @@
 
 namespace stoathold {
 
+void JobTable::tell(const JobKey& key, const JobEntry& job) const {
+  if (listener_ && !replaying_) listener_(key, job);
+}
+
+void JobTable::remove(const JobKey& key) {
+  const auto found = jobs_.find(key);
+  if (found == jobs_.end()) return;
+  found->second.finished = true;
+  tell(key, found->second);
+  jobs_.erase(found);
+}
+
 void JobTable::apply_submission(const JobKey& key, const StoredRecord& record) {
   JobEntry entry;
   if (!decode(record.value, entry.submission)) {
@@ -12,7 +24,7 @@
     return;
   }
   const auto [position, added] = jobs_.emplace(key, std::move(entry));
-  if (added && listener_) listener_(key, position->second);
+  if (added) tell(key, position->second);
 }
 
 void JobTable::apply(const StoredRecord& record) {
@@ -20,7 +32,7 @@
   if (!parsed) return;
   const auto& [kind, key] = *parsed;
   if (record.value.empty()) {
-    if (kind == JobRecordKind::kSubmitted) jobs_.erase(key);
+    if (kind == JobRecordKind::kSubmitted) remove(key);
     return;
   }
   if (kind == JobRecordKind::kSubmitted) {
@@ -34,10 +46,11 @@
   switch (kind) {
     case JobRecordKind::kEnded:
       job.ended = true;
-      if (listener_) listener_(key, job);
+      tell(key, job);
       break;
     case JobRecordKind::kFinished:
       job.finished = true;
+      tell(key, job);
       break;
     case JobRecordKind::kProgress:
       if (decode_tokens(record.value, tokens)) {
@@ -52,13 +65,23 @@
 void JobTable::reset(const std::vector<StoredRecord>& newest) {
   std::map<JobKey, JobEntry> before = std::move(jobs_);
   jobs_.clear();
+  // In the order of the log a job's submission comes before the mark that it is finished: nobody is
+  // told of a job before all of its records are applied.
+  replaying_ = true;
   for (const auto& record : newest) apply(record);
+  replaying_ = false;
   // A progress count that was written late may lie behind what was known here.
   for (auto& [key, job] : jobs_) {
     const auto known = before.find(key);
     if (known == before.end()) continue;
     job.finished_tokens = std::max(job.finished_tokens, known->second.finished_tokens);
   }
+  for (auto& [key, job] : before) {
+    if (jobs_.contains(key)) continue;
+    job.finished = true;
+    tell(key, job);
+  }
+  for (const auto& [key, job] : jobs_) tell(key, job);
 }
 
 const JobEntry* JobTable::find(const JobKey& key) const {
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -23,7 +23,8 @@
 /// Folds records in the order of their offsets; equal at all nodes that have read as far.
 class JobTable final : public RecordSink {
  public:
-  /// Called after a job was added or ended.
+  /// Called after a job was added, was ended or was finished; one that is erased counts as
+  /// finished.
   using Listener = std::function<void(const JobKey&, const JobEntry&)>;
 
   explicit JobTable(Listener listener) : listener_(std::move(listener)) {}
@@ -40,9 +41,12 @@
 
  private:
   void apply_submission(const JobKey& key, const StoredRecord& record);
+  void remove(const JobKey& key);
+  void tell(const JobKey& key, const JobEntry& job) const;
 
   Listener listener_;
   std::map<JobKey, JobEntry> jobs_;
+  bool replaying_ = false;  ///< The newest records are applied in place of a lost history.
 };
 
 }  // namespace stoathold
--- a/src/jobs/listed_results.h
+++ b/src/jobs/listed_results.h
@@ -22,11 +22,14 @@
 /// reads the same records comes to the same positions.
 class ListedResults {
  public:
-  /// Takes in what a read of `unread_range` found, whether or not other reads came between.
+  /// Takes in what a read of `unread_range`, or of all records from `next_offset` on, found,
+  /// whether or not other reads came between.
   void add(ReadResult read);
   /// Keys that a read must ask for: a job's items are run about in their order, so those in front
   /// of the first one that is not listed need not be read again.
   [[nodiscard]] KeyRange unread_range(const JobKey& key) const;
+  /// Offset behind all records of the partition that are taken in; 0: nothing was read yet.
+  [[nodiscard]] RecordOffset next_offset() const { return read_through_; }
 
   [[nodiscard]] const std::vector<ListedResult>& listed() const { return listed_; }
   [[nodiscard]] bool is_listed(std::uint32_t item) const { return listed_items_.contains(item); }
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -19,20 +19,20 @@
     : executor_(std::move(executor)), store_(store), listener_(std::move(listener)) {}
 
 void ResultWriter::add(ItemResult result) {
-  const std::uint32_t partition = job_partition(result.job, store_.limits().partitions);
+  const PartitionName partition = store_.partition_of(JobData::kResults, result.job);
   queues_[partition].results.push_back(std::move(result));
   ++pending_;
   start(partition);
 }
 
-void ResultWriter::start(std::uint32_t partition) {
+void ResultWriter::start(const PartitionName& partition) {
   Queue& queue = queues_[partition];
   if (queue.writing) return;
   queue.writing = true;
   asio::co_spawn(executor_, write(partition), asio::detached);
 }
 
-asio::awaitable<void> ResultWriter::write(std::uint32_t partition) {
+asio::awaitable<void> ResultWriter::write(PartitionName partition) {
   Queue& queue = queues_[partition];
   while (!queue.results.empty()) {
     std::vector<ItemResult> results;
@@ -57,7 +57,7 @@
     pending_ -= results.size();
     for (const auto& result : results) listener_(result);
   }
-  queue.writing = false;
+  queues_.erase(partition);
 }
 
 }  // namespace stoathold
--- a/src/jobs/result_writer.h
+++ b/src/jobs/result_writer.h
@@ -30,13 +30,13 @@
     bool writing = false;
   };
 
-  void start(std::uint32_t partition);
-  boost::asio::awaitable<void> write(std::uint32_t partition);
+  void start(const PartitionName& partition);
+  boost::asio::awaitable<void> write(PartitionName partition);
 
   boost::asio::any_io_executor executor_;
   JobStore& store_;
   Listener listener_;
-  std::map<std::uint32_t, Queue> queues_;
+  std::map<PartitionName, Queue> queues_;
   std::size_t pending_ = 0;
 };
 
--- a/src/store/store_traffic.cc
+++ b/src/store/store_traffic.cc
@@ -20,10 +20,18 @@
           now.bytes_sent - before.bytes_sent, now.bytes_answered - before.bytes_answered};
 }
 
+/// Topics that differ by the number at their end hold one kind of records and count together.
+std::string topic_family(const std::string& topic) {
+  const std::size_t last_other = topic.find_last_not_of("0123456789");
+  const bool numbered =
+      last_other != std::string::npos && last_other + 1 < topic.size() && topic[last_other] == '-';
+  return numbered ? topic.substr(0, last_other) : topic;
+}
+
 }  // namespace
 
 void StoreTraffic::add(const StoreCall& call) {
-  TrafficCount& count = counts_[{call.call, call.topic}];
+  TrafficCount& count = counts_[{call.call, topic_family(call.topic)}];
   ++count.calls;
   if (call.timed_out) ++count.time_outs;
   count.bytes_sent += call.bytes_sent;
--- a/tests/jobs/item_stages_test.cc
+++ b/tests/jobs/item_stages_test.cc
@@ -39,7 +39,7 @@
   EXPECT_EQ(summary.of(ItemStage::kWaitingForTurn).items, 1U);
   EXPECT_EQ(summary.of(ItemStage::kWaitingForTurn).oldest, std::chrono::seconds(5));
   EXPECT_EQ(summary.of(ItemStage::kReadingRequest).oldest, std::chrono::seconds(2));
-  EXPECT_EQ(stages_text(summary), "waiting_for_turn=1/5.00,reading_request=1/2.00");
+  EXPECT_EQ(stages_text(summary), "reading_request=1/2.00,waiting_for_turn=1/5.00");
 }
 
 /// An item without a place is looked at anew every few seconds; it must not look young for that.
--- a/tests/jobs/job_model_test.cc
+++ b/tests/jobs/job_model_test.cc
@@ -162,7 +162,7 @@
           {result_record_key(key, item, store.unique_name()), encode(result)}};
     };
     const bool done =
-        run_awaitable(fleet.loop, store.append_results(job_partition(key, limits().partitions),
+        run_awaitable(fleet.loop, store.append_results(store.partition_of(JobData::kResults, key),
                                                        make, [&] { return tries++ < 2; }));
     if (done) oracle.finished.insert({job, item});
   }
@@ -216,9 +216,8 @@
     if (found != LookupStatus::kFound) return;
     for (std::uint32_t i = 0; i < kItems; ++i) {
       ItemRequest request;
-      const JobItem item = entry->submission.items[i];
       const LookupStatus status =
-          run_awaitable(fleet.loop, store.read_request(job_key(job), i, item, request));
+          run_awaitable(fleet.loop, store.read_request(job_key(job), i, request));
       if (status == LookupStatus::kUncertain) continue;
       RC_ASSERT(status == LookupStatus::kFound);
       RC_ASSERT(request.body == job_id(job) + ":" + std::to_string(i));
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -49,7 +49,7 @@
       return std::vector<KeyedRecord>{
           {result_record_key(key, 0, store.unique_name()), encode(result)}};
     };
-    const std::uint32_t partition = job_partition(key, small_limits().partitions);
+    const PartitionName partition = store.partition_of(JobData::kResults, key);
     EXPECT_TRUE(run_awaitable(loop, store.append_results(partition, make, [] { return true; })));
   }
   [[nodiscard]] std::size_t finished_jobs() const {
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -55,7 +55,7 @@
       return std::vector<KeyedRecord>{
           {result_record_key(key, item, store.unique_name()), encode(result)}};
     };
-    const std::uint32_t partition = job_partition(key, small_limits().partitions);
+    const PartitionName partition = store.partition_of(JobData::kResults, key);
     EXPECT_TRUE(run_awaitable(loop, store.append_results(partition, make, [] { return true; })));
   }
   std::vector<std::string> read_texts(JobStore& store, const std::string& id) {
@@ -129,7 +129,7 @@
 }
 
 TEST_F(JobStoreTest, AJobWhoseBodiesAreNotStoredIsRefusedForGood) {
-  first_log.faults.topic = kBodiesTopic;
+  first_log.faults.topic = "job-bodies-0";
   first_log.faults.late_appends = 1000;
   EXPECT_EQ(submit(first, make_job("j1", 1)), SubmitStatus::kRefused);
   first_log.apply_late();
@@ -185,9 +185,7 @@
     EXPECT_EQ(run_awaitable(loop, second.find(kHost, key, entry)), LookupStatus::kFound);
     for (std::uint32_t i = 0; i < 3; ++i) {
       ItemRequest request;
-      EXPECT_EQ(
-          run_awaitable(loop, second.read_request(key, i, entry->submission.items[i], request)),
-          LookupStatus::kFound);
+      EXPECT_EQ(run_awaitable(loop, second.read_request(key, i, request)), LookupStatus::kFound);
       EXPECT_EQ(request.body, requests[i].body);
     }
     model->drop_history();  // The second round reads by key.
@@ -268,9 +266,9 @@
   while (!done && loop.run_one() > 0) {
   }
   EXPECT_EQ(find(second, "j1"), LookupStatus::kAbsent);
-  const std::uint32_t partition = job_partition(key, small_limits().partitions);
-  for (const char* topic : {kBodiesTopic, kResultsTopic}) {
-    EXPECT_TRUE(model->read_newest({topic, partition}, job_key_range(key)).records.empty());
+  for (const JobData data : {JobData::kBodies, JobData::kResults}) {
+    const PartitionName partition = first.partition_of(data, key);
+    EXPECT_TRUE(model->read_newest(partition, job_key_range(key)).records.empty());
   }
 }
 
--- /dev/null
+++ b/tests/jobs/job_table_test.cc
@@ -0,0 +1,76 @@
+#include "jobs/job_table.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+constexpr const char* kHost = "drafts.example";
+
+/// A table, and what it told: the job's id, and whether it was open.
+class JobTableTest : public testing::Test {
+ protected:
+  JobTableTest()
+      : table([this](const JobKey& key, const JobEntry& job) {
+          told.emplace_back(key, job.open());
+        }) {}
+
+  static JobKey key_of(const std::string& id) { return make_job_key(kHost, id); }
+  StoredRecord submission(const std::string& id) {
+    JobSubmission submission;
+    submission.id = id;
+    submission.host = kHost;
+    return record(JobRecordKind::kSubmitted, id, encode(submission));
+  }
+  StoredRecord record(JobRecordKind kind, const std::string& id, const std::string& value = "1") {
+    return {next_offset++, jobs_record_key(kind, key_of(id)), value};
+  }
+  using Told = std::vector<std::pair<JobKey, bool>>;
+
+  RecordOffset next_offset = 0;
+  Told told;
+  JobTable table;
+};
+
+TEST_F(JobTableTest, AJobIsToldWhenItComesAndWhenItIsFinished) {
+  table.apply(submission("j1"));
+  table.apply(record(JobRecordKind::kFinished, "j1"));
+  EXPECT_EQ(told, (Told{{key_of("j1"), true}, {key_of("j1"), false}}));
+}
+
+/// After a loss of all nodes 155 of the 169 jobs that were started had finished long before: their
+/// submissions were applied before their marks, and a job was begun, and its results read, at once.
+TEST_F(JobTableTest, AJobWhoseMarkIsReadWithItIsNeverToldAsOpen) {
+  table.reset({submission("j1"), submission("j2"), record(JobRecordKind::kFinished, "j1")});
+  EXPECT_EQ(told, (Told{{key_of("j1"), false}, {key_of("j2"), true}}));
+}
+
+TEST_F(JobTableTest, AJobThatWasErasedIsToldAsFinished) {
+  table.apply(submission("j1"));
+  table.apply(submission("j2"));
+  told.clear();
+  table.apply(record(JobRecordKind::kSubmitted, "j1", ""));
+  EXPECT_EQ(told, (Told{{key_of("j1"), false}}));
+  EXPECT_EQ(table.find(key_of("j1")), nullptr);
+  told.clear();
+  table.reset({});
+  EXPECT_EQ(told, (Told{{key_of("j2"), false}}));
+}
+
+TEST_F(JobTableTest, SubmissionsWrittenBeforeJobsWereSpreadAreRead) {
+  // The same fields without the last one.
+  JobSubmission spread;
+  spread.id = "j1";
+  spread.host = kHost;
+  spread.data_topics = 16;
+  std::string bytes = encode(spread);
+  bytes.resize(bytes.size() - sizeof(spread.data_topics));
+  table.apply(record(JobRecordKind::kSubmitted, "j1", bytes));
+  const JobEntry* entry = table.find(key_of("j1"));
+  ASSERT_NE(entry, nullptr);
+  EXPECT_EQ(entry->submission.host, kHost);
+  EXPECT_EQ(entry->submission.data_topics, 0U);
+}
+
+}  // namespace
+}  // namespace stoathold
--- a/tests/jobs/one_job_reads_test.cc
+++ b/tests/jobs/one_job_reads_test.cc
@@ -72,15 +72,16 @@
   const JobKey key = make_job_key(kHost, job_id(kErasedJob));
   const JobEntry* job = nullptr;
   ASSERT_EQ(run_awaitable(loop, eraser.store.find(kHost, key, job)), LookupStatus::kFound);
-  const JobItem first_item = job->submission.items.front();
+  const std::vector<PartitionName> partitions{eraser.store.partition_of(JobData::kBodies, key),
+                                              eraser.store.partition_of(JobData::kResults, key)};
   run(eraser.store.erase(kHost, key));
   EXPECT_LE(eraser.log.read_beside(kJobsTopic).bytes, 3 * (kRequestsBytes + kResultsBytes));
 
   JobNode& other = add_node("other");
   EXPECT_EQ(run_awaitable(loop, other.store.find(kHost, key, job)), LookupStatus::kAbsent);
-  ItemRequest request;
-  EXPECT_EQ(run_awaitable(loop, other.store.read_request(key, 0, first_item, request)),
-            LookupStatus::kAbsent);
+  for (const PartitionName& partition : partitions) {
+    EXPECT_TRUE(model->read_newest(partition, job_key_range(key)).records.empty());
+  }
 }
 
 }  // namespace
--- a/tests/jobs/paged_record_log.h
+++ b/tests/jobs/paged_record_log.h
@@ -28,6 +28,7 @@
   limits.call_bytes = 2UL * 1024 * 1024;
   limits.partitions = 8;
   limits.group_slots = 128;
+  limits.job_topics = 24;  // As the platform spreads jobs over 8 partitions of each topic.
   return limits;
 }
 
--- a/tests/jobs/restart_reads_test.cc
+++ b/tests/jobs/restart_reads_test.cc
@@ -44,7 +44,7 @@
       const ItemProgress begun{key, item, 0, 1, std::string(kProgressBytes, 'p')};
       progress.push_back({progress_record_key(key, item), encode(begun)});
     }
-    const std::uint32_t partition = job_partition(key, store_limits().partitions);
+    const PartitionName partition = node.store.partition_of(JobData::kProgress, key);
     EXPECT_EQ(run_awaitable(loop, node.store.write_progress(partition, progress)), LogStatus::kOk);
   }
   /// Leaves open jobs behind that lie between finished ones in the order of the keys; all nodes
@@ -114,7 +114,7 @@
 TEST_F(RestartReadsTest, RequestsOfItemsAreReadAFewAtATime) {
   leave_behind(20);
   JobNode& node = add_node("after");
-  node.log.hold_reads(kBodiesTopic);
+  node.log.hold_reads("job-bodies");
   const ScriptedRunner& runner = add_runner(impossible_answer());
   node.take_up_jobs(runner);
   run_until([&] {
--- a/tests/store/store_traffic_test.cc
+++ b/tests/store/store_traffic_test.cc
@@ -46,5 +46,13 @@
   EXPECT_EQ(traffic.counts().at({"read", "jobs"}).calls, 2U);
 }
 
+TEST(StoreTrafficTest, TopicsOverWhichOneKindIsSpreadCountTogether) {
+  StoreTraffic traffic;
+  traffic.add(make_call("newest", "job-results-3"));
+  traffic.add(make_call("newest", "job-results-14"));
+  traffic.add(make_call("newest", "job-results"));
+  EXPECT_EQ(traffic_text(traffic.counts()), "newest:job-results=3/120/3000");
+}
+
 }  // namespace
 }  // namespace stoathold
