--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,8 @@
   std::map<std::string, std::uint64_t> refusals;                          ///< By reason.
   std::map<std::string, std::uint64_t> store_calls;                       ///< By outcome.
   std::map<std::string, std::uint64_t> batch_items;                       ///< By outcome of a run.
+  /// Entries of the runner directory that named no runner, by reason.
+  std::map<std::string, std::uint64_t> refused_runner_entries;
   /// Requests by tenant and by whether they were admitted; a bounded number of tenants.
   std::map<std::pair<std::string, std::string>, std::uint64_t> tenant_requests;
   std::uint64_t resumes = 0;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -120,6 +120,9 @@
   families.push_back(labelled_counters("stoathold_store_calls_total",
                                        "Calls to the store by name and outcome.", "call",
                                        metrics.store_calls));
+  families.push_back(labelled_counters("stoathold_refused_runner_entries_total",
+                                       "Entries of the runner directory that named no runner.",
+                                       "reason", metrics.refused_runner_entries));
   families.push_back(labelled_counters("stoathold_batch_attempts_total",
                                        "Attempts of batch items by how they ended.", "outcome",
                                        metrics.batch_items));
