What is believed of a runner is believed of one of its starts

Cause: the id stood for a runner in the registry, in gossip, among the ends of requests, among the runners that a request has tried and at the idle connections; a runner may start again under its id.

Runner::hash is its hash (the id's alone where no start is told, as before), so that all tables and messages speak of one start. The registry puts a new object in place of the start before it; times of starts are compared for equality only, and the directory's order decides. A start whose entry lapsed keeps what is known of it while it has requests in flight, and for 10 s. Idle connections are used for the start only for which they were made.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -129,6 +129,9 @@
     EventEntry{
         Event::kPeerDatagramFailed, "peer_datagram_failed", EventLevel::kWarning,
         "A datagram between nodes could not be sent or received; the next one holds all again."},
+    EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
+               "A runner has started again under the id that it had; nothing that was known of it "
+               "before holds."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -74,6 +74,7 @@
   kPeersChanged = 1606,
   kReplicaReset = 1607,
   kPeerDatagramFailed = 1608,
+  kRunnerRestarted = 1611,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -35,7 +35,9 @@
 
   /// Returns the predicate of choices between runners: whether an idle connection to it is kept.
   [[nodiscard]] std::function<bool(const Runner&)> connected() const {
-    return [this](const Runner& runner) { return pool.has_idle(runner.record().address); };
+    return [this](const Runner& runner) {
+      return pool.has_idle(runner.record().address, runner.hash());
+    };
   }
 
   boost::asio::any_io_executor executor;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -83,6 +83,15 @@
   return family;
 }
 
+MetricFamily requests_by_kind(const GatewayMetrics& metrics) {
+  MetricFamily family = make_family("stoathold_requests_total",
+                                    "Requests by route kind and outcome.", MetricType::Counter);
+  for (const auto& [key, count] : metrics.requests) {
+    add_counter(family, {make_label("kind", key.first), make_label("outcome", key.second)}, count);
+  }
+  return family;
+}
+
 MetricFamily tenant_requests(const GatewayMetrics& metrics) {
   MetricFamily family =
       make_family("stoathold_tenant_requests_total",
@@ -100,13 +109,7 @@
                                    const std::vector<MetricValue>& gauges) {
   const GatewayMetrics& metrics = context.metrics;
   std::vector<MetricFamily> families;
-  MetricFamily requests = make_family("stoathold_requests_total",
-                                      "Requests by route kind and outcome.", MetricType::Counter);
-  for (const auto& [key, count] : metrics.requests) {
-    add_counter(requests, {make_label("kind", key.first), make_label("outcome", key.second)},
-                count);
-  }
-  families.push_back(std::move(requests));
+  families.push_back(requests_by_kind(metrics));
   families.push_back(labelled_counters("stoathold_attempts_total",
                                        "Attempts at runners by how they ended.", "outcome",
                                        metrics.attempts));
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -204,7 +204,7 @@
       co_return;
     }
     ++sends_;
-    tried_.push_back(runner->record().id);
+    tried_.push_back(runner->hash());
     const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
     if (is_final(result)) co_return;
@@ -254,6 +254,7 @@
   const HeaderDialect& dialect = context_.dialect;
   UpstreamRequest request;
   request.address = runner.record().address;
+  request.runner = runner.hash();
   request.method = std::string(exchange_.method());
   request.target = std::string(exchange_.target());
   request.body = exchange_.body();
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -103,7 +103,7 @@
   Duration patience_{0};     ///< Silence after which a runner is given up; 0: none.
   TimePoint quiet_since_{};  ///< Since then nothing came for this request.
   EventFramer framer_;
-  std::vector<std::string> tried_;
+  std::vector<std::uint64_t> tried_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   TimePoint attempt_start_{};
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -36,7 +36,10 @@
 /// No connection is given up sooner: a lost packet or a busy moment of this node is no evidence.
 constexpr Duration kShortestConnect = std::chrono::milliseconds(60);
 
+/// A connection to a runner that has gone may look open, if its machine lost power; and another
+/// runner may have its address.
 struct IdleConnection {
+  std::uint64_t runner = 0;  ///< Start of the runner to which it was made.
   std::unique_ptr<Tcp::socket> socket;
   TimePoint usable_until{};
 };
@@ -84,7 +87,7 @@
   State(asio::any_io_executor executor_in, HeaderDialect dialect_in)
       : executor(std::move(executor_in)), dialect(std::move(dialect_in)) {}
 
-  std::unique_ptr<Tcp::socket> take(const std::string& address) {
+  std::unique_ptr<Tcp::socket> take(const std::string& address, std::uint64_t runner) {
     const auto found = idle.find(address);
     if (found == idle.end()) return nullptr;
     auto& list = found->second;
@@ -92,18 +95,18 @@
     while (!list.empty() && !taken) {
       IdleConnection last = std::move(list.back());
       list.pop_back();
-      if (monotonic_now() < last.usable_until && is_clean(*last.socket)) {
-        taken = std::move(last.socket);
-      }
+      const bool usable = last.runner == runner && monotonic_now() < last.usable_until;
+      if (usable && is_clean(*last.socket)) taken = std::move(last.socket);
     }
     if (list.empty()) idle.erase(found);
     return taken;
   }
-  void give(const std::string& address, std::unique_ptr<Tcp::socket> socket, Duration keep_alive) {
+  void give(const std::string& address, std::uint64_t runner, std::unique_ptr<Tcp::socket> socket,
+            Duration keep_alive) {
     auto& list = idle[address];
     if (list.size() >= kIdlePerAddress) list.erase(list.begin());
     const auto usable = std::chrono::duration_cast<Duration>(keep_alive * kReusePart);
-    list.push_back({std::move(socket), monotonic_now() + usable});
+    list.push_back({runner, std::move(socket), monotonic_now() + usable});
   }
 
   /// How long a connection may take; a runner that takes longer is taken for dark.
@@ -124,10 +127,11 @@
     : state_(std::make_unique<State>(std::move(executor), std::move(dialect))) {}
 UpstreamPool::~UpstreamPool() = default;
 
-bool UpstreamPool::has_idle(const std::string& address) const {
+bool UpstreamPool::has_idle(const std::string& address, std::uint64_t runner) const {
   const auto found = state_->idle.find(address);
   if (found == state_->idle.end() || found->second.empty()) return false;
-  return monotonic_now() < found->second.back().usable_until;
+  const IdleConnection& last = found->second.back();
+  return last.runner == runner && monotonic_now() < last.usable_until;
 }
 
 std::uint64_t UpstreamPool::connects() const {
@@ -205,6 +209,7 @@
   DeadlineExtender extender;
   UpstreamStatus ended = UpstreamStatus::kOk;
   std::string address;
+  std::uint64_t runner = 0;
   std::string request_id;
   http::request<http::string_body> request;
   bool written = false;
@@ -310,8 +315,9 @@
                                                        Duration connect_timeout) {
   const auto state = state_;
   state->address = request.address;
+  state->runner = request.runner;
   state->request_id = request.request_id;
-  if (request.allow_reuse) state->socket = state->pool.take(request.address);
+  if (request.allow_reuse) state->socket = state->pool.take(request.address, request.runner);
   if (!state->socket) {
     const UpstreamStatus status = co_await state->connect(connect_timeout);
     if (status != UpstreamStatus::kOk) co_return status;
@@ -388,7 +394,7 @@
     return;
   }
   const Duration keep_alive = keep_alive_of(state.parser->get()[http::field::keep_alive]);
-  state.pool.give(state.address, std::move(state.socket), keep_alive);
+  state.pool.give(state.address, state.runner, std::move(state.socket), keep_alive);
 }
 
 }  // namespace stoathold
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -33,7 +33,8 @@
 
 /// A request as it is sent; the framing headers are added.
 struct UpstreamRequest {
-  std::string address;  ///< `ip:port`.
+  std::string address;       ///< `ip:port`.
+  std::uint64_t runner = 0;  ///< The start that is meant; a connection made for another isn't used.
   std::string method;
   std::string target;
   std::vector<HttpHeader> headers;
@@ -63,8 +64,8 @@
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
-  /// Whether an idle connection to the address is kept that may be used now.
-  [[nodiscard]] bool has_idle(const std::string& address) const;
+  /// Whether an idle connection to the start of a runner is kept that may be used now.
+  [[nodiscard]] bool has_idle(const std::string& address, std::uint64_t runner) const;
   /// Connections made so far, for metrics.
   [[nodiscard]] std::uint64_t connects() const;
 
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -129,9 +129,9 @@
 }
 
 /// The item goes to runners where it has not failed yet, as long as there are any.
-std::vector<std::string> ItemRun::runners_to_avoid(const std::string& service) const {
+std::vector<std::uint64_t> ItemRun::runners_to_avoid(const std::string& service) const {
   const bool others = failed_at_.size() < context_.runners.of_service(service).size();
-  return others ? failed_at_ : std::vector<std::string>{};
+  return others ? failed_at_ : std::vector<std::uint64_t>{};
 }
 
 void ItemRun::log_choice(const Selection& choice, const ItemSchedule& schedule) {
@@ -166,10 +166,9 @@
   if (progress_.failures >= kMaxFailuresPerAttempt * route.max_attempts) return true;
   const TimePoint now = monotonic_now();
   std::uint32_t excused = 0;
-  for (const auto& id : failed_at_) {
-    const auto runner = context_.runners.all().find(id);
-    const bool suspect = runner != context_.runners.all().end() && runner->second->suspect(now);
-    if (suspect) ++excused;
+  for (const std::uint64_t start : failed_at_) {
+    const Runner* runner = context_.runners.find_hash(start);
+    if (runner != nullptr && runner->suspect(now)) ++excused;
   }
   return progress_.failures - excused >= route.max_attempts;
 }
@@ -207,7 +206,7 @@
     if (result == AttemptResult::kImpossible) co_return make_result(ItemState::kDeadLettered);
     if (result == AttemptResult::kFailed) {
       ++progress_.failures;
-      failed_at_.push_back(runner->record().id);
+      failed_at_.push_back(runner->hash());
       if (has_failed_for_good(*route)) co_return make_result(ItemState::kDeadLettered);
     }
     if (progress_.last_event > events_before) backoff.reset();
@@ -221,6 +220,7 @@
   const HeaderDialect& dialect = context_.dialect;
   UpstreamRequest request;
   request.address = runner.record().address;
+  request.runner = runner.hash();
   request.method = "POST";
   request.target = request_.path;
   request.body = request_.body;
@@ -283,7 +283,7 @@
 /// there.
 AttemptOutcome ItemRun::evidence_against(const Runner& runner, AttemptResult result) const {
   const bool failed_before =
-      std::find(failed_at_.begin(), failed_at_.end(), runner.record().id) != failed_at_.end();
+      std::find(failed_at_.begin(), failed_at_.end(), runner.hash()) != failed_at_.end();
   const bool repeated = result == AttemptResult::kFailed && failed_before;
   return repeated ? AttemptOutcome::kAbandoned : evidence_of(result);
 }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -74,7 +74,7 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
-  [[nodiscard]] std::vector<std::string> runners_to_avoid(const std::string& service) const;
+  [[nodiscard]] std::vector<std::uint64_t> runners_to_avoid(const std::string& service) const;
   [[nodiscard]] bool has_failed_for_good(const Route& route) const;
   void log_choice(const Selection& choice, const ItemSchedule& schedule);
   [[nodiscard]] AttemptOutcome evidence_against(const Runner& runner, AttemptResult result) const;
@@ -97,8 +97,8 @@
   TimePoint placed_at_{};
   std::uint32_t sends_ = 0;
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
-  /// Runners that answered this run with an error of their own.
-  std::vector<std::string> failed_at_;
+  /// Starts of runners that answered this run with an error of their own, by `Runner::hash`.
+  std::vector<std::uint64_t> failed_at_;
   std::string choice_;  ///< What decided the current attempt's runner, for logs.
   bool yielding_ = false;
   Timer timer_;
--- a/src/quarantine/quarantine_check.h
+++ b/src/quarantine/quarantine_check.h
@@ -10,7 +10,7 @@
 
 /// How a run at a runner ended, as far as the quarantine needs it.
 struct EndedRun {
-  std::uint64_t runner = 0;  ///< Hash of the runner's id.
+  std::uint64_t runner = 0;  ///< `Runner::hash`.
   RunStage stage = RunStage::kWaiting;
   bool progressed = false;        ///< The request was served, or the batch item got on.
   bool closed_by_runner = false;  ///< The runner closed the connection before the answer was whole.
--- a/src/quarantine/runner_end_table.h
+++ b/src/quarantine/runner_end_table.h
@@ -18,7 +18,7 @@
 /// A request was at a runner when the runner ended.
 struct RunnerEnd {
   ContentHash content{};
-  std::uint64_t runner = 0;  ///< Hash of the runner's id; each start of a runner has another.
+  std::uint64_t runner = 0;  ///< `Runner::hash`: another for each start of a runner.
   RunStage stage = RunStage::kWaiting;
   TimePoint at{};
 };
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -15,7 +15,7 @@
 
 /// A node's use of one runner.
 struct RunnerUse {
-  std::uint64_t runner = 0;  ///< Hash of its id.
+  std::uint64_t runner = 0;  ///< `Runner::hash`.
   std::uint16_t in_flight = 0;
   std::uint16_t batch_in_flight = 0;  ///< Those that are batch items.
   std::uint32_t backlog_tokens = 0;   ///< Prompt tokens sent that have not led to an answer.
@@ -29,7 +29,7 @@
 
 /// A runner to which the sender gives no work for a while, since its attempts there failed.
 struct EjectedRunner {
-  std::uint64_t runner = 0;         ///< Hash of its id.
+  std::uint64_t runner = 0;         ///< `Runner::hash`.
   std::uint16_t failed_ms_ago = 0;  ///< Since the last failed attempt; saturates.
   std::uint16_t pause_left_ms = 0;  ///< Until the sender tries it again.
   std::uint8_t failures = 0;        ///< Failed attempts in a row; saturates.
@@ -43,7 +43,7 @@
 
 /// Answers that the sender had lately from a runner of which some were errors, in tenths.
 struct RunnerAnswers {
-  std::uint64_t runner = 0;  ///< Hash of its id.
+  std::uint64_t runner = 0;  ///< `Runner::hash`.
   std::uint8_t errors = 0;   ///< Saturates.
   std::uint8_t served = 0;   ///< Saturates.
 
@@ -103,7 +103,7 @@
 struct YieldRequest {
   std::string service;
   std::string zone;
-  std::uint64_t runner = 0;  ///< Hash of the runner's id; 0: any of them.
+  std::uint64_t runner = 0;  ///< `Runner::hash`; 0: any of them.
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -113,7 +113,7 @@
 
 /// How loaded a runner is.
 struct ZoneRunnerLoad {
-  std::uint64_t runner = 0;  ///< Hash of its id.
+  std::uint64_t runner = 0;  ///< `Runner::hash`.
   std::uint8_t percent = 0;  ///< Requests there per place; saturates.
 
   template <typename Archive>
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -23,6 +23,9 @@
 /// How long the load that another zone reported of its runner counts; reports come four times a
 /// second.
 constexpr Duration kZoneLoadLifetime = std::chrono::milliseconds(700);
+/// How long a start is remembered after its entry has gone, beyond its requests in flight. By then
+/// no evidence of it counts any more: the longest ejection is 4 s.
+constexpr Duration kLapsedLifetime = std::chrono::seconds(10);
 
 /// Milliseconds since a moment, for logs; `never` if it is the start of the clock.
 std::string age_text(TimePoint moment, TimePoint now) {
@@ -33,7 +36,16 @@
 
 }  // namespace
 
-Runner::Runner(RunnerRecord record) : record_(std::move(record)), hash_(stable_hash(record_.id)) {}
+Runner::Runner(RunnerRecord record)
+    : record_(std::move(record)),
+      hash_(record_.identity().hash()),
+      affinity_hash_(stable_hash(record_.id)) {}
+
+void Runner::list_again(RunnerRecord record) {
+  record_ = std::move(record);
+  listed_ = true;
+  leaving_ = false;
+}
 
 std::uint32_t Runner::slots() const {
   return std::max<std::uint32_t>(1, record_.slots);
@@ -197,43 +209,80 @@
 void RunnerRegistry::upsert(RunnerRecord record) {
   const auto found = runners_.find(record.id);
   if (found == runners_.end()) {
-    const auto runner = std::make_shared<Runner>(std::move(record));
-    runners_.emplace(runner->record().id, runner);
-    by_hash_[runner->hash()] = runner.get();
-    by_service_[runner->record().service].push_back(runner);
-    ++revision_;
+    add(std::move(record));
+    return;
+  }
+  Runner& runner = *found->second;
+  if (runner.record().identity() == record.identity()) {
+    const bool same_service = runner.record().service == record.service;
+    runner.set_record(std::move(record));
+    if (!same_service) index();
     return;
   }
-  const bool same_service = found->second->record().service == record.service;
-  found->second->set_record(std::move(record));
-  found->second->set_listed(true);
-  if (!same_service) index();
+  runner.unlist();
+  runners_.erase(found);
+  add(std::move(record));
+  index();
+}
+
+void RunnerRegistry::add(RunnerRecord record) {
+  std::shared_ptr<Runner> runner = take_lapsed(record.identity());
+  if (runner) {
+    runner->list_again(std::move(record));
+  } else {
+    runner = std::make_shared<Runner>(std::move(record));
+  }
+  runners_.emplace(runner->record().id, runner);
+  by_hash_[runner->hash()] = runner.get();
+  by_service_[runner->record().service].push_back(runner);
+  ++revision_;
+}
+
+std::shared_ptr<Runner> RunnerRegistry::take_lapsed(const RunnerIdentity& identity) {
+  const auto found = lapsed_.find(identity.id);
+  if (found == lapsed_.end()) return nullptr;
+  std::shared_ptr<Runner> runner = std::move(found->second.runner);
+  lapsed_.erase(found);
+  return runner->record().identity() == identity ? runner : nullptr;
+}
+
+void RunnerRegistry::lapse(std::shared_ptr<Runner> runner) {
+  runner->unlist();
+  lapsed_[runner->record().id] = {runner, monotonic_now()};
+}
+
+void RunnerRegistry::forget_long_lapsed() {
+  const TimePoint now = monotonic_now();
+  std::erase_if(lapsed_, [now](const auto& entry) {
+    const Lapsed& lapsed = entry.second;
+    return lapsed.runner->in_flight() == 0 && now - lapsed.since > kLapsedLifetime;
+  });
 }
 
 void RunnerRegistry::remove(const std::string& id) {
+  forget_long_lapsed();
   const auto found = runners_.find(id);
-  if (found != runners_.end()) found->second->set_listed(false);
-  forget_unused();
+  if (found == runners_.end()) return;
+  lapse(std::move(found->second));
+  runners_.erase(found);
   index();
 }
 
 void RunnerRegistry::replace_all(std::vector<RunnerRecord> records) {
+  forget_long_lapsed();
   std::set<std::string> ids;
   for (auto& record : records) {
     ids.insert(record.id);
     upsert(std::move(record));
   }
-  for (auto& [id, runner] : runners_) {
-    if (!ids.contains(id)) runner->set_listed(false);
-  }
-  forget_unused();
+  std::erase_if(runners_, [&](auto& entry) {
+    if (ids.contains(entry.first)) return false;
+    lapse(std::move(entry.second));
+    return true;
+  });
   index();
 }
 
-void RunnerRegistry::forget_unused() {
-  std::erase_if(runners_, [](const auto& entry) { return !entry.second->listed(); });
-}
-
 void RunnerRegistry::index() {
   ++revision_;
   by_service_.clear();
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -16,17 +16,21 @@
 #include "base/time.h"
 #include "routing/peer_ejections.h"
 #include "routing/runner_errors.h"
+#include "routing/runner_identity.h"
 
 namespace stoathold {
 
 /// A runner as the directory shows it.
 struct RunnerRecord {
-  std::string id;  ///< Of this start of the runner; never used again.
+  std::string id;  ///< The next start of the runner may have the same.
   std::string service;
   std::string address;  ///< `ip:port`; may belong to another runner later.
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  std::optional<RunnerStart> start = std::nullopt;  ///< Nothing if the runner doesn't tell it.
+
+  [[nodiscard]] RunnerIdentity identity() const { return {id, start}; }
 };
 
 /// A load report: as the runner saw itself when it answered.
@@ -49,18 +53,26 @@
   kAbandoned,    ///< Ended by us or the caller; no evidence.
 };
 
-/// One runner: its record, and the evidence that this node has of its load and health.
+/// One start of a runner: its record, and the evidence that this node has of its load and health.
 class Runner {
  public:
   explicit Runner(RunnerRecord record);
 
   [[nodiscard]] const RunnerRecord& record() const { return record_; }
+  /// What stands for this start of the runner, here and at other nodes.
   [[nodiscard]] std::uint64_t hash() const { return hash_; }
+  /// What stands for the runner whatever its start. Which prompts go to which runner hangs on it,
+  /// so that a start moves no prefix that another runner keeps.
+  [[nodiscard]] std::uint64_t affinity_hash() const { return affinity_hash_; }
+  /// @param record of the same start.
   void set_record(RunnerRecord record) { record_ = std::move(record); }
 
-  /// Whether the directory no longer lists it.
+  /// Whether the directory lists it.
   [[nodiscard]] bool listed() const { return listed_; }
-  void set_listed(bool listed) { listed_ = listed; }
+  /// The directory no longer lists it.
+  void unlist() { listed_ = false; }
+  /// The directory lists it again: what said that it was going away is older.
+  void list_again(RunnerRecord record);
 
   /// @param tokens of the prompt that the runner is expected to read for it.
   void begin_attempt(std::uint32_t tokens = 0, WorkClass work = WorkClass::kOnline);
@@ -157,6 +169,7 @@
 
   RunnerRecord record_;
   std::uint64_t hash_;
+  std::uint64_t affinity_hash_;
   bool listed_ = true;
   bool leaving_ = false;
   std::uint32_t in_flight_ = 0;
@@ -184,7 +197,9 @@
   std::uint32_t yielding_ = 0;  ///< Own batch items there that were asked to yield.
 };
 
-/// All runners known. Used on one thread; a runner lives on while a request holds it.
+/// All runners known, one start of each. A record of another start takes the place of the one
+/// before, whichever start seems older by its clock: records come in the order of the directory.
+/// Used on one thread; a start lives on while a request holds it.
 class RunnerRegistry {
  public:
   /// Adds a runner or changes what is known of it.
@@ -199,10 +214,10 @@
   [[nodiscard]] const std::map<std::string, std::shared_ptr<Runner>>& all() const {
     return runners_;
   }
-  /// Returns the runner whose id has this hash, or null. Valid until the registry changes.
+  /// Returns the start of a runner that has this hash, or null. Valid until the registry changes.
   [[nodiscard]] Runner* find_hash(std::uint64_t hash) const;
-  /// Returns when anything last came from the runner whose id has this hash; nothing if it is not
-  /// listed, or was never heard.
+  /// Returns when anything last came from the start of a runner that has this hash; nothing if it
+  /// is not listed, or was never heard.
   [[nodiscard]] std::optional<TimePoint> last_heard(std::uint64_t hash) const;
   /// Rises whenever a runner comes or goes.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
@@ -219,10 +234,22 @@
   [[nodiscard]] bool peers_wait_for(const std::string& service) const;
 
  private:
-  void forget_unused();
+  /// A start that the directory dropped. Its entry may only have lapsed, so what is known of it is
+  /// kept for a while.
+  struct Lapsed {
+    std::shared_ptr<Runner> runner;
+    TimePoint since{};
+  };
+
+  void add(RunnerRecord record);
+  void lapse(std::shared_ptr<Runner> runner);
+  /// Returns the start if it is among those that lapsed, and takes it out.
+  std::shared_ptr<Runner> take_lapsed(const RunnerIdentity& identity);
+  void forget_long_lapsed();
   void index();
 
-  std::map<std::string, std::shared_ptr<Runner>> runners_;
+  std::map<std::string, std::shared_ptr<Runner>> runners_;  ///< By id.
+  std::map<std::string, Lapsed> lapsed_;                    ///< By id.
   std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
   std::unordered_map<std::uint64_t, Runner*> by_hash_;
   std::uint64_t revision_ = 1;
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -28,7 +28,7 @@
 };
 
 bool is_excluded(const SelectionRequest& request, const Runner& runner) {
-  return std::find(request.excluded.begin(), request.excluded.end(), runner.record().id) !=
+  return std::find(request.excluded.begin(), request.excluded.end(), runner.hash()) !=
          request.excluded.end();
 }
 
@@ -95,7 +95,7 @@
                           const SelectionRequest& request) {
   if (request.affinity_key == 0) return nullptr;
   const auto rank = [&](const Candidate& candidate) {
-    return mix_hashes(request.affinity_key, candidate.runner->hash());
+    return mix_hashes(request.affinity_key, candidate.runner->affinity_hash());
   };
   const auto best = std::max_element(
       candidates.begin(), candidates.end(),
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -16,12 +16,12 @@
 /// What a choice depends on.
 struct SelectionRequest {
   std::string service;
-  std::string zone;                   ///< Of this node; its runners are preferred.
-  std::uint64_t affinity_key = 0;     ///< Hash of the shared prompt prefix; 0: none.
-  std::uint32_t prompt_tokens = 0;    ///< Of the whole prompt.
-  std::uint32_t shared_tokens = 0;    ///< Of its shared prefix; a warm runner need not read them.
-  double load_limit = 0;              ///< Runners at or above this load are left out; 0: no limit.
-  std::vector<std::string> excluded;  ///< Ids of runners tried before.
+  std::string zone;                 ///< Of this node; its runners are preferred.
+  std::uint64_t affinity_key = 0;   ///< Hash of the shared prompt prefix; 0: none.
+  std::uint32_t prompt_tokens = 0;  ///< Of the whole prompt.
+  std::uint32_t shared_tokens = 0;  ///< Of its shared prefix; a warm runner need not read them.
+  double load_limit = 0;            ///< Runners at or above this load are left out; 0: no limit.
+  std::vector<std::uint64_t> excluded;  ///< Starts of runners tried before, by `Runner::hash`.
   /// Only runners without a free slot at which a batch item can be made to give one back.
   bool preempt_batch = false;
   /// Whether a connection to a runner is kept that the request may use. Among runners that are as
--- a/tests/gateway/suspension_test.cc
+++ b/tests/gateway/suspension_test.cc
@@ -57,9 +57,10 @@
   ScriptedRunner runner(loop, {{head + chunk(event(1)) + kLastChunk}});
   add_runner(runner);
   EXPECT_EQ(ask().status, 200);
-  EXPECT_TRUE(context.pool.has_idle(runner.address()));
+  const std::uint64_t start = context.runners.all().at("r1")->hash();
+  EXPECT_TRUE(context.pool.has_idle(runner.address(), start));
   suspend_machine(kSuspension);
-  EXPECT_FALSE(context.pool.has_idle(runner.address()));
+  EXPECT_FALSE(context.pool.has_idle(runner.address(), start));
   EXPECT_EQ(ask().status, 200);
   EXPECT_EQ(runner.connections, 2);
 }
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -171,7 +171,7 @@
   EXPECT_TRUE(context.runners.of_service("s").empty());
 }
 
-TEST(ForeignRecordsTest, AbsurdNumbersOfAConfigurationAreBounded) {
+TEST(ForeignConfigurationTest, AbsurdNumbersOfAConfigurationAreBounded) {
   const auto configuration = parse_configuration(
       R"({"version":1e300,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"safe",
       "service":"s","timeout_ms":18446744073709551615,"target_latency_ms":-5,"priority":1e300,
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -71,7 +71,7 @@
   add("n1", "near", true);
   add("n2", "near");
   EXPECT_EQ(chosen(request), "n2");
-  request.excluded = {"n2"};
+  request.excluded = {runner("n2")->hash()};
   EXPECT_EQ(select_runner(registry, request, kNow).failure, SelectionFailure::kAllExcluded);
 }
 
