--- a/tests/days/play_days.py
+++ b/tests/days/play_days.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 
-HERE = pathlib.Path(__file__).resolve().parent
+DAYS = pathlib.Path(__file__).resolve().parents[2] / "deploy" / "days"
 ROW = re.compile(r"^own-\S+\s+\S+\s+([\d.]+)\s+([\d.]+)\s+([\d.]+)\s+([\d.]+)\s+([\d.]+)\s+(.*)$", re.M)
 WRONG = ("rules broken", "fault:", "ended by itself")
 
@@ -37,7 +37,7 @@
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("names", nargs="*")
     options = parser.parse_args()
-    days = sorted(day for day in HERE.glob("*.toml") if not options.names or day.stem in options.names)
+    days = sorted(day for day in DAYS.glob("*.toml") if not options.names or day.stem in options.names)
     broken = 0
     print("| day | worth | served | refused | failed | wrong |")
     print("|---|---|---|---|---|---|")
--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -1,13 +1,28 @@
 #!/usr/bin/env python3
 """Writes one day per kind of trouble, and pairs of kinds, as files that the users' bench plays.
 
-Each day strikes an otherwise calm day of whatever deployment it is played on, some of them twice.
-Run once after a change here; the files are committed beside this script.
+Each day strikes an otherwise calm day of whatever deployment it is played on, some of them twice. The
+files lie in deploy/days, where the users' hunts look for days of ours; a day that doesn't fit a
+deployment is left out there. Run after a change here, and commit the files.
 """
 
 import pathlib
 
-HERE = pathlib.Path(__file__).resolve().parent
+DAYS = pathlib.Path(__file__).resolve().parents[2] / "deploy" / "days"
+
+# What a day once showed, in the words of docs/FINDINGS.md and docs/incidents.
+SHOWN = {
+    "roll-term": "Requests were taken until the end of a planned stop and then cut off (LOST).",
+    "roll-term-busy": "Requests were taken until the end of a planned stop and then cut off (LOST).",
+    "taken-store-down": "Nobody ran a job that a caller's read had loaded before the configuration "
+                        "was known (LOST).",
+    "herd-kill-taken": "All items began anew after the loss of all nodes, beside the online requests "
+                       "that came back: their progress was not kept.",
+    "roll-term-store-down": "Late all day: batch filled the runners, and streams that broke late were "
+                            "cut off when no place was free at once.",
+    "core-cut": "A node that starts while it cannot reach the store waits for its configuration.",
+}
+NOTHING_SHOWN = "It has shown no fault so far."
 
 # Name, planned work, faults. Times are seconds from the start of traffic.
 SINGLE = [
@@ -173,7 +188,8 @@
      '{ at = 7, kind = "burst", x = 1.6, for_s = 4 }'),
 ]
 
-TEMPLATE = """# Written by write_days.py.
+TEMPLATE = """# {shown}
+# Written by tests/days/write_days.py.
 [[day]]
 name = "own-{name}"
 slot = "trouble"
@@ -189,8 +205,9 @@
     def lines(text):
         return "  " + text + ",\n" if text else ""
 
-    text = TEMPLATE.format(name=name, seed=4100 + index, plan=lines(plan), faults=lines(faults))
-    (HERE / (name + ".toml")).write_text(text)
+    text = TEMPLATE.format(shown=SHOWN.get(name, NOTHING_SHOWN), name=name, seed=4100 + index,
+                           plan=lines(plan), faults=lines(faults))
+    (DAYS / (name + ".toml")).write_text(text)
 
 
 def main():
