Runners with real processes start again under their id

The stand-ins' entries hold all fields of the directory, born with them. platform_path: runners that start again under their id, at once and after their entry was gone, are used again; entries of other writers are one line each and touch no request. runner_ending_requests is played once more with runners that come back under the id that they had.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,6 +42,7 @@
         self.seed = seed
         self.steps = steps
         self.random = random.Random(seed)
+        self.start_random = random.Random("starts %d" % seed)  # Leaves the plan of a seed as it is.
         self.links = LinkLoop()
         self.store_links = []
         self.runner_links = {}
@@ -218,11 +219,19 @@
             self.note("runner at %s is away" % address)
 
     def restart_runner(self, name):
-        """Ends a runner; the next start at its address has another identity."""
+        """Ends a runner, which starts again at its address."""
         self.revive_runner(name)
         self.collect_runs(name)
         self.platform.runner_process(name).kill()
-        self.platform.start_runner_again(name)
+        self.start_again(name)
+
+    def start_again(self, name):
+        """Under another id or as another start of the same one; at once or when its entry is gone."""
+        same_id = self.start_random.choice([False, True])
+        if same_id and self.start_random.choice([False, True]):
+            self.platform.drop_runner(name)
+            time.sleep(self.start_random.choice([0.1, 1.0]))
+        self.platform.start_runner_again(name, same_id)
 
     def revive_runners(self):
         """Runners that a request has ended come back after a while, as another start."""
@@ -234,7 +243,7 @@
     def revive_runner(self, name):
         if self.platform.runner_process(name).handle.poll() == CRASH_EXIT_CODE:
             self.promises.runner_ended()
-            self.platform.start_runner_again(name)
+            self.start_again(name)
 
     def collect_runs(self, name):
         """Adds up what ran at a runner; a runner that has just ended tells nothing."""
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -6,6 +6,7 @@
 import signal
 import struct
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 from fleet import BUILD, Process, call, call_json, free_ports, wait_for  # noqa: E402
@@ -32,6 +33,7 @@
         self.directory = directory
         self.crash_body = crash_body
         self.runner_starts = 0
+        self.starts_of = {}  # By the id of a runner: the time that it tells for its start.
         link = link or (lambda kind, name, address: address)
         ports = free_ports(1 + runners + 3 * nodes)
         self.store = "127.0.0.1:%d" % ports.pop()
@@ -69,33 +71,48 @@
             wait_for(lambda a=address: call(a, "GET", "/admin/none")[0] != 0, address)
 
     def start_runner(self, name, runner_id):
+        self.note_start(runner_id)
         crash = [] if self.crash_body is None else ["--crash-body", self.crash_body]
         return Process(runner_id, [
             BUILD / "apps/stoathold-emulator", "inference-runner", "--listen", self.runners[name],
             "--id", runner_id, "--events", EVENTS] + crash, self.directory)
 
-    def replace_ended_runners(self):
-        """Starts each runner that has ended under a new identity, and lists it; returns how many."""
+    def note_start(self, runner_id):
+        """Two starts of a runner never tell the same time."""
+        now = int(time.time() * 1000)
+        self.starts_of[runner_id] = max(now, self.starts_of.get(runner_id, 0) + 1)
+
+    def replace_ended_runners(self, same_id=False):
+        """Starts each runner that has ended again, and lists it; returns how many."""
         ended = 0
         for name in self.runners:
             if self.runner_process(name).handle.poll() is None:
                 continue
             ended += 1
-            self.start_runner_again(name)
+            self.start_runner_again(name, same_id)
         return ended
 
     def runner_process(self, name):
         return self.runner_processes[list(self.runners).index(name)]
 
-    def start_runner_again(self, name):
-        """A runner that has ended comes back at its address under a new identity."""
+    def start_runner_again(self, name, same_id=False):
+        """A runner that has ended comes back at its address, under its id or under a new one."""
         index = list(self.runners).index(name)
-        self.runner_starts += 1
-        new = "%s.%d" % (name, self.runner_starts)
-        self.append_raw("keyed.servers", self.runner_processes[index].name, b"")
-        self.runner_processes[index] = self.start_runner(name, new)
-        wait_for(lambda: call(self.runners[name], "GET", "/admin/runs")[0] == 200, new)
-        self.list_runner(name, runner_id=new)
+        process = self.runner_processes[index]
+        if same_id:
+            self.note_start(process.name)
+            process.start()
+        else:
+            self.runner_starts += 1
+            self.drop_runner(name)
+            process = self.start_runner(name, "%s.%d" % (name, self.runner_starts))
+            self.runner_processes[index] = process
+        wait_for(lambda: call(self.runners[name], "GET", "/admin/runs")[0] == 200, process.name)
+        self.list_runner(name, runner_id=process.name)
+
+    def drop_runner(self, name):
+        """The store drops a runner's entry, as after heartbeats of silence."""
+        self.append_raw("keyed.servers", self.runner_process(name).name, b"")
 
     def cut_off_store(self, index):
         """From now on a node finds nothing where it takes the store to be."""
@@ -114,9 +131,11 @@
         self.append_raw(topic, key, json.dumps(value).encode())
 
     def list_runner(self, name, state="ready", runner_id=None):
-        self.append("keyed.servers", runner_id or name, {
+        key = runner_id or name
+        self.append("keyed.servers", key, {
             "service": "chat", "address": self.runner_routes[name], "zone": "z1", "slots": 4,
-            "state": state})
+            "state": state, "version": "1", "cold_remaining_ms": 0, "sequence": 1,
+            "born": self.starts_of[key]})
 
     def configure(self, version, extra_routes=(), tenants=None):
         routes = [
--- a/tests/system/platform_path_test.py
+++ b/tests/system/platform_path_test.py
@@ -306,6 +306,41 @@
         runs = call_json(address, "GET", "/admin/runs")[1]
         self.assertFalse([name for name in runs if name.startswith("d")])
 
+    def test_a_runner_that_starts_again_under_its_id_is_used_again(self):
+        """At once, its entry overwritten, and after a while in which its entry was gone."""
+        self.start()
+        for gone_meanwhile in (False, True):
+            for name in self.platform.runners:
+                self.assertEqual(self.platform.ask(0, "b%s%s" % (name, gone_meanwhile))[0], 200)
+                self.platform.runner_process(name).kill()
+                if gone_meanwhile:
+                    self.platform.drop_runner(name)
+                self.platform.start_runner_again(name, same_id=True)
+            start = b'"born":"%d"' % self.platform.starts_of["r1"]
+            wait_for(lambda told=start: told in self.platform.node_processes[0].log_path.read_bytes(),
+                     "the news at node 0")
+            for attempt in range(10):
+                status, _, body = self.platform.ask(0, "s%s%d" % (gone_meanwhile, attempt))
+                self.assertEqual((status, body.decode()), (200, stream_text("q")))
+
+    def test_entries_of_other_writers_name_no_runner(self):
+        self.start()
+        foreign = {"x1": b"\xff\xfe{", "x2": b"[" * 1500, "x3": b'{"service":"chat","address":7}',
+                   "x4": b'{"service":"chat","address":"127.0.0.1:1","zone":"z1","slots":4,'
+                         b'"state":"warming"}'}
+        for key, value in foreign.items():
+            self.platform.append_raw("keyed.servers", key, value)
+        wait_for(lambda: b'"x4"' in self.platform.node_processes[0].log_path.read_bytes(),
+                 "the news at node 0")
+        for attempt in range(20):
+            status, _, body = self.platform.ask(0, "e%d" % attempt)
+            self.assertEqual((status, body.decode()), (200, stream_text("q")))
+        log = self.platform.node_processes[0].log_path.read_text(errors="replace")
+        for key in foreign:
+            lines = [line for line in log.splitlines()
+                     if '"record_malformed"' in line and '"%s"' % key in line]
+            self.assertEqual(len(lines), 1, key)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/system/runner_ending_requests_test.py
+++ b/tests/system/runner_ending_requests_test.py
@@ -26,6 +26,8 @@
 
 
 class RunnerEndingRequestsTest(unittest.TestCase):
+    same_id = False  # Whether an ended runner comes back under the id that it had.
+
     def setUp(self):
         self.directory = tempfile.TemporaryDirectory()
         self.platform = Platform(self.directory.name, runners=4, crash_body=DEADLY)
@@ -51,7 +53,7 @@
         answer = None
         for copy in range(count):
             answer = self.ask(copy % 3, body)
-            self.ended += self.platform.replace_ended_runners()
+            self.ended += self.platform.replace_ended_runners(self.same_id)
         return answer
 
     def wait_served(self, node):
@@ -85,5 +87,15 @@
         self.assertLessEqual(self.ended, SENDS_ALLOWED_LATER)
 
 
+class RunnersThatStartAgainUnderTheirIdTest(RunnerEndingRequestsTest):
+    """All of it once more with runners whose starts only `born` tells apart.
+
+    While ends were known by the runner's id, each end of a runner took the place of the one before,
+    and the next start, when it was heard, refuted it.
+    """
+
+    same_id = True
+
+
 if __name__ == "__main__":
     unittest.main()
