--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -246,7 +246,7 @@
   return runner->record().identity() == identity ? runner : nullptr;
 }
 
-void RunnerRegistry::lapse(std::shared_ptr<Runner> runner) {
+void RunnerRegistry::lapse(const std::shared_ptr<Runner>& runner) {
   runner->unlist();
   lapsed_[runner->record().id] = {runner, monotonic_now()};
 }
@@ -263,7 +263,7 @@
   forget_long_lapsed();
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
-  lapse(std::move(found->second));
+  lapse(found->second);
   runners_.erase(found);
   index();
 }
@@ -275,9 +275,9 @@
     ids.insert(record.id);
     upsert(std::move(record));
   }
-  std::erase_if(runners_, [&](auto& entry) {
+  std::erase_if(runners_, [&](const auto& entry) {
     if (ids.contains(entry.first)) return false;
-    lapse(std::move(entry.second));
+    lapse(entry.second);
     return true;
   });
   index();
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -242,7 +242,7 @@
   };
 
   void add(RunnerRecord record);
-  void lapse(std::shared_ptr<Runner> runner);
+  void lapse(const std::shared_ptr<Runner>& runner);
   /// Returns the start if it is among those that lapsed, and takes it out.
   std::shared_ptr<Runner> take_lapsed(const RunnerIdentity& identity);
   void forget_long_lapsed();
