--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -136,6 +136,9 @@
     EventEntry{Event::kStoreTraffic, "store_traffic", EventLevel::kInfo,
                "Calls to the store since the last such line, by call and topic, with bytes sent "
                "and answered and those that timed out."},
+    EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
+               "A runner has started again under the id that it had; nothing that was known of it "
+               "before holds."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -76,6 +76,7 @@
   kReplicaReset = 1607,
   kPeerDatagramFailed = 1608,
   kStoreTraffic = 1609,
+  kRunnerRestarted = 1610,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -95,6 +95,15 @@
   return family;
 }
 
+MetricFamily requests_by_kind(const GatewayMetrics& metrics) {
+  MetricFamily family = make_family("stoathold_requests_total",
+                                    "Requests by route kind and outcome.", MetricType::Counter);
+  for (const auto& [key, count] : metrics.requests) {
+    add_counter(family, {make_label("kind", key.first), make_label("outcome", key.second)}, count);
+  }
+  return family;
+}
+
 MetricFamily tenant_requests(const GatewayMetrics& metrics) {
   MetricFamily family =
       make_family("stoathold_tenant_requests_total",
@@ -141,13 +150,7 @@
                                    const std::vector<MetricValue>& gauges) {
   const GatewayMetrics& metrics = context.metrics;
   std::vector<MetricFamily> families;
-  MetricFamily requests = make_family("stoathold_requests_total",
-                                      "Requests by route kind and outcome.", MetricType::Counter);
-  for (const auto& [key, count] : metrics.requests) {
-    add_counter(requests, {make_label("kind", key.first), make_label("outcome", key.second)},
-                count);
-  }
-  families.push_back(std::move(requests));
+  families.push_back(requests_by_kind(metrics));
   families.push_back(labelled_counters("stoathold_attempts_total",
                                        "Attempts at runners by how they ended.", "outcome",
                                        metrics.attempts));
@@ -158,6 +161,9 @@
   families.push_back(gauge("stoathold_silent_nodes",
                            "Nodes that keep their share of each limit since nobody hears them.",
                            static_cast<double>(context.tenant_limits.silent_nodes())));
+  families.push_back(labelled_counters("stoathold_refused_runner_entries_total",
+                                       "Entries of the runner directory that named no runner.",
+                                       "reason", metrics.refused_runner_entries));
   families.push_back(labelled_counters("stoathold_batch_attempts_total",
                                        "Attempts of batch items by how they ended.", "outcome",
                                        metrics.batch_items));
