--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -20,6 +20,8 @@
                        "that came back: their progress was not kept.",
     "roll-term-store-down": "Late all day: batch filled the runners, and streams that broke late were "
                             "cut off when no place was free at once.",
+    "late-power-twice": "Items were open at the end and nothing worked on them: reads of jobs brought "
+                        "what other jobs had, and none came in time (LOST).",
     "core-cut": "A node that starts while it cannot reach the store waits for its configuration.",
 }
 NOTHING_SHOWN = "It has shown no fault so far."
@@ -188,31 +190,51 @@
      '{ at = 7, kind = "burst", x = 1.6, for_s = 4 }'),
 ]
 
+# All machines lose power once more at the end of the day; name, closing fault, planned work, faults.
+FIRST_SEED = 4100
+CLOSING_SEED = 4801  # With it late-power-twice once broke a rule.
+POWER_OFF = 'closing = { kind = "power_off_all", down_s = 1.4, how = "all taken" }'
+CLOSING = [
+    ("late-power", POWER_OFF, "", ""),
+    ("late-power-twice", POWER_OFF, "",
+     '{ at = 29, kind = "herd_kill", how = "taken all", for_s = 1.4 }'),
+    ("late-power-slots", POWER_OFF, '{ at = 29, kind = "roll_term", share = 0.3, gap_s = 0.4 }',
+     '{ at = 27, kind = "node_kill", share = 0.1 }'),
+    ("late-power-store", POWER_OFF, "",
+     '{ at = 33, kind = "platform_slow", x = 20.0, for_s = 8.0 }, '
+     '{ at = 33, kind = "platform_down", how = "nodes busy", share = 0.35, for_s = 9.0 }'),
+    ("late-kill-twice", 'closing = { kind = "kill_all", down_s = 1.4 }', "",
+     '{ at = 30, kind = "herd_kill", share = 1.0 }'),
+]
+
 TEMPLATE = """# {shown}
 # Written by tests/days/write_days.py.
 [[day]]
 name = "own-{name}"
 slot = "trouble"
 seed = {seed}
-plan = [
+{closing}plan = [
 {plan}]
 faults = [
 {faults}]
 """
 
 
-def write(name, plan, faults, index):
+def write(name, plan, faults, seed, closing=""):
     def lines(text):
         return "  " + text + ",\n" if text else ""
 
-    text = TEMPLATE.format(shown=SHOWN.get(name, NOTHING_SHOWN), name=name, seed=4100 + index,
+    text = TEMPLATE.format(shown=SHOWN.get(name, NOTHING_SHOWN), name=name, seed=seed,
+                           closing=closing + "\n" if closing else "",
                            plan=lines(plan), faults=lines(faults))
     (DAYS / (name + ".toml")).write_text(text)
 
 
 def main():
     for index, (name, plan, faults) in enumerate(SINGLE + PAIRS + MORE + NEWER):
-        write(name, plan, faults, index)
+        write(name, plan, faults, FIRST_SEED + index)
+    for name, closing, plan, faults in CLOSING:
+        write(name, plan, faults, CLOSING_SEED, closing)
 
 
 if __name__ == "__main__":
