Tests that fail: what a node asks of the log at once, and again

Change: tests only, in a program of their own (read_bounds), and three faults that the logs of tests can be told to have: appends that wait, a page that is lost, reads that are too large to come in time; refusals can spare reads. Conclusion: nothing is mended here.

--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -136,21 +136,6 @@
   EXPECT_EQ(find(second, "j1"), LookupStatus::kAbsent);
 }
 
-/// The requests of a job are appended before its submission, which may then be refused: the jobs'
-/// partition did not answer, or the job no longer fits. The newest record of a key is kept for
-/// good, nobody erases a job that was never accepted, and the log takes nothing more once 400 MB
-/// are kept. After a loss of all nodes 1060 submissions were refused. Here each leaves the 2
-/// requests of its items behind.
-TEST_F(JobStoreTest, ARefusedSubmissionLeavesNoRequestsBehind) {
-  first_log.faults.topic = kJobsTopic;
-  first_log.faults.down = true;
-  first_log.faults.spare_reads = true;
-  const JobKey key = make_job_key(kHost, "j1");
-  ASSERT_EQ(submit(first, make_job("j1", 2)), SubmitStatus::kRefused);
-  const PartitionName partition = first.partition_of(JobData::kBodies, key);
-  EXPECT_TRUE(model->read_newest(partition, job_key_range(key)).records.empty());
-}
-
 TEST_F(JobStoreTest, WithoutTheLogNothingIsSaidToBeAbsent) {
   EXPECT_EQ(submit(first, make_job("j1", 1)), SubmitStatus::kAccepted);
   second_log.faults.down = true;
--- a/tests/jobs/paged_record_log.h
+++ b/tests/jobs/paged_record_log.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <limits>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -17,6 +18,7 @@
 
 #include "base/timer.h"
 #include "emulator/log_model.h"
+#include "jobs/job_records.h"
 #include "store/record_log.h"
 
 namespace stoathold {
@@ -61,6 +63,8 @@
   void hold_appends(std::string topic_prefix) { held_appends_ = std::move(topic_prefix); }
   /// Most calls that have waited at once.
   [[nodiscard]] int most_held() const { return most_held_; }
+  /// From now on a read by offset that asks for more than this gets no answer in time.
+  void set_most_bytes_in_time(std::uint64_t bytes) { most_bytes_in_time_ = bytes; }
   /// The next read of newest records gets so many pages, and no answer to the one behind them.
   void lose_page_behind(int pages) { pages_until_loss_ = pages; }
 
@@ -78,6 +82,10 @@
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override {
     co_await travel(partition.topic);
+    if (max_bytes > most_bytes_in_time_ && partition.topic != kJobsTopic) {
+      ++reads_[partition.topic].calls;
+      co_return ReadResult();
+    }
     ReadResult result = model_->read(partition, from, max_bytes);
     if (result.status == LogStatus::kOk && result.records.empty() && wait.count() > 0) {
       Timer timer(gate_.get_executor(), wait);
@@ -178,6 +186,7 @@
   boost::asio::steady_timer gate_;  ///< Never due; cancelled to let the reads go on.
   std::string held_prefix_;
   std::string held_appends_;
+  std::uint64_t most_bytes_in_time_ = std::numeric_limits<std::uint64_t>::max();
   int pages_until_loss_ = -1;  ///< Below 0: no page is lost.
   int held_ = 0;
   int most_held_ = 0;
--- a/tests/jobs/read_bounds_test.cc
+++ b/tests/jobs/read_bounds_test.cc
@@ -1,5 +1,6 @@
 #include <numeric>
 
+#include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/job_reads_fixture.h"
 
 namespace stoathold {
@@ -177,5 +178,39 @@
   EXPECT_EQ(runner.requests.size(), kJobItems - 1);
 }
 
+/// What a read asks for is halved each time that it fails, and is the most again as soon as one
+/// came through: on a link that carries a part, each part costs as many reads in vain as were
+/// needed to come down to it, and other nodes are late for them. Here a job has 1.5 MB of
+/// requests, of which 160 kB come in time: 13 parts take 49 reads.
+TEST_F(ReadBoundsTest, AfterAReadThatCameThroughTheMostIsNotAskedForAtOnce) {
+  constexpr std::size_t kItems = 100;
+  // 13 parts, one read in vain for each, and some to come down.
+  constexpr std::size_t kMostCalls = 32;
+  submit(add_node("before"), make_job(0, kItems));
+  JobNode& node = add_node("after");
+  node.log.set_most_bytes_in_time(160'000);
+  const ScriptedRunner& runner = add_runner(impossible_answer());
+  node.take_up_jobs(runner);
+  run_until([&] { return runner.requests.size() >= kItems; });
+  EXPECT_LE(node.log.read_of("job-bodies").calls, kMostCalls);
+}
+
+/// The requests of a job are appended before its submission, which may then be refused: the jobs'
+/// partition cannot be written, or the job no longer fits. The newest record of a key is kept for
+/// good, nobody erases a job that was never accepted, and the log takes nothing more once 400 MB
+/// are kept; what lies behind a job's keys is read with them, up to 1 MB. After a loss of all nodes
+/// 1060 submissions were refused.
+TEST_F(ReadBoundsTest, ARefusedSubmissionLeavesNoRequestsBehind) {
+  FaultyRecordLog log(model, store_limits());
+  JobStore store(loop.get_executor(), log, "node", quick_timing());
+  log.faults.topic = kJobsTopic;
+  log.faults.down = true;
+  log.faults.spare_reads = true;
+  ASSERT_EQ(run_awaitable(loop, store.submit(make_job(0))), SubmitStatus::kRefused);
+  const JobKey key = make_job_key(kHost, job_id(0));
+  const PartitionName partition = store.partition_of(JobData::kBodies, key);
+  EXPECT_TRUE(model->read_newest(partition, job_key_range(key)).records.empty());
+}
+
 }  // namespace
 }  // namespace stoathold
