--- a/tests/jobs/paged_record_log.h
+++ b/tests/jobs/paged_record_log.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <limits>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -17,6 +18,7 @@
 
 #include "base/timer.h"
 #include "emulator/log_model.h"
+#include "jobs/job_records.h"
 #include "store/record_log.h"
 
 namespace stoathold {
@@ -41,7 +43,8 @@
 /// One node's way to a log that several share; the node holds all slots of its group.
 ///
 /// A page of newest records holds whatever keys follow, up to 500 records or 1 MB: what lies behind
-/// the range that was asked for is carried too, and dropped by the reader. No call fails.
+/// the range that was asked for is carried too, and dropped by the reader. No call fails unless a
+/// test says so.
 class PagedRecordLog final : public RecordLog {
  public:
   PagedRecordLog(std::shared_ptr<emulator::LogModel> model, boost::asio::any_io_executor executor)
@@ -56,8 +59,14 @@
     gate_.cancel();
     close_gate();
   }
-  /// Most reads that have waited at once.
+  /// The same for appends; they are counted with the reads.
+  void hold_appends(std::string topic_prefix) { held_appends_ = std::move(topic_prefix); }
+  /// Most calls that have waited at once.
   [[nodiscard]] int most_held() const { return most_held_; }
+  /// From now on a read by offset that asks for more than this gets no answer in time.
+  void set_most_bytes_in_time(std::uint64_t bytes) { most_bytes_in_time_ = bytes; }
+  /// The next read of newest records gets so many pages, and no answer to the one behind them.
+  void lose_page_behind(int pages) { pages_until_loss_ = pages; }
 
   /// What was read of the topics whose names begin so.
   [[nodiscard]] ReadCount read_of(const std::string& topic_prefix) const {
@@ -73,6 +82,10 @@
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override {
     co_await travel(partition.topic);
+    if (max_bytes > most_bytes_in_time_ && partition.topic != kJobsTopic) {
+      ++reads_[partition.topic].calls;
+      co_return ReadResult();
+    }
     ReadResult result = model_->read(partition, from, max_bytes);
     if (result.status == LogStatus::kOk && result.records.empty() && wait.count() > 0) {
       Timer timer(gate_.get_executor(), wait);
@@ -85,6 +98,8 @@
   boost::asio::awaitable<AppendResult> append(PartitionName partition,
                                               std::vector<KeyedRecord> records,
                                               std::optional<RecordOffset> expected_end) override {
+    const bool held = !held_appends_.empty() && partition.topic.starts_with(held_appends_);
+    if (held) co_await wait_at_gate();
     co_return model_->append(partition, records, expected_end);
   }
 
@@ -96,6 +111,10 @@
     bool more = true;
     while (more) {
       co_await travel(partition.topic);
+      if (pages_until_loss_ >= 0 && pages_until_loss_-- == 0) {
+        if (!first_page) result.resume_after = range.after;
+        co_return result;
+      }
       page = model_->read_newest_page(partition, range.after);
       count(partition.topic, page.records);
       if (first_page) result.end = page.end;
@@ -136,6 +155,9 @@
   boost::asio::awaitable<void> travel(std::string topic) {
     co_await boost::asio::post(gate_.get_executor(), boost::asio::use_awaitable);
     if (held_prefix_.empty() || !topic.starts_with(held_prefix_)) co_return;
+    co_await wait_at_gate();
+  }
+  boost::asio::awaitable<void> wait_at_gate() {
     most_held_ = std::max(most_held_, ++held_);
     boost::system::error_code opened;
     co_await gate_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, opened));
@@ -163,6 +185,9 @@
   LogLimits limits_;
   boost::asio::steady_timer gate_;  ///< Never due; cancelled to let the reads go on.
   std::string held_prefix_;
+  std::string held_appends_;
+  std::uint64_t most_bytes_in_time_ = std::numeric_limits<std::uint64_t>::max();
+  int pages_until_loss_ = -1;  ///< Below 0: no page is lost.
   int held_ = 0;
   int most_held_ = 0;
   std::map<std::string, ReadCount> reads_;
