--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -228,7 +228,10 @@
     def start_again(self, name):
         """Under another id or as another start of the same one; at once or when its entry is gone."""
         same_id = self.start_random.choice([False, True])
-        if same_id and self.start_random.choice([False, True]):
+        gone_meanwhile = same_id and self.start_random.choice([False, True])
+        self.note("runner %s starts again%s%s" % (name, " under its id" if same_id else "",
+                                                  ", after a while" if gone_meanwhile else ""))
+        if gone_meanwhile:
             self.platform.drop_runner(name)
             time.sleep(self.start_random.choice([0.1, 1.0]))
         self.platform.start_runner_again(name, same_id)
--- a/tests/system/runner_ending_requests_test.py
+++ b/tests/system/runner_ending_requests_test.py
@@ -26,11 +26,12 @@
 
 
 class RunnerEndingRequestsTest(unittest.TestCase):
+    runners = 4
     same_id = False  # Whether an ended runner comes back under the id that it had.
 
     def setUp(self):
         self.directory = tempfile.TemporaryDirectory()
-        self.platform = Platform(self.directory.name, runners=4, crash_body=DEADLY)
+        self.platform = Platform(self.directory.name, runners=self.runners, crash_body=DEADLY)
         self.addCleanup(self.directory.cleanup)
         self.addCleanup(self.platform.stop)
         self.asked = 0
@@ -87,13 +88,14 @@
         self.assertLessEqual(self.ended, SENDS_ALLOWED_LATER)
 
 
-class RunnersThatStartAgainUnderTheirIdTest(RunnerEndingRequestsTest):
-    """All of it once more with runners whose starts only `born` tells apart.
+class ARunnerThatStartsAgainUnderItsIdTest(RunnerEndingRequestsTest):
+    """All of it once more with one runner, whose starts only `born` tells apart.
 
-    While ends were known by the runner's id, each end of a runner took the place of the one before,
-    and the next start, when it was heard, refuted it.
+    While ends were known by the runner's id, each end of the runner took the place of the one before,
+    and the next start, when it was heard, refuted it: every copy ended the runner once more.
     """
 
+    runners = 1
     same_id = True
 
 
