What a node asks of the log at once is bounded, and asked for once

Change: overlapping reads of one job's results, and of a partition's list, share the next read (SharedRead); results are written four appends at a time; pages that came through are kept (NewestRead, in one place for replicas and results); a job's read keeps the size that came through; absent requests are read again at the end; only requests need room, 64 that wait and 32 MB in all; a failure puts a job off by 5 s. A page of newest records that cannot be read is a failed one: taken for an empty one it would have dropped what lies behind it.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -137,7 +137,7 @@
 
 asio::awaitable<ResultsRead> JobDataLog::read_results(JobKey key, PartitionName partition,
                                                       RecordOffset next, KeyRange unread,
-                                                      ReadBounds bounds) {
+                                                      ReadBounds bounds, NewestRead& newest) {
   ResultsRead result;
   if (next > 0) {
     result.records = co_await log_.read(partition, next, bounds.bytes, Duration{0});
@@ -149,8 +149,9 @@
     });
     if (result.records.status != LogStatus::kTruncated) co_return result;
   }
-  result.records = co_await log_.read_newest(partition, unread, bounds.patience);
-  result.at_end = true;
+  // Pages that were read earlier tell of the end as it was then.
+  result.at_end = !newest.begun();
+  result.records = co_await newest.run(log_, partition, unread, bounds.patience);
   co_return result;
 }
 
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -10,6 +10,7 @@
 #include "jobs/job_records.h"
 #include "jobs/listed_results.h"
 #include "store/append_until.h"
+#include "store/newest_read.h"
 #include "store/record_log.h"
 
 namespace stoathold {
@@ -56,9 +57,10 @@
                                                      ReadBounds bounds);
   /// Reads the results behind those known: what was appended since they were read, or all of the
   /// job's that may be unknown if the log has dropped that.
+  /// @param newest keeps the pages of a read of all of the job's; outlives the call.
   boost::asio::awaitable<ResultsRead> read_results(JobKey key, PartitionName partition,
                                                    RecordOffset next, KeyRange unread,
-                                                   ReadBounds bounds);
+                                                   ReadBounds bounds, NewestRead& newest);
   /// Deletes the requests and the progress of a job's items, which are known by their keys.
   boost::asio::awaitable<LogStatus> delete_requests(JobKey key, JobSubmission submission,
                                                     TimePoint deadline);
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -23,6 +23,8 @@
 /// has 15 kB.
 constexpr Duration kLongestPatience = std::chrono::seconds(4);
 constexpr std::uint64_t kFewestBytes = 64UL * 1024;
+/// How far each failed read in a row puts a job off: those submitted in this time go before it.
+constexpr std::int64_t kFailureDelayMs = 5000;
 
 }  // namespace
 
@@ -38,22 +40,29 @@
 }
 
 void JobLoader::enqueue(JobRead read) {
-  const Place place{read.failures, read.load.submitted_ms};
+  const std::int64_t place = read.load.submitted_ms + read.failures * kFailureDelayMs;
   waiting_.emplace(place, std::move(read));
 }
 
 void JobLoader::resume() {
-  if (waiting_.empty() || readers_ >= kMostReaders || !has_room_()) return;
+  if (readers_ >= kMostReaders || next_readable() == waiting_.end()) return;
   ++readers_;
   asio::co_spawn(executor_, read_queue(), asio::detached);
 }
 
+JobLoader::Queue::iterator JobLoader::next_readable() {
+  const bool has_room = has_room_();
+  return std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
+    return has_room || entry.second.step != Step::kRequests;
+  });
+}
+
 asio::awaitable<void> JobLoader::read_queue() {
   Backoff backoff;
   Timer timer(executor_);
-  while (!waiting_.empty() && has_room_()) {
-    JobRead read = std::move(waiting_.begin()->second);
-    waiting_.erase(waiting_.begin());
+  for (auto next = next_readable(); next != waiting_.end(); next = next_readable()) {
+    JobRead read = std::move(next->second);
+    waiting_.erase(next);
     if (!read.load.wanted()) continue;
     const LogStatus status = co_await read_next(read);
     if (!read.load.wanted()) continue;
@@ -66,6 +75,7 @@
     }
     log_retry(read, status);
     ++read.failures;
+    ++read.halvings;
     enqueue(std::move(read));
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -98,18 +108,22 @@
   const ReadBounds bounds = bounds_of(read);
   RequestsRead found = co_await store_.read_requests(read.load.key, read.items, bounds);
   if (found.status != LogStatus::kOk || !read.load.wanted()) co_return found.status;
-  std::erase_if(read.items, [&](std::uint32_t item) { return found.found.contains(item); });
-  for (auto& [item, request] : found.found) read.load.request_read(item, std::move(request));
   for (const std::uint32_t item : found.absent) {
     log_event(Event::kItemUnreadable, {{"job", read.load.key}, {"item", std::to_string(item)}});
+    std::erase(read.items, item);
+    read.absent.push_back(item);
   }
-  // The log has accepted these; it is asked again, behind the other jobs.
-  co_return found.absent.empty() ? LogStatus::kOk : LogStatus::kUnknown;
+  std::erase_if(read.items, [&](std::uint32_t item) { return found.found.contains(item); });
+  for (auto& [item, request] : found.found) read.load.request_read(item, std::move(request));
+  if (!read.items.empty() || read.absent.empty()) co_return LogStatus::kOk;
+  // The log has accepted these: it is asked again, behind the other jobs.
+  read.items = std::exchange(read.absent, {});
+  co_return LogStatus::kUnknown;
 }
 
 ReadBounds JobLoader::bounds_of(const JobRead& read) {
   ReadBounds bounds;
-  for (int i = 0; i < read.failures; ++i) {
+  for (int i = 0; i < read.halvings; ++i) {
     bounds.patience = std::min(bounds.patience * 2, kLongestPatience);
     bounds.bytes = std::max(bounds.bytes / 2, kFewestBytes);
   }
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -16,7 +16,7 @@
 /// A job to read.
 struct JobLoad {
   JobKey key;
-  std::int64_t submitted_ms = 0;  ///< The oldest job is read first.
+  std::int64_t submitted_ms = 0;  ///< Since the epoch; the oldest job is read first.
   std::function<bool()> wanted;   ///< Asked before and after each read; false: the job is left out.
   /// Called once the results and the progress are read.
   /// @return the items whose requests are to be read, ascending.
@@ -31,7 +31,7 @@
 /// again. Used on one thread; outlives its reads.
 class JobLoader {
  public:
-  /// @param has_room asked before each read; false: enough requests wait for their turn.
+  /// @param has_room asked before requests are read; false: enough of them are held here.
   JobLoader(boost::asio::any_io_executor executor, JobStore& store, std::function<bool()> has_room);
 
   void add(JobLoad load);
@@ -45,18 +45,18 @@
   struct JobRead {
     JobLoad load;
     Step step = Step::kResults;
-    std::vector<std::uint32_t> items;  ///< Whose requests are still to be read.
-    int failures = 0;                  ///< Since the last read that came through.
-  };
-  /// The order of the queue: jobs that could not be read go behind the others.
-  struct Place {
-    int failures = 0;
-    std::int64_t submitted_ms = 0;
-
-    auto operator<=>(const Place&) const = default;  // NOLINT(modernize-use-nullptr)
+    std::vector<std::uint32_t> items;   ///< Whose requests are still to be read.
+    std::vector<std::uint32_t> absent;  ///< Whose requests were not found; read again at the end.
+    int failures = 0;                   ///< Since the last read that came through.
+    int halvings = 0;                   ///< Of what a read asks for.
   };
+  /// By the time of the submission, put off by each failed read: a job that cannot be read lets
+  /// others go first, and is not passed by new ones for ever.
+  using Queue = std::multimap<std::int64_t, JobRead>;
 
   void enqueue(JobRead read);
+  /// The first job of which something may be read now; the end if there is none.
+  Queue::iterator next_readable();
   boost::asio::awaitable<void> read_queue();
   boost::asio::awaitable<LogStatus> read_next(JobRead& read);
   boost::asio::awaitable<LogStatus> read_requests(JobRead& read);
@@ -67,7 +67,7 @@
   boost::asio::any_io_executor executor_;
   JobStore& store_;
   std::function<bool()> has_room_;
-  std::multimap<Place, JobRead> waiting_;
+  Queue waiting_;
   int readers_ = 0;
 };
 
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -17,9 +17,10 @@
 /// Items that one node runs at the same time, or has wait for a place: more than a whole job has,
 /// so that a large job waits for places at runners and not for its own items.
 constexpr std::size_t kMaxRunningItems = 256;
-/// Items whose requests are read and that wait to be run: while there are so many, no more are
-/// read, which bounds the memory for requests.
+/// While so many items wait to be run with their requests, or requests of so many bytes are held,
+/// no more are read. An item may have 690 kB, and machines as little as 160 MB.
 constexpr std::size_t kMostWaitingItems = 64;
+constexpr std::uint64_t kMostRequestBytes = 32UL * 1024 * 1024;
 /// Between rounds of upkeep: progress counts and deletion of old jobs.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
 /// Rounds of upkeep between two records of how far running items came.
@@ -50,7 +51,7 @@
       settings_(std::move(settings)),
       writer_(context.executor, store,
               [this](const ItemResult& result) { result_durable(result); }),
-      loader_(context.executor, store, [this] { return waiting_.size() < kMostWaitingItems; }),
+      loader_(context.executor, store, [this] { return has_room_for_requests(); }),
       membership_(
           context.executor, log, settings_.member_name,
           SlotHandlers{
@@ -138,6 +139,7 @@
 
 void JobRunner::request_read(const JobKey& key, ActiveJob& job, std::uint32_t index,
                              ItemRequest request) {
+  held_request_bytes_ += job.items[index].body_bytes;
   job.requests[index] = std::move(request);
   enter_stage(key, job, index, ItemStage::kWaitingForTurn);
   waiting_.insert({job.submitted_ms, key, index});
@@ -172,6 +174,10 @@
   return chosen != nullptr;
 }
 
+bool JobRunner::has_room_for_requests() const {
+  return waiting_.size() < kMostWaitingItems && held_request_bytes_ < kMostRequestBytes;
+}
+
 void JobRunner::start_waiting() {
   while (!waiting_.empty() && running_items_ < item_limit()) {
     const WaitingItem item = *waiting_.begin();
@@ -214,6 +220,7 @@
     }
   }
   --running_items_;
+  held_request_bytes_ -= listed.body_bytes;
   start_waiting();
 }
 
@@ -258,6 +265,10 @@
   job->stopped = true;
   stages_.forget(key);
   std::erase_if(waiting_, [&](const WaitingItem& item) { return item.job == key; });
+  for (const auto& [index, request] : job->requests) {
+    held_request_bytes_ -= job->items[index].body_bytes;
+  }
+  job->requests.clear();
   for (const auto& [index, run] : job->runs) {
     if (keep_progress) add_checkpoint(*run);
     run->stop();
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -88,6 +88,8 @@
   void request_read(const JobKey& key, ActiveJob& job, std::uint32_t index, ItemRequest request);
   void stop_job(const JobKey& key, bool keep_progress);
   void start_waiting();
+  /// Whether more requests may be read.
+  [[nodiscard]] bool has_room_for_requests() const;
   /// Notes an item's stage; one that was stopped, or has a durable result, has none.
   void enter_stage(const JobKey& key, const ActiveJob& job, std::uint32_t index, ItemStage stage);
   [[nodiscard]] std::string item_id(const JobKey& key, std::uint32_t index) const;
@@ -120,6 +122,7 @@
   TimePoint started_{};
   MembersListener members_listener_;
   std::size_t running_items_ = 0;
+  std::uint64_t held_request_bytes_ = 0;  ///< Of items that wait or run.
   bool stopping_ = false;
 };
 
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -280,11 +280,23 @@
 }
 
 asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, ReadBounds bounds) {
+  std::shared_ptr<ResultReads>& kept = result_reads_[key];
+  if (!kept) kept = std::make_shared<ResultReads>();
+  const std::shared_ptr<ResultReads> reads = kept;
+  const SharedRead::Read read = [this, &key, &bounds, &reads] {
+    return read_new_results(key, bounds, reads);
+  };
+  co_return co_await reads->refresh.run(read);
+}
+
+asio::awaitable<LogStatus> JobStore::read_new_results(JobKey key, ReadBounds bounds,
+                                                      std::shared_ptr<ResultReads> reads) {
   const PartitionName partition = partition_of(JobData::kResults, key);
   while (true) {
     const RecordOffset next = results_[key].next_offset();
     const KeyRange unread = results_[key].unread_range(key);
-    ResultsRead read = co_await data_.read_results(key, partition, next, unread, bounds);
+    ResultsRead read =
+        co_await data_.read_results(key, partition, next, unread, bounds, reads->newest);
     const LogStatus status = read.records.status;
     if (status != LogStatus::kOk) co_return status;
     results_[key].add(std::move(read.records));
@@ -321,6 +333,7 @@
 void JobStore::forget_erased() {
   std::erase_if(results_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
   std::erase_if(progress_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
+  std::erase_if(result_reads_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
 }
 
 asio::awaitable<void> JobStore::delete_requests(JobKey key) {
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -14,6 +14,8 @@
 #include "jobs/job_table.h"
 #include "jobs/listed_results.h"
 #include "store/append_until.h"
+#include "store/newest_read.h"
+#include "store/shared_read.h"
 
 namespace stoathold {
 
@@ -95,6 +97,7 @@
                                                      ReadBounds bounds);
 
   /// Brings the results of a job up to date with the log: reads what was added since the last time.
+  /// Calls that overlap share their reads.
   boost::asio::awaitable<LogStatus> refresh_results(JobKey key, ReadBounds bounds);
   /// Brings the progress of a job's items up to date with the log.
   boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, ReadBounds bounds);
@@ -129,6 +132,11 @@
   [[nodiscard]] const LogLimits& limits() const { return log_.limits(); }
 
  private:
+  /// Reads of one job's results at this node.
+  struct ResultReads {
+    SharedRead refresh;
+    NewestRead newest;
+  };
   /// One partition of a topic: the state folded from it, and what keeps that up to date.
   struct JobsPartition {
     std::unique_ptr<JobTable> table;
@@ -148,6 +156,8 @@
   [[nodiscard]] const JobEntry* entry_of(const JobKey& key) const;
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
                                                          NewJob& job, TimePoint deadline);
+  boost::asio::awaitable<LogStatus> read_new_results(JobKey key, ReadBounds bounds,
+                                                     std::shared_ptr<ResultReads> reads);
   boost::asio::awaitable<void> pause(Duration duration);
   boost::asio::awaitable<void> keep_up(JobsPartition& partition);
 
@@ -164,6 +174,7 @@
   /// Of the jobs that this node was asked for or runs.
   std::map<JobKey, ListedResults> results_;
   std::map<JobKey, JobProgress> progress_;
+  std::map<JobKey, std::shared_ptr<ResultReads>> result_reads_;
 };
 
 }  // namespace stoathold
--- a/src/jobs/result_writer.h
+++ b/src/jobs/result_writer.h
@@ -12,7 +12,8 @@
 
 namespace stoathold {
 
-/// Queues records by partition; one append a partition is in flight. Used on one thread.
+/// Queues records by partition; one append a partition is in flight, and a few in all: more would
+/// starve one another on a narrow link, and each be sent again whole. Used on one thread.
 class ResultWriter {
  public:
   /// Called when an item's result has become durable.
@@ -25,18 +26,20 @@
   [[nodiscard]] std::size_t pending() const { return pending_; }
 
  private:
-  struct Queue {
-    std::deque<ItemResult> results;
-    bool writing = false;
-  };
+  using Queue = std::deque<ItemResult>;
 
-  void start(const PartitionName& partition);
+  void start_writers();
+  /// Writes the results of one partition after the other.
+  boost::asio::awaitable<void> write_waiting();
   boost::asio::awaitable<void> write(PartitionName partition);
+  Queue take_some(Queue& queue) const;
 
   boost::asio::any_io_executor executor_;
   JobStore& store_;
   Listener listener_;
-  std::map<PartitionName, Queue> queues_;
+  std::map<PartitionName, Queue> queues_;  ///< Of the partitions that wait or are written.
+  std::deque<PartitionName> waiting_;      ///< In the order in which they came.
+  int writers_ = 0;
   std::size_t pending_ = 0;
 };
 
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -55,19 +54,10 @@
 }
 
 asio::awaitable<LogStatus> PartitionReplica::load_newest() {
-  ReadResult result = partial_;
-  KeyRange rest;
-  rest.after = result.resume_after;
-  ReadResult read = co_await log_.read_newest(partition_, rest, page_patience_);
-  adapt_reads(read.status);
-  if (rest.after.empty()) result.end = read.end;
-  result.resume_after = read.resume_after.empty() ? rest.after : read.resume_after;
-  std::move(read.records.begin(), read.records.end(), std::back_inserter(result.records));
-  if (read.status != LogStatus::kOk) {
-    if (result.records.size() > partial_.records.size()) partial_ = std::move(result);
-    co_return read.status;
-  }
-  partial_ = ReadResult();
+  const KeyRange all_keys;
+  ReadResult result = co_await newest_.run(log_, partition_, all_keys, page_patience_);
+  adapt_reads(result.status);
+  if (result.status != LogStatus::kOk) co_return result.status;
   if (result.end < next_offset_) co_return LogStatus::kOk;
   std::erase_if(result.records,
                 [&](const StoredRecord& record) { return record.offset >= result.end; });
@@ -109,6 +99,12 @@
 }
 
 asio::awaitable<LogStatus> PartitionReplica::catch_up() {
+  const auto self = shared_from_this();
+  const SharedRead::Read read = [this] { return read_to_end(); };
+  co_return co_await catch_ups_.run(read);
+}
+
+asio::awaitable<LogStatus> PartitionReplica::read_to_end() {
   bool at_end = false;
   while (!at_end) {
     const LogStatus status = co_await read_once(Duration{0}, at_end);
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -8,7 +8,9 @@
 #include <memory>
 
 #include "base/time.h"
+#include "store/newest_read.h"
 #include "store/record_log.h"
+#include "store/shared_read.h"
 
 namespace stoathold {
 
@@ -66,6 +68,7 @@
 
  private:
   boost::asio::awaitable<LogStatus> read_once(Duration wait, bool& at_end);
+  boost::asio::awaitable<LogStatus> read_to_end();
   boost::asio::awaitable<LogStatus> load_newest();
   void adapt_reads(LogStatus status);
   void apply_new(const std::vector<StoredRecord>& records);
@@ -75,9 +78,8 @@
   RecordSink& sink_;
   RecordOffset next_offset_ = 0;
   ReplicaHealth health_;
-  /// Pages of the newest records that came through before one failed. To read them all again would
-  /// keep a large partition from ever being read whole where each page fails now and then.
-  ReadResult partial_;
+  NewestRead newest_;
+  SharedRead catch_ups_;
   Duration page_patience_ = kPagePatience;
   std::uint64_t read_bytes_ = 1024UL * 1024;  ///< Asked for in one read.
   std::function<void()> loaded_listener_;
