Requests of a refused submission are deleted

Cause: requests are appended before the submission, which may then be refused; their newest records are kept for good and nobody erased a job that was never accepted (1060 refused submissions after one loss of all nodes). Change: the requests of each try to submit a job have keys of their own, which the submission names, so that those of a try that was refused can be deleted though the same job was accepted from another try. Nobody waits for it.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -17,10 +17,12 @@
 
 /// Puts the pieces of an item's request together; nothing if one is missing or cannot be read.
 std::optional<ItemRequest> assemble(const std::map<std::string, std::string>& pieces,
-                                    const JobKey& key, std::uint32_t index, const JobItem& item) {
+                                    const JobKey& key, const JobSubmission& submission,
+                                    std::uint32_t index) {
+  const JobItem& item = submission.items[index];
   std::string encoded;
   for (std::uint32_t piece = 0; piece < item.body_records; ++piece) {
-    const auto found = pieces.find(body_record_key(key, index, piece));
+    const auto found = pieces.find(body_record_key(key, submission.request_writer, index, piece));
     if (found == pieces.end()) return std::nullopt;
     encoded += found->second;
   }
@@ -29,12 +31,13 @@
 }
 
 /// The keys of the requests from one item to another.
-KeyRange body_key_range(const JobKey& key, std::uint32_t first, std::uint32_t last,
-                        const JobItem& last_item) {
+KeyRange body_key_range(const JobKey& key, const JobSubmission& submission, std::uint32_t first,
+                        std::uint32_t last) {
+  const std::string& writer = submission.request_writer;
   KeyRange range;
-  range.after = body_record_key(key, first, 0);
+  range.after = body_record_key(key, writer, first, 0);
   range.after.pop_back();
-  range.through = body_record_key(key, last, last_item.body_records - 1);
+  range.through = body_record_key(key, writer, last, submission.items[last].body_records - 1);
   return range;
 }
 
@@ -71,7 +74,8 @@
       items[item].body_bytes = size;
       items[item].body_records = static_cast<std::uint32_t>(pieces);
       for (std::uint32_t piece = 0; piece < pieces; ++piece) {
-        records.push_back({body_record_key(key, static_cast<std::uint32_t>(item), piece),
+        records.push_back({body_record_key(key, submission.request_writer,
+                                           static_cast<std::uint32_t>(item), piece),
                            request.substr(piece * piece_bytes, piece_bytes)});
       }
       bytes += size;
@@ -115,7 +119,7 @@
                                        span.bytes + kReadSlackBytes, Duration{0});
   const bool by_key = read.status == LogStatus::kTruncated;
   if (by_key) {
-    const KeyRange range = body_key_range(key, first, last, items[last]);
+    const KeyRange range = body_key_range(key, submission, first, last);
     read = co_await log_.read_newest(partition, range, bounds.patience);
   }
   RequestsRead result;
@@ -124,7 +128,7 @@
   std::map<std::string, std::string> pieces;
   for (auto& record : read.records) pieces.emplace(std::move(record.key), std::move(record.value));
   for (const std::uint32_t index : span.items) {
-    auto request = assemble(pieces, key, index, items[index]);
+    auto request = assemble(pieces, key, submission, index);
     if (request) {
       result.found.emplace(index, std::move(*request));
     } else if (by_key || index == first) {
@@ -171,20 +175,24 @@
 
 asio::awaitable<LogStatus> JobDataLog::delete_requests(JobKey key, JobSubmission submission,
                                                        TimePoint deadline) {
-  std::vector<std::string> bodies;
-  std::vector<std::string> progress;
+  std::vector<std::string> keys;
   for (std::uint32_t index = 0; index < submission.items.size(); ++index) {
-    progress.push_back(progress_record_key(key, index));
     for (std::uint32_t piece = 0; piece < submission.items[index].body_records; ++piece) {
-      bodies.push_back(body_record_key(key, index, piece));
+      keys.push_back(body_record_key(key, submission.request_writer, index, piece));
     }
   }
-  const std::uint32_t topics = submission.data_topics;
-  const PartitionName bodies_partition = partition_of(JobData::kBodies, key, topics);
-  const PartitionName progress_partition = partition_of(JobData::kProgress, key, topics);
-  const LogStatus status = co_await delete_keys(bodies_partition, std::move(bodies), deadline);
-  if (status != LogStatus::kOk) co_return status;
-  co_return co_await delete_keys(progress_partition, std::move(progress), deadline);
+  const PartitionName partition = partition_of(JobData::kBodies, key, submission.data_topics);
+  co_return co_await delete_keys(partition, std::move(keys), deadline);
+}
+
+asio::awaitable<LogStatus> JobDataLog::delete_progress(JobKey key, JobSubmission submission,
+                                                       TimePoint deadline) {
+  std::vector<std::string> keys;
+  for (std::uint32_t index = 0; index < submission.items.size(); ++index) {
+    keys.push_back(progress_record_key(key, index));
+  }
+  const PartitionName partition = partition_of(JobData::kProgress, key, submission.data_topics);
+  co_return co_await delete_keys(partition, std::move(keys), deadline);
 }
 
 asio::awaitable<LogStatus> JobDataLog::delete_results(JobKey key, std::uint32_t topics,
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -61,7 +61,10 @@
   boost::asio::awaitable<ResultsRead> read_results(JobKey key, PartitionName partition,
                                                    RecordOffset next, KeyRange unread,
                                                    ReadBounds bounds, NewestRead& newest);
-  /// Deletes the requests and the progress of a job's items, which are known by their keys.
+  /// Deletes the progress of a job's items.
+  boost::asio::awaitable<LogStatus> delete_progress(JobKey key, JobSubmission submission,
+                                                    TimePoint deadline);
+  /// Deletes the requests that one try to submit a job has appended.
   boost::asio::awaitable<LogStatus> delete_requests(JobKey key, JobSubmission submission,
                                                     TimePoint deadline);
   /// Deletes the results of a job.
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -94,8 +94,11 @@
   return JobKey(key.substr(0, key.find('/')));
 }
 
-std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record) {
-  return key + "/" + padded(item) + "/" + padded(record);
+std::string body_record_key(const JobKey& key, std::string_view writer, std::uint32_t item,
+                            std::uint32_t record) {
+  std::string text = key + "/";
+  if (!writer.empty()) text += std::string(writer) + "/";
+  return text + padded(item) + "/" + padded(record);
 }
 
 KeyRange job_key_range(const JobKey& key) {
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -76,12 +76,16 @@
   /// Topics over which its results, progress and bodies are spread. 0: one shared topic of each
   /// kind, as in records that were written before jobs were spread.
   std::uint32_t data_topics = 0;
+  /// Part of the keys of its items' requests, another for each try to submit the job: so what a
+  /// refused try has left can be deleted, though the job was accepted from another one. Empty in
+  /// records that were written before.
+  std::string request_writer;
 
   [[nodiscard]] std::uint64_t tokens() const;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, host, path, route, tenant, submitted_ms, items, data_topics);
+    archive(id, host, path, route, tenant, submitted_ms, items, data_topics, request_writer);
   }
 };
 
@@ -142,7 +146,9 @@
 /// The job that a key of the results, the progress or the bodies belongs to.
 JobKey job_of_record_key(std::string_view key);
 /// Key of one record of an item's request.
-std::string body_record_key(const JobKey& key, std::uint32_t item, std::uint32_t record);
+/// @param writer `JobSubmission::request_writer`.
+std::string body_record_key(const JobKey& key, std::string_view writer, std::uint32_t item,
+                            std::uint32_t record);
 /// The range of all of a job's keys in one of these topics.
 KeyRange job_key_range(const JobKey& key);
 /// Returns the range of the keys of a job's results, from an item on.
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -202,6 +202,19 @@
   if (read != LogStatus::kOk) co_return SubmitStatus::kRefused;
   if (!fits(*partition.table, job)) co_return SubmitStatus::kQuota;
   job.submission.data_topics = log_.limits().job_topics;
+  job.submission.request_writer = unique_name();
+  const SubmitStatus status = co_await append_job(partition, key, job, deadline);
+  const JobEntry* entry = partition.table->find(key);
+  const bool from_this_try =
+      entry != nullptr && entry->submission.request_writer == job.submission.request_writer;
+  if (status != SubmitStatus::kUncertain && !from_this_try) {
+    asio::co_spawn(executor_, drop_refused(key, std::move(job.submission)), asio::detached);
+  }
+  co_return status;
+}
+
+asio::awaitable<SubmitStatus> JobStore::append_job(JobsPartition& partition, JobKey key,
+                                                   NewJob& job, TimePoint deadline) {
   const LogStatus bodies =
       co_await data_.append_requests(key, job.submission, job.requests, deadline);
   if (bodies == LogStatus::kRejected) co_return SubmitStatus::kInvalid;
@@ -209,6 +222,11 @@
   co_return co_await append_submission(partition, key, job, deadline);
 }
 
+asio::awaitable<void> JobStore::drop_refused(JobKey key, JobSubmission submission) {
+  const TimePoint deadline = monotonic_now() + timing_.settle_time;
+  co_await data_.delete_requests(key, std::move(submission), deadline);
+}
+
 asio::awaitable<LookupStatus> JobStore::find(std::string host, JobKey key, const JobEntry*& job) {
   JobsPartition& partition = jobs_of(host);
   job = partition.table->find(key);
@@ -339,8 +357,10 @@
 asio::awaitable<void> JobStore::delete_requests(JobKey key) {
   const JobEntry* entry = entry_of(key);
   if (entry == nullptr) co_return;
+  const JobSubmission submission = entry->submission;
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
-  co_await data_.delete_requests(key, entry->submission, deadline);
+  const LogStatus status = co_await data_.delete_requests(key, submission, deadline);
+  if (status == LogStatus::kOk) co_await data_.delete_progress(key, submission, deadline);
 }
 
 asio::awaitable<void> JobStore::erase(std::string host, JobKey key) {
@@ -350,6 +370,8 @@
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
   LogStatus status = co_await data_.delete_requests(key, submission, deadline);
   if (status != LogStatus::kOk) co_return;
+  status = co_await data_.delete_progress(key, submission, deadline);
+  if (status != LogStatus::kOk) co_return;
   status = co_await data_.delete_results(key, submission.data_topics, deadline);
   if (status != LogStatus::kOk) co_return;
   const auto replica = jobs_of(host).replica;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -154,6 +154,10 @@
   void partition_loaded(const JobsPartition& loaded);
   /// Returns the job, whichever host it is of, or null.
   [[nodiscard]] const JobEntry* entry_of(const JobKey& key) const;
+  boost::asio::awaitable<SubmitStatus> append_job(JobsPartition& partition, JobKey key, NewJob& job,
+                                                  TimePoint deadline);
+  /// Deletes the requests of a try to submit a job that was not accepted. Nobody waits for it.
+  boost::asio::awaitable<void> drop_refused(JobKey key, JobSubmission submission);
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
                                                          NewJob& job, TimePoint deadline);
   boost::asio::awaitable<LogStatus> read_new_results(JobKey key, ReadBounds bounds,
