--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -202,6 +202,19 @@
   if (read != LogStatus::kOk) co_return SubmitStatus::kRefused;
   if (!fits(*partition.table, job)) co_return SubmitStatus::kQuota;
   job.submission.data_topics = log_.limits().job_topics;
+  job.submission.request_writer = unique_name();
+  const SubmitStatus status = co_await append_job(partition, key, job, deadline);
+  const JobEntry* entry = partition.table->find(key);
+  const bool from_this_try =
+      entry != nullptr && entry->submission.request_writer == job.submission.request_writer;
+  if (status != SubmitStatus::kUncertain && !from_this_try) {
+    asio::co_spawn(executor_, drop_refused(key, std::move(job.submission)), asio::detached);
+  }
+  co_return status;
+}
+
+asio::awaitable<SubmitStatus> JobStore::append_job(JobsPartition& partition, JobKey key,
+                                                   NewJob& job, TimePoint deadline) {
   const LogStatus bodies =
       co_await data_.append_requests(key, job.submission, job.requests, deadline);
   if (bodies == LogStatus::kRejected) co_return SubmitStatus::kInvalid;
@@ -209,6 +222,11 @@
   co_return co_await append_submission(partition, key, job, deadline);
 }
 
+asio::awaitable<void> JobStore::drop_refused(JobKey key, JobSubmission submission) {
+  const TimePoint deadline = monotonic_now() + timing_.settle_time;
+  co_await data_.delete_requests(key, std::move(submission), deadline);
+}
+
 asio::awaitable<LookupStatus> JobStore::find(std::string host, JobKey key, const JobEntry*& job) {
   JobsPartition& partition = jobs_of(host);
   job = partition.table->find(key);
@@ -280,11 +298,23 @@
 }
 
 asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, ReadBounds bounds) {
+  std::shared_ptr<ResultReads>& kept = result_reads_[key];
+  if (!kept) kept = std::make_shared<ResultReads>();
+  const std::shared_ptr<ResultReads> reads = kept;
+  const SharedRead::Read read = [this, &key, &bounds, &reads] {
+    return read_new_results(key, bounds, reads);
+  };
+  co_return co_await reads->refresh.run(read);
+}
+
+asio::awaitable<LogStatus> JobStore::read_new_results(JobKey key, ReadBounds bounds,
+                                                      std::shared_ptr<ResultReads> reads) {
   const PartitionName partition = partition_of(JobData::kResults, key);
   while (true) {
     const RecordOffset next = results_[key].next_offset();
     const KeyRange unread = results_[key].unread_range(key);
-    ResultsRead read = co_await data_.read_results(key, partition, next, unread, bounds);
+    ResultsRead read =
+        co_await data_.read_results(key, partition, next, unread, bounds, reads->newest);
     const LogStatus status = read.records.status;
     if (status != LogStatus::kOk) co_return status;
     results_[key].add(std::move(read.records));
@@ -321,13 +351,16 @@
 void JobStore::forget_erased() {
   std::erase_if(results_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
   std::erase_if(progress_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
+  std::erase_if(result_reads_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
 }
 
 asio::awaitable<void> JobStore::delete_requests(JobKey key) {
   const JobEntry* entry = entry_of(key);
   if (entry == nullptr) co_return;
+  const JobSubmission submission = entry->submission;
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
-  co_await data_.delete_requests(key, entry->submission, deadline);
+  const LogStatus status = co_await data_.delete_requests(key, submission, deadline);
+  if (status == LogStatus::kOk) co_await data_.delete_progress(key, submission, deadline);
 }
 
 asio::awaitable<void> JobStore::erase(std::string host, JobKey key) {
@@ -337,6 +370,8 @@
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
   LogStatus status = co_await data_.delete_requests(key, submission, deadline);
   if (status != LogStatus::kOk) co_return;
+  status = co_await data_.delete_progress(key, submission, deadline);
+  if (status != LogStatus::kOk) co_return;
   status = co_await data_.delete_results(key, submission.data_topics, deadline);
   if (status != LogStatus::kOk) co_return;
   const auto replica = jobs_of(host).replica;
