A caller's read of results goes on when the caller has given up

Cause: on a link on which a page takes longer than the second that a caller waits, each poll began the read anew and none came through: finished jobs stayed unreadable. Change: the read that callers share runs by itself; a caller waits a second for it and gets 503, the read goes on, and the next poll finds what it brought; a read that failed is given twice the time (up to 8 s), for all that follow.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -8,6 +8,10 @@
 
 namespace asio = boost::asio;
 
+/// Bounds of a read that has failed again and again: 1 MB takes 0.4 s on 30 Mbit/s by itself, and
+/// as long again to decode with 0.12 of a core; and an item has 15 kB.
+constexpr Duration kLongestPatience = std::chrono::seconds(8);
+constexpr std::uint64_t kFewestBytes = 64UL * 1024;
 /// Bytes asked for beyond those of the requests themselves.
 constexpr std::uint64_t kReadSlackBytes = 1024;
 /// Bytes of a record that are not the value: length, key length and key.
@@ -43,6 +47,11 @@
 
 }  // namespace
 
+void ReadBounds::ask_for_less() {
+  patience = std::min(patience * 2, kLongestPatience);
+  bytes = std::max(bytes / 2, kFewestBytes);
+}
+
 JobDataLog::JobDataLog(asio::any_io_executor executor, RecordLog& log, BackoffBounds retries)
     : executor_(std::move(executor)), log_(log), retries_(retries) {}
 
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -19,6 +19,9 @@
 struct ReadBounds {
   Duration patience = kPagePatience;    ///< For each page.
   std::uint64_t bytes = 1024UL * 1024;  ///< Asked for; the log answers no more than 1 MB.
+
+  /// Twice the time and half of the bytes, within bounds.
+  void ask_for_less();
 };
 
 /// Requests of items that one read found.
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -18,11 +18,6 @@
 
 /// Reads under way at once: one waits for the log while another is on the link.
 constexpr int kMostReaders = 2;
-/// A read that failed is given twice the time and asks for half as much, up to these bounds: 1 MB
-/// takes 0.4 s on 30 Mbit/s by itself, and as long again to decode with 0.12 of a core; and an item
-/// has 15 kB.
-constexpr Duration kLongestPatience = std::chrono::seconds(4);
-constexpr std::uint64_t kFewestBytes = 64UL * 1024;
 /// How far each failed read in a row puts a job off: those submitted in this time go before it.
 constexpr std::int64_t kFailureDelayMs = 5000;
 
@@ -75,7 +70,7 @@
     }
     log_retry(read, status);
     ++read.failures;
-    ++read.halvings;
+    read.bounds.ask_for_less();
     enqueue(std::move(read));
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -84,15 +79,14 @@
 }
 
 asio::awaitable<LogStatus> JobLoader::read_next(JobRead& read) {
-  const ReadBounds bounds = bounds_of(read);
   LogStatus status = LogStatus::kUnknown;
   switch (read.step) {
     case Step::kResults:
-      status = co_await store_.refresh_results(read.load.key, bounds);
+      status = co_await store_.refresh_results(read.load.key);
       if (status == LogStatus::kOk) read.step = Step::kProgress;
       break;
     case Step::kProgress:
-      status = co_await store_.refresh_progress(read.load.key, bounds);
+      status = co_await store_.refresh_progress(read.load.key, read.bounds);
       if (status != LogStatus::kOk || !read.load.wanted()) break;
       read.items = read.load.loaded();
       read.step = Step::kRequests;
@@ -105,8 +99,7 @@
 }
 
 asio::awaitable<LogStatus> JobLoader::read_requests(JobRead& read) {
-  const ReadBounds bounds = bounds_of(read);
-  RequestsRead found = co_await store_.read_requests(read.load.key, read.items, bounds);
+  RequestsRead found = co_await store_.read_requests(read.load.key, read.items, read.bounds);
   if (found.status != LogStatus::kOk || !read.load.wanted()) co_return found.status;
   for (const std::uint32_t item : found.absent) {
     log_event(Event::kItemUnreadable, {{"job", read.load.key}, {"item", std::to_string(item)}});
@@ -121,15 +114,6 @@
   co_return LogStatus::kUnknown;
 }
 
-ReadBounds JobLoader::bounds_of(const JobRead& read) {
-  ReadBounds bounds;
-  for (int i = 0; i < read.halvings; ++i) {
-    bounds.patience = std::min(bounds.patience * 2, kLongestPatience);
-    bounds.bytes = std::max(bounds.bytes / 2, kFewestBytes);
-  }
-  return bounds;
-}
-
 std::string_view JobLoader::name_of(Step step) {
   switch (step) {
     case Step::kResults:
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -48,7 +48,7 @@
     std::vector<std::uint32_t> items;   ///< Whose requests are still to be read.
     std::vector<std::uint32_t> absent;  ///< Whose requests were not found; read again at the end.
     int failures = 0;                   ///< Since the last read that came through.
-    int halvings = 0;                   ///< Of what a read asks for.
+    ReadBounds bounds;                  ///< Of the next read of progress or requests.
   };
   /// By the time of the submission, put off by each failed read: a job that cannot be read lets
   /// others go first, and is not passed by new ones for ever.
@@ -61,7 +61,6 @@
   boost::asio::awaitable<LogStatus> read_next(JobRead& read);
   boost::asio::awaitable<LogStatus> read_requests(JobRead& read);
   void log_retry(const JobRead& read, LogStatus status) const;
-  [[nodiscard]] static ReadBounds bounds_of(const JobRead& read);
   [[nodiscard]] static std::string_view name_of(Step step);
 
   boost::asio::any_io_executor executor_;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -20,6 +20,8 @@
 /// Between two reads of the jobs by a node that runs none: only erased jobs are to be forgotten,
 /// and they live for many times as long.
 constexpr Duration kRestPace = std::chrono::seconds(10);
+/// How long a caller waits for a read of results. The read goes on, and the caller comes again.
+constexpr Duration kCallerPatience = std::chrono::seconds(1);
 /// Longest time that a read waits before it looks once more for a result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
 /// Bytes of a record that are not the value: length, key length and key.
@@ -246,11 +248,10 @@
   const bool whole = position >= page.job->submission.items.size();
   const auto is_known = [&] { return results_[key].listed().size() > position; };
   if (!whole && !is_known()) {
-    const ReadBounds bounds;
-    LogStatus status = co_await refresh_results(key, bounds);
+    LogStatus status = co_await refresh_results(key, monotonic_now() + kCallerPatience);
     if (status == LogStatus::kOk && wait.count() > 0 && !is_known()) {
       co_await pause(std::min(wait, kResultWait));
-      status = co_await refresh_results(key, bounds);
+      status = co_await refresh_results(key, monotonic_now() + kCallerPatience);
     }
     if (status != LogStatus::kOk) page.status = LookupStatus::kUncertain;
     if (status != LogStatus::kOk) co_return page;
@@ -297,25 +298,24 @@
   co_return LookupStatus::kFound;
 }
 
-asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, ReadBounds bounds) {
+asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, TimePoint give_up) {
   std::shared_ptr<ResultReads>& kept = result_reads_[key];
   if (!kept) kept = std::make_shared<ResultReads>();
   const std::shared_ptr<ResultReads> reads = kept;
-  const SharedRead::Read read = [this, &key, &bounds, &reads] {
-    return read_new_results(key, bounds, reads);
-  };
-  co_return co_await reads->refresh.run(read);
+  const SharedRead::Read read = [this, key, reads] { return read_new_results(key, reads); };
+  co_return co_await reads->refresh.run(read, give_up);
 }
 
-asio::awaitable<LogStatus> JobStore::read_new_results(JobKey key, ReadBounds bounds,
+asio::awaitable<LogStatus> JobStore::read_new_results(JobKey key,
                                                       std::shared_ptr<ResultReads> reads) {
   const PartitionName partition = partition_of(JobData::kResults, key);
   while (true) {
     const RecordOffset next = results_[key].next_offset();
     const KeyRange unread = results_[key].unread_range(key);
     ResultsRead read =
-        co_await data_.read_results(key, partition, next, unread, bounds, reads->newest);
+        co_await data_.read_results(key, partition, next, unread, reads->bounds, reads->newest);
     const LogStatus status = read.records.status;
+    if (status == LogStatus::kUnknown) reads->bounds.ask_for_less();
     if (status != LogStatus::kOk) co_return status;
     results_[key].add(std::move(read.records));
     if (read.at_end) co_return status;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -97,8 +97,9 @@
                                                      ReadBounds bounds);
 
   /// Brings the results of a job up to date with the log: reads what was added since the last time.
-  /// Calls that overlap share their reads.
-  boost::asio::awaitable<LogStatus> refresh_results(JobKey key, ReadBounds bounds);
+  /// Calls that overlap share their reads. A read goes on after those who wait have given up.
+  boost::asio::awaitable<LogStatus> refresh_results(JobKey key,
+                                                    TimePoint give_up = TimePoint::max());
   /// Brings the progress of a job's items up to date with the log.
   boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, ReadBounds bounds);
   /// Returns the partition that holds a job's results, its progress or its requests.
@@ -136,6 +137,7 @@
   struct ResultReads {
     SharedRead refresh;
     NewestRead newest;
+    ReadBounds bounds;  ///< Of the next read.
   };
   /// One partition of a topic: the state folded from it, and what keeps that up to date.
   struct JobsPartition {
@@ -160,7 +162,7 @@
   boost::asio::awaitable<void> drop_refused(JobKey key, JobSubmission submission);
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
                                                          NewJob& job, TimePoint deadline);
-  boost::asio::awaitable<LogStatus> read_new_results(JobKey key, ReadBounds bounds,
+  boost::asio::awaitable<LogStatus> read_new_results(JobKey key,
                                                      std::shared_ptr<ResultReads> reads);
   boost::asio::awaitable<void> pause(Duration duration);
   boost::asio::awaitable<void> keep_up(JobsPartition& partition);
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -99,9 +99,8 @@
 }
 
 asio::awaitable<LogStatus> PartitionReplica::catch_up() {
-  const auto self = shared_from_this();
-  const SharedRead::Read read = [this] { return read_to_end(); };
-  co_return co_await catch_ups_.run(read);
+  const SharedRead::Read read = [self = shared_from_this()] { return self->read_to_end(); };
+  co_return co_await catch_ups_.run(read, TimePoint::max());
 }
 
 asio::awaitable<LogStatus> PartitionReplica::read_to_end() {
--- a/tests/jobs/read_bounds_test.cc
+++ b/tests/jobs/read_bounds_test.cc
@@ -64,9 +64,8 @@
   const JobEntry* job = nullptr;
   ASSERT_EQ(run_awaitable(loop, asked.store.find(kHost, key, job)), LookupStatus::kFound);
   asked.log.lose_page_behind(2);
-  const ReadBounds bounds;
-  EXPECT_EQ(run_awaitable(loop, asked.store.refresh_results(key, bounds)), LogStatus::kUnknown);
-  EXPECT_EQ(run_awaitable(loop, asked.store.refresh_results(key, bounds)), LogStatus::kOk);
+  EXPECT_EQ(run_awaitable(loop, asked.store.refresh_results(key)), LogStatus::kUnknown);
+  EXPECT_EQ(run_awaitable(loop, asked.store.refresh_results(key)), LogStatus::kOk);
   EXPECT_EQ(asked.store.results_of(key).listed().size(), kItems);
   EXPECT_LE(2 * asked.log.read_beside(kJobsTopic).bytes, 3 * kItems * kResultBytes);
 }
