The soak stops nodes that have begun

Its plan kills node 1, starts it and stops it without a pause; three processes were started by then, and node 1's log has two `node_started`: the second process got SIGTERM before it had begun anything, its handlers among it, and ended by the signal as any process does. The soak of losses of power waits for the process' answer already.

Change: the soak waits until a node answers before a planned stop, which is still to end with 0; one that never answers ends the soak with an error. The rate of the links and the number of jobs of the power-loss soak, and the end of its faults, can be set by a soak built on it; its plans stay as they were.

Conclusion: the soak's own fault, mended.

--- a/tests/soak/power_loss.py
+++ b/tests/soak/power_loss.py
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
 from platform_fleet import HOST, LARGE_SIZES  # noqa: E402
-from fleet import call, wait_for  # noqa: E402
+from fleet import wait_for  # noqa: E402
 
 from kept_connections import KeptConnections  # noqa: E402
 from soak import CALL_TIMEOUT_SECONDS, UNSAFE_ROUTE, Soak, play_seeds  # noqa: E402
@@ -39,6 +39,8 @@
     """One run of a seed."""
 
     sizes = LARGE_SIZES
+    link_bytes_per_second = LINK_BYTES_PER_SECOND
+    most_jobs = MOST_JOBS
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
@@ -51,7 +53,7 @@
     def make_link(self, kind, name, address):
         link_address = super().make_link(kind, name, address)
         if kind == "store":
-            self.store_links[-1].bound(LINK_BYTES_PER_SECOND)
+            self.store_links[-1].bound(self.link_bytes_per_second)
         return link_address
 
     @staticmethod
@@ -72,7 +74,7 @@
             return None, b"", False
 
     def submit(self, nodes, job):
-        if len(self.promises.accepted) < MOST_JOBS:
+        if len(self.promises.accepted) < self.most_jobs:
             super().submit(nodes, job)
 
     def read(self, node, job, after):
@@ -90,13 +92,6 @@
 
     # Faults.
 
-    def is_up(self, index):
-        """Whether a node's process answers, and so heeds signals."""
-        try:
-            return call(self.platform.ready[index], "GET", "/api/ready")[0] > 0
-        except (OSError, http.client.HTTPException):
-            return False
-
     def start_if_down(self, index):
         process = self.platform.node_processes[index]
         if process.handle.poll() is not None:
@@ -206,11 +201,15 @@
 
     def end_with_a_loss(self):
         """The last loss comes while callers are at work, or just after their last answer."""
+        self.end_calm()
+        self.lose_power()
+
+    def end_calm(self):
+        """Ends the callers' work at times, and all faults."""
         if self.random.random() < 0.5:
             self.stopped.set()
         for _, heal in sorted(self.pending_heals, key=lambda pending: pending[0]):
             heal()
-        self.lose_power()
 
     def heal_later(self, heal):
         due = time.monotonic() + self.random.choice([0.2, 1.0, 3.0])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -176,6 +176,13 @@
             link.silence()
         return link.heal
 
+    def is_up(self, index):
+        """Whether a node's process answers, and so heeds signals."""
+        try:
+            return call(self.platform.ready[index], "GET", "/api/ready")[0] > 0
+        except (OSError, http.client.HTTPException):
+            return False
+
     def fault_node(self):
         index = self.random.randrange(self.node_count)
         process = self.platform.node_processes[index]
@@ -192,6 +199,8 @@
                 each.kill()
             return lambda: [each.start() for each in self.platform.node_processes]
         if kind == "stop":
+            # A process that was started a moment ago ends at once, as it has begun nothing.
+            wait_for(lambda: self.is_up(index), "node %d to answer" % index)
             code = process.stop(60.0)
             if code != 0:
                 self.promises.break_one("node %d: a planned stop ended with %s" % (index, code))
