Reads by key are under way a few at a time, whoever asks

Cause: callers' reads of results at a node that has come back were not bounded in number; behind 30 Mbit/s none of 8 came through. Change: reads of results and requests by key take turns, three at a time over callers and the node's own jobs.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -12,6 +12,9 @@
 /// as long again to decode with 0.12 of a core; and an item has 15 kB.
 constexpr Duration kLongestPatience = std::chrono::seconds(8);
 constexpr std::uint64_t kFewestBytes = 64UL * 1024;
+/// Reads by key under way at once, of callers and of the node's own jobs together. With as many as
+/// there were callers, none of 8 came through on 30 Mbit/s.
+constexpr int kMostReadsByKey = 3;
 /// Bytes asked for beyond those of the requests themselves.
 constexpr std::uint64_t kReadSlackBytes = 1024;
 /// Bytes of a record that are not the value: length, key length and key.
@@ -53,7 +56,7 @@
 }
 
 JobDataLog::JobDataLog(asio::any_io_executor executor, RecordLog& log, BackoffBounds retries)
-    : executor_(std::move(executor)), log_(log), retries_(retries) {}
+    : executor_(std::move(executor)), log_(log), retries_(retries), turns_(kMostReadsByKey) {}
 
 PartitionName JobDataLog::partition_of(JobData data, const JobKey& key,
                                        std::uint32_t topics) const {
@@ -129,6 +132,7 @@
   const bool by_key = read.status == LogStatus::kTruncated;
   if (by_key) {
     const KeyRange range = body_key_range(key, submission, first, last);
+    const ReadTurns::Turn turn = co_await turns_.take();
     read = co_await log_.read_newest(partition, range, bounds.patience);
   }
   RequestsRead result;
@@ -162,6 +166,7 @@
     });
     if (result.records.status != LogStatus::kTruncated) co_return result;
   }
+  const ReadTurns::Turn turn = co_await turns_.take();
   // Pages that were read earlier tell of the end as it was then.
   result.at_end = !newest.begun();
   result.records = co_await newest.run(log_, partition, unread, bounds.patience);
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -11,6 +11,7 @@
 #include "jobs/listed_results.h"
 #include "store/append_until.h"
 #include "store/newest_read.h"
+#include "store/read_turns.h"
 #include "store/record_log.h"
 
 namespace stoathold {
@@ -89,6 +90,7 @@
   boost::asio::any_io_executor executor_;
   RecordLog& log_;
   BackoffBounds retries_;
+  ReadTurns turns_;  ///< Of reads by key, whose pages have up to 1 MB.
 };
 
 }  // namespace stoathold
--- /dev/null
+++ b/src/store/read_turns.cc
@@ -0,0 +1,35 @@
+#include "store/read_turns.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace stoathold {
+
+namespace asio = boost::asio;
+
+asio::awaitable<ReadTurns::Turn> ReadTurns::take() {
+  const std::shared_ptr<State> state = state_;
+  if (state->free > 0) {
+    --state->free;
+    co_return Turn(state);
+  }
+  const auto timer =
+      std::make_shared<Timer>(co_await asio::this_coro::executor, Timer::time_point::max());
+  state->waiting.push_back(timer);
+  co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+  co_return Turn(state);
+}
+
+ReadTurns::Turn::~Turn() {
+  if (!state_) return;
+  if (state_->waiting.empty()) {
+    ++state_->free;
+    return;
+  }
+  const std::shared_ptr<Timer> next = state_->waiting.front();
+  state_->waiting.pop_front();
+  next->cancel();
+}
+
+}  // namespace stoathold
