Items whose headers or paths hold line ends are refused

Cause: they come from the submitter's JSON and went to the runner as they were, so that a line end would have begun another header, or another request, in the item's name.

--- a/tests/platform/job_messages_test.cc
+++ b/tests/platform/job_messages_test.cc
@@ -29,6 +29,24 @@
   }
 }
 
+/// An item's headers and path come from its submitter's JSON, where a line end is a character like
+/// any other; sent to a runner, what follows it would be a header or a request of its own.
+TEST(JobMessagesTest, ItemsWhoseHeadersOrPathsHoldLineEndsAreRefused) {
+  for (const char* item :
+       {R"({"id":"i","path":"/x","body":"","headers":{"A":"b\r\nC: d"}})",
+        R"({"id":"i","path":"/x","body":"","headers":{"A: b\r\nC":"d"}})",
+        R"({"id":"i","path":"/x","body":"","headers":{"":"d"}})",
+        R"({"id":"i","path":"/x","body":"","headers":{"A":"b\u0000"}})",
+        R"({"id":"i","path":"/x HTTP/1.1\r\nHost: y\r\n\r\nGET /","body":""})"}) {
+    NewJob job;
+    EXPECT_FALSE(parse_submission(std::string(R"({"items":[)") + item + "]}", job)) << item;
+  }
+  NewJob job;
+  EXPECT_TRUE(parse_submission(
+      R"({"items":[{"id":"i","path":"/x?y=1","body":"","headers":{"X-A":"caf\u00e9, b\tc"}}]})",
+      job));
+}
+
 TEST(JobMessagesTest, APageHasAtLeastOneResultAndEndsWhenItIsLarge) {
   JobEntry job;
   ReadResult found;
