--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -336,18 +336,6 @@
   co_return result.status;
 }
 
-asio::awaitable<bool> JobStore::append_results(PartitionName partition,
-                                               std::function<std::vector<KeyedRecord>()> make,
-                                               std::function<bool()> running) {
-  Backoff backoff(timing_.retries);
-  while (running()) {
-    const AppendResult result = co_await log_.append(partition, make(), std::nullopt);
-    if (result.status == LogStatus::kOk) co_return true;
-    co_await pause(backoff.next());
-  }
-  co_return false;
-}
-
 void JobStore::forget_erased() {
   std::erase_if(results_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
   std::erase_if(progress_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -107,11 +107,6 @@
   /// Appends records once. Without an answer they may be durable or become so.
   boost::asio::awaitable<LogStatus> append_records(PartitionName partition,
                                                    std::vector<KeyedRecord> records);
-  /// Adds records to a partition of results; tries until it is done or `running` ends.
-  /// @param make called for each try, since a result needs a new key each time.
-  boost::asio::awaitable<bool> append_results(PartitionName partition,
-                                              std::function<std::vector<KeyedRecord>()> make,
-                                              std::function<bool()> running);
   /// Deletes the requests and the progress of a job that is finished or ended: nobody needs them
   /// any more, and what is read of open jobs stays small. If it fails, `erase` does it.
   boost::asio::awaitable<void> delete_requests(JobKey key);
--- a/tests/jobs/job_model_test.cc
+++ b/tests/jobs/job_model_test.cc
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "jobs/job_store.h"
+#include "tests/jobs/append_results.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 
@@ -162,8 +163,7 @@
           {result_record_key(key, item, store.unique_name()), encode(result)}};
     };
     const bool done =
-        run_awaitable(fleet.loop, store.append_results(store.partition_of(JobData::kResults, key),
-                                                       make, [&] { return tries++ < 2; }));
+        run_awaitable(fleet.loop, append_results(store, key, make, [&] { return tries++ < 2; }));
     if (done) oracle.finished.insert({job, item});
   }
   void show(std::ostream& os) const override {
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -4,6 +4,7 @@
 
 #include <numeric>
 
+#include "tests/jobs/append_results.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 
@@ -49,8 +50,7 @@
       return std::vector<KeyedRecord>{
           {result_record_key(key, 0, store.unique_name()), encode(result)}};
     };
-    const PartitionName partition = store.partition_of(JobData::kResults, key);
-    EXPECT_TRUE(run_awaitable(loop, store.append_results(partition, make, [] { return true; })));
+    EXPECT_TRUE(run_awaitable(loop, append_results(store, key, make)));
   }
   [[nodiscard]] std::size_t finished_jobs() const {
     std::size_t finished = 0;
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "tests/jobs/append_results.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 
@@ -55,8 +56,7 @@
       return std::vector<KeyedRecord>{
           {result_record_key(key, item, store.unique_name()), encode(result)}};
     };
-    const PartitionName partition = store.partition_of(JobData::kResults, key);
-    EXPECT_TRUE(run_awaitable(loop, store.append_results(partition, make, [] { return true; })));
+    EXPECT_TRUE(run_awaitable(loop, append_results(store, key, make)));
   }
   std::vector<std::string> read_texts(JobStore& store, const std::string& id) {
     const JobKey key = make_job_key(kHost, id);
