--- a/tests/store/partition_replica_test.cc
+++ b/tests/store/partition_replica_test.cc
@@ -91,9 +91,10 @@
       std::make_shared<PartitionReplica>(log, PartitionName{kTopic, 0}, sink);
 };
 
-/// When all of 300 nodes started together, each read the list of 3000 runners in six pages. A page
-/// that was late began the whole read anew, so that pages were carried in vain and others came late
-/// for it: the first request was served 30 s after the start, against 0.5 s with 30 nodes.
+/// A list of 3000 runners is read in six pages. A page that was late began the whole read anew,
+/// with the same time for each page: where pages are late now and then, as on a narrow link, all of
+/// them are carried again and again. Here the second page fails once, and the first is asked for
+/// once.
 TEST_F(PartitionReplicaTest, AReadOfTheNewestRecordsGoesOnBehindThePagesThatCameThrough) {
   ReadResult first_page = answer(LogStatus::kUnknown, 7);
   add(first_page, 4, "a");
