One piece for the bounds of a read, the deletion of a job's work and a caller's patience

ReadBounds stood twice, as the bounds of a job's reads and inside the replica, with the same figures: it lies in src/store now and serves both. Requests and progress were deleted by the same two steps in two places; the size of a record's framing and the second that a caller waits each had two constants; the soak of losses of power repeated the soak's handling of a call. The mark of a finished job had a flag that its loop did not need. A request that is not found is told by the item's id again, as before the change: the loader told its index. New constants say kMax and kMin, and where their figures come from. No behaviour meant to change but that line's field. Unit tests of jobs, reads, store, platform and base, and the model, pass.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -8,17 +8,11 @@
 
 namespace asio = boost::asio;
 
-/// Bounds of a read that has failed again and again: 1 MB takes 0.4 s on 30 Mbit/s by itself, and
-/// as long again to decode with 0.12 of a core; and an item has 15 kB.
-constexpr Duration kLongestPatience = std::chrono::seconds(8);
-constexpr std::uint64_t kFewestBytes = 64UL * 1024;
-/// Reads by key under way at once, of callers and of the node's own jobs together. With as many as
-/// there were callers, none of 8 came through on 30 Mbit/s.
-constexpr int kMostReadsByKey = 3;
+/// Reads of results and requests by key under way at once, of callers and of the node's own jobs
+/// together. With as many as there were callers, none of 8 came through on 30 Mbit/s.
+constexpr int kMaxReadsByKey = 3;
 /// Bytes asked for beyond those of the requests themselves.
 constexpr std::uint64_t kReadSlackBytes = 1024;
-/// Bytes of a record that are not the value: length, key length and key.
-constexpr std::uint64_t kRecordOverhead = 300;
 /// Most bytes of requests in one append, but for a larger request alone. An append has a second,
 /// and one that is late is sent again whole; most jobs fit.
 constexpr std::uint64_t kRequestAppendBytes = 512UL * 1024;
@@ -53,13 +47,8 @@
 
 }  // namespace
 
-void ReadBounds::ask_for_less() {
-  patience = std::min(patience * 2, kLongestPatience);
-  bytes = std::max(bytes / 2, kFewestBytes);
-}
-
 JobDataLog::JobDataLog(asio::any_io_executor executor, RecordLog& log, BackoffBounds retries)
-    : executor_(std::move(executor)), log_(log), retries_(retries), turns_(kMostReadsByKey) {}
+    : executor_(std::move(executor)), log_(log), retries_(retries), turns_(kMaxReadsByKey) {}
 
 PartitionName JobDataLog::partition_of(JobData data, const JobKey& key,
                                        std::uint32_t topics) const {
@@ -70,7 +59,7 @@
                                                        const std::vector<ItemRequest>& requests,
                                                        TimePoint deadline) {
   const LogLimits& limits = log_.limits();
-  const std::uint64_t piece_bytes = limits.record_bytes - kRecordOverhead;
+  const std::uint64_t piece_bytes = limits.record_bytes - kRecordFramingBytes;
   const std::uint64_t append_bytes = std::min(limits.call_bytes, kRequestAppendBytes);
   const PartitionName partition = partition_of(JobData::kBodies, key, submission.data_topics);
   auto& items = submission.items;
@@ -84,7 +73,7 @@
     while (item < items.size()) {
       const std::string request = encode(requests[item]);
       const std::uint64_t pieces = (request.size() + piece_bytes - 1) / piece_bytes;
-      const std::uint64_t size = request.size() + pieces * kRecordOverhead;
+      const std::uint64_t size = request.size() + pieces * kRecordFramingBytes;
       if (!records.empty() && bytes + size > append_bytes) break;
       first_records.push_back(records.size());
       items[item].body_bytes = size;
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -11,20 +11,12 @@
 #include "jobs/listed_results.h"
 #include "store/append_until.h"
 #include "store/newest_read.h"
+#include "store/read_bounds.h"
 #include "store/read_turns.h"
 #include "store/record_log.h"
 
 namespace stoathold {
 
-/// What a read may cost. One that failed is begun again with more time and for less.
-struct ReadBounds {
-  Duration patience = kPagePatience;    ///< For each page.
-  std::uint64_t bytes = 1024UL * 1024;  ///< Asked for; the log answers no more than 1 MB.
-
-  /// Twice the time and half of the bytes, within bounds.
-  void ask_for_less();
-};
-
 /// Requests of items that one read found.
 struct RequestsRead {
   LogStatus status = LogStatus::kUnknown;
@@ -90,7 +82,7 @@
   boost::asio::any_io_executor executor_;
   RecordLog& log_;
   BackoffBounds retries_;
-  ReadTurns turns_;  ///< Of reads by key, whose pages have up to 1 MB.
+  ReadTurns turns_;  ///< Of reads of results and requests by key, whose pages have up to 1 MB.
 };
 
 }  // namespace stoathold
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -102,7 +102,7 @@
   RequestsRead found = co_await store_.read_requests(read.load.key, read.items, read.bounds);
   if (found.status != LogStatus::kOk || !read.load.wanted()) co_return found.status;
   for (const std::uint32_t item : found.absent) {
-    log_event(Event::kItemUnreadable, {{"job", read.load.key}, {"item", std::to_string(item)}});
+    read.load.request_absent(item);
     std::erase(read.items, item);
     read.absent.push_back(item);
   }
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -23,6 +23,8 @@
   std::function<std::vector<std::uint32_t>()> loaded;
   /// Called with each request that was read.
   std::function<void(std::uint32_t, ItemRequest)> request_read;
+  /// Called with each item whose request is not where the log should hold it; it is read again.
+  std::function<void(std::uint32_t)> request_absent;
 };
 
 /// Queues jobs and reads their results, their progress and the requests of their open items, each
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -18,9 +18,10 @@
 /// so that a large job waits for places at runners and not for its own items.
 constexpr std::size_t kMaxRunningItems = 256;
 /// While so many items wait to be run with their requests, or requests of so many bytes are held,
-/// no more are read. An item may have 690 kB, and machines as little as 160 MB.
-constexpr std::size_t kMostWaitingItems = 64;
-constexpr std::uint64_t kMostRequestBytes = 32UL * 1024 * 1024;
+/// no more are read. A quarter of the items that may run keeps each turn that comes free in use; an
+/// item may have 690 kB, and machines as little as 160 MB, of which this is a fifth.
+constexpr std::size_t kMaxWaitingItems = 64;
+constexpr std::uint64_t kMaxRequestBytes = 32UL * 1024 * 1024;
 /// Between rounds of upkeep: progress counts and deletion of old jobs.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
 /// Rounds of upkeep between two records of how far running items came.
@@ -105,14 +106,19 @@
   jobs_.emplace(key, job);
   stages_.add_job(key, job->items.size(), monotonic_now());
   log_event(Event::kJobStarted, {{"job", key}, {"items", std::to_string(job->items.size())}});
-  loader_.add({.key = key,
-               .submitted_ms = job->submitted_ms,
-               .wanted = [job] { return !job->stopped; },
-               .loaded = [this, key, job] { return job_loaded(key, job); },
-               .request_read =
-                   [this, key, job](std::uint32_t index, ItemRequest request) {
-                     request_read(key, *job, index, std::move(request));
-                   }});
+  loader_.add(
+      {.key = key,
+       .submitted_ms = job->submitted_ms,
+       .wanted = [job] { return !job->stopped; },
+       .loaded = [this, key, job] { return job_loaded(key, job); },
+       .request_read =
+           [this, key, job](std::uint32_t index, ItemRequest request) {
+             request_read(key, *job, index, std::move(request));
+           },
+       .request_absent =
+           [key, job](std::uint32_t index) {
+             log_event(Event::kItemUnreadable, {{"job", key}, {"item", job->items[index].id}});
+           }});
 }
 
 std::vector<std::uint32_t> JobRunner::job_loaded(const JobKey& key,
@@ -175,7 +181,7 @@
 }
 
 bool JobRunner::has_room_for_requests() const {
-  return waiting_.size() < kMostWaitingItems && held_request_bytes_ < kMostRequestBytes;
+  return waiting_.size() < kMaxWaitingItems && held_request_bytes_ < kMaxRequestBytes;
 }
 
 void JobRunner::start_waiting() {
@@ -246,15 +252,15 @@
 asio::awaitable<void> JobRunner::finish_job(JobKey key, std::shared_ptr<ActiveJob> job) {
   Timer timer(context_.executor);
   Backoff backoff;
-  bool marked = false;
-  while (!marked && !job->stopped) {
+  while (!job->stopped) {
     const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kFinished, key, "1");
-    marked = status == LogStatus::kOk;
-    if (marked) break;
+    if (status == LogStatus::kOk) {
+      log_event(Event::kJobFinished, {{"job", key}});
+      co_return;
+    }
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  if (marked) log_event(Event::kJobFinished, {{"job", key}});
 }
 
 void JobRunner::stop_job(const JobKey& key, bool keep_progress) {
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -20,12 +20,8 @@
 /// Between two reads of the jobs by a node that runs none: only erased jobs are to be forgotten,
 /// and they live for many times as long.
 constexpr Duration kRestPace = std::chrono::seconds(10);
-/// How long a caller waits for a read of results. The read goes on, and the caller comes again.
-constexpr Duration kCallerPatience = std::chrono::seconds(1);
 /// Longest time that a read waits before it looks once more for a result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
-/// Bytes of a record that are not the value: length, key length and key.
-constexpr std::uint64_t kRecordOverhead = 300;
 
 }  // namespace
 
@@ -164,7 +160,7 @@
                                                           NewJob& job, TimePoint deadline) {
   const std::vector<KeyedRecord> records{
       {jobs_record_key(JobRecordKind::kSubmitted, key), encode(job.submission)}};
-  if (records.front().value.size() + kRecordOverhead > log_.limits().record_bytes) {
+  if (records.front().value.size() + kRecordFramingBytes > log_.limits().record_bytes) {
     co_return SubmitStatus::kInvalid;
   }
   const auto replica = partition.replica;
@@ -345,10 +341,15 @@
 asio::awaitable<void> JobStore::delete_requests(JobKey key) {
   const JobEntry* entry = entry_of(key);
   if (entry == nullptr) co_return;
-  const JobSubmission submission = entry->submission;
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
+  co_await delete_work(key, entry->submission, deadline);
+}
+
+asio::awaitable<LogStatus> JobStore::delete_work(JobKey key, JobSubmission submission,
+                                                 TimePoint deadline) {
   const LogStatus status = co_await data_.delete_requests(key, submission, deadline);
-  if (status == LogStatus::kOk) co_await data_.delete_progress(key, submission, deadline);
+  if (status != LogStatus::kOk) co_return status;
+  co_return co_await data_.delete_progress(key, std::move(submission), deadline);
 }
 
 asio::awaitable<void> JobStore::erase(std::string host, JobKey key) {
@@ -356,9 +357,7 @@
   if (entry == nullptr) co_return;
   const JobSubmission submission = entry->submission;
   const TimePoint deadline = monotonic_now() + timing_.settle_time;
-  LogStatus status = co_await data_.delete_requests(key, submission, deadline);
-  if (status != LogStatus::kOk) co_return;
-  status = co_await data_.delete_progress(key, submission, deadline);
+  LogStatus status = co_await delete_work(key, submission, deadline);
   if (status != LogStatus::kOk) co_return;
   status = co_await data_.delete_results(key, submission.data_topics, deadline);
   if (status != LogStatus::kOk) co_return;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -59,6 +59,9 @@
   BackoffBounds retries{};
 };
 
+/// How long a caller waits for a read of results. The read goes on, and the caller comes again.
+inline constexpr Duration kCallerPatience = std::chrono::seconds(1);
+
 /// All jobs, seen from one node. Used on one thread; outlives the calls in flight.
 class JobStore {
  public:
@@ -153,6 +156,9 @@
   [[nodiscard]] const JobEntry* entry_of(const JobKey& key) const;
   boost::asio::awaitable<SubmitStatus> append_job(JobsPartition& partition, JobKey key, NewJob& job,
                                                   TimePoint deadline);
+  /// Deletes what only a job that is run needs: its requests and its progress.
+  boost::asio::awaitable<LogStatus> delete_work(JobKey key, JobSubmission submission,
+                                                TimePoint deadline);
   /// Deletes the requests of a try to submit a job that was not accepted. Nobody waits for it.
   boost::asio::awaitable<void> drop_refused(JobKey key, JobSubmission submission);
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -18,10 +18,10 @@
 /// Bounds of the bytes of one append. After one that got no answer in time half as much is sent,
 /// and twice as much once one came through: an append that is late is sent again whole, and on 10
 /// Mbit/s 100 results of 12 kB are always late.
-constexpr std::uint64_t kMostAppendBytes = 256UL * 1024;
-constexpr std::uint64_t kFewestAppendBytes = 16UL * 1024;
-/// Appends under way at once.
-constexpr int kMostWriters = 4;
+constexpr std::uint64_t kMaxAppendBytes = 256UL * 1024;
+constexpr std::uint64_t kMinAppendBytes = 16UL * 1024;
+/// Appends under way at once: 1 MB in all, which 30 Mbit/s carry in 0.3 s.
+constexpr int kMaxWriters = 4;
 /// Bytes of a record that are not the text.
 constexpr std::uint64_t kRecordOverhead = 600;
 
@@ -31,7 +31,7 @@
     : executor_(std::move(executor)),
       store_(store),
       listener_(std::move(listener)),
-      append_bytes_(kMostAppendBytes) {}
+      append_bytes_(kMaxAppendBytes) {}
 
 void ResultWriter::add(ItemResult result) {
   const PartitionName partition = store_.partition_of(JobData::kResults, result.job);
@@ -44,7 +44,7 @@
 }
 
 void ResultWriter::start_writers() {
-  if (waiting_.empty() || writers_ >= kMostWriters) return;
+  if (waiting_.empty() || writers_ >= kMaxWriters) return;
   ++writers_;
   asio::co_spawn(executor_, write_waiting(), asio::detached);
 }
@@ -90,13 +90,13 @@
     const LogStatus status = co_await store_.append_records(partition, std::move(records));
     if (status == LogStatus::kOk) {
       backoff.reset();
-      append_bytes_ = std::min(append_bytes_ * 2, kMostAppendBytes);
+      append_bytes_ = std::min(append_bytes_ * 2, kMaxAppendBytes);
       pending_ -= results.size();
       for (const auto& result : results) listener_(result);
       continue;
     }
     if (status == LogStatus::kUnknown) {
-      append_bytes_ = std::max(append_bytes_ / 2, kFewestAppendBytes);
+      append_bytes_ = std::max(append_bytes_ / 2, kMinAppendBytes);
     }
     std::move(results.rbegin(), results.rend(), std::front_inserter(queue));
     timer.expires_after(backoff.next());
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -15,13 +15,6 @@
 
 namespace asio = boost::asio;
 
-/// Most and fewest bytes asked for in one read, and the longest time for a page of newest records.
-/// After a read that was not answered in time less is asked for, with more time: many nodes that
-/// start together share what the log answers a second, and what is given up was carried in vain.
-constexpr std::uint64_t kMostReadBytes = 1024UL * 1024;
-constexpr std::uint64_t kFewestReadBytes = 64UL * 1024;
-constexpr Duration kLongestPagePatience = std::chrono::seconds(8);
-
 }  // namespace
 
 PartitionReplica::PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink)
@@ -44,18 +37,13 @@
 }
 
 void PartitionReplica::adapt_reads(LogStatus status) {
-  if (status == LogStatus::kUnknown) {
-    read_bytes_ = std::max(read_bytes_ / 2, kFewestReadBytes);
-    page_patience_ = std::min(page_patience_ * 2, kLongestPagePatience);
-  } else if (status == LogStatus::kOk) {
-    read_bytes_ = std::min(read_bytes_ * 2, kMostReadBytes);
-    page_patience_ = kPagePatience;
-  }
+  if (status == LogStatus::kUnknown) bounds_.ask_for_less();
+  if (status == LogStatus::kOk) bounds_.ask_for_more();
 }
 
 asio::awaitable<LogStatus> PartitionReplica::load_newest() {
   const KeyRange all_keys;
-  ReadResult result = co_await newest_.run(log_, partition_, all_keys, page_patience_);
+  ReadResult result = co_await newest_.run(log_, partition_, all_keys, bounds_.patience);
   adapt_reads(result.status);
   if (result.status != LogStatus::kOk) co_return result.status;
   if (result.end < next_offset_) co_return LogStatus::kOk;
@@ -80,7 +68,7 @@
   const TimePoint sent = monotonic_now();
   at_end = false;
   const RecordOffset from = next_offset_;
-  ReadResult result = co_await log_.read(partition_, from, read_bytes_, wait);
+  ReadResult result = co_await log_.read(partition_, from, bounds_.bytes, wait);
   LogStatus status = result.status;
   adapt_reads(status);
   if (status == LogStatus::kOk) {
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "store/newest_read.h"
+#include "store/read_bounds.h"
 #include "store/record_log.h"
 #include "store/shared_read.h"
 
@@ -80,8 +81,7 @@
   ReplicaHealth health_;
   NewestRead newest_;
   SharedRead catch_ups_;
-  Duration page_patience_ = kPagePatience;
-  std::uint64_t read_bytes_ = 1024UL * 1024;  ///< Asked for in one read.
+  ReadBounds bounds_;  ///< Of the next read.
   std::function<void()> loaded_listener_;
 };
 
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -106,6 +106,9 @@
   Duration minimum_time_to_live{0};  ///< Shortest time to live of a group's member.
 };
 
+/// Bytes of a record that are not the value, at most: its length, the key's length and the key.
+inline constexpr std::uint64_t kRecordFramingBytes = 300;
+
 /// How long a page of the newest records may take where somebody waits for the answer.
 inline constexpr Duration kPagePatience = std::chrono::seconds(1);
 
--- a/tests/soak/power_loss.py
+++ b/tests/soak/power_loss.py
@@ -61,18 +61,11 @@
     def item_count(job):
         return 1 + sum(job.encode()) * 7 % MOST_ITEMS
 
-    def call(self, node, method, target, body, headers):
+    def exchange(self, address, method, target, body, headers):
         """Keeps a connection for each node and thread."""
         if not hasattr(self.local, "connections"):
             self.local.connections = KeptConnections(CALL_TIMEOUT_SECONDS)
-        try:
-            status, _, content = self.local.connections.call(
-                self.platform.nodes[node], method, target, body, dict(headers, Host=HOST))
-            return status, content, True
-        except http.client.IncompleteRead as cut:
-            return 200, cut.partial, False
-        except (OSError, http.client.HTTPException):
-            return None, b"", False
+        return self.local.connections.call(address, method, target, body, headers)
 
     def submit(self, nodes, job):
         if len(self.promises.accepted) < self.most_jobs:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -74,14 +74,18 @@
     def call(self, node, method, target, body, headers):
         """Returns (status, body, whole); status None if no answer began."""
         try:
-            status, _, content = call(self.platform.nodes[node], method, target, body,
-                                      dict(headers, Host=HOST), CALL_TIMEOUT_SECONDS)
+            status, _, content = self.exchange(self.platform.nodes[node], method, target, body,
+                                               dict(headers, Host=HOST))
             return status, content, True
         except http.client.IncompleteRead as cut:
             return 200, cut.partial, False
         except (OSError, http.client.HTTPException):
             return None, b"", False
 
+    def exchange(self, address, method, target, body, headers):
+        """One call on a connection of its own."""
+        return call(address, method, target, body, headers, CALL_TIMEOUT_SECONDS)
+
     def stream(self, node, request):
         headers = {"Stoathold-Attempt-Id": request, "Stoathold-Deadline-Ms": "15000"}
         self.promises.stream_answered(
