Interfaces of the decisions for hard load

Cause: admission, fair shares, runner speeds, loans between zones and memory are built side by side; they meet in the placement queue, in digests and in the gateway's context.

Change: LoadPolicy says which decisions a deployment calls for, from its tenants and from runners that report how slow they are. The placement queue asks for turns, rejections and the slots that batch leaves free; each is null, so nothing changes yet. Digests and datagrams carry the reports of the parts.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "admission/load_policy.h"
 #include "base/start_progress.h"
 #include "gateway/answer_pace.h"
 #include "gateway/durations_by_route.h"
@@ -41,10 +42,19 @@
     };
   }
 
+  /// The deployment shows something else of itself: a configuration is in force, or a runner has
+  /// reported its slowness.
+  void set_traits(const DeploymentTraits& next) {
+    traits = next;
+    load_policy = load_policy_for(traits);
+  }
+
   boost::asio::any_io_executor executor;
   HeaderDialect dialect;
   std::string zone;
   std::shared_ptr<const ServingConfiguration> configuration;  ///< Null until the first is known.
+  DeploymentTraits traits;
+  LoadPolicy load_policy;  ///< Decisions for hard load that are on.
   RunnerRegistry runners;
   TrafficSplit split;
   PlacementQueue placement;
--- a/src/gateway/headers.cc
+++ b/src/gateway/headers.cc
@@ -46,7 +46,7 @@
     const bool last = i + 1 == numbers.size();
     if (!last && (position == end || *position++ != ',')) return std::nullopt;
   }
-  return LoadReport{numbers[0], numbers[1], numbers[2]};
+  return LoadReport{.running = numbers[0], .waiting = numbers[1], .slots = numbers[2]};
 }
 
 }  // namespace stoathold
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -25,6 +25,15 @@
   co_await refuse(503, RequestOutcome::kRefused, "quarantined", decimal_text(to_seconds(left)));
 }
 
+/// It has not run, and would not in the time that its caller has.
+asio::awaitable<void> OnlineRequest::refuse_rejected() {
+  const PlacementRejection rejection = *rejection_;
+  const Duration retry_after = rejection.retry_after.value_or(Duration{0});
+  std::string seconds = rejection.retry_after ? decimal_text(to_seconds(retry_after)) : "";
+  co_await refuse(503, RequestOutcome::kRefused, to_string(rejection.reason).data(),
+                  std::move(seconds));
+}
+
 asio::awaitable<void> OnlineRequest::finish_without_answer() {
   if (head_sent_) {
     exchange_.abort();
@@ -34,6 +43,8 @@
   if (stopped_ && outcome_ == RequestOutcome::kCallerGone) co_return;
   if (stopped_) {
     co_await refuse(504, RequestOutcome::kTimedOut, "deadline");
+  } else if (runs_ == 0 && rejection_) {
+    co_await refuse_rejected();
   } else if (runs_ == 0) {
     co_await refuse(503, RequestOutcome::kRefused, "no_runner");
   } else {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -162,10 +162,15 @@
     request.due = now + route_.event_gap_objective - first_event;
     request.give_up = std::min(now + kLongestWait, deadline_);
   }
+  request.tenant = caller_.tenant;
+  request.route = route_.name;
+  request.last_use = deadline_;
+  request.runs_once = !route_.repeatable();
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   tokens_to_read_ = ticket_->selection().tokens_to_read;
   if (runner) log_choice(ticket_->selection());
+  rejection_ = ticket_->rejection();
   ticket_.reset();
   co_return runner;
 }
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -64,6 +64,7 @@
   boost::asio::awaitable<void> finish_without_answer();
   boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason,
                                       std::string retry_after = {});
+  boost::asio::awaitable<void> refuse_rejected();
   boost::asio::awaitable<void> refuse_quarantined(std::shared_ptr<Runner> runner);
 
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
@@ -98,6 +99,7 @@
   Timer deadline_timer_;
   Timer runner_queue_timer_;
   std::shared_ptr<PlacementTicket> ticket_;
+  std::optional<PlacementRejection> rejection_;  ///< Of the last wait for a slot.
   std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<UpstreamExchange> upstream_;
   Duration patience_{0};     ///< Silence after which a runner is given up; 0: none.
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -115,6 +115,8 @@
                        .excluded = runners_to_avoid(service),
                        .connected = context_.connected()};
   request.priority = route.priority;
+  request.tenant = item_.tenant;
+  request.route = route.name;
   // Who must begin first goes first, and what will be late anyway goes last.
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -7,8 +7,12 @@
 #include <variant>
 #include <vector>
 
+#include "admission/backlog_report.h"
+#include "admission/share_report.h"
 #include "quarantine/quarantine_messages.h"
 #include "routing/route_pace.h"
+#include "routing/slot_loan_messages.h"
+#include "routing/speed_report.h"
 #include "tenancy/tenant_usage.h"
 
 namespace stoathold {
@@ -91,11 +95,15 @@
   std::vector<TenantUsage> tenants;         ///< What the sender admitted; inside the zone only.
   std::vector<RunnerAnswers> answers;       ///< Inside the zone only.
   std::vector<RoutePace> paces;             ///< What the sender has learned; now and then.
+  std::vector<ServiceBacklog> backlogs;     ///< Inside the zone only.
+  std::vector<ShareUse> share_uses;         ///< Inside the zone only.
+  std::vector<SpeedReport> speeds;          ///< Inside the zone only.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
     archive(configuration_version, tenants, answers, paces);
+    archive(backlogs, share_uses, speeds);
   }
 };
 
@@ -135,8 +143,8 @@
 };
 
 /// One datagram.
-using PeerLoadMessage =
-    std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage, EndReports>;
+using PeerLoadMessage = std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage,
+                                     EndReports, SlotLoanRequest, SlotLoan, SlotLoanReturn>;
 
 std::string encode_message(const PeerLoadMessage& message);
 /// Returns false if the bytes are malformed.
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -120,8 +120,8 @@
     if (usage->pass_on) pass_on(std::move(*usage));
   } else if (auto* ends = std::get_if<EndReports>(&message)) {
     take_end_reports(std::move(*ends));
-  } else if (yield_handler_) {
-    yield_handler_(std::get<YieldRequest>(message));
+  } else if (const auto* yield = std::get_if<YieldRequest>(&message)) {
+    if (yield_handler_) yield_handler_(*yield);
   }
 }
 
@@ -138,6 +138,7 @@
     take_ejections(digest, now);
     if (pace_listener_) std::for_each(digest.paces.begin(), digest.paces.end(), pace_listener_);
     if (tenant_gossip_) tenant_gossip_->take_report(digest.sender, digest.tenants, now);
+    for (const DigestPart& part : digest_parts_) part.take(digest, now);
     if (version_listener_) {
       version_listener_(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
                         digest.configuration_version);
@@ -265,6 +266,7 @@
     if (pace_source_) digest.paces = pace_source_();
     neighbours_reported_ = last_sent_;
   }
+  for (const DigestPart& part : digest_parts_) part.add(digest, thorough, last_sent_);
   in_use_ = !digest.uses.empty();
   const std::string bytes = encode_message(digest);
   send_to_zone(bytes);
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -35,6 +35,15 @@
   std::string zone;
 };
 
+/// What another module adds to digests inside the zone, and takes from them.
+struct DigestPart {
+  /// Adds to a digest that is about to be sent.
+  /// @param thorough whether it may be long: now and then one repairs what was lost.
+  std::function<void(LoadDigest& digest, bool thorough, TimePoint now)> add;
+  /// Takes from a digest of another node of the zone.
+  std::function<void(const LoadDigest& digest, TimePoint now)> take;
+};
+
 /// Sends and receives messages over UDP, and keeps the registry's peer use and demand up to date.
 /// One thread.
 class PeerLoads {
@@ -75,6 +84,8 @@
     pace_source_ = std::move(source);
     pace_listener_ = std::move(listener);
   }
+  /// Has the digests inside the zone carry what another module reports.
+  void add_digest_part(DigestPart part) { digest_parts_.push_back(std::move(part)); }
   /// Asks the node that runs the most batch items at the runners that the request names for a
   /// place.
   /// @return false if none is known to run any.
@@ -146,6 +157,7 @@
   VersionListener version_listener_;
   PaceSource pace_source_;
   PaceListener pace_listener_;
+  std::vector<DigestPart> digest_parts_;
   std::string buffer_;
   Endpoint from_;
   Timer send_timer_;
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -34,7 +34,7 @@
                                             const std::shared_ptr<PlacementTicket>& right) const {
   const auto rank = [](const PlacementTicket& ticket) {
     const PlacementRequest& request = ticket.request_;
-    return std::tuple(request.work, request.priority, request.due, ticket.number_);
+    return std::tuple(request.work, request.priority, request.turn, request.due, ticket.number_);
   };
   return rank(*left) < rank(*right);
 }
@@ -43,6 +43,7 @@
     : executor_(std::move(executor)), registry_(registry), watch_timer_(executor_) {}
 
 std::shared_ptr<PlacementTicket> PlacementQueue::make_ticket(PlacementRequest request) {
+  if (decisions_.turn) request.turn = decisions_.turn(request, monotonic_now());
   auto ticket = std::make_shared<PlacementTicket>(executor_, std::move(request));
   ticket->number_ = next_number_++;
   return ticket;
@@ -65,16 +66,29 @@
       last_demand_[wanted.service] = now;
       return false;
     }
-    wanted.load_limit -= batch_margin(wanted.service, now);
+    double margin = batch_margin(wanted.service, now);
+    if (decisions_.batch_reserve) {
+      margin = std::max(margin, decisions_.batch_reserve(wanted.service, now));
+    }
+    wanted.load_limit -= margin;
+    // A limit of 0 would mean that there is none.
+    if (wanted.load_limit <= 0) return false;
   }
   Selection& selection = ticket.selection_;
   selection = select_runner(registry_, wanted, now);
   if (!selection.runner) return preempt(ticket, wanted, now);
-  selection.runner->begin_attempt(selection.tokens_to_read, request.work);
-  if (use_listener_) use_listener_();
+  begin(ticket, now);
   return true;
 }
 
+/// The ticket's runner was chosen.
+void PlacementQueue::begin(const PlacementTicket& ticket, TimePoint now) {
+  const Selection& selection = ticket.selection_;
+  selection.runner->begin_attempt(selection.tokens_to_read, ticket.request_.work);
+  if (decisions_.placed) decisions_.placed(ticket.request_, now);
+  if (use_listener_) use_listener_();
+}
+
 /// Online work takes the slot of a batch item without waiting for it to come free: the request
 /// waits in the runner's own queue for the moment that the item takes to end.
 bool PlacementQueue::preempt(PlacementTicket& ticket, SelectionRequest wanted, TimePoint now) {
@@ -87,8 +101,7 @@
   last_demand_[wanted.service] = now;
   preempted_at_[wanted.service] = now;
   yield_handler_(wanted.service, selection.runner.get());
-  selection.runner->begin_attempt(selection.tokens_to_read, ticket.request_.work);
-  if (use_listener_) use_listener_();
+  begin(ticket, now);
   return true;
 }
 
@@ -97,6 +110,7 @@
   const TimePoint now = monotonic_now();
   const bool may_overtake = waiting_.empty() || ticket->request_.work == WorkClass::kOnline;
   if (may_overtake && try_place(*ticket, now)) co_return ticket->selection_.runner;
+  if (reject(*ticket, now)) co_return nullptr;
   waiting_.insert(ticket);
   ticket->ask_yield_at_ = now + kYieldAfter;
   watch();
@@ -147,6 +161,21 @@
   }
 }
 
+/// Rejects a request that is certain not to be served in its time.
+bool PlacementQueue::reject(PlacementTicket& ticket, TimePoint now) {
+  if (!decisions_.review) return false;
+  ticket.rejection_ = decisions_.review(ticket.request_, now);
+  return ticket.rejection_.has_value();
+}
+
+void PlacementQueue::reject_hopeless() {
+  const TimePoint now = monotonic_now();
+  // Cancelled tickets leave the queue when their waits return, not in this loop.
+  for (const auto& ticket : waiting_) {
+    if (!ticket->cancelled_ && reject(*ticket, now)) ticket->cancel();
+  }
+}
+
 void PlacementQueue::dispatch() {
   if (dispatching_) return;
   dispatching_ = true;
@@ -223,6 +252,7 @@
     watching_ = false;
     if (error || waiting_.empty()) return;
     dispatch();
+    reject_hopeless();
     ask_for_places();
     // The other nodes leave the places to online work only while they hear that some waits.
     if (use_listener_ && waiting(WorkClass::kOnline) > 0) use_listener_();
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -10,8 +10,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 
+#include "admission/placement_rejection.h"
 #include "base/timer.h"
 #include "routing/load_messages.h"
 #include "routing/runner_registry.h"
@@ -26,10 +29,29 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   TimePoint due{};             ///< In time if placed by then.
   TimePoint give_up{};         ///< No longer worth placing.
+  std::string tenant;          ///< Empty: anonymous.
+  std::string route;
+  TimePoint last_use{};    ///< A first event after this finds its caller gone; 0: not known.
+  Duration slot_time{0};   ///< For which it is predicted to hold a slot; 0: not known.
+  bool runs_once = false;  ///< It may not be sent to another runner once it may have run.
+  double turn = 0;         ///< Lower goes first inside a priority; set by the turns' source.
   /// Whether it must not be placed any more, as its circumstances have changed; null: never.
   std::function<bool()> hopeless;
 };
 
+/// Decisions of other modules that the queue asks for; each may be null. They outlive the queue.
+struct PlacementDecisions {
+  /// Returns the request's turn inside its priority, when it comes.
+  std::function<double(const PlacementRequest& request, TimePoint now)> turn;
+  /// A request was given a slot.
+  std::function<void(const PlacementRequest& request, TimePoint now)> placed;
+  /// Returns the rejection of a request that waits, or nothing if it may wait on.
+  std::function<std::optional<PlacementRejection>(const PlacementRequest& request, TimePoint now)>
+      review;
+  /// Returns the part of the service's slots that batch leaves free for expected online work.
+  std::function<double(const std::string& service, TimePoint now)> batch_reserve;
+};
+
 /// A request for a place. Held by who waits; `cancel` ends the wait.
 class PlacementTicket {
  public:
@@ -43,12 +65,15 @@
   }
   /// The place that was found, and what decided it; no runner if there is none.
   [[nodiscard]] const Selection& selection() const { return selection_; }
+  /// Why it was rejected while it waited; nothing if it was not.
+  [[nodiscard]] const std::optional<PlacementRejection>& rejection() const { return rejection_; }
 
  private:
   friend class PlacementQueue;
   PlacementRequest request_;
   Timer timer_;
   Selection selection_;
+  std::optional<PlacementRejection> rejection_;
   TimePoint ask_yield_at_{};
   std::uint64_t number_ = 0;
   bool cancelled_ = false;
@@ -65,6 +90,7 @@
   PlacementQueue(boost::asio::any_io_executor executor, const RunnerRegistry& registry);
 
   void set_yield_handler(YieldHandler handler) { yield_handler_ = std::move(handler); }
+  void set_decisions(PlacementDecisions decisions) { decisions_ = std::move(decisions); }
 
   std::shared_ptr<PlacementTicket> make_ticket(PlacementRequest request);
   /// Waits for a place.
@@ -97,17 +123,21 @@
 
   bool try_place(PlacementTicket& ticket, TimePoint now);
   bool preempt(PlacementTicket& ticket, SelectionRequest wanted, TimePoint now);
+  void begin(const PlacementTicket& ticket, TimePoint now);
+  bool reject(PlacementTicket& ticket, TimePoint now);
   [[nodiscard]] double batch_margin(const std::string& service, TimePoint now);
   using Filter = std::function<bool(const PlacementRequest&, TimePoint now)>;
 
   void dispatch();
   void dispatch_some(const Filter& filter);
   void ask_for_places();
+  void reject_hopeless();
   void watch();
 
   boost::asio::any_io_executor executor_;
   const RunnerRegistry& registry_;
   YieldHandler yield_handler_;
+  PlacementDecisions decisions_;
   std::function<void()> use_listener_;
   std::set<std::shared_ptr<PlacementTicket>, MoreUrgent> waiting_;
   /// When online work last waited for a service, at this node or another of the zone.
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -38,6 +38,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// Time that work takes there at this moment against the usual, in 100ths; nothing if the runner
+  /// does not say it.
+  std::optional<std::uint32_t> slowness_percent = std::nullopt;
 };
 
 /// Online work goes before batch work, whatever its age.
--- /dev/null
+++ b/tests/admission/load_policy_test.cc
@@ -0,0 +1,26 @@
+#include "admission/load_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+TEST(LoadPolicyTest, AFleetWithoutTenantsAndWithRunnersOfTheirOwnIsServedByLoadAlone) {
+  const LoadPolicy policy = load_policy_for({});
+  EXPECT_FALSE(policy.predicts_waits || policy.shares_fairly || policy.knows_speeds ||
+               policy.lends_slots || policy.forecasts_demand);
+}
+
+TEST(LoadPolicyTest, TenantsCallForSharesAndRejectionsButNotForSpeeds) {
+  const LoadPolicy policy = load_policy_for({.has_tenants = true});
+  EXPECT_TRUE(policy.predicts_waits && policy.shares_fairly && policy.lends_slots &&
+              policy.forecasts_demand);
+  EXPECT_FALSE(policy.knows_speeds);
+}
+
+TEST(LoadPolicyTest, RunnersThatReportTheirSlownessCallForSpeeds) {
+  EXPECT_TRUE(load_policy_for({.reports_slowness = true}).knows_speeds);
+}
+
+}  // namespace
+}  // namespace stoathold
