--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -166,6 +166,30 @@
     ("srv-lying-health", "", '{ at = 3, kind = "srv_lying_health", share = 0.2, for_s = 10 }'),
 ]
 
+# More work than slots: from all, from a few tenants, in one zone; and requests that end their runners.
+# `@c0`, `@c2` and `@z0` stand for a deployment's first and third kind of request and first zone.
+TENANTS = ('{ at = 3, kind = "hot_tenant", x = 6.0, count = 1, for_s = 8 }, '
+           '{ at = 4, kind = "hot_tenant", x = 5.0, count = 2, for_s = 8 }, '
+           '{ at = 5, kind = "hot_tenant", x = 8.0, count = 3, for_s = 8 }')
+ZONE = '{ at = 4, kind = "burst", zone = "@z0", x = 4.0, for_s = 8 }'
+SLOW = '{ at = 3, kind = "srv_slow", share = 0.25, x = 3, for_s = 12 }'
+HARD_LOAD = [
+    ("deadly", "", '{ at = 5, kind = "poison", how = "deadly", class = "@c0", share = 0.03, for_s = 20 }'),
+    ("tenants-flood", "", TENANTS),
+    ("tenants-flood-kill", "", TENANTS + ', { at = 7, kind = "herd_kill", share = 0.5 }'),
+    ("zone-burst", "", ZONE),
+    ("zone-burst-slow", "", ZONE + ", " + SLOW),
+    ("zone-burst-cut", "", ZONE + ', { at = 6, kind = "node_cut", share = 0.3, for_s = 4 }'),
+    ("bursts-jobs", "",
+     '{ at = 3, kind = "burst", x = 2.0, for_s = 3 }, '
+     '{ at = 9, kind = "burst", x = 3.0, for_s = 3 }, '
+     '{ at = 14, kind = "burst", x = 2.5, for_s = 3 }, '
+     '{ at = 8, kind = "burst", class = "@c2", x = 6.0, for_s = 2 }'),
+    ("bursts-store-down", "",
+     '{ at = 4, kind = "burst", x = 2.5, for_s = 5 }, '
+     '{ at = 5, kind = "platform_down", for_s = 5, how = "silent lapse" }'),
+]
+
 STORE_DOWN = '{ at = 8, kind = "platform_down", for_s = 5, how = "silent lapse" }'
 HERD = '{ at = 9, kind = "herd_kill", share = 0.7 }'
 ROLL = '{ at = 6, kind = "roll_term", share = 0.6, gap_s = 1.2, how = "busy" }'
@@ -231,7 +255,7 @@
 
 
 def main():
-    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS + MORE + NEWER):
+    for index, (name, plan, faults) in enumerate(SINGLE + PAIRS + MORE + NEWER + HARD_LOAD):
         write(name, plan, faults, FIRST_SEED + index)
     for name, closing, plan, faults in CLOSING:
         write(name, plan, faults, CLOSING_SEED, closing)
