Requests of a submission are appended in pieces that come through

Change: the way of the results' writer (half as much after an append without an answer, twice as much once one came through) is AppendSize, used by both.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -1,8 +1,12 @@
 #include "jobs/job_data_log.h"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <optional>
 
+#include "base/timer.h"
+
 namespace stoathold {
 namespace {
 
@@ -13,8 +17,7 @@
 constexpr int kMaxReadsByKey = 3;
 /// Bytes asked for beyond those of the requests themselves.
 constexpr std::uint64_t kReadSlackBytes = 1024;
-/// Most bytes of requests in one append, but for a larger request alone. An append has a second,
-/// and one that is late is sent again whole; most jobs fit.
+/// Most bytes of requests in one append, but for a larger request alone; most jobs fit.
 constexpr std::uint64_t kRequestAppendBytes = 512UL * 1024;
 /// Keys deleted by one append; each takes some 80 bytes.
 constexpr std::size_t kDeletionsPerAppend = 500;
@@ -48,51 +51,69 @@
 }  // namespace
 
 JobDataLog::JobDataLog(asio::any_io_executor executor, RecordLog& log, BackoffBounds retries)
-    : executor_(std::move(executor)), log_(log), retries_(retries), turns_(kMaxReadsByKey) {}
+    : executor_(std::move(executor)),
+      log_(log),
+      retries_(retries),
+      append_size_(kRequestAppendBytes),
+      turns_(kMaxReadsByKey) {}
 
 PartitionName JobDataLog::partition_of(JobData data, const JobKey& key,
                                        std::uint32_t topics) const {
   return job_data_partition(data, key, topics, log_.limits().partitions);
 }
 
+JobDataLog::RequestAppend JobDataLog::next_append(const JobKey& key, JobSubmission& submission,
+                                                  const std::vector<ItemRequest>& requests,
+                                                  std::size_t first) const {
+  const LogLimits& limits = log_.limits();
+  const std::uint64_t piece_bytes = limits.record_bytes - kRecordFramingBytes;
+  const std::uint64_t most = std::min(limits.call_bytes, append_size_.bytes());
+  RequestAppend append;
+  // As many whole items as fit; a larger one goes alone.
+  for (std::size_t index = first; index < submission.items.size(); ++index) {
+    const std::string request = encode(requests[index]);
+    const std::uint64_t pieces = (request.size() + piece_bytes - 1) / piece_bytes;
+    const std::uint64_t size = request.size() + pieces * kRecordFramingBytes;
+    if (!append.records.empty() && append.bytes + size > most) break;
+    append.first_records.push_back(append.records.size());
+    JobItem& item = submission.items[index];
+    item.body_bytes = size;
+    item.body_records = static_cast<std::uint32_t>(pieces);
+    for (std::uint32_t piece = 0; piece < pieces; ++piece) {
+      append.records.push_back({body_record_key(key, submission.request_writer,
+                                                static_cast<std::uint32_t>(index), piece),
+                                request.substr(piece * piece_bytes, piece_bytes)});
+    }
+    append.bytes += size;
+  }
+  return append;
+}
+
 asio::awaitable<LogStatus> JobDataLog::append_requests(JobKey key, JobSubmission& submission,
                                                        const std::vector<ItemRequest>& requests,
                                                        TimePoint deadline) {
-  const LogLimits& limits = log_.limits();
-  const std::uint64_t piece_bytes = limits.record_bytes - kRecordFramingBytes;
-  const std::uint64_t append_bytes = std::min(limits.call_bytes, kRequestAppendBytes);
   const PartitionName partition = partition_of(JobData::kBodies, key, submission.data_topics);
-  auto& items = submission.items;
-  std::size_t item = 0;
-  while (item < items.size()) {
-    // As many whole items as fit into one call; a larger one goes alone, and in several calls.
-    std::vector<KeyedRecord> records;
-    std::vector<std::size_t> first_records;
-    std::uint64_t bytes = 0;
-    const std::size_t first_item = item;
-    while (item < items.size()) {
-      const std::string request = encode(requests[item]);
-      const std::uint64_t pieces = (request.size() + piece_bytes - 1) / piece_bytes;
-      const std::uint64_t size = request.size() + pieces * kRecordFramingBytes;
-      if (!records.empty() && bytes + size > append_bytes) break;
-      first_records.push_back(records.size());
-      items[item].body_bytes = size;
-      items[item].body_records = static_cast<std::uint32_t>(pieces);
-      for (std::uint32_t piece = 0; piece < pieces; ++piece) {
-        records.push_back({body_record_key(key, submission.request_writer,
-                                           static_cast<std::uint32_t>(item), piece),
-                           request.substr(piece * piece_bytes, piece_bytes)});
+  Backoff backoff(retries_);
+  Timer timer(executor_);
+  std::size_t next = 0;
+  while (next < submission.items.size()) {
+    const RequestAppend append = next_append(key, submission, requests, next);
+    if (append.bytes > log_.limits().call_bytes) co_return LogStatus::kRejected;
+    const AppendResult result = co_await log_.append(partition, append.records, std::nullopt);
+    if (result.status == LogStatus::kRejected) co_return result.status;
+    if (result.status == LogStatus::kOk) {
+      append_size_.came_through();
+      backoff.reset();
+      for (const std::size_t first_record : append.first_records) {
+        submission.items[next++].body_offset = result.offset + first_record;
       }
-      bytes += size;
-      ++item;
-    }
-    if (bytes > limits.call_bytes) co_return LogStatus::kRejected;
-    const AppendResult result =
-        co_await append_until(executor_, log_, partition, std::move(records), deadline, retries_);
-    if (result.status != LogStatus::kOk) co_return result.status;
-    for (std::size_t i = first_item; i < item; ++i) {
-      items[i].body_offset = result.offset + first_records[i - first_item];
+      continue;
     }
+    if (result.status == LogStatus::kUnknown) append_size_.got_no_answer();
+    const Duration wait = backoff.next();
+    if (monotonic_now() + wait >= deadline) co_return result.status;
+    timer.expires_after(wait);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   co_return LogStatus::kOk;
 }
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -9,6 +9,7 @@
 
 #include "jobs/job_records.h"
 #include "jobs/listed_results.h"
+#include "store/append_size.h"
 #include "store/append_until.h"
 #include "store/newest_read.h"
 #include "store/read_bounds.h"
@@ -68,6 +69,17 @@
                                                    TimePoint deadline);
 
  private:
+  /// Requests of items in a row that go into one append.
+  struct RequestAppend {
+    std::vector<KeyedRecord> records;
+    std::vector<std::size_t> first_records;  ///< Of each item, by its place in `records`.
+    std::uint64_t bytes = 0;
+  };
+  /// Puts an append together, and fills in the sizes of its items.
+  /// @param first the item that it begins with.
+  [[nodiscard]] RequestAppend next_append(const JobKey& key, JobSubmission& submission,
+                                          const std::vector<ItemRequest>& requests,
+                                          std::size_t first) const;
   /// Items in a row whose requests are read with one call.
   struct RequestSpan {
     std::vector<std::uint32_t> items;
@@ -82,6 +94,7 @@
   boost::asio::any_io_executor executor_;
   RecordLog& log_;
   BackoffBounds retries_;
+  AppendSize append_size_;
   ReadTurns turns_;  ///< Of reads of results and requests by key, whose pages have up to 1 MB.
 };
 
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -15,11 +15,8 @@
 
 namespace asio = boost::asio;
 
-/// Bounds of the bytes of one append. After one that got no answer in time half as much is sent,
-/// and twice as much once one came through: an append that is late is sent again whole, and 100
-/// results of 12 kB take 0.96 s on 10 Mbit/s by themselves, of the second that an append has.
+/// Most bytes of one append.
 constexpr std::uint64_t kMaxAppendBytes = 256UL * 1024;
-constexpr std::uint64_t kMinAppendBytes = 16UL * 1024;
 /// Appends under way at once: 1 MB in all, which 30 Mbit/s carry in 0.3 s.
 constexpr int kMaxWriters = 4;
 /// Bytes of a record that are not the text.
@@ -31,7 +28,7 @@
     : executor_(std::move(executor)),
       store_(store),
       listener_(std::move(listener)),
-      append_bytes_(kMaxAppendBytes) {}
+      append_size_(kMaxAppendBytes) {}
 
 void ResultWriter::add(ItemResult result) {
   const PartitionName partition = store_.partition_of(JobData::kResults, result.job);
@@ -59,7 +56,7 @@
 }
 
 ResultWriter::Queue ResultWriter::take_some(Queue& queue) const {
-  const std::uint64_t most = std::min(append_bytes_, store_.limits().call_bytes);
+  const std::uint64_t most = std::min(append_size_.bytes(), store_.limits().call_bytes);
   Queue results;
   std::uint64_t bytes = 0;
   while (!queue.empty()) {
@@ -90,14 +87,12 @@
     const LogStatus status = co_await store_.append_records(partition, std::move(records));
     if (status == LogStatus::kOk) {
       backoff.reset();
-      append_bytes_ = std::min(append_bytes_ * 2, kMaxAppendBytes);
+      append_size_.came_through();
       pending_ -= results.size();
       for (const auto& result : results) listener_(result);
       continue;
     }
-    if (status == LogStatus::kUnknown) {
-      append_bytes_ = std::max(append_bytes_ / 2, kMinAppendBytes);
-    }
+    if (status == LogStatus::kUnknown) append_size_.got_no_answer();
     std::move(results.rbegin(), results.rend(), std::front_inserter(queue));
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/jobs/result_writer.h
+++ b/src/jobs/result_writer.h
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "jobs/job_store.h"
+#include "store/append_size.h"
 
 namespace stoathold {
 
@@ -42,7 +43,7 @@
   std::map<PartitionName, Queue> queues_;  ///< Of the partitions that wait or are written.
   std::deque<PartitionName> waiting_;      ///< In the order in which they came.
   int writers_ = 0;
-  std::uint64_t append_bytes_;  ///< Most of one append now.
+  AppendSize append_size_;
   std::size_t pending_ = 0;
 };
 
