No service, tenant or job holds all of a node's turns and requests

Cause: an item that waits for a runner holds one of 256 turns, the oldest first, and one of 64 places for requests that are read. 256 items of a service without runners held them for ever, so that items of other services were not run at that node, and their requests not even read.

Change: SharedRoom bounds what one holds of turns, of requests that wait and of request bytes by a multiple of what is still free: a service four times, a tenant at it three times, a job twice. One job alone has 256 turns as before, of 384; whoever comes next finds room. One read brings at most 32 requests. JobLoader asks for room by job.

Before: service_without_runners failed.

--- /dev/null
+++ b/src/admission/shared_room.cc
@@ -0,0 +1,57 @@
+#include "admission/shared_room.h"
+
+namespace stoathold {
+namespace {
+
+/// How many times what is free one service, one tenant and one job may hold. One job alone gets two
+/// thirds of the room, one tenant alone three quarters and one service alone four fifths: whatever
+/// one does, there is room for another job, another tenant and another service.
+constexpr double kServiceFactor = 4;
+constexpr double kTenantFactor = 3;
+constexpr double kJobFactor = 2;
+/// Below this nothing is held: what sums of fractions leave.
+constexpr double kNothing = 1e-6;
+
+}  // namespace
+
+double SharedRoom::size_for_one_job(double amount) {
+  return amount * (1 + kJobFactor) / kJobFactor;
+}
+
+double SharedRoom::amount_of(const Amounts& amounts, std::uint64_t name) {
+  const auto found = amounts.find(name);
+  return found == amounts.end() ? 0 : found->second;
+}
+
+void SharedRoom::change(Amounts& amounts, std::uint64_t name, double difference) {
+  const auto position = amounts.try_emplace(name, 0).first;
+  position->second += difference;
+  if (position->second < kNothing) amounts.erase(position);
+}
+
+bool SharedRoom::may_take(const RoomHolder& holder) const {
+  const double of_service = amount_of(services_, holder.service);
+  if (of_service <= 0) return true;
+  const double free = size_ - held_;
+  if (free <= 0) return false;
+  const double of_job = amount_of(jobs_, holder.job);
+  const double of_tenant = amount_of(tenants_, holder.tenant);
+  return of_service < kServiceFactor * free && of_tenant < kTenantFactor * free &&
+         of_job < kJobFactor * free;
+}
+
+void SharedRoom::take(const RoomHolder& holder, double amount) {
+  held_ += amount;
+  change(services_, holder.service, amount);
+  change(tenants_, holder.tenant, amount);
+  change(jobs_, holder.job, amount);
+}
+
+void SharedRoom::give_back(const RoomHolder& holder, double amount) {
+  held_ -= amount;
+  change(services_, holder.service, -amount);
+  change(tenants_, holder.tenant, -amount);
+  change(jobs_, holder.job, -amount);
+}
+
+}  // namespace stoathold
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -23,8 +23,7 @@
 
 }  // namespace
 
-JobLoader::JobLoader(asio::any_io_executor executor, JobStore& store,
-                     std::function<bool()> has_room)
+JobLoader::JobLoader(asio::any_io_executor executor, JobStore& store, HasRoom has_room)
     : executor_(std::move(executor)), store_(store), has_room_(std::move(has_room)) {}
 
 void JobLoader::add(JobLoad load) {
@@ -46,9 +45,8 @@
 }
 
 JobLoader::Queue::iterator JobLoader::next_readable() {
-  const bool has_room = has_room_();
-  return std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
-    return has_room || entry.second.step != Step::kRequests;
+  return std::find_if(waiting_.begin(), waiting_.end(), [this](const auto& entry) {
+    return entry.second.step != Step::kRequests || has_room_(entry.second.load.key);
   });
 }
 
@@ -99,7 +97,9 @@
 }
 
 asio::awaitable<LogStatus> JobLoader::read_requests(JobRead& read) {
-  RequestsRead found = co_await store_.read_requests(read.load.key, read.items, read.bounds);
+  std::vector<std::uint32_t> wanted = read.items;
+  wanted.resize(std::min(wanted.size(), kMostRequests));
+  RequestsRead found = co_await store_.read_requests(read.load.key, std::move(wanted), read.bounds);
   if (found.status != LogStatus::kOk || !read.load.wanted()) co_return found.status;
   for (const std::uint32_t item : found.absent) {
     read.load.request_absent(item);
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -33,8 +33,13 @@
 /// again. Used on one thread; outlives its reads.
 class JobLoader {
  public:
-  /// @param has_room asked before requests are read; false: enough of them are held here.
-  JobLoader(boost::asio::any_io_executor executor, JobStore& store, std::function<bool()> has_room);
+  /// Returns whether more requests of a job may be read; false: enough of them are held here.
+  using HasRoom = std::function<bool(const JobKey&)>;
+  /// Most requests that one read brings: what is held here goes over its bounds by no more.
+  static constexpr std::size_t kMostRequests = 32;
+
+  /// @param has_room asked before requests are read.
+  JobLoader(boost::asio::any_io_executor executor, JobStore& store, HasRoom has_room);
 
   void add(JobLoad load);
   /// To be called when there may be room again.
@@ -67,7 +72,7 @@
 
   boost::asio::any_io_executor executor_;
   JobStore& store_;
-  std::function<bool()> has_room_;
+  HasRoom has_room_;
   Queue waiting_;
   int readers_ = 0;
 };
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -1,11 +1,13 @@
 #include "jobs/job_runner.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/ids.h"
 #include "base/timer.h"
 #include "store/backoff.h"
 
@@ -14,20 +16,13 @@
 
 namespace asio = boost::asio;
 
-/// Items that one node runs at the same time, or has wait for a place: more than a whole job has,
-/// so that a large job waits for places at runners and not for its own items.
-constexpr std::size_t kMaxRunningItems = 256;
-/// While so many items wait to be run with their requests, or requests of so many bytes are held,
-/// no more are read. A quarter of the items that may run keeps each turn that comes free in use; an
-/// item may have 690 kB, and machines as little as 160 MB, of which this is a fifth.
-constexpr std::size_t kMaxWaitingItems = 64;
-constexpr std::uint64_t kMaxRequestBytes = 32UL * 1024 * 1024;
-/// Between rounds of upkeep: progress counts and deletion of old jobs.
-constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
-/// Rounds of upkeep between two records of how far running items came.
-constexpr int kCheckpointRounds = 3;
-/// Bytes of a checkpoint record that are not its text.
-constexpr std::uint64_t kRecordOverhead = 600;
+/// Items of one job that one node runs at the same time, or has wait for a place, while it has no
+/// other job: more than a whole job has, so that a large job waits for places at runners and not
+/// for its own items. All jobs together have half as many again.
+constexpr std::size_t kMaxItemsOfJob = 256;
+/// Requests that all jobs together hold. An item may have 690 kB, and machines as little as 160 MB,
+/// of which this is a fifth.
+constexpr double kMaxRequestBytes = 32.0 * 1024 * 1024;
 /// A process that has just started lets few items run at first, so that online requests, which also
 /// come back all at once, find places; the number rises to the full one in this time.
 constexpr Duration kSlowStart = std::chrono::seconds(4);
@@ -52,7 +47,8 @@
       settings_(std::move(settings)),
       writer_(context.executor, store,
               [this](const ItemResult& result) { result_durable(result); }),
-      loader_(context.executor, store, [this] { return has_room_for_requests(); }),
+      loader_(context.executor, store,
+              [this](const JobKey& key) { return has_room_for_requests(key); }),
       membership_(
           context.executor, log, settings_.member_name,
           SlotHandlers{
@@ -67,7 +63,10 @@
                 if (members_listener_) members_listener_(names);
               }}),
       stage_log_(context.executor, stages_,
-                 [this](const JobKey& key, std::uint32_t index) { return item_id(key, index); }) {
+                 [this](const JobKey& key, std::uint32_t index) { return item_id(key, index); }),
+      turns_(SharedRoom::size_for_one_job(kFirstItems)),
+      waiting_room_(SharedRoom::size_for_one_job(kMaxItemsOfJob)),
+      request_bytes_(kMaxRequestBytes) {
   store_.set_running_jobs(false);
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
 }
@@ -123,6 +122,7 @@
 
 std::vector<std::uint32_t> JobRunner::job_loaded(const JobKey& key,
                                                  const std::shared_ptr<ActiveJob>& job) {
+  job->holder = holder_of(key, *job);
   const ListedResults& results = store_.results_of(key);
   log_event(Event::kJobLoaded, {{"job", key},
                                 {"listed", std::to_string(results.listed().size())},
@@ -145,7 +145,8 @@
 
 void JobRunner::request_read(const JobKey& key, ActiveJob& job, std::uint32_t index,
                              ItemRequest request) {
-  held_request_bytes_ += job.items[index].body_bytes;
+  request_bytes_.take(job.holder, static_cast<double>(job.items[index].body_bytes));
+  waiting_room_.take(job.holder, 1);
   job.requests[index] = std::move(request);
   enter_stage(key, job, index, ItemStage::kWaitingForTurn);
   waiting_.insert({job.submitted_ms, key, index});
@@ -154,9 +155,9 @@
 
 std::size_t JobRunner::item_limit() const {
   const Duration age = monotonic_now() - started_;
-  if (age >= kSlowStart) return kMaxRunningItems;
+  if (age >= kSlowStart) return kMaxItemsOfJob;
   const double part = to_seconds(age) / to_seconds(kSlowStart);
-  return kFirstItems + static_cast<std::size_t>(part * (kMaxRunningItems - kFirstItems));
+  return kFirstItems + static_cast<std::size_t>(part * (kMaxItemsOfJob - kFirstItems));
 }
 
 bool JobRunner::yield_place(const YieldRequest& request) {
@@ -180,21 +181,41 @@
   return chosen != nullptr;
 }
 
-bool JobRunner::has_room_for_requests() const {
-  return waiting_.size() < kMaxWaitingItems && held_request_bytes_ < kMaxRequestBytes;
+/// A job's route is sent to the first of its services most of the time; the others hardly differ.
+RoomHolder JobRunner::holder_of(const JobKey& key, const ActiveJob& job) const {
+  const auto configuration = context_.configuration;
+  const Route* route = configuration ? configuration->find_route(job.host, job.path) : nullptr;
+  const bool has_service = route != nullptr && !route->services.empty();
+  const std::string service = has_service ? route->services.front().service : std::string();
+  return {stable_hash(service), stable_hash(service + '\n' + job.tenant), stable_hash(key)};
+}
+
+bool JobRunner::has_room_for_requests(const JobKey& key) const {
+  const auto job = jobs_.find(key);
+  if (job == jobs_.end()) return true;  // It is left out as soon as it has its turn.
+  const RoomHolder& holder = job->second->holder;
+  return waiting_room_.may_take(holder) && request_bytes_.may_take(holder);
+}
+
+bool JobRunner::start_next() {
+  const auto next = std::find_if(waiting_.begin(), waiting_.end(), [this](const auto& item) {
+    return turns_.may_take(jobs_.at(item.job)->holder);
+  });
+  if (next == waiting_.end()) return false;
+  const WaitingItem item = std::move(waiting_.extract(next).value());
+  const auto job = jobs_.at(item.job);
+  auto request = job->requests.extract(item.index);
+  waiting_room_.give_back(job->holder, 1);
+  turns_.take(job->holder, 1);
+  ++running_items_;
+  asio::co_spawn(context_.executor, run_item(item, job, std::move(request.mapped())),
+                 asio::detached);
+  return true;
 }
 
 void JobRunner::start_waiting() {
-  while (!waiting_.empty() && running_items_ < item_limit()) {
-    const WaitingItem item = *waiting_.begin();
-    waiting_.erase(waiting_.begin());
-    const auto job = jobs_.find(item.job);
-    if (job == jobs_.end()) continue;
-    auto request = job->second->requests.extract(item.index);
-    if (request.empty()) continue;
-    ++running_items_;
-    asio::co_spawn(context_.executor, run_item(item, job->second, std::move(request.mapped())),
-                   asio::detached);
+  turns_.set_size(SharedRoom::size_for_one_job(static_cast<double>(item_limit())));
+  while (start_next()) {
   }
   loader_.resume();
 }
@@ -226,7 +247,8 @@
     }
   }
   --running_items_;
-  held_request_bytes_ -= listed.body_bytes;
+  turns_.give_back(job->holder, 1);
+  request_bytes_.give_back(job->holder, static_cast<double>(listed.body_bytes));
   start_waiting();
 }
 
@@ -272,7 +294,8 @@
   stages_.forget(key);
   std::erase_if(waiting_, [&](const WaitingItem& item) { return item.job == key; });
   for (const auto& [index, request] : job->requests) {
-    held_request_bytes_ -= job->items[index].body_bytes;
+    waiting_room_.give_back(job->holder, 1);
+    request_bytes_.give_back(job->holder, static_cast<double>(job->items[index].body_bytes));
   }
   job->requests.clear();
   for (const auto& [index, run] : job->runs) {
@@ -293,23 +316,6 @@
   co_await write_checkpoints();
 }
 
-asio::awaitable<void> JobRunner::maintain() {
-  Timer timer(context_.executor);
-  int round = 0;
-  while (!stopping_) {
-    timer.expires_after(kUpkeepInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    co_await write_progress_counts();
-    if (++round % kCheckpointRounds == 0) {
-      collect_checkpoints();
-      co_await write_checkpoints();
-    }
-    start_waiting();
-    store_.forget_erased();
-    co_await erase_expired();
-  }
-}
-
 void JobRunner::enter_stage(const JobKey& key, const ActiveJob& job, std::uint32_t index,
                             ItemStage stage) {
   if (job.stopped || !job.unlisted.contains(index)) return;
@@ -321,75 +327,6 @@
   return job == jobs_.end() ? std::string() : job->second->items[index].id;
 }
 
-void JobRunner::add_checkpoint(const ItemRun& run) {
-  if (!run.has_progress()) return;
-  const ItemProgress& progress = run.progress();
-  const ItemProgress* read = store_.progress_of(progress.job, progress.item);
-  if (!checkpointed_.is_news(progress, read)) return;
-  const PartitionName partition = store_.partition_of(JobData::kProgress, progress.job);
-  checkpoints_[partition].push_back(progress);
-}
-
-void JobRunner::collect_checkpoints() {
-  for (const auto& [key, job] : jobs_) {
-    for (const auto& [index, run] : job->runs) add_checkpoint(*run);
-  }
-}
-
-asio::awaitable<void> JobRunner::write_checkpoints() {
-  const auto batches = std::exchange(checkpoints_, {});
-  for (const auto& [partition, entries] : batches) {
-    std::vector<KeyedRecord> records;
-    std::vector<const ItemProgress*> included;
-    std::uint64_t bytes = 0;
-    for (const auto& entry : entries) {
-      const std::uint64_t size = entry.text.size() + kRecordOverhead;
-      const bool fits =
-          size <= store_.limits().record_bytes && bytes + size <= store_.limits().call_bytes;
-      // What does not fit is only read again if this node is lost.
-      if (!fits) continue;
-      bytes += size;
-      records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
-      included.push_back(&entry);
-    }
-    if (records.empty()) continue;
-    const LogStatus status = co_await store_.append_records(partition, std::move(records));
-    // Without an answer it may be durable or not; then it is written again in the next round.
-    if (status != LogStatus::kOk) continue;
-    for (const ItemProgress* entry : included) {
-      if (jobs_.contains(entry->job)) checkpointed_.written(*entry);
-    }
-  }
-}
-
-asio::awaitable<void> JobRunner::write_progress_counts() {
-  const std::set<JobKey> changed = std::exchange(counts_changed_, {});
-  for (const JobKey& key : changed) {
-    const auto found = jobs_.find(key);
-    if (found == jobs_.end()) continue;
-    const auto job = found->second;
-    const auto configuration = context_.configuration;
-    const Route* route = configuration ? configuration->find_route(job->host, job->path) : nullptr;
-    // Only the limit on queued tokens needs the count.
-    if (route == nullptr || route->max_queued_tokens == 0) continue;
-    const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kProgress, key,
-                                                  encode_tokens(job->finished_tokens));
-    if (status != LogStatus::kOk) counts_changed_.insert(key);
-  }
-}
-
-asio::awaitable<void> JobRunner::erase_expired() {
-  const std::int64_t now = wall_clock_ms();
-  const Duration lifetime = settings_.status_lifetime + 2 * settings_.clock_skew;
-  std::vector<std::pair<std::string, JobKey>> expired;
-  store_.for_each_job([&](const JobKey& key, const JobEntry& job) {
-    const Duration age = std::chrono::milliseconds(now - job.submission.submitted_ms);
-    if (job.open() || !holds(key) || age < lifetime) return;
-    expired.emplace_back(job.submission.host, key);
-  });
-  for (const auto& [host, key] : expired) co_await store_.erase(host, key);
-}
-
 asio::awaitable<void> JobRunner::stop() {
   stopping_ = true;
   co_await membership_.leave();
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "admission/shared_room.h"
 #include "base/timer.h"
 #include "gateway/gateway_context.h"
 #include "jobs/checkpoint_table.h"
@@ -65,6 +66,7 @@
     std::vector<JobItem> items;
     std::map<std::uint32_t, ItemRequest> requests;  ///< Of the items that wait to be run.
     std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs;
+    RoomHolder holder;  ///< What its items count towards; fixed when the first one may be read.
     std::uint64_t finished_tokens = 0;
     std::set<std::uint32_t> unlisted;  ///< Items without a durable result.
     bool stopped = false;
@@ -88,8 +90,12 @@
   void request_read(const JobKey& key, ActiveJob& job, std::uint32_t index, ItemRequest request);
   void stop_job(const JobKey& key, bool keep_progress);
   void start_waiting();
-  /// Whether more requests may be read.
-  [[nodiscard]] bool has_room_for_requests() const;
+  /// Returns whether more requests of the job may be read.
+  [[nodiscard]] bool has_room_for_requests(const JobKey& key) const;
+  [[nodiscard]] RoomHolder holder_of(const JobKey& key, const ActiveJob& job) const;
+  /// Gives the turn of the next item that may have one to it.
+  /// @return false if there is none.
+  bool start_next();
   /// Notes an item's stage; one that was stopped, or has a durable result, has none.
   void enter_stage(const JobKey& key, const ActiveJob& job, std::uint32_t index, ItemStage stage);
   [[nodiscard]] std::string item_id(const JobKey& key, std::uint32_t index) const;
@@ -122,7 +128,9 @@
   TimePoint started_{};
   MembersListener members_listener_;
   std::size_t running_items_ = 0;
-  std::uint64_t held_request_bytes_ = 0;  ///< Of items that wait or run.
+  SharedRoom turns_;          ///< Of items that run or wait for a slot.
+  SharedRoom waiting_room_;   ///< Of items that wait for their turn.
+  SharedRoom request_bytes_;  ///< Of items that wait or run.
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/src/jobs/job_runner_upkeep.cc
@@ -0,0 +1,109 @@
+/// @file
+/// Upkeep of a job runner: progress counts, checkpoints of running items, deletion of old jobs.
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/timer.h"
+#include "jobs/job_runner.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Between rounds of upkeep: progress counts and deletion of old jobs.
+constexpr Duration kUpkeepInterval = std::chrono::milliseconds(700);
+/// Rounds of upkeep between two records of how far running items came.
+constexpr int kCheckpointRounds = 3;
+/// Bytes of a checkpoint record that are not its text.
+constexpr std::uint64_t kRecordOverhead = 600;
+
+}  // namespace
+
+asio::awaitable<void> JobRunner::maintain() {
+  Timer timer(context_.executor);
+  int round = 0;
+  while (!stopping_) {
+    timer.expires_after(kUpkeepInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await write_progress_counts();
+    if (++round % kCheckpointRounds == 0) {
+      collect_checkpoints();
+      co_await write_checkpoints();
+    }
+    start_waiting();
+    store_.forget_erased();
+    co_await erase_expired();
+  }
+}
+
+void JobRunner::add_checkpoint(const ItemRun& run) {
+  if (!run.has_progress()) return;
+  const ItemProgress& progress = run.progress();
+  const ItemProgress* read = store_.progress_of(progress.job, progress.item);
+  if (!checkpointed_.is_news(progress, read)) return;
+  const PartitionName partition = store_.partition_of(JobData::kProgress, progress.job);
+  checkpoints_[partition].push_back(progress);
+}
+
+void JobRunner::collect_checkpoints() {
+  for (const auto& [key, job] : jobs_) {
+    for (const auto& [index, run] : job->runs) add_checkpoint(*run);
+  }
+}
+
+asio::awaitable<void> JobRunner::write_checkpoints() {
+  const auto batches = std::exchange(checkpoints_, {});
+  for (const auto& [partition, entries] : batches) {
+    std::vector<KeyedRecord> records;
+    std::vector<const ItemProgress*> included;
+    std::uint64_t bytes = 0;
+    for (const auto& entry : entries) {
+      const std::uint64_t size = entry.text.size() + kRecordOverhead;
+      const bool fits =
+          size <= store_.limits().record_bytes && bytes + size <= store_.limits().call_bytes;
+      // What does not fit is only read again if this node is lost.
+      if (!fits) continue;
+      bytes += size;
+      records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
+      included.push_back(&entry);
+    }
+    if (records.empty()) continue;
+    const LogStatus status = co_await store_.append_records(partition, std::move(records));
+    // Without an answer it may be durable or not; then it is written again in the next round.
+    if (status != LogStatus::kOk) continue;
+    for (const ItemProgress* entry : included) {
+      if (jobs_.contains(entry->job)) checkpointed_.written(*entry);
+    }
+  }
+}
+
+asio::awaitable<void> JobRunner::write_progress_counts() {
+  const std::set<JobKey> changed = std::exchange(counts_changed_, {});
+  for (const JobKey& key : changed) {
+    const auto found = jobs_.find(key);
+    if (found == jobs_.end()) continue;
+    const auto job = found->second;
+    const auto configuration = context_.configuration;
+    const Route* route = configuration ? configuration->find_route(job->host, job->path) : nullptr;
+    // Only the limit on queued tokens needs the count.
+    if (route == nullptr || route->max_queued_tokens == 0) continue;
+    const LogStatus status = co_await store_.mark(job->host, JobRecordKind::kProgress, key,
+                                                  encode_tokens(job->finished_tokens));
+    if (status != LogStatus::kOk) counts_changed_.insert(key);
+  }
+}
+
+asio::awaitable<void> JobRunner::erase_expired() {
+  const std::int64_t now = wall_clock_ms();
+  const Duration lifetime = settings_.status_lifetime + 2 * settings_.clock_skew;
+  std::vector<std::pair<std::string, JobKey>> expired;
+  store_.for_each_job([&](const JobKey& key, const JobEntry& job) {
+    const Duration age = std::chrono::milliseconds(now - job.submission.submitted_ms);
+    if (job.open() || !holds(key) || age < lifetime) return;
+    expired.emplace_back(job.submission.host, key);
+  });
+  for (const auto& [host, key] : expired) co_await store_.erase(host, key);
+}
+
+}  // namespace stoathold
