Lend slots between zones

A node whose zone has no slot for work that would be late there asks another zone; two nodes of that zone lend, each at its part of the runners, count what they lent as their own use in the digests that go anyway, and make batch give slots back. Online work goes to other zones on borrowed slots only, and as before to zones none of whose nodes answers. Off, the fleet serves as before.

Runs: stoathold_routing_test (129 tests), gateway, platform, jobs, admission and base tests passed.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -139,6 +139,13 @@
     EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
                "A runner has started again under the id that it had; nothing that was known of it "
                "before holds."},
+    EventEntry{
+        Event::kSlotsBorrowed, "slots_borrowed", EventLevel::kInfo,
+        "Work would be late in this zone; the node, which held none, was lent slots of another."},
+    EventEntry{
+        Event::kSlotLoansExpired, "slot_loans_expired", EventLevel::kWarning,
+        "Slots lent to other zones came back since nobody renewed the loans: the borrower has "
+        "ended, or is cut off."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -47,6 +47,7 @@
   void set_traits(const DeploymentTraits& next) {
     traits = next;
     load_policy = load_policy_for(traits);
+    runners.set_lending(load_policy.lends_slots);
   }
 
   boost::asio::any_io_executor executor;
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway/gateway_context.h"
+#include "routing/slot_exchange.h"
 
 namespace stoathold {
 
@@ -23,6 +24,11 @@
   MetricLabel label{};
 };
 
+/// Adds what this node lends and has borrowed, by zone.
+/// @param zone of this node.
+void add_loan_gauges(const SlotExchange& exchange, const std::string& zone,
+                     std::vector<MetricValue>& gauges);
+
 /// Renders the counters of the gateway, the state of the runners and further gauges.
 /// Those of one name stand together.
 std::string render_gateway_metrics(const GatewayContext& context,
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -63,6 +63,17 @@
   return before < kZoneReporters;
 }
 
+std::vector<NeighbourTable::Endpoint> NeighbourTable::zone_reporters(const Endpoint& self,
+                                                                     TimePoint now) const {
+  std::vector<Endpoint> live{self};
+  for (const auto& neighbour : neighbours_) {
+    if (neighbour.heard_lately(now)) live.push_back(neighbour.endpoint);
+  }
+  std::sort(live.begin(), live.end());
+  live.resize(std::min<std::size_t>(live.size(), kZoneReporters));
+  return live;
+}
+
 std::vector<NodeEndpoint> NeighbourTable::heard_lately(TimePoint now) const {
   std::vector<NodeEndpoint> reported;
   for (const auto& neighbour : neighbours_) {
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -32,6 +32,8 @@
   /// Whether this node reports the zone's loads to other zones: the few with the lowest addresses
   /// do. Nodes that know different neighbours may disagree for a while; then more or fewer report.
   [[nodiscard]] bool is_zone_reporter(const Endpoint& self, TimePoint now) const;
+  /// Returns the nodes that report the zone's loads, in the order of their addresses.
+  [[nodiscard]] std::vector<Endpoint> zone_reporters(const Endpoint& self, TimePoint now) const;
   /// Calls `visit` with the endpoint of each.
   template <typename Visitor>
   void for_each(const Visitor& visit) const {
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -53,7 +53,8 @@
       send_timer_(executor_),
       expiry_timer_(executor_),
       tenant_timer_(executor_),
-      ends_timer_(executor_) {
+      ends_timer_(executor_),
+      slots_timer_(executor_) {
   std::string host;
   std::uint16_t port = 0;
   split_address(listen, host, port);
@@ -93,6 +94,10 @@
     group.emplace_back(endpoint.address(), endpoint.port());
   }
   zone_nodes_.set_listed(listed);
+  if (slots_ == nullptr) return;
+  std::vector<std::string> zones;
+  for (const auto& [zone, nodes] : remote_zones_) zones.push_back(zone);
+  slots_->set_zones(std::move(zones), monotonic_now());
 }
 
 void PeerLoads::receive() {
@@ -122,6 +127,8 @@
     take_end_reports(std::move(*ends));
   } else if (const auto* yield = std::get_if<YieldRequest>(&message)) {
     if (yield_handler_) yield_handler_(*yield);
+  } else if (slots_ != nullptr) {
+    take_slot_message(message);
   }
 }
 
@@ -178,7 +185,12 @@
 }
 
 std::vector<ServiceDemand> PeerLoads::own_demand() const {
-  return demand_source_ ? demand_source_() : std::vector<ServiceDemand>{};
+  std::vector<ServiceDemand> demand =
+      demand_source_ ? demand_source_() : std::vector<ServiceDemand>{};
+  if (slots_ == nullptr) return demand;
+  const auto lent = slots_->demand(monotonic_now());
+  demand.insert(demand.end(), lent.begin(), lent.end());
+  return demand;
 }
 
 LoadDigest PeerLoads::make_digest(const std::string& zone) {
@@ -188,9 +200,10 @@
   digest.sequence = ++sequence_;
   const TimePoint now = monotonic_now();
   for (const auto& [id, runner] : registry_.all()) {
-    if (runner->in_flight() == 0) continue;
     if (!zone.empty() && runner->record().zone != zone) continue;
-    digest.uses.push_back({runner->hash(), static_cast<std::uint16_t>(runner->in_flight()),
+    const std::uint32_t in_flight = use_to_report(*runner, zone.empty(), now);
+    if (in_flight == 0) continue;
+    digest.uses.push_back({runner->hash(), static_cast<std::uint16_t>(in_flight),
                            static_cast<std::uint16_t>(runner->batch_in_flight()),
                            runner->backlog_tokens(),
                            saturated_milliseconds(now - runner->last_heard())});
@@ -235,6 +248,7 @@
 
 void PeerLoads::use_changed() {
   schedule_send();
+  if (slots_ != nullptr && registry_.lending()) schedule_slots();
 }
 
 Duration PeerLoads::send_interval() const {
@@ -304,6 +318,7 @@
     if (peer_uses_.expire(now) && listener_) listener_();
     report_remote_use();
     send_zone_loads();
+    if (slots_ != nullptr) slots_->refresh(now);
     send_end_reports();
     send_remote_end_reports();
     const Duration repeat = in_use_ ? kRepeatInterval : kHeartbeatInterval;
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -25,6 +25,7 @@
 #include "routing/neighbour_table.h"
 #include "routing/peer_use_table.h"
 #include "routing/runner_registry.h"
+#include "routing/slot_exchange.h"
 #include "tenancy/tenant_gossip.h"
 
 namespace stoathold {
@@ -86,6 +87,10 @@
   }
   /// Has the digests inside the zone carry what another module reports.
   void add_digest_part(DigestPart part) { digest_parts_.push_back(std::move(part)); }
+  /// Carries the messages by which zones lend slots. The exchange outlives this object.
+  /// @param waiting online work that waits here, in the order in which it is placed.
+  void share_slots(SlotExchange& exchange,
+                   std::function<std::vector<WaitingWork>(TimePoint now)> waiting);
   /// Asks the node that runs the most batch items at the runners that the request names for a
   /// place.
   /// @return false if none is known to run any.
@@ -106,6 +111,7 @@
   void take_digest(LoadDigest digest);
   void take_ejections(const LoadDigest& digest, TimePoint now);
   void take_zone_loads(ZoneLoads loads);
+  void take_slot_message(const PeerLoadMessage& message);
   /// Sends a message of another zone to the nodes of this one.
   template <typename Message>
   void pass_on(Message message) {
@@ -122,6 +128,10 @@
   void send_end_reports();
   void send_remote_end_reports();
   void schedule_send();
+  void schedule_slots();
+  [[nodiscard]] std::vector<LendingNode> lending_nodes() const;
+  [[nodiscard]] std::uint32_t use_to_report(const Runner& runner, bool own_zone,
+                                            TimePoint now) const;
   void send();
   void report_remote_use();
   void send_zone_loads();
@@ -158,12 +168,15 @@
   PaceSource pace_source_;
   PaceListener pace_listener_;
   std::vector<DigestPart> digest_parts_;
+  SlotExchange* slots_ = nullptr;  ///< Null: zones lend one another nothing.
   std::string buffer_;
   Endpoint from_;
   Timer send_timer_;
   Timer expiry_timer_;
   Timer tenant_timer_;
   Timer ends_timer_;
+  Timer slots_timer_;
+  bool slots_scheduled_ = false;
   bool ends_scheduled_ = false;
   std::size_t tenant_turn_ = 0;  ///< Picks the node of a zone that gets the zone's report.
   TimePoint last_sent_{};
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -39,9 +39,10 @@
 /// Tells a node of each zone whose runners this node uses, and once of the end of that. Each time
 /// another node, so that one that is gone costs one message.
 void PeerLoads::report_remote_use() {
+  const TimePoint now = monotonic_now();
   std::set<std::string> used;
   for (const auto& [id, runner] : registry_.all()) {
-    if (runner->in_flight() > 0) used.insert(runner->record().zone);
+    if (use_to_report(*runner, false, now) > 0) used.insert(runner->record().zone);
   }
   for (const auto& [zone, peers] : remote_zones_) {
     const bool uses = used.contains(zone);
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -134,17 +134,21 @@
 void PeerUseTable::publish_demand(TimePoint now) {
   std::set<std::uint64_t> services;
   std::set<std::uint64_t> urgent;
+  std::map<std::uint64_t, std::uint32_t> waiting;
   for (const auto& [sender, state] : states_) {
     if (state.zone != zone_hash_ || now - state.received > kDemandLifetime) continue;
     const bool fresh = now - state.received <= kContenderLifetime;
     for (const auto& demand : state.demand) {
       services.insert(demand.service);
-      if (fresh && demand.waiting > 0) urgent.insert(demand.service);
+      if (!fresh || demand.waiting == 0) continue;
+      urgent.insert(demand.service);
+      waiting[demand.service] += demand.waiting;
     }
   }
   demand_published_ = !services.empty();
   registry_.set_peer_demand(std::move(services));
   registry_.set_peer_urgent_demand(std::move(urgent));
+  registry_.set_peers_waiting(std::move(waiting));
 }
 
 bool PeerUseTable::expire(TimePoint now) {
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -61,6 +61,7 @@
 bool PlacementQueue::try_place(PlacementTicket& ticket, TimePoint now) {
   const PlacementRequest& request = ticket.request_;
   SelectionRequest wanted = request.selection;
+  wanted.borrowed_only = request.work == WorkClass::kOnline && registry_.lending();
   if (request.work == WorkClass::kBatch) {
     if (registry_.peers_wait_for(wanted.service)) {
       last_demand_[wanted.service] = now;
@@ -114,6 +115,8 @@
   waiting_.insert(ticket);
   ticket->ask_yield_at_ = now + kYieldAfter;
   watch();
+  // Slots of other zones are asked for at once, not when the others hear of it next.
+  if (use_listener_ && registry_.lending()) use_listener_();
   ticket->timer_.expires_after(std::max(Duration{0}, ticket->request_.give_up - now));
   auto& runner = ticket->selection_.runner;
   if (!ticket->cancelled_ && !runner) {
@@ -154,6 +157,16 @@
   return demand;
 }
 
+std::vector<WaitingWork> PlacementQueue::online_work(TimePoint now) const {
+  std::vector<WaitingWork> work;
+  for (const auto& ticket : waiting_) {
+    const PlacementRequest& request = ticket->request_;
+    if (request.work != WorkClass::kOnline || ticket->cancelled_) continue;
+    work.push_back({stable_hash(request.selection.service), request.due - now, request.slot_time});
+  }
+  return work;
+}
+
 void PlacementQueue::drop_hopeless() {
   // Cancelled tickets leave the queue when their waits return, not in this loop.
   for (const auto& ticket : waiting_) {
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -19,6 +19,7 @@
 #include "routing/load_messages.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_selector.h"
+#include "routing/slot_loans.h"
 
 namespace stoathold {
 
@@ -112,6 +113,8 @@
   void set_use_listener(std::function<void()> listener) { use_listener_ = std::move(listener); }
   /// Returns how many wait.
   [[nodiscard]] std::size_t waiting(WorkClass work) const;
+  /// Returns the online work that waits, in the order in which it is placed.
+  [[nodiscard]] std::vector<WaitingWork> online_work(TimePoint now) const;
   /// Returns the online work that waits, and that which had to wait just now.
   [[nodiscard]] std::vector<ServiceDemand> online_demand() const;
 
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -154,7 +154,7 @@
 void Runner::take_report(const LoadReport& report, TimePoint now) {
   report_ = report;
   report_time_ = now;
-  known_at_report_ = in_flight_ + peer_in_flight_;
+  known_at_report_ = in_flight_ + peer_in_flight_ + lent_;
 }
 
 void Runner::take_zone_load(double load, TimePoint now) {
@@ -189,8 +189,22 @@
   reserved_until_.push_back(until);
 }
 
+std::uint32_t Runner::borrowed(TimePoint now) const {
+  return now < borrowed_until_ ? borrowed_ : 0;
+}
+
+std::uint32_t Runner::unused_borrowed(TimePoint now) const {
+  if (borrowed_reclaimed_) return 0;
+  const std::uint32_t slots = borrowed(now);
+  return slots - std::min(slots, online_in_flight());
+}
+
+std::uint32_t Runner::in_flight_beyond_loan(TimePoint now) const {
+  return in_flight_ - std::min(online_in_flight(), borrowed(now));
+}
+
 double Runner::load(TimePoint now) const {
-  const double known = in_flight_ + peer_in_flight_ + reserved(now);
+  const double known = in_flight_ + peer_in_flight_ + lent_ + reserved(now);
   double expected = known;
   const Duration age = now - report_time_;
   if (age < kReportLifetime && report_time_ != TimePoint{}) {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -122,6 +122,22 @@
   void reserve_for_others(TimePoint until, TimePoint now);
   /// Whether the nodes of the zone have more requests there than it has places.
   [[nodiscard]] bool overcommitted() const { return in_flight_ + peer_in_flight_ > slots(); }
+  /// This node lends that many slots here to nodes of other zones; they count as taken.
+  void set_lent(std::uint32_t slots) { lent_ = slots; }
+  [[nodiscard]] std::uint32_t lent() const { return lent_; }
+  /// This node has borrowed slots of the runner's zone.
+  /// @param reclaimed whether none is to be used for a further request.
+  void set_borrowed(std::uint32_t slots, TimePoint until, bool reclaimed) {
+    borrowed_ = slots;
+    borrowed_until_ = until;
+    borrowed_reclaimed_ = reclaimed;
+  }
+  /// Returns the borrowed slots that this node may use for further requests.
+  [[nodiscard]] std::uint32_t unused_borrowed(TimePoint now) const;
+  /// Returns the requests of this node there that its lender does not count.
+  [[nodiscard]] std::uint32_t in_flight_beyond_loan(TimePoint now) const;
+  /// Those of `in_flight` that are online requests.
+  [[nodiscard]] std::uint32_t online_in_flight() const { return in_flight_ - batch_in_flight_; }
   /// Those of `in_flight` that are batch items.
   [[nodiscard]] std::uint32_t batch_in_flight() const { return batch_in_flight_; }
   /// A batch item of this node at the runner was asked to give its slot back, or has done so.
@@ -196,7 +212,12 @@
   std::uint32_t peer_backlog_ = 0;
   std::uint32_t peer_batch_in_flight_ = 0;
   [[nodiscard]] std::uint32_t reserved(TimePoint now) const;
+  [[nodiscard]] std::uint32_t borrowed(TimePoint now) const;
   std::vector<TimePoint> reserved_until_;
+  std::uint32_t lent_ = 0;
+  std::uint32_t borrowed_ = 0;
+  TimePoint borrowed_until_{};
+  bool borrowed_reclaimed_ = false;
   std::uint32_t yielding_ = 0;  ///< Own batch items there that were asked to yield.
 };
 
@@ -231,6 +252,24 @@
   void set_peer_urgent_demand(std::set<std::uint64_t> services) {
     peer_urgent_demand_ = std::move(services);
   }
+  /// Requests that can still be in time and wait at other nodes of the zone, by the hash of their
+  /// service.
+  void set_peers_waiting(std::map<std::uint64_t, std::uint32_t> waiting) {
+    peers_waiting_ = std::move(waiting);
+  }
+  /// Returns how many wait at other nodes for the service with this hash.
+  [[nodiscard]] std::uint32_t peers_waiting(std::uint64_t service) const {
+    const auto found = peers_waiting_.find(service);
+    return found == peers_waiting_.end() ? 0 : found->second;
+  }
+  /// Whether zones lend one another slots: online work goes to other zones on borrowed slots only.
+  void set_lending(bool lending) { lending_ = lending; }
+  [[nodiscard]] bool lending() const { return lending_; }
+  /// Zones whose nodes answer requests for slots.
+  void set_lending_zones(std::set<std::string> zones) { lending_zones_ = std::move(zones); }
+  [[nodiscard]] bool zone_lends(const std::string& zone) const {
+    return lending_zones_.contains(zone);
+  }
   /// Whether online work for the service that can still be in time waits at another node.
   [[nodiscard]] bool peers_wait_in_time_for(const std::string& service) const;
   /// Whether online work for the service waits at another node of the zone.
@@ -258,6 +297,9 @@
   std::uint64_t revision_ = 1;
   std::set<std::uint64_t> peer_demand_;
   std::set<std::uint64_t> peer_urgent_demand_;
+  std::map<std::uint64_t, std::uint32_t> peers_waiting_;  ///< By hash of the service.
+  bool lending_ = false;
+  std::set<std::string> lending_zones_;
 };
 
 }  // namespace stoathold
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -60,6 +60,13 @@
   }
 }
 
+/// Whether a slot of another zone was lent for it, whatever else its load tells.
+bool is_lent(const Candidate& candidate, const SelectionRequest& request, TimePoint now) {
+  const Runner& runner = *candidate.runner;
+  return request.borrowed_only && runner.record().zone != request.zone &&
+         runner.unused_borrowed(now) > 0;
+}
+
 /// Nodes of other zones use a runner there without telling this node. So such a runner takes work
 /// only if it has reported its load just now, or as one of few trials that make it do so.
 bool may_spill_to(const Candidate& candidate, std::size_t trials, TimePoint now) {
@@ -89,6 +96,29 @@
   return remote;
 }
 
+/// Runners of the own zone with room, whatever their load: a slot of another zone costs a loan and
+/// bytes between zones, and is wanted only for what would be late. Zones that do not answer are
+/// tried as without loans.
+std::vector<Candidate> prefer_own_zone(const RunnerRegistry& registry,
+                                       const std::vector<Candidate>& candidates,
+                                       const SelectionRequest& request, TimePoint now) {
+  std::vector<Candidate> local;
+  std::vector<Candidate> unlent;
+  std::vector<Candidate> lent;
+  for (const auto& candidate : candidates) {
+    const std::string& zone = candidate.runner->record().zone;
+    if (zone == request.zone) {
+      local.push_back(candidate);
+    } else if (is_lent(candidate, request, now)) {
+      lent.push_back(candidate);
+    } else if (!registry.zone_lends(zone)) {
+      unlent.push_back(candidate);
+    }
+  }
+  if (!local.empty()) return local;
+  return lent.empty() ? prefer_zone(unlent, request.zone, now) : lent;
+}
+
 /// Rendezvous hashing: the same prefix ranks the same runner highest at every node of a zone, so
 /// that one runner keeps it.
 const Runner* warm_runner(const std::vector<Candidate>& candidates,
@@ -151,14 +181,17 @@
   }
   if (request.preempt_batch) keep_preemptible(candidates, request.zone);
   if (request.load_limit > 0) {
-    std::erase_if(candidates,
-                  [&](const Candidate& candidate) { return candidate.load >= request.load_limit; });
+    std::erase_if(candidates, [&](const Candidate& candidate) {
+      return candidate.load >= request.load_limit && !is_lent(candidate, request, now);
+    });
     if (candidates.empty()) {
       selection.failure = SelectionFailure::kAllBusy;
       return selection;
     }
   }
-  std::vector<Candidate> local = prefer_zone(candidates, request.zone, now);
+  std::vector<Candidate> local = request.borrowed_only
+                                     ? prefer_own_zone(registry, candidates, request, now)
+                                     : prefer_zone(candidates, request.zone, now);
   if (local.empty()) {
     selection.failure = SelectionFailure::kAllBusy;
     return selection;
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -22,6 +22,8 @@
   std::uint32_t shared_tokens = 0;  ///< Of its shared prefix; a warm runner need not read them.
   double load_limit = 0;            ///< Runners at or above this load are left out; 0: no limit.
   std::vector<std::uint64_t> excluded;  ///< Starts of runners tried before, by `Runner::hash`.
+  /// Runners of other zones are taken on borrowed slots only.
+  bool borrowed_only = false;
   /// Only runners without a free slot at which a batch item can be made to give one back.
   bool preempt_batch = false;
   /// Whether a connection to a runner is kept that the request may use. Among runners that are as
--- a/src/routing/slot_loans.cc
+++ b/src/routing/slot_loans.cc
@@ -155,6 +155,7 @@
   book.newest = {.service = service, .borrower = self_, .number = ++number_, .slots = slots};
   for (const auto& [runner, held] : book.held) book.newest.held.push_back({runner, held.slots});
   book.sent = now;
+  if (book.unanswered_since == TimePoint{}) book.unanswered_since = now;
   book.answered.clear();
   book.gained = 0;
   return book.newest;
@@ -170,6 +171,7 @@
       book.sent + std::min<Duration>(kLoanLifetime, std::chrono::milliseconds(loan.lifetime_ms));
   if (now >= until || !book.answered.insert(loan.lender).second) return 0;
   if (book.answered.size() == 1) note_answer_time(now - book.sent);
+  book.unanswered_since = {};
   book.reclaimed = loan.reclaims;
   std::uint32_t gained = 0;
   for (const LentSlots& lent : loan.slots) {
@@ -237,11 +239,24 @@
   return returned;
 }
 
+std::string SlotBorrower::zone_of_request(std::uint64_t number) const {
+  const auto found = std::find_if(zones_.begin(), zones_.end(), [number](const auto& entry) {
+    return entry.second.newest.number == number;
+  });
+  return found == zones_.end() ? std::string() : found->first;
+}
+
 bool SlotBorrower::reclaimed(const std::string& zone) const {
   const auto found = zones_.find(zone);
   return found != zones_.end() && found->second.reclaimed;
 }
 
+bool SlotBorrower::silent(const std::string& zone, TimePoint now) const {
+  const auto found = zones_.find(zone);
+  if (found == zones_.end() || found->second.unanswered_since == TimePoint{}) return false;
+  return now - found->second.unanswered_since >= kLoanLifetime;
+}
+
 std::uint32_t SlotBorrower::held_in(const std::string& zone, TimePoint now) const {
   const auto found = zones_.find(zone);
   if (found == zones_.end()) return 0;
--- a/src/routing/slot_loans.h
+++ b/src/routing/slot_loans.h
@@ -119,6 +119,8 @@
   /// Takes a lender's answer.
   /// @return slots that it adds.
   std::uint32_t take(const SlotLoan& loan, TimePoint now);
+  /// Returns the zone whose newest request has this number; empty if there is none.
+  [[nodiscard]] std::string zone_of_request(std::uint64_t number) const;
   /// Returns the slots that are held at a runner.
   [[nodiscard]] std::uint32_t held(std::uint64_t runner, TimePoint now) const;
   /// Gives unused slots of a zone back.
@@ -137,15 +139,20 @@
   [[nodiscard]] Duration answer_time() const { return answer_time_; }
   /// Whether the zone wants its slots back.
   [[nodiscard]] bool reclaimed(const std::string& zone) const;
+  /// Whether nobody in the zone has answered for a lifetime, though asked again and again.
+  [[nodiscard]] bool silent(const std::string& zone, TimePoint now) const;
   /// Whether anything is held or awaited of a zone.
   [[nodiscard]] bool involved(const std::string& zone, TimePoint now) const;
   /// Returns the slots held in a zone.
   [[nodiscard]] std::uint32_t held_in(const std::string& zone, TimePoint now) const;
-  /// Calls `visit(runner, slots, until)` for each runner at which slots are or were just held.
+  /// Calls `visit(runner, slots, until, reclaimed)` for each runner at which slots are or were just
+  /// held.
   template <typename Visitor>
   void for_each(const Visitor& visit) const {
     for (const auto& [zone, book] : zones_) {
-      for (const auto& [runner, held] : book.held) visit(runner, held.slots, held.until);
+      for (const auto& [runner, held] : book.held) {
+        visit(runner, held.slots, held.until, book.reclaimed);
+      }
     }
   }
 
@@ -155,8 +162,10 @@
     TimePoint until{};
   };
   struct ZoneBook {
-    SlotLoanRequest newest;            ///< Newest request to the zone; its number 0: none yet.
-    TimePoint sent{};                  ///< When it was sent.
+    SlotLoanRequest newest;  ///< Newest request to the zone; its number 0: none yet.
+    TimePoint sent{};        ///< When it was sent.
+    TimePoint
+        unanswered_since{};  ///< First request since the last answer; the clock's start: none.
     std::set<std::uint64_t> answered;  ///< Lenders that have answered it.
     std::uint32_t gained = 0;          ///< Slots that the answers have added.
     bool reclaimed = false;
--- a/tests/routing/slot_loan_fleet.h
+++ b/tests/routing/slot_loan_fleet.h
@@ -496,7 +496,7 @@
   void compare_books(const std::map<std::uint64_t, std::uint32_t>& lent) {
     std::map<std::uint64_t, std::uint32_t> held;
     for (const Node& node : nodes_) {
-      node.borrower.for_each([&](std::uint64_t runner, std::uint16_t slots, TimePoint until) {
+      node.borrower.for_each([&](std::uint64_t runner, std::uint16_t slots, TimePoint until, bool) {
         if (now_ < until) held[runner] += slots;
       });
     }
