Online requests that cannot be in time are rejected at once, with a time to come back

Cause: a request for which all slots were taken waited up to 2 s, and was then told to come back in 0.2 s, whatever waited before it.

Change: each node predicts the wait from what waits in the zone (counters in digests), the slots and the time that they are held. A newcomer that cannot be in time behind others that can is rejected as it comes, or when a review finds it out; nobody is rejected without figures or beside an idle slot. Retry-After comes from the swing of arrivals and from who was told to come already, spread; none where coming back cannot help. Callers that come as told are recognised at all nodes of the zone by the request's content, go before newcomers inside their turn, and are not rejected for lateness again. Streams are not placed once their callers have left. All of it follows LoadPolicy::predicts_waits. Free slots of zones that lend count against what is ahead, so that requests wait for a loan before they are rejected.

--- a/src/admission/backlog_report.h
+++ b/src/admission/backlog_report.h
@@ -6,17 +6,20 @@
 
 namespace stoathold {
 
-/// Online work for one service at the sender.
+/// Online work for one service at the sender. Counters count from the sender's start and wrap
+/// around: only differences count, so that a lost report costs nothing.
 struct ServiceBacklog {
   std::uint64_t service = 0;          ///< Hash of its name.
   std::uint8_t priority = 0;          ///< 0 is the most urgent.
-  std::uint16_t waiting = 0;          ///< Requests that wait for a slot.
+  std::uint16_t waiting = 0;          ///< Requests that wait for a slot and can be in time.
   std::uint32_t waiting_slot_ms = 0;  ///< Slot time that they are predicted to take.
-  std::uint32_t freed_slots = 0;      ///< Slots that the sender gave back since its start; wraps.
+  std::uint32_t freed_slots = 0;      ///< Slots that requests gave back.
+  std::uint32_t freed_slot_ms = 0;    ///< Time for which those were held.
+  std::uint32_t arrivals = 0;         ///< Requests that came, without those told to come back.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(service, priority, waiting, waiting_slot_ms, freed_slots);
+    archive(service, priority, waiting, waiting_slot_ms, freed_slots, freed_slot_ms, arrivals);
   }
 };
 
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -139,6 +139,9 @@
     EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
                "A runner has started again under the id that it had; nothing that was known of it "
                "before holds."},
+    EventEntry{Event::kWaitRejected, "wait_rejected", EventLevel::kInfo,
+               "An online request that found no slot was rejected before its wait was over; the "
+               "line holds the figures, with the age of the oldest report of another node."},
     EventEntry{
         Event::kSlotsBorrowed, "slots_borrowed", EventLevel::kInfo,
         "Work would be late in this zone; the node, which held none, was lent slots of another."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -77,6 +77,7 @@
   kPeerDatagramFailed = 1608,
   kStoreTraffic = 1609,
   kRunnerRestarted = 1610,
+  kWaitRejected = 1700,
   kSlotsBorrowed = 1730,
   kSlotLoansExpired = 1731,
   kEmulatorStarted = 1901,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "gateway/durations_by_route.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/header_dialect.h"
+#include "gateway/online_admission.h"
 #include "gateway/upstream.h"
 #include "quarantine/quarantine.h"
 #include "routing/configuration.h"
@@ -30,6 +31,7 @@
         dialect(std::move(dialect_in)),
         zone(std::move(zone_in)),
         placement(executor, runners),
+        admission(load_policy, runners, placement, zone),
         pool(executor, dialect),
         quarantine([this](std::uint64_t runner) { return runners.last_heard(runner); }) {
     quarantine.set_change_listener([this] { placement.drop_hopeless(); });
@@ -59,6 +61,7 @@
   RunnerRegistry runners;
   TrafficSplit split;
   PlacementQueue placement;
+  OnlineAdmission admission;
   UpstreamPool pool;
   Quarantine quarantine;
   GatewayMetrics metrics;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -115,6 +115,48 @@
   return family;
 }
 
+/// Adds a gauge by service.
+void add_service_gauge(const std::string& name, const std::string& help,
+                       const std::map<std::string, double>& values,
+                       std::vector<MetricFamily>& families) {
+  MetricFamily family = make_family(name, help, MetricType::Gauge);
+  for (const auto& [service, value] : values) {
+    ClientMetric metric;
+    metric.label = {make_label("service", service)};
+    metric.gauge.value = value;
+    family.metric.push_back(std::move(metric));
+  }
+  families.push_back(std::move(family));
+}
+
+/// Adds who waits, how well waits were predicted, and who was told to come back.
+void add_admission(const GatewayContext& context, std::vector<MetricFamily>& families) {
+  std::map<std::string, double> waiting;
+  std::map<std::string, double> oldest;
+  for (const auto& [service, waits] : context.placement.online_waits(monotonic_now())) {
+    waiting[service] = waits.waiting;
+    oldest[service] = to_seconds(waits.oldest);
+  }
+  add_service_gauge("stoathold_service_waiting", "Online requests that wait for a slot.", waiting,
+                    families);
+  add_service_gauge("stoathold_service_oldest_wait_seconds",
+                    "Longest wait of an online request that waits for a slot now.", oldest,
+                    families);
+  const OnlineAdmission::Counters& counters = context.admission.counters();
+  families.push_back(histogram("stoathold_slot_wait_seconds",
+                               "Waits of online requests that got a slot.",
+                               counters.observed_wait));
+  families.push_back(histogram("stoathold_predicted_slot_wait_seconds",
+                               "Waits predicted for online requests that found no slot.",
+                               counters.predicted_wait));
+  families.push_back(labelled_counters(
+      "stoathold_returns_total", "Rejected callers that were told to come back, and that came.",
+      "step", {{"told", counters.told}, {"came", counters.came}}));
+  families.push_back(gauge("stoathold_returns_expected",
+                           "Callers of the zone that were told to come back and may still come.",
+                           static_cast<double>(context.admission.expected_returns())));
+}
+
 /// Adds the calls to the store by outcome, and a family for each number that is counted by topic.
 void add_store_calls(const GatewayMetrics& metrics, std::vector<MetricFamily>& families) {
   families.push_back(labelled_counters("stoathold_store_calls_total",
@@ -206,6 +248,7 @@
                            static_cast<double>(context.placement.waiting(WorkClass::kOnline))));
   families.push_back(gauge("stoathold_waiting_batch", "Batch items that wait for a runner.",
                            static_cast<double>(context.placement.waiting(WorkClass::kBatch))));
+  add_admission(context, families);
   families.push_back(gauge("stoathold_runner_connects", "Connections made to runners.",
                            static_cast<double>(context.pool.connects())));
   const double version =
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -21,17 +21,23 @@
     co_await finish_without_answer();
     co_return;
   }
-  const Duration left = quarantine_check_.time_left();
-  co_await refuse(503, RequestOutcome::kRefused, "quarantined", decimal_text(to_seconds(left)));
+  const Refusal refusal{.status = 503,
+                        .reason = "quarantined",
+                        .advice = ReturnAdvice::kAfter,
+                        .retry_after = quarantine_check_.time_left()};
+  co_await refuse(refusal);
 }
 
 /// It has not run, and would not in the time that its caller has.
 asio::awaitable<void> OnlineRequest::refuse_rejected() {
-  const PlacementRejection rejection = *rejection_;
-  const Duration retry_after = rejection.retry_after.value_or(Duration{0});
-  std::string seconds = rejection.retry_after ? decimal_text(to_seconds(retry_after)) : "";
-  co_await refuse(503, RequestOutcome::kRefused, to_string(rejection.reason).data(),
-                  std::move(seconds));
+  Refusal refusal{
+      .status = 503, .reason = to_string(rejection_->reason).data(), .advice = ReturnAdvice::kNone};
+  if (rejection_->retry_after) {
+    refusal.advice = ReturnAdvice::kAfter;
+    refusal.retry_after = *rejection_->retry_after;
+    context_.admission.told(quarantine_check_.content(), service_, refusal.retry_after);
+  }
+  co_await refuse(refusal);
 }
 
 asio::awaitable<void> OnlineRequest::finish_without_answer() {
@@ -42,25 +48,36 @@
   }
   if (stopped_ && outcome_ == RequestOutcome::kCallerGone) co_return;
   if (stopped_) {
-    co_await refuse(504, RequestOutcome::kTimedOut, "deadline");
+    const Refusal refusal{
+        .status = 504, .outcome = RequestOutcome::kTimedOut, .reason = "deadline"};
+    co_await refuse(refusal);
   } else if (runs_ == 0 && rejection_) {
     co_await refuse_rejected();
   } else if (runs_ == 0) {
-    co_await refuse(503, RequestOutcome::kRefused, "no_runner");
+    const Refusal refusal{.status = 503, .reason = "no_runner"};
+    co_await refuse(refusal);
   } else {
-    co_await refuse(502, RequestOutcome::kFailed, "runner_failed");
+    const Refusal refusal{
+        .status = 502, .outcome = RequestOutcome::kFailed, .reason = "runner_failed"};
+    co_await refuse(refusal);
   }
 }
 
-asio::awaitable<void> OnlineRequest::refuse(int status, RequestOutcome outcome, const char* reason,
-                                            std::string retry_after) {
-  outcome_ = outcome;
-  ++context_.metrics.refusals[reason];
+asio::awaitable<void> OnlineRequest::refuse(Refusal refusal) {
+  outcome_ = refusal.outcome;
+  ++context_.metrics.refusals[refusal.reason];
+  std::string retry_after;
+  if (refusal.status == 503 && refusal.advice == ReturnAdvice::kUsual) {
+    retry_after = kRetryAfterSeconds;
+  } else if (refusal.status == 503 && refusal.advice == ReturnAdvice::kAfter) {
+    retry_after = decimal_text(to_seconds(refusal.retry_after));
+  }
   log_event(Event::kRequestUnanswered,
             {{"request", id_},
              {"route", route_.name},
-             {"status", std::to_string(status)},
-             {"reason", reason},
+             {"status", std::to_string(refusal.status)},
+             {"reason", refusal.reason},
+             {"retry_after", retry_after.empty() ? "none" : retry_after},
              {"content", to_hex(value_of(quarantine_check_.content()))},
              {"sends", std::to_string(sends_)},
              {"runs", std::to_string(runs_)},
@@ -68,10 +85,10 @@
              {"configuration", std::to_string(configuration_->version)},
              {"age_ms", milliseconds_text(monotonic_now() - arrival_)}});
   std::vector<HttpHeader> headers;
-  if (retry_after.empty()) retry_after = kRetryAfterSeconds;
-  if (status == 503) headers.push_back({"Retry-After", std::move(retry_after)});
-  std::string body = std::string("{\"error\":\"") + reason + "\"}";
-  co_await exchange_.respond(status, "application/json", std::move(body), std::move(headers));
+  if (!retry_after.empty()) headers.push_back({"Retry-After", std::move(retry_after)});
+  std::string body = std::string("{\"error\":\"") + refusal.reason + "\"}";
+  co_await exchange_.respond(refusal.status, "application/json", std::move(body),
+                             std::move(headers));
 }
 
 void OnlineRequest::log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status) {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -6,7 +6,6 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
-#include "gateway/choice_fields.h"
 #include "gateway/headers.h"
 #include "gateway/log_fields.h"
 #include "gateway/prompt_prefix.h"
@@ -27,11 +26,6 @@
 constexpr Duration kShortestPatience = std::chrono::milliseconds(300);
 /// Times that patience with a runner which answers other requests.
 constexpr int kPatienceFactor = 4;
-/// Load at which a runner has no place left.
-constexpr double kFullLoad = 1.0;
-/// Longest wait for a slot: soon after, callers give a stream up (2 s, or a multiple of their
-/// objectives, on all deployments).
-constexpr Duration kLongestWait = std::chrono::milliseconds(2000);
 /// Runners that may turn a request away before it is refused.
 constexpr std::uint32_t kMaxSends = 6;
 /// Assumed where neither caller nor route bounds a request.
@@ -140,52 +134,6 @@
   co_return outcome_;
 }
 
-asio::awaitable<std::shared_ptr<Runner>> OnlineRequest::place() {
-  PlacementRequest request;
-  request.selection = {.service = service_,
-                       .zone = context_.zone,
-                       .affinity_key = prompt_.shared_key,
-                       .prompt_tokens = prompt_.tokens,
-                       .shared_tokens = prompt_.shared_tokens,
-                       .load_limit = kFullLoad,
-                       .excluded = tried_};
-  if (route_.repeatable()) request.selection.connected = context_.connected();
-  request.priority = caller_.priority.value_or(route_.priority);
-  // In time is who gets the first event by then: placed later, it would only keep others late.
-  const Duration first_event = context_.first_event_times.expected(route_.name);
-  request.due = arrival_ + route_.latency_objective - first_event;
-  request.give_up = std::min(arrival_ + kLongestWait, deadline_);
-  request.hopeless = [this] { return quarantine_check_.is_quarantined(); };
-  if (head_sent_) {
-    // The caller is reading: the next event is due however long ago the request came.
-    const TimePoint now = monotonic_now();
-    request.due = now + route_.event_gap_objective - first_event;
-    request.give_up = std::min(now + kLongestWait, deadline_);
-  }
-  request.tenant = caller_.tenant;
-  request.route = route_.name;
-  request.last_use = deadline_;
-  request.runs_once = !route_.repeatable();
-  ticket_ = context_.placement.make_ticket(std::move(request));
-  const auto runner = co_await context_.placement.acquire(ticket_);
-  tokens_to_read_ = ticket_->selection().tokens_to_read;
-  if (runner) log_choice(ticket_->selection());
-  rejection_ = ticket_->rejection();
-  ticket_.reset();
-  co_return runner;
-}
-
-void OnlineRequest::log_choice(const Selection& choice) {
-  const TimePoint now = monotonic_now();
-  choice_ = choice_text(choice, now);
-  log_event(sends_ == 0 ? Event::kRequestSent : Event::kRequestSentAgain,
-            {{"request", id_},
-             {"runner", choice.runner->record().id},
-             {"choice", choice_},
-             {"configuration", std::to_string(configuration_->version)},
-             {"age_ms", milliseconds_text(now - arrival_)}});
-}
-
 asio::awaitable<void> OnlineRequest::run_attempts() {
   while (!stopped_ && sends_ < kMaxSends) {
     // A request that ends its runners comes again under other ids, at any node: known by its
@@ -240,7 +188,8 @@
   if (runs_ > 0) {
     co_await finish_without_answer();
   } else {
-    co_await refuse(401, RequestOutcome::kRefused, "key_unknown");
+    const Refusal refusal{.status = 401, .reason = "key_unknown"};
+    co_await refuse(refusal);
   }
 }
 
@@ -342,6 +291,7 @@
   }
   upstream_.reset();
   runner->end_attempt(evidence_of(result), monotonic_now(), std::exchange(tokens_to_read_, 0));
+  note_slot_freed(result);
   if (result != AttemptResult::kCompleted) log_attempt(*runner, result, status);
   ++context_.metrics.attempts[std::string(to_string(status))];
   co_return result;
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -62,8 +62,20 @@
   boost::asio::awaitable<bool> send_head();
   boost::asio::awaitable<bool> send_whole_events(std::string_view bytes, bool& spoiled);
   boost::asio::awaitable<void> finish_without_answer();
-  boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason,
-                                      std::string retry_after = {});
+  /// How a refusal tells when to come back.
+  enum class ReturnAdvice : std::uint8_t {
+    kUsual,  ///< After the usual time.
+    kAfter,  ///< After a time that was computed.
+    kNone,   ///< Coming back cannot help.
+  };
+  struct Refusal {
+    int status = 0;
+    RequestOutcome outcome = RequestOutcome::kRefused;
+    const char* reason = "";
+    ReturnAdvice advice = ReturnAdvice::kUsual;
+    Duration retry_after{0};  ///< With `kAfter`.
+  };
+  boost::asio::awaitable<void> refuse(Refusal refusal);
   boost::asio::awaitable<void> refuse_rejected();
   boost::asio::awaitable<void> refuse_quarantined(std::shared_ptr<Runner> runner);
 
@@ -75,6 +87,13 @@
   [[nodiscard]] bool lost_access() const;
   boost::asio::awaitable<void> refuse_lost_access(Runner& runner);
   boost::asio::awaitable<std::shared_ptr<Runner>> place();
+  void bound_wait(PlacementRequest& request);
+  [[nodiscard]] TimePoint caller_patience_end(TimePoint since) const;
+  [[nodiscard]] AdmissionStanding standing();
+  void note_slot_freed(AttemptResult result);
+  [[nodiscard]] std::uint32_t priority() const {
+    return caller_.priority.value_or(route_.priority);
+  }
   void watch_silence(const std::shared_ptr<Runner>& runner);
   void watch_runner_queue(const std::shared_ptr<Runner>& runner, bool again);
   void log_choice(const Selection& choice);
@@ -100,6 +119,7 @@
   Timer runner_queue_timer_;
   std::shared_ptr<PlacementTicket> ticket_;
   std::optional<PlacementRejection> rejection_;  ///< Of the last wait for a slot.
+  std::optional<AdmissionStanding> standing_;    ///< Once it was looked up.
   std::uint32_t tokens_to_read_ = 0;  ///< Of the current attempt, until its answer begins.
   std::shared_ptr<UpstreamExchange> upstream_;
   Duration patience_{0};     ///< Silence after which a runner is given up; 0: none.
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "admission/backlog_report.h"
+#include "admission/return_report.h"
 #include "admission/share_report.h"
 #include "quarantine/quarantine_messages.h"
 #include "routing/route_pace.h"
@@ -98,12 +99,13 @@
   std::vector<ServiceBacklog> backlogs;     ///< Inside the zone only.
   std::vector<ShareUse> share_uses;         ///< Inside the zone only.
   std::vector<SpeedReport> speeds;          ///< Inside the zone only.
+  std::vector<ReturnReport> returns;        ///< Inside the zone only.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
     archive(configuration_version, tenants, answers, paces);
-    archive(backlogs, share_uses, speeds);
+    archive(backlogs, share_uses, speeds, returns);
   }
 };
 
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/saturated.h"
 
 namespace stoathold {
 namespace {
@@ -21,26 +22,38 @@
 /// and so long again before it is asked once more.
 constexpr Duration kYieldAfter = std::chrono::milliseconds(20);
 constexpr Duration kYieldAgain = std::chrono::milliseconds(100);
-/// Online work that had to make batch work yield is reported as waiting for so long: some digests.
-constexpr Duration kDemandShown = std::chrono::milliseconds(30);
 /// Part of a runner's places that batch leaves free just after online work had to wait, and the
 /// time in which that falls to nothing.
 constexpr double kBurstMargin = 0.4;
 constexpr Duration kBurstMemory = std::chrono::milliseconds(400);
 
+/// While online work waits, what cannot be served is looked for this often, and at each change but
+/// not more often than the pause: callers are to know 10 ms after it has become certain.
+constexpr Duration kReviewInterval = std::chrono::milliseconds(5);
+constexpr Duration kReviewPause = std::chrono::milliseconds(2);
+
 }  // namespace
 
-bool PlacementQueue::MoreUrgent::operator()(const std::shared_ptr<PlacementTicket>& left,
-                                            const std::shared_ptr<PlacementTicket>& right) const {
+bool PlacementQueue::goes_before(const PlacementTicket& left, const PlacementTicket& right) {
   const auto rank = [](const PlacementTicket& ticket) {
     const PlacementRequest& request = ticket.request_;
-    return std::tuple(request.work, request.priority, request.turn, request.due, ticket.number_);
+    const bool newcomer = request.standing == AdmissionStanding::kNewcomer;
+    return std::tuple(request.work, request.priority, request.turn, newcomer, request.due,
+                      ticket.number_);
   };
-  return rank(*left) < rank(*right);
+  return rank(left) < rank(right);
+}
+
+bool PlacementQueue::MoreUrgent::operator()(const std::shared_ptr<PlacementTicket>& left,
+                                            const std::shared_ptr<PlacementTicket>& right) const {
+  return goes_before(*left, *right);
 }
 
 PlacementQueue::PlacementQueue(asio::any_io_executor executor, const RunnerRegistry& registry)
-    : executor_(std::move(executor)), registry_(registry), watch_timer_(executor_) {}
+    : executor_(std::move(executor)),
+      registry_(registry),
+      watch_timer_(executor_),
+      review_timer_(executor_) {}
 
 std::shared_ptr<PlacementTicket> PlacementQueue::make_ticket(PlacementRequest request) {
   if (decisions_.turn) request.turn = decisions_.turn(request, monotonic_now());
@@ -60,6 +73,7 @@
 
 bool PlacementQueue::try_place(PlacementTicket& ticket, TimePoint now) {
   const PlacementRequest& request = ticket.request_;
+  if (request.last_start != TimePoint{} && now > request.last_start) return false;
   SelectionRequest wanted = request.selection;
   wanted.borrowed_only = request.work == WorkClass::kOnline && registry_.lending();
   if (request.work == WorkClass::kBatch) {
@@ -111,7 +125,12 @@
   const TimePoint now = monotonic_now();
   const bool may_overtake = waiting_.empty() || ticket->request_.work == WorkClass::kOnline;
   if (may_overtake && try_place(*ticket, now)) co_return ticket->selection_.runner;
-  if (reject(*ticket, now)) co_return nullptr;
+  if (is_online(ticket->request_) && reviews()) {
+    const QueuePosition position = position_of(*ticket, now);
+    if (reject(*ticket, position, now)) co_return nullptr;
+    if (decisions_.waits) decisions_.waits(ticket->request_, position, now);
+    watch_reviews();
+  }
   waiting_.insert(ticket);
   ticket->ask_yield_at_ = now + kYieldAfter;
   watch();
@@ -123,6 +142,11 @@
     co_await ticket->timer_.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   waiting_.erase(ticket);
+  // Its time to wait is over: the rejection says why, and when to come back.
+  if (!runner && !ticket->cancelled_ && is_online(ticket->request_) && reviews()) {
+    const TimePoint end = monotonic_now();
+    reject(*ticket, position_of(*ticket, end), end);
+  }
   if (runner && ticket->cancelled_) {
     runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now(),
                         ticket->selection_.tokens_to_read, ticket->request_.work);
@@ -134,37 +158,13 @@
 
 void PlacementQueue::capacity_changed() {
   if (use_listener_) use_listener_();
-  if (!waiting_.empty()) dispatch();
+  loads_changed();
 }
 
 void PlacementQueue::loads_changed() {
-  if (!waiting_.empty()) dispatch();
-}
-
-std::vector<ServiceDemand> PlacementQueue::online_demand() const {
-  const TimePoint now = monotonic_now();
-  std::map<std::string, std::uint16_t> waiting;
-  for (const auto& ticket : waiting_) {
-    if (ticket->request_.work != WorkClass::kOnline) continue;
-    const bool in_time = now < ticket->request_.due;
-    waiting[ticket->request_.selection.service] += in_time ? 1 : 0;
-  }
-  for (const auto& [service, time] : preempted_at_) {
-    if (now - time < kDemandShown) waiting.try_emplace(service, 0);
-  }
-  std::vector<ServiceDemand> demand;
-  for (const auto& [service, count] : waiting) demand.push_back({stable_hash(service), count});
-  return demand;
-}
-
-std::vector<WaitingWork> PlacementQueue::online_work(TimePoint now) const {
-  std::vector<WaitingWork> work;
-  for (const auto& ticket : waiting_) {
-    const PlacementRequest& request = ticket->request_;
-    if (request.work != WorkClass::kOnline || ticket->cancelled_) continue;
-    work.push_back({stable_hash(request.selection.service), request.due - now, request.slot_time});
-  }
-  return work;
+  if (waiting_.empty()) return;
+  dispatch();
+  if (monotonic_now() - last_review_ >= kReviewPause) reject_hopeless();
 }
 
 void PlacementQueue::drop_hopeless() {
@@ -175,30 +175,40 @@
 }
 
 /// Rejects a request that is certain not to be served in its time.
-bool PlacementQueue::reject(PlacementTicket& ticket, TimePoint now) {
+bool PlacementQueue::reject(PlacementTicket& ticket, const QueuePosition& position, TimePoint now) {
   if (!decisions_.review) return false;
-  ticket.rejection_ = decisions_.review(ticket.request_, now);
+  ticket.rejection_ = decisions_.review(ticket.request_, position, now);
   return ticket.rejection_.has_value();
 }
 
 void PlacementQueue::reject_hopeless() {
+  if (!reviews()) return;
   const TimePoint now = monotonic_now();
+  last_review_ = now;
   // Cancelled tickets leave the queue when their waits return, not in this loop.
-  for (const auto& ticket : waiting_) {
-    if (!ticket->cancelled_ && reject(*ticket, now)) ticket->cancel();
+  for (const auto& [ticket, position] : online_positions(now)) {
+    if (!ticket->cancelled_ && reject(*ticket, position, now)) ticket->cancel();
   }
 }
 
+void PlacementQueue::watch_reviews() {
+  if (watching_reviews_) return;
+  watching_reviews_ = true;
+  review_timer_.expires_after(kReviewInterval);
+  review_timer_.async_wait([this](boost::system::error_code error) {
+    watching_reviews_ = false;
+    if (error || !reviews() || waiting(WorkClass::kOnline) == 0) return;
+    reject_hopeless();
+    watch_reviews();
+  });
+}
+
 void PlacementQueue::dispatch() {
   if (dispatching_) return;
   dispatching_ = true;
   // What can still be in time goes first: a late answer is worth less, however long it has waited.
-  const auto in_time = [](const PlacementRequest& request, TimePoint now) {
-    return now < request.due;
-  };
-  const auto online = [](const PlacementRequest& request) {
-    return request.work == WorkClass::kOnline;
-  };
+  const auto in_time = can_be_in_time;
+  const auto online = is_online;
   dispatch_some([&](const PlacementRequest& request, TimePoint now) {
     return online(request) && in_time(request, now);
   });
@@ -265,7 +275,6 @@
     watching_ = false;
     if (error || waiting_.empty()) return;
     dispatch();
-    reject_hopeless();
     ask_for_places();
     // The other nodes leave the places to online work only while they hear that some waits.
     if (use_listener_ && waiting(WorkClass::kOnline) > 0) use_listener_();
@@ -273,10 +282,4 @@
   });
 }
 
-std::size_t PlacementQueue::waiting(WorkClass work) const {
-  return static_cast<std::size_t>(
-      std::count_if(waiting_.begin(), waiting_.end(),
-                    [work](const auto& ticket) { return ticket->request_.work == work; }));
-}
-
 }  // namespace stoathold
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -13,8 +13,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "admission/admission_control.h"
 #include "admission/placement_rejection.h"
+#include "admission/zone_backlog.h"
 #include "base/timer.h"
 #include "routing/load_messages.h"
 #include "routing/runner_registry.h"
@@ -32,23 +35,44 @@
   TimePoint give_up{};         ///< No longer worth placing.
   std::string tenant;          ///< Empty: anonymous.
   std::string route;
-  TimePoint last_use{};    ///< A first event after this finds its caller gone; 0: not known.
-  Duration slot_time{0};   ///< For which it is predicted to hold a slot; 0: not known.
-  bool runs_once = false;  ///< It may not be sent to another runner once it may have run.
-  double turn = 0;         ///< Lower goes first inside a priority; set by the turns' source.
+  TimePoint last_use{};     ///< A first event after this finds its caller gone; 0: not known.
+  Duration slot_time{0};    ///< For which it is predicted to hold a slot; 0: not known.
+  bool runs_once = false;   ///< It may not be sent to another runner once it may have run.
+  double turn = 0;          ///< Lower goes first inside a priority; set by the turns' source.
+  TimePoint arrival{};      ///< When it came to this node.
+  TimePoint deadline{};     ///< Until which its caller waits or tries again; 0: not known.
+  Duration first_event{0};  ///< Usual time from its slot to its first event; 0: not known.
+  TimePoint last_start{};   ///< It is not placed later: its caller would be gone; 0: no bound.
+  /// Inside a turn, those that were told to come back go before newcomers.
+  AdmissionStanding standing = AdmissionStanding::kNewcomer;
   /// Whether it must not be placed any more, as its circumstances have changed; null: never.
   std::function<bool()> hopeless;
 };
 
+/// Whether a request is online work.
+inline bool is_online(const PlacementRequest& request) {
+  return request.work == WorkClass::kOnline;
+}
+/// Whether a request is in time if it is placed now.
+inline bool can_be_in_time(const PlacementRequest& request, TimePoint now) {
+  return now < request.due;
+}
+
 /// Decisions of other modules that the queue asks for; each may be null. They outlive the queue.
 struct PlacementDecisions {
   /// Returns the request's turn inside its priority, when it comes.
   std::function<double(const PlacementRequest& request, TimePoint now)> turn;
   /// A request was given a slot.
   std::function<void(const PlacementRequest& request, TimePoint now)> placed;
-  /// Returns the rejection of a request that waits, or nothing if it may wait on.
-  std::function<std::optional<PlacementRejection>(const PlacementRequest& request, TimePoint now)>
+  /// Whether requests that wait are reviewed now.
+  std::function<bool()> reviews;
+  /// Returns the rejection of an online request that found no slot, or nothing if it may wait on.
+  std::function<std::optional<PlacementRejection>(const PlacementRequest& request,
+                                                  const QueuePosition& position, TimePoint now)>
       review;
+  /// An online request that came found no slot and begins to wait.
+  std::function<void(const PlacementRequest& request, const QueuePosition& position, TimePoint now)>
+      waits;
   /// Returns the part of the service's slots that batch leaves free for expected online work.
   std::function<double(const std::string& service, TimePoint now)> batch_reserve;
 };
@@ -92,6 +116,8 @@
 
   void set_yield_handler(YieldHandler handler) { yield_handler_ = std::move(handler); }
   void set_decisions(PlacementDecisions decisions) { decisions_ = std::move(decisions); }
+  /// Each part sets its own of the decisions.
+  [[nodiscard]] PlacementDecisions& decisions() { return decisions_; }
 
   std::shared_ptr<PlacementTicket> make_ticket(PlacementRequest request);
   /// Waits for a place.
@@ -115,6 +141,19 @@
   [[nodiscard]] std::size_t waiting(WorkClass work) const;
   /// Returns the online work that waits, in the order in which it is placed.
   [[nodiscard]] std::vector<WaitingWork> online_work(TimePoint now) const;
+  /// Returns the online work that waits and can be in time.
+  [[nodiscard]] std::map<ZoneBacklog::Group, QueuedWork> waiting_in_time(TimePoint now) const;
+  /// Online requests that wait for a service, for operators.
+  struct ServiceWait {
+    std::uint32_t waiting = 0;
+    std::uint32_t in_time = 0;   ///< Those that can still be in time.
+    std::uint32_t returned = 0;  ///< Those that were told to come back.
+    Duration oldest{0};          ///< The longest wait.
+  };
+  [[nodiscard]] std::map<std::string, ServiceWait> online_waits(TimePoint now) const;
+  /// Calls back for each online request that waits for the service, in the queue's order.
+  using Visitor = std::function<void(const PlacementRequest&, const QueuePosition&)>;
+  void visit_online(const std::string& service, const Visitor& visitor, TimePoint now) const;
   /// Returns the online work that waits, and that which had to wait just now.
   [[nodiscard]] std::vector<ServiceDemand> online_demand() const;
 
@@ -124,10 +163,19 @@
                     const std::shared_ptr<PlacementTicket>& right) const;
   };
 
+  static bool goes_before(const PlacementTicket& left, const PlacementTicket& right);
   bool try_place(PlacementTicket& ticket, TimePoint now);
   bool preempt(PlacementTicket& ticket, SelectionRequest wanted, TimePoint now);
   void begin(const PlacementTicket& ticket, TimePoint now);
-  bool reject(PlacementTicket& ticket, TimePoint now);
+  bool reject(PlacementTicket& ticket, const QueuePosition& position, TimePoint now);
+  [[nodiscard]] bool reviews() const { return decisions_.reviews && decisions_.reviews(); }
+  struct WaitingTicket {
+    std::shared_ptr<PlacementTicket> ticket;
+    QueuePosition position;
+  };
+  [[nodiscard]] std::vector<WaitingTicket> online_positions(TimePoint now) const;
+  [[nodiscard]] QueuePosition position_of(const PlacementTicket& ticket, TimePoint now) const;
+  void watch_reviews();
   [[nodiscard]] double batch_margin(const std::string& service, TimePoint now);
   using Filter = std::function<bool(const PlacementRequest&, TimePoint now)>;
 
@@ -149,7 +197,10 @@
   std::map<std::string, TimePoint> preempted_at_;
   std::uint64_t next_number_ = 0;
   Timer watch_timer_;
+  Timer review_timer_;
   bool watching_ = false;
+  bool watching_reviews_ = false;
+  TimePoint last_review_{};
   bool dispatching_ = false;
 };
 
--- /dev/null
+++ b/src/routing/placement_queue_views.cc
@@ -0,0 +1,129 @@
+// What waits in the placement queue, as others see it: reports, reviews and operators.
+#include <algorithm>
+
+#include "base/ids.h"
+#include "base/saturated.h"
+#include "routing/placement_queue.h"
+
+namespace stoathold {
+namespace {
+
+/// Online work that had to make batch work yield is reported as waiting for so long: some digests.
+constexpr Duration kDemandShown = std::chrono::milliseconds(30);
+
+ZoneBacklog::Group group_of(const PlacementRequest& request) {
+  return {stable_hash(request.selection.service), saturated<std::uint8_t>(request.priority)};
+}
+
+}  // namespace
+
+std::size_t PlacementQueue::waiting(WorkClass work) const {
+  return static_cast<std::size_t>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [work](const auto& ticket) { return ticket->request_.work == work; }));
+}
+
+std::vector<ServiceDemand> PlacementQueue::online_demand() const {
+  const TimePoint now = monotonic_now();
+  std::map<std::string, std::uint16_t> waiting;
+  for (const auto& ticket : waiting_) {
+    if (!is_online(ticket->request_)) continue;
+    const bool in_time = can_be_in_time(ticket->request_, now);
+    waiting[ticket->request_.selection.service] += in_time ? 1 : 0;
+  }
+  for (const auto& [service, time] : preempted_at_) {
+    if (now - time < kDemandShown) waiting.try_emplace(service, 0);
+  }
+  std::vector<ServiceDemand> demand;
+  for (const auto& [service, count] : waiting) demand.push_back({stable_hash(service), count});
+  return demand;
+}
+
+std::vector<WaitingWork> PlacementQueue::online_work(TimePoint now) const {
+  std::vector<WaitingWork> work;
+  for (const auto& ticket : waiting_) {
+    const PlacementRequest& request = ticket->request_;
+    if (!is_online(request) || ticket->cancelled_) continue;
+    work.push_back({stable_hash(request.selection.service), request.due - now, request.slot_time});
+  }
+  return work;
+}
+
+/// In the queue's order.
+std::vector<PlacementQueue::WaitingTicket> PlacementQueue::online_positions(TimePoint now) const {
+  std::map<ZoneBacklog::Group, QueuedWork> totals = waiting_in_time(now);
+  std::map<std::uint64_t, QueuedWork> ahead;
+  std::vector<WaitingTicket> positions;
+  for (const auto& ticket : waiting_) {
+    const PlacementRequest& request = ticket->request_;
+    if (!is_online(request)) break;
+    const ZoneBacklog::Group group = group_of(request);
+    QueuePosition position;
+    for (auto total = totals.lower_bound({group.service, 0});
+         total != totals.end() && !(group < total->first); ++total) {
+      position.all += total->second;
+    }
+    const bool in_time = can_be_in_time(request, now);
+    position.ahead = in_time ? ahead[group.service] : position.all;
+    if (in_time && !ticket->cancelled_) ahead[group.service] += {1, request.slot_time};
+    positions.push_back({ticket, position});
+  }
+  return positions;
+}
+
+/// The ticket need not wait yet.
+QueuePosition PlacementQueue::position_of(const PlacementTicket& ticket, TimePoint now) const {
+  const PlacementRequest& own = ticket.request_;
+  QueuePosition position;
+  const auto count = [](QueuedWork& work, const PlacementRequest& request) {
+    work += {1, request.slot_time};
+  };
+  for (const auto& other : waiting_) {
+    const PlacementRequest& request = other->request_;
+    if (!is_online(request) || request.priority > own.priority) break;
+    if (other->cancelled_ || request.selection.service != own.selection.service) continue;
+    if (other.get() == &ticket || !can_be_in_time(request, now)) continue;
+    count(position.all, request);
+    if (goes_before(*other, ticket)) count(position.ahead, request);
+  }
+  if (can_be_in_time(own, now)) {
+    count(position.all, own);
+  } else {
+    position.ahead = position.all;
+  }
+  return position;
+}
+
+std::map<ZoneBacklog::Group, QueuedWork> PlacementQueue::waiting_in_time(TimePoint now) const {
+  std::map<ZoneBacklog::Group, QueuedWork> work;
+  for (const auto& ticket : waiting_) {
+    const PlacementRequest& request = ticket->request_;
+    if (!is_online(request) || ticket->cancelled_ || !can_be_in_time(request, now)) continue;
+    work[group_of(request)] += {1, request.slot_time};
+  }
+  return work;
+}
+
+std::map<std::string, PlacementQueue::ServiceWait> PlacementQueue::online_waits(
+    TimePoint now) const {
+  std::map<std::string, ServiceWait> waits;
+  for (const auto& ticket : waiting_) {
+    const PlacementRequest& request = ticket->request_;
+    if (!is_online(request)) continue;
+    ServiceWait& wait = waits[request.selection.service];
+    ++wait.waiting;
+    wait.in_time += can_be_in_time(request, now) ? 1 : 0;
+    wait.returned += request.standing == AdmissionStanding::kReturned ? 1 : 0;
+    wait.oldest = std::max(wait.oldest, now - request.arrival);
+  }
+  return waits;
+}
+
+void PlacementQueue::visit_online(const std::string& service, const Visitor& visitor,
+                                  TimePoint now) const {
+  for (const auto& [ticket, position] : online_positions(now)) {
+    if (ticket->request_.selection.service == service) visitor(ticket->request_, position);
+  }
+}
+
+}  // namespace stoathold
--- /dev/null
+++ b/tests/admission/admission_control_test.cc
@@ -0,0 +1,119 @@
+#include "admission/admission_control.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+constexpr Duration kMs = std::chrono::milliseconds(1);
+
+class AdmissionControlTest : public testing::Test {
+ protected:
+  WaitReview newcomer(Duration wait, std::uint32_t ahead = 5) const {
+    return {.standing = AdmissionStanding::kNewcomer,
+            .arrival = now,
+            .due = now + 250 * kMs,
+            .last_start = now + 1900 * kMs,
+            .forecast = WaitForecast{ahead, wait, std::nullopt},
+            .retry_after = 800 * kMs};
+  }
+  const TimePoint now{std::chrono::hours(1)};
+};
+
+TEST_F(AdmissionControlTest, WhoCanBeInTimeWaits) {
+  EXPECT_FALSE(review_wait(newcomer(150 * kMs), now));
+}
+
+TEST_F(AdmissionControlTest, WhoCannotBeInTimeBehindOthersIsRejectedAsItComes) {
+  EXPECT_EQ(review_wait(newcomer(400 * kMs), now), RejectionReason::kOverloaded);
+}
+
+TEST_F(AdmissionControlTest, WhoHasNobodyInTimeBeforeItIsNeverRejectedForLateness) {
+  WaitReview review = newcomer(400 * kMs, 0);
+  EXPECT_FALSE(review_wait(review, now));
+  EXPECT_FALSE(review_wait(review, now + 1000 * kMs));
+}
+
+TEST_F(AdmissionControlTest, WithoutFiguresEverybodyWaits) {
+  WaitReview review = newcomer(400 * kMs);
+  review.forecast.reset();
+  EXPECT_FALSE(review_wait(review, now));
+  EXPECT_FALSE(review_wait(review, now + 1800 * kMs));
+}
+
+TEST_F(AdmissionControlTest, WhoseCallerWillHaveLeftIsRejectedWithOrWithoutFigures) {
+  WaitReview review = newcomer(50 * kMs);
+  EXPECT_EQ(review_wait(review, now + 1901 * kMs), RejectionReason::kPastUse);
+  review.forecast.reset();
+  EXPECT_EQ(review_wait(review, now + 1901 * kMs), RejectionReason::kPastUse);
+}
+
+TEST_F(AdmissionControlTest, ACallerThatWasToldToComeIsRejectedOnlyIfItsEventComesTooLate) {
+  WaitReview review = newcomer(400 * kMs);
+  review.standing = AdmissionStanding::kReturned;
+  EXPECT_FALSE(review_wait(review, now));
+  review.forecast->wait = 1950 * kMs;
+  EXPECT_EQ(review_wait(review, now), RejectionReason::kPastUse);
+}
+
+TEST_F(AdmissionControlTest, AnAnswerThatHasBegunIsNotBrokenOff) {
+  WaitReview review = newcomer(4000 * kMs);
+  review.standing = AdmissionStanding::kBegun;
+  EXPECT_FALSE(review_wait(review, now + 3000 * kMs));
+}
+
+// Sent away after a long wait, a caller would be served later than if it waited on.
+TEST_F(AdmissionControlTest, WhoHasWaitedStaysIfALateSlotComesBeforeItsReturn) {
+  WaitReview review = newcomer(400 * kMs);
+  review.forecast->to_idle = 200 * kMs;
+  EXPECT_EQ(review_wait(review, now), RejectionReason::kOverloaded);
+  EXPECT_FALSE(review_wait(review, now + 200 * kMs));
+  review.retry_after = 150 * kMs;
+  EXPECT_EQ(review_wait(review, now + 200 * kMs), RejectionReason::kOverloaded);
+}
+
+// Longer than the objective, the forecast of a late slot is a guess.
+TEST_F(AdmissionControlTest, WhoHasWaitedDoesNotStayForALateSlotThatIsFarOff) {
+  WaitReview review = newcomer(400 * kMs);
+  review.forecast->to_idle = 500 * kMs;
+  EXPECT_EQ(review_wait(review, now + 200 * kMs), RejectionReason::kOverloaded);
+}
+
+TEST_F(AdmissionControlTest, TheWaitIsTheSlotTimeAheadOverTheSlots) {
+  ServiceFigures figures;
+  figures.slot_time = 700 * kMs;
+  figures.peers = {60, 60 * 700 * kMs};
+  const QueuePosition last{.ahead = {9, 9 * 700 * kMs}, .all = {10, 10 * 700 * kMs}};
+  const auto forecast = predict_wait(last, figures, {.zone = 120}, 100);
+  ASSERT_TRUE(forecast);
+  EXPECT_EQ(forecast->ahead, 69U);
+  EXPECT_NEAR(to_seconds(forecast->wait), 69 * 0.7 / 120, 0.001);
+  ASSERT_TRUE(forecast->to_idle);
+  EXPECT_NEAR(to_seconds(*forecast->to_idle), 70 / (120 / 0.7 - 100), 0.001);
+  // The first of ten here has a tenth of the zone's before it.
+  const QueuePosition first{.ahead = {}, .all = {10, 10 * 700 * kMs}};
+  EXPECT_EQ(predict_wait(first, figures, {.zone = 120}, 100)->ahead, 6U);
+}
+
+// A full zone beside one with free slots: rejected at once, nobody would be left to borrow them
+// for.
+TEST_F(AdmissionControlTest, SlotsThatOtherZonesLendCountAgainstWhatIsAhead) {
+  ServiceFigures figures;
+  figures.slot_time = 700 * kMs;
+  figures.peers = {60, 60 * 700 * kMs};
+  const QueuePosition alone{.ahead = {}, .all = {1, 700 * kMs}};
+  const auto some = predict_wait(alone, figures, {.zone = 120, .spare_elsewhere = 30}, 100);
+  EXPECT_EQ(some->ahead, 30U);
+  EXPECT_NEAR(to_seconds(some->wait), 30 * 0.7 / 120, 0.001);
+  EXPECT_EQ(predict_wait(alone, figures, {.zone = 120, .spare_elsewhere = 90}, 100)->ahead, 0U);
+}
+
+TEST_F(AdmissionControlTest, AMissingFigureGivesNoForecast) {
+  EXPECT_FALSE(predict_wait({}, ServiceFigures{}, {.zone = 120}, 100));
+  ServiceFigures figures;
+  figures.slot_time = 700 * kMs;
+  EXPECT_FALSE(predict_wait({}, figures, {}, 100));
+}
+
+}  // namespace
+}  // namespace stoathold
--- /dev/null
+++ b/tests/admission/zone_backlog_test.cc
@@ -0,0 +1,110 @@
+#include "admission/zone_backlog.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+constexpr Duration kMs = std::chrono::milliseconds(1);
+constexpr std::uint64_t kService = 7;
+
+class ZoneBacklogTest : public testing::Test {
+ protected:
+  /// A report of another node, whose counters go on by so much each time.
+  std::vector<ServiceBacklog> report(std::uint16_t waiting, std::uint32_t more) {
+    counted += more;
+    return {{.service = kService,
+             .waiting = waiting,
+             .waiting_slot_ms = waiting * 700U,
+             .freed_slots = counted,
+             .freed_slot_ms = counted * 700,
+             .arrivals = counted}};
+  }
+  std::uint32_t counted = 4'294'967'000U;  // Near the end of the counter's range: it wraps.
+  ZoneBacklog backlog;
+  TimePoint now{std::chrono::hours(1)};
+};
+
+TEST_F(ZoneBacklogTest, FiguresComeFromTheDifferencesOfOtherNodesCounters) {
+  for (int i = 0; i < 100; ++i, now += 20 * kMs) backlog.take(1, report(3, 4), now);
+  const ServiceFigures figures = backlog.figures(kService, 0, now);
+  EXPECT_EQ(figures.peers.requests, 3U);
+  EXPECT_EQ(figures.slot_time, 700 * kMs);
+  EXPECT_NEAR(figures.freed_per_second, 200, 15);
+  EXPECT_NEAR(backlog.swing(kService, now)->rate(), 200, 15);
+  EXPECT_EQ(figures.oldest_report, 20 * kMs);
+}
+
+TEST_F(ZoneBacklogTest, LostReportsCostNothing) {
+  for (int i = 0; i < 100; ++i, now += 20 * kMs) {
+    const auto next = report(3, 4);
+    if (i % 3 == 0) backlog.take(1, next, now);
+  }
+  EXPECT_NEAR(backlog.figures(kService, 0, now).freed_per_second, 200, 20);
+}
+
+TEST_F(ZoneBacklogTest, DoubledReportsCountOnce) {
+  for (int i = 0; i < 100; ++i, now += 20 * kMs) {
+    const auto next = report(3, 4);
+    backlog.take(1, next, now);
+    backlog.take(1, next, now);
+  }
+  const ServiceFigures figures = backlog.figures(kService, 0, now);
+  EXPECT_NEAR(figures.freed_per_second, 200, 15);
+  EXPECT_EQ(figures.peers.requests, 3U);
+}
+
+TEST_F(ZoneBacklogTest, AReportThatComesOutOfOrderIsNoHugeDifference) {
+  const auto older = report(3, 4);
+  const auto newer = report(3, 4);
+  backlog.take(1, newer, now);
+  backlog.take(1, older, now + kMs);
+  EXPECT_LT(backlog.figures(kService, 0, now + kMs).freed_per_second, 10);
+}
+
+// Without news nobody is known to wait, so that more is admitted and not less.
+TEST_F(ZoneBacklogTest, AnOldReportNoLongerCountsAsWaiting) {
+  backlog.take(1, report(50, 4), now);
+  EXPECT_EQ(backlog.figures(kService, 0, now + 200 * kMs).peers.requests, 50U);
+  EXPECT_EQ(backlog.figures(kService, 0, now + 300 * kMs).peers.requests, 0U);
+}
+
+TEST_F(ZoneBacklogTest, LessUrgentWorkOfOthersIsNotAhead) {
+  auto entries = report(3, 4);
+  entries.push_back(entries.front());
+  entries.back().priority = 2;
+  backlog.take(1, entries, now);
+  EXPECT_EQ(backlog.figures(kService, 1, now).peers.requests, 3U);
+  EXPECT_EQ(backlog.figures(kService, 2, now).peers.requests, 6U);
+}
+
+// A machine that was suspended for 10 s hears what the others counted meanwhile.
+TEST_F(ZoneBacklogTest, ASuspensionIsNoRate) {
+  for (int i = 0; i < 100; ++i, now += 20 * kMs) backlog.take(1, report(3, 4), now);
+  now += std::chrono::seconds(10);
+  backlog.take(1, report(3, 2000), now);
+  const ServiceFigures figures = backlog.figures(kService, 0, now);
+  EXPECT_FALSE(figures.slot_time);
+  EXPECT_EQ(figures.freed_per_second, 0);
+}
+
+TEST_F(ZoneBacklogTest, ANodeThatStartedAnewCountsFromItsFirstReport) {
+  for (int i = 0; i < 10; ++i, now += 20 * kMs) backlog.take(1, report(3, 4), now);
+  counted = 10'000;
+  backlog.take(2, report(3, 0), now);
+  EXPECT_LT(backlog.figures(kService, 0, now).freed_per_second, 100);
+}
+
+TEST_F(ZoneBacklogTest, OwnCountersAreReportedWithWhatWaits) {
+  backlog.count_arrival(kService, 1, now);
+  backlog.count_freed(kService, 1, 500 * kMs, now);
+  const auto entries = backlog.report({{{kService, 1}, {2, 1400 * kMs}}});
+  ASSERT_EQ(entries.size(), 1U);
+  EXPECT_EQ(entries[0].waiting, 2U);
+  EXPECT_EQ(entries[0].waiting_slot_ms, 1400U);
+  EXPECT_EQ(entries[0].freed_slot_ms, 500U);
+  EXPECT_EQ(entries[0].arrivals, 1U);
+}
+
+}  // namespace
+}  // namespace stoathold
