Runners that report how slow they are are chosen by predicted time

Cause: the load header's fourth figure was dropped, and runners of 0.6, 1.0 and 1.6 of the usual time on machines that are 2.5 times slower now and then were chosen by load alone; nodes that hear of one another 10 to 50 ms late all took the same few.

Change: the figure is read, and refused if it cannot be; RunnerSpeed and SpeedModel learn runners' own speed and the times of a route's answers beside it, and digests share them in 15 bytes a runner. Where slowness is reported the better of two runners drawn among those in time is taken. Without a true fourth figure nothing changes.

Routing, gateway, jobs and platform tests pass.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -139,6 +139,12 @@
     EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
                "A runner has started again under the id that it had; nothing that was known of it "
                "before holds."},
+    EventEntry{Event::kSlownessReported, "slowness_reported", EventLevel::kInfo,
+               "A runner has said how slow its machine is: from now on runners are chosen by when "
+               "they will have answered."},
+    EventEntry{Event::kSlownessRefused, "slowness_refused", EventLevel::kWarning,
+               "A runner said of its slowness what cannot be; its load still counts. Told at most "
+               "once in 10 s."},
     EventEntry{
         Event::kSlotsBorrowed, "slots_borrowed", EventLevel::kInfo,
         "Work would be late in this zone; the node, which held none, was lent slots of another."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -77,6 +77,8 @@
   kPeerDatagramFailed = 1608,
   kStoreTraffic = 1609,
   kRunnerRestarted = 1610,
+  kSlownessReported = 1720,
+  kSlownessRefused = 1721,
   kSlotsBorrowed = 1730,
   kSlotLoansExpired = 1731,
   kEmulatorStarted = 1901,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -17,6 +17,7 @@
 #include "routing/configuration.h"
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
+#include "routing/runner_speed.h"
 #include "routing/traffic_split.h"
 #include "tenancy/tenant_limits.h"
 
@@ -42,6 +43,11 @@
     };
   }
 
+  /// Returns what choices between runners may know of the times of answers; null: nothing.
+  [[nodiscard]] const SpeedModel* known_speeds() const {
+    return load_policy.knows_speeds ? &speeds : nullptr;
+  }
+
   /// The deployment shows something else of itself: a configuration is in force, or a runner has
   /// reported its slowness.
   void set_traits(const DeploymentTraits& next) {
@@ -66,6 +72,8 @@
   TenantLimits tenant_limits;
   DurationsByRoute first_event_times;  ///< From the sending of a request to its first event.
   AnswerPace answer_pace;              ///< Of batch items.
+  SpeedModel speeds;                   ///< Of all routes at runners of all services.
+  TimePoint false_slowness_logged{};   ///< When a false figure was last logged.
 };
 
 }  // namespace stoathold
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -48,6 +48,10 @@
   LatencyHistogram store_latency;  ///< Of calls to the store that do not wait for records.
   StoreTraffic store_traffic;      ///< By call and topic.
   LatencyHistogram event_gap;      ///< Between two pieces of a stream.
+  /// From the sending of an online request to its first event, as predicted when its runner was
+  /// chosen and as it came; empty unless runners are chosen by predicted times.
+  LatencyHistogram first_event_expected;
+  LatencyHistogram first_event_observed;
 
   /// Counts a call to the store.
   void count_store_call(const StoreCall& call);
--- a/src/gateway/header_dialect.h
+++ b/src/gateway/header_dialect.h
@@ -17,7 +17,7 @@
   std::string expected_instance = "X-Expected-Instance";  ///< Runner that alone may run it.
   std::string instance = "X-Instance";                    ///< Runner that answered.
   std::string not_run = "X-Not-Run";                      ///< Present if the runner did not run it.
-  std::string load = "X-Load";                            ///< `running,waiting,slots`.
+  std::string load = "X-Load";  ///< `running,waiting,slots`, or with `,slowness` in 100ths.
   std::string response_signature = "X-Response-Signature";  ///< Present on every whole answer.
   std::string api_key = "X-Api-Key";                        ///< Proves who calls; a secret.
   std::string tenant = "X-Tenant";                          ///< Set by the gateway alone.
--- a/src/gateway/headers.cc
+++ b/src/gateway/headers.cc
@@ -34,6 +34,24 @@
   return false;
 }
 
+namespace {
+
+/// Reads the figure of the slowness.
+/// @param text what stands behind the third figure.
+void read_slowness(std::string_view text, LoadReport& report) {
+  if (!text.starts_with(',')) return;
+  text.remove_prefix(1);
+  while (text.starts_with(' ')) text.remove_prefix(1);
+  std::uint64_t percent = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), percent);
+  const std::string_view rest(result.ptr, text.data() + text.size());
+  const bool whole = rest.empty() || rest.front() == ',' || rest.front() == ' ';
+  report.false_slowness = result.ec != std::errc{} || !whole || !is_true_slowness(percent);
+  if (!report.false_slowness) report.slowness_percent = static_cast<std::uint32_t>(percent);
+}
+
+}  // namespace
+
 std::optional<LoadReport> parse_load(std::string_view text) {
   std::array<std::uint32_t, 3> numbers{};
   const char* position = text.data();
@@ -46,7 +64,10 @@
     const bool last = i + 1 == numbers.size();
     if (!last && (position == end || *position++ != ',')) return std::nullopt;
   }
-  return LoadReport{.running = numbers[0], .waiting = numbers[1], .slots = numbers[2]};
+  LoadReport report{.running = numbers[0], .waiting = numbers[1], .slots = numbers[2]};
+  while (position != end && *position == ' ') ++position;
+  read_slowness({position, end}, report);
+  return report;
 }
 
 }  // namespace stoathold
--- a/src/gateway/headers.h
+++ b/src/gateway/headers.h
@@ -15,7 +15,10 @@
 bool is_connection_header(std::string_view name);
 /// Whether a `Connection` header's value names this header as one of its own.
 bool names_header(std::string_view connection, std::string_view name);
-/// Reads `running,waiting,slots`; nothing if it is malformed.
+/// Reads `running,waiting,slots` and, if there is a fourth figure, the time that work takes there
+/// at this moment, in 100ths of the usual. A fourth figure that is no slowness that can be is left
+/// out: what the others say holds.
+/// @return nothing if the first three are malformed.
 std::optional<LoadReport> parse_load(std::string_view text);
 
 }  // namespace stoathold
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/ids.h"
 #include "gateway/headers.h"
 #include "gateway/online_request.h"
 #include "gateway/runner_answer.h"
@@ -33,7 +34,7 @@
     co_return own_error ? AttemptResult::kFailed : AttemptResult::kBroken;
   }
   if (success && route_.kind == RouteKind::kStreaming) co_return co_await relay_events(runner);
-  const AttemptResult result = co_await relay_body();
+  const AttemptResult result = co_await relay_body(runner);
   const bool passed_on = own_error && result == AttemptResult::kCompleted;
   co_return passed_on ? AttemptResult::kErrorPassedOn : result;
 }
@@ -55,13 +56,30 @@
   co_return sent;
 }
 
-void OnlineRequest::note_first_event() {
+void OnlineRequest::note_first_event(Runner& runner) {
   if (stage_ == RunStage::kDelivering) return;
   stage_ = RunStage::kDelivering;
-  context_.first_event_times.observe(route_.name, monotonic_now() - attempt_start_);
+  const TimePoint now = monotonic_now();
+  const Duration time = now - attempt_start_;
+  context_.first_event_times.observe(route_.name, time);
+  if (!context_.load_policy.knows_speeds) return;
+  context_.speeds.observe_first_event(stable_hash(route_.name), runner.speed(), runner_work_, time,
+                                      now);
+  if (!expected_) return;
+  context_.metrics.first_event_expected.observe(expected_->first_event);
+  context_.metrics.first_event_observed.observe(time);
 }
 
-asio::awaitable<AttemptResult> OnlineRequest::relay_body() {
+void OnlineRequest::note_event_gap(Runner& runner) {
+  if (!context_.load_policy.knows_speeds || !last_event_) return;
+  const TimePoint now = monotonic_now();
+  const auto gap = gap_window_.advance(*last_event_, now);
+  if (!gap) return;
+  context_.speeds.observe_gap(stable_hash(route_.name), runner.speed(), runner.load(now), *gap,
+                              now);
+}
+
+asio::awaitable<AttemptResult> OnlineRequest::relay_body(Runner& runner) {
   std::string_view view;
   while (true) {
     const UpstreamStatus status = co_await upstream_->read_body(view);
@@ -71,7 +89,7 @@
       if (!sent) co_return AttemptResult::kStopped;
     }
     if (view.empty()) break;
-    note_first_event();
+    note_first_event(runner);
     const bool written = co_await exchange_.write(view);
     if (!written) stop(RequestOutcome::kCallerGone);
     if (stopped_) co_return AttemptResult::kStopped;
@@ -81,7 +99,8 @@
   co_return AttemptResult::kCompleted;
 }
 
-asio::awaitable<bool> OnlineRequest::send_whole_events(std::string_view bytes, bool& spoiled) {
+asio::awaitable<bool> OnlineRequest::send_whole_events(Runner& runner, std::string_view bytes,
+                                                       bool& spoiled) {
   spoiled = !framer_.feed(bytes);
   std::string pieces;
   while (!spoiled) {
@@ -96,7 +115,8 @@
     pieces.append(event->raw);
   }
   if (pieces.empty()) co_return true;
-  note_first_event();
+  note_first_event(runner);
+  note_event_gap(runner);
   if (!head_sent_) {
     const bool sent = co_await send_head();
     if (!sent) co_return false;
@@ -111,6 +131,7 @@
 
 asio::awaitable<AttemptResult> OnlineRequest::relay_events(Runner& runner) {
   framer_ = EventFramer{};
+  gap_window_ = EventGapWindow{kGapWindowEvents};
   std::string_view view;
   while (true) {
     const UpstreamStatus status = co_await upstream_->read_body(view);
@@ -118,7 +139,7 @@
     if (view.empty()) break;
     bool spoiled = false;
     runner.heard(monotonic_now());
-    const bool delivered = co_await send_whole_events(view, spoiled);
+    const bool delivered = co_await send_whole_events(runner, view, spoiled);
     if (!delivered) co_return AttemptResult::kStopped;
     if (spoiled) co_return AttemptResult::kBroken;
     const bool resumable = route_.resumable && runs_ + 1 < route_.max_attempts;
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -162,6 +162,10 @@
     request.due = now + route_.event_gap_objective - first_event;
     request.give_up = std::min(now + kLongestWait, deadline_);
   }
+  request.selection.speeds = context_.known_speeds();
+  request.selection.needs = {.route = stable_hash(route_.name),
+                             .first_event_due = request.due + first_event,
+                             .event_gap_objective = route_.event_gap_objective};
   request.tenant = caller_.tenant;
   request.route = route_.name;
   request.last_use = deadline_;
@@ -169,6 +173,8 @@
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   tokens_to_read_ = ticket_->selection().tokens_to_read;
+  runner_work_ = ticket_->selection().runner_work();
+  expected_ = ticket_->selection().expected;
   if (runner) log_choice(ticket_->selection());
   rejection_ = ticket_->rejection();
   ticket_.reset();
@@ -324,7 +330,7 @@
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
       stage_ = RunStage::kBegun;
-      note_answer(*runner, upstream->head(), context_.dialect, tokens_to_read_);
+      note_answer(context_, *runner, upstream->head(), tokens_to_read_);
       result = co_await take_answer(*runner);
     }
   }
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -12,6 +12,7 @@
 #include "gateway/attempt_result.h"
 #include "gateway/caller_check.h"
 #include "gateway/event_framer.h"
+#include "gateway/event_gap_window.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
 #include "net/http.h"
@@ -52,15 +53,19 @@
   [[nodiscard]] std::optional<Duration> answer_delay() const { return answer_delay_; }
 
  private:
+  /// Events over which the time between two is measured: some windows in an answer of usual length.
+  static constexpr std::uint64_t kGapWindowEvents = 8;
+
   void read_request();
   void start_watches();
   boost::asio::awaitable<void> run_attempts();
   boost::asio::awaitable<AttemptResult> attempt(const std::shared_ptr<Runner>& runner);
   boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
-  boost::asio::awaitable<AttemptResult> relay_body();
+  boost::asio::awaitable<AttemptResult> relay_body(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_events(Runner& runner);
   boost::asio::awaitable<bool> send_head();
-  boost::asio::awaitable<bool> send_whole_events(std::string_view bytes, bool& spoiled);
+  boost::asio::awaitable<bool> send_whole_events(Runner& runner, std::string_view bytes,
+                                                 bool& spoiled);
   boost::asio::awaitable<void> finish_without_answer();
   boost::asio::awaitable<void> refuse(int status, RequestOutcome outcome, const char* reason,
                                       std::string retry_after = {});
@@ -81,7 +86,8 @@
   void log_attempt(const Runner& runner, AttemptResult result, UpstreamStatus status);
   void stop(RequestOutcome outcome);
   void be_patient(Duration patience);
-  void note_first_event();
+  void note_first_event(Runner& runner);
+  void note_event_gap(Runner& runner);
 
   GatewayContext& context_;
   HttpExchange& exchange_;
@@ -106,7 +112,9 @@
   TimePoint quiet_since_{};  ///< Since then nothing came for this request.
   EventFramer framer_;
   std::vector<std::uint64_t> tried_;
-  std::string choice_;  ///< What decided the current attempt's runner, for logs.
+  std::string choice_;                     ///< What decided the current attempt's runner, for logs.
+  RunnerWork runner_work_;                 ///< What decides the times of its answer.
+  std::optional<ExpectedTimes> expected_;  ///< Those, if they were predicted.
   TimePoint attempt_start_{};
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
   std::uint32_t sends_ = 0;
@@ -116,6 +124,7 @@
   bool stopped_ = false;
   std::optional<std::uint64_t> last_event_;
   TimePoint last_piece_{};
+  EventGapWindow gap_window_{kGapWindowEvents};
   RequestOutcome outcome_ = RequestOutcome::kFailed;
 };
 
--- a/src/gateway/runner_answer.cc
+++ b/src/gateway/runner_answer.cc
@@ -3,16 +3,19 @@
 #include <utility>
 
 #include "gateway/headers.h"
+#include "gateway/speed_reports.h"
 
 namespace stoathold {
 
-void note_answer(Runner& runner, const UpstreamHead& head, const HeaderDialect& dialect,
+void note_answer(GatewayContext& context, Runner& runner, const UpstreamHead& head,
                  std::uint32_t& tokens_to_read) {
   const TimePoint now = monotonic_now();
   runner.heard(now);
   runner.prompt_read(std::exchange(tokens_to_read, 0));
-  const auto report = parse_load(head.header(dialect.load));
-  if (report) runner.take_report(*report, now);
+  const auto report = parse_load(head.header(context.dialect.load));
+  if (!report) return;
+  runner.take_report(*report, now);
+  take_slowness(context, runner, *report, now);
 }
 
 bool was_not_run(Runner& runner, const UpstreamHead& head, const HeaderDialect& dialect) {
--- a/src/gateway/runner_answer.h
+++ b/src/gateway/runner_answer.h
@@ -2,15 +2,14 @@
 /// What the head of a runner's answer says of the runner and of the request, whoever sent it.
 #pragma once
 
-#include "gateway/header_dialect.h"
-#include "gateway/upstream.h"
-#include "routing/runner_registry.h"
+#include "gateway/gateway_context.h"
 
 namespace stoathold {
 
-/// Takes in that a runner has answered: it lives, has read the prompt, and reports its load.
+/// Takes in that a runner has answered: it lives, has read the prompt, and reports its load and
+/// slowness.
 /// @param tokens_to_read the prompt's tokens that were counted as unread; 0 afterwards.
-void note_answer(Runner& runner, const UpstreamHead& head, const HeaderDialect& dialect,
+void note_answer(GatewayContext& context, Runner& runner, const UpstreamHead& head,
                  std::uint32_t& tokens_to_read);
 
 /// Whether the answer says that the request was not run. A runner that another one's request
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -95,6 +95,8 @@
   ItemSchedule schedule{.objective = objective_, .age = age()};
   schedule.rest = context_.answer_pace.expected_rest(route_name_, answer_tokens_,
                                                      EventCount{progress_.last_event});
+  const bool uneven = runner_ && context_.load_policy.knows_speeds;
+  if (uneven) schedule.rest = scale(schedule.rest, runner_->speed().relative_time());
   return schedule;
 }
 
@@ -114,6 +116,9 @@
                        .load_limit = kBatchLoadLimit,
                        .excluded = runners_to_avoid(service),
                        .connected = context_.connected()};
+  request.selection.speeds = context_.known_speeds();
+  request.selection.work = WorkClass::kBatch;
+  request.selection.needs.route = stable_hash(route.name);
   request.priority = route.priority;
   request.tenant = item_.tenant;
   request.route = route.name;
@@ -125,6 +130,7 @@
   const auto runner = co_await context_.placement.acquire(ticket_);
   const Selection choice = ticket_->selection();
   tokens_to_read_ = choice.tokens_to_read;
+  runner_work_ = choice.runner_work();
   ticket_.reset();
   if (runner) log_choice(choice, schedule);
   if (runner) context_.start_progress.reached(StartStep::kFirstItemPlaced, monotonic_now());
@@ -313,7 +319,7 @@
 
 asio::awaitable<AttemptResult> ItemRun::take_answer(Runner& runner) {
   const UpstreamHead& head = upstream_->head();
-  note_answer(runner, head, context_.dialect, tokens_to_read_);
+  note_answer(context_, runner, head, tokens_to_read_);
   constexpr int kOk = 200;
   constexpr int kUnprocessable = 422;
   constexpr int kServerError = 500;
@@ -325,21 +331,29 @@
   co_return co_await take_events();
 }
 
-void ItemRun::note_event_gap(GapWindow& window) {
+void ItemRun::note_first_event() {
+  if (stage_ == RunStage::kDelivering) return;
+  stage_ = RunStage::kDelivering;
+  if (!context_.load_policy.knows_speeds) return;
   const TimePoint now = monotonic_now();
-  const bool first = window.since == TimePoint{};
-  const std::uint64_t events = progress_.last_event - window.first_event;
-  if (!first && events < kGapWindowEvents) return;
-  if (!first) {
-    context_.answer_pace.observe_gap(route_name_, (now - window.since) / static_cast<int>(events));
-  }
-  window = {progress_.last_event, now};
+  context_.speeds.observe_first_event(stable_hash(route_name_), runner_->speed(), runner_work_,
+                                      now - placed_at_, now);
+}
+
+void ItemRun::note_event_gap(EventGapWindow& window) {
+  const TimePoint now = monotonic_now();
+  const auto gap = window.advance(progress_.last_event, now);
+  if (!gap) return;
+  context_.answer_pace.observe_gap(route_name_, *gap);
+  if (!context_.load_policy.knows_speeds) return;
+  context_.speeds.observe_gap(stable_hash(route_name_), runner_->speed(), runner_->load(now), *gap,
+                              now);
 }
 
 asio::awaitable<AttemptResult> ItemRun::take_events() {
   EventFramer framer;
   std::string_view view;
-  GapWindow window;
+  EventGapWindow window(kGapWindowEvents);
   while (true) {
     const UpstreamStatus status = co_await upstream_->read_body(view);
     if (status != UpstreamStatus::kOk) co_return AttemptResult::kBroken;
@@ -353,7 +367,7 @@
       if (progress_.last_event > 0) progress_.text.push_back('\n');
       progress_.text += event_data(event->raw);
       progress_.last_event = *event->id;
-      stage_ = RunStage::kDelivering;
+      note_first_event();
     }
     note_event_gap(window);
   }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -12,6 +12,7 @@
 #include "base/timer.h"
 #include "gateway/attempt_result.h"
 #include "gateway/event_framer.h"
+#include "gateway/event_gap_window.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
 #include "jobs/item_schedule.h"
@@ -71,12 +72,8 @@
   boost::asio::awaitable<AttemptResult> attempt(std::shared_ptr<Runner> runner);
   boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
   boost::asio::awaitable<AttemptResult> take_events();
-  /// Events of one run over which the time between them is learned.
-  struct GapWindow {
-    std::uint64_t first_event = 0;
-    TimePoint since{};  ///< When that came; the start of the clock: none has come.
-  };
-  void note_event_gap(GapWindow& window);
+  void note_first_event();
+  void note_event_gap(EventGapWindow& window);
   [[nodiscard]] Duration age() const;
   boost::asio::awaitable<void> pause(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
@@ -108,7 +105,8 @@
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
   /// Starts of runners that answered this run with an error of their own, by `Runner::hash`.
   std::vector<std::uint64_t> failed_at_;
-  std::string choice_;  ///< What decided the current attempt's runner, for logs.
+  std::string choice_;      ///< What decided the current attempt's runner, for logs.
+  RunnerWork runner_work_;  ///< What decides the times of its answer.
   bool yielding_ = false;
   StageListener stage_listener_;
   Timer timer_;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -17,6 +17,7 @@
 #include "routing/peer_ejections.h"
 #include "routing/runner_errors.h"
 #include "routing/runner_identity.h"
+#include "routing/runner_speed.h"
 
 namespace stoathold {
 
@@ -41,6 +42,8 @@
   /// Time that work takes there at this moment against the usual, in 100ths; nothing if the runner
   /// does not say it.
   std::optional<std::uint32_t> slowness_percent = std::nullopt;
+  /// It said something else than a slowness that can be.
+  bool false_slowness = false;
 };
 
 /// Online work goes before batch work, whatever its age.
@@ -176,6 +179,9 @@
   [[nodiscard]] bool load_known(TimePoint now) const;
   /// Milliseconds since it reported its load, for logs; `never` if it has not.
   [[nodiscard]] std::string load_age_text(TimePoint now) const;
+  /// How fast it works.
+  [[nodiscard]] RunnerSpeed& speed() { return speed_; }
+  [[nodiscard]] const RunnerSpeed& speed() const { return speed_; }
   /// Failed attempts since the last served one.
   [[nodiscard]] std::uint32_t failures() const { return failures_; }
 
@@ -199,6 +205,7 @@
   bool failed_by_errors_ = false;  ///< The last failed attempts were answered with errors.
   TimePoint last_served_{};
   RunnerErrors errors_;
+  RunnerSpeed speed_;
   PeerEjections peer_ejections_;
   LoadReport report_;
   TimePoint report_time_{};
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -19,12 +19,19 @@
 /// Costs closer than this, in tokens, count as equal; the choice between them is random.
 constexpr double kEqualCost = 150;
 
+/// A runner to which a connection is kept is taken for one whose answer is predicted to begin this
+/// part sooner: a new connection takes a round trip, and one of the few that a runner allows.
+constexpr double kConnectionWorth = 0.15;
+
 struct Candidate {
   std::shared_ptr<Runner> runner;
   double load = 0;
-  double cost = 0;  ///< In prompt tokens: those ahead, those of the request, and the load.
+  /// In prompt tokens (those ahead, those of the request, and the load), or, if times are
+  /// predicted, in microseconds to the first event.
+  double cost = 0;
   std::uint32_t tokens_to_read = 0;
   bool warm = false;
+  std::optional<ExpectedTimes> expected = std::nullopt;
 };
 
 bool is_excluded(const SelectionRequest& request, const Runner& runner) {
@@ -144,6 +151,47 @@
   }
 }
 
+/// How well an answer would be in time.
+enum class Timeliness : std::uint8_t {
+  kAlways,  ///< Also when the runner's machine is at its slowest.
+  kNow,     ///< As things stand.
+  kLate,
+};
+
+Timeliness online_timeliness(const ExpectedTimes& expected, const AnswerNeeds& needs,
+                             TimePoint now) {
+  const Duration gap = needs.event_gap_objective;
+  if (now + expected.first_event > needs.first_event_due) return Timeliness::kLate;
+  if (gap.count() == 0 || expected.longest_gap <= gap) return Timeliness::kAlways;
+  return expected.event_gap <= gap ? Timeliness::kNow : Timeliness::kLate;
+}
+
+void predict(std::vector<Candidate>& candidates, const SelectionRequest& request, TimePoint now) {
+  for (auto& candidate : candidates) {
+    const Runner& runner = *candidate.runner;
+    const RunnerWork work{
+        .unread_tokens = static_cast<double>(runner.total_backlog() + candidate.tokens_to_read),
+        .load = candidate.load};
+    candidate.expected = request.speeds->expected(request.needs.route, runner.speed(), work, now);
+    candidate.cost = static_cast<double>(candidate.expected->first_event.count());
+  }
+}
+
+/// Leaves those where the answer will be in time, if there are any.
+void keep_timely(std::vector<Candidate>& candidates, const SelectionRequest& request,
+                 TimePoint now) {
+  const auto timeliness = [&](const Candidate& candidate) {
+    return online_timeliness(*candidate.expected, request.needs, now);
+  };
+  const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                     [&](const Candidate& left, const Candidate& right) {
+                                       return timeliness(left) < timeliness(right);
+                                     });
+  const Timeliness most = timeliness(*best);
+  std::erase_if(candidates,
+                [&](const Candidate& candidate) { return timeliness(candidate) > most; });
+}
+
 /// Leaves only those to which a connection is kept, if there are any.
 void prefer_connected(std::vector<const Candidate*>& candidates, const SelectionRequest& request) {
   if (!request.connected) return;
@@ -167,6 +215,37 @@
   return *equal[process_random().below(equal.size())];
 }
 
+/// Returns the better one of two that are drawn at random, or one to which a connection is kept if
+/// it is about as good.
+///
+/// Other nodes choose at the same moment from reports that are some 10 ms old. If all took the best
+/// runner they know of, they would fill the same few beyond their places: the more nodes, the more.
+const Candidate& better_of_two(const std::vector<Candidate>& candidates,
+                               const SelectionRequest& request) {
+  const auto draw = [&]() -> const Candidate& {
+    return candidates[process_random().below(candidates.size())];
+  };
+  const Candidate& first = draw();
+  const Candidate& second = draw();
+  const Candidate& better = first.cost <= second.cost ? first : second;
+  if (!request.connected) return better;
+  const double most = better.cost * (1 + kConnectionWorth);
+  std::vector<const Candidate*> as_good;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.cost > most || !request.connected(*candidate.runner)) continue;
+    as_good.push_back(&candidate);
+  }
+  return as_good.empty() ? better : *as_good[process_random().below(as_good.size())];
+}
+
+/// Chooses by predicted times.
+const Candidate& choose_by_time(std::vector<Candidate>& candidates, const SelectionRequest& request,
+                                TimePoint now) {
+  predict(candidates, request, now);
+  if (request.work == WorkClass::kOnline) keep_timely(candidates, request, now);
+  return better_of_two(candidates, request);
+}
+
 }  // namespace
 
 Selection select_runner(const RunnerRegistry& registry, const SelectionRequest& request,
@@ -197,13 +276,16 @@
     return selection;
   }
   compute_costs(local, request);
-  const Candidate& chosen = cheapest(local, request);
+  // As few as they are after `choose_by_time` has left some out, they were all to choose from.
+  selection.candidates = static_cast<std::uint32_t>(local.size());
+  const Candidate& chosen =
+      request.speeds == nullptr ? cheapest(local, request) : choose_by_time(local, request, now);
   selection.runner = chosen.runner;
   selection.tokens_to_read = chosen.tokens_to_read;
-  selection.candidates = static_cast<std::uint32_t>(local.size());
   selection.load = chosen.load;
   selection.backlog_tokens = chosen.runner->total_backlog();
   selection.warm = chosen.warm;
+  selection.expected = chosen.expected;
   return selection;
 }
 
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -5,14 +5,23 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
 #include "routing/runner_registry.h"
+#include "routing/runner_speed.h"
 
 namespace stoathold {
 
+/// When an answer is in time.
+struct AnswerNeeds {
+  std::uint64_t route = 0;          ///< Hash of its name.
+  TimePoint first_event_due{};      ///< Online: the first event is in time until then.
+  Duration event_gap_objective{0};  ///< Longest time between events that is in time; 0: none.
+};
+
 /// What a choice depends on.
 struct SelectionRequest {
   std::string service;
@@ -30,6 +39,10 @@
   /// good, such a one is taken: a new connection costs a round trip, a moment of one of the
   /// runner's places, and one of the few that it allows. Null: none is kept.
   std::function<bool(const Runner&)> connected;
+  /// What is known of the times of answers. Null: runners are chosen by load alone.
+  const SpeedModel* speeds = nullptr;
+  WorkClass work = WorkClass::kOnline;  ///< Counts if `speeds` is given.
+  AnswerNeeds needs;                    ///< The same.
 };
 
 /// Why there is no runner.
@@ -44,11 +57,17 @@
 struct Selection {
   std::shared_ptr<Runner> runner;  ///< Null if there is none.
   SelectionFailure failure = SelectionFailure::kNone;
-  std::uint32_t tokens_to_read = 0;  ///< Prompt tokens that the runner is expected to read.
-  std::uint32_t candidates = 0;      ///< Runners it was chosen from.
-  double load = 0;                   ///< Of the runner, before this request.
-  std::uint32_t backlog_tokens = 0;  ///< Prompt tokens unread there, before this request.
-  bool warm = false;                 ///< It is the one that keeps the prompt's prefix.
+  std::uint32_t tokens_to_read = 0;       ///< Prompt tokens that the runner is expected to read.
+  std::uint32_t candidates = 0;           ///< Runners it was chosen from.
+  double load = 0;                        ///< Of the runner, before this request.
+  std::uint32_t backlog_tokens = 0;       ///< Prompt tokens unread there, before this request.
+  bool warm = false;                      ///< It is the one that keeps the prompt's prefix.
+  std::optional<ExpectedTimes> expected;  ///< Times of the answer there, if they were predicted.
+
+  /// What decides the times of the answer, beside the runner.
+  [[nodiscard]] RunnerWork runner_work() const {
+    return {.unread_tokens = static_cast<double>(backlog_tokens + tokens_to_read), .load = load};
+  }
 };
 
 /// Selects a runner; pure but for tie breaking.
--- /dev/null
+++ b/tests/routing/runner_speed_test.cc
@@ -0,0 +1,163 @@
+#include "routing/runner_speed.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kNow{std::chrono::seconds(100)};
+constexpr std::uint64_t kRoute = 7;
+constexpr RunnerWork kWork{.unread_tokens = 450, .load = 0.5};
+
+/// Answers of a runner that takes so many times the mean of 50 ms.
+void answer(SpeedModel& model, RunnerSpeed& runner, double times, int count) {
+  for (int i = 0; i < count; ++i) {
+    model.observe_first_event(kRoute, runner, kWork, scale(milliseconds(50), times), kNow);
+  }
+}
+
+double first_event_ms(const SpeedModel& model, const RunnerSpeed& runner, TimePoint now = kNow) {
+  return to_seconds(model.expected(kRoute, runner, kWork, now).first_event) * 1000;
+}
+
+TEST(RunnerSpeedTest, ALateReportGivesWayToANewerOneAndADoubledOneChangesNothing) {
+  RunnerSpeed runner;
+  runner.take_slowness(250, kNow, false);
+  runner.take_slowness(100, kNow - milliseconds(40), false);
+  EXPECT_EQ(runner.reported_percent(), 250U);
+  runner.take_slowness(250, kNow, false);
+  EXPECT_DOUBLE_EQ(runner.slowness(1.2, kNow), 2.5);
+}
+
+// Machines change every 0.6 s: what was said longer ago says nothing of the moment.
+TEST(RunnerSpeedTest, AReportFadesToTheUsual) {
+  RunnerSpeed runner;
+  EXPECT_DOUBLE_EQ(runner.slowness(1.2, kNow), 1.2);
+  runner.take_slowness(250, kNow, true);
+  EXPECT_DOUBLE_EQ(runner.slowness(1.2, kNow), 2.5);
+  const double half = runner.slowness(1.2, kNow + milliseconds(300));
+  EXPECT_NEAR(half, 1.85, 0.01);
+  EXPECT_DOUBLE_EQ(runner.slowness(1.2, kNow + milliseconds(600)), 1.2);
+}
+
+TEST(RunnerSpeedTest, RunnersOfThreeSpeedsAreTold) {
+  SpeedModel model;
+  RunnerSpeed fast;
+  RunnerSpeed usual;
+  RunnerSpeed slow;
+  for (int i = 0; i < 100; ++i) {
+    answer(model, fast, 0.6, 1);
+    answer(model, usual, 1.0, 1);
+    answer(model, slow, 1.6, 1);
+  }
+  // Their proportions count; the mean is learned beside them.
+  EXPECT_NEAR(slow.relative_time() / usual.relative_time(), 1.6, 0.1);
+  EXPECT_NEAR(fast.relative_time() / usual.relative_time(), 0.6, 0.05);
+  EXPECT_NEAR(first_event_ms(model, slow), 80, 6);
+  EXPECT_NEAR(first_event_ms(model, fast), 30, 3);
+  // A runner that is new is taken for the mean.
+  EXPECT_NEAR(first_event_ms(model, RunnerSpeed{}), 50, 6);
+}
+
+// One answer held up on the way, by a second, is no slow runner.
+TEST(RunnerSpeedTest, OneBadAnswerMovesLittle) {
+  SpeedModel model;
+  RunnerSpeed runner;
+  answer(model, runner, 1, 50);
+  const double before = first_event_ms(model, runner);
+  answer(model, runner, 20, 1);
+  EXPECT_LT(first_event_ms(model, runner), before * 1.15);
+}
+
+TEST(RunnerSpeedTest, ARunnerThatChangesIsLearnedAnew) {
+  SpeedModel model;
+  RunnerSpeed others;
+  RunnerSpeed runner;
+  answer(model, others, 1, 100);
+  answer(model, runner, 1, 100);
+  for (int i = 0; i < 40; ++i) {
+    answer(model, others, 1, 3);
+    answer(model, runner, 1.6, 1);
+  }
+  EXPECT_NEAR(runner.relative_time() / others.relative_time(), 1.6, 0.2);
+}
+
+// What a runner says of its machine and what is learned of itself are not counted twice.
+TEST(RunnerSpeedTest, ReportedSlownessIsNotLearnedAsTheRunnersOwn) {
+  SpeedModel model;
+  RunnerSpeed steady;
+  RunnerSpeed changing;
+  for (int i = 0; i < 200; ++i) {
+    const bool slow = i % 4 == 0;
+    model.take_slowness(steady, 100, kNow, true);
+    model.take_slowness(changing, slow ? 250 : 100, kNow, true);
+    answer(model, steady, 1, 1);
+    answer(model, changing, slow ? 2.5 : 1, 1);
+  }
+  EXPECT_NEAR(changing.relative_time() / steady.relative_time(), 1, 0.05);
+  model.take_slowness(changing, 250, kNow, true);
+  EXPECT_NEAR(first_event_ms(model, changing), 125, 12);
+}
+
+// A runner that always says that it is slow, or fast, and is not, is seen through.
+TEST(RunnerSpeedTest, AConstantLieIsLearnedAway) {
+  SpeedModel model;
+  RunnerSpeed honest;
+  RunnerSpeed liar;
+  for (int i = 0; i < 300; ++i) {
+    model.take_slowness(honest, 100, kNow, true);
+    model.take_slowness(liar, 400, kNow, true);
+    answer(model, honest, 1, 1);
+    answer(model, liar, 1, 1);
+  }
+  EXPECT_NEAR(first_event_ms(model, liar), first_event_ms(model, honest), 12);
+}
+
+TEST(RunnerSpeedTest, UnreadTokensAndLoadCountByTheTimeThatTheyCost) {
+  SpeedModel model;
+  RunnerSpeed runner;
+  for (int i = 0; i < 600; ++i) {
+    const RunnerWork work{.unread_tokens = 450.0 * (i % 4), .load = (i % 7) / 8.0};
+    const double ms = 30 + work.unread_tokens / 20 + 25 * work.load;
+    model.observe_first_event(kRoute, runner, work, scale(milliseconds(1), ms), kNow);
+  }
+  const auto expected_ms = [&](const RunnerWork& work) {
+    return to_seconds(model.expected(kRoute, runner, work, kNow).first_event) * 1000;
+  };
+  const RunnerWork empty{};
+  EXPECT_NEAR(expected_ms({.unread_tokens = 2000}) - expected_ms(empty), 100, 25);
+  EXPECT_NEAR(expected_ms({.load = 1}) - expected_ms(empty), 25, 8);
+}
+
+TEST(RunnerSpeedTest, AnotherNodesReportIsTakenAndAFalseOneIsNot) {
+  SpeedModel model;
+  RunnerSpeed runner;
+  EXPECT_TRUE(model.take(runner, {1, 250, 100, 410, 16}, kNow));
+  EXPECT_NEAR(runner.relative_time(), 1.6, 0.01);
+  EXPECT_EQ(runner.reported_at(), kNow - milliseconds(100));
+  // Nothing was reported there, or what cannot be: the runner keeps what is known of it.
+  EXPECT_FALSE(model.take(runner, {1, 0, 0, 0, 0}, kNow));
+  EXPECT_FALSE(model.take(runner, {1, 9, 0, 410, 0}, kNow));
+  EXPECT_FALSE(model.take(runner, {1, 65535, 0, 0, 9}, kNow));
+  EXPECT_EQ(runner.reported_percent(), 250U);
+  EXPECT_NEAR(runner.relative_time(), 1.6, 0.01);
+  // A learned time beyond all bounds counts as the greatest.
+  EXPECT_TRUE(model.take(runner, {1, 100, 0, 65535, 255}, kNow));
+  EXPECT_LE(runner.relative_time(), 16);
+}
+
+TEST(RunnerSpeedTest, ADoubledReportOfLearnedTimeCountsAsOne) {
+  SpeedModel model;
+  RunnerSpeed runner;
+  answer(model, runner, 1, 10);
+  const SpeedReport report{1, 0, 0, 410, 16};
+  model.take(runner, report, kNow);
+  const double once = runner.relative_time();
+  model.take(runner, report, kNow);
+  EXPECT_NEAR(runner.relative_time(), once, 0.15);
+}
+
+}  // namespace
+}  // namespace stoathold
