--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -78,6 +78,8 @@
   kStoreTraffic = 1609,
   kRunnerRestarted = 1610,
   kWaitRejected = 1700,
+  kSlownessReported = 1720,
+  kSlownessRefused = 1721,
   kSlotsBorrowed = 1730,
   kSlotLoansExpired = 1731,
   kEmulatorStarted = 1901,
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -273,7 +273,7 @@
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
       stage_ = RunStage::kBegun;
-      note_answer(*runner, upstream->head(), context_.dialect, tokens_to_read_);
+      note_answer(context_, *runner, upstream->head(), tokens_to_read_);
       result = co_await take_answer(*runner);
     }
   }
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/ids.h"
 #include "gateway/choice_fields.h"
 #include "gateway/log_fields.h"
 #include "gateway/online_request.h"
@@ -49,6 +50,10 @@
     request.due = now + route_.event_gap_objective - first_event;
     request.give_up = std::min(now + kLongestWait, deadline_);
   }
+  request.selection.speeds = context_.known_speeds();
+  request.selection.needs = {.route = stable_hash(route_.name),
+                             .first_event_due = request.due + first_event,
+                             .event_gap_objective = route_.event_gap_objective};
   request.tenant = caller_.tenant;
   request.route = route_.name;
   request.last_use = deadline_;
@@ -62,6 +67,8 @@
   const auto runner = co_await context_.placement.acquire(ticket_);
   if (runner) context_.admission.waited(monotonic_now() - asked);
   tokens_to_read_ = ticket_->selection().tokens_to_read;
+  runner_work_ = ticket_->selection().runner_work();
+  expected_ = ticket_->selection().expected;
   if (runner) log_choice(ticket_->selection());
   rejection_ = ticket_->rejection();
   ticket_.reset();
