--- a/tests/routing/neighbour_table_test.cc
+++ b/tests/routing/neighbour_table_test.cc
@@ -49,5 +49,15 @@
   EXPECT_TRUE(table.is_zone_reporter(endpoint(5), later));
 }
 
+TEST(NeighbourTableTest, EachNodeKnowsWhoReportsTheZone) {
+  NeighbourTable table;
+  table.heard(endpoint(1), kStart);
+  table.heard(endpoint(8), kStart);
+  const std::vector<NeighbourTable::Endpoint> both{endpoint(1), endpoint(5)};
+  EXPECT_EQ(table.zone_reporters(endpoint(5), kStart), both);
+  const TimePoint later = kStart + std::chrono::seconds(3);
+  EXPECT_EQ(table.zone_reporters(endpoint(5), later), std::vector{endpoint(5)});
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -240,5 +240,34 @@
   run_until([&] { return !near.registry.peers_wait_for("chat"); });
 }
 
+TEST_F(SharedRunnersTest, ANodeWithWorkThatWouldBeLateBorrowsSlotsOfAnotherZone) {
+  Node lender(loop, "a", 1);
+  Node asked(loop, "a", 2);
+  Node borrower(loop, "b", 3);
+  const TimePoint long_ago = monotonic_now() - 2 * kLoanLifetime;
+  SlotExchange lending(lender.registry, "a", 1, long_ago);
+  SlotExchange passing(asked.registry, "a", 2, long_ago);
+  SlotExchange borrowing(borrower.registry, "b", 3, long_ago);
+  const auto none = [](TimePoint) { return std::vector<WaitingWork>{}; };
+  const auto late = [](TimePoint) {
+    return std::vector<WaitingWork>{{stable_hash(std::string("chat")), Duration{0}, Duration{0}}};
+  };
+  lender.loads.share_slots(lending, none);
+  asked.loads.share_slots(passing, none);
+  borrower.loads.share_slots(borrowing, late);
+  borrower.registry.set_lending(true);
+  lender.loads.set_peers({{asked.loads.address(), "a"}});
+  asked.loads.set_peers({{lender.loads.address(), "a"}});
+  // The node that is asked may not be the one that lends at the runner.
+  borrower.loads.set_peers({{asked.loads.address(), "a"}});
+  borrower.loads.use_changed();
+  const auto lent = [](Node& node) { return node.runner("a1").lent(); };
+  run_until([&] { return borrower.runner("a1").unused_borrowed(monotonic_now()) == 1; });
+  EXPECT_EQ(lent(lender) + lent(asked), 1U);
+  // The other node of the zone learns of it by a digest.
+  Node& other = lent(lender) == 1 ? asked : lender;
+  run_until([&] { return other.runner("a1").load(monotonic_now()) > 0; });
+}
+
 }  // namespace
 }  // namespace stoathold
