Runner speeds seen by operators, in digests and with real processes

Cause: what decides a choice by predicted time was not shown, and the path from a runner's fourth figure to another node's choice was not tested.

The two runners drawn are distinct.

--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -117,6 +117,10 @@
       command->add_option("--event-bytes", options.runner.event_bytes,
                           "Most bytes of the request's body that an event repeats");
       command->add_option("--gap-ms", options.gap_ms, "Pause before each event");
+      command->add_option("--time-percent", options.runner.time_percent,
+                          "Time of its work against others', in 100ths");
+      command->add_flag("--reports-slowness", options.runner.reports_slowness,
+                        "Reports how slow it is at the moment");
       command->add_option("--crash-body", options.runner.crash_body,
                           "Ends when it begins to run a request with this body");
     } else if (std::string(kind) == "link") {
--- a/emulator/admin.cc
+++ b/emulator/admin.cc
@@ -33,6 +33,11 @@
   if (value != nullptr && value->is_bool()) target = value->get_bool();
 }
 
+void take_text(const json::object& body, const char* name, std::string& target) {
+  const auto* value = body.if_contains(name);
+  if (value != nullptr && value->is_string()) target = std::string(value->get_string());
+}
+
 asio::awaitable<void> answer_admin(HttpExchange& exchange, const std::string& subject) {
   log_event(Event::kEmulatorFault, {{"stand_in", subject}, {"faults", exchange.body()}});
   co_await exchange.respond(200, "application/json", "{}");
--- a/emulator/inference_runner_stand_in.cc
+++ b/emulator/inference_runner_stand_in.cc
@@ -17,6 +17,8 @@
 /// Of a process that a request has crashed.
 constexpr int kCrashExitCode = 3;
 
+constexpr std::uint64_t kUsualPercent = 100;
+
 /// Faults of the next requests, set by tests.
 struct RunnerFaults {
   bool not_run = false;               ///< Turns every request away.
@@ -25,6 +27,8 @@
   std::uint64_t foreign_answers = 0;  ///< So many answers carry another request's id.
   std::uint64_t error_status = 0;     ///< Answers with this status; 0: serves.
   std::uint64_t spoiled_answers = 0;  ///< So many answers lack their signature.
+  std::uint64_t slowness_percent = kUsualPercent;  ///< Of the time that work takes at the moment.
+  std::string false_slowness;  ///< Reported in the place of the slowness; empty: the truth.
 };
 
 /// A runner as the platform shows it: event streams, expected instance, load, resumption.
@@ -62,6 +66,9 @@
     take_number(body, "foreign_answers", faults_.foreign_answers);
     take_number(body, "error_status", faults_.error_status);
     take_number(body, "spoiled_answers", faults_.spoiled_answers);
+    take_number(body, "slowness_percent", faults_.slowness_percent);
+    if (faults_.slowness_percent == 0) faults_.slowness_percent = kUsualPercent;
+    take_text(body, "false_slowness", faults_.false_slowness);
     co_await answer_admin(exchange, parameters_.id);
   }
 
@@ -72,12 +79,24 @@
     co_await exchange.respond(200, "application/json", std::move(text));
   }
 
+  std::string load_text() const {
+    std::string text = std::to_string(running_) + ",0," + std::to_string(parameters_.slots);
+    if (!parameters_.reports_slowness) return text;
+    const std::string& lie = faults_.false_slowness;
+    return text + "," + (lie.empty() ? std::to_string(faults_.slowness_percent) : lie);
+  }
+
+  /// Time before the next event.
+  Duration gap() const {
+    return parameters_.gap * parameters_.time_percent * faults_.slowness_percent /
+           (kUsualPercent * kUsualPercent);
+  }
+
   std::vector<HttpHeader> head_of(const std::string& id) const {
     std::vector<HttpHeader> headers;
     headers.push_back({dialect_.request_id, id});
     headers.push_back({dialect_.instance, parameters_.id});
-    headers.push_back(
-        {dialect_.load, std::to_string(running_) + ",0," + std::to_string(parameters_.slots)});
+    headers.push_back({dialect_.load, load_text()});
     headers.push_back({"Keep-Alive", "timeout=2"});
     return headers;
   }
@@ -137,7 +156,7 @@
     const std::uint64_t done = parse_number(exchange.header(dialect_.last_event_id)).value_or(0);
     std::uint64_t made = 0;
     for (std::uint64_t event = done + 1; open && event <= parameters_.events; ++event) {
-      timer.expires_after(parameters_.gap);
+      timer.expires_after(gap());
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
       const std::string text =
           "id: " + std::to_string(event) + "\ndata: " + echo + "#" + std::to_string(event) + "\n\n";
--- a/emulator/stand_in.h
+++ b/emulator/stand_in.h
@@ -54,13 +54,19 @@
   std::uint64_t events = 5;                     ///< Of each stream.
   std::uint64_t event_bytes = 1U << 20U;        ///< Most bytes of the request's body in an event.
   Duration gap = std::chrono::milliseconds(5);  ///< Before each event.
+  /// Time of its work as a percentage of `gap`: runners may differ from one another for good.
+  std::uint32_t time_percent = 100;
+  /// Whether it reports how slow it is at the moment.
+  bool reports_slowness = false;
   /// The process ends as soon as it has begun to answer a request with this body; empty: never.
   std::string crash_body;
 };
 
 /// A runner as the users' platform shows it. Admin: `POST /admin/faults` with any of `not_run`,
 /// `silent` (true/false), `break_after`, `foreign_answers`, `error_status`, `spoiled_answers`
-/// (numbers, 0: off); `GET /admin/runs` answers how often each request was run.
+/// (numbers, 0: off), `slowness_percent` (how slow its machine makes it now; 0 or 100: as usual)
+/// and `false_slowness` (a text that it reports in the place of that; empty: the truth); `GET
+/// /admin/runs` answers how often each request was run.
 std::unique_ptr<StandIn> make_inference_runner(const boost::asio::any_io_executor& executor,
                                                const std::string& listen,
                                                InferenceRunnerParameters parameters);
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <limits>
 
+#include "routing/speed_summary.h"
+
 namespace stoathold {
 namespace {
 
@@ -95,6 +97,47 @@
   return family;
 }
 
+/// Adds, by service, what is known of how fast its runners work; nothing where none reports it.
+void add_runner_speeds(const GatewayContext& context, std::vector<MetricFamily>& families) {
+  if (!context.load_policy.knows_speeds) return;
+  const TimePoint now = monotonic_now();
+  std::map<std::string, SpeedSummary> services;
+  for (const auto& [id, runner] : context.runners.all()) {
+    services[runner->record().service].add(runner->speed(), now);
+  }
+  struct Column {
+    const char* name;
+    const char* help;
+    double SpeedSummary::*value;
+  };
+  constexpr std::array<Column, 5> kColumns{
+      Column{"stoathold_runner_slowness_max", "Greatest multiple of the usual time reported now.",
+             &SpeedSummary::most_slowness},
+      Column{"stoathold_runners_slow", "Runners that report over 1.5 times the usual time now.",
+             &SpeedSummary::slow_runners},
+      Column{"stoathold_runner_slowness_age_seconds", "Since the runner longest unheard reported.",
+             &SpeedSummary::greatest_age_seconds},
+      Column{"stoathold_runner_relative_time_min", "Learned time of the fastest against the mean.",
+             &SpeedSummary::least_relative_time},
+      Column{"stoathold_runner_relative_time_max", "Learned time of the slowest against the mean.",
+             &SpeedSummary::most_relative_time}};
+  for (const Column& column : kColumns) {
+    families.push_back(make_family(column.name, column.help, MetricType::Gauge));
+    for (const auto& [service, summary] : services) {
+      ClientMetric metric;
+      metric.label = {make_label("service", service)};
+      metric.gauge.value = summary.*column.value;
+      families.back().metric.push_back(std::move(metric));
+    }
+  }
+  families.push_back(histogram("stoathold_first_event_expected_seconds",
+                               "From sending to first event, as predicted at the choice.",
+                               context.metrics.first_event_expected));
+  families.push_back(histogram("stoathold_first_event_observed_seconds",
+                               "The same of the same requests, as it came.",
+                               context.metrics.first_event_observed));
+}
+
 MetricFamily requests_by_kind(const GatewayMetrics& metrics) {
   MetricFamily family = make_family("stoathold_requests_total",
                                     "Requests by route kind and outcome.", MetricType::Counter);
@@ -240,6 +283,7 @@
                                metrics.store_latency));
   add_store_calls(metrics, families);
   families.push_back(runner_states(context.runners));
+  add_runner_speeds(context, families);
   families.push_back(gauge("stoathold_requests_open", "Requests being served.",
                            static_cast<double>(metrics.requests_open)));
   families.push_back(gauge("stoathold_resumes", "Streams taken up at another runner.",
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -222,12 +222,12 @@
 /// runner they know of, they would fill the same few beyond their places: the more nodes, the more.
 const Candidate& better_of_two(const std::vector<Candidate>& candidates,
                                const SelectionRequest& request) {
-  const auto draw = [&]() -> const Candidate& {
-    return candidates[process_random().below(candidates.size())];
-  };
-  const Candidate& first = draw();
-  const Candidate& second = draw();
-  const Candidate& better = first.cost <= second.cost ? first : second;
+  const std::size_t first = process_random().below(candidates.size());
+  const std::size_t others = candidates.size() - 1;
+  const std::size_t second = others == 0 ? first : process_random().below(others);
+  const Candidate& left = candidates[first];
+  const Candidate& right = candidates[second < first || others == 0 ? second : second + 1];
+  const Candidate& better = left.cost <= right.cost ? left : right;
   if (!request.connected) return better;
   const double most = better.cost * (1 + kConnectionWorth);
   std::vector<const Candidate*> as_good;
--- /dev/null
+++ b/src/routing/speed_summary.h
@@ -0,0 +1,33 @@
+/// @file
+/// How fast the runners of a service work, in a few figures for operators.
+#pragma once
+
+#include <algorithm>
+
+#include "routing/runner_speed.h"
+
+namespace stoathold {
+
+/// Filled runner by runner.
+struct SpeedSummary {
+  double most_slowness = 0;         ///< Multiple of the usual time, as reported; 0: none lately.
+  double slow_runners = 0;          ///< Those that report more than `kSlow`.
+  double greatest_age_seconds = 0;  ///< Of the last reports; of runners that have reported.
+  double least_relative_time = 1;   ///< Learned time against the mean runner's.
+  double most_relative_time = 1;
+
+  /// Multiple of the usual time from which a runner counts as slow.
+  static constexpr double kSlow = 1.5;
+
+  void add(const RunnerSpeed& runner, TimePoint now) {
+    least_relative_time = std::min(least_relative_time, runner.relative_time());
+    most_relative_time = std::max(most_relative_time, runner.relative_time());
+    if (runner.reported_at() == TimePoint{}) return;
+    const double slowness = runner.slowness(1, now);
+    most_slowness = std::max(most_slowness, slowness);
+    if (slowness > kSlow) ++slow_runners;
+    greatest_age_seconds = std::max(greatest_age_seconds, to_seconds(now - runner.reported_at()));
+  }
+};
+
+}  // namespace stoathold
--- /dev/null
+++ b/tests/gateway/speed_reports_test.cc
@@ -0,0 +1,110 @@
+#include "gateway/speed_reports.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/gateway/gateway_fixture.h"
+
+namespace stoathold {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::seconds(100)};
+constexpr Duration kDigestPause = std::chrono::milliseconds(12);
+
+/// Two nodes of a zone that know the same runners; digests are handed over by the test.
+class SpeedReportsTest : public testing::Test {
+ protected:
+  SpeedReportsTest() {
+    for (GatewayContext* node : {&first, &second}) {
+      for (int i = 0; i < 20; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        node->runners.upsert({id, "chat", "10.0.0.1:80", "zone", 8, false});
+      }
+    }
+  }
+  static Runner& runner(GatewayContext& node, int index) {
+    return *node.runners.all().at("r" + std::to_string(index));
+  }
+  /// A runner tells the first node its slowness in an answer.
+  void answered(int index, std::uint32_t percent, TimePoint when) {
+    take_slowness(first, runner(first, index), {.slots = 8, .slowness_percent = percent}, when);
+  }
+  LoadDigest digest(TimePoint when, bool thorough = false) {
+    LoadDigest made;
+    first_part.add(made, thorough, when);
+    return made;
+  }
+
+  boost::asio::io_context loop;
+  GatewayContext first{loop.get_executor(), HeaderDialect{}, "zone"};
+  GatewayContext second{loop.get_executor(), HeaderDialect{}, "zone"};
+  DigestPart first_part = speed_digest_part(first);
+  DigestPart second_part = speed_digest_part(second);
+};
+
+TEST_F(SpeedReportsTest, TheFirstTrueFigureSwitchesTheChoiceOnHereAndAtTheOtherNode) {
+  take_slowness(first, runner(first, 1), {.slots = 8}, kNow);
+  take_slowness(first, runner(first, 1), {.slots = 8, .false_slowness = true}, kNow);
+  EXPECT_FALSE(first.load_policy.knows_speeds);
+  EXPECT_TRUE(digest(kNow).speeds.empty());
+  first.set_traits({.has_tenants = true});
+  answered(1, 250, kNow);
+  EXPECT_TRUE(first.load_policy.knows_speeds);
+  EXPECT_TRUE(first.traits.has_tenants);
+  second_part.take(digest(kNow), kNow);
+  EXPECT_TRUE(second.load_policy.knows_speeds);
+  EXPECT_EQ(runner(second, 1).speed().reported_percent(), 250U);
+}
+
+TEST_F(SpeedReportsTest, ADigestTellsAFewOfTheNewestOnce) {
+  for (int i = 0; i < 6; ++i) answered(i, 100 + i, kNow + i * kDigestPause);
+  const LoadDigest newest = digest(kNow + 6 * kDigestPause);
+  ASSERT_EQ(newest.speeds.size(), 4U);
+  EXPECT_EQ(newest.speeds[0].runner, runner(first, 5).hash());
+  EXPECT_EQ(digest(kNow + 7 * kDigestPause).speeds.size(), 2U);
+  EXPECT_TRUE(digest(kNow + 8 * kDigestPause).speeds.empty());
+}
+
+TEST_F(SpeedReportsTest, ALateDigestGivesWayToTheNewerOne) {
+  answered(1, 100, kNow);
+  const LoadDigest late = digest(kNow);
+  const TimePoint later = kNow + 3 * kDigestPause;
+  answered(1, 250, later);
+  second_part.take(digest(later), later);
+  LoadDigest as_it_comes = late;
+  as_it_comes.speeds[0].slowness_age_ms = 40;
+  second_part.take(as_it_comes, later);
+  EXPECT_EQ(runner(second, 1).speed().reported_percent(), 250U);
+}
+
+// What a lost digest held of learned speeds comes again with thorough ones, so that a node that has
+// just started knows all runners after a few.
+TEST_F(SpeedReportsTest, ThoroughDigestsMakeUpForLostOnes) {
+  answered(0, 100, kNow);
+  for (int i = 0; i < 20; ++i) {
+    for (int sample = 0; sample < 16; ++sample) runner(first, i).speed().learn(1.6);
+  }
+  for (int lost = 0; lost < 5; ++lost) digest(kNow);
+  for (int kept = 0; kept < 3; ++kept) second_part.take(digest(kNow, true), kNow);
+  for (int i = 0; i < 20; ++i) EXPECT_GT(runner(second, i).speed().relative_time(), 1.4) << i;
+}
+
+TEST_F(SpeedReportsTest, AReportOfAStartThatIsGoneIsLeftOut) {
+  answered(1, 250, kNow);
+  second.runners.remove("r1");
+  second_part.take(digest(kNow), kNow);
+  EXPECT_FALSE(second.load_policy.knows_speeds);
+}
+
+/// A runner on loopback that tells its slowness.
+TEST_F(GatewayFixture, TheFourthFigureOfAnAnswerIsTaken) {
+  configure(RouteKind::kStreaming, true);
+  const std::string load = "X-Response-Signature: s\r\nX-Load: 1,0,8,250\r\n";
+  ScriptedRunner runner(loop, {{plain_answer(event(1), "{id}", "200 OK", load)}});
+  add_runner(runner);
+  EXPECT_EQ(ask().status, 200);
+  EXPECT_TRUE(context.load_policy.knows_speeds);
+  EXPECT_EQ(context.runners.all().at("r1")->speed().reported_percent(), 250U);
+}
+
+}  // namespace
+}  // namespace stoathold
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -150,5 +150,72 @@
   EXPECT_EQ(chosen(request), "");
 }
 
+/// Runners of which one is twice as slow as the other, learned.
+class TimedSelectionTest : public RunnerSelectorTest {
+ protected:
+  TimedSelectionTest() {
+    add("fast", "near");
+    add("slow", "near");
+    for (int i = 0; i < 100; ++i) {
+      observe("fast", 40);
+      observe("slow", 80);
+    }
+    request.speeds = &model;
+    request.needs = {.route = kRoute,
+                     .first_event_due = kNow + std::chrono::milliseconds(300),
+                     .event_gap_objective = std::chrono::milliseconds(200)};
+  }
+  void observe(const std::string& id, int milliseconds) {
+    RunnerSpeed& speed = runner(id)->speed();
+    const Duration time = std::chrono::milliseconds(milliseconds);
+    model.observe_first_event(kRoute, speed, {.unread_tokens = 100}, time, kNow);
+    model.observe_gap(kRoute, speed, 1, time, kNow);
+  }
+
+  static constexpr std::uint64_t kRoute = 5;
+  SpeedModel model;
+};
+
+TEST_F(TimedSelectionTest, TheFasterOfTwoIsTakenWhateverTheConnections) {
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(chosen(request), "fast");
+  request.connected = [](const Runner& runner) { return runner.record().id == "slow"; };
+  EXPECT_EQ(chosen(request), "fast");
+}
+
+TEST_F(TimedSelectionTest, ASlowRunnerGetsWorkWhenTheFastOneIsFull) {
+  request.load_limit = 1.0;
+  fill("fast", 10);
+  EXPECT_EQ(chosen(request), "slow");
+}
+
+TEST_F(TimedSelectionTest, ARunnerThatIsSlowAtTheMomentIsPassedOver) {
+  request.needs.event_gap_objective = Duration{0};  // The first event alone counts.
+  model.take_slowness(runner("fast")->speed(), 400, kNow, true);
+  model.take_slowness(runner("slow")->speed(), 100, kNow, true);
+  EXPECT_EQ(chosen(request), "slow");
+}
+
+// A stream whose pauses would be too long at the slowest moments goes elsewhere, also where its
+// first event would come later.
+TEST_F(TimedSelectionTest, PausesThatWouldBeTooLongCountBeforeTheFirstEvent) {
+  // Machines were 2.5 times slower just before.
+  for (const char* id : {"fast", "slow"}) {
+    model.take_slowness(runner(id)->speed(), 250, kNow - std::chrono::seconds(2), true);
+    model.take_slowness(runner(id)->speed(), 100, kNow, true);
+  }
+  fill("fast", 8, 1500);
+  // Pauses at the slowest: some 100 ms at the fast one and 200 at the slow one.
+  request.needs.event_gap_objective = std::chrono::milliseconds(150);
+  const Selection selection = select_runner(registry, request, kNow);
+  ASSERT_TRUE(selection.runner);
+  EXPECT_EQ(selection.runner->record().id, "fast");
+  EXPECT_LE(selection.expected->longest_gap, std::chrono::milliseconds(150));
+}
+
+TEST_F(TimedSelectionTest, WhatIsLateAnywhereStillFindsARunner) {
+  request.needs.first_event_due = kNow - std::chrono::seconds(1);
+  EXPECT_EQ(chosen(request), "fast");
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -59,10 +59,11 @@
     """
 
     def __init__(self, directory, nodes=3, runners=2, link=None, crash_body=None,
-                 sizes=SMALL_SIZES):
+                 sizes=SMALL_SIZES, runner_options=None):
         self.directory = directory
         self.sizes = sizes
         self.crash_body = crash_body
+        self.runner_options = runner_options or {}  # By name: more arguments of that runner.
         self.runner_starts = 0
         self.starts_of = {}  # By the id of a runner: the time that it tells for its start.
         link = link or (lambda kind, name, address: address)
@@ -108,7 +109,8 @@
         return Process(runner_id, [
             BUILD / "apps/stoathold-emulator", "inference-runner", "--listen", self.runners[name],
             "--id", runner_id, "--events", EVENTS,
-            "--event-bytes", self.sizes.event_bytes] + crash, self.directory)
+            "--event-bytes", self.sizes.event_bytes] + crash + self.runner_options.get(name, []),
+            self.directory)
 
     def note_start(self, runner_id):
         """Two starts of a runner never tell the same time."""
