--- a/src/tenancy/tenant_gossip.h
+++ b/src/tenancy/tenant_gossip.h
@@ -29,6 +29,13 @@
   /// Takes a digest of a node of the own zone.
   void take_report(std::uint64_t node, const std::vector<TenantUsage>& uses, TimePoint now);
 
+  /// Takes the last digests of a node of the own zone that leaves as planned.
+  /// @return whether that is news.
+  bool take_leave(std::uint64_t node, const std::vector<TenantUsage>& uses, TimePoint now);
+  /// This node leaves as planned, and admits nothing from now on.
+  void leave() { leaving_ = true; }
+  [[nodiscard]] bool leaving() const { return leaving_; }
+
   /// Returns the report for another zone.
   [[nodiscard]] ZoneTenantUsage make_zone_report(TimePoint now) const;
   /// Takes the report of another zone.
@@ -44,6 +51,8 @@
   std::uint64_t node_;
   std::uint64_t zone_;
   std::map<std::uint64_t, TimePoint> zone_nodes_;  ///< Nodes of the own zone, when last heard.
+  std::map<std::uint64_t, TimePoint> zone_left_;   ///< Those that left, when they last said so.
+  bool leaving_ = false;
 };
 
 /// Between two reports of tenants' requests, to other zones and, while nothing else is to be said,
--- a/src/tenancy/tenant_limits.cc
+++ b/src/tenancy/tenant_limits.cc
@@ -57,9 +57,15 @@
   return found->second.lately.value(counted) + kIdleWeight;
 }
 
+/// One that has heard of nobody does not know how many there are. One of which all others have left
+/// has the whole limit.
+double TenantLimits::share_alone() const {
+  return all_left_ ? 1 : 1 / (1 + kUnknownNodes);
+}
+
 double TenantLimits::total_weight(const Bucket& bucket, TimePoint now) const {
   const double own = bucket.own_lately.value(now) + kIdleWeight;
-  if (heard_.empty()) return own * (1 + kUnknownNodes);
+  if (heard_.empty()) return own / share_alone();
   double total = own;
   for (const auto& [node, heard] : heard_) total += weight_of(bucket, node, now);
   return total;
@@ -71,7 +77,7 @@
 void TenantLimits::divide(Bucket& bucket, const std::vector<std::uint64_t>& silent, TimePoint now) {
   const double total = total_weight(bucket, now);
   if (heard_.empty()) {
-    bucket.connected_share = 1 / (1 + kUnknownNodes);
+    bucket.connected_share = share_alone();
     return;
   }
   double left = 1;
@@ -127,12 +133,23 @@
 }
 
 void TenantLimits::node_heard(std::uint64_t node, TimePoint now) {
+  left_.erase(node);
+  all_left_ = false;
   const bool first = heard_.empty();
   if (first) fill_all(now);
   heard_[node] = now;
   if (first) divide_all(now);
 }
 
+void TenantLimits::node_reported(std::uint64_t node, TimePoint now) {
+  if (!left_.contains(node)) node_heard(node, now);
+}
+
+bool TenantLimits::node_left(std::uint64_t node, TimePoint now) {
+  left_[node] = now;
+  return heard_.contains(node);
+}
+
 void TenantLimits::take_usage(std::uint64_t node, const TenantUsage& usage, TimePoint now) {
   Bucket& bucket = bucket_of(usage.tenant);
   const bool known_node = heard_.contains(node);
@@ -201,11 +218,21 @@
 }
 
 void TenantLimits::forget_gone(TimePoint now) {
-  const auto gone =
-      std::erase_if(heard_, [&](const auto& entry) { return now - entry.second > kGoneAfter; });
-  if (gone == 0) return;
+  std::erase_if(left_, [&](const auto& entry) { return now - entry.second > kGoneAfter; });
+  std::vector<std::uint64_t> gone;
+  for (const auto& [node, heard] : heard_) {
+    if (now - heard > kGoneAfter) gone.push_back(node);
+  }
+  if (!gone.empty()) forget(gone, now);
+}
+
+/// Their shares are the others' from now on.
+void TenantLimits::forget(const std::vector<std::uint64_t>& nodes, TimePoint now) {
   fill_all(now);
-  std::erase_if(silent_, [&](std::uint64_t node) { return !heard_.contains(node); });
+  for (const std::uint64_t node : nodes) {
+    heard_.erase(node);
+    std::erase(silent_, node);
+  }
   for (auto& [tenant, bucket] : buckets_) {
     std::erase_if(bucket.nodes, [&](const auto& entry) { return !heard_.contains(entry.first); });
   }
--- a/src/tenancy/tenant_limits.h
+++ b/src/tenancy/tenant_limits.h
@@ -12,6 +12,9 @@
 /// its share of the tenant's latest requests. The silent node sees all others silent and so leaves
 /// itself just that share. All shares of a tenant add up to 1, so that cut parts of the fleet
 /// together stay within the limit.
+///
+/// A node that leaves as planned says so once it admits nothing any more, and its share is the
+/// others' at once. Whoever does not hear that takes it for silent.
 #pragma once
 
 #include <cstdint>
@@ -49,8 +52,13 @@
   /// A request that was admitted has not run and never will.
   void give_back(const std::string& tenant, TimePoint now);
 
-  /// Another node is alive and in touch, directly or by another's word.
+  /// Another node is alive and in touch.
   void node_heard(std::uint64_t node, TimePoint now);
+  /// The same by another node's word, which may be older than the node's own that it leaves.
+  void node_reported(std::uint64_t node, TimePoint now);
+  /// Another node has stopped as planned and admits nothing any more, until it is heard again.
+  /// @return whether it counted until now.
+  bool node_left(std::uint64_t node, TimePoint now);
   /// Another node has admitted so much for a tenant.
   void take_usage(std::uint64_t node, const TenantUsage& usage, TimePoint now);
   /// Recomputes which nodes are silent; called some times a second.
@@ -107,15 +115,20 @@
   void divide_all(TimePoint now);
   void end_silence(std::uint64_t node);
   void forget_gone(TimePoint now);
+  void forget(const std::vector<std::uint64_t>& nodes, TimePoint now);
+  /// Part of the limit of a process that hears nobody.
+  [[nodiscard]] double share_alone() const;
   void skip_standstill(TimePoint now);
 
   std::unordered_map<std::uint64_t, Bucket> buckets_;  ///< By hash of the tenant's name.
   std::map<std::uint64_t, TimePoint> heard_;           ///< Other nodes, when last heard of.
   std::vector<std::uint64_t> silent_;                  ///< Those of them that are silent now.
+  std::map<std::uint64_t, TimePoint> left_;            ///< Nodes that left as planned, and when.
   std::deque<Change> own_changes_;                     ///< The oldest first.
   std::deque<Change> node_changes_;                    ///< Those of other nodes, the oldest first.
   TimePoint checked_{};                                ///< When silence was last checked.
   bool limited_ = false;
+  bool all_left_ = false;  ///< All other nodes that were known left as planned.
 };
 
 }  // namespace stoathold
--- a/src/tenancy/tenant_usage.h
+++ b/src/tenancy/tenant_usage.h
@@ -34,11 +34,12 @@
   std::uint64_t zone = 0;             ///< Hash of the sender's zone.
   std::vector<std::uint64_t> nodes;   ///< Nodes of the zone that the sender hears.
   std::vector<NodeTenantUsage> uses;  ///< Those that changed lately.
+  std::vector<std::uint64_t> left;    ///< Nodes of the zone that have just left as planned.
   bool pass_on = false;               ///< The receiver passes it on inside its zone.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(zone, nodes, uses, pass_on);
+    archive(zone, nodes, uses, left, pass_on);
   }
 };
 
--- a/tests/tenancy/tenant_gossip_test.cc
+++ b/tests/tenancy/tenant_gossip_test.cc
@@ -74,5 +74,46 @@
   EXPECT_NEAR(node.limits.available("alder", now), before, 0.01);
 }
 
+TEST(TenantGossipTest, WhoLeavesIsKnownInItsZoneAndThroughOneNodeInTheOthers) {
+  TimePoint now{seconds(100)};
+  Node leaving(1, 10, now);
+  Node neighbour(2, 10, now);
+  Node remote(3, 20, now);
+  neighbour.gossip.take_report(1, {}, now);
+  remote.gossip.take_zone_report(neighbour.gossip.make_zone_report(now), now);
+  leaving.gossip.leave();
+  EXPECT_TRUE(neighbour.gossip.take_leave(1, leaving.gossip.make_report(true, now), now));
+  remote.gossip.take_zone_report(neighbour.gossip.make_zone_report(now), now);
+  now += seconds(1);
+  neighbour.gossip.check_silence(now);
+  remote.gossip.take_report(4, {}, now);
+  remote.gossip.check_silence(now);
+  EXPECT_EQ(neighbour.limits.silent_nodes(), 0U);
+  EXPECT_EQ(remote.limits.silent_nodes(), 1U);  // The neighbour, of which nothing was heard since.
+}
+
+TEST(TenantGossipTest, WhatALeavingNodeAdmittedLastCountsOnce) {
+  TimePoint now{seconds(100)};
+  Node leaving(1, 10, now);
+  Node neighbour(2, 10, now);
+  neighbour.gossip.take_report(1, {}, now);
+  neighbour.gossip.take_report(4, {}, now);
+  const double before = neighbour.limits.available("alder", now);
+  ASSERT_TRUE(leaving.ask(now));
+  const auto last = leaving.gossip.make_report(true, now);
+  neighbour.gossip.take_leave(1, last, now);
+  neighbour.gossip.take_leave(1, last, now);
+  EXPECT_NEAR(neighbour.limits.available("alder", now), before - 1, 0.01);
+}
+
+TEST(TenantGossipTest, ALeavingNodeTellsTheOtherZonesItself) {
+  TimePoint now{seconds(100)};
+  Node leaving(1, 10, now);
+  leaving.gossip.leave();
+  const ZoneTenantUsage report = leaving.gossip.make_zone_report(now);
+  EXPECT_TRUE(report.nodes.empty());
+  EXPECT_EQ(report.left, (std::vector<std::uint64_t>{1}));
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/tenancy/tenant_limits_test.cc
+++ b/tests/tenancy/tenant_limits_test.cc
@@ -218,5 +218,83 @@
   for (int i = 0; i < 1000; ++i) EXPECT_TRUE(limits.admit(open, now).admitted);
 }
 
+// A node that stopped as planned kept its share of each limit for 20 s, since nobody could tell it
+// from one that is cut off: with a half of the requests at each, the other one refused half of what
+// the limit allows. The thresholds: nothing of the limit may be lost, and nothing admitted twice.
+TEST_F(TenantLimitsTest, TheShareOfANodeThatLeftIsGivenBackAtOnce) {
+  std::uint32_t peer_total = 0;
+  for (int second = 0; second < 20; ++second) {
+    peer_total += 5;
+    peer_admitted(peer_total);
+    limits.node_heard(8, now);
+    admitted_of(5);
+    pass(seconds(1));
+  }
+  EXPECT_TRUE(limits.node_left(kPeer, now));
+  admitted_of(20);
+  int admitted = 0;
+  for (int step = 0; step < 100; ++step) {
+    limits.node_heard(8, now);
+    pass(milliseconds(100), false);
+    admitted += admitted_of(5);
+  }
+  EXPECT_GE(admitted, 98);
+  EXPECT_LE(admitted, 106);
+}
+
+TEST_F(TenantLimitsTest, WhomAllOthersLeftHasTheWholeLimit) {
+  pass(seconds(10));
+  EXPECT_TRUE(limits.node_left(kPeer, now));
+  admitted_of(20);
+  int admitted = 0;
+  for (int step = 0; step < 100; ++step) {
+    pass(milliseconds(100), false);
+    admitted += admitted_of(5);
+  }
+  EXPECT_GE(admitted, 98);
+  EXPECT_LE(admitted, 106);
+}
+
+TEST_F(TenantLimitsTest, ALostWordOfLeavingLeavesTheNodeSilent) {
+  pass(seconds(10));
+  limits.node_heard(8, now);
+  pass(seconds(1), false);
+  EXPECT_EQ(limits.silent_nodes(), 2U);
+}
+
+TEST_F(TenantLimitsTest, AWordOfLeavingThatComesTwiceOrFromAnUnknownNodeChangesNothing) {
+  pass(seconds(10));
+  limits.node_heard(8, now);
+  EXPECT_TRUE(limits.node_left(kPeer, now));
+  const double available = limits.available("alder", now);
+  EXPECT_FALSE(limits.node_left(kPeer, now));
+  EXPECT_FALSE(limits.node_left(99, now));
+  EXPECT_EQ(limits.available("alder", now), available);
+}
+
+TEST_F(TenantLimitsTest, AnOlderWordOfAnotherNodeDoesNotBringBackWhoLeft) {
+  pass(seconds(10));
+  limits.node_heard(8, now);
+  limits.node_left(kPeer, now);
+  limits.node_reported(kPeer, now);
+  for (int step = 0; step < 20; ++step) {
+    limits.node_heard(8, now);
+    pass(milliseconds(100), false);
+  }
+  EXPECT_EQ(limits.silent_nodes(), 0U);
+}
+
+TEST_F(TenantLimitsTest, WhoLeftAndIsHeardAgainCountsAgain) {
+  pass(seconds(10));
+  limits.node_heard(8, now);
+  limits.node_left(kPeer, now);
+  limits.node_heard(kPeer, now);
+  for (int step = 0; step < 20; ++step) {
+    limits.node_heard(8, now);
+    pass(milliseconds(100), false);
+  }
+  EXPECT_EQ(limits.silent_nodes(), 1U);
+}
+
 }  // namespace
 }  // namespace stoathold
