The share of a node that leaves as planned is given back at once

Cause: nobody could tell a node that had stopped as planned from one that is cut off, so it kept its share of each tenant's limit for 20 s, and the others refused what the limit allows.

Change: once a node admits nothing any more, its digests say that it leaves, three at once, and so does a report to one node of each other zone; nodes of its zone name it for a second. What it admitted last comes with the word and counts. If all words are lost it is silent, as before. A node of which all known others left has the whole limit.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -142,6 +142,15 @@
     EventEntry{Event::kWaitRejected, "wait_rejected", EventLevel::kInfo,
                "An online request that found no slot was rejected before its wait was over; the "
                "line holds the figures, with the age of the oldest report of another node."},
+    EventEntry{
+        Event::kTenantAboveShare, "tenant_above_share", EventLevel::kInfo,
+        "Requests of a tenant go behind others': it was given more slot time lately than its "
+        "part, by its weight."},
+    EventEntry{Event::kUrgentKindServedLess, "urgent_kind_served_less", EventLevel::kWarning,
+               "In the last seconds a smaller part of a route's requests found a slot than of a "
+               "less urgent route's of the same service."},
+    EventEntry{Event::kLimitShareGivenBack, "limit_share_given_back", EventLevel::kInfo,
+               "Another node leaves as planned: its part of the tenants' limits is the others'."},
     EventEntry{Event::kSlownessReported, "slowness_reported", EventLevel::kInfo,
                "A runner has said how slow its machine is: from now on runners are chosen by when "
                "they will have answered."},
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -100,12 +100,13 @@
   std::vector<ShareUse> share_uses;         ///< Inside the zone only.
   std::vector<SpeedReport> speeds;          ///< Inside the zone only.
   std::vector<ReturnReport> returns;        ///< Inside the zone only.
+  bool leaving = false;  ///< The sender stops as planned, and admits nothing from now on.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
     archive(configuration_version, tenants, answers, paces);
-    archive(backlogs, share_uses, speeds, returns);
+    archive(backlogs, share_uses, speeds, returns, leaving);
   }
 };
 
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -144,7 +144,7 @@
     zone_nodes_.learn(digest.neighbours, socket_.local_endpoint(), now);
     take_ejections(digest, now);
     if (pace_listener_) std::for_each(digest.paces.begin(), digest.paces.end(), pace_listener_);
-    if (tenant_gossip_) tenant_gossip_->take_report(digest.sender, digest.tenants, now);
+    take_tenants(digest, now);
     for (const DigestPart& part : digest_parts_) part.take(digest, now);
     if (version_listener_) {
       version_listener_(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
@@ -282,6 +282,7 @@
   }
   for (const DigestPart& part : digest_parts_) part.add(digest, thorough, last_sent_);
   in_use_ = !digest.uses.empty();
+  digest.leaving = leaving_;
   const std::string bytes = encode_message(digest);
   send_to_zone(bytes);
 }
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -95,6 +95,9 @@
   /// place.
   /// @return false if none is known to run any.
   bool ask_for_place(const YieldRequest& request);
+  /// This node stops as planned and admits nothing any more: its shares of the tenants' limits are
+  /// the others' from now on.
+  void leave();
   /// This node's use of a runner has changed.
   void use_changed();
   /// The address bound, with the port that was taken.
@@ -109,6 +112,7 @@
   void receive();
   void take(const std::string& bytes);
   void take_digest(LoadDigest digest);
+  void take_tenants(const LoadDigest& digest, TimePoint now);
   void take_ejections(const LoadDigest& digest, TimePoint now);
   void take_zone_loads(ZoneLoads loads);
   void take_slot_message(const PeerLoadMessage& message);
@@ -183,6 +187,7 @@
   TimePoint neighbours_reported_{};
   bool send_scheduled_ = false;
   bool in_use_ = false;
+  bool leaving_ = false;
 };
 
 }  // namespace stoathold
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
+#include "base/event_log.h"
 #include "routing/peer_loads.h"
 
 namespace stoathold {
@@ -86,6 +87,28 @@
   tenant_turn_ += 1 + sender_ % 2;
 }
 
+void PeerLoads::take_tenants(const LoadDigest& digest, TimePoint now) {
+  if (!tenant_gossip_) return;
+  if (!digest.leaving) {
+    tenant_gossip_->take_report(digest.sender, digest.tenants, now);
+  } else if (tenant_gossip_->take_leave(digest.sender, digest.tenants, now)) {
+    log_event(Event::kLimitShareGivenBack, {{"sender", to_hex(digest.sender)}});
+  }
+}
+
+void PeerLoads::leave() {
+  /// One may be lost; should all be, the others take this node for silent.
+  constexpr int kRepeats = 3;
+  leaving_ = true;
+  if (tenant_gossip_) tenant_gossip_->leave();
+  for (int repeat = 0; repeat < kRepeats; ++repeat) {
+    send();
+    if (!tenant_gossip_ || !tenant_gossip_->needed()) continue;
+    const std::string bytes = encode_message(tenant_gossip_->make_zone_report(monotonic_now()));
+    send_to_other_zones(bytes, tenant_turn_++);
+  }
+}
+
 void PeerLoads::share_runner_ends(Quarantine& quarantine) {
   quarantine_ = &quarantine;
   quarantine.set_news_listener([this] { schedule_end_reports(); });
--- a/src/tenancy/tenant_limits.cc
+++ b/src/tenancy/tenant_limits.cc
@@ -147,7 +147,10 @@
 
 bool TenantLimits::node_left(std::uint64_t node, TimePoint now) {
   left_[node] = now;
-  return heard_.contains(node);
+  if (!heard_.contains(node)) return false;
+  all_left_ = heard_.size() == 1;
+  forget({node}, now);
+  return true;
 }
 
 void TenantLimits::take_usage(std::uint64_t node, const TenantUsage& usage, TimePoint now) {
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -269,5 +269,45 @@
   run_until([&] { return other.runner("a1").load(monotonic_now()) > 0; });
 }
 
+/// A node that shares a tenant's limit.
+struct LimitedNode {
+  LimitedNode(boost::asio::io_context& loop, const std::string& zone, std::uint64_t number)
+      : loads(loop.get_executor(), registry, "127.0.0.1:0", zone, number) {
+    limits.set_tenants(directory, monotonic_now() - std::chrono::seconds(10));
+    loads.share_tenant_usage(limits);
+    loads.start();
+  }
+  double available() { return limits.available("alder", monotonic_now()); }
+
+  TenantDirectory directory{{{"alder", {"key"}, {}, {0.01, 100}}}};
+  RunnerRegistry registry;
+  TenantLimits limits;
+  PeerLoads loads;
+};
+
+// A node that stopped as planned was taken for silent for 20 s, as one that is cut off.
+TEST_F(SharedRunnersTest, ANodeThatLeavesIsNotTakenForSilentInAnyZone) {
+  LimitedNode leaving(loop, "a", 1);
+  LimitedNode near(loop, "a", 2);
+  LimitedNode far(loop, "b", 3);
+  leaving.loads.set_peers({{near.loads.address(), "a"}, {far.loads.address(), "b"}});
+  const auto run_for = [&](Duration time) {
+    const TimePoint end = monotonic_now() + time;
+    run_until([&] { return monotonic_now() > end; });
+  };
+  run_for(std::chrono::milliseconds(300));
+  // What it admits from now on counts, since it is known.
+  const double at_first = near.available();
+  for (int i = 0; i < 3; ++i) {
+    leaving.limits.admit(leaving.directory.tenants().front(), monotonic_now());
+  }
+  leaving.loads.use_changed();
+  run_until([&] { return near.available() < at_first - 2 && far.available() < at_first - 2; });
+  leaving.loads.leave();
+  run_for(std::chrono::milliseconds(900));
+  EXPECT_EQ(near.limits.silent_nodes(), 0U);
+  EXPECT_EQ(far.limits.silent_nodes(), 0U);
+}
+
 }  // namespace
 }  // namespace stoathold
