--- a/src/admission/share_report.h
+++ b/src/admission/share_report.h
@@ -6,14 +6,15 @@
 
 namespace stoathold {
 
-/// Slot time that the sender has given to one flow: the requests of one tenant, route and service.
+/// Slot time that the sender has given to one tenant at one service.
 struct ShareUse {
-  std::uint64_t flow = 0;     ///< Hash of tenant, route and service.
+  std::uint64_t service = 0;  ///< Hash of the service and the class of work.
+  std::uint64_t tenant = 0;   ///< Hash of the tenant's name.
   std::uint32_t slot_ms = 0;  ///< Since the sender's start; wraps around, only differences count.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(flow, slot_ms);
+    archive(service, tenant, slot_ms);
   }
 };
 
--- /dev/null
+++ b/tests/admission/share_ledger_test.cc
@@ -0,0 +1,153 @@
+#include "admission/share_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ShareKey kAlder{1, 10};
+constexpr ShareKey kBirch{1, 11};
+constexpr std::uint64_t kNode = 7;
+
+class ShareLedgerTest : public testing::Test {
+ protected:
+  void reported(std::uint32_t slot_ms, std::uint64_t node = kNode) {
+    ledger.take(node, {kAlder.service, kAlder.tenant, slot_ms}, now);
+  }
+  [[nodiscard]] double alder() const { return ledger.seconds(kAlder, now); }
+
+  TimePoint now{seconds(100)};
+  ShareLedger ledger;
+};
+
+TEST_F(ShareLedgerTest, OwnUseAndThatOfOthersAddUp) {
+  reported(0);
+  ledger.use(kAlder, milliseconds(700), now);
+  reported(1500);
+  EXPECT_NEAR(alder(), 2.2, 0.001);
+}
+
+TEST_F(ShareLedgerTest, ALostReportIsMadeUpForByTheNext) {
+  reported(0);
+  reported(1000);
+  // The one that said 2000 was lost.
+  reported(3000);
+  EXPECT_NEAR(alder(), 3, 0.001);
+}
+
+TEST_F(ShareLedgerTest, ADoubledReportCountsOnce) {
+  reported(0);
+  reported(1000);
+  reported(1000);
+  EXPECT_NEAR(alder(), 1, 0.001);
+}
+
+TEST_F(ShareLedgerTest, ALateReportChangesNothing) {
+  reported(0);
+  reported(2000);
+  now += milliseconds(50);
+  const double before = alder();
+  reported(1000);
+  EXPECT_NEAR(alder(), before, 0.001);
+  reported(2000);
+  EXPECT_NEAR(alder(), before, 0.001);
+}
+
+TEST_F(ShareLedgerTest, WhatAnUnknownNodeBringsAlongIsThePast) {
+  reported(50'000);
+  EXPECT_EQ(alder(), 0);
+  reported(51'000);
+  EXPECT_NEAR(alder(), 1, 0.001);
+}
+
+TEST_F(ShareLedgerTest, ATenantThatAKnownNodeReportsFirstCountsFromTheBeginning) {
+  ledger.take(kNode, {kBirch.service, kBirch.tenant, 5}, now);
+  reported(1000);
+  EXPECT_NEAR(alder(), 1, 0.001);
+}
+
+TEST_F(ShareLedgerTest, ANodeThatStartsAgainCountsFromNothing) {
+  reported(0);
+  reported(40'000);
+  now += seconds(30);
+  // Another start has another name.
+  reported(0, kNode + 1);
+  reported(900, kNode + 1);
+  EXPECT_NEAR(alder(), 0.9, 0.01);
+}
+
+TEST_F(ShareLedgerTest, ACounterThatStaysBelowIsThatOfANewBeginning) {
+  reported(0);
+  reported(40'000);
+  now += seconds(30);
+  reported(100);
+  EXPECT_NEAR(alder(), 0, 0.01);
+  reported(1100);
+  EXPECT_NEAR(alder(), 1, 0.01);
+}
+
+TEST_F(ShareLedgerTest, CountersWrapAround) {
+  reported(0xFFFFFFFF - 499);
+  reported(500);
+  EXPECT_NEAR(alder(), 1, 0.001);
+}
+
+TEST_F(ShareLedgerTest, AFalseCounterCostsATenantABoundedTime) {
+  reported(0);
+  reported(1'000'000'000);
+  EXPECT_LE(alder(), 600);
+  now += seconds(60);
+  EXPECT_LT(alder(), 0.01);
+}
+
+TEST_F(ShareLedgerTest, UseIsForgotten) {
+  ledger.use(kAlder, seconds(10), now);
+  now += 4 * kShareMemory;
+  EXPECT_LT(alder(), 0.2);
+  now += seconds(30);
+  ledger.forget(now);
+  EXPECT_EQ(ledger.size(), 0U);
+}
+
+TEST_F(ShareLedgerTest, ManyTenantsTakeABoundedRoom) {
+  for (std::uint64_t tenant = 0; tenant < 100'000; ++tenant) {
+    ledger.wait({1, tenant}, milliseconds(500), now);
+    ledger.use({1, tenant}, milliseconds(500), now);
+  }
+  EXPECT_LE(ledger.size(), 1024U);
+}
+
+TEST_F(ShareLedgerTest, WhatWaitsCountsUntilItIsPlacedOrLeaves) {
+  ledger.wait(kAlder, milliseconds(700), now);
+  EXPECT_NEAR(alder(), 0.7, 0.001);
+  ledger.end_wait(kAlder, milliseconds(700));
+  ledger.end_wait(kAlder, milliseconds(700));
+  EXPECT_EQ(alder(), 0);
+}
+
+TEST_F(ShareLedgerTest, ChangesAreReportedOnceEachAndTheNewestFirst) {
+  ledger.use(kAlder, milliseconds(700), now);
+  now += milliseconds(100);
+  ledger.use(kBirch, milliseconds(500), now);
+  ledger.use(kBirch, milliseconds(500), now);
+  const auto changes = ledger.changes(milliseconds(250), 16, now);
+  ASSERT_EQ(changes.size(), 2U);
+  EXPECT_EQ(changes[0].tenant, kBirch.tenant);
+  EXPECT_EQ(changes[0].slot_ms, 1000U);
+  EXPECT_EQ(changes[1].slot_ms, 700U);
+  EXPECT_EQ(ledger.changes(milliseconds(50), 16, now).size(), 1U);
+  EXPECT_EQ(ledger.changes(milliseconds(250), 1, now).size(), 1U);
+}
+
+TEST_F(ShareLedgerTest, ServicesAreApart) {
+  ledger.use(kAlder, seconds(1), now);
+  ledger.use({2, kAlder.tenant}, seconds(5), now);
+  EXPECT_NEAR(ledger.total(1, now).seconds, 1, 0.001);
+  EXPECT_NEAR(ledger.total(1, now).weight, 1, 0.001);
+}
+
+}  // namespace
+}  // namespace stoathold
