Placement by fair turns, where tenants compete or runners are uneven

FairShares connects turns to the placement queue, use to the digests inside a zone, weights to the configuration (a tenant's limit), and shows both in metrics and logs. What is above its part leaves slots to what waits in time at other nodes: ServiceDemand counts it apart, and a free slot is dealt among nodes with urgent work first. Off, all turns are 0 and nothing is reported. Items tell the queue how long they are expected to run.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -10,6 +10,7 @@
 #include "base/start_progress.h"
 #include "gateway/answer_pace.h"
 #include "gateway/durations_by_route.h"
+#include "gateway/fair_shares.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/header_dialect.h"
 #include "gateway/online_admission.h"
@@ -36,6 +37,7 @@
         pool(executor, dialect),
         quarantine([this](std::uint64_t runner) { return runners.last_heard(runner); }) {
     quarantine.set_change_listener([this] { placement.drop_hopeless(); });
+    shares.add_to(placement.decisions());
   }
 
   /// Returns the predicate of choices between runners: whether an idle connection to it is kept.
@@ -50,6 +52,12 @@
     return load_policy.knows_speeds ? &speeds : nullptr;
   }
 
+  /// A configuration is in force: takes the tenants' limits and shares from it.
+  void set_tenants(const ServingConfiguration& next) {
+    tenant_limits.set_tenants(next.tenants, monotonic_now());
+    shares.configure(next);
+  }
+
   /// The deployment shows something else of itself: a configuration is in force, or a runner has
   /// reported its slowness.
   void set_traits(const DeploymentTraits& next) {
@@ -68,6 +76,7 @@
   TrafficSplit split;
   PlacementQueue placement;
   OnlineAdmission admission;
+  FairShares shares{load_policy};
   UpstreamPool pool;
   Quarantine quarantine;
   GatewayMetrics metrics;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -157,6 +157,46 @@
                            static_cast<double>(context.admission.expected_returns())));
 }
 
+/// Adds what tenants were given of slots, what waits for them, and how that compares with a part.
+void add_shares(const FairShares& shares, std::vector<MetricFamily>& families) {
+  MetricFamily given =
+      make_family("stoathold_tenant_slot_seconds_total",
+                  "Slot time given to tenants by this node, as predicted.", MetricType::Counter);
+  MetricFamily waiting =
+      make_family("stoathold_tenant_waiting_slot_seconds",
+                  "Slot time for which tenants' requests wait at this node.", MetricType::Gauge);
+  MetricFamily over = make_family("stoathold_tenant_times_part",
+                                  "Slot time of the last seconds by the tenant's part; 1: just so.",
+                                  MetricType::Gauge);
+  for (const TenantShareRow& row : shares.tenant_rows(monotonic_now())) {
+    ClientMetric metric;
+    metric.label = {make_label("service", row.service), make_label("tenant", row.tenant)};
+    metric.counter.value = row.given_seconds;
+    given.metric.push_back(metric);
+    metric.gauge.value = row.waiting_seconds;
+    waiting.metric.push_back(metric);
+    metric.gauge.value = row.over_part;
+    over.metric.push_back(metric);
+  }
+  families.insert(families.end(), {std::move(given), std::move(waiting), std::move(over)});
+}
+
+MetricFamily waits_by_kind(const KindWatch& kinds) {
+  MetricFamily family =
+      make_family("stoathold_slot_waits_total",
+                  "Waits for a slot by kind of request and how they ended.", MetricType::Counter);
+  for (const auto& [kind, counts] : kinds.kinds()) {
+    for (const KindOutcome outcome : kKindOutcomes) {
+      add_counter(family,
+                  {make_label("service", kind.service), make_label("route", kind.route),
+                   make_label("priority", std::to_string(kind.priority)),
+                   make_label("outcome", std::string(to_string(outcome)))},
+                  counts.total[static_cast<std::size_t>(outcome)]);
+    }
+  }
+  return family;
+}
+
 /// Adds the calls to the store by outcome, and a family for each number that is counted by topic.
 void add_store_calls(const GatewayMetrics& metrics, std::vector<MetricFamily>& families) {
   families.push_back(labelled_counters("stoathold_store_calls_total",
@@ -222,6 +262,8 @@
                                        "Answers of the gateway's own by reason.", "reason",
                                        metrics.refusals));
   families.push_back(tenant_requests(metrics));
+  add_shares(context.shares, families);
+  families.push_back(waits_by_kind(context.shares.kinds()));
   families.push_back(gauge("stoathold_silent_nodes",
                            "Nodes that keep their share of each limit since nobody hears them.",
                            static_cast<double>(context.tenant_limits.silent_nodes())));
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -122,6 +122,7 @@
   request.priority = route.priority;
   request.tenant = item_.tenant;
   request.route = route.name;
+  request.slot_time = schedule.rest;
   // Who must begin first goes first, and what will be late anyway goes last.
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -72,11 +72,14 @@
 /// Online work that waits at the sender.
 struct ServiceDemand {
   std::uint64_t service = 0;  ///< Hash of its name.
-  std::uint16_t waiting = 0;  ///< Requests that can still be in time; 0: only others wait.
+  /// Requests that can still be in time and leave slots to nobody.
+  std::uint16_t waiting = 0;
+  /// Requests that can still be in time and leave slots to other nodes' `waiting`.
+  std::uint16_t yielding = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(service, waiting);
+    archive(service, waiting, yielding);
   }
 };
 
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -96,7 +96,7 @@
   /// @return false if none is known to run any.
   bool ask_for_place(const YieldRequest& request);
   /// This node stops as planned and admits nothing any more: its shares of the tenants' limits are
-  /// the others' from now on.
+  /// the others' from now on. Does so once, however often it is called.
   void leave();
   /// This node's use of a runner has changed.
   void use_changed();
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -1,6 +1,7 @@
 // What nodes tell those of other zones, and what they tell one another of runners that ended.
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <utility>
 
 #include "base/event_log.h"
 #include "routing/peer_loads.h"
@@ -99,7 +100,7 @@
 void PeerLoads::leave() {
   /// One may be lost; should all be, the others take this node for silent.
   constexpr int kRepeats = 3;
-  leaving_ = true;
+  if (std::exchange(leaving_, true)) return;
   if (tenant_gossip_) tenant_gossip_->leave();
   for (int repeat = 0; repeat < kRepeats; ++repeat) {
     send();
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -65,10 +65,12 @@
     const std::string& service, const std::vector<ServiceDemand>& own_demand, TimePoint now) const {
   const std::uint64_t hash = stable_hash(service);
   std::vector<SlotContender> contenders;
+  std::vector<SlotContender> yielding;
   const auto add = [&](std::uint64_t node, const std::vector<ServiceDemand>& demands) {
     for (const auto& demand : demands) {
-      if (demand.service == hash && demand.waiting > 0)
-        contenders.push_back({node, demand.waiting});
+      if (demand.service != hash) continue;
+      if (demand.waiting > 0) contenders.push_back({node, demand.waiting});
+      if (demand.yielding > 0) yielding.push_back({node, demand.yielding});
     }
   };
   add(self_, own_demand);
@@ -76,7 +78,7 @@
     const bool fresh = now - state.received <= kContenderLifetime;
     if (fresh && state.zone == zone_hash_) add(node, state.demand);
   }
-  return contenders;
+  return contenders.empty() ? yielding : contenders;
 }
 
 /// The sender has given slots back. Of the nodes that wait, this one may not be the first to take
@@ -134,20 +136,23 @@
 void PeerUseTable::publish_demand(TimePoint now) {
   std::set<std::uint64_t> services;
   std::set<std::uint64_t> urgent;
+  std::set<std::uint64_t> yielding;
   std::map<std::uint64_t, std::uint32_t> waiting;
   for (const auto& [sender, state] : states_) {
     if (state.zone != zone_hash_ || now - state.received > kDemandLifetime) continue;
     const bool fresh = now - state.received <= kContenderLifetime;
     for (const auto& demand : state.demand) {
       services.insert(demand.service);
-      if (!fresh || demand.waiting == 0) continue;
-      urgent.insert(demand.service);
-      waiting[demand.service] += demand.waiting;
+      if (!fresh) continue;
+      if (demand.waiting > 0) urgent.insert(demand.service);
+      if (demand.yielding > 0) yielding.insert(demand.service);
+      waiting[demand.service] += demand.waiting + demand.yielding;
     }
   }
   demand_published_ = !services.empty();
   registry_.set_peer_demand(std::move(services));
   registry_.set_peer_urgent_demand(std::move(urgent));
+  registry_.set_peer_yielding_demand(std::move(yielding));
   registry_.set_peers_waiting(std::move(waiting));
 }
 
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -123,12 +123,19 @@
 asio::awaitable<std::shared_ptr<Runner>> PlacementQueue::acquire(
     std::shared_ptr<PlacementTicket> ticket) {
   const TimePoint now = monotonic_now();
-  const bool may_overtake = waiting_.empty() || ticket->request_.work == WorkClass::kOnline;
+  const PlacementRequest& request = ticket->request_;
+  const bool leaves_slot =
+      yields(request) && registry_.peers_wait_urgently_for(request.selection.service);
+  const bool may_overtake =
+      !leaves_slot && (waiting_.empty() || request.work == WorkClass::kOnline);
   if (may_overtake && try_place(*ticket, now)) co_return ticket->selection_.runner;
-  if (is_online(ticket->request_) && reviews()) {
+  if (is_online(request) && reviews()) {
     const QueuePosition position = position_of(*ticket, now);
-    if (reject(*ticket, position, now)) co_return nullptr;
-    if (decisions_.waits) decisions_.waits(ticket->request_, position, now);
+    if (reject(*ticket, position, now)) {
+      note_left(*ticket);
+      co_return nullptr;
+    }
+    if (decisions_.waits) decisions_.waits(request, position, now);
     watch_reviews();
   }
   waiting_.insert(ticket);
@@ -152,6 +159,8 @@
                         ticket->selection_.tokens_to_read, ticket->request_.work);
     runner.reset();
     capacity_changed();
+  } else if (!runner) {
+    note_left(*ticket);
   }
   co_return runner;
 }
@@ -174,6 +183,14 @@
   }
 }
 
+void PlacementQueue::note_left(const PlacementTicket& ticket) const {
+  if (decisions_.left) decisions_.left(ticket.request_, monotonic_now());
+}
+
+bool PlacementQueue::yields(const PlacementRequest& request) const {
+  return decisions_.yields && decisions_.yields(request);
+}
+
 /// Rejects a request that is certain not to be served in its time.
 bool PlacementQueue::reject(PlacementTicket& ticket, const QueuePosition& position, TimePoint now) {
   if (!decisions_.review) return false;
@@ -210,9 +227,13 @@
   const auto in_time = can_be_in_time;
   const auto online = is_online;
   dispatch_some([&](const PlacementRequest& request, TimePoint now) {
-    return online(request) && in_time(request, now);
+    return online(request) && in_time(request, now) && !yields(request);
+  });
+  // Slots of the zone go to such work of any node before they go to other work of this one.
+  dispatch_some([&](const PlacementRequest& request, TimePoint now) {
+    return online(request) && in_time(request, now) && yields(request) &&
+           !registry_.peers_wait_urgently_for(request.selection.service);
   });
-  // Slots of the zone go to such work of any node before they go to late work of this one.
   dispatch_some([&](const PlacementRequest& request, TimePoint) {
     return online(request) && !registry_.peers_wait_in_time_for(request.selection.service);
   });
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -64,6 +64,11 @@
   std::function<double(const PlacementRequest& request, TimePoint now)> turn;
   /// A request was given a slot.
   std::function<void(const PlacementRequest& request, TimePoint now)> placed;
+  /// A request left without a slot.
+  std::function<void(const PlacementRequest& request, TimePoint now)> left;
+  /// Returns whether an online request that can be in time leaves slots to such requests of other
+  /// nodes that don't.
+  std::function<bool(const PlacementRequest& request)> yields;
   /// Whether requests that wait are reviewed now.
   std::function<bool()> reviews;
   /// Returns the rejection of an online request that found no slot, or nothing if it may wait on.
@@ -176,6 +181,8 @@
   [[nodiscard]] std::vector<WaitingTicket> online_positions(TimePoint now) const;
   [[nodiscard]] QueuePosition position_of(const PlacementTicket& ticket, TimePoint now) const;
   void watch_reviews();
+  void note_left(const PlacementTicket& ticket) const;
+  [[nodiscard]] bool yields(const PlacementRequest& request) const;
   [[nodiscard]] double batch_margin(const std::string& service, TimePoint now);
   using Filter = std::function<bool(const PlacementRequest&, TimePoint now)>;
 
--- a/src/routing/placement_queue_views.cc
+++ b/src/routing/placement_queue_views.cc
@@ -25,17 +25,21 @@
 
 std::vector<ServiceDemand> PlacementQueue::online_demand() const {
   const TimePoint now = monotonic_now();
-  std::map<std::string, std::uint16_t> waiting;
+  std::map<std::string, ServiceDemand> waiting;
   for (const auto& ticket : waiting_) {
-    if (!is_online(ticket->request_)) continue;
-    const bool in_time = can_be_in_time(ticket->request_, now);
-    waiting[ticket->request_.selection.service] += in_time ? 1 : 0;
+    const PlacementRequest& request = ticket->request_;
+    if (!is_online(request)) continue;
+    ServiceDemand& demand = waiting[request.selection.service];
+    if (can_be_in_time(request, now)) ++(yields(request) ? demand.yielding : demand.waiting);
   }
   for (const auto& [service, time] : preempted_at_) {
-    if (now - time < kDemandShown) waiting.try_emplace(service, 0);
+    if (now - time < kDemandShown) waiting.try_emplace(service);
   }
   std::vector<ServiceDemand> demand;
-  for (const auto& [service, count] : waiting) demand.push_back({stable_hash(service), count});
+  for (auto& [service, of_service] : waiting) {
+    of_service.service = stable_hash(service);
+    demand.push_back(of_service);
+  }
   return demand;
 }
 
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -311,10 +311,15 @@
   return !peer_demand_.empty() && peer_demand_.contains(stable_hash(service));
 }
 
-bool RunnerRegistry::peers_wait_in_time_for(const std::string& service) const {
+bool RunnerRegistry::peers_wait_urgently_for(const std::string& service) const {
   return !peer_urgent_demand_.empty() && peer_urgent_demand_.contains(stable_hash(service));
 }
 
+bool RunnerRegistry::peers_wait_in_time_for(const std::string& service) const {
+  if (peers_wait_urgently_for(service)) return true;
+  return !peer_yielding_demand_.empty() && peer_yielding_demand_.contains(stable_hash(service));
+}
+
 Runner* RunnerRegistry::find_hash(std::uint64_t hash) const {
   const auto found = by_hash_.find(hash);
   return found == by_hash_.end() ? nullptr : found->second;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -259,6 +259,12 @@
   void set_peer_urgent_demand(std::set<std::uint64_t> services) {
     peer_urgent_demand_ = std::move(services);
   }
+  /// Those for which work waits that can still be in time and leaves slots to the former.
+  void set_peer_yielding_demand(std::set<std::uint64_t> services) {
+    peer_yielding_demand_ = std::move(services);
+  }
+  /// Whether online work for the service waits at another node that leaves slots to nobody.
+  [[nodiscard]] bool peers_wait_urgently_for(const std::string& service) const;
   /// Requests that can still be in time and wait at other nodes of the zone, by the hash of their
   /// service.
   void set_peers_waiting(std::map<std::uint64_t, std::uint32_t> waiting) {
@@ -304,6 +310,7 @@
   std::uint64_t revision_ = 1;
   std::set<std::uint64_t> peer_demand_;
   std::set<std::uint64_t> peer_urgent_demand_;
+  std::set<std::uint64_t> peer_yielding_demand_;
   std::map<std::uint64_t, std::uint32_t> peers_waiting_;  ///< By hash of the service.
   bool lending_ = false;
   std::set<std::string> lending_zones_;
--- /dev/null
+++ b/tests/gateway/fair_shares_test.cc
@@ -0,0 +1,153 @@
+#include "gateway/fair_shares.h"
+
+#include <gtest/gtest.h>
+
+#include "base/ids.h"
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A node's shares, with a service that one route of priority 0 and one of priority 1 use.
+class FairSharesTest : public testing::Test {
+ protected:
+  FairSharesTest() {
+    policy.shares_fairly = true;
+    ServingConfiguration configuration;
+    configuration.routes = {route("ask", 0, RouteKind::kStreaming),
+                            route("tell", 1, RouteKind::kStreaming),
+                            route("later", 2, RouteKind::kBatch)};
+    configuration.tenants = TenantDirectory(
+        {{"alder", {"a"}, {}, {10, 5}}, {"birch", {"b"}, {}, {30, 5}}, {"cedar", {"c"}, {}, {}}});
+    shares.configure(configuration);
+    shares.add_to(decisions);
+  }
+  static Route route(const std::string& name, std::uint32_t priority, RouteKind kind) {
+    Route result;
+    result.name = name;
+    result.priority = priority;
+    result.kind = kind;
+    result.services = {{"chat", 1}};
+    return result;
+  }
+  PlacementRequest request(const std::string& tenant, std::uint32_t priority = 1) const {
+    PlacementRequest result;
+    result.selection.service = "chat";
+    result.tenant = tenant;
+    result.route = priority == 0 ? "ask" : "tell";
+    result.priority = priority;
+    result.slot_time = milliseconds(700);
+    result.due = now + milliseconds(300);
+    return result;
+  }
+  void serve(const std::string& tenant, int count) {
+    for (int i = 0; i < count; ++i) {
+      decisions.turn(request(tenant), now);
+      decisions.placed(request(tenant), now);
+    }
+  }
+  double turn(const std::string& tenant) {
+    const double result = decisions.turn(request(tenant), now);
+    decisions.left(request(tenant), now);
+    return result;
+  }
+
+  TimePoint now{seconds(100)};
+  LoadPolicy policy;
+  FairShares shares{policy};
+  PlacementDecisions decisions;
+};
+
+TEST_F(FairSharesTest, ATenantsLimitIsItsWeight) {
+  serve("alder", 20);
+  serve("birch", 60);
+  EXPECT_EQ(turn("alder"), 0);
+  EXPECT_EQ(turn("birch"), 0);
+  serve("alder", 60);
+  EXPECT_GE(turn("alder"), 1);
+  EXPECT_EQ(turn("birch"), 0);
+}
+
+TEST_F(FairSharesTest, WithoutThePolicyAllTurnsAreAlikeAndNothingIsReported) {
+  policy.shares_fairly = false;
+  serve("alder", 60);
+  serve("birch", 1);
+  EXPECT_EQ(turn("alder"), 0);
+  LoadDigest digest;
+  shares.report(digest, true, now);
+  EXPECT_TRUE(digest.share_uses.empty());
+}
+
+TEST_F(FairSharesTest, OnlyTheLeastUrgentOnlineWorkYieldsToOtherNodes) {
+  PlacementRequest above = request("alder", 1);
+  above.turn = 3;
+  EXPECT_TRUE(decisions.yields(above));
+  above.priority = 0;
+  EXPECT_FALSE(decisions.yields(above));
+  PlacementRequest within = request("alder", 1);
+  within.turn = 0.3;
+  EXPECT_FALSE(decisions.yields(within));
+  PlacementRequest batch = above;
+  batch.work = WorkClass::kBatch;
+  batch.priority = 2;
+  EXPECT_FALSE(decisions.yields(batch));
+}
+
+TEST_F(FairSharesTest, UseAtAnotherNodeCounts) {
+  LoadPolicy on;
+  on.shares_fairly = true;
+  FairShares other(on);
+  PlacementDecisions others;
+  other.add_to(others);
+  LoadDigest digest;
+  digest.sender = 7;
+  other.report(digest, true, now);
+  shares.take(digest, now);
+  serve("birch", 3);
+  others.placed(request("birch"), now);
+  other.report(digest, true, now);
+  shares.take(digest, now);  // The first report of a node is the past.
+  for (int i = 0; i < 60; ++i) others.placed(request("alder"), now);
+  other.report(digest, true, now);
+  shares.take(digest, now);
+  EXPECT_GE(turn("alder"), 1);
+  EXPECT_EQ(turn("birch"), 0);
+}
+
+TEST_F(FairSharesTest, BatchAndOnlineWorkHaveSharesOfTheirOwn) {
+  PlacementRequest item = request("alder");
+  item.work = WorkClass::kBatch;
+  item.slot_time = seconds(5);
+  for (int i = 0; i < 60; ++i) decisions.placed(item, now);
+  serve("birch", 5);
+  EXPECT_EQ(turn("alder"), 0);
+}
+
+TEST_F(FairSharesTest, MetricsTellWhatWaitsAndWhatWasGiven) {
+  serve("alder", 2);
+  decisions.turn(request("alder"), now);
+  const auto rows = shares.tenant_rows(now);
+  ASSERT_EQ(rows.size(), 1U);
+  EXPECT_EQ(rows[0].tenant, "alder");
+  EXPECT_NEAR(rows[0].given_seconds, 1.4, 0.001);
+  EXPECT_NEAR(rows[0].waiting_seconds, 0.7, 0.001);
+  EXPECT_NEAR(rows[0].over_part, 1, 0.001);
+}
+
+TEST_F(FairSharesTest, MetricsOfManyTenantsStayBounded) {
+  for (int tenant = 0; tenant < 1000; ++tenant) serve("tenant" + std::to_string(tenant), 1);
+  EXPECT_LE(shares.tenant_rows(now).size(), 201U);
+}
+
+TEST_F(FairSharesTest, KindsAreCountedByHowTheirWaitEnded) {
+  serve("alder", 2);
+  decisions.left(request("alder"), now);
+  ASSERT_EQ(shares.kinds().kinds().size(), 1U);
+  const auto& counts = shares.kinds().kinds().begin()->second;
+  EXPECT_EQ(counts.total, (std::array<std::uint64_t, 3>{2, 0, 1}));
+}
+
+}  // namespace
+}  // namespace stoathold
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <vector>
 
 namespace stoathold {
@@ -221,5 +222,96 @@
   EXPECT_EQ(registry.all().at("r1")->in_flight(), 0U);
 }
 
+/// Turns by tenant, and what the queue says of requests that it gave no slot.
+class PlacementTurnsTest : public PlacementQueueTest {
+ protected:
+  PlacementTurnsTest() {
+    PlacementDecisions decisions;
+    decisions.turn = [this](const PlacementRequest& request, TimePoint) {
+      return turns[request.tenant];
+    };
+    decisions.left = [this](const PlacementRequest& request, TimePoint) {
+      left.push_back(request.tenant);
+    };
+    decisions.yields = [](const PlacementRequest& request) { return request.turn >= 1; };
+    queue.set_decisions(std::move(decisions));
+  }
+  PlacementRequest of_tenant(const std::string& tenant, std::uint32_t priority = 0) {
+    PlacementRequest request = make_request(WorkClass::kOnline, priority);
+    request.due = monotonic_now() + std::chrono::seconds(20);
+    request.tenant = tenant;
+    return request;
+  }
+
+  std::map<std::string, double> turns{{"heavy", 5}, {"light", 0}};
+  std::vector<std::string> left;
+};
+
+TEST_F(PlacementTurnsTest, ALowerTurnGoesFirstInsideAPriorityAndNotAcross) {
+  PlacementDecisions without_yields;
+  without_yields.turn = [this](const PlacementRequest& request, TimePoint) {
+    return turns[request.tenant];
+  };
+  queue.set_decisions(std::move(without_yields));
+  wait("first", of_tenant("light"));
+  wait("heavy", of_tenant("heavy"));
+  wait("light, less urgent", of_tenant("light", 1));
+  wait("light", of_tenant("light"));
+  for (int i = 0; i < 3; ++i) free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"first", "light", "heavy", "light, less urgent"}));
+}
+
+TEST_F(PlacementTurnsTest, WhatYieldsLeavesSlotsToWhatWaitsInTimeAtOtherNodes) {
+  wait("first", of_tenant("light"));
+  wait("heavy", of_tenant("heavy"));
+  registry.set_peer_urgent_demand({stable_hash("chat")});
+  free_place();
+  // Nor does it take a free slot when it comes.
+  wait("heavy, new", of_tenant("heavy"));
+  EXPECT_EQ(order, (std::vector<std::string>{"first"}));
+  wait("light", of_tenant("light"));
+  EXPECT_EQ(order, (std::vector<std::string>{"first", "light"}));
+  registry.set_peer_urgent_demand({});
+  free_place();
+  EXPECT_EQ(order.back(), "heavy");
+}
+
+TEST_F(PlacementTurnsTest, WhatYieldsIsNotReportedAsWaitingInTime) {
+  wait("first", of_tenant("light"));
+  wait("heavy", of_tenant("heavy"));
+  ASSERT_EQ(queue.online_demand().size(), 1U);
+  EXPECT_EQ(queue.online_demand()[0].waiting, 0U);
+  EXPECT_EQ(queue.online_demand()[0].yielding, 1U);
+  wait("light", of_tenant("light"));
+  EXPECT_EQ(queue.online_demand()[0].waiting, 1U);
+  EXPECT_EQ(queue.online_demand()[0].yielding, 1U);
+}
+
+TEST_F(PlacementTurnsTest, WhatYieldsTakesASlotThatNobodyElseWants) {
+  registry.set_peer_yielding_demand({stable_hash("chat")});
+  wait("heavy", of_tenant("heavy"));
+  wait("heavy, next", of_tenant("heavy"));
+  free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"heavy", "heavy, next"}));
+}
+
+TEST_F(PlacementTurnsTest, LateWorkLeavesSlotsToWhatYieldsAtOtherNodes) {
+  wait("first", of_tenant("light"));
+  PlacementRequest late = of_tenant("light");
+  late.due = monotonic_now() - std::chrono::seconds(1);
+  wait("late", late);
+  registry.set_peer_yielding_demand({stable_hash("chat")});
+  free_place();
+  EXPECT_EQ(order, (std::vector<std::string>{"first"}));
+}
+
+TEST_F(PlacementTurnsTest, WhoLeavesWithoutASlotIsToldOnce) {
+  wait("first", of_tenant("light"));
+  const auto ticket = wait("second", of_tenant("heavy"));
+  ticket->cancel();
+  run();
+  EXPECT_EQ(left, (std::vector<std::string>{"heavy"}));
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/routing/slot_arbitration_test.cc
+++ b/tests/routing/slot_arbitration_test.cc
@@ -51,14 +51,22 @@
   }
   void take(std::uint64_t sender, std::uint64_t sequence, std::uint16_t in_flight,
             std::uint16_t waiting, std::uint16_t own_waiting, TimePoint now) {
+    take_demand(sender, sequence, in_flight, {stable_hash("chat"), waiting, 0},
+                {stable_hash("chat"), own_waiting, 0}, now);
+  }
+  void take_demand(std::uint64_t sender, std::uint64_t sequence, std::uint16_t in_flight,
+                   const ServiceDemand& waiting, const ServiceDemand& own_waiting, TimePoint now) {
     LoadDigest digest;
     digest.sender = sender;
     digest.sequence = sequence;
     digest.zone = stable_hash("zone");
     if (in_flight > 0) digest.uses.push_back({runner().hash(), in_flight, 0, 0, 0});
-    if (waiting > 0) digest.demand.push_back({stable_hash("chat"), waiting});
+    const auto is_any = [](const ServiceDemand& demand) {
+      return demand.waiting + demand.yielding > 0;
+    };
+    if (is_any(waiting)) digest.demand.push_back(waiting);
     std::vector<ServiceDemand> own;
-    if (own_waiting > 0) own.push_back({stable_hash("chat"), own_waiting});
+    if (is_any(own_waiting)) own.push_back(own_waiting);
     table.take(std::move(digest), {}, own, now);
   }
   Runner& runner() { return *registry.all().at("r1"); }
@@ -90,5 +98,38 @@
   }
 }
 
+// At 89 nodes most have only requests of a tenant that floods the fleet: the slots are not theirs
+// as long as another node has requests of other tenants.
+TEST(SlotArbitrationTest, WorkThatYieldsTakesNoSlotThatUrgentWorkElsewhereWaitsFor) {
+  const TimePoint now{std::chrono::seconds(100)};
+  const ServiceDemand nothing{stable_hash("chat"), 0, 0};
+  const ServiceDemand urgent{stable_hash("chat"), 1, 0};
+  const ServiceDemand yielding{stable_hash("chat"), 0, 5};
+  for (std::uint64_t sequence = 10; sequence < 40; sequence += 2) {
+    View node(1);
+    node.take_demand(3, sequence, 2, nothing, yielding, now);
+    node.take_demand(2, 1, 0, urgent, yielding, now);
+    node.take_demand(3, sequence + 1, 1, nothing, yielding, now);
+    EXPECT_GE(node.runner().load(now), 1) << sequence;
+  }
+}
+
+TEST(SlotArbitrationTest, OneOfTheNodesWithWorkThatYieldsSeesAFreeSlotThatNobodyElseWants) {
+  const TimePoint now{std::chrono::seconds(100)};
+  const ServiceDemand nothing{stable_hash("chat"), 0, 0};
+  const ServiceDemand yielding{stable_hash("chat"), 0, 5};
+  for (std::uint64_t sequence = 10; sequence < 40; sequence += 2) {
+    int free = 0;
+    for (const std::uint64_t self : {1U, 2U}) {
+      View node(self);
+      node.take_demand(3, sequence, 2, nothing, yielding, now);
+      node.take_demand(3 - self, 1, 0, yielding, yielding, now);
+      node.take_demand(3, sequence + 1, 1, nothing, yielding, now);
+      free += node.runner().load(now) < 1 ? 1 : 0;
+    }
+    EXPECT_EQ(free, 1) << sequence;
+  }
+}
+
 }  // namespace
 }  // namespace stoathold
