--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -72,11 +72,14 @@
 /// Online work that waits at the sender.
 struct ServiceDemand {
   std::uint64_t service = 0;  ///< Hash of its name.
-  std::uint16_t waiting = 0;  ///< Requests that can still be in time; 0: only others wait.
+  /// Requests that can still be in time and leave slots to nobody.
+  std::uint16_t waiting = 0;
+  /// Requests that can still be in time and leave slots to other nodes' `waiting`.
+  std::uint16_t yielding = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(service, waiting);
+    archive(service, waiting, yielding);
   }
 };
 
@@ -100,12 +103,13 @@
   std::vector<ShareUse> share_uses;         ///< Inside the zone only.
   std::vector<SpeedReport> speeds;          ///< Inside the zone only.
   std::vector<ReturnReport> returns;        ///< Inside the zone only.
+  bool leaving = false;  ///< The sender stops as planned, and admits nothing from now on.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
     archive(configuration_version, tenants, answers, paces);
-    archive(backlogs, share_uses, speeds, returns);
+    archive(backlogs, share_uses, speeds, returns, leaving);
   }
 };
 
