--- a/src/admission/load_policy.h
+++ b/src/admission/load_policy.h
@@ -20,7 +20,6 @@
   bool knows_speeds = false;       ///< Chooses runners by when they will have answered.
   bool lends_slots = false;        ///< Zones lend one another slots.
   bool keeps_connections = false;  ///< Uses few runners a node, over connections that it keeps.
-  bool forecasts_demand = false;   ///< Batch leaves the slots that the next peak will want.
 };
 
 /// Returns the switches that a deployment's traits call for.
