Ask zones that lack slots themselves less often

Where the fleet as a whole lacks slots, each node asked each other zone 40 times a second: 14,815 messages a second in the replay of 89 nodes at 1.2 times their slots, 1 ms between zones.

--- a/src/routing/slot_exchange.cc
+++ b/src/routing/slot_exchange.cc
@@ -223,7 +223,9 @@
                        return work.service == request.service;
                      });
   const std::uint64_t lent_before = lender_.counts().lent;
-  const auto loan = lender_.answer(request, offers(request.service, now), lacks, now);
+  const bool may_grant = request.slots > 0 && !lacks;
+  const auto offered = may_grant ? offers(request.service, now) : std::vector<LentSlots>{};
+  const auto loan = lender_.answer(request, offered, lacks, now);
   if (!loan) return;
   if (lender_.counts().lent > lent_before) make_batch_yield(request, *loan, now);
   publish_lent();
--- a/src/routing/slot_loans.cc
+++ b/src/routing/slot_loans.cc
@@ -143,7 +143,7 @@
   if (!book.held.empty() && age >= kLoanRenewal) return true;
   if (!wants) return false;
   const bool refused = !book.answered.empty() && book.newest.slots > 0 && book.gained == 0;
-  return !refused || age >= kLoanRefusedPause;
+  return !refused || age >= (book.reclaimed ? kLoanReclaimedPause : kLoanRefusedPause);
 }
 
 std::optional<SlotLoanRequest> SlotBorrower::next_request(const std::string& zone,
--- a/src/routing/slot_loans.h
+++ b/src/routing/slot_loans.h
@@ -29,6 +29,8 @@
 /// A zone that had nothing to lend is not asked again for this time. Of some hundred slots one
 /// comes free each few milliseconds; each question costs bytes between zones.
 inline constexpr Duration kLoanRefusedPause = std::chrono::milliseconds(25);
+/// Nor is one whose own work waits, for longer: what comes free there goes to that work first.
+inline constexpr Duration kLoanReclaimedPause = std::chrono::milliseconds(100);
 
 /// Online work that waits for a slot.
 struct WaitingWork {
--- a/tests/routing/compare_slot_loans.cc
+++ b/tests/routing/compare_slot_loans.cc
@@ -42,7 +42,7 @@
 int main() {
   for (const std::size_t nodes : {9, 89, 295}) {
     for (const int delay_ms : {1, 50}) {
-      for (const double utilisation : {0.88, 0.96}) print_row(nodes, delay_ms, utilisation);
+      for (const double utilisation : {0.88, 0.96, 1.2}) print_row(nodes, delay_ms, utilisation);
     }
   }
   return 0;
--- a/tests/routing/slot_loan_fleet.h
+++ b/tests/routing/slot_loan_fleet.h
@@ -228,6 +228,10 @@
 
   void place_waiting(std::size_t zone) {
     auto& waiting = zones_[zone].waiting;
+    // What can still be in time goes first.
+    std::stable_partition(waiting.begin(), waiting.end(), [this](const Request& request) {
+      return now_ - request.arrival <= kDue;
+    });
     std::deque<Request> left;
     bool local_full = false;
     std::set<std::size_t> nodes_without;
--- a/tests/routing/slot_loans_test.cc
+++ b/tests/routing/slot_loans_test.cc
@@ -228,6 +228,12 @@
   EXPECT_TRUE(borrower.next_request("far", kService, 2, now));
 }
 
+TEST_F(SlotLoansTest, AZoneThatLacksSlotsIsLeftAloneForLonger) {
+  borrower.take(*answer(request(2), true), now);
+  EXPECT_FALSE(borrower.next_request("far", kService, 2, kStart + kLoanRefusedPause));
+  EXPECT_TRUE(borrower.next_request("far", kService, 2, kStart + kLoanReclaimedPause));
+}
+
 TEST_F(SlotLoansTest, NoMessageIsDueWhileNothingIsWantedOrHeld) {
   EXPECT_FALSE(borrower.next_request("far", kService, 0, now));
   borrow(1);
