--- a/src/admission/load_policy.cc
+++ b/src/admission/load_policy.cc
@@ -7,8 +7,7 @@
   return {.predicts_waits = hard_load,
           .shares_fairly = hard_load,
           .knows_speeds = traits.reports_slowness,
-          .lends_slots = hard_load,
-          .forecasts_demand = hard_load};
+          .lends_slots = hard_load};
 }
 
 }  // namespace stoathold
--- a/src/admission/load_policy.h
+++ b/src/admission/load_policy.h
@@ -15,11 +15,10 @@
 /// Switches of the decisions; all off, a fleet is served by load alone. The switches are set from
 /// the traits and by nothing else, so that a test or a trial can turn each off by itself.
 struct LoadPolicy {
-  bool predicts_waits = false;    ///< Rejects at once what cannot be served in its time.
-  bool shares_fairly = false;     ///< Tenants, routes and services take turns by what they used.
-  bool knows_speeds = false;      ///< Chooses runners by when they will have answered.
-  bool lends_slots = false;       ///< Zones lend one another slots.
-  bool forecasts_demand = false;  ///< Batch leaves the slots that the next peak will want.
+  bool predicts_waits = false;  ///< Rejects at once what cannot be served in its time.
+  bool shares_fairly = false;   ///< Tenants, routes and services take turns by what they used.
+  bool knows_speeds = false;    ///< Chooses runners by when they will have answered.
+  bool lends_slots = false;     ///< Zones lend one another slots.
 };
 
 /// Returns the switches that a deployment's traits call for.
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -81,13 +81,7 @@
       last_demand_[wanted.service] = now;
       return false;
     }
-    double margin = batch_margin(wanted.service, now);
-    if (decisions_.batch_reserve) {
-      margin = std::max(margin, decisions_.batch_reserve(wanted.service, now));
-    }
-    wanted.load_limit -= margin;
-    // A limit of 0 would mean that there is none.
-    if (wanted.load_limit <= 0) return false;
+    wanted.load_limit -= batch_margin(wanted.service, now);
   }
   Selection& selection = ticket.selection_;
   selection = select_runner(registry_, wanted, now);
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -78,8 +78,6 @@
   /// An online request that came found no slot and begins to wait.
   std::function<void(const PlacementRequest& request, const QueuePosition& position, TimePoint now)>
       waits;
-  /// Returns the part of the service's slots that batch leaves free for expected online work.
-  std::function<double(const std::string& service, TimePoint now)> batch_reserve;
 };
 
 /// A request for a place. Held by who waits; `cancel` ends the wait.
