One memory budget of a process with accounts by purpose

Cause: nothing adds up the bytes that a process holds for callers and jobs. Change: MemoryBudget, pure: reservations taken before the bytes are there and given back by scope; each account gets more while the sum of all is below its mark, so batch gives way to new requests and these to answers. Not used yet. Conclusion: 200 bodies of 1 MB at once on a budget of 100 MB: 37 are taken.

--- /dev/null
+++ b/tests/base/memory_budget_test.cc
@@ -0,0 +1,128 @@
+#include "base/memory_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+#include <vector>
+
+namespace stoathold {
+namespace {
+
+constexpr std::uint64_t kMegabyte = 1024UL * 1024;
+constexpr std::uint64_t kBudget = 100 * kMegabyte;
+
+TEST(MemoryBudgetTest, WithoutALimitNothingIsRefused) {
+  MemoryBudget budget;
+  const auto reservation = budget.reserve(MemoryAccount::kRequestBodies, 1000 * kMegabyte);
+  ASSERT_TRUE(reservation);
+  EXPECT_EQ(budget.used(), 1000 * kMegabyte);
+  EXPECT_TRUE(budget.can_ever_fit(MemoryAccount::kJobRequests, 1UL << 60));
+  EXPECT_EQ(budget_of_process(0), 0U);
+}
+
+TEST(MemoryBudgetTest, ABudgetIsLeftOfEachLimit) {
+  for (const std::uint64_t limit : {16UL, 64UL, 120UL, 160UL, 512UL, 4096UL}) {
+    const std::uint64_t budget = budget_of_process(limit * kMegabyte);
+    EXPECT_GE(budget, limit * kMegabyte / 4) << limit;
+    EXPECT_LT(budget, limit * kMegabyte) << limit;
+  }
+}
+
+TEST(MemoryBudgetTest, BytesAreGivenBackByScope) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  {
+    auto first = budget.reserve(MemoryAccount::kRequestBodies, 10 * kMegabyte);
+    ASSERT_TRUE(first);
+    MemoryReservation moved = std::move(*first);
+    EXPECT_EQ(budget.used(MemoryAccount::kRequestBodies), 10 * kMegabyte);
+    moved = budget.charge(MemoryAccount::kAnswers, kMegabyte);
+    EXPECT_EQ(budget.used(MemoryAccount::kRequestBodies), 0U);
+    EXPECT_EQ(budget.used(), kMegabyte);
+    moved.resize(3 * kMegabyte);
+    EXPECT_EQ(budget.used(), 3 * kMegabyte);
+    moved.resize(2 * kMegabyte);
+    EXPECT_EQ(budget.used(), 2 * kMegabyte);
+  }
+  EXPECT_EQ(budget.used(), 0U);
+  EXPECT_EQ(budget.peak(MemoryAccount::kRequestBodies), 10 * kMegabyte);
+}
+
+// 200 bodies of 1 MB at once, each counted twice, on a machine that has room for 37 of them.
+TEST(MemoryBudgetTest, BodiesThatComeAtOnceAreRefusedBeforeTheyAreThere) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  std::vector<MemoryReservation> held;
+  for (int body = 0; body < 200; ++body) {
+    auto reservation = budget.reserve(MemoryAccount::kRequestBodies, 2 * kMegabyte);
+    if (reservation) held.push_back(std::move(*reservation));
+  }
+  EXPECT_EQ(held.size(), 37U);
+  EXPECT_EQ(budget.refusals(MemoryAccount::kRequestBodies), 200U - 37);
+  EXPECT_LE(budget.used(), kBudget);
+  held.clear();
+  EXPECT_TRUE(budget.reserve(MemoryAccount::kRequestBodies, 2 * kMegabyte));
+}
+
+// Batch gives way to new requests, and these to the answers of those that have run.
+TEST(MemoryBudgetTest, AccountsGiveWayInTheirOrder) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  auto jobs = budget.charge(MemoryAccount::kJobRequests, 50 * kMegabyte);
+  EXPECT_FALSE(budget.has_room(MemoryAccount::kJobRequests, 1));
+  const auto bodies = budget.reserve(MemoryAccount::kRequestBodies, 25 * kMegabyte);
+  ASSERT_TRUE(bodies);
+  EXPECT_FALSE(budget.has_room(MemoryAccount::kRequestBodies, 1));
+  EXPECT_TRUE(budget.has_room(MemoryAccount::kAnswers, 20 * kMegabyte));
+  EXPECT_FALSE(budget.has_room(MemoryAccount::kAnswers, 21 * kMegabyte));
+}
+
+// What is at hand is counted though there is no room: refused or not, the bytes are there.
+TEST(MemoryBudgetTest, BytesAtHandAreAlwaysCounted) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  auto results = budget.charge(MemoryAccount::kJobResults, 2 * kBudget);
+  EXPECT_EQ(budget.used(), 2 * kBudget);
+  EXPECT_FALSE(budget.reserve(MemoryAccount::kAnswers, 1));
+  results.release();
+  EXPECT_TRUE(budget.reserve(MemoryAccount::kAnswers, 1));
+}
+
+TEST(MemoryBudgetTest, WhatCouldNeverFitIsKnownFromTheStart) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  EXPECT_TRUE(budget.can_ever_fit(MemoryAccount::kRequestBodies, 75 * kMegabyte));
+  EXPECT_FALSE(budget.can_ever_fit(MemoryAccount::kRequestBodies, 76 * kMegabyte));
+  EXPECT_FALSE(budget.can_ever_fit(MemoryAccount::kRequestBodies, ~0UL));
+  EXPECT_FALSE(budget.has_room(MemoryAccount::kRequestBodies, ~0UL));
+}
+
+// The reclaimer is asked only while it helps, and never for what could not fit anyway.
+TEST(MemoryBudgetTest, OthersAreAskedToGiveBackUntilThereIsRoom) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  std::vector<MemoryReservation> slow;
+  for (int caller = 0; caller < 9; ++caller) {
+    slow.push_back(budget.charge(MemoryAccount::kAnswers, 10 * kMegabyte));
+  }
+  int asked = 0;
+  budget.set_reclaimer([&] {
+    ++asked;
+    if (slow.size() <= 5) return false;
+    slow.pop_back();
+    return true;
+  });
+  EXPECT_FALSE(budget.reserve(MemoryAccount::kRequestBodies, 76 * kMegabyte));
+  EXPECT_EQ(asked, 0);
+  auto body = budget.reserve(MemoryAccount::kRequestBodies, 5 * kMegabyte);
+  ASSERT_TRUE(body);
+  EXPECT_EQ(slow.size(), 7U);
+  EXPECT_TRUE(body->grow(15 * kMegabyte));
+  EXPECT_EQ(slow.size(), 5U);
+  EXPECT_FALSE(body->grow(6 * kMegabyte));
+  EXPECT_EQ(body->bytes(), 20 * kMegabyte);
+  EXPECT_EQ(slow.size(), 5U);
+}
+
+}  // namespace
+}  // namespace stoathold
