Servers keep to a budget of memory and to a number of connections

Cause: bodies were read whatever the process held; callers that do not read hold answers without a bound; at the limit of descriptors accepting failed. Change: a body is reserved before it is read (413 for what never fits, 503 with a time for what does not fit now; chunked ones as they grow); the answer to an unread request arrives though the caller is sending; answers can be written ahead into a counted backlog; the caller who holds most for longest without progress is cut off when others need the room; connections have a bound, the oldest idle one goes first. Without a limit nothing changes.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "net/server_bounds.h"
 
 namespace stoathold {
 
@@ -81,8 +82,14 @@
   virtual boost::asio::awaitable<bool> start_response(const ResponseHead& head) = 0;
   /// Sends one piece of the body. Returns false if the caller is gone.
   virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
-  /// Ends a response that was started.
-  virtual boost::asio::awaitable<void> finish_stream() = 0;
+  /// The same, but returns while the caller has yet to take a bounded part of what was written; on
+  /// a server without a limit of memory it waits as `write` does.
+  virtual boost::asio::awaitable<bool> write_ahead(std::string_view bytes) = 0;
+  /// Waits until the caller's socket has taken all. Returns false if the caller is gone.
+  virtual boost::asio::awaitable<bool> flush() = 0;
+  /// Ends a response that was started, behind all that was written. Returns false if the caller is
+  /// gone.
+  virtual boost::asio::awaitable<bool> finish_stream() = 0;
   /// Closes the connection without a proper end, so that the caller sees a broken answer.
   virtual void abort() = 0;
   /// Calls `on_disconnect` at most once, on the connection's strand, if the caller closes the
@@ -108,6 +115,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// To be called before `start`, on a server that runs on one thread.
+  void set_bounds(ServerBounds bounds);
   void start();
   /// Bounds for requests that are read from now on.
   void set_limits(const HttpLimits& limits);
