Answers are read ahead for slow callers

Cause: while a caller did not read, the relay waited in its write for up to 30 s and read nothing from the runner, whose place stayed taken, and which cuts an answer off that is unread for some seconds. Change: the relay writes ahead into the connection's backlog; the runner's place is given back with its work, and the end of the answer is written behind the backlog. Events that came whole are delivered before a broken answer is broken off.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "admission/load_policy.h"
+#include "base/memory_budget.h"
 #include "base/start_progress.h"
 #include "gateway/answer_pace.h"
 #include "gateway/durations_by_route.h"
@@ -28,8 +29,10 @@
 /// State of one gateway process. Owned by the program, outlives all requests; one thread.
 struct GatewayContext {
   GatewayContext(boost::asio::any_io_executor executor_in, HeaderDialect dialect_in,
-                 std::string zone_in)
-      : executor(std::move(executor_in)),
+                 std::string zone_in,
+                 std::shared_ptr<MemoryBudget> memory_in = std::make_shared<MemoryBudget>())
+      : memory(std::move(memory_in)),
+        executor(std::move(executor_in)),
         dialect(std::move(dialect_in)),
         zone(std::move(zone_in)),
         placement(executor, runners),
@@ -66,6 +69,9 @@
     runners.set_lending(load_policy.lends_slots);
   }
 
+  /// Of the process. Shared with whoever owns the event loop, which outlives this: coroutines that
+  /// still wait when the loop ends give back what they hold.
+  const std::shared_ptr<MemoryBudget> memory;
   boost::asio::any_io_executor executor;
   HeaderDialect dialect;
   std::string zone;
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -42,6 +42,8 @@
 
 asio::awaitable<void> OnlineRequest::finish_without_answer() {
   if (head_sent_) {
+    // Events that came whole before the answer broke are delivered.
+    if (!stopped_) co_await exchange_.flush();
     exchange_.abort();
     if (!stopped_) outcome_ = RequestOutcome::kBrokenOff;
     co_return;
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -90,12 +90,10 @@
     }
     if (view.empty()) break;
     note_first_event(runner);
-    const bool written = co_await exchange_.write(view);
+    const bool written = co_await exchange_.write_ahead(view);
     if (!written) stop(RequestOutcome::kCallerGone);
     if (stopped_) co_return AttemptResult::kStopped;
   }
-  co_await exchange_.finish_stream();
-  outcome_ = RequestOutcome::kServed;
   co_return AttemptResult::kCompleted;
 }
 
@@ -124,7 +122,7 @@
     context_.metrics.event_gap.observe(monotonic_now() - last_piece_);
   }
   last_piece_ = monotonic_now();
-  const bool written = co_await exchange_.write(pieces);
+  const bool written = co_await exchange_.write_ahead(pieces);
   if (!written) stop(RequestOutcome::kCallerGone);
   co_return !stopped_;
 }
@@ -155,9 +153,14 @@
     const bool sent = co_await send_head();
     if (!sent) co_return AttemptResult::kStopped;
   }
-  co_await exchange_.finish_stream();
-  outcome_ = RequestOutcome::kServed;
   co_return AttemptResult::kCompleted;
 }
 
+/// The runner's work is over and its place given back; the caller may still be reading.
+asio::awaitable<void> OnlineRequest::finish_answer() {
+  const bool delivered = co_await exchange_.finish_stream();
+  if (!delivered) stop(RequestOutcome::kCallerGone);
+  if (!stopped_) outcome_ = RequestOutcome::kServed;
+}
+
 }  // namespace stoathold
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -160,7 +160,10 @@
     tried_.push_back(runner->hash());
     const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
-    if (is_final(result)) co_return;
+    if (is_final(result)) {
+      co_await finish_answer();
+      co_return;
+    }
     // A caller whose time was up still gets its 504; closed, the connection would tell it nothing.
     if (result == AttemptResult::kStopped) break;
     if (may_have_run(result)) {
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -63,6 +63,7 @@
   boost::asio::awaitable<AttemptResult> take_answer(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_body(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_events(Runner& runner);
+  boost::asio::awaitable<void> finish_answer();
   boost::asio::awaitable<bool> send_head();
   boost::asio::awaitable<bool> send_whole_events(Runner& runner, std::string_view bytes,
                                                  bool& spoiled);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -24,7 +24,7 @@
 class GatewayFixture : public testing::Test {
  protected:
   GatewayFixture()
-      : context(loop.get_executor(), HeaderDialect{}, "zone"),
+      : context(loop.get_executor(), HeaderDialect{}, "zone", memory),
         gateway(context, nullptr),
         server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
                [this](HttpExchange& exchange) { return gateway.serve(exchange); }) {
@@ -79,6 +79,8 @@
   std::uint32_t slots = 10;  ///< Of the runners that are added.
   std::string deadline_ms = "15000";
   std::string body = "question";
+  /// Outlives the loop, whose coroutines hold bytes of it.
+  std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>();
   boost::asio::io_context loop;
   GatewayContext context;
   Gateway gateway;
