Jobs count what they hold in the budget

Cause: requests of items, results that wait to be written and results kept for readers had bounds of their own or none. Change: all three are counted; requests are read only below half of the budget, one at least; where memory is short, results of finished jobs are dropped and read again when asked for. Nothing accepted is dropped. Tests: 8 jobs finish though others hold the whole budget; positions are the same after a drop; results of open jobs stay.

--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -66,7 +66,10 @@
                  [this](const JobKey& key, std::uint32_t index) { return item_id(key, index); }),
       turns_(SharedRoom::size_for_one_job(kFirstItems)),
       waiting_room_(SharedRoom::size_for_one_job(kMaxItemsOfJob)),
-      request_bytes_(kMaxRequestBytes) {
+      request_bytes_(kMaxRequestBytes),
+      held_requests_(*context.memory) {
+  writer_.count_in(*context.memory);
+  store_.count_in(*context.memory);
   store_.set_running_jobs(false);
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { job_changed(key, job); });
 }
@@ -147,6 +150,7 @@
                              ItemRequest request) {
   request_bytes_.take(job.holder, static_cast<double>(job.items[index].body_bytes));
   waiting_room_.take(job.holder, 1);
+  held_requests_.add(job.items[index].body_bytes);
   job.requests[index] = std::move(request);
   enter_stage(key, job, index, ItemStage::kWaitingForTurn);
   waiting_.insert({job.submitted_ms, key, index});
@@ -194,7 +198,8 @@
   const auto job = jobs_.find(key);
   if (job == jobs_.end()) return true;  // It is left out as soon as it has its turn.
   const RoomHolder& holder = job->second->holder;
-  return waiting_room_.may_take(holder) && request_bytes_.may_take(holder);
+  return waiting_room_.may_take(holder) && request_bytes_.may_take(holder) &&
+         held_requests_.has_room();
 }
 
 bool JobRunner::start_next() {
@@ -249,6 +254,7 @@
   --running_items_;
   turns_.give_back(job->holder, 1);
   request_bytes_.give_back(job->holder, static_cast<double>(listed.body_bytes));
+  held_requests_.remove(listed.body_bytes);
   start_waiting();
 }
 
@@ -296,6 +302,7 @@
   for (const auto& [index, request] : job->requests) {
     waiting_room_.give_back(job->holder, 1);
     request_bytes_.give_back(job->holder, static_cast<double>(job->items[index].body_bytes));
+    held_requests_.remove(job->items[index].body_bytes);
   }
   job->requests.clear();
   for (const auto& [index, run] : job->runs) {
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -13,6 +13,7 @@
 #include "base/timer.h"
 #include "gateway/gateway_context.h"
 #include "jobs/checkpoint_table.h"
+#include "jobs/held_requests.h"
 #include "jobs/item_run.h"
 #include "jobs/item_stage_log.h"
 #include "jobs/item_stages.h"
@@ -128,9 +129,10 @@
   TimePoint started_{};
   MembersListener members_listener_;
   std::size_t running_items_ = 0;
-  SharedRoom turns_;          ///< Of items that run or wait for a slot.
-  SharedRoom waiting_room_;   ///< Of items that wait for their turn.
-  SharedRoom request_bytes_;  ///< Of items that wait or run.
+  SharedRoom turns_;            ///< Of items that run or wait for a slot.
+  SharedRoom waiting_room_;     ///< Of items that wait for their turn.
+  SharedRoom request_bytes_;    ///< Of items that wait or run.
+  HeldRequests held_requests_;  ///< The same bytes, in the budget of the process.
   bool stopping_ = false;
 };
 
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -314,6 +314,7 @@
     if (status == LogStatus::kUnknown) reads->bounds.ask_for_less();
     if (status != LogStatus::kOk) co_return status;
     results_[key].add(std::move(read.records));
+    count_results();
     if (read.at_end) co_return status;
   }
 }
@@ -332,12 +333,6 @@
   co_return result.status;
 }
 
-void JobStore::forget_erased() {
-  std::erase_if(results_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
-  std::erase_if(progress_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
-  std::erase_if(result_reads_, [&](const auto& entry) { return entry_of(entry.first) == nullptr; });
-}
-
 asio::awaitable<void> JobStore::delete_requests(JobKey key) {
   const JobEntry* entry = entry_of(key);
   if (entry == nullptr) co_return;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 
+#include "base/memory_budget.h"
 #include "base/timer.h"
 #include "jobs/job_data_log.h"
 #include "jobs/job_records.h"
@@ -118,7 +119,10 @@
                                          std::string value);
   /// Deletes all records of a job.
   boost::asio::awaitable<void> erase(std::string host, JobKey key);
-  /// Forgets the results and the progress of jobs that are erased.
+  /// Counts the results that are kept. The budget outlives the store.
+  void count_in(MemoryBudget& budget);
+  /// Forgets the results and the progress of jobs that are erased. Where memory is short, also the
+  /// results of finished jobs: they are read again when somebody asks for them.
   void forget_erased();
 
   /// A text that no other call of any process gets, for keys.
@@ -165,6 +169,10 @@
                                                          NewJob& job, TimePoint deadline);
   boost::asio::awaitable<LogStatus> read_new_results(JobKey key,
                                                      std::shared_ptr<ResultReads> reads);
+  /// Counts the results that are kept now.
+  void count_results();
+  /// Drops the results of finished jobs that nobody reads just now, until there is room.
+  void drop_finished_results();
   boost::asio::awaitable<void> pause(Duration duration);
   boost::asio::awaitable<void> keep_up(JobsPartition& partition);
 
@@ -180,6 +188,8 @@
   std::map<std::uint32_t, JobsPartition> jobs_;
   /// Of the jobs that this node was asked for or runs.
   std::map<JobKey, ListedResults> results_;
+  MemoryBudget* budget_ = nullptr;
+  MemoryReservation kept_results_;
   std::map<JobKey, JobProgress> progress_;
   std::map<JobKey, std::shared_ptr<ResultReads>> result_reads_;
 };
--- a/src/jobs/listed_results.cc
+++ b/src/jobs/listed_results.cc
@@ -39,6 +39,7 @@
     return;
   }
   if (!listed_items_.insert(result.item).second) return;
+  bytes_ += sizeof(ListedResult) + result.text.size();
   listed_.push_back({result.item, result.state, std::move(result.text)});
 }
 
--- a/src/jobs/listed_results.h
+++ b/src/jobs/listed_results.h
@@ -31,6 +31,8 @@
   /// Offset behind all records of the partition that are taken in; 0: nothing was read yet.
   [[nodiscard]] RecordOffset next_offset() const { return read_through_; }
 
+  /// Bytes of the results that are listed.
+  [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
   [[nodiscard]] const std::vector<ListedResult>& listed() const { return listed_; }
   [[nodiscard]] bool is_listed(std::uint32_t item) const { return listed_items_.contains(item); }
 
@@ -40,6 +42,7 @@
   std::vector<ListedResult> listed_;  ///< In the order of positions; only grows.
   std::set<std::uint32_t> listed_items_;
   std::uint32_t first_unlisted_ = 0;
+  std::uint64_t bytes_ = 0;
   RecordOffset read_through_ = 0;  ///< All records in front of this offset are taken in.
 };
 
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -22,6 +22,10 @@
 /// Bytes of a record that are not the text.
 constexpr std::uint64_t kRecordOverhead = 600;
 
+std::uint64_t held_bytes(const ItemResult& result) {
+  return result.text.size() + kRecordOverhead;
+}
+
 }  // namespace
 
 ResultWriter::ResultWriter(asio::any_io_executor executor, JobStore& store, Listener listener)
@@ -33,6 +37,8 @@
 void ResultWriter::add(ItemResult result) {
   const PartitionName partition = store_.partition_of(JobData::kResults, result.job);
   const auto [queue, added] = queues_.try_emplace(partition);
+  pending_bytes_ += held_bytes(result);
+  held_.resize(pending_bytes_);
   queue->second.push_back(std::move(result));
   ++pending_;
   if (!added) return;
@@ -60,7 +66,7 @@
   Queue results;
   std::uint64_t bytes = 0;
   while (!queue.empty()) {
-    bytes += queue.front().text.size() + kRecordOverhead;
+    bytes += held_bytes(queue.front());
     if (!results.empty() && bytes > most) break;
     results.push_back(std::move(queue.front()));
     queue.pop_front();
@@ -89,6 +95,8 @@
       backoff.reset();
       append_size_.came_through();
       pending_ -= results.size();
+      for (const auto& result : results) pending_bytes_ -= held_bytes(result);
+      held_.resize(pending_bytes_);
       for (const auto& result : results) listener_(result);
       continue;
     }
--- a/src/jobs/result_writer.h
+++ b/src/jobs/result_writer.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 
+#include "base/memory_budget.h"
 #include "jobs/job_store.h"
 #include "store/append_size.h"
 
@@ -22,6 +23,10 @@
 
   ResultWriter(boost::asio::any_io_executor executor, JobStore& store, Listener listener);
 
+  /// Counts the results that are not durable yet. The budget outlives the writer.
+  void count_in(MemoryBudget& budget) {
+    held_ = budget.charge(MemoryAccount::kJobResults, pending_bytes_);
+  }
   void add(ItemResult result);
   /// Results that are queued or in flight.
   [[nodiscard]] std::size_t pending() const { return pending_; }
@@ -45,6 +50,8 @@
   int writers_ = 0;
   AppendSize append_size_;
   std::size_t pending_ = 0;
+  std::uint64_t pending_bytes_ = 0;
+  MemoryReservation held_;  ///< Of the pending bytes.
 };
 
 }  // namespace stoathold
