--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -164,6 +164,17 @@
         Event::kSlotLoansExpired, "slot_loans_expired", EventLevel::kWarning,
         "Slots lent to other zones came back since nobody renewed the loans: the borrower has "
         "ended, or is cut off."},
+    EventEntry{Event::kMemoryBudget, "memory_budget", EventLevel::kInfo,
+               "The limit of the process, what it may hold for others, and connections at most."},
+    EventEntry{Event::kBodyRefusedForRoom, "body_refused_for_room", EventLevel::kWarning,
+               "A request was refused before its body was read, since memory is short; 413: no "
+               "machine of this size could take it."},
+    EventEntry{Event::kSlowCallerCutOff, "slow_caller_cut_off", EventLevel::kWarning,
+               "A caller that did not go on was cut off since others needed the room; the line "
+               "says what was held for it, for how long, and since when it had not gone on."},
+    EventEntry{Event::kConnectionClosedForRoom, "connection_closed_for_room", EventLevel::kWarning,
+               "At the bound of connections or memory, the one idle for longest was closed for a "
+               "new one, or the new one was refused or closed."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -85,6 +85,10 @@
   kSlownessRefused = 1721,
   kSlotsBorrowed = 1730,
   kSlotLoansExpired = 1731,
+  kMemoryBudget = 1740,
+  kBodyRefusedForRoom = 1741,
+  kSlowCallerCutOff = 1742,
+  kConnectionClosedForRoom = 1743,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -15,18 +15,20 @@
 constexpr std::uint64_t kLeastPart = 4;
 
 /// The part of the budget, in hundredths, up to which an account is given more. Batch stops at
-/// half, so that a burst of online requests finds the other half; new requests stop at 75, so that
-/// the answers of those that run find a fifth; the last 5 are for what is counted without being
-/// asked.
+/// half, so that a burst of online requests finds the other half. New requests stop before the
+/// answers of those that run, whose runners' places are kept while they find no room. A connection
+/// takes little, and without one nobody could be told to come back. The last 5 are for what is
+/// counted without being asked.
 constexpr std::uint64_t percent_of(MemoryAccount account) {
   switch (account) {
     case MemoryAccount::kJobRequests:
       return 50;
-    case MemoryAccount::kConnections:
     case MemoryAccount::kRequestBodies:
+    case MemoryAccount::kListedResults:
       return 75;
     case MemoryAccount::kAnswers:
-    case MemoryAccount::kStorePages:
+      return 85;
+    case MemoryAccount::kConnections:
     case MemoryAccount::kJobResults:
       break;
   }
@@ -47,10 +49,10 @@
       return "job_requests";
     case MemoryAccount::kJobResults:
       return "job_results";
-    case MemoryAccount::kStorePages:
+    case MemoryAccount::kListedResults:
       break;
   }
-  return "store_pages";
+  return "listed_results";
 }
 
 std::uint64_t budget_of_process(std::uint64_t limit_bytes) {
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -17,7 +17,7 @@
   kAnswers,        ///< Answers that wait until their callers take them.
   kJobRequests,    ///< Requests of batch items that wait or run.
   kJobResults,     ///< Results of batch items that are not durable yet.
-  kStorePages,     ///< Answers of the store while they are parsed.
+  kListedResults,  ///< Results of jobs as read from the log, kept for their readers.
 };
 
 /// How many accounts there are.
@@ -26,7 +26,7 @@
 /// All accounts, for metrics.
 inline constexpr std::array<MemoryAccount, kMemoryAccounts> kAllMemoryAccounts{
     MemoryAccount::kConnections, MemoryAccount::kRequestBodies, MemoryAccount::kAnswers,
-    MemoryAccount::kJobRequests, MemoryAccount::kJobResults,    MemoryAccount::kStorePages};
+    MemoryAccount::kJobRequests, MemoryAccount::kJobResults,    MemoryAccount::kListedResults};
 
 /// Returns the account's name for logs and metrics.
 std::string_view to_string(MemoryAccount account);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -42,6 +42,9 @@
   std::map<std::string, std::uint64_t> refused_runner_entries;
   /// Requests by tenant and by whether they were admitted; a bounded number of tenants.
   std::map<std::pair<std::string, std::string>, std::uint64_t> tenant_requests;
+  /// What was done since room for callers was short, by kind.
+  std::map<std::string, std::uint64_t> shortages;
+  std::uint64_t cut_off_bytes = 0;  ///< Held for callers that were cut off.
   std::uint64_t resumes = 0;
   std::uint64_t requests_open = 0;
   LatencyHistogram first_event;    ///< From a request's arrival to the first byte of its answer.
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -269,6 +269,37 @@
   }
 }
 
+/// Adds what the process holds for others by account, and what it refused since room was short.
+void add_memory(const GatewayContext& context, std::vector<MetricFamily>& families) {
+  const MemoryBudget& memory = *context.memory;
+  MetricFamily used = make_family("stoathold_memory_held_bytes",
+                                  "Held on behalf of others, by account.", MetricType::Gauge);
+  MetricFamily peak = make_family("stoathold_memory_held_peak_bytes",
+                                  "Most that was held at a time, by account.", MetricType::Gauge);
+  MetricFamily refused = make_family("stoathold_memory_refusals_total",
+                                     "Reservations that found no room.", MetricType::Counter);
+  for (const MemoryAccount account : kAllMemoryAccounts) {
+    const ClientMetric::Label label = make_label("account", std::string(to_string(account)));
+    ClientMetric metric;
+    metric.label = {label};
+    metric.gauge.value = static_cast<double>(memory.used(account));
+    used.metric.push_back(metric);
+    metric.gauge.value = static_cast<double>(memory.peak(account));
+    peak.metric.push_back(metric);
+    add_counter(refused, {label}, memory.refusals(account));
+  }
+  families.push_back(std::move(used));
+  families.push_back(std::move(peak));
+  families.push_back(std::move(refused));
+  families.push_back(gauge("stoathold_memory_budget_bytes", "For all accounts; 0: no limit.",
+                           static_cast<double>(memory.limit())));
+  families.push_back(labelled_counters("stoathold_shortages_total",
+                                       "What was done since room for callers was short.", "act",
+                                       context.metrics.shortages));
+  families.push_back(gauge("stoathold_cut_off_bytes", "Held for callers that were cut off.",
+                           static_cast<double>(context.metrics.cut_off_bytes)));
+}
+
 }  // namespace
 
 void add_loan_gauges(const SlotExchange& exchange, const std::string& zone,
@@ -337,6 +368,7 @@
   add_admission(context, families);
   families.push_back(gauge("stoathold_runner_connects", "Connections made to runners.",
                            static_cast<double>(context.pool.connects())));
+  add_memory(context, families);
   const double version =
       context.configuration ? static_cast<double>(context.configuration->version) : 0;
   families.push_back(
