--- a/bench/server_memory.cc
+++ b/bench/server_memory.cc
@@ -52,7 +52,7 @@
   double run_round() {
     const double start = processor_seconds();
     bool done = false;
-    asio::co_spawn(loop_, ask(), [&](std::exception_ptr) { done = true; });
+    asio::co_spawn(loop_, ask(), [&](const std::exception_ptr&) { done = true; });
     loop_.restart();
     while (!done && loop_.run_one() > 0) {
     }
