--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "admission/load_policy.h"
-#include "base/random.h"
 #include "base/memory_budget.h"
+#include "base/random.h"
 #include "base/start_progress.h"
 #include "gateway/answer_pace.h"
 #include "gateway/durations_by_route.h"
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -4,9 +4,9 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <charconv>
-#include <map>
 
 #include "base/timer.h"
+#include "gateway/idle_connections.h"
 #include "net/beast_helpers.h"
 #include "routing/latency_quantile.h"
 
@@ -19,14 +19,10 @@
 using Tcp = asio::ip::tcp;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kIdlePerAddress = 8;
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr std::uint32_t kHeadBytes = 64U * 1024;
 /// Assumed when a runner does not state how long it keeps idle connections.
 constexpr Duration kDefaultKeepAlive = std::chrono::seconds(1);
-/// Part of the runner's idle time within which a connection is used again. The rest is for bytes
-/// under way: a runner that closes just then would leave the request's fate unknown.
-constexpr double kReusePart = 0.6;
 /// Foreign answers that are skipped before the connection counts as broken.
 constexpr int kMaxSkippedAnswers = 4;
 
@@ -36,20 +32,6 @@
 /// No connection is given up sooner: a lost packet or a busy moment of this node is no evidence.
 constexpr Duration kShortestConnect = std::chrono::milliseconds(60);
 
-/// A connection to a runner that has gone may look open, if its machine lost power; and another
-/// runner may have its address.
-struct IdleConnection {
-  std::uint64_t runner = 0;  ///< Start of the runner to which it was made.
-  std::unique_ptr<Tcp::socket> socket;
-  TimePoint usable_until{};
-  TimePoint idle_since{};
-
-  [[nodiscard]] bool usable(std::uint64_t wanted, Duration longest_rest) const {
-    const TimePoint now = monotonic_now();
-    return runner == wanted && now < usable_until && now - idle_since <= longest_rest;
-  }
-};
-
 /// Reads N of `timeout=N` in a `Keep-Alive` header.
 Duration keep_alive_of(beast::string_view value) {
   const std::string_view text(value.data(), value.size());
@@ -62,11 +44,6 @@
   return result.ec == std::errc{} ? Duration(std::chrono::seconds(seconds)) : kDefaultKeepAlive;
 }
 
-/// Whether an idle connection is open and holds no bytes that nobody asked for.
-bool is_clean(Tcp::socket& socket) {
-  return peek_socket(socket) == asio::error::would_block;
-}
-
 }  // namespace
 
 std::string_view to_string(UpstreamStatus status) {
@@ -93,33 +70,6 @@
   State(asio::any_io_executor executor_in, HeaderDialect dialect_in)
       : executor(std::move(executor_in)), dialect(std::move(dialect_in)) {}
 
-  std::unique_ptr<Tcp::socket> take(const std::string& address, std::uint64_t runner,
-                                    Duration longest_rest) {
-    const auto found = idle.find(address);
-    if (found == idle.end()) return nullptr;
-    auto& list = found->second;
-    std::unique_ptr<Tcp::socket> taken;
-    while (!list.empty() && !taken) {
-      // Those behind it have rested longer.
-      const bool rested_too_long = monotonic_now() - list.back().idle_since > longest_rest;
-      if (rested_too_long) break;
-      IdleConnection last = std::move(list.back());
-      list.pop_back();
-      const bool usable = last.usable(runner, longest_rest);
-      if (usable && is_clean(*last.socket)) taken = std::move(last.socket);
-    }
-    if (list.empty()) idle.erase(found);
-    return taken;
-  }
-  void give(const std::string& address, std::uint64_t runner, std::unique_ptr<Tcp::socket> socket,
-            Duration keep_alive) {
-    auto& list = idle[address];
-    if (list.size() >= kIdlePerAddress) list.erase(list.begin());
-    const auto usable = std::chrono::duration_cast<Duration>(keep_alive * kReusePart);
-    const TimePoint now = monotonic_now();
-    list.push_back({runner, std::move(socket), now + usable, now});
-  }
-
   /// How long a connection may take; a runner that takes longer is taken for dark.
   [[nodiscard]] Duration connect_patience(Duration longest) const {
     if (connect_times.value().count() == 0) return longest;
@@ -129,7 +79,7 @@
 
   asio::any_io_executor executor;
   HeaderDialect dialect;
-  std::map<std::string, std::vector<IdleConnection>> idle;
+  IdleConnections idle;
   LatencyQuantile connect_times{kConnectQuantile};
   std::uint64_t connects = 0;
 };
@@ -140,9 +90,7 @@
 
 bool UpstreamPool::has_idle(const std::string& address, std::uint64_t runner,
                             Duration longest_rest) const {
-  const auto found = state_->idle.find(address);
-  if (found == state_->idle.end() || found->second.empty()) return false;
-  return found->second.back().usable(runner, longest_rest);
+  return state_->idle.has(address, runner, longest_rest);
 }
 
 std::uint64_t UpstreamPool::connects() const {
@@ -329,7 +277,7 @@
   state->runner = request.runner;
   state->request_id = request.request_id;
   if (request.longest_rest.count() > 0) {
-    state->socket = state->pool.take(request.address, request.runner, request.longest_rest);
+    state->socket = state->pool.idle.take(request.address, request.runner, request.longest_rest);
   }
   if (!state->socket) {
     const UpstreamStatus status = co_await state->connect(connect_timeout);
@@ -407,7 +355,7 @@
     return;
   }
   const Duration keep_alive = keep_alive_of(state.parser->get()[http::field::keep_alive]);
-  state.pool.give(state.address, state.runner, std::move(state.socket), keep_alive);
+  state.pool.idle.give(state.address, state.runner, std::move(state.socket), keep_alive);
 }
 
 }  // namespace stoathold
