The soak plays runners of uneven speed

Cause: no run from outside had runners that report their slowness, so that none of the decisions that this switches on was played there.

Change: in half of the seeds runners take 0.6, 1.0 and 1.6 of the usual, change each 0.6 s and now and then say what is false. The seeds' plans of faults are as before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,10 @@
 # Of each seed unless told otherwise; CI plays these.
 NODES = 3
 RUNNERS = 3
+# Runners of uneven speed: time of their work in 100ths, and how their machines change.
+RUNNER_TIMES = [60, 100, 160]
+SLOWNESS_SECONDS = 0.6
+SLOW_PART = 0.15
 CALLERS = 4
 SETTLE_SECONDS = 60.0
 CALL_TIMEOUT_SECONDS = 20.0
@@ -45,12 +49,14 @@
         self.steps = steps
         self.random = random.Random(seed)
         self.start_random = random.Random("starts %d" % seed)  # Leaves the plan of a seed as it is.
+        self.speed_random = random.Random("speeds %d" % seed)  # The same.
         self.links = LinkLoop()
         self.store_links = []
         self.runner_links = {}
         self.promises = Promises(self.sizes)
         self.platform = Platform(
-            directory, nodes, runners, self.make_link, DEADLY, self.sizes)
+            directory, nodes, runners, self.make_link, DEADLY, self.sizes,
+            self.runner_speeds(runners))
         self.directory = directory
         self.known_runs = {}
         self.items_may_fail = False
@@ -61,6 +67,23 @@
         self.local = threading.local()
         self.ends_excused = 0
 
+    def runner_speeds(self, runners):
+        """In half of the seeds runners differ in speed and say how slow their machines are."""
+        if self.speed_random.random() < 0.5:
+            return {}
+        self.note("runners of uneven speed")
+        return {"r%d" % index: ["--reports-slowness", "--time-percent", RUNNER_TIMES[index % 3]]
+                for index in range(runners)}
+
+    def vary_slowness(self):
+        """Machines of runners turn slow and back; now and then one of them says what is false."""
+        while not self.stopped.wait(SLOWNESS_SECONDS):
+            for address in self.platform.runners.values():
+                slow = self.speed_random.random() < SLOW_PART
+                lie = self.speed_random.choice(["0", "slow"]) if self.speed_random.random() < 0.1 else ""
+                self.set_runner_faults(address, slowness_percent=250 if slow else 100,
+                                       false_slowness=lie)
+
     def make_link(self, kind, name, address):
         link = self.links.open(address)
         if kind == "store":
@@ -306,7 +329,10 @@
         callers = [threading.Thread(target=self.caller, args=(number,), daemon=True)
                    for number in range(CALLERS)]
         reviver = threading.Thread(target=self.revive_runners, daemon=True)
-        for thread in callers + [reviver]:
+        others = [reviver]
+        if self.platform.runner_options:
+            others.append(threading.Thread(target=self.vary_slowness, daemon=True))
+        for thread in callers + others:
             thread.start()
         self.disturb()
         self.stopped.set()
