A runner's reported slowness fades to its own mean

Faded to the mean of all, a report 0.6 s old made a slow runner look usual.

Change: each runner has a mean of its reports, from the mean of all on. A replay where runners report their own speed too.

--- a/src/routing/runner_speed.cc
+++ b/src/routing/runner_speed.cc
@@ -25,6 +25,10 @@
 constexpr double kAnchor = 0.002;
 /// Samples of other nodes that count together.
 constexpr double kPeerSamplesKept = 64;
+/// Reports of a runner of which it has its own mean: those of some seconds, many slownesses.
+constexpr double kReportsKept = 64;
+/// Reports of the mean runner that a new one begins with.
+constexpr double kPriorReports = 4;
 /// Parts of a unit in which reports hold the relative time.
 constexpr double kReportUnit = 256;
 /// Part by which one report moves the mean slowness, of which there are some hundred a second.
@@ -72,15 +76,22 @@
     untold_ = true;
   }
   if (reported < reported_at_) return;
+  const bool doubled = reported == reported_at_ && percent == percent_;
+  if (!doubled) {
+    reports_ = std::min(reports_ + 1, kReportsKept);
+    mean_percent_ += (percent - mean_percent_) / reports_;
+  }
   percent_ = percent;
   reported_at_ = reported;
 }
 
 double RunnerSpeed::slowness(double usual, TimePoint now) const {
-  if (reported_at_ == TimePoint{}) return usual;
+  const double mean =
+      (usual * kPriorReports + mean_percent_ / kPercent * reports_) / (kPriorReports + reports_);
+  if (reported_at_ == TimePoint{}) return mean;
   const double age = to_seconds(now - reported_at_) / to_seconds(kSlownessLifetime);
   const double freshness = std::clamp(1 - age, 0.0, 1.0);
-  return usual + (percent_ / kPercent - usual) * freshness;
+  return mean + (percent_ / kPercent - mean) * freshness;
 }
 
 void RunnerSpeed::learn(double ratio) {
--- a/src/routing/runner_speed.h
+++ b/src/routing/runner_speed.h
@@ -48,7 +48,9 @@
   /// @param own whether it said so to this node, which others should know.
   void take_slowness(std::uint32_t percent, TimePoint reported, bool own);
   /// Returns the time that work takes there now as a multiple of the usual.
-  /// @param usual mean multiple of all runners, to which a report fades with its age.
+  /// A report fades with its age to the runner's own mean: runners built slower report more for
+  /// good.
+  /// @param usual mean multiple of all runners, for one that has reported little.
   [[nodiscard]] double slowness(double usual, TimePoint now) const;
 
   /// An answer took so many times as long as the mean runner's would have.
@@ -73,6 +75,8 @@
  private:
   std::uint32_t percent_ = 0;
   TimePoint reported_at_{};
+  double mean_percent_ = 0;  ///< Of the reports, of which the last ones count.
+  double reports_ = 0;       ///< Those that count in it.
   std::uint32_t own_percent_ = 0;
   TimePoint own_reported_at_{};
   double log_time_ = 0;  ///< Logarithm of the relative time that this node has learned.
--- a/tests/routing/speed_replay.h
+++ b/tests/routing/speed_replay.h
@@ -25,6 +25,7 @@
   Duration warm_up = std::chrono::seconds(6);           ///< Arrivals before that do not count.
   Duration most_delay = std::chrono::milliseconds(50);  ///< Of reports between nodes.
   Duration online_gap_objective = std::chrono::milliseconds(300);
+  bool reports_speed = false;       ///< What a runner reports holds its own speed too.
   bool reports_lost = false;        ///< Nodes hear nothing of one another's speeds.
   std::uint32_t false_percent = 0;  ///< What every tenth runner says of its slowness; 0: the truth.
 };
--- a/tests/routing/speed_replay_test.cc
+++ b/tests/routing/speed_replay_test.cc
@@ -37,6 +37,12 @@
   EXPECT_LE(late_in_100(plan, true, 10), 0.5 * late_in_100(plan, false, 10));
 }
 
+TEST(SpeedReplayTest, HalfAsManyAreLateWhereRunnersReportTheirOwnSpeedToo) {
+  const SpeedReplayPlan plan{
+      .nodes = 30, .online_slots = 2.6, .batch_slots = 1, .reports_speed = true};
+  EXPECT_LE(late_in_100(plan, true, 10), 0.5 * late_in_100(plan, false, 10));
+}
+
 // Pauses that the slow runners of a fleet cannot hold at the slow moments of their machines.
 TEST(SpeedReplayTest, HalfAsManyAreLateWherePausesBind) {
   const SpeedReplayPlan plan{.nodes = 9,
