--- a/src/gateway/speed_reports.cc
+++ b/src/gateway/speed_reports.cc
@@ -25,37 +25,37 @@
   log_event(Event::kSlownessReported, {{"zone", context.zone}});
 }
 
-/// Picks what digests tell, newest first, and in turn what thorough ones repeat.
-class SpeedTeller {
+/// Picks what digests report, the newest first, and in turn what thorough ones repeat.
+class SpeedReporter {
  public:
-  explicit SpeedTeller(RunnerRegistry& runners) : runners_(runners) {}
+  explicit SpeedReporter(RunnerRegistry& runners) : runners_(runners) {}
 
   void add(LoadDigest& digest, bool thorough, TimePoint now) {
-    std::vector<Runner*> untold;
+    std::vector<Runner*> unshared;
     std::vector<Runner*> known;
     for (const auto& [id, runner] : runners_.all()) {
-      if (runner->speed().untold()) {
-        untold.push_back(runner.get());
+      if (runner->speed().unshared()) {
+        unshared.push_back(runner.get());
       } else if (runner->speed().samples() > 0) {
         known.push_back(runner.get());
       }
     }
-    const std::size_t newest = std::min(untold.size(), kMostNew);
-    std::partial_sort(untold.begin(), untold.begin() + static_cast<std::ptrdiff_t>(newest),
-                      untold.end(), [](const Runner* left, const Runner* right) {
+    const std::size_t newest = std::min(unshared.size(), kMostNew);
+    std::partial_sort(unshared.begin(), unshared.begin() + static_cast<std::ptrdiff_t>(newest),
+                      unshared.end(), [](const Runner* left, const Runner* right) {
                         return left->speed().reported_at() > right->speed().reported_at();
                       });
-    for (std::size_t i = 0; i < newest; ++i) tell(*untold[i], digest, now);
+    for (std::size_t i = 0; i < newest; ++i) add_report(*unshared[i], digest, now);
     if (!thorough) return;
     for (std::size_t i = 0; i < std::min(known.size(), kMostRepeated); ++i) {
-      tell(*known[turn_++ % known.size()], digest, now);
+      add_report(*known[turn_++ % known.size()], digest, now);
     }
   }
 
  private:
-  static void tell(Runner& runner, LoadDigest& digest, TimePoint now) {
+  static void add_report(Runner& runner, LoadDigest& digest, TimePoint now) {
     digest.speeds.push_back(runner.speed().report(runner.hash(), now));
-    runner.speed().mark_told();
+    runner.speed().mark_shared();
   }
 
   RunnerRegistry& runners_;
@@ -78,9 +78,9 @@
 }
 
 DigestPart speed_digest_part(GatewayContext& context) {
-  const auto teller = std::make_shared<SpeedTeller>(context.runners);
-  const auto add = [&context, teller](LoadDigest& digest, bool thorough, TimePoint now) {
-    if (context.load_policy.knows_speeds) teller->add(digest, thorough, now);
+  const auto reporter = std::make_shared<SpeedReporter>(context.runners);
+  const auto add = [&context, reporter](LoadDigest& digest, bool thorough, TimePoint now) {
+    if (context.load_policy.knows_speeds) reporter->add(digest, thorough, now);
   };
   const auto take = [&context](const LoadDigest& digest, TimePoint now) {
     for (const SpeedReport& report : digest.speeds) {
--- a/src/routing/runner_speed.cc
+++ b/src/routing/runner_speed.cc
@@ -73,7 +73,7 @@
   if (own) {
     own_percent_ = percent;
     own_reported_at_ = reported;
-    untold_ = true;
+    unshared_ = true;
   }
   if (reported < reported_at_) return;
   const bool doubled = reported == reported_at_ && percent == percent_;
--- a/src/routing/runner_speed.h
+++ b/src/routing/runner_speed.h
@@ -60,12 +60,12 @@
   /// Returns the time that work takes there as a multiple of the mean runner's, slowness aside.
   [[nodiscard]] double relative_time() const;
 
-  /// Returns what this node itself knows, to tell it to others.
+  /// Returns what this node itself knows, to share it with others.
   [[nodiscard]] SpeedReport report(std::uint64_t runner, TimePoint now) const;
-  /// Whether it reported its slowness to this node, which has not told that yet. What was learned
-  /// changes slowly and is told along with it.
-  [[nodiscard]] bool untold() const { return untold_; }
-  void mark_told() { untold_ = false; }
+  /// Whether it reported its slowness to this node, which has not shared that yet. What was learned
+  /// changes slowly and goes along with it.
+  [[nodiscard]] bool unshared() const { return unshared_; }
+  void mark_shared() { unshared_ = false; }
   /// Answers that the learned time rests on, of this node.
   [[nodiscard]] std::uint32_t samples() const { return samples_; }
   /// When it last reported its slowness; the clock's start: never.
@@ -83,7 +83,7 @@
   std::uint32_t samples_ = 0;
   double peer_log_time_ = 0;
   double peer_weight_ = 0;  ///< Samples, of all other nodes, that count.
-  bool untold_ = false;
+  bool unshared_ = false;
 };
 
 /// Learns a time as a linear function of what it depends on. Old samples fade, and a single one is
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,7 +14,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
-from platform_fleet import HOST, SMALL_SIZES, Platform  # noqa: E402
+from platform_fleet import CRASH_EXIT_CODE, HOST, SMALL_SIZES, Platform  # noqa: E402
 from fleet import call, call_json, wait_for  # noqa: E402
 
 from link_proxy import LinkLoop  # noqa: E402
@@ -33,9 +33,8 @@
 UNSAFE_ROUTE = {"name": "once", "host": HOST, "path_prefix": "/once/", "kind": "unsafe",
                 "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat",
                 "max_attempts": 3}
-# Ends each runner that begins to run it; the runner's process ends with this code.
+# Ends each runner that begins to run it.
 DEADLY = "deadly"
-CRASH_EXIT_CODE = 3
 
 
 class Soak:
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -50,6 +50,10 @@
     return struct.pack(">I", len(content)) + content
 
 
+# With which a runner ends that a request has ended.
+CRASH_EXIT_CODE = 3
+
+
 class Platform:
     """Starts and stops the processes; `link` may put a proxy before an address.
 
@@ -143,9 +147,14 @@
             self.drop_runner(name)
             process = self.start_runner(name, "%s.%d" % (name, self.runner_starts))
             self.runner_processes[index] = process
-        wait_for(lambda: call(self.runners[name], "GET", "/admin/runs")[0] == 200, process.name)
+        wait_for(lambda: self.ended_by_request(process) or
+                 call(self.runners[name], "GET", "/admin/runs")[0] == 200, process.name)
         self.list_runner(name, runner_id=process.name)
 
+    def ended_by_request(self, process):
+        """A request that ends its runners may wait for one: it reaches it some 30 ms after its start."""
+        return self.crash_body is not None and process.handle.poll() == CRASH_EXIT_CODE
+
     def drop_runner(self, name):
         """The store drops a runner's entry, as after heartbeats of silence."""
         self.append_raw("keyed.servers", self.runner_process(name).name, b"")
