Tests of admission count reviews in the place of real time

A timed assertion does not give the same verdict beside load.

The rejection on arrival is one that never counted as waiting, in the place of 100 ms. Each is as strict about the decision as before, and holds on any machine.

--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -27,9 +27,7 @@
 constexpr double kBurstMargin = 0.4;
 constexpr Duration kBurstMemory = std::chrono::milliseconds(400);
 
-/// While online work waits, what cannot be served is looked for this often, and at each change but
-/// not more often than the pause: callers are to know 10 ms after it has become certain.
-constexpr Duration kReviewInterval = std::chrono::milliseconds(5);
+/// What cannot be served is also looked for at each change, but not more often than this.
 constexpr Duration kReviewPause = std::chrono::milliseconds(2);
 
 }  // namespace
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -107,6 +107,10 @@
   bool cancelled_ = false;
 };
 
+/// While online work waits, what cannot be served is looked for this often: callers are to know
+/// 10 ms after it has become certain.
+inline constexpr Duration kReviewInterval = std::chrono::milliseconds(5);
+
 /// All that wait on this node. Used on one thread.
 class PlacementQueue {
  public:
--- a/tests/gateway/online_admission_test.cc
+++ b/tests/gateway/online_admission_test.cc
@@ -68,11 +68,12 @@
   fill();
   learn();
   hear_of_waiting(5);
-  const TimePoint start = monotonic_now();
+  int waits = 0;
+  context.placement.decisions().waits = [&waits](const auto&...) { ++waits; };
   const CallerView answer = ask();
   EXPECT_EQ(answer.status, 503);
   EXPECT_NE(answer.body.find("overloaded"), std::string::npos);
-  EXPECT_LT(monotonic_now() - start, std::chrono::milliseconds(100));
+  EXPECT_EQ(waits, 0);
   ASSERT_FALSE(answer.retry_after.empty());
   EXPECT_LE(std::stod(answer.retry_after), 5.0 / 3);
   EXPECT_TRUE(runner.requests.empty());
@@ -96,17 +97,25 @@
   EXPECT_EQ(ask().status, 200);
 }
 
-TEST_F(OnlineAdmissionTest, WhoWaitsIsRejectedSoonAfterItHasBecomeCertain) {
+// A caller is to know 10 ms after it has become certain that it cannot be served. Reviews come at
+// least every `kReviewInterval`, and the first one after that rejects, whatever else happens. The
+// time itself is not measured here: beside busy processes a turn of the loop took 13 ms.
+TEST_F(OnlineAdmissionTest, WhoWaitsIsRejectedByTheFirstReviewAfterItHasBecomeCertain) {
+  static_assert(kReviewInterval < std::chrono::milliseconds(10));
   fill();
   learn();
   start_asking();
   run_until_waiting();
   ASSERT_FALSE(view);
+  int reviews = 0;
+  context.placement.decisions().review = [review = context.placement.decisions().review,
+                                          &reviews](const auto&... arguments) {
+    ++reviews;
+    return review(arguments...);
+  };
   hear_of_waiting(50);
-  const TimePoint certain = monotonic_now();
   while (context.placement.waiting(WorkClass::kOnline) > 0) loop.run_one();
-  const Duration certain_for = monotonic_now() - certain;
-  EXPECT_LT(certain_for, std::chrono::milliseconds(10));
+  EXPECT_EQ(reviews, 1);
   run_until_answered();
   EXPECT_EQ(view->status, 503);
 }
