--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -93,6 +93,22 @@
   return emulator::make_link(executor, options.listen, options.target, options.admin_listen);
 }
 
+/// Options of the stand-in of a runner.
+void add_runner_options(CLI::App& command, Options& options) {
+  command.add_option("--id", options.runner.id, "Id of this start of the runner");
+  command.add_option("--slots", options.runner.slots, "Requests at once");
+  command.add_option("--events", options.runner.events, "Events of a stream");
+  command.add_option("--event-bytes", options.runner.event_bytes,
+                     "Most bytes of the request's body that an event repeats");
+  command.add_option("--gap-ms", options.gap_ms, "Pause before each event");
+  command.add_option("--time-percent", options.runner.time_percent,
+                     "Time of its work against others', in 100ths");
+  command.add_flag("--reports-slowness", options.runner.reports_slowness,
+                   "Reports how slow it is at the moment");
+  command.add_option("--crash-body", options.runner.crash_body,
+                     "Ends when it begins to run a request with this body");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -111,18 +127,7 @@
     } else if (std::string(kind) == "weights") {
       command->add_option("--per-minute", options.fetches_per_minute, "Fetches granted a minute");
     } else if (std::string(kind) == "inference-runner") {
-      command->add_option("--id", options.runner.id, "Id of this start of the runner");
-      command->add_option("--slots", options.runner.slots, "Requests at once");
-      command->add_option("--events", options.runner.events, "Events of a stream");
-      command->add_option("--event-bytes", options.runner.event_bytes,
-                          "Most bytes of the request's body that an event repeats");
-      command->add_option("--gap-ms", options.gap_ms, "Pause before each event");
-      command->add_option("--time-percent", options.runner.time_percent,
-                          "Time of its work against others', in 100ths");
-      command->add_flag("--reports-slowness", options.runner.reports_slowness,
-                        "Reports how slow it is at the moment");
-      command->add_option("--crash-body", options.runner.crash_body,
-                          "Ends when it begins to run a request with this body");
+      add_runner_options(*command, options);
     } else if (std::string(kind) == "link") {
       command->add_option("--target", options.target, "ip:port that the link leads to")->required();
       command->add_option("--admin-listen", options.admin_listen, "ip:port of the admin requests");
