--- a/src/gateway/fair_shares.cc
+++ b/src/gateway/fair_shares.cc
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "gateway/log_fields.h"
 
 namespace stoathold {
 namespace {
@@ -36,11 +37,6 @@
   return {request.selection.service, request.route, request.priority};
 }
 
-std::string two_digits(double value) {
-  std::string text = std::to_string(value);
-  return text.substr(0, text.find('.') + 3);
-}
-
 }  // namespace
 
 void FairShares::configure(const ServingConfiguration& configuration) {
@@ -147,17 +143,18 @@
             {{"service", request.selection.service},
              {"tenant", request.tenant},
              {"route", request.route},
-             {"times_part", two_digits(turns_.over_part(key, now))},
-             {"waiting_slot_s", two_digits(ledger_.waiting_seconds(key))}});
+             {"times_part", decimal_text(turns_.over_part(key, now))},
+             {"waiting_slot_s", decimal_text(ledger_.waiting_seconds(key))}});
 }
 
 void FairShares::log_inversions(TimePoint now) {
   for (const KindInversion& inversion : kinds_.inversions(now)) {
-    log_event(Event::kUrgentKindServedLess, {{"service", inversion.urgent.service},
-                                             {"route", inversion.urgent.route},
-                                             {"served", two_digits(inversion.urgent_served)},
-                                             {"other_route", inversion.other.route},
-                                             {"other_served", two_digits(inversion.other_served)}});
+    log_event(Event::kUrgentKindServedLess,
+              {{"service", inversion.urgent.service},
+               {"route", inversion.urgent.route},
+               {"served", decimal_text(inversion.urgent_served)},
+               {"other_route", inversion.other.route},
+               {"other_served", decimal_text(inversion.other_served)}});
   }
 }
 
