Tests: bodies that fit are refused, and bodies that never fit are told to come back

Room for a body in chunks is taken by doubling, and what could fit is compared with the mark without the connection (16 kB) that is always counted beside the body, so that a doubled size between 3,129,341 and 3,145,725 bytes got 503; it depends on where a read ends.

--- a/tests/net/http_server_bounds_test.cc
+++ b/tests/net/http_server_bounds_test.cc
@@ -193,6 +193,32 @@
   EXPECT_TRUE(small.read_until(";").ends_with("131072;"));
 }
 
+// A body in chunks was refused as larger than the node can hold once twice its present size did not
+// fit: with room for 3 MB, and so for two copies of 1.4 MB and of the next read, 1.4 MB got 413 or
+// 503. Room was asked for by doubling only; now what the next read needs is enough.
+TEST_F(HttpServerBoundsTest, ABodyInChunksThatFitsIsServedThoughTwiceItsSizeWouldNotFit) {
+  start(kBudget);
+  RawCaller caller(server_.address());
+  caller.send_head("/", "Transfer-Encoding: chunked\r\n");
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'b') + "\r\n";
+  for (int sent = 0; sent < 22; ++sent) caller.send(chunk);
+  caller.send("c350\r\n" + std::string(50000, 'b') + "\r\n0\r\n\r\n");
+  const std::string answer = caller.read_until(";");
+  EXPECT_TRUE(answer.ends_with("1491792;")) << answer;
+}
+
+// A caller was told to come back with a body that never fits: its own connection (16 kB) was left
+// out of the comparison. In 3,145,725 bytes of room, two copies of 1,568,000 bytes fit alone, but
+// not beside the connection that brings them.
+TEST_F(HttpServerBoundsTest, ABodyThatDoesNotFitBesideItsOwnConnectionNeverFits) {
+  start(kBudget);
+  RawCaller caller(server_.address());
+  caller.send_head("/", "Content-Length: 1568000\r\n");
+  const std::string answer = caller.read_all();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 413")) << answer;
+  EXPECT_EQ(handled_, 0);
+}
+
 TEST_F(HttpServerBoundsTest, ABodyThatTricklesGivesItsRoomToOthers) {
   start(kBudget);
   RawCaller slow(server_.address());
