Room for a body in chunks is what its next read needs; what never fits is compared with its connection

Room was taken by doubling only, so that a body whose double does not fit was refused though it fits; and a body was told to come back whose bytes fit into the mark, but not beside the connection (16 kB) that brings them: it would have come back in vain for ever. Change: doubling stays where room is free, without cutting anybody off for it; else what the next read needs is asked for. The verdict (413 or 503) counts the connection in.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -20,9 +20,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// Bytes of a connection beside its request and answer: coroutines, parser, read buffer (measured
-/// with 2,000 idle ones: see docs/design/memory-budget.md).
-constexpr std::uint64_t kConnectionBytes = 16UL * 1024;
 /// A read buffer beyond this is given back between two requests.
 constexpr std::size_t kKeptBufferBytes = 32UL * 1024;
 /// Of a connection's send buffer, on servers with a limit of memory (the kernel doubles it): left
--- a/src/net/request_reader.cc
+++ b/src/net/request_reader.cc
@@ -19,8 +19,8 @@
 /// Copies of a body that exist at a time: the one that was read, and the one that is written to a
 /// runner.
 constexpr std::uint64_t kBodyCopies = 2;
-/// Room that is taken first for a body without a stated length; then twice as much each time.
-constexpr std::size_t kFirstGrowth = 64UL * 1024;
+/// Room for one more read of a body without a stated length: as much as the parser reads at once.
+constexpr std::size_t kReadRoom = 64UL * 1024;
 /// A body that comes makes progress with so many bytes: 4 kB a second, given the time after which
 /// a caller counts as stalled. A byte now and then is none.
 constexpr std::size_t kProgressBytes = 4UL * 1024;
@@ -135,33 +135,35 @@
     return reserve_growth();
   }
   // The parser has compared the length with the limit of the configuration already.
-  const std::uint64_t bytes = *length > std::numeric_limits<std::uint64_t>::max() / kBodyCopies
-                                  ? std::numeric_limits<std::uint64_t>::max()
-                                  : *length * kBodyCopies;
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint64_t>::max() - kConnectionBytes;
+  const std::uint64_t bytes = *length > kMost / kBodyCopies ? kMost : *length * kBodyCopies;
   auto reservation = bounds_.budget->reserve(MemoryAccount::kRequestBodies, bytes);
   if (!reservation) return refusal_for_room(bytes);
   holder_.reservation() = std::move(*reservation);
   return std::nullopt;
 }
 
-/// A body without a stated length has room for what the next read may bring.
+/// A body without a stated length has room for what the next read may bring. Twice its size is
+/// taken while that is free, so that it is copied seldom; nobody is cut off for that.
 std::optional<ReadOutcome> RequestReader::reserve_growth() {
   if (!bounds_.limited() || parser_.content_length()) return std::nullopt;
   std::string& body = parser_.get().body();
-  if (holder_.reservation().bytes() >= kBodyCopies * (body.size() + kFirstGrowth)) {
-    return std::nullopt;
-  }
-  const std::size_t next = std::max(kFirstGrowth, 2 * body.size()) + kFirstGrowth;
-  const std::uint64_t more = kBodyCopies * next - holder_.reservation().bytes();
-  if (!holder_.reservation().grow(more)) {
-    return refusal_for_room(holder_.reservation().bytes() + more);
-  }
-  body.reserve(next);
+  MemoryReservation& reservation = holder_.reservation();
+  const std::uint64_t least = kBodyCopies * (body.size() + kReadRoom);
+  if (reservation.bytes() >= least) return std::nullopt;
+  const std::uint64_t ample = kBodyCopies * (2 * body.size() + kReadRoom);
+  const std::uint64_t ample_more = ample - reservation.bytes();
+  const bool ample_fits = bounds_.budget->has_room(MemoryAccount::kRequestBodies, ample_more);
+  const std::uint64_t taken = ample_fits ? ample : least;
+  if (!reservation.grow(taken - reservation.bytes())) return refusal_for_room(least);
+  body.reserve(taken / kBodyCopies);
   return std::nullopt;
 }
 
+/// Never fits what does not fit beside the connection that brings it.
 ReadOutcome RequestReader::refusal_for_room(std::uint64_t bytes) {
-  const bool ever = bounds_.budget->can_ever_fit(MemoryAccount::kRequestBodies, bytes);
+  const bool ever =
+      bounds_.budget->can_ever_fit(MemoryAccount::kRequestBodies, bytes + kConnectionBytes);
   ReadOutcome outcome;
   outcome.status = ever ? kUnavailable : kTooLarge;
   outcome.reason = ever ? kNoRoomNow : kNeverFits;
--- a/src/net/server_bounds.h
+++ b/src/net/server_bounds.h
@@ -11,6 +11,10 @@
 
 namespace stoathold {
 
+/// Bytes of a connection beside its request and answer: coroutines, parser, read buffer (measured
+/// with 2,000 idle ones: see docs/design/memory-budget.md).
+inline constexpr std::uint64_t kConnectionBytes = 16UL * 1024;
+
 /// What a server did since room was short.
 enum class ShortageAct : std::uint8_t {
   kBodyRefused,        ///< A request was refused before its body was read.
