--- a/src/core/node_core.h
+++ b/src/core/node_core.h
@@ -39,7 +39,7 @@
 
 /// The core of a node: takes typed events and the time, gives effects.
 ///
-/// The same class runs in a node process, under the fuzzer and as a hollow node of the scale run.
+/// The same class runs in a node process and under the fuzzer.
 /// Thread safe: every table has its own ranked lock, and no lock is held when a method returns.
 ///
 /// Usage:
