--- a/bench/quarantine.cc
+++ b/bench/quarantine.cc
@@ -49,7 +49,7 @@
     for (std::int64_t i = 0; i < requests; ++i) {
       quarantine.note_end({ContentHash{++content}, runner, RunStage::kWaiting, kNow});
     }
-    while (!quarantine.take_zone_news(kNow).empty()) {
+    while (!quarantine.take_zone_reports(kNow).empty()) {
     }
   };
   while (quarantine.suspects() < kFullTable) end_with(state.range(0));
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -10,18 +10,19 @@
 namespace stoathold {
 namespace {
 
-/// How often news is told to other zones: to another node there each time, and messages get lost.
-constexpr int kRemoteTellings = 3;
-/// How often it is told inside the zone.
-constexpr int kZoneTellings = 2;
-/// Most news that waits to be told; more is left out, the newest first.
-constexpr std::size_t kMostNews = 256;
+/// How often a report is sent to other zones: to another node there each time, as messages get
+/// lost.
+constexpr int kRemoteSends = 3;
+/// How often it is sent inside the zone.
+constexpr int kZoneSends = 2;
+/// Reports that wait to be sent, at most; more are left out, the newest first.
+constexpr std::size_t kMaxPendingReports = 256;
 /// Most entries of one message: it stays below the size of a datagram.
-constexpr std::size_t kMostReports = 60;
+constexpr std::size_t kMaxReportsInMessage = 60;
 /// Requests of which it is remembered that this node saw an end.
-constexpr std::size_t kMostSeenHere = 4096;
+constexpr std::size_t kMaxSeenHere = 4096;
 /// Ends with a request from which on other zones hear of those whose runs had not begun.
-constexpr std::size_t kEndsToTellZones = 2;
+constexpr std::size_t kEndsReportedToZones = 2;
 
 }  // namespace
 
@@ -38,7 +39,7 @@
 
 void Quarantine::note_end(const RunnerEnd& end) {
   if (!ends_.add(end)) return;
-  if (seen_here_.size() >= kMostSeenHere) seen_here_.clear();
+  if (seen_here_.size() >= kMaxSeenHere) seen_here_.clear();
   seen_here_.insert(end.content);
   const bool begun = end.stage == RunStage::kBegun;
   log_event(Event::kRunnerEndedWithRequest,
@@ -47,7 +48,7 @@
              {"stage", std::string(to_string(end.stage))},
              {"ends", std::to_string(ends_.ends_of(end.content))},
              {"weight", std::to_string(ends_.weight_against(end.content))}});
-  add_news({.content = value_of(end.content), .runner = end.runner, .begun = begun}, end.at);
+  add_report({.content = value_of(end.content), .runner = end.runner, .begun = begun}, end.at);
   judge(end.content, end.at);
 }
 
@@ -56,37 +57,37 @@
   if (ends == 0) return;
   ends_.clear(content, now);
   on_probation_.erase(content);
-  // A single end condemns nobody anywhere.
-  if (ends >= kEndsToTellZones) add_news({.content = value_of(content)}, now);
+  // A single end puts no request in quarantine anywhere.
+  if (ends >= kEndsReportedToZones) add_report({.content = value_of(content)}, now);
 }
 
-void Quarantine::add_news(const EndReport& report, TimePoint at) {
-  if (zone_news_.size() < kMostNews) zone_news_.push_back({report, at, kZoneTellings});
+void Quarantine::add_report(const EndReport& report, TimePoint at) {
+  if (zone_reports_.size() < kMaxPendingReports) zone_reports_.push_back({report, at, kZoneSends});
   const bool for_zones = report.runner == 0 || report.begun ||
-                         ends_.ends_of(ContentHash{report.content}) >= kEndsToTellZones;
-  if (for_zones && remote_news_.size() < kMostNews) {
-    remote_news_.push_back({report, at, kRemoteTellings});
+                         ends_.ends_of(ContentHash{report.content}) >= kEndsReportedToZones;
+  if (for_zones && remote_reports_.size() < kMaxPendingReports) {
+    remote_reports_.push_back({report, at, kRemoteSends});
   }
-  if (news_listener_) news_listener_();
+  if (report_listener_) report_listener_();
 }
 
-std::vector<EndReport> Quarantine::take_zone_news(TimePoint now) {
-  return take_some(zone_news_, now);
+std::vector<EndReport> Quarantine::take_zone_reports(TimePoint now) {
+  return take_some(zone_reports_, now);
 }
 
-std::vector<EndReport> Quarantine::take_remote_news(TimePoint now) {
-  return take_some(remote_news_, now);
+std::vector<EndReport> Quarantine::take_remote_reports(TimePoint now) {
+  return take_some(remote_reports_, now);
 }
 
-std::vector<EndReport> Quarantine::take_some(std::vector<News>& news, TimePoint now) {
+std::vector<EndReport> Quarantine::take_some(std::vector<PendingReport>& pending, TimePoint now) {
   std::vector<EndReport> reports;
-  for (auto& entry : news) {
-    if (reports.size() >= kMostReports) break;
+  for (auto& entry : pending) {
+    if (reports.size() >= kMaxReportsInMessage) break;
     entry.report.ms_ago = saturated_milliseconds(now - entry.at);
     reports.push_back(entry.report);
     --entry.repeats_left;
   }
-  std::erase_if(news, [](const News& entry) { return entry.repeats_left == 0; });
+  std::erase_if(pending, [](const PendingReport& entry) { return entry.repeats_left == 0; });
   return reports;
 }
 
@@ -108,7 +109,7 @@
 void Quarantine::judge(ContentHash content, TimePoint now) {
   if (holds(content, now)) return;
   const bool again = on_probation_.contains(content) && ends_.weight_against(content) > 0;
-  if (!again && !ends_.condemns(content)) return;
+  if (!again && !ends_.over_limit(content)) return;
   const bool seen_here = seen_here_.contains(content);
   quarantined_[content] = {.until = now + kQuarantineTime};
   const std::size_t ends = ends_.ends_of(content);
@@ -117,7 +118,7 @@
                                          {"weight", std::to_string(ends_.weight_against(content))},
                                          {"source", seen_here ? "own" : "other_nodes"}});
   // The nodes that saw the ends write it; they are few, and those who only heard of them are many.
-  if (seen_here && condemned_handler_) condemned_handler_(content, ends);
+  if (seen_here && quarantined_handler_) quarantined_handler_(content, ends);
   if (change_listener_) change_listener_();
 }
 
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -22,10 +22,10 @@
 };
 
 /// What is known of requests that end runners: the ends that nodes have seen, and the requests that
-/// these condemn. Ends are told from node to node; a request that is condemned is a record of the
-/// log, which outlasts every node. Used on one thread.
+/// these put in quarantine. Nodes report ends to one another; a request in quarantine is a record
+/// of the log, which outlasts every node. Used on one thread.
 ///
-/// A request leaves after `kQuarantineTime`. From then on one more end condemns it again.
+/// A request leaves after `kQuarantineTime`. From then on one more end brings it back.
 class Quarantine {
  public:
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
@@ -33,12 +33,16 @@
   /// @param last_heard when a runner was last heard; a runner that was heard after its end lives.
   explicit Quarantine(RunnerEndTable::LastHeard last_heard) : ends_(std::move(last_heard)) {}
 
-  /// Called with each request that is condemned with an end that this node saw, for the log, and
+  /// Called with each request that an end seen by this node puts in quarantine, for the log, and
   /// with the number of runners that have ended with it.
-  using CondemnedHandler = std::function<void(ContentHash, std::size_t ends)>;
-  void set_condemned_handler(CondemnedHandler handler) { condemned_handler_ = std::move(handler); }
-  /// Called whenever there is something to tell other nodes.
-  void set_news_listener(std::function<void()> listener) { news_listener_ = std::move(listener); }
+  using QuarantinedHandler = std::function<void(ContentHash, std::size_t ends)>;
+  void set_quarantined_handler(QuarantinedHandler handler) {
+    quarantined_handler_ = std::move(handler);
+  }
+  /// Called whenever there is something to report to other nodes.
+  void set_report_listener(std::function<void()> listener) {
+    report_listener_ = std::move(listener);
+  }
   /// Called whenever a request was put in quarantine.
   void set_change_listener(std::function<void()> listener) {
     change_listener_ = std::move(listener);
@@ -61,19 +65,19 @@
   /// Whether progress of requests is of interest: it is not while no ends are known.
   [[nodiscard]] bool watches_progress() const { return !ends_.empty(); }
 
-  /// Returns what is to be told to the nodes of the own zone, and empties that list.
-  [[nodiscard]] std::vector<EndReport> take_zone_news(TimePoint now);
-  /// Returns what is to be told to the nodes of other zones. Each news is returned a few times,
+  /// Returns the reports that are due to the nodes of the own zone; each is returned twice.
+  [[nodiscard]] std::vector<EndReport> take_zone_reports(TimePoint now);
+  /// Returns the reports that are due to nodes of other zones. Each is returned a few times,
   /// since messages get lost.
-  [[nodiscard]] std::vector<EndReport> take_remote_news(TimePoint now);
-  /// Takes what another node tells.
+  [[nodiscard]] std::vector<EndReport> take_remote_reports(TimePoint now);
+  /// Takes the reports of another node.
   void take_reports(const std::vector<EndReport>& reports, TimePoint now);
 
   /// The log holds this record of a request.
   void take_record(ContentHash content, const QuarantineRecord& record, TimePoint now,
                    std::int64_t time_of_day_ms);
   /// The log no longer holds one: an operator has lifted the quarantine. Of one whose time was up
-  /// nothing changes: the next end condemns it again.
+  /// nothing changes: the next end brings it back.
   void lift(ContentHash content);
   /// The log holds just these requests; others that it held before were lifted.
   void keep_only(const std::set<ContentHash>& contents);
@@ -82,24 +86,24 @@
   std::vector<ContentHash> expire(TimePoint now);
 
  private:
-  struct News {
+  struct PendingReport {
     EndReport report;
     TimePoint at{};
     int repeats_left = 0;
   };
 
   void judge(ContentHash content, TimePoint now);
-  void add_news(const EndReport& report, TimePoint at);
-  static std::vector<EndReport> take_some(std::vector<News>& news, TimePoint now);
+  void add_report(const EndReport& report, TimePoint at);
+  static std::vector<EndReport> take_some(std::vector<PendingReport>& pending, TimePoint now);
 
   RunnerEndTable ends_;
   std::map<ContentHash, QuarantinedRequest> quarantined_;
   std::set<ContentHash> on_probation_;
   std::set<ContentHash> seen_here_;  ///< Those with an end that this node saw itself.
-  std::vector<News> zone_news_;
-  std::vector<News> remote_news_;
-  CondemnedHandler condemned_handler_;
-  std::function<void()> news_listener_;
+  std::vector<PendingReport> zone_reports_;
+  std::vector<PendingReport> remote_reports_;
+  QuarantinedHandler quarantined_handler_;
+  std::function<void()> report_listener_;
   std::function<void()> change_listener_;
 };
 
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -29,7 +29,7 @@
       log_(log),
       quarantine_(quarantine),
       replica_(std::make_shared<PartitionReplica>(log, kQuarantinePartition, *this)) {
-  quarantine_.set_condemned_handler([this](ContentHash content, std::size_t ends) {
+  quarantine_.set_quarantined_handler([this](ContentHash content, std::size_t ends) {
     const QuarantineRecord record{wall_clock_ms(), static_cast<std::uint32_t>(ends)};
     written_.insert(content);
     write(content, encode_value(record));
--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -14,8 +14,8 @@
 
 namespace stoathold {
 
-/// Follows the records, and writes those of the requests that this node condemns. An operator lifts
-/// a quarantine by deleting its record. Outlives all its calls; used on one thread.
+/// Follows the records, and writes those of the requests that this node puts in quarantine. An
+/// operator lifts a quarantine by deleting its record. Outlives all its calls; used on one thread.
 class QuarantineLog final : public RecordSink {
  public:
   QuarantineLog(boost::asio::any_io_executor executor, RecordLog& log, Quarantine& quarantine);
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -1,5 +1,5 @@
 /// @file
-/// What nodes tell one another of runners that ended under requests, and what the log keeps.
+/// What nodes report to one another of runners that ended under requests, and what the log keeps.
 #pragma once
 
 #include <cstdint>
@@ -34,7 +34,7 @@
 
 /// The log's record of a request that is kept from runners; its key is the content's hash.
 struct QuarantineRecord {
-  std::int64_t since_ms = 0;  ///< Time of day at the node that condemned it.
+  std::int64_t since_ms = 0;  ///< Time of day at the node that put it in quarantine.
   std::uint32_t ends = 0;     ///< Runners that had ended with it.
 
   template <typename Archive>
--- a/src/quarantine/runner_end_table.cc
+++ b/src/quarantine/runner_end_table.cc
@@ -7,15 +7,15 @@
 
 /// Requests of which ends are kept. A runner that ends has its slots' number of requests, so this
 /// holds the ends of some 200 runners of 17 slots in 600 kB.
-constexpr std::size_t kMostRequests = 4096;
-/// Runners whose ends are kept for one request; a few are enough to condemn it.
-constexpr std::size_t kMostEnds = 16;
+constexpr std::size_t kMaxRequests = 4096;
+/// Runners whose ends are kept for one request; a few are enough for a quarantine.
+constexpr std::size_t kMaxEndsOfRequest = 16;
 /// How long an end counts. Copies of a request may come minutes apart.
 constexpr Duration kEndLifetime = std::chrono::minutes(10);
 /// A runner lives if it was heard so long after its supposed end: what other nodes say of having
 /// heard it is late by the time that a message waits at a slow node.
 constexpr Duration kHearingError = std::chrono::milliseconds(300);
-/// Times the limit at which a request is condemned although others were always beside it.
+/// Times the limit at which a request is put in quarantine although others were always beside it.
 constexpr std::uint32_t kOverwhelming = 2;
 
 }  // namespace
@@ -30,7 +30,7 @@
     if (later) known->second.stage = end.stage;
     return later;
   }
-  if (suspect.ends.size() >= kMostEnds) return false;
+  if (suspect.ends.size() >= kMaxEndsOfRequest) return false;
   suspect.ends.emplace(end.runner, End{end.stage, end.at});
   by_runner_[end.runner].push_back(end.content);
   return true;
@@ -64,7 +64,7 @@
 
 /// Who has the fewest ends gives way, and of these the one that has been quiet the longest.
 void RunnerEndTable::make_room() {
-  if (requests_.size() < kMostRequests) return;
+  if (requests_.size() < kMaxRequests) return;
   const auto least =
       std::min_element(requests_.begin(), requests_.end(), [](const auto& left, const auto& right) {
         return std::pair(left.second.ends.size(), left.second.changed) <
--- a/src/quarantine/runner_end_table.h
+++ b/src/quarantine/runner_end_table.h
@@ -32,8 +32,8 @@
   std::uint32_t limit = 15;
 };
 
-/// Ends by request and by runner. A set that only grows, so that nodes which have told one another
-/// the same ends come to the same judgement, in whatever order. Used on one thread.
+/// Ends by request and by runner. A set that only grows, so that nodes which have reported to one
+/// another the same ends come to the same judgement, in whatever order. Used on one thread.
 ///
 /// Most requests at a runner that ends are innocent. So an end is put down to one request at most:
 /// the one whose run had begun, if just one had; else the one with the most ends elsewhere.
@@ -58,7 +58,7 @@
   /// Returns the weight of the ends that are put down to the request.
   [[nodiscard]] std::uint32_t weight_against(ContentHash content) const;
   /// Whether that is enough to keep the request from runners.
-  [[nodiscard]] bool condemns(ContentHash content) const {
+  [[nodiscard]] bool over_limit(ContentHash content) const {
     return weight_against(content) >= weights_.limit;
   }
   /// Returns the runners that ended with the request, whatever the ends are put down to.
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -112,7 +112,7 @@
 
 void PeerLoads::share_runner_ends(Quarantine& quarantine) {
   quarantine_ = &quarantine;
-  quarantine.set_news_listener([this] { schedule_end_reports(); });
+  quarantine.set_report_listener([this] { schedule_end_reports(); });
 }
 
 void PeerLoads::take_end_reports(EndReports reports) {
@@ -135,7 +135,7 @@
 
 void PeerLoads::send_end_reports() {
   if (quarantine_ == nullptr || zone_nodes_.empty()) return;
-  const EndReports message{.reports = quarantine_->take_zone_news(monotonic_now())};
+  const EndReports message{.reports = quarantine_->take_zone_reports(monotonic_now())};
   if (message.reports.empty()) return;
   const std::string bytes = encode_message(message);
   send_to_zone(bytes);
@@ -145,7 +145,7 @@
 /// zone, so that one that is gone or one lost message costs nothing.
 void PeerLoads::send_remote_end_reports() {
   if (quarantine_ == nullptr || remote_zones_.empty()) return;
-  const EndReports message{.reports = quarantine_->take_remote_news(monotonic_now()),
+  const EndReports message{.reports = quarantine_->take_remote_reports(monotonic_now()),
                            .pass_on = true};
   if (message.reports.empty()) return;
   const std::string bytes = encode_message(message);
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -112,7 +112,7 @@
           const auto found = heard_.find(runner);
           return found == heard_.end() ? std::nullopt : std::optional(found->second);
         });
-    node.quarantine->set_condemned_handler([this](ContentHash content, std::size_t ends) {
+    node.quarantine->set_quarantined_handler([this](ContentHash content, std::size_t ends) {
       const QuarantineRecord record{0, static_cast<std::uint32_t>(ends)};
       if (plan_.log) records_.emplace(content, std::pair(now_ + milliseconds(20), record));
     });
@@ -238,9 +238,9 @@
   void tell() {
     if (!plan_.shared) return;
     for (std::size_t from = 0; from < nodes_.size(); ++from) {
-      const auto news = nodes_[from].quarantine->take_zone_news(now_);
-      if (!news.empty()) tell_zone(from, news);
-      const auto remote = nodes_[from].quarantine->take_remote_news(now_);
+      const auto reports = nodes_[from].quarantine->take_zone_reports(now_);
+      if (!reports.empty()) tell_zone(from, reports);
+      const auto remote = nodes_[from].quarantine->take_remote_reports(now_);
       if (remote.empty()) continue;
       for (std::size_t zone = 0; zone < 3; ++zone) {
         const std::size_t to = 3 * random_.below(nodes_.size() / 3) + zone;
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -28,13 +28,13 @@
   for (int i = 0; i < 3; ++i) nodes.push_back(make_quarantine());
   int written = 0;
   for (auto& node : nodes) {
-    node.set_condemned_handler([&](ContentHash, std::size_t) { ++written; });
+    node.set_quarantined_handler([&](ContentHash, std::size_t) { ++written; });
   }
   for (std::uint64_t i = 0; i < 3; ++i) end_runners(nodes[i], i + 1, i + 1);
   for (std::size_t from = 0; from < 3; ++from) {
-    const auto news = nodes[from].take_zone_news(at({}));
+    const auto reports = nodes[from].take_zone_reports(at({}));
     for (std::size_t to = 0; to < 3; ++to) {
-      if (to != from) nodes[to].take_reports(news, at({}));
+      if (to != from) nodes[to].take_reports(reports, at({}));
     }
   }
   for (auto& node : nodes) EXPECT_TRUE(node.holds(kDeadly, at({})));
@@ -44,19 +44,19 @@
 TEST(QuarantineTest, NewsIsToldSeveralTimesAndNoMore) {
   Quarantine node = make_quarantine();
   end_runners(node, 1, 1);
-  EXPECT_EQ(node.take_zone_news(at({})).size(), 1U);
-  EXPECT_EQ(node.take_zone_news(at({})).size(), 1U);
-  EXPECT_TRUE(node.take_zone_news(at({})).empty());
-  for (int i = 0; i < 3; ++i) EXPECT_EQ(node.take_remote_news(at({})).size(), 1U);
-  EXPECT_TRUE(node.take_remote_news(at({})).empty());
+  EXPECT_EQ(node.take_zone_reports(at({})).size(), 1U);
+  EXPECT_EQ(node.take_zone_reports(at({})).size(), 1U);
+  EXPECT_TRUE(node.take_zone_reports(at({})).empty());
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(node.take_remote_reports(at({})).size(), 1U);
+  EXPECT_TRUE(node.take_remote_reports(at({})).empty());
 }
 
 TEST(QuarantineTest, TheEndOfAWaitingRequestIsNotToldToOtherZonesAtOnce) {
   Quarantine node = make_quarantine();
   node.note_end({kDeadly, 1, RunStage::kWaiting, at({})});
-  EXPECT_TRUE(node.take_remote_news(at({})).empty());
+  EXPECT_TRUE(node.take_remote_reports(at({})).empty());
   node.note_end({kDeadly, 2, RunStage::kWaiting, at({})});
-  EXPECT_EQ(node.take_remote_news(at({})).size(), 1U);
+  EXPECT_EQ(node.take_remote_reports(at({})).size(), 1U);
 }
 
 TEST(QuarantineTest, ARecordOfTheLogCountsForItsAge) {
--- a/tests/quarantine/runner_end_table_test.cc
+++ b/tests/quarantine/runner_end_table_test.cc
@@ -31,15 +31,15 @@
 TEST_F(RunnerEndTableTest, ThreeEndsOfRunsThatHadBegunCondemn) {
   end(kDeadly, 1);
   end(kDeadly, 2);
-  EXPECT_FALSE(table.condemns(kDeadly));
+  EXPECT_FALSE(table.over_limit(kDeadly));
   end(kDeadly, 3);
-  EXPECT_TRUE(table.condemns(kDeadly));
+  EXPECT_TRUE(table.over_limit(kDeadly));
 }
 
 TEST_F(RunnerEndTableTest, ARunnerCountsOnceHoweverManyTellOfIt) {
   for (int i = 0; i < 5; ++i) end(kDeadly, 1);
   EXPECT_EQ(table.ends_of(kDeadly), 1U);
-  EXPECT_FALSE(table.condemns(kDeadly));
+  EXPECT_FALSE(table.over_limit(kDeadly));
 }
 
 TEST_F(RunnerEndTableTest, WhoWaitedBesideARunThatHadBegunIsInnocent) {
@@ -48,7 +48,7 @@
     end(kDeadly, runner);
   }
   EXPECT_EQ(table.weight_against(kInnocent), 0U);
-  EXPECT_TRUE(table.condemns(kDeadly));
+  EXPECT_TRUE(table.over_limit(kDeadly));
 }
 
 TEST_F(RunnerEndTableTest, OfRequestsInTheSameStageTheOneWithMostEndsExplainsThem) {
@@ -59,26 +59,26 @@
     end(kInnocent, runner, RunStage::kWaiting);
   }
   EXPECT_EQ(table.weight_against(kInnocent), 0U);
-  EXPECT_TRUE(table.condemns(kDeadly));
+  EXPECT_TRUE(table.over_limit(kDeadly));
 }
 
 TEST_F(RunnerEndTableTest, WhoWereAlwaysTogetherAreNotCondemnedUntilItIsOverwhelming) {
   for (std::uint64_t runner = 1; runner <= 5; ++runner) {
     end(kDeadly, runner);
     end(kInnocent, runner);
-    EXPECT_FALSE(table.condemns(kDeadly));
-    EXPECT_FALSE(table.condemns(kInnocent));
+    EXPECT_FALSE(table.over_limit(kDeadly));
+    EXPECT_FALSE(table.over_limit(kInnocent));
   }
   end(kDeadly, 6);
-  EXPECT_TRUE(table.condemns(kDeadly));
-  EXPECT_FALSE(table.condemns(kInnocent));
+  EXPECT_TRUE(table.over_limit(kDeadly));
+  EXPECT_FALSE(table.over_limit(kInnocent));
 }
 
 TEST_F(RunnerEndTableTest, ARunnerThatIsHeardAgainHasNotEnded) {
   for (std::uint64_t runner = 1; runner <= 3; ++runner) end(kInnocent, runner);
-  EXPECT_TRUE(table.condemns(kInnocent));
+  EXPECT_TRUE(table.over_limit(kInnocent));
   heard[2] = at(2) + std::chrono::milliseconds(400);
-  EXPECT_FALSE(table.condemns(kInnocent));
+  EXPECT_FALSE(table.over_limit(kInnocent));
 }
 
 TEST_F(RunnerEndTableTest, WhatOthersHeardJustBeforeTheEndProvesNothing) {
@@ -86,14 +86,14 @@
     end(kDeadly, runner);
     heard[runner] = at(static_cast<int>(runner)) + std::chrono::milliseconds(100);
   }
-  EXPECT_TRUE(table.condemns(kDeadly));
+  EXPECT_TRUE(table.over_limit(kDeadly));
 }
 
 TEST_F(RunnerEndTableTest, EndsBeforeARequestWasServedDoNotCount) {
   for (std::uint64_t runner = 1; runner <= 2; ++runner) end(kInnocent, runner);
   table.clear(kInnocent, at(3));
   end(kInnocent, 4);
-  EXPECT_FALSE(table.condemns(kInnocent));
+  EXPECT_FALSE(table.over_limit(kInnocent));
 }
 
 TEST_F(RunnerEndTableTest, TheOrderOfNewsDoesNotMatter) {
@@ -115,7 +115,7 @@
   for (std::uint64_t i = 0; i < 20000; ++i) end(ContentHash{100 + i}, 1000 + i);
   EXPECT_LE(table.size(), 4096U);
   end(kDeadly, 3);
-  EXPECT_TRUE(table.condemns(kDeadly));
+  EXPECT_TRUE(table.over_limit(kDeadly));
 }
 
 TEST_F(RunnerEndTableTest, OldEndsAreForgotten) {
