Metrics: seconds from the start to each step, the first request among them; calls that the store refused

Cause: how long a fleet takes to serve after a loss of all could be read from logs only, and only as far as the lists; a call that the store turned away cost no bytes and so stood in no count by topic. CallsCountByNameAndTopic names the new field, as strict as before.

--- a/src/base/start_progress.cc
+++ b/src/base/start_progress.cc
@@ -17,17 +17,21 @@
     case StartStep::kJobsRead:
       return "jobs_read";
     case StartStep::kFirstItemPlaced:
+      return "first_item_placed";
+    case StartStep::kFirstRequestServed:
       break;
   }
-  return "first_item_placed";
+  return "first_request_served";
 }
 
 bool StartProgress::reached(StartStep step, TimePoint now) {
   bool& reached = reached_[static_cast<std::size_t>(step)];
   if (reached) return false;
   reached = true;
-  log_event(Event::kStartProgress, {{"step", std::string(to_string(step))},
-                                    {"seconds", std::to_string(to_seconds(now - start_))}});
+  const std::string name(to_string(step));
+  const double seconds = to_seconds(now - start_);
+  seconds_.emplace(name, seconds);
+  log_event(Event::kStartProgress, {{"step", name}, {"seconds", std::to_string(seconds)}});
   return true;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -136,6 +136,9 @@
   }
   const std::string kind(kind_name(route.kind));
   ++context_.metrics.requests[{kind, std::string(to_string(outcome))}];
+  if (outcome == RequestOutcome::kServed) {
+    context_.start_progress.reached(StartStep::kFirstRequestServed, monotonic_now());
+  }
   const Event event =
       outcome == RequestOutcome::kServed ? Event::kRequestServed : Event::kRequestEnded;
   const auto answer_delay = request->answer_delay();
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -250,11 +250,13 @@
     const char* help;
     std::uint64_t TrafficCount::*value;
   };
-  constexpr std::array<Column, 4> kColumns{
+  constexpr std::array<Column, 5> kColumns{
       Column{"stoathold_store_topic_calls_total", "Calls to the store by call and topic.",
              &TrafficCount::calls},
       Column{"stoathold_store_time_outs_total", "Calls given up when their time was over.",
              &TrafficCount::time_outs},
+      Column{"stoathold_store_refused_total", "Calls that the store turned away or never got.",
+             &TrafficCount::refused},
       Column{"stoathold_store_sent_bytes_total", "Bytes of calls to the store, without headers.",
              &TrafficCount::bytes_sent},
       Column{"stoathold_store_answered_bytes_total", "Bytes of answers that came whole.",
--- a/src/store/store_traffic.cc
+++ b/src/store/store_traffic.cc
@@ -17,7 +17,8 @@
 
 TrafficCount difference(const TrafficCount& now, const TrafficCount& before) {
   return {now.calls - before.calls, now.time_outs - before.time_outs,
-          now.bytes_sent - before.bytes_sent, now.bytes_answered - before.bytes_answered};
+          now.bytes_sent - before.bytes_sent, now.bytes_answered - before.bytes_answered,
+          now.refused - before.refused};
 }
 
 /// Topics that differ by the number at their end hold one kind of records and count together.
@@ -34,6 +35,7 @@
   TrafficCount& count = counts_[{call.call, topic_family(call.topic)}];
   ++count.calls;
   if (call.timed_out) ++count.time_outs;
+  if (call.status == LogStatus::kNotDone) ++count.refused;
   count.bytes_sent += call.bytes_sent;
   count.bytes_answered += call.bytes_answered;
 }
@@ -71,11 +73,13 @@
     for (const auto& [kind, count] : changes) {
       total.calls += count.calls;
       total.time_outs += count.time_outs;
+      total.refused += count.refused;
       total.bytes_sent += count.bytes_sent;
       total.bytes_answered += count.bytes_answered;
     }
     log_event(Event::kStoreTraffic, {{"calls", std::to_string(total.calls)},
                                      {"time_outs", std::to_string(total.time_outs)},
+                                     {"refused", std::to_string(total.refused)},
                                      {"bytes_sent", std::to_string(total.bytes_sent)},
                                      {"bytes_answered", std::to_string(total.bytes_answered)},
                                      {"by_topic", traffic_text(changes)}});
--- a/src/store/store_traffic.h
+++ b/src/store/store_traffic.h
@@ -30,6 +30,7 @@
   std::uint64_t time_outs = 0;
   std::uint64_t bytes_sent = 0;
   std::uint64_t bytes_answered = 0;
+  std::uint64_t refused = 0;  ///< Turned away by the store, or not sent at all.
 
   bool operator==(const TrafficCount&) const = default;
 };
--- a/tests/base/start_progress_test.cc
+++ b/tests/base/start_progress_test.cc
@@ -14,5 +14,17 @@
   EXPECT_FALSE(progress.reached(StartStep::kFirstItemPlaced, start + std::chrono::seconds(4)));
 }
 
+TEST(StartProgressTest, TheTimeOfEachStepStaysThatOfTheFirst) {
+  const TimePoint start{std::chrono::seconds(100)};
+  StartProgress progress(start);
+  EXPECT_TRUE(progress.seconds().empty());
+  progress.reached(StartStep::kFirstRequestServed, start + std::chrono::milliseconds(1500));
+  progress.reached(StartStep::kRunnerListKnown, start + std::chrono::milliseconds(500));
+  progress.reached(StartStep::kFirstRequestServed, start + std::chrono::seconds(9));
+  const std::map<std::string, double> expected{{"first_request_served", 1.5},
+                                               {"runner_list_known", 0.5}};
+  EXPECT_EQ(progress.seconds(), expected);
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/store/store_traffic_test.cc
+++ b/tests/store/store_traffic_test.cc
@@ -21,7 +21,7 @@
   traffic.add(make_call("newest", "bodies"));
   traffic.add(make_call("newest", "bodies"));
   ASSERT_EQ(traffic.counts().size(), 2U);
-  const TrafficCount expected{2, 0, 80, 2000};
+  const TrafficCount expected{2, 0, 80, 2000, 0};
   EXPECT_EQ(traffic.counts().at({"newest", "bodies"}), expected);
 }
 
@@ -35,6 +35,19 @@
   EXPECT_EQ(traffic_text(traffic.counts()), "newest:results=2/80/1000/1");
 }
 
+/// What the store turns away costs nothing in bytes and may still be what a node waits for.
+TEST(StoreTrafficTest, CallsThatWereRefusedStandApart) {
+  StoreTraffic traffic;
+  StoreCall refused = make_call("newest", "servers");
+  refused.bytes_answered = 0;
+  refused.status = LogStatus::kNotDone;
+  traffic.add(refused);
+  traffic.add(make_call("newest", "servers"));
+  EXPECT_EQ(traffic.counts().at({"newest", "servers"}).refused, 1U);
+  EXPECT_EQ(traffic.take_changes().at({"newest", "servers"}).refused, 1U);
+  EXPECT_TRUE(traffic.take_changes().empty());
+}
+
 TEST(StoreTrafficTest, ChangesAreToldOnceAndOnlyThose) {
   StoreTraffic traffic;
   traffic.add(make_call("read", "jobs"));
