--- /dev/null
+++ b/tests/net/http_client_pool_test.cc
@@ -0,0 +1,133 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <list>
+#include <string>
+
+#include "net/http.h"
+#include "tests/jobs/run_awaitable.h"
+
+namespace stoathold {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr Duration kCallTime = std::chrono::milliseconds(400);
+constexpr Duration kPieceInterval = std::chrono::milliseconds(20);
+
+/// Answers `/short` at once, `/slow` with a byte now and then for longer than a call lasts,
+/// `/halting` with the first bytes only, and `/silent` not at all.
+class SlowPeer {
+ public:
+  explicit SlowPeer(asio::io_context& loop)
+      : acceptor_(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    asio::co_spawn(loop, accept(), asio::detached);
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int connections = 0;
+
+ private:
+  asio::awaitable<void> accept() {
+    while (true) {
+      sockets_.push_back(co_await acceptor_.async_accept(asio::use_awaitable));
+      ++connections;
+      asio::co_spawn(acceptor_.get_executor(), serve(sockets_.back()), asio::detached);
+    }
+  }
+  static asio::awaitable<void> serve(Tcp::socket& socket) {
+    std::string text;
+    while (true) {
+      const auto [error, size] = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(text), "\r\n\r\n", asio::as_tuple(asio::use_awaitable));
+      if (error) co_return;
+      const std::string request = text.substr(0, size);
+      text.erase(0, size);
+      if (request.find("/silent") != std::string::npos) continue;
+      if (request.find("/halting") != std::string::npos) {
+        co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nx");
+        continue;
+      }
+      if (request.find("/slow") != std::string::npos) {
+        co_await answer_slowly(socket);
+        co_return;
+      }
+      co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+  }
+  static asio::awaitable<bool> send(Tcp::socket& socket, std::string bytes) {
+    const auto [error, size] = co_await asio::async_write(socket, asio::buffer(bytes),
+                                                          asio::as_tuple(asio::use_awaitable));
+    co_return !error;
+  }
+  static asio::awaitable<void> answer_slowly(Tcp::socket& socket) {
+    asio::steady_timer timer(socket.get_executor());
+    bool open = co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+    while (open) {
+      timer.expires_after(kPieceInterval);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      open = co_await send(socket, "x");
+    }
+  }
+
+  Tcp::acceptor acceptor_;
+  std::list<Tcp::socket> sockets_;
+};
+
+class HttpClientPoolTest : public testing::Test {
+ protected:
+  asio::awaitable<HttpReply> call(std::string target) {
+    HttpCall call;
+    call.address = peer.address();
+    call.method = "GET";
+    call.target = std::move(target);
+    call.timeout = kCallTime;
+    co_return co_await client.call(std::move(call));
+  }
+  /// Leaves two idle connections.
+  void connect_twice() {
+    int answered = 0;
+    for (int i = 0; i < 2; ++i) {
+      asio::co_spawn(loop, call("/short"), [&](const std::exception_ptr&, const HttpReply& reply) {
+        if (reply.ok()) ++answered;
+      });
+    }
+    loop.restart();
+    while (answered < 2 && loop.run_one() > 0) {
+    }
+    ASSERT_EQ(peer.connections, 2);
+  }
+
+  asio::io_context loop;
+  SlowPeer peer{loop};
+  HttpClient client{loop.get_executor(), LoopThreads::kOne};
+};
+
+/// A large read over a narrow link that was late while its bytes still came closed all idle
+/// connections to the store: each call after it paid for a new one, on the same full link. A peer
+/// whose bytes came until the end was not silent.
+TEST_F(HttpClientPoolTest, AnAnswerThatIsLateWhileItsBytesComeLeavesTheIdleConnections) {
+  connect_twice();
+  EXPECT_EQ(run_awaitable(loop, call("/slow")).progress, HttpProgress::kSent);
+  EXPECT_TRUE(run_awaitable(loop, call("/short")).ok());
+  EXPECT_EQ(peer.connections, 2);
+}
+
+TEST_F(HttpClientPoolTest, AfterASilenceTheIdleConnectionsAreGivenUp) {
+  connect_twice();
+  EXPECT_EQ(run_awaitable(loop, call("/silent")).progress, HttpProgress::kSent);
+  EXPECT_TRUE(run_awaitable(loop, call("/short")).ok());
+  EXPECT_EQ(peer.connections, 3);
+}
+
+TEST_F(HttpClientPoolTest, APeerThatFellSilentWithinAnAnswerIsSilentToo) {
+  connect_twice();
+  EXPECT_EQ(run_awaitable(loop, call("/halting")).progress, HttpProgress::kSent);
+  EXPECT_TRUE(run_awaitable(loop, call("/short")).ok());
+  EXPECT_EQ(peer.connections, 3);
+}
+
+}  // namespace
+}  // namespace stoathold
