A late answer whose bytes still come leaves the idle connections

Cause: HttpClient gave up all idle connections to an address for any answer that did not come whole in time, also for a large read over a narrow link whose bytes were coming: the calls beside it then paid for new connections on the same link. Change: only after silence for half of the call's time, be it from its start or within the answer. Before: http_client_pool_test made 3 connections where 2 were to do; after: 2; still 3 after a silence and after an answer that stopped halfway. stoathold_net_test 24 of 24.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -75,12 +75,20 @@
 
 namespace {
 
+/// Whether bytes of an answer that was given up still came in the last half of its time.
+bool was_heard(TimePoint sent, TimePoint heard, Duration timeout) {
+  return heard > sent && monotonic_now() - heard < timeout / 2;
+}
+
 /// Whether a pooled connection is still open at the other end.
 bool still_open(beast::tcp_stream& stream) {
   return peek_socket(stream.socket()) == asio::error::would_block;
 }
 
-asio::awaitable<bool> exchange(beast::tcp_stream& stream, const HttpCall& call, HttpReply& reply) {
+/// @param heard when bytes of the answer came last; left alone if none came.
+/// @return whether the connection may be used again.
+asio::awaitable<bool> exchange(beast::tcp_stream& stream, const HttpCall& call, HttpReply& reply,
+                               TimePoint& heard) {
   const auto request = make_request(call);
   reply.progress = HttpProgress::kSent;
   const auto [write_error, written] = co_await http::async_write(stream, request, kNoThrow);
@@ -88,8 +96,11 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kReplyBodyLimit);
-  const auto [read_error, read] = co_await http::async_read(stream, buffer, parser, kNoThrow);
-  if (read_error) co_return false;
+  while (!parser.is_done()) {
+    const auto [error, read] = co_await http::async_read_some(stream, buffer, parser, kNoThrow);
+    if (error) co_return false;
+    heard = monotonic_now();
+  }
   auto response = parser.release();
   reply.progress = HttpProgress::kAnswered;
   reply.status = response.result_int();
@@ -119,12 +130,15 @@
     boost::system::error_code ignored;
     stream->socket().set_option(Tcp::no_delay(true), ignored);
   }
-  const bool reusable = co_await exchange(*stream, call, reply);
+  const TimePoint sent = monotonic_now();
+  TimePoint heard = sent;
+  const bool reusable = co_await exchange(*stream, call, reply, heard);
   if (reusable) {
     stream->expires_never();
     pool->give(call.address, std::move(stream));
-  } else if (reply.progress != HttpProgress::kAnswered) {
-    // Other idle connections to a peer that fell silent are likely to be dead as well.
+  } else if (reply.progress != HttpProgress::kAnswered && !was_heard(sent, heard, call.timeout)) {
+    // Other idle connections to a peer that fell silent are likely to be dead as well. One whose
+    // bytes came until the call was given up is not silent: its link is narrow.
     pool->forget(call.address);
   }
   co_return reply;
