--- a/tests/store/list_read_fleet_test.cc
+++ b/tests/store/list_read_fleet_test.cc
@@ -77,5 +77,21 @@
   EXPECT_LT(result.last, 1.1 * static_cast<double>(setup.list_bytes) / 0.5e6);
 }
 
+TEST(ReadBoundsOfListTest, APieceThatCameSlowlyIsFollowedByASmallerOne) {
+  ReadBounds bounds = ReadBounds::of_list();
+  bounds.answered_in_part(64UL * 1024, ReadBounds::kReadTime * 2);
+  EXPECT_EQ(bounds.bytes, 32UL * 1024);
+  bounds.answered_in_part(32UL * 1024, std::chrono::seconds(60));
+  EXPECT_EQ(bounds.bytes, ReadBounds::kLeastOfList);
+}
+
+TEST(ReadBoundsOfListTest, AnAnswerThatTookNoTimeOrHeldNothingIsNoTrouble) {
+  ReadBounds bounds = ReadBounds::of_list();
+  bounds.answered_in_part(64UL * 1024, Duration{0});
+  EXPECT_EQ(bounds.bytes, 256UL * 1024);
+  bounds.answered_in_part(0, Duration{0});
+  EXPECT_EQ(bounds.bytes, ReadBounds::kLeastOfList);
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/store/partition_replica_test.cc
+++ b/tests/store/partition_replica_test.cc
@@ -126,6 +126,17 @@
   EXPECT_EQ(log.bytes_asked[3], log.bytes_asked[0] / 2);
 }
 
+TEST_F(PartitionReplicaTest, AListIsReadInPiecesThatGrowWhileTheyComeQuickly) {
+  for (RecordOffset offset = 0; offset < 3; ++offset) {
+    ReadResult piece = answer(LogStatus::kOk, 3);
+    piece.records.push_back({offset, "key", std::string(60000, 'v')});
+    log.reads.push_back(piece);
+  }
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(log.bytes_asked,
+            (std::vector<std::uint64_t>{64UL * 1024, 256UL * 1024, 1024UL * 1024}));
+}
+
 TEST_F(PartitionReplicaTest, TheEndIsToldOnceAfterItsRecordsAreApplied) {
   int told = 0;
   std::size_t applied_then = 0;
