--- /dev/null
+++ b/tests/system/early_signals_test.py
@@ -0,0 +1,138 @@
+"""Signals that reach a process before its loop runs.
+
+What happened: a planned stop or a reload in the moments after a start ended the process with -15 or
+-1, without a line: the signals were heeded only once most of the process was built. Soak seeds 5007,
+9107 and 9202 showed it. A settings file that is a pipe holds a process in its start for as long as a
+test likes. Before `main`, while the loader works, no program can hold a signal: not tested.
+"""
+
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from platform_fleet import Platform  # noqa: E402
+from fleet import BUILD, free_ports  # noqa: E402
+
+STARTS = 30
+HELD = [signal.SIGTERM, signal.SIGINT, signal.SIGHUP]
+END_SECONDS = 60
+
+
+class EarlySignalsTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+        self.pipe = self.directory / "pipe.yaml"
+        os.mkfifo(self.pipe)
+        self.platform = Platform(directory.name, 1, 1)
+        self.addCleanup(self.platform.stop)
+        self.platform.node_processes[0].kill()
+        self.log = self.directory / "early.log"
+
+    def begin(self, arguments, **options):
+        with open(self.log, "ab") as log:
+            handle = subprocess.Popen([str(item) for item in arguments], stdout=log, stderr=log,
+                                      **options)
+        self.addCleanup(handle.wait)
+        self.addCleanup(handle.kill)
+        return handle
+
+    def begin_before_settings(self, program, **options):
+        """Starts a process that waits for its settings; returns it and their writer."""
+        handle = self.begin([BUILD / "apps" / program, "--settings", self.pipe], **options)
+        return handle, open(self.pipe, "w", encoding="utf-8")
+
+    def finish_start(self, writer, text):
+        # The file of the next read of the settings is an ordinary one.
+        ordinary = self.directory / "ordinary.yaml"
+        ordinary.write_text(text)
+        held = self.directory / "held.yaml"
+        self.pipe.rename(held)
+        ordinary.rename(self.pipe)
+        writer.write(text)
+        writer.close()
+
+    def platform_settings(self):
+        """Of a node whose planned stops take half a second."""
+        settings = json.loads(self.platform.settings[0].read_text())
+        settings["bounds"]["grace_s"] = 1
+        return json.dumps(settings)
+
+    def node_settings(self):
+        ports = free_ports(2)
+        return ("name: n1\nzone: z1\nlisten: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
+                "log_address: 127.0.0.1:1\nmachine_list_address: 127.0.0.1:1\n" % tuple(ports))
+
+    def assert_ends_as_planned(self, handle, line):
+        self.assertEqual(handle.wait(END_SECONDS), 0, self.log.read_text())
+        self.assertIn(line, self.log.read_text())
+
+    def test_a_planned_stop_before_the_settings_are_read_is_heeded(self):
+        handle, writer = self.begin_before_settings("stoathold")
+        handle.send_signal(signal.SIGTERM)
+        time.sleep(0.05)
+        self.assertIsNone(handle.poll())
+        self.finish_start(writer, self.platform_settings())
+        self.assert_ends_as_planned(handle, "node_stopped")
+
+    def test_a_reload_before_the_settings_are_read_ends_nothing(self):
+        handle, writer = self.begin_before_settings("stoathold")
+        handle.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+        self.assertIsNone(handle.poll())
+        self.finish_start(writer, self.platform_settings())
+        handle.send_signal(signal.SIGTERM)
+        self.assert_ends_as_planned(handle, "node_stopped")
+        self.assertIn("settings_reloaded", self.log.read_text())
+
+    def test_a_starter_that_blocks_signals_does_not_make_the_node_deaf(self):
+        handle, writer = self.begin_before_settings(
+            "stoathold", preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_BLOCK, HELD))
+        handle.send_signal(signal.SIGTERM)
+        self.finish_start(writer, self.platform_settings())
+        self.assert_ends_as_planned(handle, "node_stopped")
+
+    def test_the_own_design_heeds_early_signals_too(self):
+        for early in (signal.SIGTERM, signal.SIGHUP):
+            with self.subTest(early.name):
+                handle, writer = self.begin_before_settings("stoathold-node")
+                handle.send_signal(early)
+                time.sleep(0.05)
+                self.assertIsNone(handle.poll())
+                self.finish_start(writer, self.node_settings())
+                if early != signal.SIGTERM:
+                    handle.send_signal(signal.SIGTERM)
+                self.assert_ends_as_planned(handle, "node_stopped")
+                self.pipe.unlink()
+                os.mkfifo(self.pipe)
+
+    def test_signals_at_any_moment_of_starts_and_ends_end_nothing_early(self):
+        """Starts with signals in series at random moments, from the first step of `main` on."""
+        moments = random.Random(1)
+        for number in range(STARTS):
+            handle, writer = self.begin_before_settings("stoathold")
+            self.finish_start(writer, self.platform_settings())
+            for _ in range(moments.randrange(4)):
+                time.sleep(moments.choice([0, 0.0005, 0.002, 0.005, 0.02]))
+                handle.send_signal(signal.SIGHUP)
+            time.sleep(moments.choice([0, 0.0005, 0.002, 0.005, 0.02]))
+            handle.send_signal(signal.SIGTERM)
+            while handle.poll() is None:
+                handle.send_signal(signal.SIGHUP)
+                time.sleep(moments.choice([0.0005, 0.05]))
+            self.assertEqual(handle.returncode, 0, "start %d: %s" % (number, self.log.read_text()))
+            self.pipe.unlink()
+            os.mkfifo(self.pipe)
+
+
+if __name__ == "__main__":
+    unittest.main()
