Signals are held from main on, and lines leave a process whole

Cause of the signals: handlers were installed once most of the process was built, and removed with it; in between SIGTERM, SIGINT and SIGHUP had their usual effect. Change: both programs hold them first in main (threads inherit that), heed them when the loop is about to run, and hold them again when it has ended. SIGHUP stays held in stoathold-node, whose settings are read once. A write to a log whose reader has gone ended the process by SIGPIPE too; it is held as well.

Cause of the joined lines, as far as they are ours: the console's stream wrote a batch in one call of up to 1 MB. Killed while its pipe was full, a process left 64 kB that end in the midst of a line, and the next one of the node wrote on behind it; a pipe that doesn't wait lost all lines after the first 64 kB. Change: lines go out by write, in pieces of whole lines of at most PIPE_BUF, which a pipe takes whole or not at all.

--- a/apps/node_main.cc
+++ b/apps/node_main.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <map>
 
+#include "base/signal_hold.h"
 #include "server/node_server.h"
 #include "server/settings.h"
 
@@ -19,6 +20,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  stoathold::hold_signals();
   CLI::App app{"A stoathold node: serves callers and operators, and takes its share of the fleet."};
   std::string file;
   bool check_only = false;
--- a/apps/platform_main.cc
+++ b/apps/platform_main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "base/event_log.h"
+#include "base/signal_hold.h"
 #include "platform/platform_node.h"
 #include "platform/platform_settings.h"
 
@@ -18,6 +19,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  stoathold::hold_signals();
   CLI::App app{"A stoathold node on the platform: online and batch inference for its callers."};
   std::string file;
   bool check_only = false;
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,5 +1,7 @@
 #include "base/event_log.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -16,6 +18,7 @@
 
 #include "base/bounded_log_writer.h"
 #include "base/event_rate_limiter.h"
+#include "base/line_output.h"
 
 namespace stoathold {
 namespace {
@@ -137,15 +140,11 @@
 }
 
 void start_bounded_event_log(EventLevel least, const std::string& node) {
-  logging::add_console_log(
-      std::cout, logging::keywords::auto_flush = true,
-      logging::keywords::format = logging::expressions::stream << logging::expressions::smessage);
   // Never destroyed: when nobody reads standard output, its thread is stuck in a write.
-  auto* bounded = new BoundedLogWriter([](const std::string& lines) {
-    // The console adds the last line's end.
-    const std::string_view text = std::string_view(lines).substr(0, lines.size() - 1);
-    BOOST_LOG_SEV(logger(), EventLevel::kInfo) << text;
-  });
+  auto* bounded =
+      new BoundedLogWriter([output = LineOutput(STDOUT_FILENO)](const std::string& lines) mutable {
+        output.write(lines);
+      });
   event_sink() = {LogFormat::kJson, least, true, bounded, node};
 }
 
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "base/signal_hold.h"
 #include "base/timer.h"
 #include "net/http.h"
 #include "server/caller_api.h"
@@ -53,7 +54,10 @@
   for (std::uint32_t i = 1; i < settings.worker_threads; ++i) {
     workers.emplace_back([&context] { context.run(); });
   }
+  // Its settings are never read again: SIGHUP stays held.
+  heed_signals({SIGTERM, SIGINT});
   context.run();
+  hold_signals();
   for (auto& worker : workers) worker.join();
 }
 
--- a/tests/system/early_signals_test.py
+++ b/tests/system/early_signals_test.py
@@ -70,7 +70,7 @@
     def node_settings(self):
         ports = free_ports(2)
         return ("name: n1\nzone: z1\nlisten: 127.0.0.1:%d\npeer_listen: 127.0.0.1:%d\n"
-                "log_address: 127.0.0.1:1\nmachine_list_address: 127.0.0.1:1\n" % tuple(ports))
+                "log_service: 127.0.0.1:1\nmachine_list: 127.0.0.1:1\ndrain_seconds: 1\n" % tuple(ports))
 
     def assert_ends_as_planned(self, handle, line):
         self.assertEqual(handle.wait(END_SECONDS), 0, self.log.read_text())
@@ -115,6 +115,20 @@
                 self.pipe.unlink()
                 os.mkfifo(self.pipe)
 
+    def test_a_log_whose_reader_has_gone_ends_nothing(self):
+        reader, writer = os.pipe()
+        handle = subprocess.Popen(
+            [str(BUILD / "apps/stoathold"), "--settings", str(self.platform.settings[0])],
+            stdout=writer, stderr=subprocess.DEVNULL)
+        self.addCleanup(handle.wait)
+        self.addCleanup(handle.kill)
+        os.close(writer)
+        os.close(reader)
+        self.platform.configure(1)
+        self.platform.wait_ready()
+        handle.send_signal(signal.SIGTERM)
+        self.assertEqual(handle.wait(END_SECONDS), 0)
+
     def test_signals_at_any_moment_of_starts_and_ends_end_nothing_early(self):
         """Starts with signals in series at random moments, from the first step of `main` on."""
         moments = random.Random(1)
