Tests: one caller's connections push out others', and refusals of large requests keep small ones away

Each fails here: HttpServerBoundsTest.OfIdleConnectionsThoseOfWhoHoldsMostGoFirst, HttpServerBoundsTest.HeadsThatTrickleGiveTheirConnectionsToOthers and RunnerSelectorTest.ARefusalOfALargeRequestKeepsNoSmallOneAway.

--- a/tests/net/http_server_bounds_test.cc
+++ b/tests/net/http_server_bounds_test.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <future>
+#include <list>
 #include <thread>
 
 #include "base/timer.h"
@@ -21,15 +22,21 @@
 constexpr std::uint64_t kBudget = 4 * kMegabyte;
 constexpr const char* kNotRun = R"("execution":"not_run")";
 
+/// After it a connection without a request may be closed for another.
+constexpr Duration kIdle = std::chrono::milliseconds(1100);
+
 /// A caller with a small receive buffer: what it doesn't read stays at the server.
 class RawCaller {
  public:
-  explicit RawCaller(const std::string& address) : socket_(loop_) {
+  /// @param from address of the caller.
+  explicit RawCaller(const std::string& address, const std::string& from = "127.0.0.1")
+      : socket_(loop_) {
     Tcp::endpoint endpoint;
     EXPECT_TRUE(parse_endpoint(address, endpoint));
     constexpr int kReceiveBytes = 8 * 1024;
     socket_.open(endpoint.protocol());
     socket_.set_option(asio::socket_base::receive_buffer_size(kReceiveBytes));
+    socket_.bind({asio::ip::make_address(from), 0});
     socket_.connect(endpoint);
   }
 
@@ -305,6 +312,48 @@
   EXPECT_EQ(count(ShortageAct::kConnectionRefused), 1U);
 }
 
+// The connection that had been idle for longest was closed for a new one, whoever held it: so a
+// caller with many connections pushed out those of callers that hold one each.
+TEST_F(HttpServerBoundsTest, OfIdleConnectionsThoseOfWhoHoldsMostGoFirst) {
+  start(kBudget, 4);
+  RawCaller single(server_.address(), "127.0.0.2");
+  single.send_request("/", 1);
+  EXPECT_TRUE(single.read_until(";").ends_with("1;"));
+  std::list<RawCaller> many;
+  for (int i = 0; i < 3; ++i) {
+    many.emplace_back(server_.address()).send_request("/", 2);
+    EXPECT_TRUE(many.back().read_until(";").ends_with("2;"));
+  }
+  std::this_thread::sleep_for(kIdle);
+  RawCaller other(server_.address(), "127.0.0.3");
+  other.send_request("/", 3);
+  EXPECT_TRUE(other.read_until(";").ends_with("3;"));
+  single.send_request("/", 5);
+  ASSERT_TRUE(single.read_until(";").ends_with("5;"));
+  EXPECT_EQ(many.front().read_all(), "");
+  // One more of whoever holds most is at nobody else's cost.
+  many.emplace_back(server_.address()).send_request("/", 4);
+  EXPECT_TRUE(many.back().read_until(";").ends_with("4;"));
+  EXPECT_EQ(count(ShortageAct::kIdleClosed), 2U);
+}
+
+// Connections whose heads came by the byte were neither idle nor held bytes: at the bound everybody
+// else was refused until their time for a head was over.
+TEST_F(HttpServerBoundsTest, HeadsThatTrickleGiveTheirConnectionsToOthers) {
+  start(kBudget, 3);
+  std::list<RawCaller> trickling;
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_TRUE(trickling.emplace_back(server_.address()).send("POST / HT"));
+  }
+  std::this_thread::sleep_for(kIdle);
+  EXPECT_TRUE(trickling.front().send("T"));
+  RawCaller other(server_.address(), "127.0.0.2");
+  other.send_request("/", 1);
+  ASSERT_TRUE(other.read_until(";").ends_with("1;"));
+  EXPECT_EQ(trickling.front().read_all(), "");
+  EXPECT_EQ(handled_, 1);
+}
+
 TEST_F(HttpServerBoundsTest, WithoutALimitNothingIsRefused) {
   start(0);
   RawCaller caller(server_.address());
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -235,5 +235,21 @@
   EXPECT_EQ(chosen(request), "fast");
 }
 
+// A request larger than what is left of a runner's memory is refused as if the runner were full,
+// and small ones were then sent to runners with more to do: the refusal counted for all work. A
+// runner that has places left while it refuses is full for large requests only.
+TEST_F(RunnerSelectorTest, ARefusalOfALargeRequestKeepsNoSmallOneAway) {
+  add("n1", "near");
+  add("n2", "near");
+  fill("n2", 7);
+  constexpr std::uint32_t kLarge = 50000;
+  runner("n1")->begin_attempt(kLarge);
+  runner("n1")->take_report({1, 0, 10}, kNow);
+  runner("n1")->end_attempt(AttemptOutcome::kNotRun, kNow, kLarge);
+  EXPECT_EQ(chosen(request), "n1");
+  request.prompt_tokens = kLarge;
+  EXPECT_EQ(chosen(request), "n2");
+}
+
 }  // namespace
 }  // namespace stoathold
