Who holds most connections pushes out nobody else's; what a runner refuses for its memory is not sent again

Cause: at the bound of connections the one idle for longest went, whoever held it, and a connection whose head trickled could not go at all, so that one caller could fill a node. A refusal as full left a runner alone for 50 ms by all work, also if it had free places and only the request was too large.

Change: CallerConnections chooses the oldest idle connection, or one whose head trickles, of the address that holds most; a newcomer that holds as many gets 503. RunnerRoom counts prompt tokens sent to a runner and not answered; a refusal beside free places says how many are too many there for 500 ms, and smaller work goes on. Hooks outside: one line each in runner_selector and item_run, end_attempt of Runner.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -175,6 +175,9 @@
     EventEntry{Event::kConnectionClosedForRoom, "connection_closed_for_room", EventLevel::kWarning,
                "At the bound of connections or memory, the one idle for longest was closed for a "
                "new one, or the new one was refused or closed."},
+    EventEntry{Event::kRunnerMemoryFull, "runner_memory_full", EventLevel::kInfo,
+               "A runner with free places turned a request away as full: for half a second nothing "
+               "goes there that would make it hold as many prompt tokens of this node again."},
     EventEntry{Event::kEmulatorStarted, "emulator_started", EventLevel::kInfo,
                "A stand-in listens."},
     EventEntry{Event::kEmulatorFault, "emulator_fault", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -89,6 +89,7 @@
   kBodyRefusedForRoom = 1741,
   kSlowCallerCutOff = 1742,
   kConnectionClosedForRoom = 1743,
+  kRunnerMemoryFull = 1744,
   kEmulatorStarted = 1901,
   kEmulatorFault = 1902,
 };
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -268,6 +268,7 @@
 }
 
 asio::awaitable<AttemptResult> OnlineRequest::attempt(const std::shared_ptr<Runner>& runner) {
+  const RunnerHold hold(runner, prompt_.tokens);
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(deadline_);
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -261,6 +261,7 @@
 }
 
 asio::awaitable<AttemptResult> ItemRun::attempt(std::shared_ptr<Runner> runner) {
+  const RunnerHold hold(runner, prompt_.tokens);
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(monotonic_now() + kFirstEventPatience);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -7,6 +7,7 @@
 
 #include "base/timer.h"
 #include "net/beast_helpers.h"
+#include "net/caller_connections.h"
 #include "net/http.h"
 #include "net/request_reader.h"
 #include "net/server_exchange.h"
@@ -26,15 +27,33 @@
 /// to itself it grows to some MB for each caller who does not read. One of this size carries 60 MB
 /// a second over 2 ms.
 constexpr int kSendBufferBytes = 64 * 1024;
-/// No connection is closed as idle sooner: the first request of a new one may be under way.
-constexpr Duration kLeastIdleTime = std::chrono::seconds(1);
 /// Connections beyond the bound that are answered at a time; further ones are closed unread.
 constexpr std::size_t kMostRefusals = 64;
 /// Time for the first byte of a request that is refused whatever it is.
 constexpr Duration kRefusalTime = std::chrono::seconds(1);
 constexpr int kUnavailableStatus = 503;
+/// Of an IPv6 address: what one subscriber usually has.
+constexpr std::size_t kNetworkBytes = 8;
 constexpr std::string_view kNoConnection = "this node has no connection left for the request now";
 
+/// Whether a whole head of a request has come.
+bool holds_head(const beast::flat_buffer& buffer) {
+  const auto bytes = buffer.data();
+  const std::string_view text(static_cast<const char*>(bytes.data()), bytes.size());
+  return text.find("\r\n\r\n") != std::string_view::npos;
+}
+
+CallerAddress address_of(const Tcp::socket& socket) {
+  boost::system::error_code error;
+  const asio::ip::address address = socket.remote_endpoint(error).address();
+  if (error) return 0;
+  if (address.is_v4()) return address.to_v4().to_uint();
+  const auto bytes = address.to_v6().to_bytes();
+  CallerAddress network = 0;
+  for (std::size_t i = 0; i < kNetworkBytes; ++i) network = network << 8U | bytes[i];
+  return network;
+}
+
 }  // namespace
 
 std::string_view to_string(ShortageAct act) {
@@ -62,11 +81,11 @@
     kRefused,  ///< Answered with 503.
     kClosed,   ///< Unread.
   };
-  /// A connection that waits for a request.
+  /// A connection that waits for a request, or for the rest of its head.
   struct IdleConnection {
     beast::tcp_stream* stream = nullptr;
-    TimePoint since{};
-    bool closing = false;
+    CallerAddress caller = 0;
+    bool begun = false;  ///< A part of a head has come.
   };
 
   State(asio::any_io_executor executor_in, HttpLimits limits_in, HttpHandler handler_in,
@@ -89,7 +108,8 @@
         continue;
       }
       boost::system::error_code ignored;
-      const Admission admission = admit_connection();
+      const CallerAddress caller = address_of(socket);
+      const Admission admission = admit_connection(caller);
       if (admission == Admission::kClosed) {
         socket.close(ignored);
         continue;
@@ -100,7 +120,7 @@
       }
       socket.non_blocking(true, ignored);
       if (admission == Admission::kServed) {
-        asio::co_spawn(own_executor, serve(std::move(socket)), asio::detached);
+        asio::co_spawn(own_executor, serve(std::move(socket), caller), asio::detached);
       } else {
         asio::co_spawn(own_executor, refuse(std::move(socket)), asio::detached);
       }
@@ -109,15 +129,16 @@
 
   /// Counts a new connection in. At the bound, one that is idle goes for it, or else a caller that
   /// does not go on.
-  Admission admit_connection() {
+  Admission admit_connection(CallerAddress caller) {
     const std::scoped_lock lock(mutex);
     const bool few = bounds.most_connections == 0 || open_connections < bounds.most_connections;
     const bool fits =
         !bounds.limited() || bounds.budget->has_room(MemoryAccount::kConnections, kConnectionBytes);
     const bool admitted =
-        (few && fits) || close_oldest_idle() || holders.cut_off_slowest(monotonic_now());
+        (few && fits) || close_idle_for(caller) || holders.cut_off_slowest(monotonic_now());
     if (admitted) {
       ++open_connections;
+      connections.opened(caller);
       return Admission::kServed;
     }
     if (bounds.limited()) bounds.budget->count_refusal(MemoryAccount::kConnections);
@@ -145,7 +166,7 @@
     --open_refusals;
   }
 
-  asio::awaitable<void> serve(Tcp::socket socket) {
+  asio::awaitable<void> serve(Tcp::socket socket, CallerAddress caller) {
     auto self = shared_from_this();
     MemoryReservation reservation;
     if (bounds.limited()) {
@@ -153,25 +174,31 @@
     }
     beast::tcp_stream stream(std::move(socket));
     const auto watch = std::make_shared<DisconnectWatch>(stream.socket());
-    co_await serve_requests(stream, *watch);
+    co_await serve_requests(stream, *watch, caller);
     watch->detach();
     boost::system::error_code ignored;
     stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     const std::scoped_lock lock(mutex);
     --open_connections;
+    connections.closed(caller);
   }
 
-  asio::awaitable<void> serve_requests(beast::tcp_stream& stream, DisconnectWatch& watch) {
+  asio::awaitable<void> serve_requests(beast::tcp_stream& stream, DisconnectWatch& watch,
+                                       CallerAddress caller) {
     beast::flat_buffer buffer;
     while (!stopped) {
       const HttpLimits limits = current_limits();
       if (buffer.size() == 0) {
         if (buffer.capacity() > kKeptBufferBytes) buffer.shrink_to_fit();
-        const bool begun = co_await await_request(stream, buffer, limits);
+        const bool begun = co_await await_request(stream, buffer, limits, caller);
         if (!begun) break;
       }
       RequestReader reader(stream, buffer, limits, bounds, holders);
-      const ReadOutcome outcome = co_await reader.read();
+      const bool trickles = !holds_head(buffer);
+      const std::uint64_t turn = trickles ? enter_idle(stream, caller, true) : 0;
+      ReadOutcome outcome = co_await reader.read_head();
+      if (trickles) leave_idle(turn, caller);
+      if (outcome.whole) outcome = co_await reader.read_body();
       if (!outcome.whole) {
         if (outcome.status != 0) co_await reader.refuse(outcome);
         break;
@@ -186,12 +213,12 @@
 
   /// Waits for the first bytes of a request. @return false if none came.
   asio::awaitable<bool> await_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                      const HttpLimits& limits) {
+                                      const HttpLimits& limits, CallerAddress caller) {
     stream.expires_after(limits.idle_timeout);
     const auto mutable_bytes = buffer.prepare(limits.header_bytes);
-    const std::uint64_t turn = enter_idle(stream);
+    const std::uint64_t turn = enter_idle(stream, caller, false);
     const auto [error, count] = co_await stream.async_read_some(mutable_bytes, kNoThrow);
-    leave_idle(turn);
+    leave_idle(turn, caller);
     buffer.commit(count);
     co_return !error;
   }
@@ -201,18 +228,20 @@
     return limits;
   }
   /// @return the connection's turn among the idle ones, which rises with time.
-  std::uint64_t enter_idle(beast::tcp_stream& stream) {
+  std::uint64_t enter_idle(beast::tcp_stream& stream, CallerAddress caller, bool begun) {
     const std::scoped_lock lock(mutex);
-    idle.emplace(++last_turn, IdleConnection{&stream, monotonic_now()});
-    return last_turn;
+    const std::uint64_t turn = connections.enter_idle(caller, monotonic_now());
+    idle.emplace(turn, IdleConnection{&stream, caller, begun});
+    return turn;
   }
-  void leave_idle(std::uint64_t turn) {
+  void leave_idle(std::uint64_t turn, CallerAddress caller) {
     const std::scoped_lock lock(mutex);
+    connections.leave_idle(caller, turn);
     idle.erase(turn);
   }
   /// A connection is closed on its own strand, and only if it is idle then. The lock is held.
-  void close_idle(std::uint64_t turn, IdleConnection& connection) {
-    connection.closing = true;
+  void close_idle(std::uint64_t turn, const IdleConnection& connection) {
+    connections.leave_idle(connection.caller, turn);
     asio::post(connection.stream->get_executor(), [self = shared_from_this(), turn] {
       const std::scoped_lock lock(self->mutex);
       const auto found = self->idle.find(turn);
@@ -221,19 +250,19 @@
   }
   void close_all_idle() {
     const std::scoped_lock lock(mutex);
-    for (auto& [turn, connection] : idle) close_idle(turn, connection);
-  }
-  /// The lock is held. @return false if none has been idle for long enough.
-  bool close_oldest_idle() {
-    for (auto& [turn, connection] : idle) {
-      if (connection.closing) continue;
-      const Duration idle_time = monotonic_now() - connection.since;
-      if (idle_time < kLeastIdleTime) return false;
-      close_idle(turn, connection);
-      bounds.tell({.act = ShortageAct::kIdleClosed, .age = idle_time, .stalled = idle_time});
-      return true;
+    for (const auto& [turn, connection] : idle) {
+      if (!connection.begun) close_idle(turn, connection);
     }
-    return false;
+  }
+  /// Closes a connection for that of a newcomer. The lock is held. @return false if none may go.
+  bool close_idle_for(CallerAddress newcomer) {
+    const TimePoint now = monotonic_now();
+    const auto choice = connections.choose_for(newcomer, now);
+    if (!choice) return false;
+    close_idle(choice->turn, idle.at(choice->turn));
+    const Duration idle_time = now - choice->since;
+    bounds.tell({.act = ShortageAct::kIdleClosed, .age = idle_time, .stalled = idle_time});
+    return true;
   }
 
   asio::any_io_executor executor;
@@ -249,7 +278,7 @@
   /// Guards what follows, and `limits`; nothing else is locked while it is held.
   std::mutex mutex;
   std::map<std::uint64_t, IdleConnection> idle;  ///< By turn: the oldest first.
-  std::uint64_t last_turn = 0;
+  CallerConnections connections;
   std::size_t open_connections = 0;
   std::size_t open_refusals = 0;
 };
--- a/src/net/request_reader.cc
+++ b/src/net/request_reader.cc
@@ -112,19 +112,14 @@
   parser_.body_limit(limits.body_bytes);
 }
 
-asio::awaitable<ReadOutcome> RequestReader::read() {
+asio::awaitable<ReadOutcome> RequestReader::read_head() {
   stream_.expires_after(limits_.header_timeout);
   const auto [error, count] = co_await http::async_read_header(stream_, buffer_, parser_, kNoThrow);
   if (error) co_return outcome_of(error);
   const std::optional<ReadOutcome> refused = reserve_body();
   if (refused) co_return *refused;
-  if (beast::iequals(parser_.get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> proceed{http::status::continue_, 11};
-    co_await http::async_write(stream_, proceed, kNoThrow);
-  }
-  stream_.expires_after(limits_.body_timeout);
-  const ReadOutcome outcome = co_await read_body();
-  co_return outcome;
+  const ReadOutcome whole{true, 0, {}};
+  co_return whole;
 }
 
 std::optional<ReadOutcome> RequestReader::reserve_body() {
@@ -172,6 +167,11 @@
 }
 
 asio::awaitable<ReadOutcome> RequestReader::read_body() {
+  if (beast::iequals(parser_.get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> proceed{http::status::continue_, 11};
+    co_await http::async_write(stream_, proceed, kNoThrow);
+  }
+  stream_.expires_after(limits_.body_timeout);
   parser_.eager(true);
   while (!parser_.is_done()) {
     const std::optional<ReadOutcome> refused = reserve_growth();
--- a/src/net/request_reader.h
+++ b/src/net/request_reader.h
@@ -62,8 +62,10 @@
   RequestReader(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
                 const HttpLimits& limits, const ServerBounds& bounds, ByteHolders& holders);
 
-  /// Reads the request whole, unless it must not be.
-  boost::asio::awaitable<ReadOutcome> read();
+  /// Reads the head, and takes the room for the body. @return whole: the body may be read.
+  boost::asio::awaitable<ReadOutcome> read_head();
+  /// Reads the rest of the request, unless it must not be.
+  boost::asio::awaitable<ReadOutcome> read_body();
   /// Answers a request that was not read whole, and lets the answer arrive though the caller may
   /// still be sending; the connection is of no more use then.
   boost::asio::awaitable<void> refuse(ReadOutcome outcome);
@@ -79,7 +81,6 @@
   std::optional<ReadOutcome> reserve_body();
   std::optional<ReadOutcome> reserve_growth();
   ReadOutcome refusal_for_room(std::uint64_t bytes);
-  boost::asio::awaitable<ReadOutcome> read_body();
   boost::asio::awaitable<void> drop_unread();
 
   boost::beast::tcp_stream& stream_;
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -82,7 +82,7 @@
       note_error(now);
       break;
     case AttemptOutcome::kNotRun:
-      ejected_until_ = std::max(ejected_until_, now + kFullPause);
+      note_full(now);
       break;
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kUnreachable: {
@@ -97,6 +97,20 @@
   }
 }
 
+/// With free places it is full for work of that size; without, or if that is not known, for all.
+void Runner::note_full(TimePoint now) {
+  const bool reported = report_time_ != TimePoint{} && now - report_time_ < kReportFresh;
+  if (!reported || report_.running + report_.waiting >= report_.slots) {
+    ejected_until_ = std::max(ejected_until_, now + kFullPause);
+    return;
+  }
+  room_.refused(now);
+  log_event(Event::kRunnerMemoryFull, {{"runner", record_.id},
+                                       {"held_tokens", std::to_string(room_.held())},
+                                       {"running", std::to_string(report_.running)},
+                                       {"slots", std::to_string(report_.slots)}});
+}
+
 /// Errors that make the runner suspect eject it, and so does each further one until it has served.
 void Runner::note_error(TimePoint now) {
   errors_.count(true, now);
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -17,6 +17,7 @@
 #include "routing/peer_ejections.h"
 #include "routing/runner_errors.h"
 #include "routing/runner_identity.h"
+#include "routing/runner_room.h"
 #include "routing/runner_speed.h"
 
 namespace stoathold {
@@ -121,6 +122,9 @@
   /// Requests expected to be at the runner, running and waiting, per slot.
   [[nodiscard]] double load(TimePoint now) const;
   [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+  /// What it holds for this node, and how much more it may be given.
+  [[nodiscard]] RunnerRoom& room() { return room_; }
+  [[nodiscard]] const RunnerRoom& room() const { return room_; }
   /// Other nodes come first for a slot that has come free: until then it counts as taken.
   void reserve_for_others(TimePoint until, TimePoint now);
   /// Whether the nodes of the zone have more requests there than it has places.
@@ -206,6 +210,7 @@
   TimePoint last_served_{};
   RunnerErrors errors_;
   RunnerSpeed speed_;
+  RunnerRoom room_;
   PeerEjections peer_ejections_;
   LoadReport report_;
   TimePoint report_time_{};
@@ -219,6 +224,7 @@
   std::uint32_t peer_backlog_ = 0;
   std::uint32_t peer_batch_in_flight_ = 0;
   [[nodiscard]] std::uint32_t reserved(TimePoint now) const;
+  void note_full(TimePoint now);
   [[nodiscard]] std::uint32_t borrowed(TimePoint now) const;
   std::vector<TimePoint> reserved_until_;
   std::uint32_t lent_ = 0;
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -43,14 +43,16 @@
          request.excluded.end();
 }
 
-/// Runners that may be tried. Ejected ones are taken only when no other is left.
+/// Runners that may be tried. Ejected ones, and those without room for the request, are taken only
+/// when no other is left.
 std::vector<Candidate> collect(const std::vector<std::shared_ptr<Runner>>& runners,
                                const SelectionRequest& request, TimePoint now) {
   std::vector<Candidate> healthy;
   std::vector<Candidate> ejected;
   for (const auto& runner : runners) {
     if (!runner->available() || is_excluded(request, *runner)) continue;
-    auto& target = runner->ejected(now) ? ejected : healthy;
+    const bool spared = runner->ejected(now) || !runner->room().fits(request.prompt_tokens, now);
+    auto& target = spared ? ejected : healthy;
     target.push_back({runner, runner->load(now)});
   }
   return healthy.empty() ? ejected : healthy;
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -243,13 +243,53 @@
   add("n2", "near");
   fill("n2", 7);
   constexpr std::uint32_t kLarge = 50000;
-  runner("n1")->begin_attempt(kLarge);
-  runner("n1")->take_report({1, 0, 10}, kNow);
-  runner("n1")->end_attempt(AttemptOutcome::kNotRun, kNow, kLarge);
+  {
+    const RunnerHold hold(runner("n1"), kLarge);
+    runner("n1")->begin_attempt(kLarge);
+    runner("n1")->take_report({1, 0, 10}, kNow);
+    runner("n1")->end_attempt(AttemptOutcome::kNotRun, kNow, kLarge);
+  }
   EXPECT_EQ(chosen(request), "n1");
   request.prompt_tokens = kLarge;
   EXPECT_EQ(chosen(request), "n2");
 }
 
+TEST_F(RunnerSelectorTest, ARunnerWithoutFreePlacesIsFullForAll) {
+  add("n1", "near");
+  add("n2", "near");
+  fill("n2", 7);
+  runner("n1")->begin_attempt();
+  runner("n1")->take_report({10, 0, 10}, kNow - std::chrono::seconds(1));
+  runner("n1")->end_attempt(AttemptOutcome::kNotRun, kNow);
+  EXPECT_EQ(chosen(request), "n2");
+}
+
+TEST(RunnerRoomTest, WhatWasTooMuchIsNotHeldAgainUntilTheRefusalIsOld) {
+  RunnerRoom room;
+  room.take(3000);
+  room.take(5000);
+  room.refused(kNow);
+  room.give_back(5000);
+  EXPECT_FALSE(room.fits(5000, kNow));
+  EXPECT_TRUE(room.fits(4999, kNow));
+  // What was there has ended: there is room for more at a time.
+  room.give_back(3000);
+  EXPECT_TRUE(room.fits(7999, kNow));
+  EXPECT_FALSE(room.fits(8000, kNow));
+  EXPECT_TRUE(room.fits(8000, kNow + std::chrono::milliseconds(500)));
+}
+
+TEST(RunnerRoomTest, OfTwoRefusalsTheLesserCounts) {
+  RunnerRoom room;
+  room.take(8000);
+  room.refused(kNow);
+  room.give_back(8000);
+  room.take(100);
+  room.refused(kNow);
+  room.give_back(100);
+  EXPECT_FALSE(room.fits(100, kNow));
+  EXPECT_TRUE(room.fits(99, kNow));
+}
+
 }  // namespace
 }  // namespace stoathold
