--- a/tests/soak/power_loss.py
+++ b/tests/soak/power_loss.py
@@ -179,12 +179,16 @@
         self.platform.configure(self.version, [UNSAFE_ROUTE, WAITING_ROUTE],
                                 extra_services=["absent"])
 
+    def other_faults(self):
+        """Faults of a kind of soak that this one has not."""
+        return []
+
     def disturb(self):
         wait_for(lambda: self.platform.submit(
             0, WAITING_JOB, WAITING_ITEMS, prefix=WAITING_ROUTE["path_prefix"]) == 202, "a job")
         self.waiting_accepted = True
         faults = [self.fault_link, self.fault_node, self.fault_runner, self.fault_store,
-                  self.fault_signals, self.change_configuration]
+                  self.fault_signals, self.change_configuration] + self.other_faults()
         for _ in range(self.steps):
             for fault in self.random.sample(faults, self.random.choice([1, 1, 2, 3])):
                 self.heal_later(fault())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,6 +8,7 @@
 import http.client
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import threading
@@ -37,10 +38,18 @@
 DEADLY = "deadly"
 
 
+def heeds_signals(process):
+    """Whether a process has come so far that it holds or handles SIGTERM."""
+    status = pathlib.Path("/proc/%d/status" % process.handle.pid).read_text()
+    masks = [line.split()[1] for line in status.splitlines() if line[:7] in ("SigBlk:", "SigCgt:")]
+    return any(int(mask, 16) & (1 << (signal.SIGTERM - 1)) for mask in masks)
+
+
 class Soak:
     """One run of a seed."""
 
     sizes = SMALL_SIZES
+    memory_mb = None  # Limit of each node.
 
     def __init__(self, seed, steps, directory, nodes=NODES, runners=RUNNERS):
         self.node_count = nodes
@@ -55,7 +64,7 @@
         self.promises = Promises(self.sizes)
         self.platform = Platform(
             directory, nodes, runners, self.make_link, DEADLY, self.sizes,
-            self.runner_speeds(runners))
+            self.runner_speeds(runners), self.memory_mb)
         self.directory = directory
         self.known_runs = {}
         self.items_may_fail = False
@@ -226,8 +235,8 @@
                 each.kill()
             return lambda: [each.start() for each in self.platform.node_processes]
         if kind == "stop":
-            # A process that was started a moment ago ends at once, as it has begun nothing.
-            wait_for(lambda: self.is_up(index), "node %d to answer" % index)
+            # Before `main` no process can hold a signal.
+            wait_for(lambda: heeds_signals(process), "node %d to hold signals" % index)
             code = process.stop(60.0)
             if code != 0:
                 self.promises.break_one("node %d: a planned stop ended with %s" % (index, code))
--- a/tests/system/memory_limit_test.py
+++ b/tests/system/memory_limit_test.py
@@ -44,7 +44,7 @@
 class SlowCaller:
     """Sends a request and takes a byte of its answer each second."""
 
-    def __init__(self, address, number, body):
+    def __init__(self, address, number, body, more_headers=""):
         host, port = address.rsplit(":", 1)
         self.text = b""
         self.open = True
@@ -52,8 +52,8 @@
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.socket.connect((host, int(port)))
         head = ("POST /ask/1 HTTP/1.1\r\nHost: %s\r\nStoathold-Attempt-Id: slow%d\r\n"
-                "Stoathold-Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n")
-        self.rest = (head % (HOST, number, len(body))).encode() + body
+                "Stoathold-Deadline-Ms: 20000\r\nContent-Length: %d\r\n%s\r\n")
+        self.rest = (head % (HOST, number, len(body), more_headers)).encode() + body
         self.socket.setblocking(False)
         self.go_on()
 
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -68,6 +68,7 @@
         self.directory = directory
         self.sizes = sizes
         self.crash_body = crash_body
+        self.key = None  # Of callers that name none.
         self.runner_options = runner_options or {}  # By name: more arguments of that runner.
         self.runner_starts = 0
         self.starts_of = {}  # By the id of a runner: the time that it tells for its start.
@@ -208,14 +209,18 @@
         status, _, _ = call(address, "POST", "/admin/faults", values)
         assert status == 200, status
 
+    def keys_of(self, key):
+        key = key or self.key
+        return {} if key is None else {"Stoathold-Key": key}
+
     def ask(self, node, request, body=b"q", key=None):
-        keys = {} if key is None else {"Stoathold-Key": key}
+        keys = self.keys_of(key)
         return call(self.nodes[node], "POST", "/ask/1", body,
                     {**keys, "Host": HOST, "Stoathold-Attempt-Id": request,
                      "Stoathold-Deadline-Ms": "15000"})
 
     def submit(self, node, job, count=3, key=None, prefix="/drafts/"):
-        keys = {} if key is None else {"Stoathold-Key": key}
+        keys = self.keys_of(key)
         items = [{"id": "%s-%d" % (job, i), "path": prefix + "1",
                   "headers": {"Stoathold-Model": "m"},
                   "body": base64.b64encode(self.sizes.item_body(i)).decode(), "token_count": 100}
@@ -224,14 +229,15 @@
                     {**keys, "Host": HOST, "Stoathold-Attempt-Id": job})[0]
 
     def results(self, node, job, after=0, key=None):
-        keys = {} if key is None else {"Stoathold-Key": key}
+        keys = self.keys_of(key)
         return call_json(self.nodes[node], "GET", "/api/lots/%s?after_rev=%d" % (job, after), None,
                          {**keys, "Host": HOST, "Stoathold-Max-Wait-Ms": "1000"})
 
     def item_body(self, node, job, index):
         """Asks for the request of an item: (status, body)."""
         target = "/api/items/%s?id=%s-%d" % (job, job, index)
-        status, _, body = call(self.nodes[node], "GET", target, None, {"Host": HOST})
+        status, _, body = call(self.nodes[node], "GET", target, None,
+                               {**self.keys_of(None), "Host": HOST})
         return status, body
 
     def wait_results(self, node, job, count, key=None):
