--- a/src/admission/load_policy.cc
+++ b/src/admission/load_policy.cc
@@ -8,6 +8,7 @@
           .shares_fairly = hard_load,
           .knows_speeds = traits.reports_slowness,
           .lends_slots = hard_load,
+          .deals_batch = hard_load,
           .keeps_connections = hard_load};
 }
 
--- a/src/admission/load_policy.h
+++ b/src/admission/load_policy.h
@@ -19,6 +19,7 @@
   bool shares_fairly = false;      ///< Tenants, routes and services take turns by what they used.
   bool knows_speeds = false;       ///< Chooses runners by when they will have answered.
   bool lends_slots = false;        ///< Zones lend one another slots.
+  bool deals_batch = false;        ///< Deals a zone's runners among nodes where items wait.
   bool keeps_connections = false;  ///< Uses few runners a node, over connections that it keeps.
 };
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -18,6 +18,7 @@
 #include "gateway/online_admission.h"
 #include "gateway/upstream.h"
 #include "quarantine/quarantine.h"
+#include "routing/batch_turns.h"
 #include "routing/configuration.h"
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
@@ -87,6 +88,7 @@
   TrafficSplit split;
   PlacementQueue placement;
   OnlineAdmission admission;
+  BatchTurns batch_turns;  ///< Of the nodes of the zone.
   FairShares shares{load_policy};
   UpstreamPool pool;
   Quarantine quarantine;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -41,6 +41,9 @@
 /// Failures that an item may have for each attempt that its route allows, where runners that fail
 /// much of what they are given are to blame: one less than what the users' rules allow.
 constexpr std::uint32_t kMaxFailuresPerAttempt = 2;
+/// Items ordered by what they have left stand before those ordered by the moment when they must
+/// begin.
+constexpr TimePoint kLeastRestFirst{std::chrono::microseconds(1)};
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
 
 }  // namespace
@@ -128,9 +131,11 @@
   // Who must begin first goes first, and what will be late anyway goes last.
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
+  const WaitTurn turn = take_turn(request, schedule);
   request.hopeless = [this] { return quarantine_check_.is_quarantined(); };
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
+  if (turn.waits) context_.batch_turns.end_wait(turn.service, turn.urgency);
   const Selection choice = ticket_->selection();
   tokens_to_read_ = choice.tokens_to_read;
   runner_work_ = choice.runner_work();
@@ -140,6 +145,22 @@
   co_return runner;
 }
 
+/// While more items wait than can be done in time, the one that has least left goes first: the
+/// more of them come to their end in time. Otherwise the one that must begin first does.
+ItemRun::WaitTurn ItemRun::take_turn(PlacementRequest& request, const ItemSchedule& schedule) {
+  if (!context_.load_policy.deals_batch) return {};
+  BatchTurns& turns = context_.batch_turns;
+  const WaitTurn turn{.waits = true,
+                      .service = stable_hash(request.selection.service),
+                      .urgency = schedule.late() ? ItemUrgency::kLate : ItemUrgency::kInTime};
+  request.selection.turns = &turns;
+  request.selection.urgency = turn.urgency;
+  turns.begin_wait(turn.service, turn.urgency);
+  const bool scarce = turns.some_late(turn.service, monotonic_now());
+  if (scarce) request.order = kLeastRestFirst + schedule.rest;
+  return turn;
+}
+
 /// The item goes to runners where it has not failed yet, as long as there are any.
 std::vector<std::uint64_t> ItemRun::runners_to_avoid(const std::string& service) const {
   const bool others = failed_at_.size() < context_.runners.of_service(service).size();
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -78,6 +78,14 @@
   boost::asio::awaitable<void> pause(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   boost::asio::awaitable<std::shared_ptr<Runner>> place(const Route& route);
+  /// Its wait among those of all nodes of the zone.
+  struct WaitTurn {
+    bool waits = false;  ///< Nodes take turns.
+    std::uint64_t service = 0;
+    ItemUrgency urgency = ItemUrgency::kInTime;
+  };
+  /// Begins to wait among them, and fills in what follows for the request.
+  WaitTurn take_turn(PlacementRequest& request, const ItemSchedule& schedule);
   [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
   [[nodiscard]] std::vector<std::uint64_t> runners_to_avoid(const std::string& service) const;
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -11,6 +11,7 @@
 #include "admission/return_report.h"
 #include "admission/share_report.h"
 #include "quarantine/quarantine_messages.h"
+#include "routing/batch_turns.h"
 #include "routing/route_pace.h"
 #include "routing/slot_loan_messages.h"
 #include "routing/speed_report.h"
@@ -103,13 +104,14 @@
   std::vector<ShareUse> share_uses;         ///< Inside the zone only.
   std::vector<SpeedReport> speeds;          ///< Inside the zone only.
   std::vector<ReturnReport> returns;        ///< Inside the zone only.
+  std::vector<BatchWait> batch_waits;       ///< Inside the zone only.
   bool leaving = false;  ///< The sender stops as planned, and admits nothing from now on.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
     archive(configuration_version, tenants, answers, paces);
-    archive(backlogs, share_uses, speeds, returns, leaving);
+    archive(backlogs, share_uses, speeds, returns, batch_waits, leaving);
   }
 };
 
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/ids.h"
 #include "base/random.h"
 
 namespace stoathold {
@@ -130,6 +131,23 @@
   return lent.empty() ? prefer_zone(unlent, request.zone, now) : lent;
 }
 
+/// Leaves the runners that it is this node's turn to give batch items to.
+void keep_dealt(std::vector<Candidate>& candidates, const SelectionRequest& request,
+                TimePoint now) {
+  const std::uint64_t service = stable_hash(request.service);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    const std::uint64_t runner = candidate.runner->hash();
+    if (candidate.load >= request.load_limit) {
+      request.turns->note_full(runner);
+      return true;
+    }
+    if (candidate.runner->record().zone == request.zone) {
+      return !request.turns->may_take(service, request.urgency, runner, now);
+    }
+    return !request.turns->is_first(service, request.urgency, runner, now);
+  });
+}
+
 /// Rendezvous hashing: the same prefix ranks the same runner highest at every node of a zone, so
 /// that one runner keeps it.
 const Runner* warm_runner(const std::vector<Candidate>& candidates,
@@ -288,6 +306,7 @@
     return selection;
   }
   if (request.preempt_batch) keep_preemptible(candidates, request.zone);
+  if (request.turns != nullptr) keep_dealt(candidates, request, now);
   if (request.load_limit > 0) {
     std::erase_if(candidates, [&](const Candidate& candidate) {
       return candidate.load >= request.load_limit && !is_lent(candidate, request, now);
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "routing/batch_turns.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_speed.h"
 
@@ -43,6 +44,9 @@
   const SpeedModel* speeds = nullptr;
   WorkClass work = WorkClass::kOnline;  ///< Counts if `speeds` is given.
   AnswerNeeds needs;                    ///< The same.
+  /// Batch: whose turn it is at which runner. Null: every node may take all that it sees.
+  BatchTurns* turns = nullptr;
+  ItemUrgency urgency = ItemUrgency::kInTime;  ///< Counts if `turns` is given.
   bool keep_connections = false;        ///< A kept connection outweighs a somewhat lesser load.
   std::uint64_t node = 0;               ///< This node, by which it keeps to a few of the runners.
 };
