Deal a zone's runners among the nodes where batch items wait

Change: BatchTurns; a node gives items to the runners for which it is first by weighted rendezvous, to others after 60 ms for each node before it; nodes whose items will all be late come after those with items in time; runners of other zones by the first only.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -41,9 +41,6 @@
 /// Failures that an item may have for each attempt that its route allows, where runners that fail
 /// much of what they are given are to blame: one less than what the users' rules allow.
 constexpr std::uint32_t kMaxFailuresPerAttempt = 2;
-/// Items ordered by what they have left stand before those ordered by the moment when they must
-/// begin.
-constexpr TimePoint kLeastRestFirst{std::chrono::microseconds(1)};
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
 
 }  // namespace
@@ -145,8 +142,6 @@
   co_return runner;
 }
 
-/// While more items wait than can be done in time, the one that has least left goes first: the
-/// more of them come to their end in time. Otherwise the one that must begin first does.
 ItemRun::WaitTurn ItemRun::take_turn(PlacementRequest& request, const ItemSchedule& schedule) {
   if (!context_.load_policy.deals_batch) return {};
   BatchTurns& turns = context_.batch_turns;
@@ -156,8 +151,6 @@
   request.selection.turns = &turns;
   request.selection.urgency = turn.urgency;
   turns.begin_wait(turn.service, turn.urgency);
-  const bool scarce = turns.some_late(turn.service, monotonic_now());
-  if (scarce) request.order = kLeastRestFirst + schedule.rest;
   return turn;
 }
 
--- a/src/routing/batch_turns.cc
+++ b/src/routing/batch_turns.cc
@@ -55,7 +55,8 @@
     peers_.erase(node);
   } else {
     if (!peers_.contains(node)) {
-      std::erase_if(peers_, [&](const auto& peer) { return now - peer.second.heard > kPeerLifetime; });
+      std::erase_if(peers_,
+                    [&](const auto& peer) { return now - peer.second.heard > kPeerLifetime; });
     }
     peers_[node] = {waits, now};
   }
@@ -78,10 +79,6 @@
   return contenders;
 }
 
-bool BatchTurns::some_late(std::uint64_t service, TimePoint now) const {
-  return !contenders({service, ItemUrgency::kLate}, now).empty();
-}
-
 std::size_t BatchTurns::rank(const Kind& kind, std::uint64_t runner, TimePoint now) {
   Ranks& ranks = ranks_[kind];
   if (ranks.computed == TimePoint{} || now - ranks.computed > kOrderLifetime) {
@@ -97,14 +94,21 @@
   return rank;
 }
 
-bool BatchTurns::may_take(std::uint64_t /*service*/, ItemUrgency /*urgency*/,
-                          std::uint64_t /*runner*/, TimePoint /*now*/) {
-  return true;
+bool BatchTurns::may_take(std::uint64_t service, ItemUrgency urgency, std::uint64_t runner,
+                          TimePoint now) {
+  if (room_.size() > kMostRooms) {
+    std::erase_if(room_, [&](const auto& room) { return now - room.second.seen > kRoomLifetime; });
+  }
+  Room& room = room_[runner];
+  if (now - room.seen > kRoomLifetime) room.since = now;
+  room.seen = now;
+  const std::size_t ahead = std::min(rank({service, urgency}, runner, now), kMostRanks);
+  return now - room.since >= kTurn * static_cast<Duration::rep>(ahead);
 }
 
-bool BatchTurns::is_first(std::uint64_t /*service*/, ItemUrgency /*urgency*/,
-                          std::uint64_t /*runner*/, TimePoint /*now*/) {
-  return true;
+bool BatchTurns::is_first(std::uint64_t service, ItemUrgency urgency, std::uint64_t runner,
+                          TimePoint now) {
+  return rank({service, urgency}, runner, now) == 0;
 }
 
 }  // namespace stoathold
--- a/src/routing/batch_turns.h
+++ b/src/routing/batch_turns.h
@@ -49,9 +49,6 @@
   void end_wait(std::uint64_t service, ItemUrgency urgency);
   /// Returns what waits here, for the others.
   [[nodiscard]] std::vector<BatchWait> report() const;
-  /// Whether items that will be late wait at a node of the zone: there is more than can be done in
-  /// time.
-  [[nodiscard]] bool some_late(std::uint64_t service, TimePoint now) const;
   /// Another node of the zone says what waits there: all that does.
   void take(std::uint64_t node, const std::vector<BatchWait>& waits, TimePoint now);
 
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -36,8 +36,7 @@
   const auto rank = [](const PlacementTicket& ticket) {
     const PlacementRequest& request = ticket.request_;
     const bool newcomer = request.standing == AdmissionStanding::kNewcomer;
-    const TimePoint order = request.order == TimePoint{} ? request.due : request.order;
-    return std::tuple(request.work, request.priority, request.turn, newcomer, order,
+    return std::tuple(request.work, request.priority, request.turn, newcomer, request.due,
                       ticket.number_);
   };
   return rank(left) < rank(right);
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -32,7 +32,6 @@
   WorkClass work = WorkClass::kOnline;
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   TimePoint due{};             ///< In time if placed by then.
-  TimePoint order{};           ///< Stands for `due` in the order; 0: `due` does.
   TimePoint give_up{};         ///< No longer worth placing.
   std::string tenant;          ///< Empty: anonymous.
   std::string route;
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -47,8 +47,8 @@
   /// Batch: whose turn it is at which runner. Null: every node may take all that it sees.
   BatchTurns* turns = nullptr;
   ItemUrgency urgency = ItemUrgency::kInTime;  ///< Counts if `turns` is given.
-  bool keep_connections = false;        ///< A kept connection outweighs a somewhat lesser load.
-  std::uint64_t node = 0;               ///< This node, by which it keeps to a few of the runners.
+  bool keep_connections = false;  ///< A kept connection outweighs a somewhat lesser load.
+  std::uint64_t node = 0;         ///< This node, by which it keeps to a few of the runners.
 };
 
 /// Why there is no runner.
--- a/tests/routing/runner_selector_test.cc
+++ b/tests/routing/runner_selector_test.cc
@@ -4,6 +4,8 @@
 
 #include <set>
 
+#include "base/ids.h"
+
 namespace stoathold {
 namespace {
 
@@ -67,6 +69,29 @@
   EXPECT_EQ(chosen(request), "f1");
 }
 
+// Every node of a zone once gave its batch items to all slots that it saw free.
+TEST_F(RunnerSelectorTest, BatchGoesWhereItIsThisNodesTurn) {
+  for (int i = 0; i < 20; ++i) add("n" + std::to_string(i), "near");
+  BatchTurns turns;
+  turns.set_self(1);
+  const std::uint64_t service = stable_hash("chat");
+  turns.begin_wait(service, ItemUrgency::kInTime);
+  turns.take(2, {{.service = service, .in_time = 1}}, kNow);
+  request.turns = &turns;
+  request.load_limit = 0.85;
+  std::set<std::string> taken;
+  for (std::string id = chosen(request); !id.empty(); id = chosen(request)) {
+    fill(id, 1);
+    ASSERT_LE(runner(id)->in_flight(), 9U);
+    taken.insert(id);
+  }
+  for (const auto& id : taken) {
+    EXPECT_TRUE(turns.is_first(service, ItemUrgency::kInTime, runner(id)->hash(), kNow));
+  }
+  EXPECT_GT(taken.size(), 0U);
+  EXPECT_LT(taken.size(), 20U);
+}
+
 TEST_F(RunnerSelectorTest, LeavingAndTriedRunnersGetNothing) {
   add("n1", "near", true);
   add("n2", "near");
