A runner that is slow beyond explanation gets no online work for a while

Change: answers that take three times the expected time at the runner's slowest moment, and 100 ms more, are counted by runner and reported in the zone; 2.5 of them lately, half of its answers, while under a quarter of the others' are slow, and it is left out for online work, then tried one request at a time. Of more than a quarter of the runners none is left out. Tests: one slow among alike ones, half and all slow together, the usual slow moment, false figures (0, 10^9, 5000), another node's evidence.

--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -57,6 +57,23 @@
   return healthy.empty() ? ejected : healthy;
 }
 
+/// Leaves out the runners that are slow beyond explanation. One that was so a moment ago gets one
+/// request at a time.
+void avoid_slow(std::vector<Candidate>& candidates, TimePoint now) {
+  std::vector<SlowCounts> counts;
+  counts.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    counts.push_back(candidate.runner->speed().slow_answers().all(now));
+  }
+  const std::vector<SlowVerdict> verdicts = judge_slow(counts);
+  std::vector<Candidate> left;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const bool busy_trial = verdicts[i] == SlowVerdict::kOnTrial && candidates[i].load > 0;
+    if (verdicts[i] != SlowVerdict::kAvoided && !busy_trial) left.push_back(candidates[i]);
+  }
+  candidates = std::move(left);
+}
+
 /// Keeps the runners at which one batch item less makes room for one request. They count as loaded
 /// as if all batch items there were gone, so that the one with most of them is taken.
 void keep_preemptible(std::vector<Candidate>& candidates, const std::string& zone) {
@@ -72,7 +89,7 @@
   }
 }
 
-/// Whether a slot of another zone was lent for it, whatever else its load tells.
+/// Whether a slot of another zone was lent for it, whatever its load.
 bool is_lent(const Candidate& candidate, const SelectionRequest& request, TimePoint now) {
   const Runner& runner = *candidate.runner;
   return request.borrowed_only && runner.record().zone != request.zone &&
@@ -305,6 +322,7 @@
         runners.empty() ? SelectionFailure::kUnknownService : SelectionFailure::kAllExcluded;
     return selection;
   }
+  if (request.speeds != nullptr && request.work == WorkClass::kOnline) avoid_slow(candidates, now);
   if (request.preempt_batch) keep_preemptible(candidates, request.zone);
   if (request.turns != nullptr) keep_dealt(candidates, request, now);
   if (request.load_limit > 0) {
--- a/src/routing/runner_speed.cc
+++ b/src/routing/runner_speed.cc
@@ -48,6 +48,17 @@
 /// tokens (100 are read in a ms) and for a full runner.
 constexpr TimeFit::Terms kFirstEventPrior{40, 10, 40};
 constexpr TimeFit::Terms kEventGapPrior{30, 0, 15};
+/// Answers from which times of a route are known well enough to call one slow beyond explanation.
+constexpr std::uint64_t kSamplesToJudge = 30;
+/// A machine's slowest moment is taken for at most so many times the mean, whatever one runner
+/// says.
+constexpr double kMostMoment = 4;
+/// Counts of answers are reported in tenths.
+constexpr double kAnswerUnit = 10;
+
+std::uint8_t in_tenths(double count) {
+  return saturated<std::uint8_t>(static_cast<std::int64_t>(count * kAnswerUnit));
+}
 
 double to_ms(Duration duration) {
   return static_cast<double>(duration.count()) / kMicrosecondsPerMs;
@@ -128,6 +139,9 @@
   const double parts = std::exp(log_time_) * kReportUnit;
   report.relative_time = saturated<std::uint16_t>(static_cast<std::int64_t>(parts));
   report.samples = saturated<std::uint8_t>(samples_);
+  const SlowCounts answers = slow_answers_.own(now);
+  report.slow_answers = in_tenths(answers.slow);
+  report.usual_answers = in_tenths(answers.usual);
   return report;
 }
 
@@ -187,6 +201,8 @@
   if (report.relative_time > 0) {
     runner.take_peer(report.relative_time / kReportUnit, report.samples);
   }
+  runner.slow_answers().take_report(
+      {report.slow_answers / kAnswerUnit, report.usual_answers / kAnswerUnit}, now);
   if (!is_true_slowness(report.slowness_percent)) return false;
   const Duration age = std::chrono::milliseconds(report.slowness_age_ms);
   if (now - age > runner.reported_at()) {
@@ -200,6 +216,11 @@
   // Reported slowness passes and the runner's own speed stays: each is learned without the other.
   const double slowness = runner.slowness(usual_slowness_, now);
   const double mean_ms = std::max(1.0, to_ms(fit.expected(work)));
+  if (fit.samples() >= kSamplesToJudge) {
+    const double moment = std::min(worst_slowness_, kMostMoment * usual_slowness_);
+    const double slowest = std::max(slowness, moment) * runner.relative_time();
+    runner.slow_answers().count(is_beyond_explanation(time, from_ms(mean_ms * slowest)), now);
+  }
   const double ratio = std::max(0.01, to_ms(time) / slowness / mean_ms);
   fit.observe(work, scale(time, 1 / (slowness * runner.relative_time())));
   runner.learn(ratio);
--- a/src/routing/runner_speed.h
+++ b/src/routing/runner_speed.h
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "routing/slow_answers.h"
 #include "routing/speed_report.h"
 
 namespace stoathold {
@@ -18,7 +19,7 @@
 /// Least slowness that a runner may report, in 100ths of the usual time: ten times as fast. Less
 /// would let one false figure draw all work to a runner.
 inline constexpr std::uint32_t kLeastSlownessPercent = 10;
-/// Greatest: work of a second takes 50. More cannot be told from a runner that stands still, for
+/// Greatest: work of a second takes 50. More does not differ from a runner that stands still, for
 /// which there are timeouts.
 inline constexpr std::uint32_t kMostSlownessPercent = 5000;
 
@@ -66,6 +67,9 @@
   /// changes slowly and goes along with it.
   [[nodiscard]] bool unshared() const { return unshared_; }
   void mark_shared() { unshared_ = false; }
+  /// Answers that took longer than all of this explains.
+  [[nodiscard]] SlowAnswers& slow_answers() { return slow_answers_; }
+  [[nodiscard]] const SlowAnswers& slow_answers() const { return slow_answers_; }
   /// Answers that the learned time rests on, of this node.
   [[nodiscard]] std::uint32_t samples() const { return samples_; }
   /// When it last reported its slowness; the clock's start: never.
@@ -83,6 +87,7 @@
   std::uint32_t samples_ = 0;
   double peer_log_time_ = 0;
   double peer_weight_ = 0;  ///< Samples, of all other nodes, that count.
+  SlowAnswers slow_answers_;
   bool unshared_ = false;
 };
 
--- /dev/null
+++ b/tests/routing/slow_runner_test.cc
@@ -0,0 +1,118 @@
+// A runner that is slow beyond what it reports, its load and its learned speed was chosen less, and
+// that was all: each node had to learn it by a dozen answers.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "routing/runner_selector.h"
+
+namespace stoathold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr std::uint64_t kRoute = 7;
+constexpr int kRunners = 10;
+
+class SlowRunnerTest : public testing::Test {
+ protected:
+  SlowRunnerTest() {
+    for (int i = 0; i < kRunners; ++i) {
+      registry.upsert({name(i), "chat", "10.0.0.1:80", "near", 8, false});
+    }
+    for (int round = 0; round < 20; ++round) answers(0, kRunners, 1);
+  }
+  static std::string name(int runner) { return "r" + std::to_string(runner); }
+  Runner& runner(int index) { return *registry.all().at(name(index)); }
+  /// One answer of each of some runners, which takes so many times the usual 50 ms.
+  void answers(int from, int end, double times) {
+    for (int i = from; i < end; ++i) {
+      model.observe_first_event(kRoute, runner(i).speed(), {.unread_tokens = 300, .load = 0.2},
+                                scale(milliseconds(50), times), now);
+    }
+  }
+  /// How many runners a request is given to choose from.
+  std::uint32_t candidates(WorkClass work = WorkClass::kOnline) {
+    SelectionRequest request{.service = "chat", .zone = "near", .prompt_tokens = 100};
+    request.speeds = &model;
+    request.work = work;
+    request.needs.route = kRoute;
+    request.needs.first_event_due = now + std::chrono::seconds(100);
+    const Selection selection = select_runner(registry, request, now);
+    EXPECT_NE(selection.runner, nullptr);
+    return selection.candidates;
+  }
+  /// Some time later each runner but the first has answered as usual.
+  void later_usual_answers() {
+    now += std::chrono::seconds(10);
+    for (int round = 0; round < 5; ++round) answers(1, kRunners, 1);
+  }
+
+  RunnerRegistry registry;
+  SpeedModel model;
+  TimePoint now = kStart;
+};
+
+TEST_F(SlowRunnerTest, OneSlowRunnerAmongAlikeOnesGetsNoOnlineWorkForAWhile) {
+  later_usual_answers();
+  for (int i = 0; i < 4; ++i) answers(0, 1, 12);
+  EXPECT_EQ(candidates(), kRunners - 1U);
+  EXPECT_EQ(candidates(WorkClass::kBatch), static_cast<std::uint32_t>(kRunners));
+  now += std::chrono::seconds(10);
+  EXPECT_EQ(candidates(), static_cast<std::uint32_t>(kRunners));
+}
+
+TEST_F(SlowRunnerTest, AMomentLaterItIsTriedWithOneRequestAtATime) {
+  later_usual_answers();
+  for (int i = 0; i < 4; ++i) answers(0, 1, 12);
+  now += std::chrono::seconds(2);
+  EXPECT_EQ(candidates(), static_cast<std::uint32_t>(kRunners));
+  runner(0).begin_attempt();
+  EXPECT_EQ(candidates(), kRunners - 1U);
+}
+
+TEST_F(SlowRunnerTest, ARunnerWhoseMachineIsAtItsUsualSlowMomentIsNotAvoided) {
+  later_usual_answers();
+  for (int i = 0; i < 4; ++i) answers(0, 1, 2.5);
+  EXPECT_EQ(candidates(), static_cast<std::uint32_t>(kRunners));
+}
+
+TEST_F(SlowRunnerTest, WhenAllTurnSlowNoneIsAvoided) {
+  now += std::chrono::seconds(10);
+  for (int i = 0; i < 4; ++i) answers(0, kRunners, 12);
+  EXPECT_EQ(candidates(), static_cast<std::uint32_t>(kRunners));
+}
+
+TEST_F(SlowRunnerTest, WhenHalfTurnSlowNoneIsAvoided) {
+  now += std::chrono::seconds(10);
+  for (int i = 0; i < 4; ++i) answers(0, kRunners / 2, 12);
+  for (int i = 0; i < 20; ++i) answers(kRunners / 2, kRunners, 1);
+  EXPECT_EQ(candidates(), static_cast<std::uint32_t>(kRunners));
+}
+
+TEST_F(SlowRunnerTest, AnotherNodesEvidenceIsTaken) {
+  later_usual_answers();
+  for (int i = 0; i < 4; ++i) answers(0, 1, 12);
+  SpeedModel other;
+  RunnerSpeed there;
+  other.take(there, runner(0).speed().report(1, now), now);
+  EXPECT_GT(there.slow_answers().all(now).slow, 2.5);
+}
+
+// 0 and 1,000,000,000 are refused, so that nothing explains such a runner's slow answers; 5,000
+// is the most that a runner may say, and makes the slowness of no other one explained.
+TEST_F(SlowRunnerTest, FalseFiguresHideNothing) {
+  EXPECT_FALSE(is_true_slowness(0));
+  EXPECT_FALSE(is_true_slowness(1000000000));
+  model.take(runner(1).speed(), {.runner = 1, .slowness_percent = 0}, now);
+  for (int i = 0; i < 3; ++i) {
+    model.take_slowness(runner(1).speed(), kMostSlownessPercent, now - milliseconds(i), true);
+  }
+  later_usual_answers();
+  for (int i = 0; i < 4; ++i) answers(0, 1, 40);
+  EXPECT_EQ(candidates(), kRunners - 1U);
+}
+
+}  // namespace
+}  // namespace stoathold
