Loans cost nothing with lending off; one place for what stood several times

SlotExchange::refresh dealt a zone's runners 4 times a second with lending off: now only for 10 s after another zone asked. kDemandShown stands once (load_messages.h); usable runners of a zone are one function of RunnerRegistry, indexed by the hash of the service's name, used by supply_of and offers; address_text for ip:port; told and tells in comments. A first form that looked after nothing before lending was on failed ANodeWithWorkThatWouldBeLateBorrowsSlotsOfAnotherZone, rightly: another zone may lend sooner.

--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -10,6 +10,7 @@
 #include "admission/backlog_report.h"
 #include "admission/return_report.h"
 #include "admission/share_report.h"
+#include "base/time.h"
 #include "quarantine/quarantine_messages.h"
 #include "routing/batch_turns.h"
 #include "routing/route_pace.h"
@@ -70,6 +71,10 @@
   }
 };
 
+/// Online work that had to make batch work yield, of this zone or of another that borrowed the
+/// slot, is reported as waiting for so long: some digests.
+inline constexpr Duration kDemandShown = std::chrono::milliseconds(30);
+
 /// Online work that waits at the sender.
 struct ServiceDemand {
   std::uint64_t service = 0;  ///< Hash of its name.
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/udp.hpp>
+#include <string>
 #include <vector>
 
 #include "base/time.h"
@@ -10,6 +11,11 @@
 
 namespace stoathold {
 
+/// Returns an endpoint as `ip:port`.
+inline std::string address_text(const boost::asio::ip::udp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 /// The group lists only members that hold a slot; in a zone with more nodes than slots most are not
 /// listed. So each node also learns the nodes that it hears, and those that its neighbours say they
 /// hear. Who is neither listed nor heard of any more is forgotten. Used on one thread.
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -65,15 +65,13 @@
 }
 
 std::string PeerLoads::address() const {
-  const auto endpoint = socket_.local_endpoint();
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+  return address_text(socket_.local_endpoint());
 }
 
 std::vector<std::string> PeerLoads::live_neighbours() const {
   std::vector<std::string> addresses;
   for (const auto& node : zone_nodes_.heard_lately(monotonic_now())) {
-    const asio::ip::address_v4 ip(node.ip);
-    addresses.push_back(ip.to_string() + ":" + std::to_string(node.port));
+    addresses.push_back(address_text({asio::ip::address_v4(node.ip), node.port}));
   }
   return addresses;
 }
@@ -147,8 +145,7 @@
     take_tenants(digest, now);
     for (const DigestPart& part : digest_parts_) part.take(digest, now);
     if (version_listener_) {
-      version_listener_(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
-                        digest.configuration_version);
+      version_listener_(address_text(endpoint), digest.configuration_version);
     }
   }
   if (digest.pass_on) pass_on(digest);
@@ -291,9 +288,8 @@
   boost::system::error_code error;
   socket_.send_to(asio::buffer(bytes), peer, 0, error);
   if (!error) return;
-  const std::string address = peer.address().to_string() + ":" + std::to_string(peer.port());
   log_event(Event::kPeerDatagramFailed,
-            {{"step", "send"}, {"peer", address}, {"error", error.message()}});
+            {{"step", "send"}, {"peer", address_text(peer)}, {"error", error.message()}});
 }
 
 void PeerLoads::schedule_tenant_reports() {
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -166,7 +166,7 @@
   YieldHandler yield_handler_;
   PeerUseTable peer_uses_;
   std::optional<TenantGossip> tenant_gossip_;
-  Quarantine* quarantine_ = nullptr;  ///< Null: ends are not told.
+  Quarantine* quarantine_ = nullptr;  ///< Null: ends are not reported.
   std::function<std::uint64_t()> version_source_;
   VersionListener version_listener_;
   PaceSource pace_source_;
--- a/src/routing/peer_loads_slots.cc
+++ b/src/routing/peer_loads_slots.cc
@@ -50,8 +50,7 @@
   const Endpoint self = socket_.local_endpoint();
   std::vector<LendingNode> nodes;
   for (const Endpoint& endpoint : zone_nodes_.zone_reporters(self, monotonic_now())) {
-    const std::string address =
-        endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    const std::string address = address_text(endpoint);
     nodes.push_back({stable_hash(address), address, endpoint == self});
   }
   return nodes;
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -1,4 +1,4 @@
-// What nodes tell those of other zones, and what they tell one another of runners that ended.
+// What nodes report to those of other zones, and to one another of runners that ended.
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <utility>
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxZoneLoads = 150;
 constexpr double kPercent = 100;
 constexpr double kMostPercent = 255;
-/// Ends within this time are told together: those of one runner come one after the other.
+/// Ends within this time are reported together: those of one runner come one after the other.
 constexpr Duration kEndsCoalesce = std::chrono::milliseconds(5);
 
 }  // namespace
@@ -38,7 +38,7 @@
   if (listener_) listener_();
 }
 
-/// Tells a node of each zone whose runners this node uses, and once of the end of that. Each time
+/// Reports to a node of each zone whose runners this node uses, and once the end of that. Each time
 /// another node, so that one that is gone costs one message.
 void PeerLoads::report_remote_use() {
   const TimePoint now = monotonic_now();
--- a/src/routing/placement_queue_views.cc
+++ b/src/routing/placement_queue_views.cc
@@ -8,9 +8,6 @@
 namespace stoathold {
 namespace {
 
-/// Online work that had to make batch work yield is reported as waiting for so long: some digests.
-constexpr Duration kDemandShown = std::chrono::milliseconds(30);
-
 ZoneBacklog::Group group_of(const PlacementRequest& request) {
   return {stable_hash(request.selection.service), saturated<std::uint8_t>(request.priority)};
 }
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -249,6 +249,7 @@
   runners_.emplace(runner->record().id, runner);
   by_hash_[runner->hash()] = runner.get();
   by_service_[runner->record().service].push_back(runner);
+  service_names_.try_emplace(stable_hash(runner->record().service), runner->record().service);
   ++revision_;
 }
 
@@ -301,10 +302,24 @@
   ++revision_;
   by_service_.clear();
   by_hash_.clear();
+  service_names_.clear();
   for (const auto& [id, runner] : runners_) {
     by_hash_[runner->hash()] = runner.get();
     by_service_[runner->record().service].push_back(runner);
   }
+  for (const auto& [name, runners] : by_service_) service_names_[stable_hash(name)] = name;
+}
+
+std::vector<Runner*> RunnerRegistry::usable(std::uint64_t service, const std::string& zone,
+                                            TimePoint now) const {
+  std::vector<Runner*> usable;
+  const auto name = service_names_.find(service);
+  if (name == service_names_.end()) return usable;
+  for (const auto& runner : of_service(name->second)) {
+    const bool in_zone = runner->record().zone == zone;
+    if (in_zone && runner->available() && !runner->ejected(now)) usable.push_back(runner.get());
+  }
+  return usable;
 }
 
 bool RunnerRegistry::peers_wait_for(const std::string& service) const {
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -242,6 +242,9 @@
 
   [[nodiscard]] const std::vector<std::shared_ptr<Runner>>& of_service(
       const std::string& service) const;
+  /// Returns a zone's runners of a service, by the hash of its name, that may be given work.
+  [[nodiscard]] std::vector<Runner*> usable(std::uint64_t service, const std::string& zone,
+                                            TimePoint now) const;
   [[nodiscard]] const std::map<std::string, std::shared_ptr<Runner>>& all() const {
     return runners_;
   }
@@ -307,6 +310,7 @@
   std::map<std::string, Lapsed> lapsed_;                    ///< By id.
   std::map<std::string, std::vector<std::shared_ptr<Runner>>> by_service_;
   std::unordered_map<std::uint64_t, Runner*> by_hash_;
+  std::unordered_map<std::uint64_t, std::string> service_names_;  ///< By their hash.
   std::uint64_t revision_ = 1;
   std::set<std::uint64_t> peer_demand_;
   std::set<std::uint64_t> peer_urgent_demand_;
--- a/src/routing/slot_exchange.cc
+++ b/src/routing/slot_exchange.cc
@@ -11,9 +11,9 @@
 
 /// Most slots that one request asks for: as many as the answer can name in one datagram.
 constexpr std::uint16_t kMostWanted = 64;
-/// After batch gave slots to another zone it leaves those that come free for this time, as it does
-/// for online work of its own zone that waited just now.
-constexpr Duration kDemandShown = std::chrono::milliseconds(30);
+/// A node that lends nothing of itself looks after slots for so long after it was asked for some:
+/// many times a loan's lifetime.
+constexpr Duration kAskedLately = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -31,8 +31,14 @@
   last_alive_ = now;
 }
 
+/// Other zones lend before this one does, if they have seen sooner what calls for it.
+bool SlotExchange::asked_lately(TimePoint now) const {
+  return asked_at_ && now - *asked_at_ < kAskedLately;
+}
+
 void SlotExchange::refresh(TimePoint now) {
   note_alive(now);
+  if (!registry_.lending() && !asked_lately(now)) return;
   const std::vector<LendingNode> nodes = links_.lending_nodes();
   std::vector<std::uint64_t> identities;
   for (const LendingNode& node : nodes) identities.push_back(node.identity);
@@ -91,10 +97,8 @@
 
 ZoneSupply SlotExchange::supply_of(std::uint64_t service, TimePoint now) const {
   ZoneSupply supply{.peers_waiting = static_cast<double>(registry_.peers_waiting(service))};
-  for (const auto& [id, runner] : registry_.all()) {
-    const bool usable =
-        runner->record().zone == zone_ && runner->available() && !runner->ejected(now);
-    if (usable && stable_hash(runner->record().service) == service) supply.slots += runner->slots();
+  for (const Runner* runner : registry_.usable(service, zone_, now)) {
+    supply.slots += runner->slots();
   }
   return supply;
 }
@@ -160,6 +164,7 @@
 
 void SlotExchange::take(const SlotLoanRequest& request, TimePoint now) {
   note_alive(now);
+  asked_at_ = now;
   if (!request.pass_on) return lend(request, now);
   const std::vector<LendingNode> nodes = links_.lending_nodes();
   for (std::size_t index = 0; index < nodes.size(); ++index) {
@@ -196,10 +201,7 @@
 std::vector<LentSlots> SlotExchange::offers(std::uint64_t service, TimePoint now) const {
   std::vector<LentSlots> free;
   std::vector<LentSlots> of_batch;
-  for (const auto& [id, runner] : registry_.all()) {
-    const bool usable = runner->record().zone == zone_ && runner->available() &&
-                        !runner->ejected(now) && stable_hash(runner->record().service) == service;
-    if (!usable) continue;
+  for (const Runner* runner : registry_.usable(service, zone_, now)) {
     const std::uint32_t slots = free_slots(*runner, now);
     if (slots > 0) free.push_back({runner->hash(), static_cast<std::uint16_t>(slots)});
     // One at a time: each makes a request wait at the runner for the moment that an item takes to
--- a/src/routing/slot_exchange.h
+++ b/src/routing/slot_exchange.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,7 @@
 
   [[nodiscard]] Want greatest_want(TimePoint now) const;
   [[nodiscard]] ZoneSupply supply_of(std::uint64_t service, TimePoint now) const;
+  [[nodiscard]] bool asked_lately(TimePoint now) const;
   void note_alive(TimePoint now);
   void lend(const SlotLoanRequest& request, TimePoint now);
   void make_batch_yield(const SlotLoanRequest& request, const SlotLoan& loan, TimePoint now);
@@ -103,6 +105,7 @@
   SlotBorrower borrower_;
   SlotExchangeLinks links_;
   std::vector<std::string> zones_;
+  std::optional<TimePoint> asked_at_;  ///< When another zone last asked for slots.
   TimePoint last_alive_;
   std::map<std::uint64_t, TimePoint> preempted_at_;  ///< For other zones, by service.
   std::size_t turn_ = 0;                             ///< Zone that is asked first.
--- a/src/routing/slot_loans.cc
+++ b/src/routing/slot_loans.cc
@@ -74,7 +74,7 @@
   }
   loan.number = request.number;
   loan.until = now + kLoanLifetime;
-  // What the borrower does not name it has given back, or was never told of. What it names it has,
+  // What the borrower does not name it has given back, or never heard of. What it names it has,
   // though another node may have lent it.
   loan.slots.clear();
   for (const LentSlots& held : request.held) {
--- a/tests/routing/runner_registry_test.cc
+++ b/tests/routing/runner_registry_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "base/ids.h"
+
 namespace stoathold {
 namespace {
 
@@ -20,6 +22,23 @@
   EXPECT_FALSE(held->available());
 }
 
+TEST(RunnerRegistryTest, UsableAreRunnersOfTheServiceAndZoneThatMayBeGivenWork) {
+  RunnerRegistry registry;
+  registry.upsert(make_record("r1"));
+  registry.upsert({"r2", "chat", "10.0.0.2:80", "zone-2", 10, false});
+  registry.upsert({"r3", "chat", "10.0.0.3:80", "zone-1", 10, true});
+  registry.upsert({"r4", "other", "10.0.0.4:80", "zone-1", 10, false});
+  registry.upsert(make_record("r5"));
+  registry.all().at("r5")->begin_attempt();
+  registry.all().at("r5")->end_attempt(AttemptOutcome::kUnreachable, kStart);
+  const auto usable = registry.usable(stable_hash("chat"), "zone-1", kStart);
+  ASSERT_EQ(usable.size(), 1U);
+  EXPECT_EQ(usable.front()->record().id, "r1");
+  EXPECT_TRUE(registry.usable(stable_hash("unknown"), "zone-1", kStart).empty());
+  registry.replace_all({});
+  EXPECT_TRUE(registry.usable(stable_hash("chat"), "zone-1", kStart).empty());
+}
+
 TEST(RunnerRegistryTest, AWholeListReplacesWhatWasKnown) {
   RunnerRegistry registry;
   registry.upsert(make_record("r1"));
--- a/tests/routing/slot_exchange_test.cc
+++ b/tests/routing/slot_exchange_test.cc
@@ -93,6 +93,22 @@
   Node lender{"free", 2, "10.0.0.4:7000"};
 };
 
+// The nodes that lend were asked for 4 times a second, and their runners dealt, with lending off.
+TEST_F(SlotExchangeTest, WithLendingOffNothingIsLookedAt) {
+  Node node("free", 9, "10.0.0.9:1");
+  int asked = 0;
+  node.links.lending_nodes = [&asked] {
+    ++asked;
+    return std::vector<LendingNode>{};
+  };
+  node.exchange.set_links(node.links);
+  node.exchange.refresh(kStart);
+  EXPECT_EQ(asked, 0);
+  node.registry.set_lending(true);
+  node.exchange.refresh(kStart);
+  EXPECT_EQ(asked, 1);
+}
+
 TEST_F(SlotExchangeTest, WorkThatWouldBeLateGoesOnBorrowedSlotsOnly) {
   EXPECT_FALSE(choose().runner);
   wait(2);
