--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -128,9 +128,11 @@
   // Who must begin first goes first, and what will be late anyway goes last.
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.give_up = now + kPlacementTime;
+  const WaitTurn turn = take_turn(request, schedule);
   request.hopeless = [this] { return quarantine_check_.is_quarantined(); };
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
+  if (turn.waits) context_.batch_turns.end_wait(turn.service, turn.urgency);
   const Selection choice = ticket_->selection();
   tokens_to_read_ = choice.tokens_to_read;
   runner_work_ = choice.runner_work();
@@ -140,6 +142,18 @@
   co_return runner;
 }
 
+ItemRun::WaitTurn ItemRun::take_turn(PlacementRequest& request, const ItemSchedule& schedule) {
+  if (!context_.load_policy.deals_batch) return {};
+  BatchTurns& turns = context_.batch_turns;
+  const WaitTurn turn{.waits = true,
+                      .service = stable_hash(request.selection.service),
+                      .urgency = schedule.late() ? ItemUrgency::kLate : ItemUrgency::kInTime};
+  request.selection.turns = &turns;
+  request.selection.urgency = turn.urgency;
+  turns.begin_wait(turn.service, turn.urgency);
+  return turn;
+}
+
 /// The item goes to runners where it has not failed yet, as long as there are any.
 std::vector<std::uint64_t> ItemRun::runners_to_avoid(const std::string& service) const {
   const bool others = failed_at_.size() < context_.runners.of_service(service).size();
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -10,7 +10,9 @@
 #include "admission/backlog_report.h"
 #include "admission/return_report.h"
 #include "admission/share_report.h"
+#include "base/time.h"
 #include "quarantine/quarantine_messages.h"
+#include "routing/batch_turns.h"
 #include "routing/route_pace.h"
 #include "routing/slot_loan_messages.h"
 #include "routing/speed_report.h"
@@ -69,6 +71,10 @@
   }
 };
 
+/// Online work that had to make batch work yield, of this zone or of another that borrowed the
+/// slot, is reported as waiting for so long: some digests.
+inline constexpr Duration kDemandShown = std::chrono::milliseconds(30);
+
 /// Online work that waits at the sender.
 struct ServiceDemand {
   std::uint64_t service = 0;  ///< Hash of its name.
@@ -103,13 +109,14 @@
   std::vector<ShareUse> share_uses;         ///< Inside the zone only.
   std::vector<SpeedReport> speeds;          ///< Inside the zone only.
   std::vector<ReturnReport> returns;        ///< Inside the zone only.
+  std::vector<BatchWait> batch_waits;       ///< Inside the zone only.
   bool leaving = false;  ///< The sender stops as planned, and admits nothing from now on.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, pass_on, neighbours);
     archive(configuration_version, tenants, answers, paces);
-    archive(backlogs, share_uses, speeds, returns, leaving);
+    archive(backlogs, share_uses, speeds, returns, batch_waits, leaving);
   }
 };
 
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/ids.h"
 #include "base/random.h"
 
 namespace stoathold {
@@ -58,6 +59,23 @@
   return healthy.empty() ? ejected : healthy;
 }
 
+/// Leaves out the runners that are slow beyond explanation. One that was so a moment ago gets one
+/// request at a time.
+void avoid_slow(std::vector<Candidate>& candidates, TimePoint now) {
+  std::vector<SlowCounts> counts;
+  counts.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    counts.push_back(candidate.runner->speed().slow_answers().all(now));
+  }
+  const std::vector<SlowVerdict> verdicts = judge_slow(counts);
+  std::vector<Candidate> left;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const bool busy_trial = verdicts[i] == SlowVerdict::kOnTrial && candidates[i].load > 0;
+    if (verdicts[i] != SlowVerdict::kAvoided && !busy_trial) left.push_back(candidates[i]);
+  }
+  candidates = std::move(left);
+}
+
 /// Keeps the runners at which one batch item less makes room for one request. They count as loaded
 /// as if all batch items there were gone, so that the one with most of them is taken.
 void keep_preemptible(std::vector<Candidate>& candidates, const std::string& zone) {
@@ -73,7 +91,7 @@
   }
 }
 
-/// Whether a slot of another zone was lent for it, whatever else its load tells.
+/// Whether a slot of another zone was lent for it, whatever its load.
 bool is_lent(const Candidate& candidate, const SelectionRequest& request, TimePoint now) {
   const Runner& runner = *candidate.runner;
   return request.borrowed_only && runner.record().zone != request.zone &&
@@ -132,6 +150,23 @@
   return lent.empty() ? prefer_zone(unlent, request.zone, now) : lent;
 }
 
+/// Leaves the runners that it is this node's turn to give batch items to.
+void keep_dealt(std::vector<Candidate>& candidates, const SelectionRequest& request,
+                TimePoint now) {
+  const std::uint64_t service = stable_hash(request.service);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    const std::uint64_t runner = candidate.runner->hash();
+    if (candidate.load >= request.load_limit) {
+      request.turns->note_full(runner);
+      return true;
+    }
+    if (candidate.runner->record().zone == request.zone) {
+      return !request.turns->may_take(service, request.urgency, runner, now);
+    }
+    return !request.turns->is_first(service, request.urgency, runner, now);
+  });
+}
+
 /// Rendezvous hashing: the same prefix ranks the same runner highest at every node of a zone, so
 /// that one runner keeps it.
 const Runner* warm_runner(const std::vector<Candidate>& candidates,
@@ -289,7 +324,9 @@
         runners.empty() ? SelectionFailure::kUnknownService : SelectionFailure::kAllExcluded;
     return selection;
   }
+  if (request.speeds != nullptr && request.work == WorkClass::kOnline) avoid_slow(candidates, now);
   if (request.preempt_batch) keep_preemptible(candidates, request.zone);
+  if (request.turns != nullptr) keep_dealt(candidates, request, now);
   if (request.load_limit > 0) {
     std::erase_if(candidates, [&](const Candidate& candidate) {
       return candidate.load >= request.load_limit && !is_lent(candidate, request, now);
