Tests: rejections in a flood cost what could be in time, and come while batch has slots to give

Cause: callers that are told nothing come back at once as newcomers, as the replay now has them do, and the forecast does not count the slots that batch items give back.

--- a/src/admission/admission_control.h
+++ b/src/admission/admission_control.h
@@ -28,6 +28,7 @@
 struct SlotRoom {
   std::uint32_t zone = 0;             ///< Of this zone.
   std::uint32_t spare_elsewhere = 0;  ///< Free ones of other zones that lend.
+  std::uint32_t of_batch = 0;         ///< Of this zone, held by batch items that would yield.
 };
 
 /// When a request gets a slot, as predicted.
--- a/tests/admission/admission_replay.h
+++ b/tests/admission/admission_replay.h
@@ -47,6 +47,7 @@
   bool messages_twice = false;
   std::size_t cut_node = SIZE_MAX;  ///< Neither sends nor gets reports from second 8 on.
   double restart_at = -1;           ///< Second at which all nodes lose what they have learned.
+  bool batch = false;               ///< Batch items take what online work leaves, and yield to it.
   bool notes_certain = false;       ///< Measures the time from certainty to rejection; slow.
   double seconds = 20;
   std::uint64_t seed = 1;
@@ -64,7 +65,11 @@
   double p99_wait_ms = 0;     ///< Of those served: wait of the attempt that was.
   double p99_certain_ms = 0;  ///< From the moment of certainty to the rejection.
   double refused_beside_idle = 0;
-  double load_of_returns = 0;  ///< Most arrivals in a second with returns, over most without.
+  double refused_beside_batch = 0;  ///< While so many batch items held slots that all ahead, and
+                                    ///< the request, could have had one.
+  double slots_idle = 0;            ///< In 100 of the slot time from second 8 on.
+  double batch_slots = 0;           ///< The same, held by batch items.
+  double load_of_returns = 0;       ///< Most arrivals in a second with returns, over most without.
 };
 
 class Zone {
@@ -82,6 +87,11 @@
       dispatch();
       if (seconds_ < play_.seconds) arrive();
       come_back();
+      if (play_.batch) fill_with_batch();
+      if (seconds_ >= 8 && seconds_ < play_.seconds) {
+        outcome_.slots_idle += free_slots_now();
+        outcome_.batch_slots += batch_;
+      }
       if (play_.notes_certain) note_certain();
       if (step % 5 == 0) review_all();
       leave();
@@ -95,6 +105,8 @@
   static constexpr Duration kFirstEvent = 45 * kMs;
   static constexpr Duration kPatience = 2000 * kMs;
   static constexpr Duration kDeadline = 5000 * kMs;
+  /// From the request to a batch item to its end at the runner.
+  static constexpr Duration kYield = 60 * kMs;
   static constexpr std::uint64_t kService = 7;
 
   struct Caller {
@@ -163,7 +175,7 @@
     } else {
       node.backlog.count_arrival(kService, 0, now_);
     }
-    if (busy_.size() < play_.slots) return serve(node, caller);
+    if (has_slot()) return serve(node, caller);
     if (play_.way == Way::kPredictedWait && reject_if_due(node, caller, position(node, caller))) {
       return;
     }
@@ -208,24 +220,25 @@
                       .retry_after = std::nullopt};
     const ServiceFigures figures = node.backlog.figures(kService, 0, now_);
     const ArrivalSwing* swing = node.backlog.swing(kService, now_);
-    review.forecast =
-        predict_wait(place, figures, {.zone = play_.slots}, swing ? swing->rate() : 0);
+    review.forecast = predict_wait(place, figures, room(), swing ? swing->rate() : 0);
     if (!review_wait(review, now_)) return review;
-    review.retry_after =
-        choose_return({.service = kService,
-                       .now = now_,
-                       .deadline = caller.came + kDeadline,
-                       .first_event = kFirstEvent,
-                       .wait = review.forecast ? review.forecast->wait : Duration{0},
-                       .freed_per_second = freed_per_second(figures, play_.slots),
-                       .swing = swing},
-                      node.returning, random_);
+    ahead_in_all_ = predict_wait(place, figures, {.zone = play_.slots}, 0)->ahead;
+    told_ = choose_return({.service = kService,
+                           .now = now_,
+                           .deadline = caller.came + kDeadline,
+                           .first_event = kFirstEvent,
+                           .wait = review.forecast ? review.forecast->wait : Duration{0},
+                           .freed_per_second = freed_per_second(figures, play_.slots),
+                           .swing = swing},
+                          node.returning, random_);
+    if (told_) review.retry_after = *told_;
     return review;
   }
   bool reject_if_due(Node& node, const Caller& caller, const QueuePosition& place) {
     const WaitReview review = review_of(node, caller, place);
     if (!review_wait(review, now_)) return false;
-    if (busy_.size() < play_.slots) ++outcome_.refused_beside_idle;
+    if (free_slots_now() > 0) ++outcome_.refused_beside_idle;
+    if (batch_ > ahead_in_all_) ++outcome_.refused_beside_batch;
     const bool noticed = caller.certain_since != TimePoint{};
     certain_.push_back(noticed ? to_seconds(now_ - caller.certain_since) * 1000 : 0);
     reject(node, caller, review.retry_after);
@@ -244,12 +257,13 @@
   }
   void reject(Node& node, const Caller& caller, std::optional<Duration> retry_after) {
     if (caller.counted) ++outcome_.rejections;
-    // Callers come back once.
-    if (!caller.second && retry_after) {
-      if (play_.way == Way::kPredictedWait) {
+    // Callers come back once: when they are told to, or at once.
+    if (!caller.second) {
+      if (play_.way == Way::kPredictedWait && told_) {
         node.returning.tell(caller.content, kService, now_ + *retry_after, now_);
       }
-      backs_.emplace(now_ + *retry_after + 6 * kMs, caller);
+      const Duration untold = 50 * kMs + scale(300 * kMs, random_.unit());
+      backs_.emplace(now_ + retry_after.value_or(untold) + 6 * kMs, caller);
     } else if (caller.counted) {
       ++outcome_.rejected;
     }
@@ -321,25 +335,28 @@
       busy_.pop();
     }
   }
-  /// Free slots go to the nodes in proportion to what waits there in time, then to late work.
+  /// Who goes first: in time and told to come back, in time, late.
+  [[nodiscard]] int rank(const Caller& caller) const {
+    if (now_ >= caller.due()) return 2;
+    return caller.standing == AdmissionStanding::kReturned ? 0 : 1;
+  }
+  /// Free slots go to the nodes in proportion to what waits there of the first rank.
   void dispatch() {
-    while (busy_.size() < play_.slots) {
+    while (has_slot()) {
       Node* chosen = nullptr;
       std::uint64_t seen = 0;
-      for (const bool in_time : {true, false}) {
+      for (int first = 0; first <= 2 && chosen == nullptr; ++first) {
         for (Node& node : nodes_) {
           for (const Caller& caller : node.waiting) {
-            if ((now_ < caller.due()) == in_time && random_.below(++seen) == 0) chosen = &node;
+            if (rank(caller) == first && random_.below(++seen) == 0) chosen = &node;
           }
         }
         if (chosen == nullptr) continue;
-        const auto next =
-            std::find_if(chosen->waiting.begin(), chosen->waiting.end(),
-                         [&](const Caller& caller) { return (now_ < caller.due()) == in_time; });
+        const auto next = std::find_if(chosen->waiting.begin(), chosen->waiting.end(),
+                                       [&](const Caller& caller) { return rank(caller) == first; });
         const Caller caller = *next;
         chosen->waiting.erase(next);
         serve(*chosen, caller);
-        break;
       }
       if (chosen == nullptr) return;
     }
@@ -347,13 +364,37 @@
   void serve(const Node& node, const Caller& caller) {
     const Duration held = scale(play_.slot_time, 0.9 + 0.2 * random_.unit());
     const auto index = static_cast<std::size_t>(&node - nodes_.data());
-    busy_.push({now_ + held, {index, held}});
+    const TimePoint start = now_ + slot_of_batch();
+    busy_.push({start + held, {index, held}});
     if (!caller.counted) return;
-    waits_.push_back(to_seconds(now_ - caller.attempt) * 1000);
-    const bool in_time = now_ <= caller.due();
+    waits_.push_back(to_seconds(start - caller.attempt) * 1000);
+    const bool in_time = start <= caller.due();
     if (!in_time) ++outcome_.late;
     if (in_time) ++(caller.second ? outcome_.in_time_back : outcome_.in_time);
   }
+  [[nodiscard]] std::uint32_t free_slots_now() const {
+    return play_.slots - static_cast<std::uint32_t>(busy_.size()) - batch_;
+  }
+  /// Whether a slot is free, or a batch item can be asked for one: one at a runner at a time.
+  [[nodiscard]] bool has_slot() const {
+    return free_slots_now() > 0 || (batch_ > 0 && yields_.size() < play_.slots / 8);
+  }
+  [[nodiscard]] SlotRoom room() const { return {.zone = play_.slots, .of_batch = batch_}; }
+  /// Returns how long a batch item that must yield takes to end; 0: a slot is free.
+  Duration slot_of_batch() {
+    if (free_slots_now() > 0) return Duration{0};
+    --batch_;
+    yields_.push(now_ + kYield);
+    return kYield;
+  }
+  void fill_with_batch() {
+    while (!yields_.empty() && yields_.front() <= now_) yields_.pop();
+    const bool wait = std::any_of(nodes_.begin(), nodes_.end(),
+                                  [](const Node& node) { return !node.waiting.empty(); });
+    if (wait || !yields_.empty()) return;
+    const auto most = static_cast<std::uint32_t>(0.85 * play_.slots);
+    while (busy_.size() + batch_ < most) ++batch_;
+  }
   void report(std::int64_t step) {
     const auto turn = static_cast<std::size_t>(step);
     constexpr std::size_t kInterval = 20;
@@ -392,6 +433,9 @@
     if (!certain_.empty()) outcome_.p99_certain_ms = certain_[certain_.size() * 99 / 100];
     outcome_.load_of_returns = *std::max_element(all_arrivals_.begin(), all_arrivals_.end()) /
                                *std::max_element(first_arrivals_.begin(), first_arrivals_.end());
+    for (double* part : {&outcome_.slots_idle, &outcome_.batch_slots}) {
+      *part *= 100 / (play_.slots * (play_.seconds - 8) * 1000);
+    }
     for (double* part : {&outcome_.in_time, &outcome_.in_time_back, &outcome_.late,
                          &outcome_.rejected, &outcome_.gone}) {
       *part *= 100 / outcome_.callers;
@@ -409,6 +453,10 @@
   std::uint64_t incarnation_ = 0;
   using Busy = std::pair<TimePoint, std::pair<std::size_t, Duration>>;
   std::priority_queue<Busy, std::vector<Busy>, std::greater<>> busy_;
+  std::uint32_t ahead_in_all_ = 0;  ///< Of the newest review, whoever may have a slot at once.
+  std::optional<Duration> told_;    ///< Of the newest review.
+  std::uint32_t batch_ = 0;         ///< Slots that batch items hold and were not asked for.
+  std::queue<TimePoint> yields_;    ///< When those that were asked have ended.
   std::multimap<TimePoint, Caller> backs_;
   std::deque<Message> messages_;
   std::vector<double> waits_;
--- a/tests/admission/admission_replay_test.cc
+++ b/tests/admission/admission_replay_test.cc
@@ -11,6 +11,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace stoathold::admission_replay {
 namespace {
 
@@ -66,6 +69,56 @@
   }
 }
 
+// On a day of bursts of two and three times, 5,885 of 9,120 rejections told their callers nothing.
+// They were back within 0.4 s, made the peak 1.6 times as full as newcomers, and 2,376 were rejected
+// again; the slots of the low that followed went to batch. In the replay 57 to 66 in 100 were served
+// in time so, 70 without rejections; callers are owed that rejections cost at most 2 of these.
+// At 89 nodes single seeds pass the objective with their 99th percentile: the bound is on the late.
+TEST(AdmissionReplayTest, RejectionsCostHardlyAnyOfThoseThatCouldBeServedInTime) {
+  for (const auto& [nodes, delay_ms] : {std::pair{1, 0}, std::pair{9, 20}, std::pair{89, 50}}) {
+    double served = 0;
+    double without = 0;
+    double late = 0;
+    double longest_wait_ms = 0;
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      Play load{.nodes = static_cast<std::size_t>(nodes),
+                .factor = 4,
+                .message_delay = delay_ms * kMs,
+                .seed = seed};
+      const Outcome outcome = play(load);
+      load.way = Way::kWaitOn;
+      const Outcome wait_on = play(load);
+      served += (outcome.in_time + outcome.in_time_back) / 3;
+      without += (wait_on.in_time + wait_on.in_time_back) / 3;
+      late += outcome.late / 3;
+      longest_wait_ms = std::max(longest_wait_ms, outcome.p99_wait_ms);
+    }
+    EXPECT_GE(served, without - 2) << nodes << " nodes";
+    EXPECT_LT(late, 1) << nodes << " nodes";
+    if (nodes < 89) EXPECT_LT(longest_wait_ms, kObjectiveMs) << nodes << " nodes";
+  }
+}
+
+// Batch items fill the low and yield when a peak begins, one at a runner at a time: faster than
+// requests give slots back. 894 requests of that day were rejected while their zone still had batch
+// items to ask, since the forecast did not count these.
+TEST(AdmissionReplayTest, NobodyIsRejectedForSlotsThatBatchItemsWouldGiveBack) {
+  for (const auto& [nodes, delay_ms] : {std::pair{1, 0}, std::pair{9, 20}, std::pair{89, 50}}) {
+    const Outcome outcome = play({.nodes = static_cast<std::size_t>(nodes),
+                                  .slots = 240,
+                                  .mean_rate = 136,
+                                  .high = 9,
+                                  .slot_time = 800 * kMs,
+                                  .message_delay = delay_ms * kMs,
+                                  .batch = true,
+                                  .seconds = 13});
+    EXPECT_EQ(outcome.refused_beside_batch, 0) << nodes << " nodes";
+    EXPECT_EQ(outcome.refused_beside_idle, 0) << nodes << " nodes";
+    EXPECT_GT(outcome.batch_slots, 10) << "batch is to have what online work leaves";
+    EXPECT_LT(outcome.slots_idle, 15) << "beside the sixth of the slots that batch never takes";
+  }
+}
+
 // Callers that come back together would be the next peak. After a constant 0.2 s they are: that is
 // how the other ways send them back.
 TEST(AdmissionReplayTest, ReturnsMakeNoSecondFullerThanWithoutTimesToComeBack) {
