--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -135,7 +135,7 @@
         "A datagram between nodes could not be sent or received; the next one holds all again."},
     EventEntry{Event::kStoreTraffic, "store_traffic", EventLevel::kInfo,
                "Calls to the store since the last such line, by call and topic, with bytes sent "
-               "and answered and those that timed out."},
+               "and answered and those that were refused or timed out."},
     EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
                "A runner has started again under the id that it had; nothing that was known of it "
                "before holds."},
