Test: after a silence of the store the last node is another pause late

The bound is tighter than that of before (1.2 s in place of 2 s) and holds over ten lengths of the silence.

--- a/tests/store/list_read_fleet_test.cc
+++ b/tests/store/list_read_fleet_test.cc
@@ -51,10 +51,17 @@
   EXPECT_LT(play(setup).last, 1.1 * least_seconds(setup) + 4);
 }
 
+/// A node that was lost together with the store waited up to a second for an answer and then up to
+/// another one before it asked again: the last of 61 nodes knew its runners 1.8 s after the store
+/// had come back. The time that a read has waited in vain is a pause by itself.
 TEST_P(ListReadFleetTest, ASilentStoreIsReadSoonAfterItAnswersAgain) {
   ListReadSetup setup = fleet(GetParam().first, GetParam().second);
-  setup.silent_until = 3;
-  EXPECT_LT(play(setup).last, 3 + 1.1 * least_seconds(setup) + 2);
+  double longest = 0;
+  for (const double until : {3.0, 3.2, 3.4, 3.6, 3.8, 4.0, 4.2, 4.4, 4.6, 4.8}) {
+    setup.silent_until = until;
+    longest = std::max(longest, play(setup).last - until);
+  }
+  EXPECT_LT(longest, 1.1 * least_seconds(setup) + 1.2);
 }
 
 TEST_P(ListReadFleetTest, AZoneThatIsCutOffDoesNotKeepTheOthers) {
