A read that waited in vain has paused already

Cause: after a read without an answer, 1 s, a node paused for up to another second; lost together with the store, the last of 9 to 89 nodes knew its runners 1.7 to 1.8 s after the store was back. Change: the pause is shorter by what the attempt took (Backoff::next_after), in PartitionReplica::follow alone; refusals pause as before. Cost by reckoning: 0.95 in place of 0.57 calls a second for each partition followed, while the store is silent.

--- a/src/store/backoff.h
+++ b/src/store/backoff.h
@@ -26,6 +26,13 @@
     current_ = std::min(current_ * 2, bounds_.last);
     return wait;
   }
+  /// Returns the next wait after an attempt that took some time itself: less by that time, since
+  /// whoever waited in vain has paused already. Some of it is left, so that many that waited
+  /// together do not come at once.
+  Duration next_after(Duration attempt) {
+    const Duration wait = next();
+    return std::max(wait - attempt, std::min(wait, bounds_.first) / 2);
+  }
   /// An attempt succeeded.
   void reset() { current_ = bounds_.first; }
 
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -125,13 +125,15 @@
     const Duration read_wait = steady ? wait : Duration{0};
     bool at_end = false;
     const RecordOffset before = next_offset_;
+    const TimePoint sent = monotonic_now();
     const LogStatus status = co_await read_once(read_wait, at_end);
     if (status == LogStatus::kOk) {
       backoff.reset();
       const bool pause = at_end && next_offset_ > before && pace.count() > 0;
       if (!pause) continue;
     }
-    timer.expires_after(status == LogStatus::kOk ? pace : backoff.next());
+    const Duration took = monotonic_now() - sent;
+    timer.expires_after(status == LogStatus::kOk ? pace : backoff.next_after(took));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
--- a/tests/store/list_read_fleet.h
+++ b/tests/store/list_read_fleet.h
@@ -138,7 +138,9 @@
     if (node.heard) given_up_.push_back(*node.left);
     node.left.reset();
     node.bounds.ask_for_less();
-    node.next_call = now_ + node.pause * (0.5 + fraction() / 2);
+    // As `Backoff::next_after` does.
+    const double wait = node.pause * (0.5 + fraction() / 2);
+    node.next_call = now_ + std::max(wait - setup_.call_time, std::min(wait, 0.1) / 2);
     node.pause = std::min(node.pause * 2, 1.0);
   }
 
@@ -152,7 +154,7 @@
   ListReadResult result_;
 };
 
-/// Reads of 1 MB, halved after a silence: what nodes did before.
+/// Reads of 1 MB, halved after a silence.
 inline ListReadPolicy whole_reads() {
   return {[] { return ReadBounds(); },
           [](ReadBounds& bounds, std::uint64_t, Duration, bool) { bounds.ask_for_more(); }};
