--- a/tests/system/memory_limit_test.py
+++ b/tests/system/memory_limit_test.py
@@ -33,6 +33,10 @@
 LARGE_BODIES = 200
 JOBS = 6
 ITEMS = 200
+# Of which callers get 180.
+FEW_DESCRIPTORS = 300
+MANY_CONNECTIONS = 600
+MANY_CONNECTIONS_SECONDS = 6.0
 CLEAR_REFUSALS = (413, 429, 503)
 
 
@@ -119,12 +123,17 @@
 
 
 class MemoryLimitTest(unittest.TestCase):
-    def start(self, sizes=LARGE_SIZES, runners=4):
+    def start(self, sizes=LARGE_SIZES, runners=4, few_descriptors=False):
         raise_descriptors()
         self.directory = tempfile.TemporaryDirectory()
         self.addCleanup(self.directory.cleanup)
         self.platform = Platform(self.directory.name, 1, runners, sizes=sizes, memory_mb=MEMORY_MB)
         self.addCleanup(self.platform.stop)
+        if few_descriptors:
+            node = self.platform.node_processes[0]
+            node.kill()
+            node.arguments = ["prlimit", "--nofile=%d" % FEW_DESCRIPTORS] + node.arguments
+            node.start()
         for name in self.platform.runners:
             self.platform.list_runner(name)
         self.platform.configure(1)
@@ -181,6 +190,40 @@
         status, _, answer = self.platform.ask(0, "whole", body)
         self.assertEqual((status, answer), (200, expected))
 
+    def test_connections_of_one_caller_push_out_nobody_else(self):
+        """At the bound of connections, those of whoever holds most go, idle or with heads that trickle.
+
+        Before, the one idle for longest went, so that one caller with enough connections had all
+        others' closed.
+        """
+        self.start(few_descriptors=True)
+        host, port = self.platform.nodes[0].rsplit(":", 1)
+        single = http.client.HTTPConnection(host, int(port), timeout=20,
+                                            source_address=("127.0.0.2", 0))
+        self.addCleanup(single.close)
+
+        def ask(number):
+            single.request("POST", "/ask/1", b"q", {
+                "Host": HOST, "Stoathold-Attempt-Id": "single%d" % number,
+                "Stoathold-Deadline-Ms": "15000"})
+            response = single.getresponse()
+            return response.status, response.read().decode()
+
+        self.assertEqual(ask(0), (200, stream_text("q")))
+        kept = single.sock
+        many = []
+        for number in range(MANY_CONNECTIONS):
+            many.append(socket.create_connection((host, int(port))))
+            self.addCleanup(many[-1].close)
+            if number % 2:
+                many[-1].send(b"POST /ask/1 HT")
+            time.sleep(MANY_CONNECTIONS_SECONDS / MANY_CONNECTIONS)
+        self.assertGreater(self.metric('stoathold_shortages_total{act="idle_closed"}'), 0)
+        self.assertEqual(ask(1), (200, stream_text("q")))
+        # On the same connection: it was not closed and opened again.
+        self.assertIs(single.sock, kept)
+        self.assertLess(self.peak_megabytes(), MEMORY_MB)
+
     def test_bodies_of_a_megabyte_at_once(self):
         self.start()
         body = b"b" * MEGABYTE
