Callers with a promise go first in the zone only where no tenants' shares hang on it

Cause: in a flood newcomers of other tenants would have been reported as yielding too, beside those of the flood (found by reading). Change: not where the configuration names tenants; the note says so.

--- a/src/gateway/fair_shares.cc
+++ b/src/gateway/fair_shares.cc
@@ -56,6 +56,7 @@
     weights[stable_hash(tenant.name)] = tenant.limit.per_second * limited / sum;
   }
   ledger_.set_weights(std::move(weights));
+  has_tenants_ = !configuration.tenants.tenants().empty();
   least_urgent_.clear();
   for (const Route& route : configuration.routes) {
     if (route.kind == RouteKind::kBatch) continue;
@@ -75,8 +76,9 @@
   };
   decisions.left = [this](const PlacementRequest& request, TimePoint now) { left(request, now); };
   decisions.yields = [this](const PlacementRequest& request) { return yields(request); };
-  decisions.least_urgent = [this](const PlacementRequest& request) {
-    return is_least_urgent(request);
+  // Tenants' shares come first: newcomers of the others are not put beside those of a flood.
+  decisions.may_leave_to_returned = [this](const PlacementRequest& request) {
+    return !has_tenants_ && is_least_urgent(request);
   };
 }
 
--- a/src/gateway/fair_shares.h
+++ b/src/gateway/fair_shares.h
@@ -77,6 +77,7 @@
   TenantCounts tenants_;
   /// Of online work, by service: the greatest priority number that a route or tenant gives.
   std::unordered_map<std::string, std::uint32_t> least_urgent_;
+  bool has_tenants_ = false;  ///< The configuration names some.
   TimePoint looked_after_{};  ///< When things were last forgotten and inversions looked for.
 };
 
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -196,8 +196,9 @@
 bool PlacementQueue::yields(const PlacementRequest& request) const {
   if (decisions_.yields && decisions_.yields(request)) return true;
   const bool newcomer = request.standing == AdmissionStanding::kNewcomer;
-  return newcomer && is_online(request) && decisions_.returns_due && decisions_.least_urgent &&
-         decisions_.least_urgent(request) && decisions_.returns_due(request.selection.service);
+  return newcomer && is_online(request) && decisions_.returns_due &&
+         decisions_.may_leave_to_returned && decisions_.may_leave_to_returned(request) &&
+         decisions_.returns_due(request.selection.service);
 }
 
 /// Rejects a request that is certain not to be served in its time.
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -72,8 +72,9 @@
   /// Returns whether callers that were promised a slot are expected now: newcomers of the least
   /// urgent online work leave slots to them, at whatever node they come.
   std::function<bool(const std::string& service)> returns_due;
-  /// Returns whether no online work of the request's service is less urgent.
-  std::function<bool(const PlacementRequest& request)> least_urgent;
+  /// Returns whether such a newcomer may: no online work of its service is less urgent, and no
+  /// tenant's share hangs on who leaves slots to whom.
+  std::function<bool(const PlacementRequest& request)> may_leave_to_returned;
   /// Returns the part of a runner's places that batch leaves free for callers that come back.
   std::function<double(const std::string& service, TimePoint now)> batch_leaves;
   /// Whether requests that wait are reviewed now.
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -193,7 +193,7 @@
 TEST_F(PlacementQueueTest, NewcomersYieldWhileReturningCallersAreDue) {
   bool due = true;
   queue.decisions().returns_due = [&](const std::string&) { return due; };
-  queue.decisions().least_urgent = [](const PlacementRequest& request) {
+  queue.decisions().may_leave_to_returned = [](const PlacementRequest& request) {
     return request.priority == 1;
   };
   wait("first", make_request(WorkClass::kOnline));
