Results as listings and texts: a poll reads the texts from its position on

Change: a text of more than 256 bytes lies in a record of its own, in front of its listing, in one append. All texts of a partition sort in front of all listings, so that a page of listings holds none. Nodes list results by key, and read texts by offset from the asked position on, or by key once the history is gone; by offset with all that was added only where the caller stands where the node does. Erasure deletes both and reads no text; a node that takes up a job reads none. Jobs that older nodes accepted keep whole results; older nodes pass over jobs of this code.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -19,6 +19,8 @@
 constexpr std::uint64_t kReadSlackBytes = 1024;
 /// Most bytes of requests in one append, but for a larger request alone; most jobs fit.
 constexpr std::uint64_t kRequestAppendBytes = 512UL * 1024;
+/// Bytes of a listing with the framings of its record and of its text's.
+constexpr std::uint64_t kListingBytes = 2 * kRecordFramingBytes;
 /// Keys deleted by one append; each takes some 80 bytes.
 constexpr std::size_t kDeletionsPerAppend = 500;
 
@@ -178,15 +180,48 @@
     std::erase_if(records, [&](const StoredRecord& record) {
       return record.value.empty() || job_of_record_key(record.key) != key;
     });
+    count_results(records);
     if (result.records.status != LogStatus::kTruncated) co_return result;
   }
   const ReadTurns::Turn turn = co_await turns_.take();
   // Pages that were read earlier tell of the end as it was then.
   result.at_end = !newest.begun();
   result.records = co_await newest.run(log_, partition, unread, bounds.patience);
+  count_results(result.records.records);
   co_return result;
 }
 
+void JobDataLog::count_results(const std::vector<StoredRecord>& records) {
+  for (const auto& record : records) {
+    const bool text = is_text_record_key(record.key);
+    std::uint64_t& bytes = text ? result_bytes_.texts : result_bytes_.listings;
+    bytes += record.key.size() + record.value.size();
+  }
+}
+
+asio::awaitable<ReadResult> JobDataLog::read_texts(PartitionName partition,
+                                                   std::vector<ListedResult::Unread> wanted,
+                                                   ReadBounds bounds) {
+  std::uint64_t bytes = 0;
+  KeyRange range{wanted.front().key, wanted.front().key};
+  for (const auto& text : wanted) {
+    bytes += text.bytes + kListingBytes;
+    range.after = std::min(range.after, text.key);
+    range.through = std::max(range.through, text.key);
+  }
+  const std::uint64_t most = std::min(bytes, bounds.bytes);
+  ReadResult read = co_await log_.read(partition, wanted.front().offset, most, Duration{0});
+  if (read.status == LogStatus::kTruncated) {
+    range.after.pop_back();
+    const ReadTurns::Turn turn = co_await turns_.take();
+    read = co_await log_.read_newest(partition, range, bounds.patience);
+  }
+  std::erase_if(read.records,
+                [](const StoredRecord& record) { return !is_text_record_key(record.key); });
+  count_results(read.records);
+  co_return read;
+}
+
 asio::awaitable<LogStatus> JobDataLog::delete_keys(PartitionName partition,
                                                    std::vector<std::string> keys,
                                                    TimePoint deadline) {
@@ -230,7 +265,14 @@
   const ReadResult found = co_await log_.read_newest(partition, range, kPagePatience);
   if (found.status != LogStatus::kOk) co_return found.status;
   std::vector<std::string> keys;
-  for (const auto& record : found.records) keys.push_back(record.key);
+  for (const auto& record : found.records) {
+    // A text first: no listing stays behind that has none.
+    ResultListing listing;
+    if (decode(record.value, listing)) {
+      keys.push_back(text_record_key(record.key, listing.written_ms));
+    }
+    keys.push_back(record.key);
+  }
   co_return co_await delete_keys(partition, std::move(keys), deadline);
 }
 
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -31,6 +31,12 @@
   bool at_end = false;  ///< Nothing more was in the log when it was read.
 };
 
+/// What was read of results, for metrics. Of reads by key only what was asked for.
+struct ResultBytes {
+  std::uint64_t listings = 0;  ///< Keys and values of listings and of whole results.
+  std::uint64_t texts = 0;     ///< Keys and values of texts in records of their own.
+};
+
 /// Reads and writes what the log holds of a job beside its submission. Keeps nothing. Used on one
 /// thread; outlives the calls in flight.
 class JobDataLog {
@@ -52,12 +58,21 @@
   boost::asio::awaitable<RequestsRead> read_requests(JobKey key, const JobSubmission& submission,
                                                      std::vector<std::uint32_t> wanted,
                                                      ReadBounds bounds);
-  /// Reads the results behind those known: what was appended since they were read, or all of the
-  /// job's that may be unknown if the log has dropped that.
+  /// Reads the results behind those known: what was appended since they were read, or the listings
+  /// of all of the job's that may be unknown if the log has dropped that.
+  /// @param next where to go on; 0: the listings are read by key.
   /// @param newest keeps the pages of a read of all of the job's; outlives the call.
   boost::asio::awaitable<ResultsRead> read_results(JobKey key, PartitionName partition,
                                                    RecordOffset next, KeyRange unread,
                                                    ReadBounds bounds, NewestRead& newest);
+  /// Reads texts of results: as many as fit into one read by offset, or all of them by key if the
+  /// log has dropped the first. Texts that were read are in the result also when it failed, and
+  /// others may be.
+  /// @param wanted ascending by offset, at least one.
+  boost::asio::awaitable<ReadResult> read_texts(PartitionName partition,
+                                                std::vector<ListedResult::Unread> wanted,
+                                                ReadBounds bounds);
+  [[nodiscard]] const ResultBytes& result_bytes() const { return result_bytes_; }
   /// Deletes the progress of a job's items.
   boost::asio::awaitable<LogStatus> delete_progress(JobKey key, JobSubmission submission,
                                                     TimePoint deadline);
@@ -88,6 +103,7 @@
   [[nodiscard]] static RequestSpan first_span(const JobSubmission& submission,
                                               const std::vector<std::uint32_t>& wanted,
                                               std::uint64_t most_bytes);
+  void count_results(const std::vector<StoredRecord>& records);
   boost::asio::awaitable<LogStatus> delete_keys(PartitionName partition,
                                                 std::vector<std::string> keys, TimePoint deadline);
 
@@ -95,6 +111,7 @@
   RecordLog& log_;
   BackoffBounds retries_;
   AppendSize append_size_;
+  ResultBytes result_bytes_;
   ReadTurns turns_;  ///< Of reads of results and requests by key, whose pages have up to 1 MB.
 };
 
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include "base/ids.h"
 #include "core/codec.h"
@@ -14,6 +15,19 @@
 constexpr std::string_view kProgressPart = "/p/";
 constexpr std::array<std::string_view, 3> kDataTopics{"job-results", "job-progress", "job-bodies"};
 constexpr std::uint64_t kSlotSeed = 0x736c6f74;
+/// In front of all keys of jobs, which begin with a hexadecimal digit.
+constexpr char kTextMark = '!';
+/// Begins a listing: a whole result begins with the length of its job's key.
+constexpr std::uint64_t kListingMark = 0x676e697473696c21;
+
+/// A submission whose results may be split. Written as this kind only if they may.
+struct SplitResultsSubmission : JobSubmission {
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    JobSubmission::serialize(archive);
+    archive(split_results);
+  }
+};
 
 /// A submission whose records lie in one shared topic of each kind.
 struct SharedTopicsSubmission : JobSubmission {
@@ -90,7 +104,32 @@
   return key + std::string(kProgressPart) + padded(item);
 }
 
+std::string text_record_key(std::string_view listing_key, std::int64_t written_ms) {
+  // Fixed width, so that keys sort by time.
+  std::array<char, 24> time{};
+  std::snprintf(time.data(), time.size(), "%011llx", static_cast<unsigned long long>(written_ms));
+  const std::string_view writer = listing_key.substr(listing_key.rfind('/') + 1);
+  std::string key(1, kTextMark);
+  key += job_of_record_key(listing_key);
+  return key + "/" + time.data() + "/" + std::string(writer);
+}
+
+bool is_text_record_key(std::string_view key) {
+  return key.starts_with(kTextMark);
+}
+
+std::vector<KeyedRecord> result_records(const ItemResult& result, std::string_view writer,
+                                        std::int64_t now_ms, bool split) {
+  std::string key = result_record_key(result.job, result.item, writer);
+  if (!split || result.text.size() <= kMostWholeTextBytes)
+    return {{std::move(key), encode(result)}};
+  const ResultListing listing{result.item, result.state, result.text.size(), now_ms};
+  std::string text_key = text_record_key(key, now_ms);
+  return {{std::move(text_key), result.text}, {std::move(key), encode(listing)}};
+}
+
 JobKey job_of_record_key(std::string_view key) {
+  if (is_text_record_key(key)) key.remove_prefix(1);
   return JobKey(key.substr(0, key.find('/')));
 }
 
@@ -116,6 +155,7 @@
 }
 
 std::string encode(const JobSubmission& submission) {
+  if (submission.split_results) return encode_value(SplitResultsSubmission{submission});
   return encode_value(submission);
 }
 std::string encode(const ItemRequest& request) {
@@ -124,6 +164,9 @@
 std::string encode(const ItemResult& result) {
   return encode_value(result);
 }
+std::string encode(const ResultListing& listing) {
+  return encode_value(std::pair(kListingMark, listing));
+}
 std::string encode(const ItemProgress& progress) {
   return encode_value(progress);
 }
@@ -133,6 +176,11 @@
 
 bool decode(const std::string& bytes, JobSubmission& submission) {
   if (decode_value(bytes, submission)) return true;
+  SplitResultsSubmission split;
+  if (decode_value(bytes, split)) {
+    submission = std::move(split);
+    return true;
+  }
   SharedTopicsSubmission shared;
   if (!decode_value(bytes, shared)) return false;
   submission = std::move(shared);
@@ -144,6 +192,12 @@
 bool decode(const std::string& bytes, ItemResult& result) {
   return decode_value(bytes, result);
 }
+bool decode(const std::string& bytes, ResultListing& listing) {
+  std::pair<std::uint64_t, ResultListing> marked;
+  if (!decode_value(bytes, marked) || marked.first != kListingMark) return false;
+  listing = marked.second;
+  return true;
+}
 bool decode(const std::string& bytes, ItemProgress& progress) {
   return decode_value(bytes, progress);
 }
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -6,7 +6,8 @@
 ///   submission is appended on the condition that the partition ends where its writer has read to,
 ///   so that every submission is judged against all before it.
 /// - results, by the hash of the job: results of items. The order of the records is the order of
-///   the results; of an item's results the first counts.
+///   the results; of an item's results the first counts. A long text lies in a record of its own,
+///   in front of the listing that names it: who needs the order reads the listings alone.
 /// - progress, by the hash of the job: how far running items came, so that another node goes on
 ///   there.
 /// - bodies, by the hash of the job: the requests that the items are.
@@ -80,6 +81,10 @@
   /// refused try has left can be deleted, though the job was accepted from another one. Empty in
   /// records that were written before.
   std::string request_writer;
+  /// Whether texts of results may lie in records of their own. Not in submissions that were written
+  /// before: nodes of that time may run the job, and know whole results only. They pass over a
+  /// submission that says so.
+  bool split_results = false;
 
   [[nodiscard]] std::uint64_t tokens() const;
 
@@ -117,6 +122,24 @@
   }
 };
 
+/// Longest text that lies with its result in one record. A listing and the key of a text take about
+/// as many bytes.
+inline constexpr std::size_t kMostWholeTextBytes = 256;
+
+/// A result whose text lies in a record of its own, in front of this one.
+struct ResultListing {
+  std::uint32_t item = 0;  ///< Index in the submission.
+  ItemState state = ItemState::kCompleted;
+  std::uint64_t text_bytes = 0;
+  std::int64_t written_ms =
+      0;  ///< Wall clock of the writer, since the epoch: part of the text's key.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(item, state, text_bytes, written_ms);
+  }
+};
+
 /// How far an item's run came before it was given back.
 struct ItemProgress {
   JobKey job;
@@ -139,8 +162,18 @@
 /// Parses such a key; nothing if it is not one.
 std::optional<std::pair<JobRecordKind, JobKey>> parse_jobs_record_key(std::string_view key);
 
-/// Key of a result; `writer` makes it unique.
+/// Key of a result, whole or listed; `writer` makes it unique.
 std::string result_record_key(const JobKey& key, std::uint32_t item, std::string_view writer);
+/// Key of the text of a listed result. The texts of all jobs lie in front of all listings, so that
+/// what is read for listings holds none; those of a job lie about in the order of their writing.
+/// @param listing_key key of its listing.
+std::string text_record_key(std::string_view listing_key, std::int64_t written_ms);
+/// Whether a key of the results is that of a text.
+bool is_text_record_key(std::string_view key);
+/// Returns the records of a result, to be appended together.
+/// @param split whether a long text may lie in a record of its own.
+std::vector<KeyedRecord> result_records(const ItemResult& result, std::string_view writer,
+                                        std::int64_t now_ms, bool split);
 /// Key of an item's progress.
 std::string progress_record_key(const JobKey& key, std::uint32_t item);
 /// The job that a key of the results, the progress or the bodies belongs to.
@@ -159,12 +192,14 @@
 std::string encode(const JobSubmission& submission);
 std::string encode(const ItemRequest& request);
 std::string encode(const ItemResult& result);
+std::string encode(const ResultListing& listing);
 std::string encode(const ItemProgress& progress);
 std::string encode_tokens(std::uint64_t tokens);
 /// Decoders return false if the bytes are malformed.
 bool decode(const std::string& bytes, JobSubmission& submission);
 bool decode(const std::string& bytes, ItemRequest& request);
 bool decode(const std::string& bytes, ItemResult& result);
+bool decode(const std::string& bytes, ResultListing& listing);
 bool decode(const std::string& bytes, ItemProgress& progress);
 bool decode_tokens(const std::string& bytes, std::uint64_t& tokens);
 
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -20,8 +20,6 @@
 /// Between two reads of the jobs by a node that runs none: only erased jobs are to be forgotten,
 /// and they live for many times as long.
 constexpr Duration kRestPace = std::chrono::seconds(10);
-/// Longest time that a read waits before it looks once more for a result.
-constexpr Duration kResultWait = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -50,7 +48,11 @@
       data_(executor_, log, timing.retries) {}
 
 std::string JobStore::unique_name() {
-  return writer_name_ + "-" + std::to_string(next_unique_++);
+  // Fixed width, so that texts that are written together lie in the order of their writing.
+  constexpr std::size_t kDigits = 7;
+  const std::string number = std::to_string(next_unique_++);
+  const std::size_t zeros = kDigits - std::min(kDigits, number.size());
+  return writer_name_ + "-" + std::string(zeros, '0') + number;
 }
 
 asio::awaitable<void> JobStore::pause(Duration duration) {
@@ -201,6 +203,7 @@
   if (!fits(*partition.table, job)) co_return SubmitStatus::kQuota;
   job.submission.data_topics = log_.limits().job_topics;
   job.submission.request_writer = unique_name();
+  job.submission.split_results = true;
   const SubmitStatus status = co_await append_job(partition, key, job, deadline);
   const JobEntry* entry = partition.table->find(key);
   const bool from_this_try =
@@ -236,28 +239,6 @@
   co_return status == LogStatus::kOk ? LookupStatus::kAbsent : LookupStatus::kUncertain;
 }
 
-asio::awaitable<ResultPage> JobStore::read_results(std::string host, JobKey key,
-                                                   std::uint64_t position, Duration wait) {
-  ResultPage page;
-  page.status = co_await find(host, key, page.job);
-  if (page.status != LookupStatus::kFound) co_return page;
-  const bool whole = position >= page.job->submission.items.size();
-  const auto is_known = [&] { return results_[key].listed().size() > position; };
-  if (!whole && !is_known()) {
-    LogStatus status = co_await refresh_results(key, monotonic_now() + kCallerPatience);
-    if (status == LogStatus::kOk && wait.count() > 0 && !is_known()) {
-      co_await pause(std::min(wait, kResultWait));
-      status = co_await refresh_results(key, monotonic_now() + kCallerPatience);
-    }
-    if (status != LogStatus::kOk) page.status = LookupStatus::kUncertain;
-    if (status != LogStatus::kOk) co_return page;
-  }
-  page.job = jobs_of(host).table->find(key);
-  page.results = &results_[key];
-  if (page.job == nullptr) page.status = LookupStatus::kAbsent;
-  co_return page;
-}
-
 asio::awaitable<LogStatus> JobStore::mark(std::string host, JobRecordKind kind, JobKey key,
                                           std::string value) {
   JobsPartition& partition = jobs_of(host);
@@ -294,31 +275,6 @@
   co_return LookupStatus::kFound;
 }
 
-asio::awaitable<LogStatus> JobStore::refresh_results(JobKey key, TimePoint give_up) {
-  std::shared_ptr<ResultReads>& kept = result_reads_[key];
-  if (!kept) kept = std::make_shared<ResultReads>();
-  const std::shared_ptr<ResultReads> reads = kept;
-  const SharedRead::Read read = [this, key, reads] { return read_new_results(key, reads); };
-  co_return co_await reads->refresh.run(read, give_up);
-}
-
-asio::awaitable<LogStatus> JobStore::read_new_results(JobKey key,
-                                                      std::shared_ptr<ResultReads> reads) {
-  const PartitionName partition = partition_of(JobData::kResults, key);
-  while (true) {
-    const RecordOffset next = results_[key].next_offset();
-    const KeyRange unread = results_[key].unread_range(key);
-    ResultsRead read =
-        co_await data_.read_results(key, partition, next, unread, reads->bounds, reads->newest);
-    const LogStatus status = read.records.status;
-    if (status == LogStatus::kUnknown) reads->bounds.ask_for_less();
-    if (status != LogStatus::kOk) co_return status;
-    results_[key].add(std::move(read.records));
-    count_results();
-    if (read.at_end) co_return status;
-  }
-}
-
 asio::awaitable<LogStatus> JobStore::refresh_progress(JobKey key, ReadBounds bounds) {
   const PartitionName partition = partition_of(JobData::kProgress, key);
   const KeyRange range = progress_key_range(key);
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -60,6 +61,9 @@
   BackoffBounds retries{};
 };
 
+/// Bytes of texts after which a page of results ends.
+inline constexpr std::uint64_t kResultPageBytes = 900UL * 1024;
+
 /// How long a caller waits for a read of results. The read goes on, and the caller comes again.
 inline constexpr Duration kCallerPatience = std::chrono::seconds(1);
 
@@ -87,7 +91,9 @@
   boost::asio::awaitable<SubmitStatus> submit(NewJob job);
   /// Looks a job up; asks the log before it says that there is none.
   boost::asio::awaitable<LookupStatus> find(std::string host, JobKey key, const JobEntry*& job);
-  /// Reads the results from a position on; waits up to `wait` for the first.
+  /// Reads the results from a position on, with the texts of a page; waits up to `wait` for the
+  /// first. If texts cannot be read now, the page ends in front of the first of them; if that is
+  /// the one asked for, the status is `kUncertain`.
   boost::asio::awaitable<ResultPage> read_results(std::string host, JobKey key,
                                                   std::uint64_t position, Duration wait);
   /// Ends a job; done once this returns `kOk`.
@@ -100,12 +106,17 @@
   boost::asio::awaitable<RequestsRead> read_requests(JobKey key, std::vector<std::uint32_t> wanted,
                                                      ReadBounds bounds);
 
-  /// Brings the results of a job up to date with the log: reads what was added since the last time.
-  /// Calls that overlap share their reads. A read goes on after those who wait have given up.
+  /// Brings the list of a job's results up to date with the log, without texts that lie by
+  /// themselves. Calls that overlap share their reads. A read goes on after those who wait have
+  /// given up.
   boost::asio::awaitable<LogStatus> refresh_results(JobKey key,
                                                     TimePoint give_up = TimePoint::max());
   /// Brings the progress of a job's items up to date with the log.
   boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, ReadBounds bounds);
+  /// Returns the records of a result, to be appended together; others each time.
+  std::vector<KeyedRecord> records_of(const ItemResult& result);
+  /// What was read of results at this node.
+  [[nodiscard]] const ResultBytes& result_bytes() const { return data_.result_bytes(); }
   /// Returns the partition that holds a job's results, its progress or its requests.
   [[nodiscard]] PartitionName partition_of(JobData data, const JobKey& key) const;
   /// Appends records once. Without an answer they may be durable or become so.
@@ -140,6 +151,10 @@
     SharedRead refresh;
     NewestRead newest;
     ReadBounds bounds;  ///< Of the next read.
+    SharedRead texts;
+    ReadBounds text_bounds;
+    /// Lowest position that is waited for and not being read.
+    std::uint64_t texts_from = std::numeric_limits<std::uint64_t>::max();
   };
   /// One partition of a topic: the state folded from it, and what keeps that up to date.
   struct JobsPartition {
@@ -167,8 +182,22 @@
   boost::asio::awaitable<void> drop_refused(JobKey key, JobSubmission submission);
   boost::asio::awaitable<SubmitStatus> append_submission(JobsPartition& partition, JobKey key,
                                                          NewJob& job, TimePoint deadline);
-  boost::asio::awaitable<LogStatus> read_new_results(JobKey key,
-                                                     std::shared_ptr<ResultReads> reads);
+  /// How results behind those known are read.
+  enum class ResultsBy : std::uint8_t {
+    kKey,     ///< Their listings alone.
+    kOffset,  ///< With their texts, as far as the log has its history.
+  };
+  std::shared_ptr<ResultReads> reads_of(const JobKey& key);
+  boost::asio::awaitable<LogStatus> refresh_results(JobKey key, TimePoint give_up, ResultsBy by);
+  boost::asio::awaitable<LogStatus> read_new_results(JobKey key, std::shared_ptr<ResultReads> reads,
+                                                     ResultsBy by);
+  /// Reads the results for a caller who asks from a position on that isn't listed here.
+  boost::asio::awaitable<LogStatus> list_position(JobKey key, std::uint64_t position,
+                                                  TimePoint give_up);
+  /// Reads the texts that a page from a position on lacks, as far as they come in time.
+  boost::asio::awaitable<void> load_texts(JobKey key, std::uint64_t position, TimePoint give_up);
+  /// Reads some texts from the lowest position on that is waited for.
+  boost::asio::awaitable<LogStatus> read_texts(JobKey key, std::shared_ptr<ResultReads> reads);
   /// Counts the results that are kept now.
   void count_results();
   /// Drops the results of finished jobs that nobody reads just now, until there is room.
--- a/src/jobs/listed_results.cc
+++ b/src/jobs/listed_results.cc
@@ -1,6 +1,8 @@
 #include "jobs/listed_results.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include "base/event_log.h"
 
@@ -27,20 +29,71 @@
             [](const StoredRecord& left, const StoredRecord& right) {
               return left.offset < right.offset;
             });
-  for (const auto& record : read.records) add_record(record);
+  for (auto& record : read.records) add_record(record);
   read_through_ = std::max(read_through_, read.end);
   while (listed_items_.contains(first_unlisted_)) ++first_unlisted_;
 }
 
-void ListedResults::add_record(const StoredRecord& record) {
+void ListedResults::add_record(StoredRecord& record) {
+  if (is_text_record_key(record.key)) {
+    last_text_ = std::move(record);
+    return;
+  }
+  ResultListing listing;
   ItemResult result;
-  if (!decode(record.value, result)) {
+  if (decode(record.value, listing)) {
+    add_listing(listing, record);
+  } else if (!decode(record.value, result)) {
     log_malformed(record);
+  } else if (listed_items_.insert(result.item).second) {
+    bytes_ += sizeof(ListedResult) + result.text.size();
+    listed_.push_back({result.item, result.state, std::move(result.text)});
+  }
+  last_text_ = StoredRecord();
+}
+
+void ListedResults::add_listing(const ResultListing& listing, const StoredRecord& record) {
+  if (!listed_items_.insert(listing.item).second) return;
+  ListedResult& listed = listed_.emplace_back();
+  listed.item = listing.item;
+  listed.state = listing.state;
+  bytes_ += sizeof(ListedResult);
+  std::string text_key = text_record_key(record.key, listing.written_ms);
+  if (last_text_.key == text_key) {
+    listed.text = std::move(last_text_.value);
+    bytes_ += listed.text.size();
     return;
   }
-  if (!listed_items_.insert(result.item).second) return;
-  bytes_ += sizeof(ListedResult) + result.text.size();
-  listed_.push_back({result.item, result.state, std::move(result.text)});
+  bytes_ += text_key.size();
+  // Both were appended together, the text first.
+  const RecordOffset text_offset = record.offset > 0 ? record.offset - 1 : 0;
+  listed.unread = {std::move(text_key), text_offset, listing.text_bytes};
+}
+
+void ListedResults::add_texts(std::vector<StoredRecord> records) {
+  std::map<std::string, std::string> texts;
+  for (auto& record : records) texts.emplace(std::move(record.key), std::move(record.value));
+  for (auto& listed : listed_) {
+    if (listed.has_text()) continue;
+    const auto found = texts.find(listed.unread->key);
+    if (found == texts.end() || found->second.empty()) continue;
+    bytes_ += found->second.size();
+    bytes_ -= found->first.size();
+    listed.text = std::move(found->second);
+    listed.unread.reset();
+  }
+}
+
+std::vector<ListedResult::Unread> ListedResults::unread_texts(std::uint64_t position,
+                                                              std::uint64_t most_bytes) const {
+  std::vector<ListedResult::Unread> texts;
+  std::uint64_t bytes = 0;
+  for (; position < listed_.size() && bytes < most_bytes; ++position) {
+    const ListedResult& listed = listed_[position];
+    bytes += listed.has_text() ? listed.text.size() : listed.unread->bytes;
+    if (!listed.has_text()) texts.push_back(*listed.unread);
+  }
+  return texts;
 }
 
 void add_progress(const std::vector<StoredRecord>& records, JobProgress& progress) {
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -77,8 +77,8 @@
 std::vector<KeyedRecord> ResultWriter::records_of(const Queue& results) const {
   std::vector<KeyedRecord> records;
   for (const auto& result : results) {
-    records.push_back(
-        {result_record_key(result.job, result.item, store_.unique_name()), encode(result)});
+    std::vector<KeyedRecord> own = store_.records_of(result);
+    std::move(own.begin(), own.end(), std::back_inserter(records));
   }
   return records;
 }
--- a/src/jobs/stage_metrics.cc
+++ b/src/jobs/stage_metrics.cc
@@ -21,4 +21,15 @@
   }
 }
 
+void add_result_gauges(const ResultBytes& read, std::vector<MetricValue>& gauges) {
+  const auto add = [&](const char* part, std::uint64_t bytes) {
+    gauges.push_back({"stoathold_result_bytes_read",
+                      "Bytes of jobs' results read from the store since the start.",
+                      static_cast<double>(bytes),
+                      {"part", part}});
+  };
+  add("listings", read.listings);
+  add("texts", read.texts);
+}
+
 }  // namespace stoathold
--- a/tests/platform/job_messages_test.cc
+++ b/tests/platform/job_messages_test.cc
@@ -69,5 +69,30 @@
   EXPECT_NE(behind.find(R"("next_token":7)"), std::string::npos);
 }
 
+/// A caller would take an empty message for what the runner said, and never ask for it again.
+TEST(JobMessagesTest, APageEndsInFrontOfATextThatWasNotRead) {
+  JobEntry job;
+  ReadResult found;
+  const std::string text(kMostWholeTextBytes + 1, 'x');
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    JobItem item;
+    item.id = "i" + std::to_string(i);
+    job.submission.items.push_back(item);
+    const ItemResult result{"job", i, ItemState::kCompleted, text};
+    const auto records = result_records(result, "writer" + std::to_string(i), 0, true);
+    if (i != 1) found.records.push_back({found.end, records[0].key, records[0].value});
+    found.records.push_back({found.end + 1, records[1].key, records[1].value});
+    found.end += 2;
+  }
+  ListedResults results;
+  results.add(std::move(found));
+  ASSERT_EQ(results.listed().size(), 3U);
+  const std::string page = format_results(job, results, 0);
+  EXPECT_NE(page.find(R"("next_token":1)"), std::string::npos);
+  EXPECT_EQ(page.find(R"("id":"i1")"), std::string::npos);
+  EXPECT_NE(format_results(job, results, 1).find(R"("next_token":1)"), std::string::npos);
+  EXPECT_NE(format_results(job, results, 2).find(R"("next_token":3)"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace stoathold::platform
