--- a/tests/admission/admission_replay.h
+++ b/tests/admission/admission_replay.h
@@ -164,6 +164,7 @@
       backs_.erase(backs_.begin());
       caller.attempt = now_;
       caller.second = true;
+      caller.certain_since = {};
       enter(caller);
     }
   }
--- a/tests/admission/admission_replay_test.cc
+++ b/tests/admission/admission_replay_test.cc
@@ -96,7 +96,9 @@
     }
     EXPECT_GE(served, without - 2) << nodes << " nodes";
     EXPECT_LT(late, 1) << nodes << " nodes";
-    if (nodes < 89) EXPECT_LT(longest_wait_ms, kObjectiveMs) << nodes << " nodes";
+    if (nodes < 89) {
+      EXPECT_LT(longest_wait_ms, kObjectiveMs) << nodes << " nodes";
+    }
   }
 }
 
