--- a/tests/gateway/online_admission_test.cc
+++ b/tests/gateway/online_admission_test.cc
@@ -1,8 +1,9 @@
 // Admission of online work in a whole gateway. The load: the only slot is taken, and other nodes of
 // the zone report what waits there. Callers have an objective of 300 ms and 5 s in all.
+#include "gateway/online_admission.h"
+
 #include <gtest/gtest.h>
 
-#include "gateway/online_admission.h"
 #include "tests/gateway/gateway_fixture.h"
 
 namespace stoathold {
