What is kept from runners is said in one place

Change: is_kept_from_runners beside the other readings of headers; both use it. Tests: routing, gateway, admission, jobs, platform, tenancy pass.

--- a/src/gateway/headers.cc
+++ b/src/gateway/headers.cc
@@ -22,6 +22,11 @@
                      [&](std::string_view candidate) { return same_header_name(candidate, name); });
 }
 
+bool is_kept_from_runners(const HeaderDialect& dialect, std::string_view name) {
+  return is_connection_header(name) || same_header_name(name, dialect.expected_instance) ||
+         same_header_name(name, dialect.api_key) || same_header_name(name, dialect.tenant);
+}
+
 bool names_header(std::string_view connection, std::string_view name) {
   while (!connection.empty()) {
     const std::size_t comma = connection.find(',');
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -95,11 +95,8 @@
   const std::string_view connection = exchange_.header("Connection");
   for (auto& header : exchange_.headers()) {
     const bool replaced = same_header_name(header.name, dialect.deadline_ms) ||
-                          same_header_name(header.name, dialect.expected_instance) ||
-                          same_header_name(header.name, dialect.api_key) ||
-                          same_header_name(header.name, dialect.tenant) ||
                           (last_event_ && same_header_name(header.name, dialect.last_event_id));
-    if (replaced || is_connection_header(header.name)) continue;
+    if (replaced || is_kept_from_runners(dialect, header.name)) continue;
     if (names_header(connection, header.name)) continue;
     forwarded_headers_.push_back(std::move(header));
   }
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -258,12 +258,10 @@
   request.request_id = item_.item_id;
   request.headers.push_back({"Host", item_.host});
   for (const auto& [name, value] : request_.headers) {
-    const bool replaced =
-        same_header_name(name, "Host") || same_header_name(name, dialect.request_id) ||
-        same_header_name(name, dialect.expected_instance) ||
-        same_header_name(name, dialect.last_event_id) || same_header_name(name, dialect.api_key) ||
-        same_header_name(name, dialect.tenant);
-    if (!replaced && !is_connection_header(name)) request.headers.push_back({name, value});
+    const bool replaced = same_header_name(name, "Host") ||
+                          same_header_name(name, dialect.request_id) ||
+                          same_header_name(name, dialect.last_event_id);
+    if (!replaced && !is_kept_from_runners(dialect, name)) request.headers.push_back({name, value});
   }
   if (!item_.tenant.empty()) request.headers.push_back({dialect.tenant, item_.tenant});
   request.headers.push_back({dialect.request_id, item_.item_id});
