Tests: bodies sent at once and a crowded zone are set up in one place

The two tests of bodies in memory_limit held the same 14 lines; the second one lost a sender's failure with its thread. Both now use ask_at_once and check_bodies, so that such a failure is an unclear answer in both: stricter, no assertion less.

--- a/tests/gateway/online_admission_test.cc
+++ b/tests/gateway/online_admission_test.cc
@@ -46,6 +46,12 @@
         {.service = stable_hash("chat"), .waiting = waiting, .waiting_slot_ms = waiting * 100U}};
     context.admission.take_reports(digest, monotonic_now());
   }
+  /// All slots are taken, what requests take is known, and so many wait at another node.
+  void crowd(std::uint16_t waiting_elsewhere) {
+    fill();
+    learn();
+    hear_of_waiting(waiting_elsewhere);
+  }
   void start_asking() {
     view.reset();
     boost::asio::co_spawn(
@@ -65,9 +71,7 @@
 
 // Until now such a request waited for 2 s and was then told to come back after 0.2 s.
 TEST_F(OnlineAdmissionTest, WhoCannotBeInTimeBehindOthersIsRejectedAsItComes) {
-  fill();
-  learn();
-  hear_of_waiting(5);
+  crowd(5);
   int waits = 0;
   context.placement.decisions().waits = [&waits](const auto&...) { ++waits; };
   const CallerView answer = ask();
@@ -121,9 +125,7 @@
 }
 
 TEST_F(OnlineAdmissionTest, ACallerThatWasToldToComeBackIsNotRejectedAgain) {
-  fill();
-  learn();
-  hear_of_waiting(5);
+  crowd(5);
   const CallerView first = ask();
   ASSERT_FALSE(first.retry_after.empty());
   boost::asio::steady_timer timer(loop);
@@ -147,9 +149,7 @@
 
 // What the caller claims of itself makes no difference: only the node's own table does.
 TEST_F(OnlineAdmissionTest, AnotherRequestGainsNothingByTheOneThatWasTold) {
-  fill();
-  learn();
-  hear_of_waiting(50);
+  crowd(50);
   ASSERT_EQ(ask().status, 503);
   body = "another question";
   const CallerView other = ask();
@@ -159,9 +159,7 @@
 
 TEST_F(OnlineAdmissionTest, NothingIsSaidWhereComingBackCannotHelp) {
   deadline_ms = "200";
-  fill();
-  learn();
-  hear_of_waiting(50);
+  crowd(50);
   const CallerView answer = ask();
   EXPECT_EQ(answer.status, 503);
   EXPECT_TRUE(answer.retry_after.empty());
@@ -179,9 +177,7 @@
 
 TEST_F(OnlineAdmissionTest, SwitchedOffRequestsWaitAsBefore) {
   context.set_traits({});
-  fill();
-  learn();
-  hear_of_waiting(50);
+  crowd(50);
   start_asking();
   run_until_waiting();
   EXPECT_FALSE(view);
@@ -191,9 +187,7 @@
 }
 
 TEST_F(OnlineAdmissionTest, ReportsTellWhatWaitsAndWhoWasTold) {
-  fill();
-  learn();
-  hear_of_waiting(5);
+  crowd(5);
   ASSERT_EQ(ask().status, 503);
   LoadDigest digest;
   context.admission.add_reports(digest, monotonic_now());
@@ -207,9 +201,7 @@
 // 894 requests of a day of bursts beside jobs were rejected while batch items of their zone were
 // still to be asked for their slots: the forecast counted those only that requests give back.
 TEST_F(OnlineAdmissionTest, NobodyIsRejectedWhileBatchHoldsMoreSlotsThanAreAwaited) {
-  fill();
-  learn();
-  hear_of_waiting(5);
+  crowd(5);
   context.runners.all().at("r1")->set_peer_use(6, 0, 6);
   start_asking();
   run_until_waiting();
@@ -221,9 +213,7 @@
 }
 
 TEST_F(OnlineAdmissionTest, RejectionsAreCountedByTenantAndBesideTheSlotsOfBatch) {
-  fill();
-  learn();
-  hear_of_waiting(15);
+  crowd(15);
   context.runners.all().at("r1")->set_peer_use(2, 0, 2);
   ASSERT_EQ(ask().status, 503);
   const OnlineAdmission::Counters& counters = context.admission.counters();
--- a/tests/system/memory_limit_test.py
+++ b/tests/system/memory_limit_test.py
@@ -224,37 +224,44 @@
         self.assertIs(single.sock, kept)
         self.assertLess(self.peak_megabytes(), MEMORY_MB)
 
-    def test_bodies_of_a_megabyte_at_once(self):
-        self.start()
-        body = b"b" * MEGABYTE
+    def ask_at_once(self, count, body):
+        """Sends so many requests with this body at once: (status, answer) of each."""
         outcomes = []
 
         def send(number):
             try:
-                status, _, answer = self.platform.ask(0, "large%d" % number, body)
+                status, _, answer = self.platform.ask(0, "body%d" % number, body)
                 outcomes.append((status, answer))
             except (OSError, http.client.HTTPException) as failure:
                 outcomes.append((0, repr(failure).encode()))
 
-        with OtherCallers(self.platform) as others:
-            senders = [threading.Thread(target=send, args=(number,))
-                       for number in range(LARGE_BODIES)]
-            for sender in senders:
-                sender.start()
-            for sender in senders:
-                sender.join()
-        self.check(others, "large bodies")
-        expected = stream_text("b" * LARGE_SIZES.event_bytes).encode()
+        senders = [threading.Thread(target=send, args=(number,)) for number in range(count)]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+        return outcomes
+
+    def check_bodies(self, outcomes, letter):
+        """Each is served or refused with a reason, and the room of all is given back."""
+        expected = stream_text(letter * LARGE_SIZES.event_bytes).encode()
         unclear = [(status, answer[:100]) for status, answer in outcomes
                    if (status, answer) != (200, expected) and not is_clear_refusal(status, answer)]
         self.assertEqual(unclear, [])
+        wait_for(lambda: self.metric('stoathold_memory_held_bytes{account="request_bodies"}') == 0,
+                 "the room of the bodies")
+
+    def test_bodies_of_a_megabyte_at_once(self):
+        self.start()
+        with OtherCallers(self.platform) as others:
+            outcomes = self.ask_at_once(LARGE_BODIES, b"b" * MEGABYTE)
+        self.check(others, "large bodies")
         served = sum(status == 200 for status, _ in outcomes)
         print("large bodies: %d of %d served" % (served, LARGE_BODIES), file=sys.stderr)
         self.assertGreater(served, 0)
         self.assertGreater(self.metric('stoathold_memory_refusals_total{account="request_bodies"}'),
                            0)
-        wait_for(lambda: self.metric('stoathold_memory_held_bytes{account="request_bodies"}') == 0,
-                 "the room of the bodies")
+        self.check_bodies(outcomes, "b")
 
     def test_a_runner_that_stops_reading(self):
         self.start(runners=2)
@@ -262,26 +269,10 @@
             self.platform.runner_routes["r0"] = "127.0.0.1:%d" % silent.getsockname()[1]
             self.platform.runner_process("r0").kill()
             self.platform.list_runner("r0")
-            body = b"r" * 300000
-            outcomes = []
-
-            def send(number):
-                status, _, answer = self.platform.ask(0, "body%d" % number, body)
-                outcomes.append((status, answer))
-
             with OtherCallers(self.platform) as others:
-                senders = [threading.Thread(target=send, args=(number,)) for number in range(30)]
-                for sender in senders:
-                    sender.start()
-                for sender in senders:
-                    sender.join()
+                outcomes = self.ask_at_once(30, b"r" * 300000)
             self.check(others, "silent runner")
-        expected = stream_text("r" * LARGE_SIZES.event_bytes).encode()
-        unclear = [(status, answer[:100]) for status, answer in outcomes
-                   if (status, answer) != (200, expected) and not is_clear_refusal(status, answer)]
-        self.assertEqual(unclear, [])
-        wait_for(lambda: self.metric('stoathold_memory_held_bytes{account="request_bodies"}') == 0,
-                 "the room of the bodies")
+        self.check_bodies(outcomes, "r")
 
     def test_jobs_of_many_items_with_large_bodies(self):
         self.start()
