What stood twice in the change is called instead; turns and verdicts are computed only where they count

Behaviour stays. Twins: the slots that a list names at a runner (slots_at), the zone of a loan's request, the bin that counts now in ZoneBacklog, how an append's end changes the next one's size (AppendSize::observe), a runner that may be given work now (Runner::usable), a gauge by service on the metrics page, milliseconds as text in routing (log_fields lies in base now, below all its users), a duration in a message's milliseconds. Hot path: where shares are off, a request's turn was computed from all shares and routes and thrown away; it only counts as waiting now. Each online placement judged all runners' slow answers, four exponentials each; it does so only if some were slow. Words: told apart, tells and told in comments of the new parts. Left, and why: retry_after_text of the request reader rounds where decimal_text cuts off; append_requests keeps its loop beside append_until, since each try may send less. No timing was measured.

--- a/src/admission/admission_control.cc
+++ b/src/admission/admission_control.cc
@@ -37,7 +37,7 @@
                                          double arrivals_per_second) {
   if (!figures.slot_time || figures.slot_time->count() <= 0 || room.zone == 0) return std::nullopt;
   // Slots go to the nodes in proportion to what waits there, so that this node's part of the work
-  // that goes before a request tells the zone's.
+  // that goes before a request gives the zone's.
   const double part = position.all.requests == 0
                           ? 1
                           : std::min(1.0, (position.ahead.requests + 1.0) / position.all.requests);
--- a/src/admission/admission_control.h
+++ b/src/admission/admission_control.h
@@ -14,7 +14,7 @@
 /// What is known of a request from before it came to this wait.
 enum class AdmissionStanding : std::uint8_t {
   kNewcomer,
-  kReturned,  ///< Its caller was told to come back, and did.
+  kReturned,  ///< Its caller came back as its Retry-After said.
   kBegun,     ///< It has run or its answer has begun: rejected, it would be broken off.
 };
 
@@ -55,7 +55,7 @@
   TimePoint due{};         ///< In time if it has a slot by then.
   TimePoint last_start{};  ///< With a slot later than this, its first event finds its caller gone.
   std::optional<WaitForecast> forecast;
-  std::optional<Duration> retry_after;  ///< After which it would be told to come back.
+  std::optional<Duration> retry_after;  ///< That its refusal would name.
 };
 
 /// Returns why a request is rejected now; nothing: it waits on. Pure.
--- a/src/admission/arrival_swing.cc
+++ b/src/admission/arrival_swing.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// Part of a new bin in the recent rate: about the last 0.3 s count, in which a zone of a few
-/// requests a second more than its noise is told apart.
+/// requests a second more than its noise shows.
 constexpr double kRecentPart = 0.35;
 /// Part of a new bin in the mean: about the last 10 s count, two turns of a swing of 6 s.
 constexpr double kMeanPart = 0.01;
--- a/src/admission/backlog_report.h
+++ b/src/admission/backlog_report.h
@@ -15,7 +15,7 @@
   std::uint32_t waiting_slot_ms = 0;  ///< Slot time that they are predicted to take.
   std::uint32_t freed_slots = 0;      ///< Slots that requests gave back.
   std::uint32_t freed_slot_ms = 0;    ///< Time for which those were held.
-  std::uint32_t arrivals = 0;         ///< Requests that came, without those told to come back.
+  std::uint32_t arrivals = 0;  ///< Requests that came, without those that came back as asked.
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/admission/fair_turns.cc
+++ b/src/admission/fair_turns.cc
@@ -23,8 +23,8 @@
 /// Routes only order inside a tenant's turn.
 constexpr double kRouteTurnStep = 0.1;
 constexpr double kLastRouteTurn = 0.9;
-/// Most routes that are told apart, over all tenants.
-constexpr std::size_t kMostRoutes = 1024;
+/// Routes that are distinguished at most, over all tenants.
+constexpr std::size_t kMaxRoutes = 1024;
 /// Use below this, in seconds of slot time, is forgotten.
 constexpr double kNoUse = 0.005;
 
@@ -71,19 +71,23 @@
   const std::uint64_t name = mix_hashes(owner, request.route);
   const auto found = routes_.find(name);
   if (found != routes_.end()) return &found->second;
-  if (routes_.size() >= kMostRoutes) return nullptr;
+  if (routes_.size() >= kMaxRoutes) return nullptr;
   return &routes_.emplace(name, RouteUse(owner)).first->second;
 }
 
 double FairTurns::arrive(const TurnRequest& request, TimePoint now) {
-  const Duration slot_time = slot_time_of(request);
-  const double cost = to_seconds(slot_time);
+  const double cost = to_seconds(slot_time_of(request));
   const double turn = tenant_turn(request.key, cost, now) + route_turn(request, cost, now);
-  ledger_.wait(request.key, slot_time, now);
-  if (RouteUse* route = route_of(request)) route->waiting += cost;
+  count_waiting(request, now);
   return turn;
 }
 
+void FairTurns::count_waiting(const TurnRequest& request, TimePoint now) {
+  const Duration slot_time = slot_time_of(request);
+  ledger_.wait(request.key, slot_time, now);
+  if (RouteUse* route = route_of(request)) route->waiting += to_seconds(slot_time);
+}
+
 void FairTurns::left(const TurnRequest& request) {
   ledger_.end_wait(request.key, slot_time_of(request));
   RouteUse* route = route_of(request);
--- a/src/admission/fair_turns.h
+++ b/src/admission/fair_turns.h
@@ -35,6 +35,8 @@
   /// A request comes, and counts as waiting until `placed` or `left`.
   /// @return its turn: 0 within its part; lower goes first.
   double arrive(const TurnRequest& request, TimePoint now);
+  /// The same where no turn is wanted: it only counts as waiting.
+  void count_waiting(const TurnRequest& request, TimePoint now);
   /// It was given a slot.
   /// @return the slot time that was counted.
   Duration placed(const TurnRequest& request, TimePoint now);
--- a/src/admission/kind_watch.cc
+++ b/src/admission/kind_watch.cc
@@ -3,7 +3,7 @@
 namespace stoathold {
 namespace {
 
-/// Most kinds that are told apart; those of a configuration are some dozens.
+/// Kinds that are distinguished at most; those of a configuration are some dozens.
 constexpr std::size_t kMostKinds = 100;
 /// Below so many requests lately a part means little.
 constexpr double kFewestRequests = 20;
--- a/src/admission/share_ledger.cc
+++ b/src/admission/share_ledger.cc
@@ -5,7 +5,7 @@
 namespace stoathold {
 namespace {
 
-/// Most tenants and services that are told apart; further ones are served as if they had used
+/// Tenants and services that are distinguished at most; further ones are served as if they had used
 /// nothing, which costs the others little: a flood comes from one that is known.
 constexpr std::size_t kMostShares = 1024;
 /// Use below this, in seconds of slot time, is none: a hundredth of a short request.
--- a/src/admission/zone_backlog.cc
+++ b/src/admission/zone_backlog.cc
@@ -49,19 +49,17 @@
     state.current_bin = bin;
   }
   while (state.current_bin < bin) {
-    const Bin& done = state.bins.at(static_cast<std::size_t>(state.current_bin) % kBins);
-    const double rate = done.arrivals / to_seconds(ArrivalSwing::kBin);
+    const double rate = state.bin().arrivals / to_seconds(ArrivalSwing::kBin);
     state.swing.observe(rate, TimePoint{state.current_bin * ArrivalSwing::kBin});
     ++state.current_bin;
-    state.bins.at(static_cast<std::size_t>(state.current_bin) % kBins) = Bin{};
+    state.bin() = Bin{};
   }
   return state;
 }
 
 void ZoneBacklog::count_arrival(std::uint64_t service, std::uint8_t priority, TimePoint now) {
   ++own_[{service, priority}].arrivals;
-  ServiceState& state = advance(service, now);
-  ++state.bins.at(static_cast<std::size_t>(state.current_bin) % kBins).arrivals;
+  ++advance(service, now).bin().arrivals;
 }
 
 void ZoneBacklog::count_freed(std::uint64_t service, std::uint8_t priority, Duration held,
@@ -69,8 +67,7 @@
   ServiceBacklog& own = own_[{service, priority}];
   ++own.freed_slots;
   own.freed_slot_ms += to_ms(held);
-  ServiceState& state = advance(service, now);
-  Bin& bin = state.bins.at(static_cast<std::size_t>(state.current_bin) % kBins);
+  Bin& bin = advance(service, now).bin();
   ++bin.freed;
   bin.freed_ms += to_ms(held);
 }
@@ -111,8 +108,7 @@
     // Of a group that was not reported before, all was counted since.
     const ServiceBacklog none;
     const ServiceBacklog& base = old == before.entries.end() ? none : *old;
-    ServiceState& state = advance(entry.service, now);
-    Bin& bin = state.bins.at(static_cast<std::size_t>(state.current_bin) % kBins);
+    Bin& bin = advance(entry.service, now).bin();
     bin.arrivals += difference(base.arrivals, entry.arrivals);
     const std::uint32_t freed = difference(base.freed_slots, entry.freed_slots);
     bin.freed += freed;
--- a/src/admission/zone_backlog.h
+++ b/src/admission/zone_backlog.h
@@ -75,6 +75,9 @@
     std::array<Bin, kBins> bins{};
     std::int64_t current_bin = 0;  ///< Number of the bin that counts now; 0: none yet.
     ArrivalSwing swing;
+
+    /// The bin that counts now.
+    Bin& bin() { return bins.at(static_cast<std::size_t>(current_bin) % kBins); }
   };
   struct PeerReport {
     TimePoint received{};
--- a/src/gateway/choice_fields.cc
+++ b/src/gateway/choice_fields.cc
@@ -1,6 +1,6 @@
 #include "gateway/choice_fields.h"
 
-#include "gateway/log_fields.h"
+#include "base/log_fields.h"
 
 namespace stoathold {
 
--- a/src/gateway/fair_shares.cc
+++ b/src/gateway/fair_shares.cc
@@ -4,7 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
-#include "gateway/log_fields.h"
+#include "base/log_fields.h"
 
 namespace stoathold {
 namespace {
@@ -88,8 +88,11 @@
     turns_.forget(now);
     log_inversions(now);
   }
+  if (!policy_.shares_fairly) {
+    turns_.count_waiting(turn_request(request), now);
+    return 0;
+  }
   const double turn = turns_.arrive(turn_request(request), now);
-  if (!policy_.shares_fairly) return 0;
   if (turn >= kAbovePart) log_above(request, now);
   return turn;
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,8 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
+#include "base/log_fields.h"
 #include "base/timer.h"
-#include "gateway/log_fields.h"
 #include "gateway/online_request.h"
 
 namespace stoathold {
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -97,6 +97,20 @@
   return family;
 }
 
+/// Adds a gauge by service.
+void add_service_gauge(const std::string& name, const std::string& help,
+                       const std::map<std::string, double>& values,
+                       std::vector<MetricFamily>& families) {
+  MetricFamily family = make_family(name, help, MetricType::Gauge);
+  for (const auto& [service, value] : values) {
+    ClientMetric metric;
+    metric.label = {make_label("service", service)};
+    metric.gauge.value = value;
+    family.metric.push_back(std::move(metric));
+  }
+  families.push_back(std::move(family));
+}
+
 /// Adds, by service, what is known of how fast its runners work; nothing where none reports it.
 void add_runner_speeds(const GatewayContext& context, std::vector<MetricFamily>& families) {
   if (!context.load_policy.knows_speeds) return;
@@ -122,13 +136,9 @@
       Column{"stoathold_runner_relative_time_max", "Learned time of the slowest against the mean.",
              &SpeedSummary::most_relative_time}};
   for (const Column& column : kColumns) {
-    families.push_back(make_family(column.name, column.help, MetricType::Gauge));
-    for (const auto& [service, summary] : services) {
-      ClientMetric metric;
-      metric.label = {make_label("service", service)};
-      metric.gauge.value = summary.*column.value;
-      families.back().metric.push_back(std::move(metric));
-    }
+    std::map<std::string, double> values;
+    for (const auto& [service, summary] : services) values[service] = summary.*column.value;
+    add_service_gauge(column.name, column.help, values, families);
   }
   families.push_back(histogram("stoathold_first_event_expected_seconds",
                                "From sending to first event, as predicted at the choice.",
@@ -158,20 +168,6 @@
   return family;
 }
 
-/// Adds a gauge by service.
-void add_service_gauge(const std::string& name, const std::string& help,
-                       const std::map<std::string, double>& values,
-                       std::vector<MetricFamily>& families) {
-  MetricFamily family = make_family(name, help, MetricType::Gauge);
-  for (const auto& [service, value] : values) {
-    ClientMetric metric;
-    metric.label = {make_label("service", service)};
-    metric.gauge.value = value;
-    family.metric.push_back(std::move(metric));
-  }
-  families.push_back(std::move(family));
-}
-
 /// Adds who waits, how well waits were predicted, and who was told to come back.
 void add_admission(const GatewayContext& context, std::vector<MetricFamily>& families) {
   std::map<std::string, double> waiting;
--- a/src/gateway/online_admission.cc
+++ b/src/gateway/online_admission.cc
@@ -5,9 +5,9 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/log_fields.h"
 #include "base/random.h"
 #include "base/saturated.h"
-#include "gateway/log_fields.h"
 
 namespace stoathold {
 namespace {
@@ -112,7 +112,7 @@
 SlotRoom OnlineAdmission::count_room(const std::string& service, TimePoint now) const {
   SlotRoom room;
   for (const auto& runner : registry_.of_service(service)) {
-    if (!runner->available() || runner->ejected(now)) continue;
+    if (!runner->usable(now)) continue;
     const std::string& zone = runner->record().zone;
     if (zone == zone_) {
       room.zone += runner->slots() - std::min(runner->slots(), runner->lent());
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -1,7 +1,7 @@
 // How a request ends without a runner's whole answer, and what is logged of it.
 #include "base/event_log.h"
 #include "base/ids.h"
-#include "gateway/log_fields.h"
+#include "base/log_fields.h"
 #include "gateway/online_request.h"
 
 namespace stoathold {
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -4,8 +4,8 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/log_fields.h"
 #include "gateway/choice_fields.h"
-#include "gateway/log_fields.h"
 #include "gateway/online_request.h"
 
 namespace stoathold {
--- a/src/gateway/peer_relay.cc
+++ b/src/gateway/peer_relay.cc
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/log_fields.h"
 #include "base/random.h"
 #include "gateway/headers.h"
-#include "gateway/log_fields.h"
 
 namespace stoathold {
 namespace {
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -6,9 +6,9 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/log_fields.h"
 #include "gateway/choice_fields.h"
 #include "gateway/headers.h"
-#include "gateway/log_fields.h"
 #include "gateway/prompt_prefix.h"
 #include "gateway/runner_answer.h"
 #include "routing/runner_selector.h"
--- a/src/jobs/item_stage_log.cc
+++ b/src/jobs/item_stage_log.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/log_fields.h"
 #include "base/timer.h"
-#include "gateway/log_fields.h"
 
 namespace stoathold {
 namespace {
--- a/src/jobs/item_stages.cc
+++ b/src/jobs/item_stages.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "gateway/log_fields.h"
+#include "base/log_fields.h"
 
 namespace stoathold {
 namespace {
--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -102,16 +102,15 @@
     const RequestAppend append = next_append(key, submission, requests, next);
     if (append.bytes > log_.limits().call_bytes) co_return LogStatus::kRejected;
     const AppendResult result = co_await log_.append(partition, append.records, std::nullopt);
+    append_size_.observe(result.status);
     if (result.status == LogStatus::kRejected) co_return result.status;
     if (result.status == LogStatus::kOk) {
-      append_size_.came_through();
       backoff.reset();
       for (const std::size_t first_record : append.first_records) {
         submission.items[next++].body_offset = result.offset + first_record;
       }
       continue;
     }
-    if (result.status == LogStatus::kUnknown) append_size_.got_no_answer();
     const Duration wait = backoff.next();
     if (monotonic_now() + wait >= deadline) co_return result.status;
     timer.expires_after(wait);
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -91,16 +91,15 @@
     Queue results = take_some(queue);
     std::vector<KeyedRecord> records = records_of(results);
     const LogStatus status = co_await store_.append_records(partition, std::move(records));
+    append_size_.observe(status);
     if (status == LogStatus::kOk) {
       backoff.reset();
-      append_size_.came_through();
       pending_ -= results.size();
       for (const auto& result : results) pending_bytes_ -= held_bytes(result);
       held_.resize(pending_bytes_);
       for (const auto& result : results) listener_(result);
       continue;
     }
-    if (status == LogStatus::kUnknown) append_size_.got_no_answer();
     std::move(results.rbegin(), results.rend(), std::front_inserter(queue));
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/event_log.h"
+#include "base/log_fields.h"
 
 namespace stoathold {
 namespace {
@@ -125,12 +126,11 @@
   const Duration pause = std::min(kFirstEjection * (1U << doublings), kLongestEjection);
   ejected_until_ = now + pause;
   failed_at_ = now;
-  const auto pause_ms = std::chrono::duration_cast<std::chrono::milliseconds>(pause).count();
   log_event(Event::kRunnerEjected, {{"runner", record_.id},
                                     {"address", record_.address},
                                     {"failures", std::to_string(failures_)},
                                     {"by_errors", by_errors ? "yes" : "no"},
-                                    {"pause_ms", std::to_string(pause_ms)}});
+                                    {"pause_ms", milliseconds_text(pause)}});
 }
 
 bool Runner::own_failure_stands() const {
@@ -330,8 +330,7 @@
   const auto name = service_names_.find(service);
   if (name == service_names_.end()) return usable;
   for (const auto& runner : of_service(name->second)) {
-    const bool in_zone = runner->record().zone == zone;
-    if (in_zone && runner->available() && !runner->ejected(now)) usable.push_back(runner.get());
+    if (runner->record().zone == zone && runner->usable(now)) usable.push_back(runner.get());
   }
   return usable;
 }
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -101,6 +101,8 @@
   /// Whether it failed lately, here or at other nodes, and is given no work until a pause is over.
   /// After the pause one request at a time is tried there until the runner is heard again.
   [[nodiscard]] bool ejected(TimePoint now) const;
+  /// Whether it may be given new work now.
+  [[nodiscard]] bool usable(TimePoint now) const { return available() && !ejected(now); }
   /// Another node of the zone reports failed attempts at this runner.
   void take_peer_ejection(const PeerEjection& ejection, TimePoint now);
   /// Another node of the zone reports what answers it had from this runner.
--- a/src/routing/runner_selector.cc
+++ b/src/routing/runner_selector.cc
@@ -62,6 +62,10 @@
 /// Leaves out the runners that are slow beyond explanation. One that was so a moment ago gets one
 /// request at a time.
 void avoid_slow(std::vector<Candidate>& candidates, TimePoint now) {
+  const bool any = std::any_of(candidates.begin(), candidates.end(), [now](const auto& candidate) {
+    return candidate.runner->speed().slow_answers().is_suspect(now);
+  });
+  if (!any) return;
   std::vector<SlowCounts> counts;
   counts.reserve(candidates.size());
   for (const Candidate& candidate : candidates) {
--- a/src/routing/slot_exchange.cc
+++ b/src/routing/slot_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/log_fields.h"
 
 namespace stoathold {
 namespace {
@@ -153,11 +154,9 @@
   publish_lending_zones(now);
   if (gained == 0) return;
   if (first) {
-    const auto answer_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(borrower_.answer_time()).count();
     log_event(Event::kSlotsBorrowed, {{"zone", zone},
                                       {"slots", std::to_string(gained)},
-                                      {"answer_ms", std::to_string(answer_ms)}});
+                                      {"answer_ms", milliseconds_text(borrower_.answer_time())}});
   }
   links_.borrowed();
 }
@@ -240,11 +239,7 @@
   for (const LentSlots& lent : loan.slots) {
     const Runner* runner = registry_.find_hash(lent.runner);
     if (runner == nullptr) continue;
-    const auto held =
-        std::find_if(request.held.begin(), request.held.end(),
-                     [&](const LentSlots& entry) { return entry.runner == lent.runner; });
-    const std::uint32_t before = held == request.held.end() ? 0 : held->slots;
-    const bool granted = lent.slots > before;
+    const bool granted = lent.slots > slots_at(request.held, lent.runner);
     if (!granted || free_slots(*runner, now) > 0 || runner->preemptible() == 0) continue;
     preempted_at_[request.service] = now;
     links_.yield(*runner);
--- a/src/routing/slot_loan_messages.h
+++ b/src/routing/slot_loan_messages.h
@@ -2,6 +2,7 @@
 /// Messages by which zones lend one another slots at runners for a short time.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,6 +20,14 @@
   }
 };
 
+/// Returns the slots that a list names at a runner; 0: none.
+inline std::uint16_t slots_at(const std::vector<LentSlots>& list, std::uint64_t runner) {
+  const auto found = std::find_if(list.begin(), list.end(), [runner](const LentSlots& entry) {
+    return entry.runner == runner;
+  });
+  return found == list.end() ? 0 : found->slots;
+}
+
 /// Asks another zone to lend slots, and renews the loans of its runners.
 struct SlotLoanRequest {
   std::uint64_t service = 0;    ///< Hash of the name of the service that lacks slots.
--- a/src/routing/slot_loans.cc
+++ b/src/routing/slot_loans.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/ids.h"
+#include "base/saturated.h"
 
 namespace stoathold {
 namespace {
@@ -83,10 +84,9 @@
   const std::uint32_t granted = reclaims ? 0 : grant(loan, request.slots, free, now);
   counts_.lent += granted;
   if (request.slots > 0 && granted == 0) ++counts_.refused;
-  const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(kLoanLifetime);
   loan.answer = {.lender = self_,
                  .number = request.number,
-                 .lifetime_ms = static_cast<std::uint16_t>(lifetime.count()),
+                 .lifetime_ms = saturated_milliseconds(kLoanLifetime),
                  .reclaims = reclaims};
   for (const auto& [runner, slots] : loan.slots) loan.answer.slots.push_back({runner, slots});
   return loan.answer;
@@ -162,9 +162,7 @@
 }
 
 std::uint32_t SlotBorrower::take(const SlotLoan& loan, TimePoint now) {
-  const auto found = std::find_if(zones_.begin(), zones_.end(), [&](const auto& entry) {
-    return entry.second.newest.number == loan.number;
-  });
+  const auto found = zones_.find(zone_of_request(loan.number));
   if (found == zones_.end()) return 0;
   ZoneBook& book = found->second;
   const TimePoint until =
@@ -175,10 +173,7 @@
   book.reclaimed = loan.reclaims;
   std::uint32_t gained = 0;
   for (const LentSlots& lent : loan.slots) {
-    const auto named =
-        std::find_if(book.newest.held.begin(), book.newest.held.end(),
-                     [&](const LentSlots& held) { return held.runner == lent.runner; });
-    const std::uint16_t before = named == book.newest.held.end() ? 0 : named->slots;
+    const std::uint16_t before = slots_at(book.newest.held, lent.runner);
     const std::uint16_t more = lent.slots - std::min(lent.slots, before);
     Held& held = book.held[lent.runner];
     held.slots = static_cast<std::uint16_t>(held.slots + more);
--- a/src/routing/slow_answers.cc
+++ b/src/routing/slow_answers.cc
@@ -59,6 +59,10 @@
   return {own_slow_.value(now), own_usual_.value(now)};
 }
 
+bool SlowAnswers::is_suspect(TimePoint now) const {
+  return own_slow_.value(now) + reported_slow_.value(now) >= kSlowToTry;
+}
+
 SlowCounts SlowAnswers::all(TimePoint now) const {
   SlowCounts all = own(now);
   all += {reported_slow_.value(now), reported_usual_.value(now)};
--- a/src/routing/slow_answers.h
+++ b/src/routing/slow_answers.h
@@ -40,6 +40,8 @@
   void take_report(const SlowCounts& counts, TimePoint now);
   /// Returns the own counts, to report them to others.
   [[nodiscard]] SlowCounts own(TimePoint now) const;
+  /// Whether so many were slow lately that the runner is to be judged: of most runners none was.
+  [[nodiscard]] bool is_suspect(TimePoint now) const;
   /// Returns the own counts and those of another node.
   [[nodiscard]] SlowCounts all(TimePoint now) const;
 
--- a/src/store/append_size.h
+++ b/src/store/append_size.h
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "store/record_log.h"
+
 namespace stoathold {
 
 /// Learns what comes through in the time of one call: after an append without an answer half as
@@ -16,8 +18,11 @@
   explicit AppendSize(std::uint64_t most) : most_(most), bytes_(most) {}
 
   [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
-  void came_through() { bytes_ = std::min(bytes_ * 2, most_); }
-  void got_no_answer() { bytes_ = std::max(bytes_ / 2, kLeast); }
+  /// An append of this size ended so.
+  void observe(LogStatus status) {
+    if (status == LogStatus::kOk) bytes_ = std::min(bytes_ * 2, most_);
+    if (status == LogStatus::kUnknown) bytes_ = std::max(bytes_ / 2, kLeast);
+  }
 
  private:
   /// Takes 26 ms on 5 Mbit/s.
