--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -81,8 +81,6 @@
   /// Hash of the foreign zones' versions, for heartbeats; 0 if this node is not a relay.
   [[nodiscard]] std::uint64_t foreign_view_if_relay() const;
 
-  /// Members that may own shards and take work: ready and alive, with this node if it is ready.
-  [[nodiscard]] std::vector<NodeId> ready_members() const;
   /// Members that may own shards: ready and reached by the log, or all that are ready if none is.
   [[nodiscard]] std::vector<NodeId> shard_members() const;
   /// Whether a member says that it reaches the log; true if it is not known.
--- a/src/core/membership_views.cc
+++ b/src/core/membership_views.cc
@@ -97,11 +97,6 @@
   return !without_log_.contains(node);
 }
 
-std::vector<NodeId> Membership::ready_members() const {
-  const std::scoped_lock lock(mutex_);
-  return ready_;
-}
-
 std::vector<NodeId> Membership::ready_zone_members() const {
   const std::scoped_lock lock(mutex_);
   return ready_in_zone_;
--- a/src/core/shard_state.h
+++ b/src/core/shard_state.h
@@ -86,7 +86,6 @@
   [[nodiscard]] const JobState* find_job(JobId job) const;
   /// Returns the submission that claimed `key` first, if any did.
   [[nodiscard]] std::optional<std::uint64_t> claimant_of(std::uint64_t key) const;
-  [[nodiscard]] std::size_t claim_count() const { return claims_.size(); }
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/routing/placement_queue.h
+++ b/src/routing/placement_queue.h
@@ -130,7 +130,6 @@
   PlacementQueue(boost::asio::any_io_executor executor, const RunnerRegistry& registry);
 
   void set_yield_handler(YieldHandler handler) { yield_handler_ = std::move(handler); }
-  void set_decisions(PlacementDecisions decisions) { decisions_ = std::move(decisions); }
   /// Each part sets its own of the decisions.
   [[nodiscard]] PlacementDecisions& decisions() { return decisions_; }
 
--- a/src/routing/runner_speed.h
+++ b/src/routing/runner_speed.h
@@ -135,10 +135,6 @@
   /// Returns the times that an answer is expected to take at a runner.
   [[nodiscard]] ExpectedTimes expected(std::uint64_t route, const RunnerSpeed& runner,
                                        const RunnerWork& work, TimePoint now) const;
-  /// Mean slowness of all runners, as a multiple of the usual time.
-  [[nodiscard]] double usual_slowness() const { return usual_slowness_; }
-  /// Slowness that runners reach now and then, as a multiple of the usual time.
-  [[nodiscard]] double worst_slowness() const { return worst_slowness_; }
 
  private:
   struct RouteTimes {
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -311,7 +311,7 @@
       left.push_back(request.tenant);
     };
     decisions.yields = [](const PlacementRequest& request) { return request.turn >= 1; };
-    queue.set_decisions(std::move(decisions));
+    queue.decisions() = std::move(decisions);
   }
   PlacementRequest of_tenant(const std::string& tenant, std::uint32_t priority = 0) {
     PlacementRequest request = make_request(WorkClass::kOnline, priority);
@@ -329,7 +329,7 @@
   without_yields.turn = [this](const PlacementRequest& request, TimePoint) {
     return turns[request.tenant];
   };
-  queue.set_decisions(std::move(without_yields));
+  queue.decisions() = std::move(without_yields);
   wait("first", of_tenant("light"));
   wait("heavy", of_tenant("heavy"));
   wait("light, less urgent", of_tenant("light", 1));
