--- a/src/routing/runner_speed.h
+++ b/src/routing/runner_speed.h
@@ -147,8 +147,8 @@
              TimePoint now);
 
   std::map<std::uint64_t, RouteTimes> routes_;  ///< By hash of the name.
-  double usual_slowness_ = 1;
-  double worst_slowness_ = 1;
+  double usual_slowness_ = 1;  ///< Mean of all runners, as a multiple of the usual time.
+  double worst_slowness_ = 1;  ///< That runners reach now and then.
 };
 
 }  // namespace stoathold
