--- a/src/base/event_rate_limiter.cc
+++ b/src/base/event_rate_limiter.cc
@@ -6,7 +6,7 @@
 constexpr Duration kWindow = std::chrono::seconds(1);
 /// Lines of one event in a window.
 constexpr std::uint32_t kLinesPerWindow = 200;
-/// Successes are many and say little, so fewer of them are kept.
+/// What is many at a time and says little by itself: fewer lines of it are kept.
 constexpr std::uint32_t kSuccessLinesPerWindow = 40;
 /// A failed attempt tells again from what its runner was chosen, so of first choices a sample does.
 constexpr std::uint32_t kFirstChoiceLinesPerWindow = 5;
@@ -20,6 +20,7 @@
     case Event::kCallerRefused:
     case Event::kTenantOverLimit:
     case Event::kPeerDatagramFailed:
+    case Event::kRunnerListed:
       return kSuccessLinesPerWindow;
     default:
       return kLinesPerWindow;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,11 +81,14 @@
                                       const CallerCheck& check) {
   ++context_.metrics.refusals[check.reason];
   const Event event = check.status == kNotFound ? Event::kNoRoute : Event::kCallerRefused;
+  const ConfigurationPosition position = context_.configuration_position();
   log_event(event, {{"request", std::string(exchange.header(context_.dialect.request_id))},
                     {"host", normalize_host(exchange.header("Host"))},
                     {"reason", check.reason},
                     {"key_hash", key_fingerprint(check.caller.key)},
-                    {"configuration", std::to_string(configuration.version)}});
+                    {"configuration", std::to_string(configuration.version)},
+                    {"behind", std::to_string(position.behind())},
+                    {"confirmed_ms", position.age_text(monotonic_now())}});
   std::string body = std::string(R"({"error":")") + check.reason + R"("})";
   co_await exchange.respond(check.status, "application/json", std::move(body));
 }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -20,6 +20,7 @@
 #include "quarantine/quarantine.h"
 #include "routing/batch_turns.h"
 #include "routing/configuration.h"
+#include "routing/configuration_position.h"
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_speed.h"
@@ -82,6 +83,8 @@
   /// What stands for this process where nodes are to choose differently.
   std::uint64_t node = process_random().next();
   std::shared_ptr<const ServingConfiguration> configuration;  ///< Null until the first is known.
+  /// Where this node stands in the log of the configuration.
+  ConfigurationPositionSource configuration_position = [] { return ConfigurationPosition(); };
   DeploymentTraits traits;
   LoadPolicy load_policy;  ///< Decisions for hard load that are on.
   RunnerRegistry runners;
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -55,6 +55,7 @@
   if (result.status == LogStatus::kUnknown) bounds_.ask_for_less();
   if (result.status != LogStatus::kOk) co_return result.status;
   bounds_.ask_for_more();
+  health_.end = std::max(health_.end, result.end);
   if (result.end < next_offset_) co_return LogStatus::kOk;
   std::erase_if(result.records,
                 [&](const StoredRecord& record) { return record.offset >= result.end; });
@@ -81,6 +82,7 @@
   LogStatus status = result.status;
   adapt_reads(result, monotonic_now() - sent);
   if (status == LogStatus::kOk) {
+    health_.end = std::max(health_.end, result.end);
     apply_new(result.records);
     at_end = next_offset_ >= result.end;
   } else if (status == LogStatus::kTruncated) {
@@ -89,6 +91,7 @@
   health_.last = status;
   if (status == LogStatus::kOk) {
     health_.last_success = std::max(health_.last_success, sent);
+    if (at_end) health_.confirmed = std::max(health_.confirmed, sent);
     const bool was_loaded = std::exchange(health_.loaded, health_.loaded || at_end);
     if (health_.loaded && !was_loaded && loaded_listener_) loaded_listener_();
   }
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -31,6 +31,8 @@
   bool loaded = false;  ///< The partition was read to its end at least once.
   LogStatus last = LogStatus::kOk;
   TimePoint last_success{};  ///< When the last successful read was sent.
+  TimePoint confirmed{};     ///< When the last read that left nothing unread was sent.
+  RecordOffset end = 0;      ///< End of the partition when it was last heard of.
 };
 
 /// Follows one partition. Reads may overlap: each applies only what is new.
