A configuration is in force once the log of it was read to its end, and is read by its newest record

What callers saw: after all nodes had ended right behind an acknowledgement, nodes that had just started answered 404 for a route that the version acknowledged before had added; others were served by versions long replaced.

Class: a state that is believed before it is whole.

Change: a sink is told when its replica has read the partition to its end (caught_up), and the configuration's puts nothing in force before that. Where only the newest record of a key counts (ReplicaScope::kNewest) a replica begins with it, and returns to it when a read left something unread, so that what a start reads does not grow with the number of versions.

StoreSinksTest tells the sink that its log is read, as the replica does, and now holds as well that nothing is in force before.

--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -15,10 +15,19 @@
 
 namespace asio = boost::asio;
 
+/// Longest time for a page of newest records where only these are wanted: a connection that says
+/// nothing more holds up whoever waits for them.
+constexpr Duration kMaxNewestPatience = std::chrono::seconds(2);
+
 }  // namespace
 
-PartitionReplica::PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink)
-    : log_(log), partition_(std::move(partition)), sink_(sink) {}
+PartitionReplica::PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink,
+                                   ReplicaScope scope)
+    : log_(log),
+      partition_(std::move(partition)),
+      sink_(sink),
+      scope_(scope),
+      skip_to_newest_(scope == ReplicaScope::kNewest) {}
 
 void PartitionReplica::apply_new(const std::vector<StoredRecord>& records) {
   for (const auto& record : records) {
@@ -51,7 +60,10 @@
 
 asio::awaitable<LogStatus> PartitionReplica::load_newest() {
   const KeyRange all_keys;
-  ReadResult result = co_await newest_.run(log_, partition_, all_keys, bounds_.patience);
+  const Duration patience = scope_ == ReplicaScope::kNewest
+                                ? std::min(bounds_.patience, kMaxNewestPatience)
+                                : bounds_.patience;
+  ReadResult result = co_await newest_.run(log_, partition_, all_keys, patience);
   if (result.status == LogStatus::kUnknown) bounds_.ask_for_less();
   if (result.status != LogStatus::kOk) co_return result.status;
   bounds_.ask_for_more();
@@ -73,26 +85,35 @@
   co_return LogStatus::kOk;
 }
 
+asio::awaitable<LogStatus> PartitionReplica::read_on(Duration wait, bool& at_end) {
+  const TimePoint sent = monotonic_now();
+  const RecordOffset from = next_offset_;
+  const ReadResult result = co_await log_.read(partition_, from, bounds_.bytes, wait);
+  adapt_reads(result, monotonic_now() - sent);
+  if (result.status != LogStatus::kOk) co_return result.status;
+  health_.end = std::max(health_.end, result.end);
+  apply_new(result.records);
+  at_end = next_offset_ >= result.end;
+  skip_to_newest_ = scope_ == ReplicaScope::kNewest && !at_end;
+  co_return LogStatus::kOk;
+}
+
 asio::awaitable<LogStatus> PartitionReplica::read_once(Duration wait, bool& at_end) {
   const auto self = shared_from_this();
   const TimePoint sent = monotonic_now();
   at_end = false;
-  const RecordOffset from = next_offset_;
-  ReadResult result = co_await log_.read(partition_, from, bounds_.bytes, wait);
-  LogStatus status = result.status;
-  adapt_reads(result, monotonic_now() - sent);
-  if (status == LogStatus::kOk) {
-    health_.end = std::max(health_.end, result.end);
-    apply_new(result.records);
-    at_end = next_offset_ >= result.end;
-  } else if (status == LogStatus::kTruncated) {
+  LogStatus status = LogStatus::kTruncated;
+  if (!skip_to_newest_) status = co_await read_on(wait, at_end);
+  if (status == LogStatus::kTruncated) {
     status = co_await load_newest();
+    if (status == LogStatus::kOk) skip_to_newest_ = false;
   }
   health_.last = status;
   if (status == LogStatus::kOk) {
     health_.last_success = std::max(health_.last_success, sent);
     if (at_end) health_.confirmed = std::max(health_.confirmed, sent);
     const bool was_loaded = std::exchange(health_.loaded, health_.loaded || at_end);
+    if (at_end) sink_.caught_up();
     if (health_.loaded && !was_loaded && loaded_listener_) loaded_listener_();
   }
   co_return status;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -24,6 +24,16 @@
   /// The history up to `newest` is lost; these are the newest records of all keys, ascending by
   /// offset. Keys that are missing were deleted. Records applied before may be among them.
   virtual void reset(const std::vector<StoredRecord>& newest) = 0;
+  /// All records that the partition held when a read was answered are applied. Until the first such
+  /// call the state is one of the past: some of its records may have been replaced or deleted
+  /// before the reading began.
+  virtual void caught_up() {}
+};
+
+/// Which records a sink is to get.
+enum class ReplicaScope : std::uint8_t {
+  kHistory,  ///< Each record, in order, as far as the log has its history.
+  kNewest,   ///< The newest record of each key; those that were replaced may be left out.
 };
 
 /// How the log has answered lately, for readiness, logs and metrics.
@@ -41,7 +51,8 @@
 class PartitionReplica : public std::enable_shared_from_this<PartitionReplica> {
  public:
   /// @param log and `sink` outlive the replica and all reads in flight.
-  PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink);
+  PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink,
+                   ReplicaScope scope = ReplicaScope::kHistory);
 
   /// Reads until the partition's end: afterwards the state holds every record whose append was
   /// acknowledged before this call.
@@ -72,6 +83,8 @@
  private:
   boost::asio::awaitable<LogStatus> read_once(Duration wait, bool& at_end);
   boost::asio::awaitable<LogStatus> read_to_end();
+  /// Reads from the first record not applied on.
+  boost::asio::awaitable<LogStatus> read_on(Duration wait, bool& at_end);
   boost::asio::awaitable<LogStatus> load_newest();
   void adapt_reads(const ReadResult& result, Duration took);
   void apply_new(const std::vector<StoredRecord>& records);
@@ -79,6 +92,9 @@
   RecordLog& log_;
   PartitionName partition_;
   RecordSink& sink_;
+  ReplicaScope scope_;
+  /// The next read is of the newest records, whatever lies between.
+  bool skip_to_newest_;
   RecordOffset next_offset_ = 0;
   ReplicaHealth health_;
   NewestRead newest_;
--- a/tests/platform/starting_node_test.cc
+++ b/tests/platform/starting_node_test.cc
@@ -61,7 +61,7 @@
                 }),
         log(model, loop.get_executor()),
         sink(context, nullptr),
-        replica(std::make_shared<PartitionReplica>(log, kPartition, sink)) {
+        replica(std::make_shared<PartitionReplica>(log, kPartition, sink, ReplicaScope::kNewest)) {
     for (std::uint64_t version = 1; version < kVersions; ++version) {
       append(version, {kKeptRoute, kDroppedRoute});
     }
--- a/tests/platform/store_sinks_test.cc
+++ b/tests/platform/store_sinks_test.cc
@@ -28,6 +28,11 @@
   sink.apply({1, "config", configuration(4)});
   sink.apply({2, "config", "damaged"});
   sink.apply({3, "other", configuration(9)});
+  EXPECT_FALSE(context.configuration);
+  sink.caught_up();
+  EXPECT_EQ(context.configuration->version, 5U);
+  sink.apply({4, "config", configuration(3)});
+  sink.caught_up();
   EXPECT_EQ(context.configuration->version, 5U);
   sink.reset({{7, "config", configuration(6)}});
   EXPECT_EQ(context.configuration->version, 6U);
@@ -37,6 +42,7 @@
 TEST_F(StoreSinksTest, AnotherNodesRecordIsTakenOnlyIfItIsNewer) {
   ConfigurationSink sink(context, nullptr);
   sink.apply({10, "config", configuration(5)});
+  sink.caught_up();
   sink.apply_from_peer({9, "", configuration(4)});
   EXPECT_EQ(context.configuration->version, 5U);
   EXPECT_EQ(sink.in_force().offset, 10U);
--- a/tests/store/partition_replica_test.cc
+++ b/tests/store/partition_replica_test.cc
@@ -68,7 +68,9 @@
   void reset(const std::vector<StoredRecord>& newest) override {
     for (const auto& record : newest) applied.push_back(record.key);
   }
+  void caught_up() override { applied_when_caught_up.push_back(applied.size()); }
   std::vector<std::string> applied;
+  std::vector<std::size_t> applied_when_caught_up;
 };
 
 class PartitionReplicaTest : public testing::Test {
@@ -137,6 +139,40 @@
             (std::vector<std::uint64_t>{64UL * 1024, 256UL * 1024, 1024UL * 1024}));
 }
 
+TEST_F(PartitionReplicaTest, TheSinkIsCaughtUpOnlyAfterAReadThatLeftNothingUnread) {
+  ReadResult page = answer(LogStatus::kOk, 2);
+  add(page, 0, "a");
+  ReadResult last = answer(LogStatus::kOk, 2);
+  add(last, 1, "b");
+  log.reads = {page, answer(LogStatus::kUnknown), last};
+  EXPECT_EQ(catch_up(), LogStatus::kUnknown);
+  EXPECT_TRUE(sink.applied_when_caught_up.empty());
+  EXPECT_EQ(replica->health().confirmed, TimePoint{});
+  EXPECT_EQ(replica->health().end, 2U);
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(sink.applied_when_caught_up, (std::vector<std::size_t>{2}));
+  EXPECT_GT(replica->health().confirmed, TimePoint{});
+}
+
+// A node that fell behind went by each version that it had missed, one after the other.
+TEST_F(PartitionReplicaTest, WhereTheNewestCountsWhatLiesBetweenIsSkipped) {
+  replica = std::make_shared<PartitionReplica>(log, PartitionName{kTopic, 0}, sink,
+                                               ReplicaScope::kNewest);
+  ReadResult newest = answer(LogStatus::kOk, 3);
+  add(newest, 2, "start");
+  ReadResult part = answer(LogStatus::kOk, 40);
+  add(part, 3, "missed");
+  ReadResult newer = answer(LogStatus::kOk, 40);
+  add(newer, 39, "newer");
+  log.newest_reads = {newest, newer};
+  log.reads = {answer(LogStatus::kOk, 3), part, answer(LogStatus::kOk, 40)};
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(catch_up(), LogStatus::kOk);
+  EXPECT_EQ(sink.applied, (std::vector<std::string>{"start", "missed", "newer"}));
+  EXPECT_EQ(replica->next_offset(), 40U);
+  EXPECT_EQ(log.keys_asked.size(), 2U);
+}
+
 TEST_F(PartitionReplicaTest, TheEndIsToldOnceAfterItsRecordsAreApplied) {
   int told = 0;
   std::size_t applied_then = 0;
