A node denies callers by its configuration only once the log or another node has confirmed it

What callers saw: a node that had lost touch with the store went on to answer 404 for a route that was added meanwhile (and 401 for a key), for as long as the store's answers did not reach it; a caller does not come again after a 404.

Cause: a waiting read says nothing until it is answered or given up after 3 s, and check_caller went by whatever was in force.

Change: a denial needs a read of the log to its end that was sent at most 0.5 s before. Without one the node reads once (shared by all who wait), then asks up to two neighbours, which read the log for it; what they bring is put in force and the request is judged anew. If nobody answers, the caller gets 503 with a time to come back, at once for the next 0.3 s. It costs a node at most two calls a second, and only while it denies. Weighed: no lifetime at all (a flood of wrong requests would be as many calls as the log answers), a longer one (a denial may be that old).

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -116,6 +116,9 @@
     EventEntry{Event::kRunnerEndedWithRequest, "runner_ended_with_request", EventLevel::kInfo,
                "A runner closed its connection before the first event of an answer; the stage says "
                "whether the request had begun to run."},
+    EventEntry{Event::kDenialUnconfirmed, "denial_unconfirmed", EventLevel::kInfo,
+               "The configuration in force denies a request, and neither the store nor another "
+               "node says that it is the newest; the request got 503."},
     EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
                "The directory lists a runner, or lists it with other values."},
     EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -67,6 +67,7 @@
   kRequestQuarantined = 1516,
   kQuarantineEnded = 1517,
   kRunnerEndedWithRequest = 1518,
+  kDenialUnconfirmed = 1519,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- a/src/base/event_rate_limiter.cc
+++ b/src/base/event_rate_limiter.cc
@@ -18,6 +18,7 @@
     case Event::kRequestServed:
     case Event::kNoRoute:
     case Event::kCallerRefused:
+    case Event::kDenialUnconfirmed:
     case Event::kTenantOverLimit:
     case Event::kPeerDatagramFailed:
     case Event::kRunnerListed:
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <utility>
+#include <vector>
 
 namespace stoathold {
 
@@ -31,4 +33,13 @@
 /// Seeds it, so that processes started at the same moment differ.
 void seed_process_random(std::uint64_t seed);
 
+/// Takes a random value out of a list that is not empty; the order of the others may change.
+template <typename Value>
+Value take_random(std::vector<Value>& values) {
+  std::swap(values[process_random().below(values.size())], values.back());
+  Value taken = std::move(values.back());
+  values.pop_back();
+  return taken;
+}
+
 }  // namespace stoathold
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,7 +19,8 @@
 constexpr Duration kConfigurationWait = std::chrono::milliseconds(300);
 /// Between two checks for it.
 constexpr Duration kConfigurationPoll = std::chrono::milliseconds(5);
-/// A node that knows no configuration yet asks callers to come back after this time, in seconds.
+/// A node that knows no configuration yet, or not whether it is the newest, asks callers to come
+/// back after this time, in seconds.
 constexpr const char* kNotReadyRetrySeconds = "0.3";
 
 /// Times to come back are written in hundredths, cut off: they must not come out as too early.
@@ -56,15 +57,22 @@
 
 asio::awaitable<void> Gateway::serve(HttpExchange& exchange) {
   if (!context_.configuration) co_await wait_for_configuration();
-  const auto configuration = context_.configuration;
+  auto configuration = context_.configuration;
   if (!configuration) {
-    ++context_.metrics.refusals["no_configuration"];
-    std::vector<HttpHeader> headers{{"Retry-After", kNotReadyRetrySeconds}};
-    co_await exchange.respond(503, "application/json", R"({"error":"not_ready"})",
-                              std::move(headers));
+    co_await refuse_unready(exchange, "no_configuration");
     co_return;
   }
-  const CallerCheck check = check_caller(*configuration, context_.dialect, exchange);
+  CallerCheck check = check_caller(*configuration, context_.dialect, exchange);
+  if (!check.allowed()) {
+    const bool confirmed = co_await context_.confirm_configuration();
+    if (!confirmed) {
+      log_unconfirmed(exchange, check);
+      co_await refuse_unready(exchange, "configuration_unconfirmed");
+      co_return;
+    }
+    configuration = context_.configuration;
+    check = check_caller(*configuration, context_.dialect, exchange);
+  }
   if (!check.allowed()) {
     co_await refuse(exchange, *configuration, check);
     co_return;
@@ -76,6 +84,24 @@
   co_await serve_route(exchange, configuration, check);
 }
 
+asio::awaitable<void> Gateway::refuse_unready(HttpExchange& exchange, const char* reason) {
+  ++context_.metrics.refusals[reason];
+  std::vector<HttpHeader> headers{{"Retry-After", kNotReadyRetrySeconds}};
+  co_await exchange.respond(503, "application/json", R"({"error":"not_ready"})",
+                            std::move(headers));
+}
+
+void Gateway::log_unconfirmed(const HttpExchange& exchange, const CallerCheck& check) {
+  const ConfigurationPosition position = context_.configuration_position();
+  log_event(Event::kDenialUnconfirmed,
+            {{"request", std::string(exchange.header(context_.dialect.request_id))},
+             {"host", normalize_host(exchange.header("Host"))},
+             {"reason", check.reason},
+             {"configuration", std::to_string(context_.configuration->version)},
+             {"behind", std::to_string(position.behind())},
+             {"confirmed_ms", position.age_text(monotonic_now())}});
+}
+
 asio::awaitable<void> Gateway::refuse(HttpExchange& exchange,
                                       const ServingConfiguration& configuration,
                                       const CallerCheck& check) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,10 @@
 
  private:
   boost::asio::awaitable<void> wait_for_configuration();
+  /// Refuses for now what may be served soon, here or at another node.
+  boost::asio::awaitable<void> refuse_unready(HttpExchange& exchange, const char* reason);
+  /// A request that the configuration in force denies was refused for now instead.
+  void log_unconfirmed(const HttpExchange& exchange, const CallerCheck& check);
   boost::asio::awaitable<void> serve_route(
       HttpExchange& exchange, std::shared_ptr<const ServingConfiguration> configuration,
       const CallerCheck& check);
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -20,7 +20,7 @@
 #include "quarantine/quarantine.h"
 #include "routing/batch_turns.h"
 #include "routing/configuration.h"
-#include "routing/configuration_position.h"
+#include "routing/configuration_confirmation.h"
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_speed.h"
@@ -66,6 +66,19 @@
     shares.configure(next);
   }
 
+  /// Returns where this node stands in the log of the configuration.
+  [[nodiscard]] ConfigurationPosition configuration_position() const {
+    return confirmation == nullptr ? ConfigurationPosition() : confirmation->position();
+  }
+
+  /// Whether the configuration that is in force afterwards is the newest, so that callers may be
+  /// denied by it.
+  boost::asio::awaitable<bool> confirm_configuration() {
+    if (confirmation == nullptr) co_return true;
+    const bool confirmed = co_await confirmation->confirm();
+    co_return confirmed;
+  }
+
   /// The deployment shows something else of itself: a configuration is in force, or a runner has
   /// reported its slowness.
   void set_traits(const DeploymentTraits& next) {
@@ -83,8 +96,8 @@
   /// What stands for this process where nodes are to choose differently.
   std::uint64_t node = process_random().next();
   std::shared_ptr<const ServingConfiguration> configuration;  ///< Null until the first is known.
-  /// Where this node stands in the log of the configuration.
-  ConfigurationPositionSource configuration_position = [] { return ConfigurationPosition(); };
+  /// Confirms that the configuration in force is the newest; null: nothing can replace it.
+  ConfigurationConfirmation* confirmation = nullptr;
   DeploymentTraits traits;
   LoadPolicy load_policy;  ///< Decisions for hard load that are on.
   RunnerRegistry runners;
--- a/src/gateway/peer_relay.cc
+++ b/src/gateway/peer_relay.cc
@@ -20,15 +20,6 @@
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(700);
 constexpr int kServiceUnavailable = 503;
 
-/// Takes a random one out of the addresses.
-std::string take_random(std::vector<std::string>& addresses) {
-  const std::size_t index = process_random().below(addresses.size());
-  std::swap(addresses[index], addresses.back());
-  std::string address = std::move(addresses.back());
-  addresses.pop_back();
-  return address;
-}
-
 }  // namespace
 
 PeerRelay::PeerRelay(const asio::any_io_executor& executor, const HeaderDialect& dialect,
--- a/src/routing/configuration_catch_up.cc
+++ b/src/routing/configuration_catch_up.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "base/event_log.h"
+#include "base/random.h"
 
 namespace stoathold {
 namespace {
@@ -15,6 +16,11 @@
 /// for longer has lost touch with it.
 constexpr Duration kStoreHeadStart = std::chrono::milliseconds(200);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
+/// For a node that has to ask the log first.
+constexpr Duration kConfirmTimeout = std::chrono::milliseconds(200);
+/// Nodes that are asked for one confirmation.
+constexpr std::size_t kMaxPeersAsked = 2;
+constexpr int kNoContent = 204;
 
 }  // namespace
 
@@ -36,6 +42,39 @@
   asio::co_spawn(executor_, fetch(address), asio::detached);
 }
 
+bool ConfigurationCatchUp::take(HttpReply& reply) {
+  StoredRecord record;
+  const std::string_view offset = reply.header(kRecordOffsetHeader);
+  const auto parsed = std::from_chars(offset.data(), offset.data() + offset.size(), record.offset);
+  if (!reply.ok() || parsed.ec != std::errc{}) return false;
+  record.value = std::move(reply.body);
+  apply_(record);
+  return true;
+}
+
+asio::awaitable<bool> ConfigurationCatchUp::confirm(std::vector<std::string> addresses,
+                                                    RecordOffset in_force) {
+  for (std::size_t asked = 0; asked < kMaxPeersAsked && !addresses.empty(); ++asked) {
+    HttpCall call;
+    call.address = take_random(addresses);
+    call.method = "GET";
+    call.target = kConfigurationTarget;
+    call.headers.push_back({kConfirmOffsetHeader, std::to_string(in_force)});
+    call.timeout = kConfirmTimeout;
+    const std::string peer = call.address;
+    const std::uint64_t before = current_();
+    HttpReply reply = co_await client_.call(std::move(call));
+    const bool unchanged = reply.progress == HttpProgress::kAnswered && reply.status == kNoContent;
+    const bool confirmed = unchanged || take(reply);
+    log_event(Event::kConfigurationFromPeer, {{"peer", peer},
+                                              {"status", std::to_string(reply.status)},
+                                              {"before", std::to_string(before)},
+                                              {"version", std::to_string(current_())}});
+    if (confirmed) co_return true;
+  }
+  co_return false;
+}
+
 asio::awaitable<void> ConfigurationCatchUp::fetch(std::string address) {
   HttpCall call;
   call.address = address;
@@ -44,13 +83,7 @@
   call.timeout = kCallTimeout;
   const std::uint64_t before = current_();
   HttpReply reply = co_await client_.call(std::move(call));
-  StoredRecord record;
-  const std::string_view offset = reply.header(kRecordOffsetHeader);
-  const auto parsed = std::from_chars(offset.data(), offset.data() + offset.size(), record.offset);
-  if (reply.ok() && parsed.ec == std::errc{}) {
-    record.value = std::move(reply.body);
-    apply_(record);
-  }
+  take(reply);
   log_event(Event::kConfigurationFromPeer, {{"peer", address},
                                             {"status", std::to_string(reply.status)},
                                             {"before", std::to_string(before)},
--- a/src/routing/configuration_catch_up.h
+++ b/src/routing/configuration_catch_up.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "net/http.h"
 #include "store/record_log.h"
@@ -18,6 +19,10 @@
 /// Header of the answer: the record's offset in the log.
 inline constexpr const char* kRecordOffsetHeader = "X-Record-Offset";
 
+/// Header of a call that wants the answer to be confirmed by the log: the offset of the record that
+/// the caller has in force.
+inline constexpr const char* kConfirmOffsetHeader = "X-Confirm-Offset";
+
 /// The store may turn some nodes away or be silent to them while it serves the others. Nodes
 /// advertise in their digests which version they have in force; a node that falls behind for longer
 /// than the store needs to deliver asks the one that advertised more for the record, as it lies in
@@ -38,8 +43,14 @@
   /// Another node has this version in force.
   /// @param address `ip:port` of that node.
   void advertised(const std::string& address, std::uint64_t version);
+  /// Asks some of these nodes, one after the other, for the record that the log now holds.
+  /// @param in_force offset of the record in force here; the answer need not repeat it.
+  /// @return whether one of them has read the log, so that its record, or this, is the newest.
+  boost::asio::awaitable<bool> confirm(std::vector<std::string> addresses, RecordOffset in_force);
 
  private:
+  /// Returns whether the answer is a record, which is then applied.
+  bool take(HttpReply& reply);
   boost::asio::awaitable<void> fetch(std::string address);
 
   boost::asio::any_io_executor executor_;
