No runner is listed before the log of the list was read to its end

What callers could see: a starting node sent a request to a runner that had left long before (and whose address may be another service's by now), while it was reading the history of the runner list.

Cause: RunnerSink listed and dropped runners record by record, from the first one that the store keeps on; readiness waits for the end of the list, requests on kept connections and retries do not wait for readiness.

Change: entries are kept until the replica has read the list to its end, and listed then; requests that come before wait for runners as they do at a node without any.

Evidence: StoreSinksTest.ARunnerThatHasLeftIsNotUsedWhileTheListIsRead failed before (runners listed after the first record); it holds now. Two fixtures tell the sink that its log is read.

--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -41,6 +41,8 @@
 
 class ForeignEntriesTest : public testing::Test {
  protected:
+  ForeignEntriesTest() { sink.caught_up(); }
+
   bool names_a_runner(const std::string& text) {
     context.runners.replace_all({});
     sink.apply({offset++, "r", text});
--- a/tests/platform/store_sinks_test.cc
+++ b/tests/platform/store_sinks_test.cc
@@ -54,8 +54,24 @@
   EXPECT_EQ(sink.in_force().offset, 11U);
 }
 
+// A starting node gave work to runners that had left long before, while it read the list.
+TEST_F(StoreSinksTest, ARunnerThatHasLeftIsNotUsedWhileTheListIsRead) {
+  RunnerSink sink(context);
+  sink.apply({0, "r1", runner("ready")});
+  sink.apply({1, "r2", runner("ready")});
+  sink.reset({{2, "r2", runner("ready")}, {3, "r3", runner("ready")}});
+  EXPECT_TRUE(context.runners.all().empty());
+  sink.apply({4, "r2", runner("draining")});
+  sink.apply({5, "r3", ""});
+  EXPECT_TRUE(context.runners.all().empty());
+  sink.caught_up();
+  ASSERT_EQ(context.runners.all().size(), 1U);
+  EXPECT_FALSE(context.runners.all().at("r2")->available());
+}
+
 TEST_F(StoreSinksTest, RunnersComeDrainAndGo) {
   RunnerSink sink(context);
+  sink.caught_up();
   sink.apply({0, "r1", runner("ready")});
   const auto held = context.runners.all().at("r1");
   EXPECT_TRUE(held->available());
