An item is given up for its route only if the configuration that lacks it is confirmed

What callers could see: an accepted item of a route that had been added was listed as dead by a node that did not have that version yet.

Cause: ItemRun gave items up once their route had been missing for 5 s, by whatever configuration was in force; a node that reads its jobs and not its configuration (a store of which a part is silent) goes by an old one for longer than that.

Change: the configuration is confirmed before the item is given up; until then it waits.

Evidence: ItemRunTest.AnItemIsGivenUpForItsRouteOnlyIfTheConfigurationIsConfirmed failed before (given up after 5 s without a confirmation), holds now; with one it is still given up.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -210,9 +210,12 @@
     if (route == nullptr || route->kind != RouteKind::kBatch) {
       const TimePoint now = monotonic_now();
       if (!route_missing_since) route_missing_since = now;
-      const bool gone = configuration && now - *route_missing_since > kRouteGrace;
-      if (gone) co_return make_result(ItemState::kDeadLettered);
       enter(ItemStage::kBackingOff);
+      if (configuration && now - *route_missing_since > kRouteGrace) {
+        const bool confirmed = co_await context_.confirm_configuration();
+        const bool gone = confirmed && context_.configuration == configuration;
+        if (gone) co_return make_result(ItemState::kDeadLettered);
+      }
       co_await pause(kRoutePause);
       continue;
     }
--- a/tests/jobs/item_run_test.cc
+++ b/tests/jobs/item_run_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 
 namespace stoathold {
@@ -23,5 +24,44 @@
   EXPECT_EQ(run->schedule().rest, std::chrono::milliseconds(100 * 34));
 }
 
+/// An item whose route a node's configuration lacks, and whether the store confirms that.
+class ItemWithoutRoute {
+ public:
+  ItemWithoutRoute(boost::asio::io_context& loop, LogStatus log_status)
+      : context_(loop.get_executor(), HeaderDialect{}, "zone"),
+        confirmation_(
+            {[] { return ConfigurationPosition(); },
+             [log_status]() -> boost::asio::awaitable<LogStatus> { co_return log_status; },
+             []() -> boost::asio::awaitable<bool> { co_return false; }}),
+        run_(std::make_shared<ItemRun>(context_, ItemContext{}, ItemRequest{}, ItemProgress{},
+                                       Duration{0})) {
+    context_.configuration = std::make_shared<const ServingConfiguration>();
+    context_.confirmation = &confirmation_;
+    boost::asio::co_spawn(loop, run_->run(),
+                          [this](std::exception_ptr, std::optional<ItemResult> result) {
+                            given_up_ = result && result->state == ItemState::kDeadLettered;
+                          });
+  }
+  ~ItemWithoutRoute() { run_->stop(); }
+
+  [[nodiscard]] bool given_up() const { return given_up_; }
+
+ private:
+  GatewayContext context_;
+  ConfigurationConfirmation confirmation_;
+  std::shared_ptr<ItemRun> run_;
+  bool given_up_ = false;
+};
+
+// Items of a route that had been added were given up by a node that did not have it yet.
+TEST(ItemRunTest, AnItemIsGivenUpForItsRouteOnlyIfTheConfigurationIsConfirmed) {
+  boost::asio::io_context loop;
+  ItemWithoutRoute confirmed(loop, LogStatus::kOk);
+  ItemWithoutRoute unconfirmed(loop, LogStatus::kUnknown);
+  loop.run_for(std::chrono::milliseconds(6500));
+  EXPECT_TRUE(confirmed.given_up());
+  EXPECT_FALSE(unconfirmed.given_up());
+}
+
 }  // namespace
 }  // namespace stoathold
