A configuration whose version is no number is malformed

AbsurdNumbersOfAConfigurationAreBounded stays as it is: numbers that are too large are still bounded.

--- a/tests/platform/platform_configuration_test.cc
+++ b/tests/platform/platform_configuration_test.cc
@@ -56,6 +56,15 @@
   EXPECT_FALSE(configuration->routes[1].anonymous_access);
 }
 
+// A version that is no number was read as 0 and passed over without a line.
+TEST(PlatformConfigurationTest, AVersionThatIsNoNumberMakesTheRecordMalformed) {
+  const std::string rest = R"(,"routes":[],"services":[]})";
+  for (const char* version : {R"("581")", "true", "null", "[581]"}) {
+    EXPECT_FALSE(parse_configuration(std::string(R"({"version":)") + version + rest)) << version;
+  }
+  EXPECT_TRUE(parse_configuration(R"({"version":581)" + rest));
+}
+
 TEST(PlatformConfigurationTest, AnUnknownKindIsTreatedAsUnsafe) {
   const auto configuration = parse_configuration(kConfiguration);
   ASSERT_TRUE(configuration);
