--- a/src/routing/configuration_confirmation.cc
+++ b/src/routing/configuration_confirmation.cc
@@ -7,15 +7,13 @@
 
 namespace asio = boost::asio;
 
-/// For so long a confirmation counts. It bounds what denials cost the log: two calls a second of
-/// each node.
+/// How long a confirmation counts. Bounds what denials cost the log: two calls a second per node.
 constexpr Duration kConfirmationLifetime = std::chrono::milliseconds(500);
 /// How long a caller waits for the log. A read of it takes some 10 ms.
 constexpr Duration kLogPatience = std::chrono::milliseconds(300);
 /// How long a caller waits for other nodes after that.
 constexpr Duration kPeersPatience = std::chrono::milliseconds(400);
-
-/// For so long after a failure callers are turned away at once: they find another node sooner.
+/// How long after a failure callers are refused at once, so that they try another node sooner.
 constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(300);
 
 bool is_within(TimePoint past, Duration duration) {
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -15,8 +15,8 @@
 
 namespace asio = boost::asio;
 
-/// Longest time for a page of newest records where only these are wanted: a connection that says
-/// nothing more holds up whoever waits for them.
+/// Longest time for a page of newest records where only these are wanted: on a connection that has
+/// fallen silent it passes in vain.
 constexpr Duration kMaxNewestPatience = std::chrono::seconds(2);
 
 }  // namespace
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -93,7 +93,7 @@
   PartitionName partition_;
   RecordSink& sink_;
   ReplicaScope scope_;
-  /// The next read is of the newest records, whatever lies between.
+  /// The next read is of the newest records, not of those behind `next_offset_`.
   bool skip_to_newest_;
   RecordOffset next_offset_ = 0;
   ReplicaHealth health_;
