--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -75,9 +75,11 @@
         self.arguments = [str(item) for item in arguments]
         self.log_path = pathlib.Path(log_directory) / (name + ".log")
         self.handle = None
+        self.started_at = None  # No later than the process' first step; of the monotonic clock.
         self.start()
 
     def start(self):
+        self.started_at = time.monotonic()
         with open(self.log_path, "ab") as log:
             self.handle = subprocess.Popen(self.arguments, stdout=log, stderr=log)
 
--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -22,6 +22,8 @@
                             "cut off when no place was free at once.",
     "late-power-twice": "Items were open at the end and nothing worked on them: reads of jobs brought "
                         "what other jobs had, and none came in time (LOST).",
+    "late-changes": "Starting nodes answered by each version of the history while they read it "
+                    "(CONFIG).",
     "core-cut": "A node that starts while it cannot reach the store waits for its configuration.",
 }
 NOTHING_SHOWN = "It has shown no fault so far."
@@ -218,6 +220,7 @@
 FIRST_SEED = 4100
 CLOSING_SEED = 4801  # With it late-power-twice once broke a rule.
 POWER_OFF = 'closing = { kind = "power_off_all", down_s = 1.4, how = "all taken" }'
+KILL_ALL = 'closing = { kind = "kill_all", down_s = 1.4 }'
 CLOSING = [
     ("late-power", POWER_OFF, "", ""),
     ("late-power-twice", POWER_OFF, "",
@@ -227,7 +230,21 @@
     ("late-power-store", POWER_OFF, "",
      '{ at = 33, kind = "platform_slow", x = 20.0, for_s = 8.0 }, '
      '{ at = 33, kind = "platform_down", how = "nodes busy", share = 0.35, for_s = 9.0 }'),
-    ("late-kill-twice", 'closing = { kind = "kill_all", down_s = 1.4 }', "",
+    ("late-changes", KILL_ALL,
+     '{ at = 2, kind = "config_storm", for_s = 28, gap_s = 0.3 }, '
+     '{ at = 8, kind = "big_config", count = 700 }', ""),
+    ("changes-herd-kill", KILL_ALL,
+     '{ at = 2, kind = "big_config", count = 1400 }, '
+     '{ at = 3, kind = "config_storm", for_s = 13, gap_s = 0.4 }',
+     '{ at = 16.5, kind = "after_ack_kill", for_s = 3 }, '
+     '{ at = 17, kind = "herd_kill", share = 1.0, how = "power", for_s = 1.5 }'),
+    ("changes-cuts", POWER_OFF,
+     '{ at = 2, kind = "big_config", count = 700 }, '
+     '{ at = 3, kind = "config_storm", for_s = 16, gap_s = 0.4 }',
+     '{ at = 5, kind = "node_kill", on = "core", count = 1, for_s = 3, how = "meet race" }, '
+     '{ at = 9, kind = "core_cut", count = 2, for_s = 5, how = "race" }, '
+     '{ at = 14, kind = "platform_down", how = "nodes silent meet", share = 0.4, for_s = 6 }'),
+    ("late-kill-twice", KILL_ALL, "",
      '{ at = 30, kind = "herd_kill", share = 1.0 }'),
 ]
 
--- a/tests/soak/hard_load.py
+++ b/tests/soak/hard_load.py
@@ -63,8 +63,11 @@
         return super().call(node, method, target, body, dict(headers, **{"Stoathold-Key": OWN_KEY}))
 
     def configure(self):
-        self.platform.configure(self.version, [UNSAFE_ROUTE, WAITING_ROUTE], tenants=TENANTS,
-                                extra_services=["absent"])
+        self.configuration_watch.publish(
+            self.version,
+            lambda routes: self.platform.configure(
+                self.version, [UNSAFE_ROUTE, WAITING_ROUTE] + routes, tenants=TENANTS,
+                extra_services=["absent"]))
 
     # Load.
 
--- a/tests/soak/power_loss.py
+++ b/tests/soak/power_loss.py
@@ -147,6 +147,8 @@
         """All nodes end at one moment, at times with all runners and a store that forgets."""
         runners_too = self.random.random() < 0.3
         forgets = self.random.random() < 0.7
+        if self.start_random.random() < 0.5:
+            self.change_in_series()
         self.note("power lost; runners too: %s; the store forgets: %s" % (runners_too, forgets))
         if forgets:
             self.platform.faults(self.platform.store, drop_history=True)
@@ -169,6 +171,13 @@
             for index in range(self.node_count):
                 self.start_if_down(index)
 
+    def change_in_series(self):
+        """Nodes that end right after an acknowledgement read a history of several versions."""
+        for _ in range(self.start_random.choice([1, 5, 20])):
+            self.version += 1
+            self.configure()
+        self.note("configurations up to %d in series" % self.version)
+
     def change_configuration(self):
         self.version += self.random.randrange(1, 4)
         self.note("configuration %d" % self.version)
@@ -176,8 +185,10 @@
         return lambda: None
 
     def configure(self):
-        self.platform.configure(self.version, [UNSAFE_ROUTE, WAITING_ROUTE],
-                                extra_services=["absent"])
+        self.configuration_watch.publish(
+            self.version,
+            lambda routes: self.platform.configure(
+                self.version, [UNSAFE_ROUTE, WAITING_ROUTE] + routes, extra_services=["absent"]))
 
     def other_faults(self):
         """Faults of a kind of soak that this one has not."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 from platform_fleet import CRASH_EXIT_CODE, HOST, SMALL_SIZES, Platform  # noqa: E402
 from fleet import call, call_json, wait_for  # noqa: E402
 
+from configuration_watch import ConfigurationWatch  # noqa: E402
 from link_proxy import LinkLoop  # noqa: E402
 from promises import Promises  # noqa: E402
 
@@ -29,6 +30,8 @@
 SLOWNESS_SECONDS = 0.6
 SLOW_PART = 0.15
 CALLERS = 4
+# Callers that ask for routes which come and go.
+WATCHERS = 2
 SETTLE_SECONDS = 60.0
 CALL_TIMEOUT_SECONDS = 20.0
 UNSAFE_ROUTE = {"name": "once", "host": HOST, "path_prefix": "/once/", "kind": "unsafe",
@@ -65,6 +68,7 @@
         self.platform = Platform(
             directory, nodes, runners, self.make_link, DEADLY, self.sizes,
             self.runner_speeds(runners), self.memory_mb)
+        self.configuration_watch = ConfigurationWatch(seed, self.platform, self.promises)
         self.directory = directory
         self.known_runs = {}
         self.items_may_fail = False
@@ -327,7 +331,9 @@
         return lambda: None
 
     def configure(self):
-        self.platform.configure(self.version, [UNSAFE_ROUTE])
+        self.configuration_watch.publish(
+            self.version,
+            lambda routes: self.platform.configure(self.version, [UNSAFE_ROUTE] + routes))
 
     def play(self):
         for name in self.platform.runners:
@@ -340,6 +346,9 @@
         others = [reviver]
         if self.platform.runner_options:
             others.append(threading.Thread(target=self.vary_slowness, daemon=True))
+        callers += [threading.Thread(target=self.configuration_watch.watch, daemon=True,
+                                     args=("%d-%d" % (self.seed, number), self.call, self.stopped))
+                    for number in range(WATCHERS)]
         for thread in callers + others:
             thread.start()
         self.disturb()
