A confirmation is asked for by a call of its own

A node of a release before would have answered the call for its record without having read the log, and that would have counted as a confirmation while a fleet is upgraded node by node. The call for a confirmed record has a target of its own now, which such a node does not know and refuses.

--- a/src/routing/configuration_catch_up.cc
+++ b/src/routing/configuration_catch_up.cc
@@ -58,8 +58,8 @@
     HttpCall call;
     call.address = take_random(addresses);
     call.method = "GET";
-    call.target = kConfigurationTarget;
-    call.headers.push_back({kConfirmOffsetHeader, std::to_string(in_force)});
+    call.target = kConfirmedConfigurationTarget;
+    call.headers.push_back({kHeldOffsetHeader, std::to_string(in_force)});
     call.timeout = kConfirmTimeout;
     const std::string peer = call.address;
     const std::uint64_t before = current_();
--- a/src/routing/configuration_catch_up.h
+++ b/src/routing/configuration_catch_up.h
@@ -19,9 +19,11 @@
 /// Header of the answer: the record's offset in the log.
 inline constexpr const char* kRecordOffsetHeader = "X-Record-Offset";
 
-/// Header of a call that wants the answer to be confirmed by the log: the offset of the record that
-/// the caller has in force.
-inline constexpr const char* kConfirmOffsetHeader = "X-Confirm-Offset";
+/// Target of the call by which a node asks another to read the log for it. The answer is the newest
+/// record, 204 if that is the one which the caller has, or 503 if the log does not answer.
+inline constexpr const char* kConfirmedConfigurationTarget = "/peer/configuration/confirmed";
+/// Header of that call: the offset of the record that the caller has in force.
+inline constexpr const char* kHeldOffsetHeader = "X-Held-Offset";
 
 /// The store may turn some nodes away or be silent to them while it serves the others. Nodes
 /// advertise in their digests which version they have in force; a node that falls behind for longer
--- a/tests/routing/configuration_catch_up_test.cc
+++ b/tests/routing/configuration_catch_up_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "tests/jobs/run_awaitable.h"
+
 namespace stoathold {
 namespace {
 
@@ -85,5 +87,23 @@
   EXPECT_EQ(version, 9U);
 }
 
+TEST_F(ConfigurationCatchUpTest, AnotherNodeConfirmsThatARecordIsTheNewest) {
+  status = 204;
+  EXPECT_TRUE(run_awaitable(loop, catch_up.confirm({peer.address()}, RecordOffset{41})));
+  EXPECT_EQ(target, kConfirmedConfigurationTarget);
+  EXPECT_TRUE(taken.empty());
+  status = 200;
+  EXPECT_TRUE(run_awaitable(loop, catch_up.confirm({peer.address()}, RecordOffset{40})));
+  EXPECT_EQ(version, 9U);
+}
+
+TEST_F(ConfigurationCatchUpTest, ANodeThatCannotReadTheLogConfirmsNothing) {
+  status = 503;
+  EXPECT_FALSE(run_awaitable(
+      loop, catch_up.confirm({peer.address(), peer.address(), peer.address()}, RecordOffset{41})));
+  EXPECT_EQ(calls, 2);
+  EXPECT_TRUE(taken.empty());
+}
+
 }  // namespace
 }  // namespace stoathold
