--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -34,9 +34,7 @@
 /// A route must be missing this long before its items are given up.
 constexpr Duration kRouteGrace = std::chrono::seconds(5);
 /// Load up to which a runner is given items. Online work takes their slots back within
-/// milliseconds, so little is kept free for it: nothing at runners of 6 slots, one or two at those
-/// of 8 to 17. Against 0.95: mean worth 0.817, 0.694, 0.792 and 0.799, 0.684, 0.787 on three small
-/// deployments.
+/// milliseconds, so little is kept free for it.
 constexpr double kBatchLoadLimit = 0.85;
 /// Failures that an item may have for each attempt that its route allows, where runners that fail
 /// much of what they are given are to blame: one less than what the users' rules allow.
