--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -41,8 +41,9 @@
     EventEntry{Event::kResourceRefused, "resource_refused", EventLevel::kInfo,
                "A change made through this node was refused or its fate is unknown."},
     EventEntry{Event::kConfigurationFromPeer, "configuration_from_peer", EventLevel::kInfo,
-               "Another node has a newer configuration than the store has shown this one; it was "
-               "asked for it. Status 0: no answer."},
+               "Another node was asked for its configuration, since it has a newer one than the "
+               "store has shown this node, or to confirm that this one's is the newest. Status 0: "
+               "no answer."},
     EventEntry{Event::kLeaseGained, "lease_gained", EventLevel::kInfo,
                "The node holds the lease of a job shard."},
     EventEntry{Event::kLeaseLost, "lease_lost", EventLevel::kInfo,
