--- a/src/routing/configuration_position.h
+++ b/src/routing/configuration_position.h
@@ -14,7 +14,7 @@
 /// The place of a node in the log of the configuration.
 struct ConfigurationPosition {
   RecordOffset next_offset = 0;  ///< Of the first record that was not read.
-  RecordOffset end = 0;          ///< Of the log when it was last heard of.
+  RecordOffset end = 0;          ///< Last known end of the log.
   /// When the last read that found nothing unread was sent; the clock's start: never.
   TimePoint confirmed_at{};
 
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -42,7 +42,7 @@
   LogStatus last = LogStatus::kOk;
   TimePoint last_success{};  ///< When the last successful read was sent.
   TimePoint confirmed{};     ///< When the last read that left nothing unread was sent.
-  RecordOffset end = 0;      ///< End of the partition when it was last heard of.
+  RecordOffset end = 0;      ///< Last known end of the partition.
 };
 
 /// Follows one partition. Reads may overlap: each applies only what is new.
