Rejections that know of no booking share the places of all bins

Cause: a rejection drew for the places of all bins that could be booked and, if it won, took the latest one, so that 18 retries were booked into a bin meant for 5; the draw assumed that bookings of others are known after 0.2 s, also where none had ever been heard of.

Change: a winner draws its bin in proportion to the places left in each. A node that knows no booking counts the rejections of the whole time that the bins cover.

--- a/src/admission/retry_times.cc
+++ b/src/admission/retry_times.cc
@@ -54,25 +54,57 @@
 }
 
 /// Bins in which retries can be booked.
-struct CandidateBins {
-  std::vector<Duration> starts;
-  double bookings = 0;
-
+class CandidateBins {
+ public:
   void add(Duration start, double free) {
     if (free < 1) return;
-    starts.push_back(start);
-    bookings += free;
+    bins_.push_back({start, free});
+    free_ += free;
+  }
+  [[nodiscard]] std::size_t size() const { return bins_.size(); }
+  [[nodiscard]] bool empty() const { return bins_.empty(); }
+  /// Returns how many retries can be booked in all bins.
+  [[nodiscard]] double free() const { return free_; }
+  /// Returns the time that the bins cover.
+  [[nodiscard]] Duration span() const {
+    return static_cast<Duration::rep>(bins_.size()) * RetryBookings::kBookingBin;
   }
+  /// Returns the start of a random bin, drawn in proportion to the retries that can be booked.
+  [[nodiscard]] Duration draw(Random& random) const {
+    double left = random.unit() * free_;
+    for (const Bin& bin : bins_) {
+      left -= bin.free;
+      if (left < 0) return bin.start;
+    }
+    return bins_.back().start;
+  }
+
+ private:
+  struct Bin {
+    Duration start{0};
+    double free = 0;
+  };
+  std::vector<Bin> bins_;
+  double free_ = 0;
 };
 
+/// Returns the time in which the zone's rejections book without knowledge of each other. A node
+/// that knows no booking has no evidence that reports reach it: the others may have booked since
+/// the earliest moment from which these bins could be booked.
+Duration unknown_booking_time(const RetryBookings& retry_bookings, const CandidateBins& bins) {
+  return retry_bookings.empty() ? std::max(kBookingPropagationDelay, bins.span())
+                                : kBookingPropagationDelay;
+}
+
 /// Returns whether this request wins one of the bookings. All nodes reject in the same peak and
 /// learn of each other's bookings late, so the requests rejected meanwhile anywhere in the zone
 /// share the available bookings.
-bool draws_booking(const RetryQuery& query, const CandidateBins& candidates, Random& random) {
+bool draws_booking(const RetryQuery& query, const RetryBookings& retry_bookings,
+                   const CandidateBins& bins, Random& random) {
   const double arrivals = query.forecaster == nullptr ? 0 : query.forecaster->recent_rate();
-  const double competitors =
-      (arrivals - query.slots_freed_per_second) * to_seconds(kBookingPropagationDelay);
-  return !candidates.starts.empty() && random.unit() * competitors < candidates.bookings;
+  const double competitors = (arrivals - query.slots_freed_per_second) *
+                             to_seconds(unknown_booking_time(retry_bookings, bins));
+  return !bins.empty() && random.unit() * competitors < bins.free();
 }
 
 /// Returns the slots per second left at a time after the expected arrivals.
@@ -99,17 +131,14 @@
   for (Duration start = earliest; start < latest; start += RetryBookings::kBookingBin) {
     const TimePoint at = query.now + start;
     low_load.add(start, available_bookings(query, retry_bookings, at, spare_slot_rate(query, at)));
-    if (low_load.starts.size() == kMaxCandidateBins) break;
+    if (low_load.size() == kMaxCandidateBins) break;
     if (start < kMinBookedDelay) continue;
     reserved.add(start, available_bookings(query, retry_bookings, at,
                                            kBookedSlotFraction * query.slots_freed_per_second));
   }
-  if (draws_booking(query, low_load, random)) {
-    return RetryTime{
-        jitter_within_bin(low_load.starts[random.below(low_load.starts.size())], latest, random)};
-  }
-  if (draws_booking(query, reserved, random)) {
-    return RetryTime{jitter_within_bin(reserved.starts.back(), latest, random)};
+  for (const CandidateBins* bins : {&low_load, &reserved}) {
+    if (!draws_booking(query, retry_bookings, *bins, random)) continue;
+    return RetryTime{jitter_within_bin(bins->draw(random), latest, random)};
   }
   const Duration before_latest = scale(kUnbookedJitter, random.unit());
   return RetryTime{std::max(kMinRetryDelay, latest - before_latest), false};
