Work of a node no longer grows with all runners; messages are counted by purpose

Change: indexes by zone and by service and zone, kept in order and changed one entry at a time; an index of the runners that this node uses, from which messages are composed; a selection ends in its own zone unless that has no room; uses are recounted for the runners in use; expired nodes of a zone are looked for 4 times a second instead of with each message; contenders for a slot only where somebody waits. Two bounds that held for small zones only: messages listed the first 64 live nodes, so that the others never learned of each other (now all in turn), and other zones were told the loads of the first 150 runners (now of the 150 with most room). Messages between nodes are counted by purpose (log line, metrics).

--- a/src/admission/zone_backlog.cc
+++ b/src/admission/zone_backlog.cc
@@ -15,6 +15,9 @@
 constexpr Duration kMaxReportGap = std::chrono::milliseconds(700);
 /// A node that has been silent for this long is considered gone.
 constexpr Duration kPeerLifetime = std::chrono::seconds(3);
+/// Minimum interval between searches for such nodes: reports arrive at hundreds per second, and a
+/// search visits all nodes of the zone.
+constexpr Duration kPeerExpiryInterval = std::chrono::milliseconds(250);
 /// A larger increase means that the counter was reset or that the report is out of order.
 constexpr std::uint32_t kMaxCounterIncrease = 1U << 20U;
 /// Minimum number of samples for a mean slot time.
@@ -118,6 +121,8 @@
 }
 
 void ZoneBacklog::expire_peers(TimePoint now) {
+  if (last_expiry_ != TimePoint{} && now - last_expiry_ < kPeerExpiryInterval) return;
+  last_expiry_ = now;
   std::erase_if(peers_,
                 [now](const auto& entry) { return now - entry.second.received > kPeerLifetime; });
 }
--- a/src/admission/zone_backlog.h
+++ b/src/admission/zone_backlog.h
@@ -94,6 +94,7 @@
 
   std::map<Group, ServiceBacklog> own_counters_;
   std::map<std::uint64_t, PeerReport> peers_;  ///< By sender.
+  TimePoint last_expiry_{};                    ///< Of `peers_`.
   std::map<std::uint64_t, ServiceState> services_;
 };
 
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -147,6 +147,9 @@
                "sent and received and the calls that were rejected or timed out."},
     EventEntry{Event::kRunnerRestarted, "runner_restarted", EventLevel::kInfo,
                "A runner restarted under the same id; earlier information about it is discarded."},
+    EventEntry{Event::kPeerTraffic, "peer_traffic", EventLevel::kInfo,
+               "Messages exchanged with other nodes in the last 5 s, by purpose: messages and "
+               "bytes sent, messages and bytes received."},
     EventEntry{Event::kWaitRejected, "wait_rejected", EventLevel::kInfo,
                "An online request without a slot was rejected before its wait timed out; the line "
                "has the figures, with the age of the oldest report from another node."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -79,6 +79,7 @@
   kPeerDatagramFailed = 1608,
   kStoreTraffic = 1609,
   kRunnerRestarted = 1610,
+  kPeerTraffic = 1611,
   kWaitRejected = 1700,
   kTenantAboveShare = 1710,
   kUrgentKindServedLess = 1711,
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -321,28 +321,6 @@
 
 }  // namespace
 
-void add_loan_gauges(const SlotExchange& exchange, const std::string& zone,
-                     std::vector<MetricValue>& gauges) {
-  const TimePoint now = monotonic_now();
-  const SlotExchangeCounts counts = exchange.counts();
-  gauges.push_back({"stoathold_slots_lent",
-                    "Slots of this zone that this node lends to others.",
-                    static_cast<double>(counts.lent_now),
-                    {"zone", zone}});
-  for (const std::string& other : exchange.zones()) {
-    gauges.push_back({"stoathold_slots_borrowed",
-                      "Slots of other zones that this node holds.",
-                      static_cast<double>(exchange.borrowed_from(other, now)),
-                      {"zone", other}});
-  }
-  gauges.push_back(
-      {"stoathold_loans_granted", "Slots lent since the start.", static_cast<double>(counts.lent)});
-  gauges.push_back({"stoathold_loans_refused", "Requests of other zones that got no slot.",
-                    static_cast<double>(counts.refused)});
-  gauges.push_back({"stoathold_loans_expired", "Slots of loans that nobody renewed.",
-                    static_cast<double>(counts.expired)});
-}
-
 std::string render_gateway_metrics(const GatewayContext& context,
                                    const std::vector<MetricValue>& gauges) {
   const GatewayMetrics& metrics = context.metrics;
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "gateway/gateway_context.h"
-#include "routing/slot_exchange.h"
 
 namespace stoathold {
 
@@ -24,11 +23,6 @@
   MetricLabel label{};
 };
 
-/// Adds gauges of the slots that this node lends and borrows, by zone.
-/// @param zone the zone of this node.
-void add_loan_gauges(const SlotExchange& exchange, const std::string& zone,
-                     std::vector<MetricValue>& gauges);
-
 /// Renders the counters of the gateway, the state of the runners and additional gauges.
 /// @param gauges values of one name must be adjacent.
 std::string render_gateway_metrics(const GatewayContext& context,
--- a/src/gateway/online_admission.cc
+++ b/src/gateway/online_admission.cc
@@ -114,16 +114,18 @@
 
 SlotCapacity OnlineAdmission::count_slot_capacity(const std::string& service, TimePoint now) const {
   SlotCapacity capacity;
-  for (const auto& runner : registry_.for_service(service)) {
+  for (const auto& runner : registry_.for_service(service, zone_)) {
     if (!runner->usable(now)) continue;
+    capacity.zone += runner->slots() - std::min(runner->slots(), runner->lent());
+    capacity.preemptible_batch += runner->preemptible();
+  }
+  if (!registry_.lending()) return capacity;
+  for (const auto& runner : registry_.for_service(service)) {
     const std::string& zone = runner->record().zone;
-    if (zone == zone_) {
-      capacity.zone += runner->slots() - std::min(runner->slots(), runner->lent());
-      capacity.preemptible_batch += runner->preemptible();
-    } else if (registry_.lending() && registry_.zone_lends(zone) && runner->zone_load_known(now)) {
-      const double free_part = std::max(0.0, 1 - runner->load(now));
-      capacity.lent_by_other_zones += static_cast<std::uint32_t>(free_part * runner->slots());
-    }
+    const bool lends = zone != zone_ && registry_.zone_lends(zone);
+    if (!lends || !runner->zone_load_known(now) || !runner->usable(now)) continue;
+    const double free_part = std::max(0.0, 1 - runner->load(now));
+    capacity.lent_by_other_zones += static_cast<std::uint32_t>(free_part * runner->slots());
   }
   return capacity;
 }
--- /dev/null
+++ b/src/gateway/peer_gauges.cc
@@ -0,0 +1,53 @@
+#include "gateway/peer_gauges.h"
+
+#include <array>
+#include <cstdint>
+
+namespace stoathold {
+
+void add_loan_gauges(const SlotExchange& exchange, const std::string& zone,
+                     std::vector<MetricValue>& gauges) {
+  const TimePoint now = monotonic_now();
+  const SlotExchangeCounts counts = exchange.counts();
+  gauges.push_back({"stoathold_slots_lent",
+                    "Slots of this zone that this node lends to others.",
+                    static_cast<double>(counts.lent_now),
+                    {"zone", zone}});
+  for (const std::string& other : exchange.zones()) {
+    gauges.push_back({"stoathold_slots_borrowed",
+                      "Slots of other zones that this node holds.",
+                      static_cast<double>(exchange.borrowed_from(other, now)),
+                      {"zone", other}});
+  }
+  gauges.push_back(
+      {"stoathold_loans_granted", "Slots lent since the start.", static_cast<double>(counts.lent)});
+  gauges.push_back({"stoathold_loans_refused", "Requests of other zones that got no slot.",
+                    static_cast<double>(counts.refused)});
+  gauges.push_back({"stoathold_loans_expired", "Slots of loans that nobody renewed.",
+                    static_cast<double>(counts.expired)});
+}
+
+void add_peer_traffic_gauges(const PeerTraffic& traffic, std::vector<MetricValue>& gauges) {
+  struct Column {
+    const char* name;
+    const char* help;
+    std::uint64_t PeerMessageCount::*value;
+  };
+  constexpr std::array kColumns{
+      Column{"stoathold_peer_messages_sent", "Messages sent to other nodes since the start.",
+             &PeerMessageCount::messages_sent},
+      Column{"stoathold_peer_bytes_sent", "Bytes of these messages.",
+             &PeerMessageCount::bytes_sent},
+      Column{"stoathold_peer_messages_received", "Messages received from other nodes.",
+             &PeerMessageCount::messages_received},
+      Column{"stoathold_peer_bytes_received", "Bytes of these messages.",
+             &PeerMessageCount::bytes_received}};
+  for (const Column& column : kColumns) {
+    for (const auto& [purpose, count] : traffic.counts()) {
+      const auto value = static_cast<double>(count.*column.value);
+      gauges.push_back({column.name, column.help, value, {"purpose", std::string(purpose)}});
+    }
+  }
+}
+
+}  // namespace stoathold
--- a/src/gateway/speed_reports.cc
+++ b/src/gateway/speed_reports.cc
@@ -35,11 +35,11 @@
   void add(LoadDigest& digest, bool full_digest, TimePoint now) {
     std::vector<Runner*> unshared;
     std::vector<Runner*> already_shared;
-    for (const auto& [id, runner] : runners_.all()) {
+    for (Runner* runner : runners_.active()) {
       if (runner->speed().has_unshared_report()) {
-        unshared.push_back(runner.get());
+        unshared.push_back(runner);
       } else if (runner->speed().samples() > 0) {
-        already_shared.push_back(runner.get());
+        already_shared.push_back(runner);
       }
     }
     const std::size_t newest = std::min(unshared.size(), kMaxNewReports);
--- a/src/routing/load_messages.cc
+++ b/src/routing/load_messages.cc
@@ -4,6 +4,29 @@
 
 namespace stoathold {
 
+namespace {
+
+constexpr std::string_view kSlotLoans = "slot_loans";
+
+/// Names of the kinds of messages.
+struct PurposeOf {
+  std::string_view operator()(const LoadDigest&) const { return "load_digest"; }
+  std::string_view operator()(const YieldRequest&) const { return "yield"; }
+  std::string_view operator()(const ZoneLoads&) const { return "zone_loads"; }
+  std::string_view operator()(const ZoneTenantUsage&) const { return "tenant_usage"; }
+  std::string_view operator()(const RunnerExitReports&) const { return "runner_exits"; }
+  std::string_view operator()(const SlotLoanRequest&) const { return kSlotLoans; }
+  std::string_view operator()(const SlotLoan&) const { return kSlotLoans; }
+  std::string_view operator()(const SlotLoanReturn&) const { return kSlotLoans; }
+  std::string_view operator()(const QuarantineNotices&) const { return "quarantine"; }
+};
+
+}  // namespace
+
+std::string_view purpose_of(const PeerLoadMessage& message) {
+  return std::visit(PurposeOf(), message);
+}
+
 std::string encode_message(const PeerLoadMessage& message) {
   return encode_value(message);
 }
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -163,6 +164,8 @@
     std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage, RunnerExitReports,
                  SlotLoanRequest, SlotLoan, SlotLoanReturn, QuarantineNotices>;
 
+/// Returns the name of a message's kind, for counters and logs.
+std::string_view purpose_of(const PeerLoadMessage& message);
 std::string encode_message(const PeerLoadMessage& message);
 /// Decodes a datagram.
 /// @return false if the bytes are malformed.
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -1,6 +1,7 @@
 #include "routing/neighbour_table.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace stoathold {
 namespace {
@@ -22,13 +23,18 @@
   return last_message != TimePoint{} && now - last_message <= kLivenessTimeout;
 }
 
+std::size_t NeighbourTable::EndpointHash::operator()(const Endpoint& endpoint) const {
+  constexpr unsigned kPortBits = 16;
+  const auto& address = endpoint.address();
+  if (!address.is_v4()) return std::hash<std::string>()(address.to_string()) ^ endpoint.port();
+  const std::uint64_t ip = address.to_v4().to_uint();
+  return std::hash<std::uint64_t>()((ip << kPortBits) | endpoint.port());
+}
+
 NeighbourTable::Neighbour& NeighbourTable::find_or_add(const Endpoint& endpoint) {
-  const auto found =
-      std::find_if(neighbours_.begin(), neighbours_.end(),
-                   [&](const Neighbour& neighbour) { return neighbour.endpoint == endpoint; });
-  if (found != neighbours_.end()) return *found;
-  neighbours_.push_back({endpoint});
-  return neighbours_.back();
+  const auto [position, is_new] = positions_.try_emplace(endpoint, neighbours_.size());
+  if (is_new) neighbours_.push_back({endpoint});
+  return neighbours_[position->second];
 }
 
 void NeighbourTable::set_listed(const std::vector<Endpoint>& listed) {
@@ -51,9 +57,12 @@
 }
 
 void NeighbourTable::expire(TimePoint now) {
-  std::erase_if(neighbours_, [now](const Neighbour& neighbour) {
+  const auto erased = std::erase_if(neighbours_, [now](const Neighbour& neighbour) {
     return !neighbour.listed && now - neighbour.last_mentioned > kNeighbourLifetime;
   });
+  if (erased == 0) return;
+  positions_.clear();
+  for (std::size_t i = 0; i < neighbours_.size(); ++i) positions_[neighbours_[i].endpoint] = i;
 }
 
 bool NeighbourTable::is_zone_reporter(const Endpoint& self, TimePoint now) const {
@@ -80,7 +89,16 @@
   for (const auto& neighbour : neighbours_) {
     if (!neighbour.is_live(now) || !neighbour.endpoint.address().is_v4()) continue;
     reported.push_back({neighbour.endpoint.address().to_v4().to_uint(), neighbour.endpoint.port()});
-    if (reported.size() >= kMaxNeighboursReported) break;
+  }
+  return reported;
+}
+
+std::vector<NodeEndpoint> NeighbourTable::next_reported_nodes(TimePoint now) {
+  const std::vector<NodeEndpoint> live = live_nodes(now);
+  if (live.size() <= kMaxNeighboursReported) return live;
+  std::vector<NodeEndpoint> reported;
+  for (std::size_t i = 0; i < kMaxNeighboursReported; ++i) {
+    reported.push_back(live[next_reported_++ % live.size()]);
   }
   return reported;
 }
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <boost/asio/ip/udp.hpp>
+#include <cstddef>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
@@ -35,8 +37,11 @@
   /// Removes nodes that are neither listed nor recently mentioned.
   void expire(TimePoint now);
 
-  /// Returns the nodes from which this node has recently received a message, for its own messages.
+  /// Returns the nodes from which this node has recently received a message.
   [[nodiscard]] std::vector<NodeEndpoint> live_nodes(TimePoint now) const;
+  /// Returns the live nodes to list in the next message. If they do not fit, consecutive calls
+  /// return different ones, so that the receivers learn of all of them.
+  [[nodiscard]] std::vector<NodeEndpoint> next_reported_nodes(TimePoint now);
   /// Whether this node reports the zone's loads to other zones, which the few live nodes with the
   /// lowest addresses do. While nodes know different neighbours, more or fewer nodes may report.
   [[nodiscard]] bool is_zone_reporter(const Endpoint& self, TimePoint now) const;
@@ -63,9 +68,15 @@
     [[nodiscard]] bool is_live(TimePoint now) const;
   };
 
+  struct EndpointHash {
+    std::size_t operator()(const Endpoint& endpoint) const;
+  };
+
   Neighbour& find_or_add(const Endpoint& endpoint);
 
   std::vector<Neighbour> neighbours_;
+  std::unordered_map<Endpoint, std::size_t, EndpointHash> positions_;  ///< In `neighbours_`.
+  std::size_t next_reported_ = 0;  ///< Position among the live nodes of the next one to report.
 };
 
 }  // namespace stoathold
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -116,6 +116,7 @@
 void PeerLoads::handle_datagram(const std::string& bytes) {
   PeerLoadMessage message;
   if (!decode_message(bytes, message)) return;
+  traffic_.add_received(purpose_of(message), bytes.size());
   if (auto* digest = std::get_if<LoadDigest>(&message)) {
     handle_digest(std::move(*digest));
   } else if (auto* loads = std::get_if<ZoneLoads>(&message)) {
@@ -186,7 +187,7 @@
 bool PeerLoads::send_yield_request(const YieldRequest& request) {
   const auto target = peer_uses_.reserve_batch_slot(request);
   if (!target) return false;
-  send_to(*target, encode_message(request));
+  send_to(*target, make_datagram(request));
   return true;
 }
 
@@ -205,7 +206,7 @@
   digest.zone = stable_hash(zone_);
   digest.sequence = ++sequence_;
   const TimePoint now = monotonic_now();
-  for (const auto& [id, runner] : registry_.all()) {
+  for (const Runner* runner : registry_.active()) {
     if (!zone.empty() && runner->record().zone != zone) continue;
     const std::uint32_t in_flight = reported_in_flight(*runner, zone.empty(), now);
     if (in_flight == 0) continue;
@@ -228,7 +229,7 @@
 
 std::vector<EjectedRunner> PeerLoads::make_ejections(TimePoint now) const {
   std::vector<EjectedRunner> ejected;
-  for (const auto& [id, runner] : registry_.all()) {
+  for (const Runner* runner : registry_.active()) {
     const auto own = runner->own_ejection(now);
     if (!own) continue;
     ejected.push_back({runner->hash(), saturating_milliseconds(now - own->failed_at),
@@ -241,7 +242,7 @@
 
 std::vector<RunnerAnswers> PeerLoads::make_answer_counts(TimePoint now) const {
   std::vector<RunnerAnswers> answers;
-  for (const auto& [id, runner] : registry_.all()) {
+  for (const Runner* runner : registry_.active()) {
     const auto counts = runner->own_response_counts(now);
     if (!counts) continue;
     answers.push_back({runner->hash(),
@@ -284,20 +285,25 @@
   if (tenant_gossip_) digest.tenants = tenant_gossip_->make_report(full_report, last_sent_);
   if (version_source_) digest.configuration_version = version_source_();
   if (full_report) {
-    digest.neighbours = zone_nodes_.live_nodes(last_sent_);
+    digest.neighbours = zone_nodes_.next_reported_nodes(last_sent_);
     if (stream_rate_source_) digest.stream_rates = stream_rate_source_();
     last_full_report_ = last_sent_;
   }
   for (const DigestPart& part : digest_parts_) part.add(digest, full_report, last_sent_);
   uses_runners_ = !digest.uses.empty();
   digest.leaving = leaving_;
-  const std::string bytes = encode_message(digest);
-  send_to_zone(bytes);
+  const Datagram datagram = make_datagram(digest);
+  send_to_zone(datagram);
 }
 
-void PeerLoads::send_to(const Endpoint& peer, const std::string& bytes) {
+PeerLoads::Datagram PeerLoads::make_datagram(const PeerLoadMessage& message) {
+  return {purpose_of(message), encode_message(message)};
+}
+
+void PeerLoads::send_to(const Endpoint& peer, const Datagram& datagram) {
   boost::system::error_code error;
-  socket_.send_to(asio::buffer(bytes), peer, 0, error);
+  socket_.send_to(asio::buffer(datagram.bytes), peer, 0, error);
+  traffic_.add_sent(datagram.purpose, datagram.bytes.size());
   if (!error) return;
   log_event(Event::kPeerDatagramFailed,
             {{"step", "send"}, {"peer", address_text(peer)}, {"error", error.message()}});
@@ -323,6 +329,8 @@
     if (error) return;
     const TimePoint now = monotonic_now();
     zone_nodes_.expire(now);
+    registry_.drop_idle_runners(now);
+    traffic_.log_periodically(now);
     if (peer_uses_.expire(now) && change_listener_) change_listener_();
     report_remote_use();
     send_zone_loads();
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -23,6 +24,7 @@
 #include "quarantine/quarantine.h"
 #include "routing/load_messages.h"
 #include "routing/neighbour_table.h"
+#include "routing/peer_traffic.h"
 #include "routing/peer_use_table.h"
 #include "routing/runner_registry.h"
 #include "routing/slot_exchange.h"
@@ -111,10 +113,18 @@
   [[nodiscard]] std::size_t peer_count() const { return zone_nodes_.size(); }
   /// Returns the addresses (`ip:port`) of the zone's nodes that have sent a message recently.
   [[nodiscard]] std::vector<std::string> live_neighbours() const;
+  /// Returns the counters of the messages exchanged with other nodes.
+  [[nodiscard]] const PeerTraffic& traffic() const { return traffic_; }
 
  private:
   using Endpoint = boost::asio::ip::udp::endpoint;
+  /// An encoded message.
+  struct Datagram {
+    std::string_view purpose;  ///< As returned by `purpose_of`.
+    std::string bytes;
+  };
 
+  static Datagram make_datagram(const PeerLoadMessage& message);
   void receive();
   void handle_datagram(const std::string& bytes);
   void handle_digest(LoadDigest digest);
@@ -126,13 +136,13 @@
   template <typename Message>
   void forward_in_zone(Message message) {
     message.forward = false;
-    send_to_zone(encode_message(message));
+    send_to_zone(make_datagram(message));
   }
   /// Sends a message to all nodes of this zone.
-  void send_to_zone(const std::string& bytes);
+  void send_to_zone(const Datagram& datagram);
   /// Sends a message to one node of each other zone.
   /// @param rotation selects the node; consecutive values select different nodes.
-  void send_to_other_zones(const std::string& bytes, std::size_t rotation);
+  void send_to_other_zones(const Datagram& datagram, std::size_t rotation);
   void handle_end_reports(RunnerExitReports reports);
   void handle_quarantine_notices(QuarantineNotices notices);
   void schedule_end_reports();
@@ -153,7 +163,7 @@
   void send();
   void report_remote_use();
   void send_zone_loads();
-  void send_to(const Endpoint& peer, const std::string& bytes);
+  void send_to(const Endpoint& peer, const Datagram& datagram);
   void schedule_maintenance();
   void schedule_tenant_reports();
   void send_tenant_usage();
@@ -189,6 +199,7 @@
   StreamRateListener stream_rate_listener_;
   std::vector<DigestPart> digest_parts_;
   SlotExchange* slot_exchange_ = nullptr;  ///< Null: zones lend no slots.
+  PeerTraffic traffic_;
   std::string buffer_;
   Endpoint sender_endpoint_;
   Timer send_timer_;
--- a/src/routing/peer_loads_quarantine.cc
+++ b/src/routing/peer_loads_quarantine.cc
@@ -45,9 +45,9 @@
 
 void PeerLoads::send_zone_quarantine_messages(TimePoint now) {
   const RunnerExitReports reports{.reports = quarantine_->next_zone_reports(now)};
-  if (!reports.reports.empty()) send_to_zone(encode_message(reports));
+  if (!reports.reports.empty()) send_to_zone(make_datagram(reports));
   const QuarantineNotices notices{.notices = quarantine_->next_zone_notices(now)};
-  if (!notices.notices.empty()) send_to_zone(encode_message(notices));
+  if (!notices.notices.empty()) send_to_zone(make_datagram(notices));
 }
 
 /// Each repetition goes to another node of a zone, so that the loss of one message or one node has
@@ -57,15 +57,15 @@
                                   .forward = true};
   const QuarantineNotices notices{.notices = quarantine_->next_remote_notices(now),
                                   .forward = true};
-  if (!reports.reports.empty()) send_to_other_zones(encode_message(reports), remote_rotation_);
-  if (!notices.notices.empty()) send_to_other_zones(encode_message(notices), remote_rotation_);
+  if (!reports.reports.empty()) send_to_other_zones(make_datagram(reports), remote_rotation_);
+  if (!notices.notices.empty()) send_to_other_zones(make_datagram(notices), remote_rotation_);
   if (!reports.reports.empty() || !notices.notices.empty()) ++remote_rotation_;
 }
 
 void PeerLoads::send_quarantine_notices(const Endpoint& node) {
   if (quarantine_ == nullptr) return;
   const QuarantineNotices notices{.notices = quarantine_->next_refresh_notices(monotonic_now())};
-  if (!notices.notices.empty()) send_to(node, encode_message(notices));
+  if (!notices.notices.empty()) send_to(node, make_datagram(notices));
 }
 
 void PeerLoads::refresh_quarantine_notices() {
@@ -76,7 +76,7 @@
   std::vector<Endpoint> zone_nodes;
   zone_nodes_.for_each([&](const Endpoint& node) { zone_nodes.push_back(node); });
   if (!zone_nodes.empty()) {
-    send_to(zone_nodes[refresh_rotation_ % zone_nodes.size()], encode_message(notices));
+    send_to(zone_nodes[refresh_rotation_ % zone_nodes.size()], make_datagram(notices));
   }
   if (remote_zones_.empty()) return;
   notices.forward = true;
@@ -84,7 +84,7 @@
       remote_zones_.begin(), static_cast<std::ptrdiff_t>(refresh_rotation_ % remote_zones_.size()));
   const std::vector<Endpoint>& nodes = zone->second;
   const std::size_t node = refresh_rotation_ / remote_zones_.size() % nodes.size();
-  send_to(nodes[node], encode_message(notices));
+  send_to(nodes[node], make_datagram(notices));
 }
 
 }  // namespace stoathold
--- a/src/routing/peer_loads_slots.cc
+++ b/src/routing/peer_loads_slots.cc
@@ -26,12 +26,12 @@
     if (found == remote_zones_.end()) return;
     // A random node each time, so that a node that is down costs only one message.
     const auto& nodes = found->second;
-    send_to(nodes[process_random().below(nodes.size())], encode_message(message));
+    send_to(nodes[process_random().below(nodes.size())], make_datagram(message));
   };
   callbacks.send_to_node = [this](const std::string& address, const PeerLoadMessage& message) {
     boost::asio::ip::tcp::endpoint endpoint;
     if (!parse_endpoint(address, endpoint)) return;
-    send_to({endpoint.address(), endpoint.port()}, encode_message(message));
+    send_to({endpoint.address(), endpoint.port()}, make_datagram(message));
   };
   callbacks.lending_nodes = [this] { return lending_nodes(); };
   callbacks.on_lent_changed = [this] { notify_use_changed(); };
--- a/src/routing/peer_loads_zones.cc
+++ b/src/routing/peer_loads_zones.cc
@@ -14,14 +14,25 @@
 constexpr double kPercent = 100;
 constexpr double kMaxPercent = 255;
 
+/// Other zones send requests here only to runners whose load they know, so the runners with most
+/// room are reported.
+void keep_least_loaded(std::vector<ZoneRunnerLoad>& loads) {
+  if (loads.size() <= kMaxZoneLoads) return;
+  std::stable_sort(loads.begin(), loads.end(),
+                   [](const ZoneRunnerLoad& left, const ZoneRunnerLoad& right) {
+                     return left.percent < right.percent;
+                   });
+  loads.resize(kMaxZoneLoads);
+}
+
 }  // namespace
 
-void PeerLoads::send_to_zone(const std::string& bytes) {
-  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, bytes); });
+void PeerLoads::send_to_zone(const Datagram& datagram) {
+  zone_nodes_.for_each([&](const Endpoint& peer) { send_to(peer, datagram); });
 }
 
-void PeerLoads::send_to_other_zones(const std::string& bytes, std::size_t rotation) {
-  for (const auto& [zone, peers] : remote_zones_) send_to(peers[rotation % peers.size()], bytes);
+void PeerLoads::send_to_other_zones(const Datagram& datagram, std::size_t rotation) {
+  for (const auto& [zone, peers] : remote_zones_) send_to(peers[rotation % peers.size()], datagram);
 }
 
 /// Applies the loads of another zone's runners, as reported by a node there.
@@ -42,7 +53,7 @@
 void PeerLoads::report_remote_use() {
   const TimePoint now = monotonic_now();
   std::set<std::string> used;
-  for (const auto& [id, runner] : registry_.all()) {
+  for (const Runner* runner : registry_.active()) {
     if (reported_in_flight(*runner, false, now) > 0) used.insert(runner->record().zone);
   }
   for (const auto& [zone, peers] : remote_zones_) {
@@ -51,7 +62,7 @@
     LoadDigest digest = make_digest(zone);
     digest.origin = address();
     digest.forward = true;
-    send_to(peers[remote_rotation_ % peers.size()], encode_message(digest));
+    send_to(peers[remote_rotation_ % peers.size()], make_datagram(digest));
   }
   ++remote_rotation_;
   reported_zones_ = std::move(used);
@@ -65,16 +76,16 @@
   ZoneLoads message;
   message.zone = stable_hash(zone_);
   message.forward = true;
-  for (const auto& [id, runner] : registry_.all()) {
-    if (runner->record().zone != zone_ || !runner->available()) continue;
+  for (const auto& runner : registry_.in_zone(zone_)) {
+    if (!runner->available()) continue;
     const bool usable = !runner->ejected(now);
     const double percent = usable ? runner->load(now) * kPercent : kMaxPercent;
     message.loads.push_back(
         {runner->hash(), static_cast<std::uint8_t>(std::min(percent, kMaxPercent))});
-    if (message.loads.size() >= kMaxZoneLoads) break;
   }
-  const std::string bytes = encode_message(message);
-  send_to_other_zones(bytes, remote_rotation_);
+  keep_least_loaded(message.loads);
+  const Datagram datagram = make_datagram(message);
+  send_to_other_zones(datagram, remote_rotation_);
 }
 
 /// Reports to the other zones what this zone's nodes admitted for tenants. Two nodes of a zone
@@ -82,8 +93,8 @@
 void PeerLoads::send_tenant_usage() {
   const TimePoint now = monotonic_now();
   if (remote_zones_.empty() || !zone_nodes_.is_zone_reporter(socket_.local_endpoint(), now)) return;
-  const std::string bytes = encode_message(tenant_gossip_->make_zone_report(now));
-  send_to_other_zones(bytes, tenant_rotation_);
+  const Datagram datagram = make_datagram(tenant_gossip_->make_zone_report(now));
+  send_to_other_zones(datagram, tenant_rotation_);
   tenant_rotation_ += 1 + sender_ % 2;
 }
 
@@ -104,8 +115,8 @@
   for (int repeat = 0; repeat < kRepeats; ++repeat) {
     send();
     if (!tenant_gossip_ || !tenant_gossip_->needed()) continue;
-    const std::string bytes = encode_message(tenant_gossip_->make_zone_report(monotonic_now()));
-    send_to_other_zones(bytes, tenant_rotation_++);
+    const Datagram datagram = make_datagram(tenant_gossip_->make_zone_report(monotonic_now()));
+    send_to_other_zones(datagram, tenant_rotation_++);
   }
 }
 
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -89,6 +89,8 @@
                                         const PeerState& after,
                                         const std::vector<ServiceDemand>& own_demand,
                                         TimePoint now) {
+  // Without demand there are no contenders, which are searched for among all nodes.
+  if (!demand_published_ && own_demand.empty()) return;
   for (const auto& old_use : before.uses) {
     const auto same = std::find_if(after.uses.begin(), after.uses.end(), [&](const RunnerUse& use) {
       return use.runner == old_use.runner;
@@ -113,6 +115,7 @@
   for (const auto& use : state.uses) {
     Runner* runner = registry_.find_by_hash(use.runner);
     if (runner == nullptr) continue;
+    counted_runners_.insert(use.runner);
     runner->change_peer_use(sign * static_cast<std::int64_t>(use.in_flight),
                             sign * static_cast<std::int64_t>(use.backlog_tokens),
                             sign * static_cast<std::int64_t>(use.batch_in_flight));
@@ -122,7 +125,11 @@
 /// Recomputes all sums after runners were added or removed, since earlier digests may refer to
 /// them.
 void PeerUseTable::recount_all() {
-  for (const auto& [id, runner] : registry_.all()) runner->set_peer_use(0, 0);
+  for (const std::uint64_t counted : counted_runners_) {
+    Runner* runner = registry_.find_by_hash(counted);
+    if (runner != nullptr) runner->set_peer_use(0, 0);
+  }
+  counted_runners_.clear();
   for (const auto& [sender, state] : states_) add_to_sums(state, Direction::kAdd);
   counted_revision_ = registry_.revision();
 }
--- a/src/routing/peer_use_table.h
+++ b/src/routing/peer_use_table.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "base/time.h"
@@ -77,6 +78,8 @@
   std::uint64_t self_;
   std::map<std::uint64_t, PeerState> states_;  ///< By sender.
   std::uint64_t counted_revision_ = 0;         ///< Registry revision of the last full recount.
+  /// Runners with uses counted since then, by `Runner::hash`.
+  std::unordered_set<std::uint64_t> counted_runners_;
   bool demand_published_ = false;
 };
 
--- a/src/routing/slot_exchange.cc
+++ b/src/routing/slot_exchange.cc
@@ -45,8 +45,8 @@
   std::vector<std::uint64_t> identities;
   for (const LendingNode& node : nodes) identities.push_back(node.identity);
   std::set<std::uint64_t> own_runners;
-  for (const auto& [id, runner] : registry_.all()) {
-    if (runner->record().zone != zone_ || nodes.empty()) continue;
+  for (const auto& runner : registry_.in_zone(zone_)) {
+    if (nodes.empty()) break;
     if (nodes[lender_for_runner(runner->hash(), identities)].self)
       own_runners.insert(runner->hash());
   }
@@ -61,10 +61,14 @@
 void SlotExchange::publish_lent() {
   const auto lent = lender_.lent_by_runner();
   bool changed = false;
-  for (const auto& [id, runner] : registry_.all()) {
-    const auto found = lent.find(runner->hash());
-    const std::uint32_t slots = found == lent.end() ? 0 : found->second;
-    if (runner->lent() == slots) continue;
+  for (Runner* runner : registry_.active()) {
+    if (runner->lent() == 0 || lent.contains(runner->hash())) continue;
+    runner->set_lent(0);
+    changed = true;
+  }
+  for (const auto& [hash, slots] : lent) {
+    Runner* runner = registry_.find_by_hash(hash);
+    if (runner == nullptr || runner->lent() == slots) continue;
     runner->set_lent(slots);
     changed = true;
   }
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -180,6 +180,23 @@
   EXPECT_GT(second_far.runner("a1").load(monotonic_now()), 0.65);
 }
 
+// A message holds 150 runners, a zone may have thousands.
+TEST_F(SharedRunnersTest, ReportsRunnersWithMostRoomOfALargeZone) {
+  Node near(loop, "a", 1);
+  Node far(loop, "b", 2);
+  const auto id = [](int number) { return "c" + std::to_string(1000 + number); };
+  for (int number = 0; number < 200; ++number) {
+    for (Node* node : {&near, &far}) {
+      node->registry.upsert({id(number), "chat", "10.0.0.3:80", "b", 10, false});
+    }
+    if (number < 170) far.runner(id(number)).begin_attempt();
+  }
+  near.loads.set_peers({{far.loads.address(), "b"}});
+  far.loads.set_peers({{near.loads.address(), "a"}});
+  run_until([&] { return near.runner(id(199)).zone_load_known(monotonic_now()); });
+  EXPECT_TRUE(near.runner(id(170)).zone_load_known(monotonic_now()));
+}
+
 TEST_F(SharedRunnersTest, FailuresOfTwoNodesEjectRunnerAtOthers) {
   Node first(loop, "a", 1);
   Node second(loop, "a", 2);
