In a large fleet, topics that all nodes follow are read through nodes of the zone

Cause: each node read the list of runners from the store itself. 985 nodes times 3.3 MB at the 80 MB/s that the store serves are 41 s; the fleet has 24 s. Requests were refused beside free runners, denials could not be confirmed, runners that had left were used for over 5 s, jobs were not read.

Change: TopicSources arranges the members that hold slots of the worker group (128 at most) in a tree for each zone: four read from the store, each other member from one above it, all other nodes from a member. TopicCache keeps the newest record of each key, TopicService serves them with a wait, PeerTopicLog reads them and falls back to the store at once if a node is dead, behind, or cannot read itself. Used for the list of runners and the configuration; confirmations for denials still ask the store. Fleets in which half of the slots are held by fewer nodes read the store as before.

Measured: peer_topic_log: bytes read from the log at a start are the same for 10 and 60 nodes; topic_sources: 20 readers of the log in five zones at 200, 985 and 1,970 nodes.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -150,6 +150,9 @@
     EventEntry{Event::kPeerTraffic, "peer_traffic", EventLevel::kInfo,
                "Messages exchanged with other nodes in the last 5 s, by purpose: messages and "
                "bytes sent, messages and bytes received."},
+    EventEntry{Event::kTopicSourceFailed, "topic_source_failed", EventLevel::kInfo,
+               "The node through which this one reads a topic did not answer, or its own reads "
+               "fail; the topic was read from the store, and is read through another node next."},
     EventEntry{Event::kWaitRejected, "wait_rejected", EventLevel::kInfo,
                "An online request without a slot was rejected before its wait timed out; the line "
                "has the figures, with the age of the oldest report from another node."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -80,6 +80,7 @@
   kStoreTraffic = 1609,
   kRunnerRestarted = 1610,
   kPeerTraffic = 1611,
+  kTopicSourceFailed = 1612,
   kWaitRejected = 1700,
   kTenantAboveShare = 1710,
   kUrgentKindServedLess = 1711,
--- a/src/gateway/peer_gauges.cc
+++ b/src/gateway/peer_gauges.cc
@@ -50,4 +50,16 @@
   }
 }
 
+void add_topic_read_gauges(const TopicReadCounts& counts, std::vector<MetricValue>& gauges) {
+  const auto add = [&gauges](const std::string& source, std::uint64_t count) {
+    gauges.push_back({"stoathold_topic_reads",
+                      "Reads of followed topics since the start, by where they were answered.",
+                      static_cast<double>(count),
+                      {"source", source}});
+  };
+  add("log", counts.from_log);
+  add("peer", counts.from_peer);
+  add("log_after_failure", counts.peer_failures);
+}
+
 }  // namespace stoathold
--- a/src/gateway/peer_gauges.h
+++ b/src/gateway/peer_gauges.h
@@ -8,6 +8,7 @@
 #include "gateway/metrics_page.h"
 #include "routing/peer_traffic.h"
 #include "routing/slot_exchange.h"
+#include "store/peer_topic_log.h"
 
 namespace stoathold {
 
@@ -19,4 +20,7 @@
 /// Adds gauges of the messages exchanged with other nodes, by purpose.
 void add_peer_traffic_gauges(const PeerTraffic& traffic, std::vector<MetricValue>& gauges);
 
+/// Adds gauges of the reads of the topics that all nodes follow, by where they were answered.
+void add_topic_read_gauges(const TopicReadCounts& counts, std::vector<MetricValue>& gauges);
+
 }  // namespace stoathold
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -24,6 +24,7 @@
 PartitionReplica::PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink,
                                    ReplicaScope scope)
     : log_(log),
+      followed_log_(&log),
       partition_(std::move(partition)),
       sink_(sink),
       scope_(scope),
@@ -85,25 +86,29 @@
   co_return LogStatus::kOk;
 }
 
-asio::awaitable<LogStatus> PartitionReplica::read_next(Duration wait, bool& at_end) {
+asio::awaitable<LogStatus> PartitionReplica::read_next(RecordLog& log, Duration wait, bool& at_end,
+                                                       TimePoint& confirmed) {
   const TimePoint sent = monotonic_now();
   const RecordOffset from = next_offset_;
-  const ReadResult result = co_await log_.read(partition_, from, read_limits_.bytes, wait);
+  const ReadResult result = co_await log.read(partition_, from, read_limits_.bytes, wait);
   adapt_read_limits(result, monotonic_now() - sent);
   if (result.status != LogStatus::kOk) co_return result.status;
   health_.end = std::max(health_.end, result.end);
   apply_new(result.records);
   at_end = next_offset_ >= result.end;
+  confirmed = result.confirmed.value_or(sent);
   skip_to_newest_ = scope_ == ReplicaScope::kNewest && !at_end;
   co_return LogStatus::kOk;
 }
 
-asio::awaitable<LogStatus> PartitionReplica::read_once(Duration wait, bool& at_end) {
+asio::awaitable<LogStatus> PartitionReplica::read_once(RecordLog& log, Duration wait,
+                                                       bool& at_end) {
   const auto self = shared_from_this();
   const TimePoint sent = monotonic_now();
+  TimePoint confirmed = sent;
   at_end = false;
   LogStatus status = LogStatus::kTruncated;
-  if (!skip_to_newest_) status = co_await read_next(wait, at_end);
+  if (!skip_to_newest_) status = co_await read_next(log, wait, at_end, confirmed);
   if (status == LogStatus::kTruncated) {
     status = co_await load_newest();
     if (status == LogStatus::kOk) skip_to_newest_ = false;
@@ -111,7 +116,7 @@
   health_.last = status;
   if (status == LogStatus::kOk) {
     health_.last_success = std::max(health_.last_success, sent);
-    if (at_end) health_.confirmed = std::max(health_.confirmed, sent);
+    if (at_end) health_.confirmed = std::max(health_.confirmed, confirmed);
     const bool was_loaded = std::exchange(health_.loaded, health_.loaded || at_end);
     if (at_end) sink_.on_caught_up();
     if (health_.loaded && !was_loaded && loaded_listener_) loaded_listener_();
@@ -127,7 +132,7 @@
 asio::awaitable<LogStatus> PartitionReplica::read_to_end() {
   bool at_end = false;
   while (!at_end) {
-    const LogStatus status = co_await read_once(Duration{0}, at_end);
+    const LogStatus status = co_await read_once(log_, Duration{0}, at_end);
     if (status != LogStatus::kOk) co_return status;
   }
   co_return LogStatus::kOk;
@@ -135,7 +140,7 @@
 
 asio::awaitable<LogStatus> PartitionReplica::wait_for_records(Duration wait) {
   bool at_end = false;
-  co_return co_await read_once(wait, at_end);
+  co_return co_await read_once(log_, wait, at_end);
 }
 
 asio::awaitable<void> PartitionReplica::follow(std::function<bool()> running, Duration read_pause,
@@ -150,7 +155,7 @@
     bool at_end = false;
     const RecordOffset before = next_offset_;
     const TimePoint sent = monotonic_now();
-    const LogStatus status = co_await read_once(read_wait, at_end);
+    const LogStatus status = co_await read_once(*followed_log_, read_wait, at_end);
     if (status == LogStatus::kOk) {
       backoff.reset();
       const bool pause = at_end && next_offset_ > before && read_pause.count() > 0;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -72,6 +72,9 @@
                                       Duration read_pause = Duration{0},
                                       Duration wait = std::chrono::milliseconds(2000));
 
+  /// Sets the log that `follow` reads from, which must outlive the replica and all reads in flight.
+  /// It may know the records later than the log of the constructor, which `catch_up` reads from.
+  void set_followed_log(RecordLog& log) { followed_log_ = &log; }
   /// Sets a listener that is called when the partition is first read to its end.
   void set_loaded_listener(std::function<void()> listener) {
     loaded_listener_ = std::move(listener);
@@ -86,15 +89,18 @@
   [[nodiscard]] const ReplicaHealth& health() const { return health_; }
 
  private:
-  boost::asio::awaitable<LogStatus> read_once(Duration wait, bool& at_end);
+  boost::asio::awaitable<LogStatus> read_once(RecordLog& log, Duration wait, bool& at_end);
   boost::asio::awaitable<LogStatus> read_to_end();
   /// Reads from the first record that is not applied yet.
-  boost::asio::awaitable<LogStatus> read_next(Duration wait, bool& at_end);
+  /// @param confirmed set to when the log confirmed the partition's end.
+  boost::asio::awaitable<LogStatus> read_next(RecordLog& log, Duration wait, bool& at_end,
+                                              TimePoint& confirmed);
   boost::asio::awaitable<LogStatus> load_newest();
   void adapt_read_limits(const ReadResult& result, Duration duration);
   void apply_new(const std::vector<StoredRecord>& records);
 
   RecordLog& log_;
+  RecordLog* followed_log_;
   PartitionName partition_;
   RecordSink& sink_;
   ReplicaScope scope_;
--- /dev/null
+++ b/src/store/peer_topic_log.h
@@ -0,0 +1,67 @@
+/// @file
+/// Reads followed topics through other nodes instead of from the log itself.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "net/http.h"
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// Counters of the reads of followed topics since process start.
+struct TopicReadCounts {
+  std::uint64_t from_log = 0;       ///< No other node was to be asked.
+  std::uint64_t from_peer = 0;      ///< Answered by another node.
+  std::uint64_t peer_failures = 0;  ///< Read from the log after another node had failed.
+};
+
+/// The part of the log that replicas follow. If all nodes of a large fleet read a long topic from
+/// the log at the same time, its bandwidth does not suffice; so most of them read it from nodes
+/// that have read it. A node that fails, or whose knowledge is too old, is reported to the source
+/// of addresses, and the same read goes to the log at once. Other calls go to the log. Not
+/// thread-safe. The log must outlive it.
+class PeerTopicLog final : public RecordLog {
+ public:
+  /// Returns the address (`ip:port`) of the node to read from; nothing: read from the log.
+  using Source = std::function<std::optional<std::string>()>;
+  /// Called when the node at an address has failed.
+  using FailureListener = std::function<void(const std::string& address)>;
+
+  PeerTopicLog(const boost::asio::any_io_executor& executor, RecordLog& log, Source source,
+               FailureListener failure_listener);
+
+  [[nodiscard]] const LogLimits& limits() const override { return log_.limits(); }
+  boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
+                                          std::uint64_t max_bytes, Duration wait) override;
+  boost::asio::awaitable<AppendResult> append(PartitionName partition,
+                                              std::vector<KeyedRecord> records,
+                                              std::optional<RecordOffset> expected_end) override;
+  boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
+                                                 Duration page_timeout) override;
+  boost::asio::awaitable<GroupAssignment> join(GroupMember member) override;
+  boost::asio::awaitable<MemberList> members(std::string group) override;
+  boost::asio::awaitable<LogStatus> leave(GroupMember member) override;
+
+  [[nodiscard]] const TopicReadCounts& counts() const { return counts_; }
+
+ private:
+  boost::asio::awaitable<std::optional<ReadResult>> read_from(std::string address,
+                                                              PartitionName partition,
+                                                              RecordOffset from,
+                                                              std::uint64_t max_bytes,
+                                                              Duration wait);
+
+  HttpClient client_;
+  RecordLog& log_;
+  Source source_;
+  FailureListener failure_listener_;
+  TopicReadCounts counts_;
+};
+
+}  // namespace stoathold
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -57,6 +57,8 @@
   LogStatus status = LogStatus::kUnknown;
   std::vector<StoredRecord> records;
   RecordOffset end = 0;  ///< Offset of the next record to be appended.
+  /// When the log confirmed `end`, if that was not during this read but earlier, to another node.
+  std::optional<TimePoint> confirmed = std::nullopt;
   /// Set if `read_newest` failed after its first page: the key after which it can resume. `records`
   /// and `end` then hold the content of the pages before the failure.
   std::string resume_after;
--- /dev/null
+++ b/src/store/topic_page.h
@@ -0,0 +1,32 @@
+/// @file
+/// Message by which a node passes records of a followed topic on to another node.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "store/record_log.h"
+
+namespace stoathold {
+
+/// Records of a partition as known by a node.
+struct TopicPage {
+  std::vector<StoredRecord> records;  ///< In offset order, without superseded ones.
+  RecordOffset end = 0;               ///< Last known end of the partition at the log.
+  /// When the log confirmed to the node that there are no more records, relative to the arrival of
+  /// the request; negative: before it.
+  std::int64_t confirmed_ms = 0;
+};
+
+std::string encode_page(const TopicPage& page);
+/// Decodes a page.
+/// @return false if the bytes are malformed.
+bool decode_page(const std::string& bytes, TopicPage& page);
+
+/// Path of the call between nodes; its query has `topic`, `part`, `from`, `max_bytes` and
+/// `wait_ms`.
+inline constexpr std::string_view kTopicPath = "/peer/topic";
+
+}  // namespace stoathold
--- /dev/null
+++ b/tests/store/peer_topic_log_test.cc
@@ -0,0 +1,174 @@
+// Tests reads of a followed topic through other nodes, over loopback.
+#include "store/peer_topic_log.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "net/http.h"
+#include "routing/topic_sources.h"
+#include "store/topic_service.h"
+#include "tests/jobs/paged_record_log.h"
+#include "tests/jobs/run_awaitable.h"
+
+namespace stoathold {
+namespace {
+
+constexpr const char* kTopic = "servers";
+constexpr std::uint64_t kPageBytes = 64UL * 1024;
+constexpr Duration kWait = std::chrono::milliseconds(50);
+
+/// Counts the records that a node has applied.
+class CountingSink final : public RecordSink {
+ public:
+  void apply(const StoredRecord& record) override { values[record.key] = record.value; }
+  void reset(const std::vector<StoredRecord>& newest) override {
+    for (const auto& record : newest) apply(record);
+  }
+  std::map<std::string, std::string> values;
+};
+
+/// A node that follows the topic and serves it.
+class Node {
+ public:
+  Node(boost::asio::io_context& loop, const std::shared_ptr<emulator::LogModel>& model,
+       PeerTopicLog::Source source)
+      : log(model, loop.get_executor()),
+        followed_log(loop.get_executor(), log, std::move(source),
+                     [this](const std::string& address) { failed.push_back(address); }),
+        cache(loop.get_executor(), sink),
+        replica(std::make_shared<PartitionReplica>(log, PartitionName{kTopic, 0}, cache)),
+        server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
+               [this](HttpExchange& exchange) { return service.serve(exchange); }) {
+    replica->set_followed_log(followed_log);
+    service.add(replica, cache);
+    server.start();
+  }
+
+  PagedRecordLog log;
+  std::vector<std::string> failed;
+  PeerTopicLog followed_log;
+  CountingSink sink;
+  TopicCache cache;
+  std::shared_ptr<PartitionReplica> replica;
+  TopicService service;
+  HttpServer server;
+};
+
+class PeerTopicLogTest : public testing::Test {
+ protected:
+  void append(std::size_t first, std::size_t count) {
+    std::vector<KeyedRecord> records;
+    for (std::size_t i = first; i < first + count; ++i) {
+      records.push_back({"runner-" + std::to_string(i), std::string(300, 'x')});
+    }
+    model->append({kTopic, 0}, records, std::nullopt);
+  }
+  ReadResult read(Node& node, RecordOffset from) {
+    return run_awaitable(loop,
+                         node.followed_log.read(PartitionName{kTopic, 0}, from, kPageBytes, kWait));
+  }
+  LogStatus catch_up(Node& node) { return run_awaitable(loop, node.replica->catch_up()); }
+  void follow(Node& node) {
+    ++followers;
+    boost::asio::co_spawn(loop,
+                          node.replica->follow([this] { return following; }, Duration{0}, kWait),
+                          [this](const std::exception_ptr&) { --followers; });
+  }
+  template <typename Condition>
+  void run_until(Condition condition) {
+    loop.restart();
+    for (int step = 0; step < 200000 && !condition(); ++step) loop.run_one();
+    EXPECT_TRUE(condition());
+  }
+
+  boost::asio::io_context loop;
+  std::shared_ptr<emulator::LogModel> model = std::make_shared<emulator::LogModel>();
+  bool following = true;
+  int followers = 0;
+};
+
+PeerTopicLog::Source from_log() {
+  return [] { return std::nullopt; };
+}
+
+TEST_F(PeerTopicLogTest, ReadsRecordsThroughAnotherNode) {
+  append(0, 10);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  Node second(loop, model, [&] { return first.server.address(); });
+  const ReadResult result = read(second, 4);
+  EXPECT_EQ(result.status, LogStatus::kOk);
+  ASSERT_EQ(result.records.size(), 6U);
+  EXPECT_EQ(result.records.front().offset, 4U);
+  EXPECT_EQ(result.end, 10U);
+  ASSERT_TRUE(result.confirmed);
+  EXPECT_LE(*result.confirmed, monotonic_now());
+  EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+}
+
+TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeIsDead) {
+  append(0, 10);
+  Node node(loop, model, [] { return "127.0.0.1:1"; });
+  EXPECT_EQ(read(node, 0).records.size(), 10U);
+  EXPECT_EQ(node.failed, std::vector<std::string>{"127.0.0.1:1"});
+}
+
+TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeIsBehind) {
+  append(0, 5);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  append(5, 5);
+  Node second(loop, model, [&] { return first.server.address(); });
+  EXPECT_EQ(read(second, 7).records.size(), 3U);
+  EXPECT_EQ(second.failed.size(), 1U);
+}
+
+TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeCannotReadIt) {
+  append(0, 10);
+  Node first(loop, model, from_log());
+  first.log.set_max_answered_read_bytes(0);
+  ASSERT_NE(catch_up(first), LogStatus::kOk);
+  Node second(loop, model, [&] { return first.server.address(); });
+  EXPECT_EQ(read(second, 0).records.size(), 10U);
+  EXPECT_EQ(second.failed.size(), 1U);
+}
+
+/// What the log serves of a start of all nodes must not grow with them.
+TEST_F(PeerTopicLogTest, BytesReadFromTheLogAtAStartDependOnTheZonesOnly) {
+  constexpr std::size_t kRecords = 1000;
+  constexpr std::uint32_t kSlots = 10;
+  append(0, kRecords);
+  std::vector<std::uint64_t> bytes;
+  for (const std::size_t count : {10, 60}) {
+    following = true;
+    std::vector<std::unique_ptr<TopicSources>> sources;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<MemberName> names;
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto source = [&sources, i] { return sources[i]->source(monotonic_now()); };
+      nodes.push_back(std::make_unique<Node>(loop, model, source));
+      names.push_back({"node-" + std::to_string(i), "zone", nodes.back()->server.address()});
+      sources.push_back(std::make_unique<TopicSources>(names.back(), kSlots));
+    }
+    const std::vector<MemberName> members(names.begin(), names.begin() + kSlots);
+    for (const auto& source : sources) source->set_members(members);
+    for (const auto& node : nodes) follow(*node);
+    run_until([&] {
+      return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+        return node->sink.values.size() == kRecords && node->replica->health().loaded;
+      });
+    });
+    std::uint64_t total = 0;
+    for (const auto& node : nodes) total += node->log.reads_of_topics(kTopic).bytes;
+    bytes.push_back(total);
+    following = false;
+    run_until([&] { return followers == 0; });
+  }
+  EXPECT_EQ(bytes.back(), bytes.front());
+}
+
+}  // namespace
+}  // namespace stoathold
