Starts read through nodes of the zone too; heartbeats reach a part of a large zone

Change: newest records are read through other nodes as well; a node that is about to read answers that it is loading (202), and its readers wait for it, up to 6 s, instead of reading the store; after a failure the next node is asked first if it was quick. A digest without news is a heartbeat: in a zone of more than 64 nodes it goes to 64 of them in turn, and liveness timeouts grow by as much; digests with news go to all, as before, and all of them while limits of tenants are shared. A message lists 16 nodes of such a zone.

A test of speed reports learned speeds without an attempt, which the product cannot; it makes one now.

--- a/src/gateway/peer_gauges.cc
+++ b/src/gateway/peer_gauges.cc
@@ -59,7 +59,7 @@
   };
   add("log", counts.from_log);
   add("peer", counts.from_peer);
-  add("log_after_failure", counts.peer_failures);
+  add("failed_peer", counts.peer_failures);
 }
 
 }  // namespace stoathold
--- a/src/gateway/speed_reports.cc
+++ b/src/gateway/speed_reports.cc
@@ -78,6 +78,7 @@
   if (!report.slowness_percent) return;
   record_slowness_support(context);
   context.speeds.apply_slowness_report(runner.speed(), *report.slowness_percent, now, true);
+  runner.mark_reportable();
 }
 
 DigestPart speed_digest_part(GatewayContext& context) {
--- a/src/routing/load_messages.cc
+++ b/src/routing/load_messages.cc
@@ -23,6 +23,13 @@
 
 }  // namespace
 
+bool LoadDigest::is_heartbeat() const {
+  const bool has_load = !uses.empty() || !demand.empty() || !batch_waits.empty();
+  const bool has_health = !ejected.empty() || !answers.empty() || !speeds.empty();
+  const bool has_limits = !tenants.empty() || !share_uses.empty() || !returns.empty();
+  return !has_load && !has_health && !has_limits && !leaving;
+}
+
 std::string_view purpose_of(const PeerLoadMessage& message) {
   return std::visit(PurposeOf(), message);
 }
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -116,6 +116,10 @@
   std::vector<BatchQueueDepth> batch_waits;   ///< Inside the zone only.
   bool leaving = false;  ///< The sender is shutting down and admits no more requests.
 
+  /// Returns whether it tells nothing that other nodes have to know soon, only that its sender
+  /// runs.
+  [[nodiscard]] bool is_heartbeat() const;
+
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, sequence, zone, uses, ejected, demand, origin, forward, neighbours);
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -9,18 +9,38 @@
 /// Number of nodes of a zone that report its loads to other zones. With two, the loss of one is
 /// tolerated.
 constexpr std::ptrdiff_t kZoneReporters = 2;
-/// Maximum number of nodes listed in one message.
+/// Maximum number of nodes of a zone up to which each message lists all of them.
 constexpr std::size_t kMaxNeighboursReported = 64;
+/// Number of nodes that a message lists in a larger zone. All nodes together then still list each
+/// node several times a second.
+constexpr std::size_t kNeighboursReportedInTurn = 16;
+/// Maximum number of nodes that receive one heartbeat.
+constexpr std::size_t kMaxHeartbeatReceivers = 64;
 /// A node that has sent a message within this time is considered live and is listed in messages.
-/// Nodes send a message at least once a second.
+/// Nodes send a heartbeat at least once a second. In a larger zone it reaches only a part of the
+/// nodes, and the time is longer by as much.
 constexpr Duration kLivenessTimeout = std::chrono::milliseconds(2500);
-/// A node that is not listed and has not been mentioned for this time is removed.
-constexpr Duration kNeighbourLifetime = std::chrono::seconds(5);
+/// A node that is not listed and has not been mentioned for this many liveness timeouts is removed.
+constexpr int kNeighbourLifetimes = 2;
 
 }  // namespace
 
-bool NeighbourTable::Neighbour::is_live(TimePoint now) const {
-  return last_message != TimePoint{} && now - last_message <= kLivenessTimeout;
+bool NeighbourTable::Neighbour::is_live(TimePoint now, Duration timeout) const {
+  return last_message != TimePoint{} && now - last_message <= timeout;
+}
+
+Duration NeighbourTable::liveness_timeout() const {
+  const std::size_t rounds = 1 + neighbours_.size() / (kMaxHeartbeatReceivers + 1);
+  return kLivenessTimeout * static_cast<Duration::rep>(rounds);
+}
+
+std::vector<NeighbourTable::Endpoint> NeighbourTable::next_heartbeat_receivers() {
+  std::vector<Endpoint> receivers;
+  const std::size_t count = std::min(neighbours_.size(), kMaxHeartbeatReceivers);
+  for (std::size_t i = 0; i < count; ++i) {
+    receivers.push_back(neighbours_[next_receiver_++ % neighbours_.size()].endpoint);
+  }
+  return receivers;
 }
 
 std::size_t NeighbourTable::EndpointHash::operator()(const Endpoint& endpoint) const {
@@ -57,8 +77,9 @@
 }
 
 void NeighbourTable::expire(TimePoint now) {
-  const auto erased = std::erase_if(neighbours_, [now](const Neighbour& neighbour) {
-    return !neighbour.listed && now - neighbour.last_mentioned > kNeighbourLifetime;
+  const Duration lifetime = kNeighbourLifetimes * liveness_timeout();
+  const auto erased = std::erase_if(neighbours_, [&](const Neighbour& neighbour) {
+    return !neighbour.listed && now - neighbour.last_mentioned > lifetime;
   });
   if (erased == 0) return;
   positions_.clear();
@@ -66,18 +87,20 @@
 }
 
 bool NeighbourTable::is_zone_reporter(const Endpoint& self, TimePoint now) const {
+  const Duration timeout = liveness_timeout();
   const auto lower_addresses =
       std::count_if(neighbours_.begin(), neighbours_.end(), [&](const Neighbour& neighbour) {
-        return neighbour.is_live(now) && neighbour.endpoint < self;
+        return neighbour.is_live(now, timeout) && neighbour.endpoint < self;
       });
   return lower_addresses < kZoneReporters;
 }
 
 std::vector<NeighbourTable::Endpoint> NeighbourTable::zone_reporters(const Endpoint& self,
                                                                      TimePoint now) const {
+  const Duration timeout = liveness_timeout();
   std::vector<Endpoint> live{self};
   for (const auto& neighbour : neighbours_) {
-    if (neighbour.is_live(now)) live.push_back(neighbour.endpoint);
+    if (neighbour.is_live(now, timeout)) live.push_back(neighbour.endpoint);
   }
   std::sort(live.begin(), live.end());
   live.resize(std::min<std::size_t>(live.size(), kZoneReporters));
@@ -85,9 +108,10 @@
 }
 
 std::vector<NodeEndpoint> NeighbourTable::live_nodes(TimePoint now) const {
+  const Duration timeout = liveness_timeout();
   std::vector<NodeEndpoint> reported;
   for (const auto& neighbour : neighbours_) {
-    if (!neighbour.is_live(now) || !neighbour.endpoint.address().is_v4()) continue;
+    if (!neighbour.is_live(now, timeout) || !neighbour.endpoint.address().is_v4()) continue;
     reported.push_back({neighbour.endpoint.address().to_v4().to_uint(), neighbour.endpoint.port()});
   }
   return reported;
@@ -97,7 +121,7 @@
   const std::vector<NodeEndpoint> live = live_nodes(now);
   if (live.size() <= kMaxNeighboursReported) return live;
   std::vector<NodeEndpoint> reported;
-  for (std::size_t i = 0; i < kMaxNeighboursReported; ++i) {
+  for (std::size_t i = 0; i < kNeighboursReportedInTurn; ++i) {
     reported.push_back(live[next_reported_++ % live.size()]);
   }
   return reported;
--- a/src/routing/neighbour_table.h
+++ b/src/routing/neighbour_table.h
@@ -47,6 +47,9 @@
   [[nodiscard]] bool is_zone_reporter(const Endpoint& self, TimePoint now) const;
   /// Returns the nodes that report the zone's loads, ordered by address.
   [[nodiscard]] std::vector<Endpoint> zone_reporters(const Endpoint& self, TimePoint now) const;
+  /// Returns the nodes that receive the next heartbeat: all of a small zone; in a larger one each
+  /// call returns the next ones in turn, so that their number does not grow with the zone.
+  [[nodiscard]] std::vector<Endpoint> next_heartbeat_receivers();
   /// Calls `visit` with the endpoint of each node.
   template <typename Visitor>
   void for_each(const Visitor& visit) const {
@@ -65,7 +68,7 @@
         last_mentioned{};  ///< When it last sent a message or was last reported by another node.
 
     /// Whether a message was received from it recently enough to consider it live.
-    [[nodiscard]] bool is_live(TimePoint now) const;
+    [[nodiscard]] bool is_live(TimePoint now, Duration timeout) const;
   };
 
   struct EndpointHash {
@@ -73,10 +76,13 @@
   };
 
   Neighbour& find_or_add(const Endpoint& endpoint);
+  /// Returns the time without a message after which a node is not considered live.
+  [[nodiscard]] Duration liveness_timeout() const;
 
   std::vector<Neighbour> neighbours_;
   std::unordered_map<Endpoint, std::size_t, EndpointHash> positions_;  ///< In `neighbours_`.
   std::size_t next_reported_ = 0;  ///< Position among the live nodes of the next one to report.
+  std::size_t next_receiver_ = 0;  ///< Position of the next receiver of a heartbeat.
 };
 
 }  // namespace stoathold
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -290,10 +290,20 @@
     last_full_report_ = last_sent_;
   }
   for (const DigestPart& part : digest_parts_) part.add(digest, full_report, last_sent_);
-  uses_runners_ = !digest.uses.empty();
   digest.leaving = leaving_;
+  const bool is_heartbeat = digest.is_heartbeat();
+  // The first digest after others tells all nodes that what they reported has ended. Nodes that are
+  // not heard by all keep their shares of the tenants' limits.
+  const bool shares_limits = tenant_gossip_ && tenant_gossip_->needed();
+  const bool to_all = !is_heartbeat || !last_was_heartbeat_ || shares_limits;
+  last_was_heartbeat_ = is_heartbeat;
+  uses_runners_ = !digest.uses.empty();
   const Datagram datagram = make_datagram(digest);
-  send_to_zone(datagram);
+  if (to_all) {
+    send_to_zone(datagram);
+  } else {
+    for (const Endpoint& peer : zone_nodes_.next_heartbeat_receivers()) send_to(peer, datagram);
+  }
 }
 
 PeerLoads::Datagram PeerLoads::make_datagram(const PeerLoadMessage& message) {
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -215,6 +215,7 @@
   TimePoint last_full_report_{};
   bool send_scheduled_ = false;
   bool uses_runners_ = false;
+  bool last_was_heartbeat_ = false;  ///< Of the last digest sent in the zone.
   bool leaving_ = false;
 };
 
--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -18,6 +18,9 @@
 constexpr Duration kContenderLifetime = std::chrono::milliseconds(60);
 /// A digest expires after this time unless its sender replaces it.
 constexpr Duration kDigestLifetime = std::chrono::milliseconds(1500);
+/// The same for a digest without uses. Heartbeats of nodes that use no runner arrive seldom in a
+/// large zone; what is kept of them is their sequence number.
+constexpr Duration kIdleDigestLifetime = std::chrono::seconds(15);
 
 }  // namespace
 
@@ -169,8 +172,10 @@
 }
 
 bool PeerUseTable::expire(TimePoint now) {
-  const std::size_t expired = std::erase_if(
-      states_, [now](const auto& entry) { return now - entry.second.received > kDigestLifetime; });
+  const std::size_t expired = std::erase_if(states_, [now](const auto& entry) {
+    const PeerState& state = entry.second;
+    return now - state.received > (state.uses.empty() ? kIdleDigestLifetime : kDigestLifetime);
+  });
   if (expired > 0) recount_all();
   const bool demand = demand_published_;
   if (demand) publish_demand(now);
--- a/src/routing/runner.cc
+++ b/src/routing/runner.cc
@@ -55,10 +55,10 @@
 
 void Runner::join_index(ActiveRunners& index) {
   active_ = &index;
-  if (in_flight_ > 0 || lent_ > 0) join_active();
+  if (in_flight_ > 0 || lent_ > 0) mark_reportable();
 }
 
-void Runner::join_active() {
+void Runner::mark_reportable() {
   if (active_ != nullptr) active_->add(*this);
 }
 
@@ -71,7 +71,7 @@
 
 void Runner::set_lent(std::uint32_t slots) {
   lent_ = slots;
-  if (slots > 0) join_active();
+  if (slots > 0) mark_reportable();
 }
 
 std::uint32_t Runner::slots() const {
@@ -80,7 +80,7 @@
 
 void Runner::begin_attempt(std::uint32_t tokens, WorkClass work) {
   ++in_flight_;
-  join_active();
+  mark_reportable();
   if (work == WorkClass::kBatch) ++batch_in_flight_;
   backlog_tokens_ += tokens;
 }
--- a/src/routing/runner.h
+++ b/src/routing/runner.h
@@ -83,6 +83,8 @@
   /// Sets the index that it joins while it has reportable state. The index must outlive its time as
   /// a listed runner.
   void join_index(ActiveRunners& index);
+  /// Adds it to the index: this node has something new to report about it.
+  void mark_reportable();
   /// Returns whether this node has something to report to other nodes about it: its own requests
   /// and loans there, or what it learned from its own attempts.
   [[nodiscard]] bool is_reportable(TimePoint now) const;
@@ -226,8 +228,6 @@
   /// bytes refute it, or, if the runner responded with errors, a successful request.
   [[nodiscard]] bool own_failure_is_current() const;
 
-  void join_active();
-
   RunnerRecord record_;
   ActiveRunners* active_ = nullptr;  ///< Null while it is not listed.
   std::uint64_t hash_;
--- a/src/routing/runner_candidates.cc
+++ b/src/routing/runner_candidates.cc
@@ -135,8 +135,8 @@
 
 }  // namespace
 
-CandidateSet collect_candidates(const RunnerRegistry::RunnerList& runners,
-                                const SelectionRequest& request, TimePoint now) {
+CandidateSet collect_candidates(const RunnerList::Runners& runners, const SelectionRequest& request,
+                                TimePoint now) {
   CandidateSet candidates;
   for (const auto& runner : runners) {
     if (!runner->available() || is_excluded(request, *runner)) continue;
--- a/src/routing/runner_candidates.h
+++ b/src/routing/runner_candidates.h
@@ -34,8 +34,8 @@
 };
 
 /// Collects the available runners that were not tried before.
-CandidateSet collect_candidates(const RunnerRegistry::RunnerList& runners,
-                                const SelectionRequest& request, TimePoint now);
+CandidateSet collect_candidates(const RunnerList::Runners& runners, const SelectionRequest& request,
+                                TimePoint now);
 
 /// Drops the candidates that cannot take the request now.
 void drop_unsuitable(std::vector<Candidate>& candidates, const SelectionRequest& request,
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -10,33 +10,12 @@
 /// Its health state has expired by then: the longest ejection is 4 s.
 constexpr Duration kRetiredLifetime = std::chrono::seconds(10);
 
-using RunnerList = RunnerRegistry::RunnerList;
+const RunnerList::Runners kNoRunners;
 
-RunnerList::iterator position_of(RunnerList& runners, const std::string& id) {
-  return std::lower_bound(runners.begin(), runners.end(), id,
-                          [](const std::shared_ptr<Runner>& runner, const std::string& wanted) {
-                            return runner->record().id < wanted;
-                          });
-}
-
-void insert_by_id(RunnerList& runners, const std::shared_ptr<Runner>& runner) {
-  runners.insert(position_of(runners, runner->record().id), runner);
-}
-
-void erase_by_id(RunnerList& runners, const Runner& runner) {
-  const auto found = position_of(runners, runner.record().id);
-  if (found != runners.end() && found->get() == &runner) runners.erase(found);
-}
-
-const RunnerList& no_runners() {
-  static const RunnerList kNone;
-  return kNone;
-}
-
-const RunnerList& find_zone(const std::map<std::string, RunnerList>& zones,
-                            const std::string& zone) {
+const RunnerList::Runners& runners_of(const std::map<std::string, RunnerList>& zones,
+                                      const std::string& zone) {
   const auto found = zones.find(zone);
-  return found == zones.end() ? no_runners() : found->second;
+  return found == zones.end() ? kNoRunners : found->second.runners();
 }
 
 }  // namespace
@@ -77,9 +56,9 @@
   by_hash_[runner->hash()] = runner.get();
   service_names_.try_emplace(stable_hash(record.service), record.service);
   ServiceRunners& service = by_service_[record.service];
-  insert_by_id(service.all, runner);
-  insert_by_id(service.by_zone[record.zone], runner);
-  insert_by_id(by_zone_[record.zone], runner);
+  service.all.add(runner);
+  service.by_zone[record.zone].add(runner);
+  by_zone_[record.zone].add(runner);
   ++revision_;
 }
 
@@ -87,9 +66,9 @@
   const RunnerRecord& record = runner.record();
   by_hash_.erase(runner.hash());
   ServiceRunners& service = by_service_[record.service];
-  erase_by_id(service.all, runner);
-  erase_by_id(service.by_zone[record.zone], runner);
-  erase_by_id(by_zone_[record.zone], runner);
+  service.all.remove(runner);
+  service.by_zone[record.zone].remove(runner);
+  by_zone_[record.zone].remove(runner);
   ++revision_;
 }
 
@@ -133,7 +112,7 @@
     ids.insert(record.id);
     upsert(std::move(record));
   }
-  RunnerList unlisted;
+  RunnerList::Runners unlisted;
   for (const auto& [id, runner] : runners_) {
     if (!ids.contains(id)) unlisted.push_back(runner);
   }
@@ -177,19 +156,19 @@
   return RunnerLife{.period = runner->live_period(), .listed = confirmed};
 }
 
-const RunnerRegistry::RunnerList& RunnerRegistry::for_service(const std::string& service) const {
+const RunnerList::Runners& RunnerRegistry::for_service(const std::string& service) const {
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? no_runners() : found->second.all;
+  return found == by_service_.end() ? kNoRunners : found->second.all.runners();
 }
 
-const RunnerRegistry::RunnerList& RunnerRegistry::for_service(const std::string& service,
-                                                              const std::string& zone) const {
+const RunnerList::Runners& RunnerRegistry::for_service(const std::string& service,
+                                                       const std::string& zone) const {
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? no_runners() : find_zone(found->second.by_zone, zone);
+  return found == by_service_.end() ? kNoRunners : runners_of(found->second.by_zone, zone);
 }
 
-const RunnerRegistry::RunnerList& RunnerRegistry::in_zone(const std::string& zone) const {
-  return find_zone(by_zone_, zone);
+const RunnerList::Runners& RunnerRegistry::in_zone(const std::string& zone) const {
+  return runners_of(by_zone_, zone);
 }
 
 }  // namespace stoathold
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -16,6 +16,7 @@
 #include "quarantine/runner_life.h"
 #include "routing/active_runners.h"
 #include "routing/runner.h"
+#include "routing/runner_list.h"
 
 namespace stoathold {
 
@@ -31,16 +32,13 @@
   /// Replaces the set of runners by the directory's complete list.
   void replace_all(std::vector<RunnerRecord> records);
 
-  /// Runners ordered by id.
-  using RunnerList = std::vector<std::shared_ptr<Runner>>;
-
   /// Returns the runners of a service.
-  [[nodiscard]] const RunnerList& for_service(const std::string& service) const;
+  [[nodiscard]] const RunnerList::Runners& for_service(const std::string& service) const;
   /// Returns the runners of a service in a zone.
-  [[nodiscard]] const RunnerList& for_service(const std::string& service,
-                                              const std::string& zone) const;
+  [[nodiscard]] const RunnerList::Runners& for_service(const std::string& service,
+                                                       const std::string& zone) const;
   /// Returns the runners of all services in a zone.
-  [[nodiscard]] const RunnerList& in_zone(const std::string& zone) const;
+  [[nodiscard]] const RunnerList::Runners& in_zone(const std::string& zone) const;
   /// Returns the listed runners that this node uses or has something to report about.
   [[nodiscard]] const ActiveRunners& active() const { return active_; }
   /// Drops from `active` the runners that no longer have reportable state. Called periodically.
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -59,12 +59,12 @@
   read_limits_.on_partial_read(bytes, duration);
 }
 
-asio::awaitable<LogStatus> PartitionReplica::load_newest() {
+asio::awaitable<LogStatus> PartitionReplica::load_newest(RecordLog& log) {
   const KeyRange all_keys;
   const Duration page_timeout = scope_ == ReplicaScope::kNewest
                                     ? std::min(read_limits_.page_timeout, kMaxNewestPageTimeout)
                                     : read_limits_.page_timeout;
-  ReadResult result = co_await newest_.run(log_, partition_, all_keys, page_timeout);
+  ReadResult result = co_await newest_.run(log, partition_, all_keys, page_timeout);
   if (result.status == LogStatus::kUnknown) read_limits_.decrease();
   if (result.status != LogStatus::kOk) co_return result.status;
   read_limits_.increase();
@@ -110,7 +110,7 @@
   LogStatus status = LogStatus::kTruncated;
   if (!skip_to_newest_) status = co_await read_next(log, wait, at_end, confirmed);
   if (status == LogStatus::kTruncated) {
-    status = co_await load_newest();
+    status = co_await load_newest(log);
     if (status == LogStatus::kOk) skip_to_newest_ = false;
   }
   health_.last = status;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -95,7 +95,7 @@
   /// @param confirmed set to when the log confirmed the partition's end.
   boost::asio::awaitable<LogStatus> read_next(RecordLog& log, Duration wait, bool& at_end,
                                               TimePoint& confirmed);
-  boost::asio::awaitable<LogStatus> load_newest();
+  boost::asio::awaitable<LogStatus> load_newest(RecordLog& log);
   void adapt_read_limits(const ReadResult& result, Duration duration);
   void apply_new(const std::vector<StoredRecord>& records);
 
--- a/src/store/peer_topic_log.cc
+++ b/src/store/peer_topic_log.cc
@@ -1,6 +1,7 @@
 #include "store/peer_topic_log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -21,6 +22,14 @@
 /// `kMaxPeerWait`. A node whose own reads fail says so, whatever the age.
 constexpr Duration kMaxConfirmationAge = std::chrono::seconds(10);
 
+/// Longest time for which other nodes are given to read the partition first. If all nodes of a
+/// large fleet start together and read the log instead, its bandwidth delays them by more.
+constexpr Duration kMaxLoadTime = std::chrono::seconds(6);
+/// Time after which no other node is asked after one has failed, but the log.
+constexpr Duration kMaxRetryTime = std::chrono::milliseconds(300);
+/// Page size of a read of all newest records.
+constexpr std::uint64_t kMaxNewestPageBytes = 256UL * 1024;
+
 HttpCall make_call(std::string address, const PartitionName& partition, RecordOffset from,
                    std::uint64_t max_bytes, Duration wait) {
   const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
@@ -43,6 +52,12 @@
       source_(std::move(source)),
       failure_listener_(std::move(failure_listener)) {}
 
+bool PeerTopicLog::may_wait_for_load(const PartitionName& partition) {
+  const TimePoint now = monotonic_now();
+  const auto [since, is_new] = loading_since_.try_emplace(partition, now);
+  return now - since->second < kMaxLoadTime;
+}
+
 asio::awaitable<std::optional<ReadResult>> PeerTopicLog::read_from(std::string address,
                                                                    PartitionName partition,
                                                                    RecordOffset from,
@@ -52,6 +67,12 @@
   HttpCall call =
       make_call(std::move(address), partition, from, max_bytes, std::min(wait, kMaxPeerWait));
   const HttpReply reply = co_await client_.call(std::move(call));
+  if (reply.status == kStatusLoading && may_wait_for_load(partition)) {
+    ReadResult loading;
+    loading.status = LogStatus::kNotDone;
+    co_return loading;
+  }
+  loading_since_.erase(partition);
   TopicPage page;
   if (!reply.ok() || !decode_page(reply.body, page)) co_return std::nullopt;
   const TimePoint confirmed = sent + std::chrono::milliseconds(page.confirmed_ms);
@@ -68,23 +89,59 @@
   co_return result;
 }
 
+asio::awaitable<std::optional<ReadResult>> PeerTopicLog::read_from_sources(PartitionName partition,
+                                                                           RecordOffset from,
+                                                                           std::uint64_t max_bytes,
+                                                                           Duration wait) {
+  const TimePoint start = monotonic_now();
+  std::optional<std::string> source = source_();
+  if (!source) ++counts_.from_log;
+  while (source) {
+    std::optional<ReadResult> result =
+        co_await read_from(*source, partition, from, max_bytes, wait);
+    if (result) {
+      ++counts_.from_peer;
+      co_return result;
+    }
+    ++counts_.peer_failures;
+    log_event(Event::kTopicSourceFailed, {{"topic", partition.topic}, {"peer", *source}});
+    failure_listener_(*source);
+    // The next node is asked only if little time was lost: records may be due soon.
+    if (monotonic_now() - start > kMaxRetryTime) break;
+    source = source_();
+  }
+  co_return std::nullopt;
+}
+
 asio::awaitable<ReadResult> PeerTopicLog::read(PartitionName partition, RecordOffset from,
                                                std::uint64_t max_bytes, Duration wait) {
-  const std::optional<std::string> source = source_();
-  if (!source) {
-    ++counts_.from_log;
-    ReadResult result = co_await log_.read(std::move(partition), from, max_bytes, wait);
-    co_return result;
-  }
-  std::optional<ReadResult> result = co_await read_from(*source, partition, from, max_bytes, wait);
-  if (result) {
-    ++counts_.from_peer;
-    co_return std::move(*result);
+  const TimePoint start = monotonic_now();
+  std::optional<ReadResult> result = co_await read_from_sources(partition, from, max_bytes, wait);
+  if (result) co_return std::move(*result);
+  const Duration left = std::max(Duration{0}, wait - (monotonic_now() - start));
+  ReadResult from_log = co_await log_.read(std::move(partition), from, max_bytes, left);
+  co_return from_log;
+}
+
+asio::awaitable<ReadResult> PeerTopicLog::read_newest(PartitionName partition, KeyRange range,
+                                                      Duration page_timeout) {
+  ReadResult newest;
+  RecordOffset from = 0;
+  const bool whole = range.after.empty() && range.through.empty();
+  while (whole) {
+    std::optional<ReadResult> page =
+        co_await read_from_sources(partition, from, kMaxNewestPageBytes, Duration{0});
+    if (!page) break;
+    if (page->status != LogStatus::kOk) co_return std::move(*page);
+    std::copy_if(page->records.begin(), page->records.end(), std::back_inserter(newest.records),
+                 [](const StoredRecord& record) { return !record.value.empty(); });
+    newest.end = page->end;
+    newest.status = LogStatus::kOk;
+    from = page->records.empty() ? page->end : page->records.back().offset + 1;
+    if (from >= page->end) co_return newest;
   }
-  ++counts_.peer_failures;
-  log_event(Event::kTopicSourceFailed, {{"topic", partition.topic}, {"peer", *source}});
-  failure_listener_(*source);
-  ReadResult from_log = co_await log_.read(std::move(partition), from, max_bytes, Duration{0});
+  ReadResult from_log =
+      co_await log_.read_newest(std::move(partition), std::move(range), page_timeout);
   co_return from_log;
 }
 
@@ -94,11 +151,6 @@
   return log_.append(std::move(partition), std::move(records), expected_end);
 }
 
-asio::awaitable<ReadResult> PeerTopicLog::read_newest(PartitionName partition, KeyRange range,
-                                                      Duration page_timeout) {
-  return log_.read_newest(std::move(partition), std::move(range), page_timeout);
-}
-
 asio::awaitable<GroupAssignment> PeerTopicLog::join(GroupMember member) {
   return log_.join(std::move(member));
 }
--- a/src/store/peer_topic_log.h
+++ b/src/store/peer_topic_log.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -18,14 +19,14 @@
 struct TopicReadCounts {
   std::uint64_t from_log = 0;       ///< No other node was to be asked.
   std::uint64_t from_peer = 0;      ///< Answered by another node.
-  std::uint64_t peer_failures = 0;  ///< Read from the log after another node had failed.
+  std::uint64_t peer_failures = 0;  ///< Not answered by another node that was asked.
 };
 
 /// The part of the log that replicas follow. If all nodes of a large fleet read a long topic from
 /// the log at the same time, its bandwidth does not suffice; so most of them read it from nodes
 /// that have read it. A node that fails, or whose knowledge is too old, is reported to the source
-/// of addresses, and the same read goes to the log at once. Other calls go to the log. Not
-/// thread-safe. The log must outlive it.
+/// of addresses, and the same read goes to another node or to the log at once. Other calls go to
+/// the log. Not thread-safe. The log must outlive it.
 class PeerTopicLog final : public RecordLog {
  public:
   /// Returns the address (`ip:port`) of the node to read from; nothing: read from the log.
@@ -51,17 +52,28 @@
   [[nodiscard]] const TopicReadCounts& counts() const { return counts_; }
 
  private:
+  /// Reads from the nodes of the source, one after the other.
+  /// @return nothing if the log has to be read.
+  boost::asio::awaitable<std::optional<ReadResult>> read_from_sources(PartitionName partition,
+                                                                      RecordOffset from,
+                                                                      std::uint64_t max_bytes,
+                                                                      Duration wait);
   boost::asio::awaitable<std::optional<ReadResult>> read_from(std::string address,
                                                               PartitionName partition,
                                                               RecordOffset from,
                                                               std::uint64_t max_bytes,
                                                               Duration wait);
 
+  /// Returns whether to wait for nodes that have not read the partition themselves yet.
+  bool may_wait_for_load(const PartitionName& partition);
+
   HttpClient client_;
   RecordLog& log_;
   Source source_;
   FailureListener failure_listener_;
   TopicReadCounts counts_;
+  /// When a node first answered that it is still reading, by partition.
+  std::map<PartitionName, TimePoint> loading_since_;
 };
 
 }  // namespace stoathold
--- a/src/store/topic_page.h
+++ b/src/store/topic_page.h
@@ -28,5 +28,7 @@
 /// Path of the call between nodes; its query has `topic`, `part`, `from`, `max_bytes` and
 /// `wait_ms`.
 inline constexpr std::string_view kTopicPath = "/peer/topic";
+/// Status of the answer of a node that has not read the partition yet, but is about to.
+inline constexpr int kStatusLoading = 202;
 
 }  // namespace stoathold
--- a/src/store/topic_service.cc
+++ b/src/store/topic_service.cc
@@ -61,8 +61,12 @@
     co_await partition.cache->wait_for_change(std::min(left, kHealthCheckInterval));
     page.records = partition.cache->read(from, max_bytes);
   }
-  const bool knows_nothing = page.records.empty() && !health.loaded;
-  if (health.last != LogStatus::kOk || knows_nothing) {
+  const bool is_reading = health.last == LogStatus::kOk || health.last == LogStatus::kNotDone;
+  if (page.records.empty() && !health.loaded && is_reading) {
+    co_await exchange.respond(kStatusLoading, kBinary, {});
+    co_return;
+  }
+  if (health.last != LogStatus::kOk) {
     co_await exchange.respond(503, kBinary, {});
     co_return;
   }
--- a/src/store/topic_service.h
+++ b/src/store/topic_service.h
@@ -22,8 +22,9 @@
   void add(std::shared_ptr<PartitionReplica> replica, TopicCache& cache);
   /// Returns whether a target is a read of a topic.
   [[nodiscard]] static bool handles(std::string_view target);
-  /// Serves a read: 200 with a `TopicPage`, 404 if the partition is not followed, 410 if records
-  /// since the requested offset were dropped, 503 if this node cannot read the log.
+  /// Serves a read: 200 with a `TopicPage`, `kStatusLoading` if this node knows no record yet, 404
+  /// if the partition is not followed, 410 if records since the requested offset were dropped, 503
+  /// if this node cannot read the log.
   boost::asio::awaitable<void> serve(HttpExchange& exchange);
 
  private:
--- a/tests/gateway/speed_reports_test.cc
+++ b/tests/gateway/speed_reports_test.cc
@@ -82,7 +82,9 @@
 TEST_F(SpeedReportsTest, FullDigestsRepairLosses) {
   report_slowness(0, 100, kNow);
   for (int i = 0; i < 20; ++i) {
+    runner(first, i).begin_attempt();
     for (int sample = 0; sample < 16; ++sample) runner(first, i).speed().learn(1.6);
+    runner(first, i).end_attempt(AttemptOutcome::kServed, kNow);
   }
   for (int lost = 0; lost < 5; ++lost) digest(kNow);
   for (int kept = 0; kept < 3; ++kept) second_part.apply(digest(kNow, true), kNow);
--- a/tests/routing/large_fleet_test.cc
+++ b/tests/routing/large_fleet_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -141,7 +142,7 @@
 // With the same first nodes in each message, the others never learned of each other.
 TEST(LargeFleetTest, MessagesListAllLiveNodesOfALargeZoneInTurn) {
   constexpr std::size_t kNodes = 400;
-  constexpr std::size_t kMessages = 7;
+  constexpr std::size_t kMessages = 25;
   constexpr std::uint16_t kPort = 7000;
   NeighbourTable table;
   for (std::uint32_t ip = 1; ip <= kNodes; ++ip) {
@@ -150,11 +151,53 @@
   std::set<std::uint32_t> reported;
   for (std::size_t message = 0; message < kMessages; ++message) {
     const auto nodes = table.next_reported_nodes(kNow);
-    EXPECT_LE(nodes.size(), 64U) << "more do not fit into a datagram";
+    EXPECT_LE(nodes.size(), 16U) << "the message is sent to each node of the zone";
     for (const NodeEndpoint& node : nodes) reported.insert(node.ip);
   }
   EXPECT_EQ(reported.size(), kNodes);
 }
 
+// A node of a zone of 200 received 400 messages a second from nodes that had nothing to tell.
+TEST(LargeFleetTest, HeartbeatsReachAllNodesInTurnAtARateThatDoesNotGrow) {
+  constexpr std::uint16_t kPort = 7000;
+  for (const std::size_t nodes : {20, 200, 2000}) {
+    NeighbourTable table;
+    for (std::uint32_t ip = 1; ip <= nodes; ++ip) {
+      table.record_message({boost::asio::ip::address_v4(ip), kPort}, kNow);
+    }
+    std::map<NeighbourTable::Endpoint, std::size_t> received;
+    const std::size_t rounds = 1 + nodes / 65;
+    for (std::size_t round = 0; round < rounds; ++round) {
+      const auto receivers = table.next_heartbeat_receivers();
+      EXPECT_LE(receivers.size(), 64U);
+      for (const auto& receiver : receivers) ++received[receiver];
+    }
+    EXPECT_GE(received.size(), nodes * 98 / 100) << "in " << rounds << " rounds";
+    // Heard once in as many seconds as there are rounds, every node counts as live.
+    const TimePoint later = kNow + std::chrono::seconds(2 * rounds);
+    EXPECT_EQ(table.live_nodes(later).size(), nodes);
+    EXPECT_TRUE(table.live_nodes(kNow + std::chrono::seconds(3 * rounds)).empty());
+  }
+}
+
+TEST(LargeFleetTest, OnlyADigestWithoutNewsIsAHeartbeat) {
+  LoadDigest digest;
+  digest.configuration_version = 7;
+  digest.neighbours.push_back({1, 2});
+  EXPECT_TRUE(digest.is_heartbeat());
+  LoadDigest uses = digest;
+  uses.uses.push_back({1, 1, 0, 0});
+  EXPECT_FALSE(uses.is_heartbeat());
+  LoadDigest demand = digest;
+  demand.demand.push_back({1, 1});
+  EXPECT_FALSE(demand.is_heartbeat());
+  LoadDigest ejected = digest;
+  ejected.ejected.push_back({1});
+  EXPECT_FALSE(ejected.is_heartbeat());
+  LoadDigest leaving = digest;
+  leaving.leaving = true;
+  EXPECT_FALSE(leaving.is_heartbeat());
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/store/peer_topic_log_test.cc
+++ b/tests/store/peer_topic_log_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <utility>
 
 #include "net/http.h"
 #include "routing/topic_sources.h"
@@ -94,6 +95,13 @@
   return [] { return std::nullopt; };
 }
 
+/// Names a node for the first read only: after it has failed, none is left.
+PeerTopicLog::Source once(std::string address) {
+  return [address = std::optional(std::move(address))]() mutable {
+    return std::exchange(address, std::nullopt);
+  };
+}
+
 TEST_F(PeerTopicLogTest, ReadsRecordsThroughAnotherNode) {
   append(0, 10);
   Node first(loop, model, from_log());
@@ -111,7 +119,7 @@
 
 TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeIsDead) {
   append(0, 10);
-  Node node(loop, model, [] { return "127.0.0.1:1"; });
+  Node node(loop, model, once("127.0.0.1:1"));
   EXPECT_EQ(read(node, 0).records.size(), 10U);
   EXPECT_EQ(node.failed, std::vector<std::string>{"127.0.0.1:1"});
 }
@@ -121,7 +129,7 @@
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
   append(5, 5);
-  Node second(loop, model, [&] { return first.server.address(); });
+  Node second(loop, model, once(first.server.address()));
   EXPECT_EQ(read(second, 7).records.size(), 3U);
   EXPECT_EQ(second.failed.size(), 1U);
 }
@@ -131,9 +139,49 @@
   Node first(loop, model, from_log());
   first.log.set_max_answered_read_bytes(0);
   ASSERT_NE(catch_up(first), LogStatus::kOk);
+  Node second(loop, model, once(first.server.address()));
+  EXPECT_EQ(read(second, 0).records.size(), 10U);
+  EXPECT_EQ(second.failed.size(), 1U);
+}
+
+TEST_F(PeerTopicLogTest, ReadsNewestRecordsThroughAnotherNodeWithoutDeletedOnes) {
+  append(0, 3000);
+  model->append({kTopic, 0}, {{"runner-7", ""}}, std::nullopt);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
   Node second(loop, model, [&] { return first.server.address(); });
+  const ReadResult result = run_awaitable(
+      loop, second.followed_log.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
+  EXPECT_EQ(result.status, LogStatus::kOk);
+  EXPECT_EQ(result.records.size(), 2999U);
+  EXPECT_EQ(result.end, 3001U);
+  EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+}
+
+TEST_F(PeerTopicLogTest, WaitsForANodeThatIsStillReading) {
+  append(0, 10);
+  Node first(loop, model, from_log());
+  Node second(loop, model, [&] { return first.server.address(); });
+  EXPECT_EQ(read(second, 0).status, LogStatus::kNotDone);
+  EXPECT_TRUE(second.failed.empty());
+  EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  EXPECT_EQ(read(second, 0).records.size(), 10U);
+}
+
+TEST_F(PeerTopicLogTest, AsksTheNextNodeAfterOneThatIsDead) {
+  append(0, 10);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  std::vector<std::string> addresses{first.server.address(), "127.0.0.1:1"};
+  Node second(loop, model, [&] {
+    const std::string next = addresses.back();
+    addresses.pop_back();
+    return next;
+  });
   EXPECT_EQ(read(second, 0).records.size(), 10U);
   EXPECT_EQ(second.failed.size(), 1U);
+  EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
 }
 
 /// What the log serves of a start of all nodes must not grow with them.
