Starting nodes wait for the members of the group, and read jobs through nodes of the zone

The partitions of the jobs topic that a node follows are shared likewise; submissions and questions of callers still read the store's end.

--- a/src/gateway/peer_gauges.cc
+++ b/src/gateway/peer_gauges.cc
@@ -27,7 +27,9 @@
                     static_cast<double>(counts.expired)});
 }
 
-void add_peer_traffic_gauges(const PeerTraffic& traffic, std::vector<MetricValue>& gauges) {
+namespace {
+
+void add_traffic(const PeerTraffic& traffic, std::vector<MetricValue>& gauges) {
   struct Column {
     const char* name;
     const char* help;
@@ -50,7 +52,7 @@
   }
 }
 
-void add_topic_read_gauges(const TopicReadCounts& counts, std::vector<MetricValue>& gauges) {
+void add_reads(const TopicReadCounts& counts, std::vector<MetricValue>& gauges) {
   const auto add = [&gauges](const std::string& source, std::uint64_t count) {
     gauges.push_back({"stoathold_topic_reads",
                       "Reads of followed topics since the start, by where they were answered.",
@@ -62,4 +64,12 @@
   add("failed_peer", counts.peer_failures);
 }
 
+}  // namespace
+
+void add_peer_gauges(const PeerTraffic& traffic, const TopicReadCounts& reads,
+                     std::vector<MetricValue>& gauges) {
+  add_traffic(traffic, gauges);
+  add_reads(reads, gauges);
+}
+
 }  // namespace stoathold
--- a/src/gateway/peer_gauges.h
+++ b/src/gateway/peer_gauges.h
@@ -17,10 +17,9 @@
 void add_loan_gauges(const SlotExchange& exchange, const std::string& zone,
                      std::vector<MetricValue>& gauges);
 
-/// Adds gauges of the messages exchanged with other nodes, by purpose.
-void add_peer_traffic_gauges(const PeerTraffic& traffic, std::vector<MetricValue>& gauges);
-
-/// Adds gauges of the reads of the topics that all nodes follow, by where they were answered.
-void add_topic_read_gauges(const TopicReadCounts& counts, std::vector<MetricValue>& gauges);
+/// Adds gauges of the messages exchanged with other nodes, by purpose, and of the reads of the
+/// topics that all nodes follow, by where they were answered.
+void add_peer_gauges(const PeerTraffic& traffic, const TopicReadCounts& reads,
+                     std::vector<MetricValue>& gauges);
 
 }  // namespace stoathold
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -70,7 +70,9 @@
         if (should_notify && listener_) listener_(key, job);
       });
   const PartitionName name{kJobsTopic, number};
-  partition.replica = std::make_shared<PartitionReplica>(log_, name, *partition.table);
+  partition.cache = std::make_unique<TopicCache>(executor_, *partition.table);
+  partition.replica = std::make_shared<PartitionReplica>(log_, name, *partition.cache);
+  if (replica_sharer_) replica_sharer_(partition.replica, *partition.cache);
   partition.replica->set_loaded_listener([this, &partition] { partition_loaded(partition); });
   return partition;
 }
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -19,6 +19,7 @@
 #include "store/append_with_retry.h"
 #include "store/coalesced_read.h"
 #include "store/resumable_newest_read.h"
+#include "store/topic_cache.h"
 
 namespace stoathold {
 
@@ -85,6 +86,10 @@
   void set_loaded_listener(std::function<void()> listener) {
     loaded_listener_ = std::move(listener);
   }
+  /// Lets other nodes take part in the reads of each partition of the jobs topic that is followed.
+  /// Called before any host is followed.
+  using ReplicaSharer = std::function<void(const std::shared_ptr<PartitionReplica>&, TopicCache&)>;
+  void set_replica_sharer(ReplicaSharer sharer) { replica_sharer_ = std::move(sharer); }
   /// Starts to follow the jobs of a host.
   void follow_host(const std::string& host);
   /// Sets whether this node runs jobs; initially true. While it does, new jobs of the followed
@@ -162,6 +167,7 @@
   /// One partition of the jobs topic: its table, and the replica that updates it.
   struct JobsPartition {
     std::unique_ptr<JobTable> table;
+    std::unique_ptr<TopicCache> cache;  ///< Passes records on to `table`.
     std::shared_ptr<PartitionReplica> replica;
     bool followed = false;
     std::unique_ptr<Timer>
@@ -216,6 +222,7 @@
   JobStoreTiming timing_;
   std::uint64_t next_unique_ = 0;
   JobDataLog data_;
+  ReplicaSharer replica_sharer_;  ///< Null: partitions are read by this node alone.
   bool running_jobs_ = true;
   JobTable::Listener listener_;
   std::function<void()> loaded_listener_;
--- a/src/routing/neighbour_table.cc
+++ b/src/routing/neighbour_table.cc
@@ -118,7 +118,7 @@
 }
 
 std::vector<NodeEndpoint> NeighbourTable::next_reported_nodes(TimePoint now) {
-  const std::vector<NodeEndpoint> live = live_nodes(now);
+  std::vector<NodeEndpoint> live = live_nodes(now);
   if (live.size() <= kMaxNeighboursReported) return live;
   std::vector<NodeEndpoint> reported;
   for (std::size_t i = 0; i < kNeighboursReportedInTurn; ++i) {
--- a/src/store/peer_topic_log.cc
+++ b/src/store/peer_topic_log.cc
@@ -1,6 +1,8 @@
 #include "store/peer_topic_log.h"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <iterator>
 #include <utility>
 
@@ -48,10 +50,27 @@
 PeerTopicLog::PeerTopicLog(const asio::any_io_executor& executor, RecordLog& log, Source source,
                            FailureListener failure_listener)
     : client_(executor, LoopThreads::kOne),
+      hold_timer_(executor),
       log_(log),
       source_(std::move(source)),
       failure_listener_(std::move(failure_listener)) {}
 
+void PeerTopicLog::hold(Duration limit) {
+  held_ = true;
+  hold_timer_.expires_after(limit);
+}
+
+void PeerTopicLog::begin() {
+  held_ = false;
+  hold_timer_.cancel();
+}
+
+asio::awaitable<void> PeerTopicLog::wait_until_begun() {
+  if (!held_) co_return;
+  co_await hold_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+  held_ = false;
+}
+
 bool PeerTopicLog::may_wait_for_load(const PartitionName& partition) {
   const TimePoint now = monotonic_now();
   const auto [since, is_new] = loading_since_.try_emplace(partition, now);
@@ -93,6 +112,7 @@
                                                                            RecordOffset from,
                                                                            std::uint64_t max_bytes,
                                                                            Duration wait) {
+  co_await wait_until_begun();
   const TimePoint start = monotonic_now();
   std::optional<std::string> source = source_();
   if (!source) ++counts_.from_log;
--- a/src/store/peer_topic_log.h
+++ b/src/store/peer_topic_log.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "base/timer.h"
 #include "net/http.h"
 #include "store/record_log.h"
 
@@ -37,6 +38,12 @@
   PeerTopicLog(const boost::asio::any_io_executor& executor, RecordLog& log, Source source,
                FailureListener failure_listener);
 
+  /// Holds reads back until `begin` is called, at most for `limit`: a node that has just started
+  /// does not know yet from which nodes it can read.
+  void hold(Duration limit);
+  /// Lets reads begin.
+  void begin();
+
   [[nodiscard]] const LogLimits& limits() const override { return log_.limits(); }
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override;
@@ -67,7 +74,11 @@
   /// Returns whether to wait for nodes that have not read the partition themselves yet.
   bool may_wait_for_load(const PartitionName& partition);
 
+  boost::asio::awaitable<void> wait_until_begun();
+
   HttpClient client_;
+  Timer hold_timer_;
+  bool held_ = false;
   RecordLog& log_;
   Source source_;
   FailureListener failure_listener_;
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -82,6 +82,21 @@
   JobStore second;
 };
 
+// A node that starts with 984 others reads the jobs through another node, whose records it shares.
+TEST_F(JobStoreTest, SharesEachPartitionWithTheRecordsThatItHolds) {
+  std::vector<TopicCache*> shared;
+  second.set_replica_sharer(
+      [&](const std::shared_ptr<PartitionReplica>& replica, TopicCache& cache) {
+        EXPECT_EQ(replica->name().topic, kJobsTopic);
+        shared.push_back(&cache);
+      });
+  EXPECT_EQ(submit(first, make_job("a", 2)), SubmitStatus::kAccepted);
+  EXPECT_EQ(find(second, "a"), LookupStatus::kFound);
+  EXPECT_EQ(find(second, "a"), LookupStatus::kFound);
+  ASSERT_EQ(shared.size(), 1U);
+  EXPECT_EQ(shared.front()->size(), 1U);
+}
+
 TEST_F(JobStoreTest, AJobSubmittedAtTwoNodesIsOneJob) {
   EXPECT_EQ(submit(first, make_job("j1", 3)), SubmitStatus::kAccepted);
   EXPECT_EQ(submit(second, make_job("j1", 3)), SubmitStatus::kAccepted);
--- a/tests/store/peer_topic_log_test.cc
+++ b/tests/store/peer_topic_log_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <memory>
 #include <utility>
 
@@ -169,13 +170,36 @@
   EXPECT_EQ(read(second, 0).records.size(), 10U);
 }
 
+TEST_F(PeerTopicLogTest, HeldReadsWaitUntilOtherNodesAreKnown) {
+  append(0, 10);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  std::optional<std::string> known;
+  Node second(loop, model, [&] { return known; });
+  second.followed_log.hold(std::chrono::hours(1));
+  boost::asio::post(loop, [&] {
+    EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+    known = first.server.address();
+    second.followed_log.begin();
+  });
+  EXPECT_EQ(read(second, 0).records.size(), 10U);
+  EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+}
+
+TEST_F(PeerTopicLogTest, HeldReadsGoToTheLogAfterTheLimit) {
+  append(0, 10);
+  Node node(loop, model, from_log());
+  node.followed_log.hold(std::chrono::milliseconds(5));
+  EXPECT_EQ(read(node, 0).records.size(), 10U);
+}
+
 TEST_F(PeerTopicLogTest, AsksTheNextNodeAfterOneThatIsDead) {
   append(0, 10);
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
   std::vector<std::string> addresses{first.server.address(), "127.0.0.1:1"};
   Node second(loop, model, [&] {
-    const std::string next = addresses.back();
+    std::string next = addresses.back();
     addresses.pop_back();
     return next;
   });
