A reader waits longer than a node that is still reading lets it wait

Cause: a node that is still reading a topic let its readers wait up to 1 s, and these gave up after 1 s: they took it for dead and read the store (759 times in the first second after all nodes had started again).

Change: it answers after 0.5 s that it is loading; the timeout of a reader includes that.

--- a/src/store/peer_topic_log.cc
+++ b/src/store/peer_topic_log.cc
@@ -14,7 +14,8 @@
 
 namespace asio = boost::asio;
 
-/// Timeout of a call to another node, in addition to the wait that it requests.
+/// Timeout of a call to another node, in addition to the wait that it requests and to the one for a
+/// node that is still reading.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(1000);
 /// Longest wait that is requested from another node. It bounds, with `kPeerTimeout`, the delay that
 /// a node causes that has died.
@@ -41,7 +42,7 @@
   call.target = std::string(kTopicPath) + "?topic=" + partition.topic +
                 "&part=" + std::to_string(partition.partition) + "&from=" + std::to_string(from) +
                 "&max_bytes=" + std::to_string(max_bytes) + "&wait_ms=" + std::to_string(wait_ms);
-  call.timeout = wait + kPeerTimeout;
+  call.timeout = wait + kMaxLoadWait + kPeerTimeout;
   return call;
 }
 
--- a/src/store/topic_page.h
+++ b/src/store/topic_page.h
@@ -28,6 +28,9 @@
 /// Path of the call between nodes; its query has `topic`, `part`, `from`, `max_bytes` and
 /// `wait_ms`.
 inline constexpr std::string_view kTopicPath = "/peer/topic";
+/// Longest wait of a reader at a node that has not read the partition to its end yet. Nodes that
+/// start together read in a chain.
+inline constexpr Duration kMaxLoadWait = std::chrono::milliseconds(500);
 /// Status of the answer of a node that has not read the partition yet, but is about to.
 inline constexpr int kStatusLoading = 202;
 
--- a/src/store/topic_service.cc
+++ b/src/store/topic_service.cc
@@ -17,9 +17,6 @@
 /// A reader that is behind the known end waits at least this long for the records, which this node
 /// is about to read.
 constexpr Duration kMinWaitBehindEnd = std::chrono::milliseconds(200);
-/// Longest wait of a reader while this node has not read the partition to its end yet. Nodes that
-/// start together read in a chain.
-constexpr Duration kMaxLoadWait = std::chrono::milliseconds(1000);
 /// Interval at which a waiting read looks at the state of this node's own reads.
 constexpr Duration kHealthCheckInterval = std::chrono::milliseconds(250);
 constexpr std::string_view kBinary = "application/octet-stream";
