--- a/src/store/peer_topic_log.cc
+++ b/src/store/peer_topic_log.cc
@@ -46,6 +46,13 @@
   return call;
 }
 
+/// Returns the result of a read that is to be tried again soon.
+ReadResult not_done() {
+  ReadResult result;
+  result.status = LogStatus::kNotDone;
+  return result;
+}
+
 }  // namespace
 
 PeerTopicLog::PeerTopicLog(const asio::any_io_executor& executor, RecordLog& log, Source source,
@@ -87,12 +94,7 @@
   HttpCall call =
       make_call(std::move(address), partition, from, max_bytes, std::min(wait, kMaxPeerWait));
   const HttpReply reply = co_await client_.call(std::move(call));
-  if (reply.status == kStatusLoading && may_wait_for_load(partition)) {
-    ReadResult loading;
-    loading.status = LogStatus::kNotDone;
-    co_return loading;
-  }
-  loading_since_.erase(partition);
+  if (reply.status == kStatusLoading && may_wait_for_load(partition)) co_return not_done();
   TopicPage page;
   if (!reply.ok() || !decode_page(reply.body, page)) co_return std::nullopt;
   const TimePoint confirmed = sent + std::chrono::milliseconds(page.confirmed_ms);
@@ -101,6 +103,7 @@
   // be recent.
   const bool outdated = next >= page.end && monotonic_now() - confirmed > kMaxConfirmationAge;
   if (page.end < from || outdated) co_return std::nullopt;
+  loading_since_.erase(partition);
   ReadResult result;
   result.status = LogStatus::kOk;
   result.records = std::move(page.records);
@@ -116,7 +119,8 @@
   co_await wait_until_begun();
   const TimePoint start = monotonic_now();
   std::optional<std::string> source = source_();
-  if (!source) ++counts_.from_log;
+  const bool has_source = source.has_value();
+  if (!has_source) ++counts_.from_log;
   while (source) {
     std::optional<ReadResult> result =
         co_await read_from(*source, partition, from, max_bytes, wait);
@@ -131,6 +135,9 @@
     if (monotonic_now() - start > kMaxRetryTime) break;
     source = source_();
   }
+  // Nodes that start together find their sources starting as well.
+  const bool starting = from == 0 && has_source;
+  if (starting && may_wait_for_load(partition)) co_return not_done();
   co_return std::nullopt;
 }
 
--- a/src/store/peer_topic_log.h
+++ b/src/store/peer_topic_log.h
@@ -26,8 +26,9 @@
 /// The part of the log that replicas follow. If all nodes of a large fleet read a long topic from
 /// the log at the same time, its bandwidth does not suffice; so most of them read it from nodes
 /// that have read it. A node that fails, or whose knowledge is too old, is reported to the source
-/// of addresses, and the same read goes to another node or to the log at once. Other calls go to
-/// the log. Not thread-safe. The log must outlive it.
+/// of addresses, and the same read goes to another node or to the log at once. Only a node that has
+/// read nothing of a partition yet waits for other nodes for some seconds before it reads the log.
+/// Other calls go to the log. Not thread-safe. The log must outlive it.
 class PeerTopicLog final : public RecordLog {
  public:
   /// Returns the address (`ip:port`) of the node to read from; nothing: read from the log.
