--- a/src/admission/retry_times.cc
+++ b/src/admission/retry_times.cc
@@ -69,15 +69,14 @@
   [[nodiscard]] Duration span() const {
     return static_cast<Duration::rep>(bins_.size()) * RetryBookings::kBookingBin;
   }
-  /// Returns the start of a random bin, drawn in proportion to the retries that can be booked,
-  /// among the latest bins that together hold `retries`.
-  [[nodiscard]] Duration draw(double retries, Random& random) const {
-    double left = random.unit() * std::clamp(retries, 1.0, free_);
-    for (auto bin = bins_.rbegin(); bin != bins_.rend(); ++bin) {
-      left -= bin->free;
-      if (left < 0) return bin->start;
+  /// Returns the start of a random bin, drawn in proportion to the retries that can be booked.
+  [[nodiscard]] Duration draw(Random& random) const {
+    double left = random.unit() * free_;
+    for (const Bin& bin : bins_) {
+      left -= bin.free;
+      if (left < 0) return bin.start;
     }
-    return bins_.front().start;
+    return bins_.back().start;
   }
 
  private:
@@ -97,17 +96,15 @@
                                 : kBookingPropagationDelay;
 }
 
-/// Draws the bin in which this request books its retry. All nodes reject in the same peak and learn
-/// of each other's bookings late, so the requests rejected meanwhile anywhere in the zone share the
-/// available bookings.
-/// @return the start of the bin; nothing if this request gets none.
-std::optional<Duration> draw_booking(const RetryQuery& query, const RetryBookings& retry_bookings,
-                                     const CandidateBins& bins, Random& random) {
+/// Returns whether this request wins one of the bookings. All nodes reject in the same peak and
+/// learn of each other's bookings late, so the requests rejected meanwhile anywhere in the zone
+/// share the available bookings.
+bool draws_booking(const RetryQuery& query, const RetryBookings& retry_bookings,
+                   const CandidateBins& bins, Random& random) {
   const double arrivals = query.forecaster == nullptr ? 0 : query.forecaster->recent_rate();
   const double competitors = (arrivals - query.slots_freed_per_second) *
                              to_seconds(unknown_booking_time(retry_bookings, bins));
-  if (bins.empty() || random.unit() * competitors >= bins.free()) return std::nullopt;
-  return bins.draw(competitors, random);
+  return !bins.empty() && random.unit() * competitors < bins.free();
 }
 
 /// Returns the slots per second left at a time after the expected arrivals.
@@ -140,8 +137,8 @@
                                            kBookedSlotFraction * query.slots_freed_per_second));
   }
   for (const CandidateBins* bins : {&low_load, &reserved}) {
-    const auto start = draw_booking(query, retry_bookings, *bins, random);
-    if (start) return RetryTime{jitter_within_bin(*start, latest, random)};
+    if (!draws_booking(query, retry_bookings, *bins, random)) continue;
+    return RetryTime{jitter_within_bin(bins->draw(random), latest, random)};
   }
   const Duration before_latest = scale(kUnbookedJitter, random.unit());
   return RetryTime{std::max(kMinRetryDelay, latest - before_latest), false};
