--- a/src/admission/retry_times.cc
+++ b/src/admission/retry_times.cc
@@ -65,10 +65,6 @@
   [[nodiscard]] bool empty() const { return bins_.empty(); }
   /// Returns how many retries can be booked in all bins.
   [[nodiscard]] double free() const { return free_; }
-  /// Returns the time that the bins cover.
-  [[nodiscard]] Duration span() const {
-    return static_cast<Duration::rep>(bins_.size()) * RetryBookings::kBookingBin;
-  }
   /// Returns the start of a random bin, drawn in proportion to the retries that can be booked.
   [[nodiscard]] Duration draw(Random& random) const {
     double left = random.unit() * free_;
@@ -88,22 +84,13 @@
   double free_ = 0;
 };
 
-/// Returns the time in which the zone's rejections book without knowledge of each other. A node
-/// that knows no booking has no evidence that reports reach it: the others may have booked since
-/// the earliest moment from which these bins could be booked.
-Duration unknown_booking_time(const RetryBookings& retry_bookings, const CandidateBins& bins) {
-  return retry_bookings.empty() ? std::max(kBookingPropagationDelay, bins.span())
-                                : kBookingPropagationDelay;
-}
-
 /// Returns whether this request wins one of the bookings. All nodes reject in the same peak and
 /// learn of each other's bookings late, so the requests rejected meanwhile anywhere in the zone
 /// share the available bookings.
-bool draws_booking(const RetryQuery& query, const RetryBookings& retry_bookings,
-                   const CandidateBins& bins, Random& random) {
+bool draws_booking(const RetryQuery& query, const CandidateBins& bins, Random& random) {
   const double arrivals = query.forecaster == nullptr ? 0 : query.forecaster->recent_rate();
-  const double competitors = (arrivals - query.slots_freed_per_second) *
-                             to_seconds(unknown_booking_time(retry_bookings, bins));
+  const double competitors =
+      (arrivals - query.slots_freed_per_second) * to_seconds(kBookingPropagationDelay);
   return !bins.empty() && random.unit() * competitors < bins.free();
 }
 
@@ -137,7 +124,7 @@
                                            kBookedSlotFraction * query.slots_freed_per_second));
   }
   for (const CandidateBins* bins : {&low_load, &reserved}) {
-    if (!draws_booking(query, retry_bookings, *bins, random)) continue;
+    if (!draws_booking(query, *bins, random)) continue;
     return RetryTime{jitter_within_bin(bins->draw(random), latest, random)};
   }
   const Duration before_latest = scale(kUnbookedJitter, random.unit());
