Reads of the log have an interface of their own; names and comments of the second reading

PeerTopicLog passed on appends and group calls that no caller makes through it: RecordReader holds the two reads, RecordLog adds the rest, and the class is PeerTopicReader now. No change of behaviour. Comments that a newcomer would read twice are written anew.

--- a/src/gateway/peer_gauges.h
+++ b/src/gateway/peer_gauges.h
@@ -8,7 +8,7 @@
 #include "gateway/metrics_page.h"
 #include "routing/peer_traffic.h"
 #include "routing/slot_exchange.h"
-#include "store/peer_topic_log.h"
+#include "store/peer_topic_reader.h"
 
 namespace stoathold {
 
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -116,8 +116,7 @@
   std::vector<BatchQueueDepth> batch_waits;   ///< Inside the zone only.
   bool leaving = false;  ///< The sender is shutting down and admits no more requests.
 
-  /// Returns whether it tells nothing that other nodes have to know soon, only that its sender
-  /// runs.
+  /// Returns whether it contains no load, health or limits: it only shows that its sender runs.
   [[nodiscard]] bool is_heartbeat() const;
 
   template <typename Archive>
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -292,8 +292,9 @@
   for (const DigestPart& part : digest_parts_) part.add(digest, full_report, last_sent_);
   digest.leaving = leaving_;
   const bool is_heartbeat = digest.is_heartbeat();
-  // The first digest after others tells all nodes that what they reported has ended. Nodes that are
-  // not heard by all keep their shares of the tenants' limits.
+  // The first heartbeat after a digest with load goes to all nodes, since it ends the reported
+  // load. While tenants' limits are shared, every digest does: a node from which no messages arrive
+  // counts as silent.
   const bool shares_limits = tenant_gossip_ && tenant_gossip_->needed();
   const bool to_all = !is_heartbeat || !last_was_heartbeat_ || shares_limits;
   last_was_heartbeat_ = is_heartbeat;
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -21,10 +21,10 @@
 
 }  // namespace
 
-PartitionReplica::PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink,
+PartitionReplica::PartitionReplica(RecordReader& log, PartitionName partition, RecordSink& sink,
                                    ReplicaScope scope)
     : log_(log),
-      followed_log_(&log),
+      follow_reader_(&log),
       partition_(std::move(partition)),
       sink_(sink),
       scope_(scope),
@@ -59,7 +59,7 @@
   read_limits_.on_partial_read(bytes, duration);
 }
 
-asio::awaitable<LogStatus> PartitionReplica::load_newest(RecordLog& log) {
+asio::awaitable<LogStatus> PartitionReplica::load_newest(RecordReader& log) {
   const KeyRange all_keys;
   const Duration page_timeout = scope_ == ReplicaScope::kNewest
                                     ? std::min(read_limits_.page_timeout, kMaxNewestPageTimeout)
@@ -86,8 +86,8 @@
   co_return LogStatus::kOk;
 }
 
-asio::awaitable<LogStatus> PartitionReplica::read_next(RecordLog& log, Duration wait, bool& at_end,
-                                                       TimePoint& confirmed) {
+asio::awaitable<LogStatus> PartitionReplica::read_next(RecordReader& log, Duration wait,
+                                                       bool& at_end, TimePoint& confirmed) {
   const TimePoint sent = monotonic_now();
   const RecordOffset from = next_offset_;
   const ReadResult result = co_await log.read(partition_, from, read_limits_.bytes, wait);
@@ -101,7 +101,7 @@
   co_return LogStatus::kOk;
 }
 
-asio::awaitable<LogStatus> PartitionReplica::read_once(RecordLog& log, Duration wait,
+asio::awaitable<LogStatus> PartitionReplica::read_once(RecordReader& log, Duration wait,
                                                        bool& at_end) {
   const auto self = shared_from_this();
   const TimePoint sent = monotonic_now();
@@ -155,7 +155,7 @@
     bool at_end = false;
     const RecordOffset before = next_offset_;
     const TimePoint sent = monotonic_now();
-    const LogStatus status = co_await read_once(*followed_log_, read_wait, at_end);
+    const LogStatus status = co_await read_once(*follow_reader_, read_wait, at_end);
     if (status == LogStatus::kOk) {
       backoff.reset();
       const bool pause = at_end && next_offset_ > before && read_pause.count() > 0;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -53,7 +53,7 @@
 class PartitionReplica : public std::enable_shared_from_this<PartitionReplica> {
  public:
   /// @param log and `sink` outlive the replica and all reads in flight.
-  PartitionReplica(RecordLog& log, PartitionName partition, RecordSink& sink,
+  PartitionReplica(RecordReader& log, PartitionName partition, RecordSink& sink,
                    ReplicaScope scope = ReplicaScope::kHistory);
 
   /// Reads to the partition's end: on success the state includes every record whose append was
@@ -72,9 +72,9 @@
                                       Duration read_pause = Duration{0},
                                       Duration wait = std::chrono::milliseconds(2000));
 
-  /// Sets the log that `follow` reads from, which must outlive the replica and all reads in flight.
-  /// It may know the records later than the log of the constructor, which `catch_up` reads from.
-  void set_followed_log(RecordLog& log) { followed_log_ = &log; }
+  /// Sets the reader that `follow` uses, which must outlive the replica and all reads in flight. It
+  /// may return records later than the log of the constructor, which `catch_up` reads.
+  void set_follow_reader(RecordReader& log) { follow_reader_ = &log; }
   /// Sets a listener that is called when the partition is first read to its end.
   void set_loaded_listener(std::function<void()> listener) {
     loaded_listener_ = std::move(listener);
@@ -89,18 +89,18 @@
   [[nodiscard]] const ReplicaHealth& health() const { return health_; }
 
  private:
-  boost::asio::awaitable<LogStatus> read_once(RecordLog& log, Duration wait, bool& at_end);
+  boost::asio::awaitable<LogStatus> read_once(RecordReader& log, Duration wait, bool& at_end);
   boost::asio::awaitable<LogStatus> read_to_end();
   /// Reads from the first record that is not applied yet.
   /// @param confirmed set to when the log confirmed the partition's end.
-  boost::asio::awaitable<LogStatus> read_next(RecordLog& log, Duration wait, bool& at_end,
+  boost::asio::awaitable<LogStatus> read_next(RecordReader& log, Duration wait, bool& at_end,
                                               TimePoint& confirmed);
-  boost::asio::awaitable<LogStatus> load_newest(RecordLog& log);
+  boost::asio::awaitable<LogStatus> load_newest(RecordReader& log);
   void adapt_read_limits(const ReadResult& result, Duration duration);
   void apply_new(const std::vector<StoredRecord>& records);
 
-  RecordLog& log_;
-  RecordLog* followed_log_;
+  RecordReader& log_;
+  RecordReader* follow_reader_;
   PartitionName partition_;
   RecordSink& sink_;
   ReplicaScope scope_;
--- a/src/store/peer_topic_log.cc
+++ b/src/store/peer_topic_reader.cc
@@ -1,4 +1,4 @@
-#include "store/peer_topic_log.h"
+#include "store/peer_topic_reader.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -55,41 +55,41 @@
 
 }  // namespace
 
-PeerTopicLog::PeerTopicLog(const asio::any_io_executor& executor, RecordLog& log, Source source,
-                           FailureListener failure_listener)
+PeerTopicReader::PeerTopicReader(const asio::any_io_executor& executor, RecordReader& log,
+                                 Source source, FailureListener failure_listener)
     : client_(executor, LoopThreads::kOne),
       hold_timer_(executor),
       log_(log),
       source_(std::move(source)),
       failure_listener_(std::move(failure_listener)) {}
 
-void PeerTopicLog::hold(Duration limit) {
+void PeerTopicReader::hold(Duration limit) {
   held_ = true;
   hold_timer_.expires_after(limit);
 }
 
-void PeerTopicLog::begin() {
+void PeerTopicReader::begin() {
   held_ = false;
   hold_timer_.cancel();
 }
 
-asio::awaitable<void> PeerTopicLog::wait_until_begun() {
+asio::awaitable<void> PeerTopicReader::wait_until_begun() {
   if (!held_) co_return;
   co_await hold_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
   held_ = false;
 }
 
-bool PeerTopicLog::may_wait_for_load(const PartitionName& partition) {
+bool PeerTopicReader::may_wait_for_load(const PartitionName& partition) {
   const TimePoint now = monotonic_now();
   const auto [since, is_new] = loading_since_.try_emplace(partition, now);
   return now - since->second < kMaxLoadTime;
 }
 
-asio::awaitable<std::optional<ReadResult>> PeerTopicLog::read_from(std::string address,
-                                                                   PartitionName partition,
-                                                                   RecordOffset from,
-                                                                   std::uint64_t max_bytes,
-                                                                   Duration wait) {
+asio::awaitable<std::optional<ReadResult>> PeerTopicReader::read_from(std::string address,
+                                                                      PartitionName partition,
+                                                                      RecordOffset from,
+                                                                      std::uint64_t max_bytes,
+                                                                      Duration wait) {
   const TimePoint sent = monotonic_now();
   HttpCall call =
       make_call(std::move(address), partition, from, max_bytes, std::min(wait, kMaxPeerWait));
@@ -112,10 +112,8 @@
   co_return result;
 }
 
-asio::awaitable<std::optional<ReadResult>> PeerTopicLog::read_from_sources(PartitionName partition,
-                                                                           RecordOffset from,
-                                                                           std::uint64_t max_bytes,
-                                                                           Duration wait) {
+asio::awaitable<std::optional<ReadResult>> PeerTopicReader::read_from_sources(
+    PartitionName partition, RecordOffset from, std::uint64_t max_bytes, Duration wait) {
   co_await wait_until_begun();
   const TimePoint start = monotonic_now();
   std::optional<std::string> source = source_();
@@ -141,8 +139,8 @@
   co_return std::nullopt;
 }
 
-asio::awaitable<ReadResult> PeerTopicLog::read(PartitionName partition, RecordOffset from,
-                                               std::uint64_t max_bytes, Duration wait) {
+asio::awaitable<ReadResult> PeerTopicReader::read(PartitionName partition, RecordOffset from,
+                                                  std::uint64_t max_bytes, Duration wait) {
   const TimePoint start = monotonic_now();
   std::optional<ReadResult> result = co_await read_from_sources(partition, from, max_bytes, wait);
   if (result) co_return std::move(*result);
@@ -151,8 +149,8 @@
   co_return from_log;
 }
 
-asio::awaitable<ReadResult> PeerTopicLog::read_newest(PartitionName partition, KeyRange range,
-                                                      Duration page_timeout) {
+asio::awaitable<ReadResult> PeerTopicReader::read_newest(PartitionName partition, KeyRange range,
+                                                         Duration page_timeout) {
   ReadResult newest;
   RecordOffset from = 0;
   const bool whole = range.after.empty() && range.through.empty();
@@ -173,22 +171,4 @@
   co_return from_log;
 }
 
-asio::awaitable<AppendResult> PeerTopicLog::append(PartitionName partition,
-                                                   std::vector<KeyedRecord> records,
-                                                   std::optional<RecordOffset> expected_end) {
-  return log_.append(std::move(partition), std::move(records), expected_end);
-}
-
-asio::awaitable<GroupAssignment> PeerTopicLog::join(GroupMember member) {
-  return log_.join(std::move(member));
-}
-
-asio::awaitable<MemberList> PeerTopicLog::members(std::string group) {
-  return log_.members(std::move(group));
-}
-
-asio::awaitable<LogStatus> PeerTopicLog::leave(GroupMember member) {
-  return log_.leave(std::move(member));
-}
-
 }  // namespace stoathold
--- a/src/store/peer_topic_log.h
+++ b/src/store/peer_topic_reader.h
@@ -23,21 +23,23 @@
   std::uint64_t peer_failures = 0;  ///< Not answered by another node that was asked.
 };
 
-/// The part of the log that replicas follow. If all nodes of a large fleet read a long topic from
-/// the log at the same time, its bandwidth does not suffice; so most of them read it from nodes
-/// that have read it. A node that fails, or whose knowledge is too old, is reported to the source
-/// of addresses, and the same read goes to another node or to the log at once. Only a node that has
-/// read nothing of a partition yet waits for other nodes for some seconds before it reads the log.
-/// Other calls go to the log. Not thread-safe. The log must outlive it.
-class PeerTopicLog final : public RecordLog {
+/// Reads partitions from other nodes that have read them, and from the log if none of them answers.
+/// The bandwidth of the log does not suffice for a long topic that all nodes of a large fleet read
+/// at the same time.
+///
+/// A node that fails, or whose information is too old, is reported to the failure listener, and the
+/// same read goes to another node or to the log at once. A node that has read nothing of a
+/// partition yet is an exception: it waits for other nodes for some seconds before it reads the
+/// log. Not thread-safe. The log must outlive it.
+class PeerTopicReader final : public RecordReader {
  public:
   /// Returns the address (`ip:port`) of the node to read from; nothing: read from the log.
   using Source = std::function<std::optional<std::string>()>;
   /// Called when the node at an address has failed.
   using FailureListener = std::function<void(const std::string& address)>;
 
-  PeerTopicLog(const boost::asio::any_io_executor& executor, RecordLog& log, Source source,
-               FailureListener failure_listener);
+  PeerTopicReader(const boost::asio::any_io_executor& executor, RecordReader& log, Source source,
+                  FailureListener failure_listener);
 
   /// Holds reads back until `begin` is called, at most for `limit`: a node that has just started
   /// does not know yet from which nodes it can read.
@@ -45,23 +47,16 @@
   /// Lets reads begin.
   void begin();
 
-  [[nodiscard]] const LogLimits& limits() const override { return log_.limits(); }
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override;
-  boost::asio::awaitable<AppendResult> append(PartitionName partition,
-                                              std::vector<KeyedRecord> records,
-                                              std::optional<RecordOffset> expected_end) override;
   boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
                                                  Duration page_timeout) override;
-  boost::asio::awaitable<GroupAssignment> join(GroupMember member) override;
-  boost::asio::awaitable<MemberList> members(std::string group) override;
-  boost::asio::awaitable<LogStatus> leave(GroupMember member) override;
-
   [[nodiscard]] const TopicReadCounts& counts() const { return counts_; }
 
  private:
   /// Reads from the nodes of the source, one after the other.
-  /// @return nothing if the log has to be read.
+  /// @return status `kNotDone` if the read is to be retried later; nothing if the log has to be
+  /// read.
   boost::asio::awaitable<std::optional<ReadResult>> read_from_sources(PartitionName partition,
                                                                       RecordOffset from,
                                                                       std::uint64_t max_bytes,
@@ -74,13 +69,13 @@
 
   /// Returns whether to wait for nodes that have not read the partition themselves yet.
   bool may_wait_for_load(const PartitionName& partition);
-
+  /// Waits until reads are not held back any more.
   boost::asio::awaitable<void> wait_until_begun();
 
   HttpClient client_;
   Timer hold_timer_;
   bool held_ = false;
-  RecordLog& log_;
+  RecordReader& log_;
   Source source_;
   FailureListener failure_listener_;
   TopicReadCounts counts_;
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -114,31 +114,35 @@
 /// Timeout for a page of newest records when a caller is waiting for the response.
 inline constexpr Duration kPageTimeout = std::chrono::seconds(1);
 
-/// Interface to the durable log. Used on one thread; calls may overlap.
-class RecordLog {
+/// Interface to the reads of the durable log. Used on one thread; calls may overlap.
+class RecordReader {
  public:
-  virtual ~RecordLog() = default;
-
-  /// Returns the limits that callers must respect.
-  [[nodiscard]] virtual const LogLimits& limits() const = 0;
+  virtual ~RecordReader() = default;
 
   /// Reads records from offset `from` on, waiting up to `wait` for the first one.
   /// @param max_bytes maximum size of the response; it holds at least one record if one exists.
   virtual boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                                   std::uint64_t max_bytes, Duration wait) = 0;
 
-  /// Appends all records atomically.
-  /// @param expected_end if set, the append fails with `kConflict` unless the partition ends there.
-  virtual boost::asio::awaitable<AppendResult> append(PartitionName partition,
-                                                      std::vector<KeyedRecord> records,
-                                                      std::optional<RecordOffset> expected_end) = 0;
-
   /// Reads the newest record of each key in a range, in unspecified order. Records appended during
   /// the read may be missing; all those below `end` are included. When a page fails, the result
   /// keeps the pages before it, and the caller can resume after them.
   /// @param page_timeout timeout of each page; a page holds up to 1 MB.
   virtual boost::asio::awaitable<ReadResult> read_newest(PartitionName partition, KeyRange range,
                                                          Duration page_timeout) = 0;
+};
+
+/// Interface to the durable log. Used on one thread; calls may overlap.
+class RecordLog : public RecordReader {
+ public:
+  /// Returns the limits that callers must respect.
+  [[nodiscard]] virtual const LogLimits& limits() const = 0;
+
+  /// Appends all records atomically.
+  /// @param expected_end if set, the append fails with `kConflict` unless the partition ends there.
+  virtual boost::asio::awaitable<AppendResult> append(PartitionName partition,
+                                                      std::vector<KeyedRecord> records,
+                                                      std::optional<RecordOffset> expected_end) = 0;
 
   /// Joins a group or renews the membership, and returns the assigned slots.
   virtual boost::asio::awaitable<GroupAssignment> join(GroupMember member) = 0;
--- a/src/store/resumable_newest_read.cc
+++ b/src/store/resumable_newest_read.cc
@@ -5,8 +5,9 @@
 
 namespace stoathold {
 
-boost::asio::awaitable<ReadResult> ResumableNewestRead::run(RecordLog& log, PartitionName partition,
-                                                            KeyRange range, Duration page_timeout) {
+boost::asio::awaitable<ReadResult> ResumableNewestRead::run(RecordReader& log,
+                                                            PartitionName partition, KeyRange range,
+                                                            Duration page_timeout) {
   ReadResult result = pages_;
   range.after = std::max(range.after, result.resume_after);
   const bool first = result.resume_after.empty();
--- a/src/store/resumable_newest_read.h
+++ b/src/store/resumable_newest_read.h
@@ -19,7 +19,7 @@
   /// @param log outlives the call.
   /// @param range covers the same records on each run; its start may have advanced.
   /// @param page_timeout timeout of each page.
-  boost::asio::awaitable<ReadResult> run(RecordLog& log, PartitionName partition, KeyRange range,
+  boost::asio::awaitable<ReadResult> run(RecordReader& log, PartitionName partition, KeyRange range,
                                          Duration page_timeout);
   /// Returns whether pages of an earlier run are kept.
   [[nodiscard]] bool has_partial_result() const { return !pages_.resume_after.empty(); }
--- a/tests/gateway/speed_reports_test.cc
+++ b/tests/gateway/speed_reports_test.cc
@@ -82,6 +82,7 @@
 TEST_F(SpeedReportsTest, FullDigestsRepairLosses) {
   report_slowness(0, 100, kNow);
   for (int i = 0; i < 20; ++i) {
+    // A node learns a speed during an attempt only.
     runner(first, i).begin_attempt();
     for (int sample = 0; sample < 16; ++sample) runner(first, i).speed().learn(1.6);
     runner(first, i).end_attempt(AttemptOutcome::kServed, kNow);
--- a/tests/store/peer_topic_log_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -1,5 +1,5 @@
 // Tests reads of a followed topic through other nodes, over loopback.
-#include "store/peer_topic_log.h"
+#include "store/peer_topic_reader.h"
 
 #include <gtest/gtest.h>
 
@@ -36,22 +36,22 @@
 class Node {
  public:
   Node(boost::asio::io_context& loop, const std::shared_ptr<emulator::LogModel>& model,
-       PeerTopicLog::Source source)
+       PeerTopicReader::Source source)
       : log(model, loop.get_executor()),
-        followed_log(loop.get_executor(), log, std::move(source),
-                     [this](const std::string& address) { failed.push_back(address); }),
+        follow_reader(loop.get_executor(), log, std::move(source),
+                      [this](const std::string& address) { failed.push_back(address); }),
         cache(loop.get_executor(), sink),
         replica(std::make_shared<PartitionReplica>(log, PartitionName{kTopic, 0}, cache)),
         server(loop.get_executor(), "127.0.0.1:0", HttpLimits{},
                [this](HttpExchange& exchange) { return service.serve(exchange); }) {
-    replica->set_followed_log(followed_log);
+    replica->set_follow_reader(follow_reader);
     service.add(replica, cache);
     server.start();
   }
 
   PagedRecordLog log;
   std::vector<std::string> failed;
-  PeerTopicLog followed_log;
+  PeerTopicReader follow_reader;
   CountingSink sink;
   TopicCache cache;
   std::shared_ptr<PartitionReplica> replica;
@@ -59,7 +59,7 @@
   HttpServer server;
 };
 
-class PeerTopicLogTest : public testing::Test {
+class PeerTopicReaderTest : public testing::Test {
  protected:
   void append(std::size_t first, std::size_t count) {
     std::vector<KeyedRecord> records;
@@ -69,8 +69,8 @@
     model->append({kTopic, 0}, records, std::nullopt);
   }
   ReadResult read(Node& node, RecordOffset from) {
-    return run_awaitable(loop,
-                         node.followed_log.read(PartitionName{kTopic, 0}, from, kPageBytes, kWait));
+    return run_awaitable(
+        loop, node.follow_reader.read(PartitionName{kTopic, 0}, from, kPageBytes, kWait));
   }
   LogStatus catch_up(Node& node) { return run_awaitable(loop, node.replica->catch_up()); }
   void follow(Node& node) {
@@ -92,18 +92,18 @@
   int followers = 0;
 };
 
-PeerTopicLog::Source from_log() {
+PeerTopicReader::Source from_log() {
   return [] { return std::nullopt; };
 }
 
 /// Names a node for the first read only: after it has failed, none is left.
-PeerTopicLog::Source once(std::string address) {
+PeerTopicReader::Source once(std::string address) {
   return [address = std::optional(std::move(address))]() mutable {
     return std::exchange(address, std::nullopt);
   };
 }
 
-TEST_F(PeerTopicLogTest, ReadsRecordsThroughAnotherNode) {
+TEST_F(PeerTopicReaderTest, ReadsRecordsThroughAnotherNode) {
   append(0, 10);
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
@@ -118,14 +118,14 @@
   EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
 }
 
-TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeIsDead) {
+TEST_F(PeerTopicReaderTest, ReadsTheLogIfTheOtherNodeIsDead) {
   append(0, 10);
   Node node(loop, model, once("127.0.0.1:1"));
   EXPECT_EQ(read(node, 3).records.size(), 7U);
   EXPECT_EQ(node.failed, std::vector<std::string>{"127.0.0.1:1"});
 }
 
-TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeIsBehind) {
+TEST_F(PeerTopicReaderTest, ReadsTheLogIfTheOtherNodeIsBehind) {
   append(0, 5);
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
@@ -135,7 +135,7 @@
   EXPECT_EQ(second.failed.size(), 1U);
 }
 
-TEST_F(PeerTopicLogTest, ReadsTheLogIfTheOtherNodeCannotReadIt) {
+TEST_F(PeerTopicReaderTest, ReadsTheLogIfTheOtherNodeCannotReadIt) {
   append(0, 10);
   Node first(loop, model, from_log());
   first.log.set_max_answered_read_bytes(0);
@@ -145,21 +145,21 @@
   EXPECT_EQ(second.failed.size(), 1U);
 }
 
-TEST_F(PeerTopicLogTest, ReadsNewestRecordsThroughAnotherNodeWithoutDeletedOnes) {
+TEST_F(PeerTopicReaderTest, ReadsNewestRecordsThroughAnotherNodeWithoutDeletedOnes) {
   append(0, 3000);
   model->append({kTopic, 0}, {{"runner-7", ""}}, std::nullopt);
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
   Node second(loop, model, [&] { return first.server.address(); });
   const ReadResult result = run_awaitable(
-      loop, second.followed_log.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
+      loop, second.follow_reader.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
   EXPECT_EQ(result.status, LogStatus::kOk);
   EXPECT_EQ(result.records.size(), 2999U);
   EXPECT_EQ(result.end, 3001U);
   EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
 }
 
-TEST_F(PeerTopicLogTest, WaitsForANodeThatIsStillReading) {
+TEST_F(PeerTopicReaderTest, WaitsForANodeThatIsStillReading) {
   append(0, 10);
   Node first(loop, model, from_log());
   Node second(loop, model, [&] { return first.server.address(); });
@@ -170,37 +170,37 @@
   EXPECT_EQ(read(second, 0).records.size(), 10U);
 }
 
-TEST_F(PeerTopicLogTest, ANodeThatStartsDoesNotReadTheLogAtOnceIfItsSourceIsNotThereYet) {
+TEST_F(PeerTopicReaderTest, ANodeThatStartsDoesNotReadTheLogAtOnceIfItsSourceIsNotThereYet) {
   append(0, 10);
   Node node(loop, model, once("127.0.0.1:1"));
   EXPECT_EQ(read(node, 0).status, LogStatus::kNotDone);
   EXPECT_EQ(node.log.reads_of_topics(kTopic).calls, 0U);
 }
 
-TEST_F(PeerTopicLogTest, HeldReadsWaitUntilOtherNodesAreKnown) {
+TEST_F(PeerTopicReaderTest, HeldReadsWaitUntilOtherNodesAreKnown) {
   append(0, 10);
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
   std::optional<std::string> known;
   Node second(loop, model, [&] { return known; });
-  second.followed_log.hold(std::chrono::hours(1));
+  second.follow_reader.hold(std::chrono::hours(1));
   boost::asio::post(loop, [&] {
     EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
     known = first.server.address();
-    second.followed_log.begin();
+    second.follow_reader.begin();
   });
   EXPECT_EQ(read(second, 0).records.size(), 10U);
   EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
 }
 
-TEST_F(PeerTopicLogTest, HeldReadsGoToTheLogAfterTheLimit) {
+TEST_F(PeerTopicReaderTest, HeldReadsGoToTheLogAfterTheLimit) {
   append(0, 10);
   Node node(loop, model, from_log());
-  node.followed_log.hold(std::chrono::milliseconds(5));
+  node.follow_reader.hold(std::chrono::milliseconds(5));
   EXPECT_EQ(read(node, 0).records.size(), 10U);
 }
 
-TEST_F(PeerTopicLogTest, AsksTheNextNodeAfterOneThatIsDead) {
+TEST_F(PeerTopicReaderTest, AsksTheNextNodeAfterOneThatIsDead) {
   append(0, 10);
   Node first(loop, model, from_log());
   ASSERT_EQ(catch_up(first), LogStatus::kOk);
@@ -216,7 +216,7 @@
 }
 
 /// What the log serves of a start of all nodes must not grow with them.
-TEST_F(PeerTopicLogTest, BytesReadFromTheLogAtAStartDependOnTheZonesOnly) {
+TEST_F(PeerTopicReaderTest, BytesReadFromTheLogAtAStartDependOnTheZonesOnly) {
   constexpr std::size_t kRecords = 1000;
   constexpr std::uint32_t kSlots = 10;
   append(0, kRecords);
