Tests: a held read that begins before the nodes are known; a reader that outwaits its source

HeldReadsWaitUntilOtherNodesAreKnown passed without the hold, since the nodes were known before the read began. The longer timeout of a reader had no test.

--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -5,7 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <memory>
 #include <utility>
 
@@ -170,6 +169,17 @@
   EXPECT_EQ(read(second, 0).records.size(), 10U);
 }
 
+// A reader that gives up before a node that is still reading answers takes it for dead.
+TEST_F(PeerTopicReaderTest, WaitsLongerThanANodeThatIsStillReadingLetsItWait) {
+  append(0, 10);
+  Node first(loop, model, from_log());
+  Node second(loop, model, once(first.server.address()));
+  const ReadResult result = run_awaitable(
+      loop, second.follow_reader.read(PartitionName{kTopic, 0}, 5, kPageBytes, Duration{0}));
+  EXPECT_EQ(result.status, LogStatus::kNotDone);
+  EXPECT_TRUE(second.failed.empty());
+}
+
 TEST_F(PeerTopicReaderTest, ANodeThatStartsDoesNotReadTheLogAtOnceIfItsSourceIsNotThereYet) {
   append(0, 10);
   Node node(loop, model, once("127.0.0.1:1"));
@@ -184,8 +194,8 @@
   std::optional<std::string> known;
   Node second(loop, model, [&] { return known; });
   second.follow_reader.hold(std::chrono::hours(1));
-  boost::asio::post(loop, [&] {
-    EXPECT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+  Timer timer(loop, std::chrono::milliseconds(5));
+  timer.async_wait([&](boost::system::error_code) {
     known = first.server.address();
     second.follow_reader.begin();
   });
