--- a/src/routing/peer_use_table.cc
+++ b/src/routing/peer_use_table.cc
@@ -18,7 +18,7 @@
 constexpr Duration kContenderLifetime = std::chrono::milliseconds(60);
 /// A digest expires after this time unless its sender replaces it.
 constexpr Duration kDigestLifetime = std::chrono::milliseconds(1500);
-/// The same for a digest without uses. Heartbeats of nodes that use no runner arrive seldom in a
+/// The same for a digest without uses. Heartbeats of nodes that use no runner are rare in a
 /// large zone; what is kept of them is their sequence number.
 constexpr Duration kIdleDigestLifetime = std::chrono::seconds(15);
 
--- a/src/routing/topic_sources.cc
+++ b/src/routing/topic_sources.cc
@@ -13,7 +13,7 @@
 constexpr Duration kAvoidance = std::chrono::seconds(3);
 /// Number of nodes that are tried, one after the other failed, before the log is read.
 constexpr std::size_t kMaxSources = 3;
-/// With at least this fraction of the slots in different hands, many nodes may hold none.
+/// If at least this fraction of the slots have distinct holders, many nodes may hold none.
 constexpr double kLargeFleetFraction = 0.5;
 
 }  // namespace
--- a/src/store/peer_topic_reader.cc
+++ b/src/store/peer_topic_reader.cc
@@ -129,7 +129,8 @@
     ++counts_.peer_failures;
     log_event(Event::kTopicSourceFailed, {{"topic", partition.topic}, {"peer", *source}});
     failure_listener_(*source);
-    // The next node is asked only if little time was lost: records may be due soon.
+    // After a slow failure the log is read instead, since another slow one would delay records too
+    // much.
     if (monotonic_now() - start > kMaxRetryTime) break;
     source = source_();
   }
