Test: requests that reach runners which are already down are quarantined

In the fleet simulation three runners in ten go down and up every 0.85 s. While one is down, its address accepts connections and closes them at once. No request ends a runner.

--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kSendsAllowed = 3;
 constexpr std::uint32_t kSlots = 8;
 constexpr std::uint64_t kFirstInnocent = 1000;
+constexpr Duration kFlapPeriod = milliseconds(425);
+constexpr Duration kRetryPause = milliseconds(30);
 
 /// Parameters of a simulation.
 struct FleetScenario {
@@ -42,6 +44,10 @@
   /// unavailable.
   bool unlisted_restarts = false;
   Duration restart_time = milliseconds(1200);  ///< From a runner's exit to its next start.
+  /// Share of the runners that alternate between `kFlapPeriod` of running and of being down. While
+  /// it is down, a runner stays listed, and its address accepts connections and closes them at
+  /// once. Requests are then retried until they are served.
+  double flapping = 0;
   std::uint64_t seed = 1;
 };
 
@@ -72,6 +78,7 @@
     runners_.resize(scenario.runners > 0 ? scenario.runners
                                          : std::max<std::size_t>(4, scenario.nodes));
     for (auto& runner : runners_) runner.id = ++next_id_;
+    for (auto& runner : runners_) runner.flaps = random_.unit() < scenario.flapping;
   }
 
   FleetOutcome simulate() {
@@ -99,11 +106,17 @@
     TimePoint delivers{};
     TimePoint ends{};
     int attempt = 1;  ///< Runs of this request so far, over both attempts of its client.
+    bool reached_dead_runner = false;
   };
   struct Runner {
     std::uint64_t id = 0;
     std::vector<Run> runs;
     TimePoint up_at{};
+    bool flaps = false;
+  };
+  struct Retry {
+    TimePoint due{};
+    Run run;
   };
   struct Message {
     TimePoint due{};
@@ -135,6 +148,8 @@
   }
 
   static std::size_t zone_of(std::size_t node) { return node % 3; }
+  /// Number of nodes per zone, at least 1.
+  [[nodiscard]] std::size_t rows() const { return std::max<std::size_t>(1, nodes_.size() / 3); }
   [[nodiscard]] Duration since_start() const { return now_ - kStart; }
   [[nodiscard]] bool is_partitioned(std::size_t node) const {
     const bool during_partition = since_start() < std::chrono::seconds(12);
@@ -143,6 +158,8 @@
   static bool is_poison(std::uint64_t content) { return content < kFirstInnocent; }
 
   void step() {
+    flap();
+    retry();
     if (scenario_.restart && since_start() == std::chrono::seconds(6)) {
       for (std::size_t i = 0; i < nodes_.size(); i += 3) start_node(i);
       for (std::size_t i = 0; i < nodes_.size() && scenario_.notices; i += 3) greet(i);
@@ -158,6 +175,25 @@
     send_reports();
   }
 
+  /// Flapping runners go down in turn.
+  void flap() {
+    for (auto& runner : runners_) {
+      const bool due = (since_start() + runner.id * milliseconds(35)) % (2 * kFlapPeriod) < kStep;
+      if (!runner.flaps || !due) continue;
+      exit_runner(runner);
+      runner.up_at = now_ + kFlapPeriod;
+    }
+  }
+
+  void retry() {
+    std::vector<Retry> due;
+    std::erase_if(retries_, [&](const Retry& retry) {
+      if (retry.due <= now_) due.push_back(retry);
+      return retry.due <= now_;
+    });
+    for (const Retry& retry : due) send(retry.run);
+  }
+
   void arrive() {
     // Half of the slots are in use: each run lasts some 300 ms.
     const double innocent_arrivals =
@@ -181,21 +217,39 @@
       if (!is_poison(run.content)) false_positives_.insert(run.content);
       return;
     }
-    std::vector<Runner*> up;
+    std::vector<Runner*> candidates;
     for (auto& runner : runners_) {
-      if (runner.up_at <= now_ && runner.runs.size() < kSlots) up.push_back(&runner);
+      const bool looks_up = runner.up_at <= now_ || runner.flaps;
+      if (looks_up && runner.runs.size() < kSlots) candidates.push_back(&runner);
     }
-    if (up.empty()) return;
-    Runner& runner = *up[random_.below(up.size())];
+    if (candidates.empty()) return;
+    Runner& runner = *candidates[random_.below(candidates.size())];
     run.connected = now_;
+    run.reached_dead_runner = runner.up_at > now_;
     run.begins = now_ + milliseconds(5 + random_.below(60));
     run.delivers = run.begins + milliseconds(is_poison(run.content) ? 1000 : 1);
     run.ends = run.begins + milliseconds(is_poison(run.content) ? 60 : 300);
+    if (run.reached_dead_runner) run.begins = run.delivers = run.ends = TimePoint::max();
     if (is_poison(run.content)) poison_sends_[run.content].push_back(now_);
     runner.runs.push_back(run);
   }
 
+  /// Ends the runs that a dead runner's address has accepted.
+  void close_unreached(Runner& runner) {
+    std::vector<Run> closed;
+    std::erase_if(runner.runs, [&](const Run& run) {
+      if (run.reached_dead_runner) closed.push_back(run);
+      return run.reached_dead_runner;
+    });
+    for (Run& run : closed) {
+      note_end(run, runner.id);
+      run.reached_dead_runner = false;
+      retries_.push_back({now_ + kRetryPause, run});
+    }
+  }
+
   void advance(Runner& runner) {
+    close_unreached(runner);
     bool ends = false;
     std::vector<Run> done;
     for (const Run& run : runner.runs) {
@@ -229,6 +283,10 @@
       note_end(run, id);
     }
     for (Run run : runs) {
+      if (scenario_.flapping > 0) {
+        retries_.push_back({now_ + kRetryPause, run});
+        continue;
+      }
       if (run.attempt++ >= 4) continue;
       if (run.attempt == 3) run.node = random_.below(nodes_.size());
       send(run);
@@ -266,7 +324,7 @@
 
   void send_to_other_zones(std::size_t from, const Message& message) {
     for (std::size_t zone = 0; zone < 3; ++zone) {
-      const std::size_t to = 3 * random_.below(nodes_.size() / 3) + zone;
+      const std::size_t to = 3 * random_.below(rows()) + zone;
       if (zone != zone_of(from) && to < nodes_.size()) send_message(from, to, message);
     }
   }
@@ -281,8 +339,9 @@
     if (!refreshes) return;
     const auto refresh = quarantine.next_refresh_notices(now_);
     if (refresh.empty()) return;
-    const std::size_t neighbour = 3 * random_.below(nodes_.size() / 3) + zone_of(from);
-    if (neighbour != from) send_message(from, neighbour, {.notices = refresh});
+    const std::size_t neighbour = 3 * random_.below(rows()) + zone_of(from);
+    if (neighbour != from && neighbour < nodes_.size())
+      send_message(from, neighbour, {.notices = refresh});
     const std::size_t remote_node = random_.below(nodes_.size());
     const bool forward = zone_of(remote_node) != zone_of(from);
     if (forward) send_message(from, remote_node, {.notices = refresh, .forward = true});
@@ -334,6 +393,7 @@
   std::vector<Node> nodes_;
   std::vector<Runner> runners_;
   std::vector<Message> messages_;
+  std::vector<Retry> retries_;
   std::map<std::uint64_t, LivePeriod> live_periods_;
   std::map<ContentHash, std::pair<TimePoint, QuarantineRecord>> records_;
   std::map<ContentHash, QuarantineRecord> delivered_;
@@ -445,6 +505,34 @@
   }
 }
 
+/// Guards against runners that had exited before a request reached them and were held against it.
+class QuarantineFlappingTest : public testing::TestWithParam<std::size_t> {
+ protected:
+  static void check(FleetScenario scenario) {
+    scenario.poison_requests = 0;
+    scenario.innocent_crashes = false;
+    scenario.flapping = 0.3;
+    scenario.notices = true;
+    scenario.runners = std::max<std::size_t>(12, scenario.nodes);
+    scenario.unlisted_restarts = true;
+    std::size_t false_positives = 0;
+    for (scenario.seed = 1; scenario.seed <= 5; ++scenario.seed) {
+      false_positives += Fleet(scenario).simulate().false_positives;
+    }
+    EXPECT_EQ(false_positives, 0U);
+  }
+};
+
+TEST_P(QuarantineFlappingTest, QuarantinesNoRequestThatReachesDeadRunners) {
+  check({.nodes = GetParam()});
+}
+
+TEST_P(QuarantineFlappingTest, QuarantinesNoRequestThatReachesDeadRunnersWithoutTheLog) {
+  check({.nodes = GetParam(), .log = false});
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, QuarantineFlappingTest, testing::Values(1, 9, 89));
+
 TEST(QuarantineDesignsTest, WithoutTheLogPartitionedNodesExceedTheBound) {
   const FleetOutcome result =
       Fleet({.nodes = 61, .poison_requests = 1, .partitioned = true, .log = false}).simulate();
