A runner that may have exited before a request reached it is not held against the request

The item had been sent to runners that were already down: their address accepts the connection and closes it. Five such closes made the request quarantined in the whole fleet.

Cause: any connection closed before the first response byte counted as an exit with the request at it. Nothing showed that the runner was running when it got the request.

Change: such a close counts only if the runner is known to have been running then: this node received bytes from the same process right before or after the send. Otherwise it is an unproven exit. It adds no weight; nodes tell each other, and further runs of that request go only to runners that have just answered a probe over the same connection. So a request that ends its runners before they respond is still found.

--- a/emulator/emulated_inference_runner.cc
+++ b/emulator/emulated_inference_runner.cc
@@ -54,6 +54,8 @@
       co_await set_faults(exchange);
     } else if (exchange.target() == "/admin/runs") {
       co_await serve_run_counts(exchange);
+    } else if (exchange.target() == "/health") {
+      co_await serve_health(exchange);
     } else {
       co_await run(exchange);
     }
@@ -75,6 +77,13 @@
     co_await confirm_admin_request(exchange, parameters_.id);
   }
 
+  asio::awaitable<void> serve_health(HttpExchange& exchange) {
+    const std::string_view expected = exchange.header(dialect_.expected_instance);
+    const bool is_other = !expected.empty() && expected != parameters_.id;
+    std::vector<HttpHeader> headers = response_headers({});
+    co_await respond_status(exchange, is_other ? 421 : 200, std::move(headers));
+  }
+
   asio::awaitable<void> serve_run_counts(HttpExchange& exchange) {
     json::object counts;
     for (const auto& [id, count] : runs_) counts[id] = count;
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -119,6 +119,9 @@
     EventEntry{Event::kRunnerEndedWithRequest, "runner_ended_with_request", EventLevel::kInfo,
                "A runner closed its connection before the first event of a response; the stage "
                "says whether the request had begun to run."},
+    EventEntry{Event::kRunnerEndUnproven, "runner_end_unproven", EventLevel::kInfo,
+               "A connection was closed before any response by a runner that may have ended before "
+               "the request reached it; this is not held against the request."},
     EventEntry{Event::kDenialUnconfirmed, "denial_unconfirmed", EventLevel::kInfo,
                "The current configuration denies a request, but neither the store nor another node "
                "confirmed that it is the newest; the request got 503."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -69,6 +69,7 @@
   kQuarantineEnded = 1517,
   kRunnerEndedWithRequest = 1518,
   kDenialUnconfirmed = 1519,
+  kRunnerEndUnproven = 1520,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- a/src/gateway/idle_connections.cc
+++ b/src/gateway/idle_connections.cc
@@ -1,5 +1,6 @@
 #include "gateway/idle_connections.h"
 
+#include <charconv>
 #include <utility>
 
 #include "net/beast_helpers.h"
@@ -18,8 +19,21 @@
   return peek_socket(socket) == boost::asio::error::would_block;
 }
 
+/// Assumed if a runner does not announce its keep-alive timeout.
+constexpr Duration kDefaultKeepAlive = std::chrono::seconds(1);
+
 }  // namespace
 
+Duration parse_keep_alive(std::string_view value) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t found = value.find(kTimeout);
+  if (found == std::string_view::npos) return kDefaultKeepAlive;
+  std::uint32_t seconds = 0;
+  const char* begin = value.data() + found + kTimeout.size();
+  const auto result = std::from_chars(begin, value.data() + value.size(), seconds);
+  return result.ec == std::errc{} ? Duration(std::chrono::seconds(seconds)) : kDefaultKeepAlive;
+}
+
 bool IdleConnections::IdleConnection::usable(std::uint64_t expected_runner,
                                              Duration max_idle_time) const {
   const TimePoint now = monotonic_now();
--- a/src/gateway/idle_connections.h
+++ b/src/gateway/idle_connections.h
@@ -7,12 +7,17 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
 
 namespace stoathold {
 
+/// Returns the time for which a runner keeps an idle connection open: `timeout=N`, in seconds, in a
+/// `Keep-Alive` header, or a default.
+Duration parse_keep_alive(std::string_view value);
+
 /// Keeps a few idle connections per address and reuses the most recently used one first. Not
 /// thread-safe.
 class IdleConnections {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -9,6 +9,7 @@
 #include "base/log_fields.h"
 #include "gateway/headers.h"
 #include "gateway/prompt_prefix.h"
+#include "gateway/runner_probe.h"
 #include "gateway/runner_response.h"
 #include "net/http_target.h"
 #include "routing/runner_selector.h"
@@ -277,7 +278,11 @@
   silence_timeout_ = Duration{0};
   attempt_start_ = monotonic_now();
   stage_ = RunStage::kWaiting;
-  UpstreamStatus status = co_await upstream->send(build_request(*runner), kConnectTimeout);
+  const bool requires_live_runner = quarantine_check_.requires_live_runner();
+  UpstreamRequest request = build_request(*runner);
+  if (requires_live_runner) request.probe = make_runner_probe(context_, *runner, route_.host);
+  const bool is_probed = request.probe.has_value();
+  UpstreamStatus status = co_await upstream->send(std::move(request), kConnectTimeout);
   AttemptResult result = classify_failure(status);
   if (status == UpstreamStatus::kOk) {
     watch_silence(runner);
@@ -294,12 +299,12 @@
   }
   runner_queue_timer_.cancel();
   if (may_have_run(result)) ++runs_;
-  quarantine_check_.record_run(
-      {.runner = runner->hash(),
-       .connected = upstream->connected(),
-       .stage = stage_,
-       .progressed = result == AttemptResult::kCompleted,
-       .closed_by_runner = result == AttemptResult::kBroken && upstream->closed_by_runner()});
+  const EndedRun run{.upstream = *upstream,
+                     .stage = stage_,
+                     .progressed = result == AttemptResult::kCompleted,
+                     .broken = result == AttemptResult::kBroken,
+                     .probe_unavailable = requires_live_runner && !is_probed};
+  quarantine_check_.record_run(make_finished_run(*runner, run));
   if (result == AttemptResult::kCompleted || result == AttemptResult::kErrorRelayed) {
     upstream->release();
   } else {
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
-#include <charconv>
 
 #include "base/timer.h"
 #include "gateway/idle_connections.h"
@@ -21,8 +20,6 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr std::uint32_t kHeadBytes = 64U * 1024;
-/// Assumed if a runner does not announce its keep-alive timeout.
-constexpr Duration kDefaultKeepAlive = std::chrono::seconds(1);
 /// Maximum number of responses to other requests that are skipped before the connection counts as
 /// broken.
 constexpr int kMaxSkippedResponses = 4;
@@ -34,18 +31,6 @@
 /// runner count as unreachable.
 constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(60);
 
-/// Parses `timeout=N`, in seconds, in a `Keep-Alive` header.
-Duration keep_alive_of(beast::string_view value) {
-  const std::string_view text(value.data(), value.size());
-  constexpr std::string_view kTimeout = "timeout=";
-  const std::size_t found = text.find(kTimeout);
-  if (found == std::string_view::npos) return kDefaultKeepAlive;
-  std::uint32_t seconds = 0;
-  const char* begin = text.data() + found + kTimeout.size();
-  const auto result = std::from_chars(begin, text.data() + text.size(), seconds);
-  return result.ec == std::errc{} ? Duration(std::chrono::seconds(seconds)) : kDefaultKeepAlive;
-}
-
 }  // namespace
 
 std::string_view to_string(UpstreamStatus status) {
@@ -155,6 +140,9 @@
   }
 
   asio::awaitable<UpstreamStatus> connect(Duration timeout);
+  /// Sends a probe and reads its response.
+  /// @return whether the runner answered and keeps the connection open.
+  asio::awaitable<bool> probe(UpstreamProbe probe);
   asio::awaitable<UpstreamStatus> read_next_head();
   asio::awaitable<UpstreamStatus> read_some(std::string_view& view);
   /// Parses body bytes from the read buffer; `view` is empty if more must be read first.
@@ -176,6 +164,8 @@
   bool written = false;
   bool closed_by_runner = false;
   TimePoint connected{};
+  TimePoint sent{};
+  TimePoint probed{};
   std::unique_ptr<Tcp::socket> socket;
   beast::flat_buffer buffer;
   std::unique_ptr<Parser> parser;
@@ -202,6 +192,24 @@
   co_return UpstreamStatus::kOk;
 }
 
+asio::awaitable<bool> UpstreamExchange::State::probe(UpstreamProbe probe) {
+  http::request<http::empty_body> message(http::verb::get, probe.target, 11);
+  for (const auto& header : probe.headers) message.insert(header.name, header.value);
+  const auto [write_error, written_bytes] = co_await http::async_write(*socket, message, kNoThrow);
+  if (write_error) co_return false;
+  UpstreamStatus status = co_await read_next_head();
+  std::string_view view;
+  do {
+    if (status == UpstreamStatus::kOk) status = co_await read_some(view);
+  } while (status == UpstreamStatus::kOk && !view.empty());
+  // Nothing of the request has been sent, so a closed connection says nothing about the request.
+  closed_by_runner = false;
+  if (status != UpstreamStatus::kOk) co_return false;
+  probed = monotonic_now();
+  const bool is_other_instance = parser->get().result() == http::status::misdirected_request;
+  co_return !is_other_instance && parser->keep_alive() && !parser->need_eof() && buffer.size() == 0;
+}
+
 bool UpstreamExchange::State::matches_request_id() const {
   const auto& name = pool.dialect.request_id;
   const auto value = parser->get()[beast::string_view(name.data(), name.size())];
@@ -289,6 +297,13 @@
     const UpstreamStatus status = co_await state->connect(connect_timeout);
     if (status != UpstreamStatus::kOk) co_return status;
   }
+  if (request.probe) {
+    UpstreamProbe probe = std::move(*request.probe);
+    const bool answered = co_await state->probe(std::move(probe));
+    if (state->end_status == UpstreamStatus::kCancelled) co_return state->end_status;
+    if (!answered) co_return UpstreamStatus::kNotSent;
+  }
+  state->sent = monotonic_now();
   auto& message = state->request;
   message.method_string(request.method);
   message.target(request.target);
@@ -337,6 +352,14 @@
   return state_->connected;
 }
 
+TimePoint UpstreamExchange::sent() const {
+  return state_->sent;
+}
+
+TimePoint UpstreamExchange::probed() const {
+  return state_->probed;
+}
+
 bool UpstreamExchange::closed_by_runner() const {
   return state_->closed_by_runner;
 }
@@ -365,7 +388,9 @@
     state.close();
     return;
   }
-  const Duration keep_alive = keep_alive_of(state.parser->get()[http::field::keep_alive]);
+  const auto keep_alive_header = state.parser->get()[http::field::keep_alive];
+  const Duration keep_alive =
+      parse_keep_alive({keep_alive_header.data(), keep_alive_header.size()});
   state.pool.idle.put(state.address, state.runner, {std::move(state.socket), state.connected},
                       keep_alive);
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -31,6 +31,12 @@
 /// Returns the status' name for logs.
 std::string_view to_string(UpstreamStatus status);
 
+/// A GET request that a runner has to answer before the actual request is sent to it.
+struct UpstreamProbe {
+  std::string target;
+  std::vector<HttpHeader> headers;
+};
+
 /// A request to a runner. Framing headers are added when it is sent.
 struct UpstreamRequest {
   std::string address;       ///< `ip:port`.
@@ -44,6 +50,9 @@
   /// runner may be closing an idle connection, in which case the request fails with an unknown
   /// outcome. Requests that may not be repeated should therefore set a short time.
   Duration max_idle_time = Duration::max();
+  /// Sent first over the same connection. If it is not answered, or by another instance (status
+  /// 421), the request is not sent.
+  std::optional<UpstreamProbe> probe = std::nullopt;
 };
 
 /// The head of a response.
@@ -87,7 +96,8 @@
   UpstreamExchange(const UpstreamExchange&) = delete;
   UpstreamExchange& operator=(const UpstreamExchange&) = delete;
 
-  /// Connects or takes an idle connection from the pool, and starts to send the request.
+  /// Connects or takes an idle connection from the pool, probes the runner if requested, and starts
+  /// to send the request.
   boost::asio::awaitable<UpstreamStatus> send(UpstreamRequest request, Duration connect_timeout);
   /// Reads the head of the response to this request.
   boost::asio::awaitable<UpstreamStatus> read_head();
@@ -104,6 +114,10 @@
   /// Returns when the connection that the request was sent on began to be opened; a connection from
   /// the pool was opened for an earlier request.
   [[nodiscard]] TimePoint connected() const;
+  /// Returns when the request began to be sent.
+  [[nodiscard]] TimePoint sent() const;
+  /// Returns when the runner answered the probe; the clock's epoch if there was none.
+  [[nodiscard]] TimePoint probed() const;
   /// Returns whether a step failed because the runner closed or reset the connection.
   [[nodiscard]] bool closed_by_runner() const;
   /// Cancels the request and closes the connection, so that the runner stops working on it.
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -64,11 +64,26 @@
 }
 
 void Quarantine::record_closed_run(ContentHash content, const ClosedRun& run, TimePoint now) {
+  if (run.is_unproven()) {
+    record_unproven_exit(content, run.runner, now);
+    return;
+  }
   const RunnerStart start = exit_table_.start_of(run);
   record_runner_exit({content, start.runner, run.stage, now, start.restarts});
 }
 
+void Quarantine::record_unproven_exit(ContentHash content, std::uint64_t runner, TimePoint now) {
+  if (!unproven_exits_.add(content, now)) return;
+  log_event(Event::kRunnerEndUnproven,
+            {{"content", to_hex(value_of(content))}, {"runner_hash", to_hex(runner)}});
+  const RunnerExitReport report{.content = value_of(content), .runner = runner, .proven = false};
+  zone_reports_.add(report, now);
+  remote_reports_.add(report, now);
+  if (report_listener_) report_listener_();
+}
+
 void Quarantine::record_progress(ContentHash content, TimePoint now) {
+  unproven_exits_.clear(content);
   const std::size_t exits = exit_table_.exit_count(content);
   if (exits == 0) return;
   exit_table_.clear(content, now);
@@ -111,6 +126,10 @@
       exit_table_.clear(content, at);
       continue;
     }
+    if (!report.proven) {
+      unproven_exits_.add(content, at);
+      continue;
+    }
     const RunStage stage = report.begun ? RunStage::kResponseStarted : RunStage::kWaiting;
     if (exit_table_.add({content, report.runner, stage, at, report.restarts})) {
       evaluate(content, now);
@@ -188,6 +207,7 @@
 
 std::vector<ContentHash> Quarantine::expire(TimePoint now) {
   exit_table_.expire(now);
+  unproven_exits_.expire(now);
   lifts_.expire(now, kQuarantineTime);
   std::vector<ContentHash> removed;
   for (const auto& [content, request] : quarantined_) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -15,6 +15,7 @@
 #include "quarantine/quarantine_messages.h"
 #include "quarantine/repeated_sends.h"
 #include "quarantine/runner_exit_table.h"
+#include "quarantine/unproven_exits.h"
 
 namespace stoathold {
 
@@ -71,13 +72,24 @@
   /// Records that a runner exited while it had a request of this node.
   void record_runner_exit(const RunnerExit& exit);
   /// Records that a runner closed the connection of a run of this node, which it may have done by
-  /// exiting. The start of the runner is inferred from the connection.
+  /// exiting. The start of the runner is inferred from the connection. If the runner may have
+  /// exited before, this is not held against the request.
   void record_closed_run(ContentHash content, const ClosedRun& run, TimePoint now);
   /// Records that a request of this node was served or that a batch item made progress.
   void record_progress(ContentHash content, TimePoint now);
   /// Returns whether progress needs to be recorded, which is only the case if there are recorded
   /// exits.
-  [[nodiscard]] bool watches_progress() const { return !exit_table_.empty(); }
+  [[nodiscard]] bool watches_progress() const {
+    return !exit_table_.empty() || !unproven_exits_.empty();
+  }
+  /// Returns whether any request needs a proof that its runner is running; requests need not be
+  /// hashed otherwise.
+  [[nodiscard]] bool has_unproven_exits() const { return !unproven_exits_.empty(); }
+  /// Returns whether the request may only be sent to a runner that has just responded, so that an
+  /// exit of the runner is evidence.
+  [[nodiscard]] bool requires_live_runner(ContentHash content) const {
+    return unproven_exits_.contains(content);
+  }
 
   /// Returns the reports to send to the nodes of the own zone; each report is returned twice.
   [[nodiscard]] std::vector<RunnerExitReport> next_zone_reports(TimePoint now);
@@ -125,6 +137,7 @@
   using PendingNotices = RepeatedSends<ContentHash>;
 
   void evaluate(ContentHash content, TimePoint now);
+  void record_unproven_exit(ContentHash content, std::uint64_t runner, TimePoint now);
   void add_report(const RunnerExitReport& report, TimePoint at);
   static std::vector<RunnerExitReport> next_reports(PendingReports& pending, TimePoint now);
   /// Returns the notice of what is known about a request; nothing if nothing is.
@@ -141,6 +154,7 @@
   void end_quarantine(ContentHash content, const Lift& lift);
 
   RunnerExitTable exit_table_;
+  UnprovenExits unproven_exits_;
   std::map<ContentHash, QuarantinedRequest> quarantined_;
   std::set<ContentHash> on_probation_;
   std::set<ContentHash> observed_locally_;  ///< Requests with an exit observed by this node itself.
--- a/src/quarantine/quarantine_check.cc
+++ b/src/quarantine/quarantine_check.cc
@@ -11,6 +11,10 @@
   return !quarantine_.empty() && quarantine_.contains(content(), monotonic_now());
 }
 
+bool QuarantineCheck::requires_live_runner() {
+  return quarantine_.has_unproven_exits() && quarantine_.requires_live_runner(content());
+}
+
 Duration QuarantineCheck::time_left() {
   return quarantine_.time_left(content(), monotonic_now());
 }
@@ -22,8 +26,11 @@
     return;
   }
   if (!run.closed_by_runner || run.stage == RunStage::kDelivering) return;
-  quarantine_.record_closed_run(
-      content(), {.runner = run.runner, .connected = run.connected, .stage = run.stage}, now);
+  const ClosedRun closed{.runner = run.runner,
+                         .connected = run.connected,
+                         .stage = run.stage,
+                         .reached_live_runner = run.reached_live_runner};
+  quarantine_.record_closed_run(content(), closed, now);
 }
 
 }  // namespace stoathold
--- a/src/quarantine/quarantine_check.h
+++ b/src/quarantine/quarantine_check.h
@@ -13,7 +13,8 @@
   std::uint64_t runner = 0;  ///< `Runner::hash`.
   TimePoint connected{};     ///< When its connection began to be opened.
   RunStage stage = RunStage::kWaiting;
-  bool progressed = false;  ///< The request was served, or the batch item made progress.
+  bool reached_live_runner = true;  ///< `ClosedRun::reached_live_runner`.
+  bool progressed = false;          ///< The request was served, or the batch item made progress.
   /// The runner closed the connection before the response was complete.
   bool closed_by_runner = false;
 };
@@ -28,6 +29,8 @@
   [[nodiscard]] ContentHash content();
   /// Returns whether the request is quarantined now.
   [[nodiscard]] bool is_quarantined();
+  /// Returns whether the request may only be sent to a runner that has just responded.
+  [[nodiscard]] bool requires_live_runner();
   /// Returns the time until the quarantine expires.
   [[nodiscard]] Duration time_left();
   /// Records a finished run. If the runner closed its connection before the first event, it may
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -13,13 +13,16 @@
   std::uint64_t content = 0;  ///< Hash of the request's content.
   /// Hash of the id of the runner that exited; 0 if the request made progress.
   std::uint64_t runner = 0;
-  bool begun = false;          ///< The response had started.
+  bool begun = false;  ///< The response had started.
+  /// The runner was running when it got the request. Otherwise the exit is not held against the
+  /// request, whose next runs need a runner that has just responded.
+  bool proven = true;
   std::uint16_t ms_ago = 0;    ///< Age of the event; saturates.
   std::uint32_t restarts = 0;  ///< `RunnerStart::restarts`.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(content, runner, begun, ms_ago, restarts);
+    archive(content, runner, begun, proven, ms_ago, restarts);
   }
 };
 
--- a/src/quarantine/runner_life.h
+++ b/src/quarantine/runner_life.h
@@ -12,6 +12,9 @@
 /// is short of processor time also reads bytes this late that the runner sent before it exited.
 inline constexpr Duration kLastHeardTolerance = std::chrono::milliseconds(300);
 
+/// Time for which a runner counts as running after bytes were received from it.
+inline constexpr Duration kLivenessValidity = std::chrono::milliseconds(50);
+
 /// A period during which one process of a runner was running without interruption: a connection was
 /// opened at its start, and bytes were received over it, or over another connection that overlaps
 /// it, at its end. A runner that restarts closes all its connections, so no period spans a restart,
@@ -54,6 +57,12 @@
     }
   }
 
+  /// Returns whether this process accepted a connection opened at `connected`, and was running when
+  /// a request was sent over it at `sent`. Holds only for a period of this node's own connections.
+  [[nodiscard]] bool covers_send(TimePoint connected, TimePoint sent) const {
+    return connected <= until_ && sent - kLivenessValidity <= until_;
+  }
+
   /// Returns whether the runner was running before and after a time, without a restart.
   [[nodiscard]] bool spans(TimePoint time) const {
     return since_ < time && until_ > time + kLastHeardTolerance;
--- a/src/quarantine/runner_starts.h
+++ b/src/quarantine/runner_starts.h
@@ -30,6 +30,13 @@
   std::uint64_t runner = 0;  ///< `Runner::hash`.
   TimePoint connected{};     ///< When its connection began to be opened.
   RunStage stage = RunStage::kWaiting;
+  /// The runner is known to have been running when the request reached it.
+  bool reached_live_runner = true;
+
+  /// Returns whether the runner may have exited before the request reached it.
+  [[nodiscard]] bool is_unproven() const {
+    return stage == RunStage::kWaiting && !reached_live_runner;
+  }
 };
 
 /// Numbers the starts of each runner by their exits. A connection that was opened after an exit
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <thread>
 
 #include "tests/gateway/scripted_runner.h"
@@ -15,6 +16,7 @@
   int code = 0;
   std::string body;
   TimePoint connected{};
+  bool closed_by_runner = false;
 };
 
 class UpstreamTest : public testing::Test {
@@ -36,9 +38,11 @@
     request.body = "question";
     request.request_id = id;
     request.max_idle_time = max_idle_time;
+    request.probe = probe;
     Outcome outcome;
     outcome.status = co_await upstream->send(std::move(request), std::chrono::seconds(5));
     if (outcome.status == UpstreamStatus::kOk) outcome.status = co_await upstream->read_head();
+    outcome.closed_by_runner = upstream->closed_by_runner();
     if (outcome.status != UpstreamStatus::kOk) co_return outcome;
     outcome.code = upstream->head().status;
     outcome.connected = upstream->connected();
@@ -53,6 +57,7 @@
 
   boost::asio::io_context loop;
   UpstreamPool pool{loop.get_executor(), HeaderDialect{}};
+  std::optional<UpstreamProbe> probe;  ///< Of all calls.
 };
 
 TEST_F(UpstreamTest, ReusesConnectionsAndSendsRequestsUnchanged) {
@@ -110,6 +115,31 @@
   EXPECT_EQ(runner.connections, 2);
 }
 
+TEST_F(UpstreamTest, SendsTheRequestAfterTheAnswerToItsProbe) {
+  ScriptedRunner runner(loop, {{plain_response("well")}, {plain_response("one")}});
+  probe = UpstreamProbe{"/health", {{"X-Expected-Instance", "r1"}}};
+  EXPECT_EQ(call(runner, "1").body, "one");
+  EXPECT_EQ(runner.connections, 1);
+  EXPECT_TRUE(runner.requests[0].starts_with("GET /health HTTP/1.1\r\nX-Expected-Instance: r1"));
+  EXPECT_TRUE(runner.requests[1].starts_with("POST /x/1"));
+}
+
+TEST_F(UpstreamTest, DoesNotSendTheRequestIfTheProbeIsNotAnswered) {
+  ScriptedRunner runner(loop, {{"", true}});
+  probe = UpstreamProbe{"/health", {}};
+  const Outcome outcome = call(runner, "1");
+  EXPECT_EQ(outcome.status, UpstreamStatus::kNotSent);
+  EXPECT_FALSE(outcome.closed_by_runner);
+  EXPECT_EQ(runner.requests.size(), 1U);
+}
+
+TEST_F(UpstreamTest, DoesNotSendTheRequestIfAnotherInstanceAnswersTheProbe) {
+  ScriptedRunner runner(loop, {{"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}});
+  probe = UpstreamProbe{"/health", {}};
+  EXPECT_EQ(call(runner, "1").status, UpstreamStatus::kNotSent);
+  EXPECT_EQ(runner.requests.size(), 1U);
+}
+
 TEST_F(UpstreamTest, ATruncatedResponseIsBroken) {
   const std::string response = plain_response("a long body");
   ScriptedRunner runner(loop, {{response.substr(0, response.size() - 3), true}});
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -48,6 +48,8 @@
   /// it is down, a runner stays listed, and its address accepts connections and closes them at
   /// once. Requests are then retried until they are served.
   double flapping = 0;
+  bool silent_poison = false;  ///< Poison requests end their runners before any response.
+  bool other_traffic = true;   ///< There are requests beside the poison requests.
   std::uint64_t seed = 1;
 };
 
@@ -107,6 +109,7 @@
     TimePoint ends{};
     int attempt = 1;  ///< Runs of this request so far, over both attempts of its client.
     bool reached_dead_runner = false;
+    bool probed = false;  ///< The runner responded right before it got the request.
   };
   struct Runner {
     std::uint64_t id = 0;
@@ -198,7 +201,8 @@
     // Half of the slots are in use: each run lasts some 300 ms.
     const double innocent_arrivals =
         0.5 * kSlots * static_cast<double>(runners_.size()) * 0.005 / 0.3;
-    for (double left = innocent_arrivals; left > random_.unit(); left -= 1) {
+    for (double left = scenario_.other_traffic ? innocent_arrivals : 0; left > random_.unit();
+         left -= 1) {
       send({.content = kFirstInnocent + next_innocent_++, .node = random_.below(nodes_.size())});
     }
     for (std::uint64_t content = 1; content <= scenario_.poison_requests; ++content) {
@@ -224,11 +228,17 @@
     }
     if (candidates.empty()) return;
     Runner& runner = *candidates[random_.below(candidates.size())];
+    run.probed = nodes_[run.node].quarantine->requires_live_runner(ContentHash{run.content});
+    if (run.probed && runner.up_at > now_) {
+      retries_.push_back({now_ + kRetryPause, run});
+      return;
+    }
     run.connected = now_;
     run.reached_dead_runner = runner.up_at > now_;
     run.begins = now_ + milliseconds(5 + random_.below(60));
     run.delivers = run.begins + milliseconds(is_poison(run.content) ? 1000 : 1);
     run.ends = run.begins + milliseconds(is_poison(run.content) ? 60 : 300);
+    if (scenario_.silent_poison && is_poison(run.content)) run.begins = TimePoint::max();
     if (run.reached_dead_runner) run.begins = run.delivers = run.ends = TimePoint::max();
     if (is_poison(run.content)) poison_sends_[run.content].push_back(now_);
     runner.runs.push_back(run);
@@ -298,9 +308,15 @@
     node.local.note_end(ContentHash{run.content});
     if (now_ >= run.delivers) return;
     const RunStage stage = now_ >= run.begins ? RunStage::kResponseStarted : RunStage::kWaiting;
-    node.quarantine->record_closed_run(
-        ContentHash{run.content}, {.runner = runner, .connected = run.connected, .stage = stage},
-        now_);
+    const auto life = live_periods_.find(runner);
+    const bool was_heard =
+        life != live_periods_.end() && life->second.covers_send(run.connected, run.connected);
+    node.quarantine->record_closed_run(ContentHash{run.content},
+                                       {.runner = runner,
+                                        .connected = run.connected,
+                                        .stage = stage,
+                                        .reached_live_runner = was_heard || run.probed},
+                                       now_);
   }
 
   [[nodiscard]] bool is_cut(std::size_t from, std::size_t to) const {
@@ -505,6 +521,33 @@
   }
 }
 
+/// Guards against a poison request whose exits are never held against it because its runners exit
+/// before they respond and nobody else hears from them.
+class QuarantineSilentPoisonTest : public QuarantineFleetTest {
+ protected:
+  static FleetScenario scenario() {
+    FleetScenario scenario = QuarantineFleetTest::scenario();
+    scenario.silent_poison = true;
+    scenario.notices = true;
+    return scenario;
+  }
+};
+
+TEST_P(QuarantineSilentPoisonTest, BoundsSends) {
+  check(scenario());
+}
+
+TEST_P(QuarantineSilentPoisonTest, BoundsSendsWithoutOtherTraffic) {
+  FleetScenario scenario = this->scenario();
+  scenario.other_traffic = false;
+  scenario.innocent_crashes = false;
+  check(scenario);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, QuarantineSilentPoisonTest,
+                         testing::Values(std::pair{3, 1}, std::pair{3, 3}, std::pair{11, 1},
+                                         std::pair{61, 1}, std::pair{61, 3}, std::pair{295, 1}));
+
 /// Guards against runners that had exited before a request reached them and were held against it.
 class QuarantineFlappingTest : public testing::TestWithParam<std::size_t> {
  protected:
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -59,6 +59,53 @@
   EXPECT_EQ(node.next_remote_reports(at({})).size(), 1U);
 }
 
+ClosedRun unproven_run(std::uint64_t runner) {
+  return {.runner = runner, .connected = at({}), .reached_live_runner = false};
+}
+
+TEST(QuarantineTest, RunnersThatMayHaveExitedBeforeTheRequestAreNotHeldAgainstIt) {
+  Quarantine node = make_quarantine();
+  for (std::uint64_t runner = 1; runner <= 20; ++runner) {
+    node.record_closed_run(kPoisonRequest, unproven_run(runner), at({}));
+  }
+  EXPECT_TRUE(node.empty());
+  EXPECT_EQ(node.suspect_count(), 0U);
+}
+
+TEST(QuarantineTest, ClosedRunAtALiveRunnerIsAnExit) {
+  Quarantine node = make_quarantine();
+  for (std::uint64_t runner = 1; runner <= 5; ++runner) {
+    node.record_closed_run(kPoisonRequest, {.runner = runner, .connected = at({})}, at({}));
+  }
+  EXPECT_TRUE(node.contains(kPoisonRequest, at({})));
+}
+
+TEST(QuarantineTest, AfterAnUnprovenExitAllNodesRequireALiveRunnerUntilTheRequestMakesProgress) {
+  Quarantine node = make_quarantine();
+  Quarantine same_zone = make_quarantine();
+  Quarantine other_zone = make_quarantine();
+  EXPECT_FALSE(node.requires_live_runner(kPoisonRequest));
+  node.record_closed_run(kPoisonRequest, unproven_run(1), at({}));
+  same_zone.apply_reports(node.next_zone_reports(at({})), at({}));
+  other_zone.apply_reports(node.next_remote_reports(at({})), at({}));
+  for (Quarantine* each : {&node, &same_zone, &other_zone}) {
+    EXPECT_TRUE(each->requires_live_runner(kPoisonRequest));
+    EXPECT_TRUE(each->watches_progress());
+    each->record_progress(kPoisonRequest, at({}));
+    EXPECT_FALSE(each->requires_live_runner(kPoisonRequest));
+  }
+}
+
+TEST(QuarantineTest, ForgetsTheOldestOfManyUnprovenExits) {
+  Quarantine node = make_quarantine();
+  constexpr std::uint64_t kRequests = 5000;
+  for (std::uint64_t content = 1; content <= kRequests; ++content) {
+    node.record_closed_run(ContentHash{content}, unproven_run(1), at({}));
+  }
+  EXPECT_FALSE(node.requires_live_runner(ContentHash{1}));
+  EXPECT_TRUE(node.requires_live_runner(ContentHash{kRequests}));
+}
+
 TEST(QuarantineTest, ExpiresLogRecordsByTheirAge) {
   Quarantine node = make_quarantine();
   const std::int64_t minutes_9 = 9 * 60 * 1000;
--- a/tests/quarantine/runner_starts_test.cc
+++ b/tests/quarantine/runner_starts_test.cc
@@ -101,6 +101,26 @@
   EXPECT_FALSE(period.spans(at(120)));
 }
 
+TEST(LivePeriodTest, CoversASendAfterWhichBytesWereReceivedFromTheSameProcess) {
+  LivePeriod period;
+  EXPECT_FALSE(period.covers_send(at(0), at(0)));
+  period.record_receive(at(0), at(100));
+  EXPECT_TRUE(period.covers_send(at(90), at(91)));
+  EXPECT_TRUE(period.covers_send(at(0), at(140)));
+}
+
+TEST(LivePeriodTest, DoesNotCoverASendOverAConnectionOpenedAfterTheLastByte) {
+  LivePeriod period;
+  period.record_receive(at(0), at(100));
+  EXPECT_FALSE(period.covers_send(at(101), at(102)));
+}
+
+TEST(LivePeriodTest, DoesNotCoverASendLongAfterTheLastByte) {
+  LivePeriod period;
+  period.record_receive(at(0), at(100));
+  EXPECT_FALSE(period.covers_send(at(0), at(200)));
+}
+
 TEST(LivePeriodTest, ReportOfAnOverlappingConnectionExtendsThePeriod) {
   LivePeriod period;
   period.record_receive(at(0), at(1000));
