A quarantined request is tried again, one run at a time in the fleet

Cause: nothing tested a quarantine; it ended by time or by an operator alone.

Change: a node that has the request claims a trial in the log before it sends it: the record of the quarantine is written again with one trial more, under the condition that the log ends where this node has read it. So one node gets the trial, the claim survives any restart, and without the log there is no trial. The runner answers a probe first. A run that makes progress deletes the record, which lifts the quarantine at all nodes. Trials come 5 s after the record, then 10 and 20 s later; exits and trials together stay within 6. An item whose trials all failed is given up when its retention ends, as before. Refused callers are told the time of the next trial.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -122,6 +122,10 @@
     EventEntry{Event::kRunnerEndUnproven, "runner_end_unproven", EventLevel::kInfo,
                "A connection was closed before any response by a runner that may have ended before "
                "the request reached it; this is not held against the request."},
+    EventEntry{
+        Event::kQuarantineTrial, "quarantine_trial", EventLevel::kInfo,
+        "This node claimed one run of a quarantined request, to test the quarantine; `claim` "
+        "says whether it got it."},
     EventEntry{Event::kDenialUnconfirmed, "denial_unconfirmed", EventLevel::kInfo,
                "The current configuration denies a request, but neither the store nor another node "
                "confirmed that it is the newest; the request got 503."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -70,6 +70,7 @@
   kRunnerEndedWithRequest = 1518,
   kDenialUnconfirmed = 1519,
   kRunnerEndUnproven = 1520,
+  kQuarantineTrial = 1521,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- a/src/gateway/attempt_result.cc
+++ b/src/gateway/attempt_result.cc
@@ -26,6 +26,10 @@
   return "stopped";
 }
 
+bool may_have_run(AttemptResult result) {
+  return result == AttemptResult::kBroken || result == AttemptResult::kFailed;
+}
+
 AttemptOutcome runner_outcome(AttemptResult result) {
   switch (result) {
     case AttemptResult::kCompleted:
--- a/src/gateway/attempt_result.h
+++ b/src/gateway/attempt_result.h
@@ -26,6 +26,9 @@
 /// Returns the result's name for logs and metrics.
 std::string_view to_string(AttemptResult result);
 
+/// Returns whether a runner may have run the request in an attempt with this result.
+[[nodiscard]] bool may_have_run(AttemptResult result);
+
 /// Returns the outcome to record for the runner.
 AttemptOutcome runner_outcome(AttemptResult result);
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -79,6 +79,13 @@
     co_return confirmed;
   }
 
+  /// Claims a trial of a quarantined request; see `QuarantineLog::claim_trial`.
+  boost::asio::awaitable<bool> claim_quarantine_trial(ContentHash content) {
+    if (!trial_claimer) co_return false;
+    const bool claimed = co_await trial_claimer(content);
+    co_return claimed;
+  }
+
   /// Updates the load policy after a change of the deployment's traits, such as a new configuration
   /// or the first runner that reports its slowness.
   void set_traits(const DeploymentTraits& next) {
@@ -108,6 +115,8 @@
   FairShares shares{load_policy};
   UpstreamPool pool;
   Quarantine quarantine;
+  /// Null: quarantined requests are not tried.
+  std::function<boost::asio::awaitable<bool>(ContentHash)> trial_claimer;
   GatewayMetrics metrics;
   StartupProgress startup{monotonic_now()};
   TenantRateLimiter tenant_limits;
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -24,7 +24,7 @@
   const Refusal refusal{.status = 503,
                         .reason = "quarantined",
                         .advice = RetryAdvice::kComputedDelay,
-                        .retry_after = quarantine_check_.time_left()};
+                        .retry_after = quarantine_check_.retry_after()};
   co_await refuse(refusal);
 }
 
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -42,11 +42,6 @@
   return result == AttemptResult::kCompleted || result == AttemptResult::kErrorRelayed;
 }
 
-/// Returns whether the request may have run although the caller has no complete response.
-bool may_have_run(AttemptResult result) {
-  return result == AttemptResult::kBroken || result == AttemptResult::kFailed;
-}
-
 }  // namespace
 
 std::string_view to_string(RequestOutcome outcome) {
@@ -143,8 +138,17 @@
     // content it crashes 3 runners and those that it reached in the meantime; identified by its id
     // it caused 40 crashes among 12 runners.
     std::shared_ptr<Runner> runner;
-    if (!quarantine_check_.is_quarantined()) runner = co_await acquire_slot();
-    if (!stopped_ && quarantine_check_.is_quarantined()) {
+    is_on_trial_ = quarantine_check_.is_quarantined() &&
+                   (has_claimed_trial_ || quarantine_check_.is_trial_due());
+    if (is_on_trial_ || !quarantine_check_.is_quarantined()) runner = co_await acquire_slot();
+    if (runner && is_on_trial_ && !has_claimed_trial_) {
+      has_claimed_trial_ = co_await context_.claim_quarantine_trial(quarantine_check_.content());
+      if (stopped_) {
+        release_slot(*runner);
+        break;
+      }
+    }
+    if (!stopped_ && !has_claimed_trial_ && quarantine_check_.is_quarantined()) {
       co_await refuse_quarantined(runner);
       co_return;
     }
@@ -278,7 +282,7 @@
   silence_timeout_ = Duration{0};
   attempt_start_ = monotonic_now();
   stage_ = RunStage::kWaiting;
-  const bool requires_live_runner = quarantine_check_.requires_live_runner();
+  const bool requires_live_runner = is_on_trial_ || quarantine_check_.requires_live_runner();
   UpstreamRequest request = build_request(*runner);
   if (requires_live_runner) request.probe = make_runner_probe(context_, *runner, route_.host);
   const bool is_probed = request.probe.has_value();
@@ -298,7 +302,10 @@
     }
   }
   runner_queue_timer_.cancel();
-  if (may_have_run(result)) ++runs_;
+  if (may_have_run(result)) {
+    ++runs_;
+    has_claimed_trial_ = false;
+  }
   const EndedRun run{.upstream = *upstream,
                      .stage = stage_,
                      .progressed = result == AttemptResult::kCompleted,
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -143,6 +143,9 @@
   std::optional<ExpectedTimes> expected_times_;  ///< Predicted response times, if any.
   TimePoint attempt_start_{};
   RunStage stage_ = RunStage::kWaiting;  ///< Of the current attempt.
+  bool is_on_trial_ = false;             ///< The current attempt tests a quarantine.
+  /// A trial was claimed, and no runner has had the request since.
+  bool has_claimed_trial_ = false;
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -48,7 +48,7 @@
   const Duration first_event = context_.first_event_times.expected(route_.name);
   request.due = arrival_ + route_.latency_objective - first_event;
   request.queue_deadline = std::min(arrival_ + kMaxSlotWait, deadline_);
-  request.is_obsolete = [this] { return quarantine_check_.is_quarantined(); };
+  request.is_obsolete = [this] { return !is_on_trial_ && quarantine_check_.is_quarantined(); };
   if (head_sent_) {
     // The caller is already reading the stream, so the next event is due regardless of when the
     // request arrived.
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -57,7 +57,7 @@
   placed_at_ = monotonic_now();
   yielding_ = false;
   stage_ = RunStage::kWaiting;
-  const bool requires_live_runner = quarantine_check_.requires_live_runner();
+  const bool requires_live_runner = is_on_trial_ || quarantine_check_.requires_live_runner();
   UpstreamRequest request = build_request(*runner);
   if (requires_live_runner) request.probe = make_runner_probe(context_, *runner, item_.host);
   const bool is_probed = request.probe.has_value();
@@ -85,6 +85,7 @@
                      .broken = result == AttemptResult::kBroken,
                      .probe_unavailable = requires_live_runner && !is_probed};
   quarantine_check_.record_run(make_finished_run(*runner, run));
+  if (may_have_run(result)) has_claimed_trial_ = false;
   upstream_.reset();
   record_attempt(*runner, result);
   co_return result;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -29,6 +29,8 @@
 constexpr Duration kMissingRouteGracePeriod = std::chrono::seconds(5);
 /// Maximum load of a runner that receives batch items; online requests preempt them quickly.
 constexpr double kBatchLoadLimit = 0.85;
+/// The same for an item in quarantine, whose trial may make the runner exit.
+constexpr double kTrialLoadLimit = 0.5;
 /// Maximum failures of an item for each attempt that its route allows, including failures excused
 /// because the runner fails many of its requests. One less than the service requirements allow.
 constexpr std::uint32_t kMaxFailuresPerAttempt = 2;
@@ -104,7 +106,7 @@
                        .affinity_key = prompt_.shared_key,
                        .prompt_tokens = prompt_.tokens,
                        .shared_prefix_tokens = prompt_.shared_prefix_tokens,
-                       .load_limit = kBatchLoadLimit,
+                       .load_limit = is_on_trial_ ? kTrialLoadLimit : kBatchLoadLimit,
                        .excluded = runners_to_avoid(service),
                        .has_reusable_connection = context_.idle_connection_predicate(),
                        .prefer_reusable_connections = context_.load_policy.reuses_connections,
@@ -120,7 +122,7 @@
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.queue_deadline = now + kPlacementTimeout;
   const QueueEntry entry = join_queue(request, schedule);
-  request.is_obsolete = [this] { return quarantine_check_.is_quarantined(); };
+  request.is_obsolete = [this] { return !is_on_trial_ && quarantine_check_.is_quarantined(); };
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   if (entry.active) context_.batch_arbiter.end_wait(entry.service, entry.urgency);
@@ -133,6 +135,28 @@
   co_return runner;
 }
 
+/// An item whose trials have all failed is dead-lettered when its retention ends, like an item that
+/// no runner can process.
+asio::awaitable<std::shared_ptr<Runner>> ItemRun::acquire_permitted_runner(const Route& route) {
+  const bool is_quarantined = quarantine_check_.is_quarantined();
+  if (!is_quarantined) has_claimed_trial_ = false;
+  is_on_trial_ = is_quarantined && (has_claimed_trial_ || quarantine_check_.is_trial_due());
+  set_stage(is_quarantined ? ItemStage::kQuarantined : ItemStage::kWaitingForSlot);
+  if (is_quarantined && !is_on_trial_) {
+    co_await sleep_for(kQuarantinePollInterval);
+    co_return nullptr;
+  }
+  const auto runner = co_await acquire_runner(route);
+  if (!runner || !is_on_trial_ || has_claimed_trial_) co_return runner;
+  has_claimed_trial_ = co_await context_.claim_quarantine_trial(quarantine_check_.content());
+  if (has_claimed_trial_ && !stopped_) co_return runner;
+  runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now(),
+                      std::exchange(uncached_tokens_, 0), WorkClass::kBatch);
+  context_.placement.capacity_changed();
+  co_await sleep_for(kQuarantinePollInterval);
+  co_return nullptr;
+}
+
 ItemRun::QueueEntry ItemRun::join_queue(PlacementRequest& request, const ItemSchedule& schedule) {
   if (!context_.load_policy.distributes_batch_runners) return {};
   BatchArbiter& arbiter = context_.batch_arbiter;
@@ -212,14 +236,7 @@
     }
     route_missing_since.reset();
     if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
-    if (quarantine_check_.is_quarantined()) {
-      // Dead-lettered when its retention ends, like an item that no runner can process.
-      set_stage(ItemStage::kQuarantined);
-      co_await sleep_for(kQuarantinePollInterval);
-      continue;
-    }
-    set_stage(ItemStage::kWaitingForSlot);
-    const auto runner = co_await acquire_runner(*route);
+    const auto runner = co_await acquire_permitted_runner(*route);
     if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
     set_stage(ItemStage::kRunning);
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -82,6 +82,8 @@
   boost::asio::awaitable<void> sleep_for(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire_runner(const Route& route);
+  /// Acquires a runner unless the item is quarantined and has no trial now.
+  boost::asio::awaitable<std::shared_ptr<Runner>> acquire_permitted_runner(const Route& route);
   /// Entry of this item in the batch queue that the nodes of the zone share.
   struct QueueEntry {
     bool active = false;  ///< Whether the nodes share a queue.
@@ -122,6 +124,9 @@
   std::string choice_;      ///< Why the runner of the current attempt was selected, for logs.
   RunnerWork runner_work_;  ///< Runner load at selection, which affects its response times.
   bool yielding_ = false;
+  bool is_on_trial_ = false;  ///< The current attempt tests the quarantine of the item.
+  /// A trial was claimed, and no runner has had the request since.
+  bool has_claimed_trial_ = false;
   StageListener stage_listener_;
   Timer timer_;
   bool stopped_ = false;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -84,6 +84,7 @@
 
 void Quarantine::record_progress(ContentHash content, TimePoint now) {
   unproven_exits_.clear(content);
+  if (contains(content, now) && progress_handler_) progress_handler_(content);
   const std::size_t exits = exit_table_.exit_count(content);
   if (exits == 0) return;
   exit_table_.clear(content, now);
@@ -163,23 +164,6 @@
   if (change_listener_) change_listener_();
 }
 
-void Quarantine::apply_record(ContentHash content, const QuarantineRecord& record, TimePoint now,
-                              std::int64_t time_of_day_ms) {
-  const std::int64_t age_ms = std::max<std::int64_t>(0, time_of_day_ms - record.since_ms);
-  const TimePoint until = now + kQuarantineTime - std::chrono::milliseconds(age_ms);
-  if (until <= now) return;
-  const bool known = contains(content, now);
-  QuarantinedRequest& request = quarantined_[content];
-  request.recorded = true;
-  if (known) return;
-  request.until = until;
-  request.exits = record.exits;
-  log_event(Event::kRequestQuarantined, {{"content", to_hex(value_of(content))},
-                                         {"ends", std::to_string(record.exits)},
-                                         {"source", "log"}});
-  if (change_listener_) change_listener_();
-}
-
 void Quarantine::lift(ContentHash content, const Lift& lift) {
   const auto found = quarantined_.find(content);
   if (found == quarantined_.end()) return;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -22,11 +22,24 @@
 /// A quarantined request, which is sent to no runner.
 struct QuarantinedRequest {
   TimePoint until{};
+  std::uint32_t trials = 0;           ///< Trials that were claimed in the log.
+  TimePoint next_trial{};             ///< Not set before the log is known to contain its record.
   bool recorded = false;              ///< The log is known to contain its record.
   std::uint32_t exits = 0;            ///< Number of runner starts that had exited with the request.
   std::uint64_t lifted_position = 0;  ///< `Lift::position` of the last lift before it began.
 };
 
+/// A quarantined request as shown to operators.
+struct QuarantineStatus {
+  ContentHash content{};
+  Duration age{0};
+  std::uint32_t exits = 0;      ///< Runners that exited with it, as far as this node knows.
+  std::uint32_t trials = 0;     ///< Trials so far.
+  bool recorded = false;        ///< The log is known to contain its record.
+  Duration next_trial_in{0};    ///< 0: due, or `has_trial_left` is false.
+  bool has_trial_left = false;  ///< Whether it will be tried before the quarantine expires.
+};
+
 /// Tracks the runner exits of requests and quarantines requests with too many exits. Nodes report
 /// exits and quarantines to each other. A quarantine is also recorded in the log, which outlives
 /// every node. Used on one thread.
@@ -36,9 +49,18 @@
 /// over copies of the quarantine that are still under way.
 ///
 /// A quarantine expires after `kQuarantineTime`. After that a single further exit restores it.
+///
+/// Before that, the request is tried again: a trial is one run of it, by one node of the fleet, at
+/// a runner that has just responded. It is claimed in the log first, so that a request is never at
+/// more than `kMaxRunnerExits` runners that exit. If the request makes progress, its record is
+/// deleted, which lifts the quarantine at all nodes.
 class Quarantine {
  public:
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
+  /// Delay from the record of a quarantine to the first trial. It doubles with each trial.
+  static constexpr Duration kFirstTrialDelay = std::chrono::seconds(5);
+  /// Maximum number of runners that exit with one request while it is in quarantine and before.
+  static constexpr std::uint32_t kMaxRunnerExits = 6;
 
   /// @param life_source returns what is known of a runner; one that was running before and after
   /// its reported exit has not exited.
@@ -50,6 +72,10 @@
   void set_quarantined_handler(QuarantinedHandler handler) {
     quarantined_handler_ = std::move(handler);
   }
+  /// Called with each quarantined request that made progress at this node, so that its record is
+  /// deleted.
+  using ProgressHandler = std::function<void(ContentHash)>;
+  void set_progress_handler(ProgressHandler handler) { progress_handler_ = std::move(handler); }
   /// Called when there are new reports for other nodes.
   void set_report_listener(std::function<void()> listener) {
     report_listener_ = std::move(listener);
@@ -66,6 +92,16 @@
   /// Returns the time until the quarantine expires; 0 if the request is not quarantined.
   [[nodiscard]] Duration time_left(ContentHash content, TimePoint now) const;
   [[nodiscard]] std::size_t size() const { return quarantined_.size(); }
+  /// Returns the time until the request may be tried or its quarantine expires.
+  [[nodiscard]] Duration retry_after(ContentHash content, TimePoint now) const;
+  /// Returns whether a trial of the request may be claimed now.
+  [[nodiscard]] bool is_trial_due(ContentHash content, TimePoint now) const;
+  /// Returns the record with which a trial is claimed.
+  /// @param content of a quarantined request.
+  [[nodiscard]] QuarantineRecord make_trial_record(ContentHash content, TimePoint now,
+                                                   std::int64_t time_of_day_ms) const;
+  /// Returns all quarantined requests, for operators.
+  [[nodiscard]] std::vector<QuarantineStatus> status(TimePoint now) const;
   /// Number of requests with recorded exits.
   [[nodiscard]] std::size_t suspect_count() const { return exit_table_.size(); }
 
@@ -80,7 +116,7 @@
   /// Returns whether progress needs to be recorded, which is only the case if there are recorded
   /// exits.
   [[nodiscard]] bool watches_progress() const {
-    return !exit_table_.empty() || !unproven_exits_.empty();
+    return !exit_table_.empty() || !unproven_exits_.empty() || !quarantined_.empty();
   }
   /// Returns whether any request needs a proof that its runner is running; requests need not be
   /// hashed otherwise.
@@ -136,6 +172,11 @@
   using PendingReports = RepeatedSends<RunnerExitReport>;
   using PendingNotices = RepeatedSends<ContentHash>;
 
+  /// Returns the number of runners that exited with the request, including those that trials under
+  /// way may end.
+  [[nodiscard]] std::uint32_t possible_exits(ContentHash content,
+                                             const QuarantinedRequest& request) const;
+  [[nodiscard]] bool has_trial_left(ContentHash content, const QuarantinedRequest& request) const;
   void evaluate(ContentHash content, TimePoint now);
   void record_unproven_exit(ContentHash content, std::uint64_t runner, TimePoint now);
   void add_report(const RunnerExitReport& report, TimePoint at);
@@ -165,6 +206,7 @@
   PendingNotices remote_notices_;
   ContentHash last_refreshed_{};
   QuarantinedHandler quarantined_handler_;
+  ProgressHandler progress_handler_;
   std::function<void()> report_listener_;
   std::function<void()> change_listener_;
 };
--- a/src/quarantine/quarantine_check.cc
+++ b/src/quarantine/quarantine_check.cc
@@ -15,8 +15,12 @@
   return quarantine_.has_unproven_exits() && quarantine_.requires_live_runner(content());
 }
 
-Duration QuarantineCheck::time_left() {
-  return quarantine_.time_left(content(), monotonic_now());
+bool QuarantineCheck::is_trial_due() {
+  return !quarantine_.empty() && quarantine_.is_trial_due(content(), monotonic_now());
+}
+
+Duration QuarantineCheck::retry_after() {
+  return quarantine_.retry_after(content(), monotonic_now());
 }
 
 void QuarantineCheck::record_run(const FinishedRun& run) {
--- a/src/quarantine/quarantine_check.h
+++ b/src/quarantine/quarantine_check.h
@@ -31,8 +31,10 @@
   [[nodiscard]] bool is_quarantined();
   /// Returns whether the request may only be sent to a runner that has just responded.
   [[nodiscard]] bool requires_live_runner();
-  /// Returns the time until the quarantine expires.
-  [[nodiscard]] Duration time_left();
+  /// Returns whether a trial of the request may be claimed now.
+  [[nodiscard]] bool is_trial_due();
+  /// Returns the time until the request may be tried or its quarantine expires.
+  [[nodiscard]] Duration retry_after();
   /// Records a finished run. If the runner closed its connection before the first event, it may
   /// have exited because of the request.
   void record_run(const FinishedRun& run);
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -35,6 +35,26 @@
     own_records_.insert(content);
     write(content, encode_value(record));
   });
+  quarantine_.set_progress_handler([this](ContentHash content) { write(content, {}); });
+}
+
+asio::awaitable<bool> QuarantineLog::claim_trial(ContentHash content) {
+  const TimePoint now = monotonic_now();
+  if (claiming_.contains(content) || !quarantine_.is_trial_due(content, now)) co_return false;
+  claiming_.insert(content);
+  const QuarantineRecord record = quarantine_.make_trial_record(content, now, wall_clock_ms());
+  const std::vector<KeyedRecord> records{{to_hex(value_of(content)), encode_value(record)}};
+  const std::optional<RecordOffset> expected_end = replica_->next_offset();
+  // If another node has claimed the trial or lifted the quarantine, the log has a later end.
+  const AppendResult result = co_await log_.append(kQuarantinePartition, records, expected_end);
+  claiming_.erase(content);
+  log_event(Event::kQuarantineTrial, {{"content", to_hex(value_of(content))},
+                                      {"ends", std::to_string(record.exits)},
+                                      {"trial", std::to_string(record.trials)},
+                                      {"claim", std::string(to_string(result.status))}});
+  if (result.status != LogStatus::kOk) co_return false;
+  replica_->apply_appended(result.offset, records);
+  co_return true;
 }
 
 void QuarantineLog::start() {
@@ -60,6 +80,10 @@
       pending_writes_.erase(pending);
     quarantine_.lift(ContentHash{hash}, {.position = record.offset + 1, .at = monotonic_now()});
   } else {
+    // Written again, the record of the quarantine would replace those of its trials.
+    const auto pending = pending_writes_.find(record.key);
+    if (pending != pending_writes_.end() && !pending->second.empty())
+      pending_writes_.erase(pending);
     quarantine_.apply_record(ContentHash{hash}, value, monotonic_now(), wall_clock_ms());
   }
 }
--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -21,6 +21,9 @@
   QuarantineLog(boost::asio::any_io_executor executor, RecordLog& log, Quarantine& quarantine);
 
   void start();
+  /// Claims a trial of a quarantined request that is due. A claim is durable before it is given,
+  /// and is given to one node of the fleet only. Without an answer of the log there is no claim.
+  boost::asio::awaitable<bool> claim_trial(ContentHash content);
 
   void apply(const StoredRecord& record) override;
   void reset(const std::vector<StoredRecord>& newest) override;
@@ -38,6 +41,7 @@
   std::map<std::string, std::string> pending_writes_;
   /// Records that this node deletes when their quarantine expires.
   std::set<ContentHash> own_records_;
+  std::set<ContentHash> claiming_;  ///< Requests with a claim under way.
   bool writing_ = false;
 };
 
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -72,10 +72,12 @@
   /// Wall clock time of the quarantine at the node that wrote the record.
   std::int64_t since_ms = 0;
   std::uint32_t exits = 0;  ///< Number of runners that had exited with the request.
+  /// Number of trials that were claimed since then, whatever became of them.
+  std::uint32_t trials = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(since_ms, exits);
+    archive(since_ms, exits, trials);
   }
 };
 
--- /dev/null
+++ b/src/quarantine/quarantine_trials.cc
@@ -0,0 +1,79 @@
+// Trials of quarantined requests: when one is due, and what operators see of a quarantine.
+#include <algorithm>
+
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "quarantine/quarantine.h"
+
+namespace stoathold {
+
+std::uint32_t Quarantine::possible_exits(ContentHash content,
+                                         const QuarantinedRequest& request) const {
+  const auto known = static_cast<std::uint32_t>(exit_table_.exit_count(content));
+  return std::max(known, request.exits + request.trials);
+}
+
+bool Quarantine::has_trial_left(ContentHash content, const QuarantinedRequest& request) const {
+  return request.recorded && possible_exits(content, request) < kMaxRunnerExits;
+}
+
+bool Quarantine::is_trial_due(ContentHash content, TimePoint now) const {
+  if (!contains(content, now)) return false;
+  const QuarantinedRequest& request = quarantined_.at(content);
+  return has_trial_left(content, request) && now >= request.next_trial;
+}
+
+Duration Quarantine::retry_after(ContentHash content, TimePoint now) const {
+  const Duration left = time_left(content, now);
+  const auto found = quarantined_.find(content);
+  if (found == quarantined_.end() || !has_trial_left(content, found->second)) return left;
+  return std::min(left, std::max(Duration{0}, found->second.next_trial - now));
+}
+
+QuarantineRecord Quarantine::make_trial_record(ContentHash content, TimePoint now,
+                                               std::int64_t time_of_day_ms) const {
+  const QuarantinedRequest& request = quarantined_.at(content);
+  const Duration age = now + kQuarantineTime - request.until;
+  const auto age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+  const std::uint32_t exits = possible_exits(content, request) - request.trials;
+  return {.since_ms = time_of_day_ms - age_ms, .exits = exits, .trials = request.trials + 1};
+}
+
+std::vector<QuarantineStatus> Quarantine::status(TimePoint now) const {
+  std::vector<QuarantineStatus> all;
+  for (const auto& [content, request] : quarantined_) {
+    const auto known = static_cast<std::uint32_t>(exit_table_.exit_count(content));
+    all.push_back({.content = content,
+                   .age = now + kQuarantineTime - request.until,
+                   .exits = std::max(known, request.exits),
+                   .trials = request.trials,
+                   .recorded = request.recorded,
+                   .next_trial_in = std::max(Duration{0}, request.next_trial - now),
+                   .has_trial_left = has_trial_left(content, request)});
+  }
+  return all;
+}
+
+void Quarantine::apply_record(ContentHash content, const QuarantineRecord& record, TimePoint now,
+                              std::int64_t time_of_day_ms) {
+  const std::int64_t age_ms = std::max<std::int64_t>(0, time_of_day_ms - record.since_ms);
+  const TimePoint until = now + kQuarantineTime - std::chrono::milliseconds(age_ms);
+  if (until <= now) return;
+  const bool known = contains(content, now);
+  QuarantinedRequest& request = quarantined_[content];
+  const bool is_first_record = !request.recorded;
+  request.recorded = true;
+  request.exits = std::max(request.exits, record.exits);
+  if (is_first_record || record.trials > request.trials) {
+    request.trials = std::max(request.trials, record.trials);
+    request.next_trial = now + kFirstTrialDelay * (1U << std::min(request.trials, kMaxRunnerExits));
+  }
+  if (known) return;
+  request.until = until;
+  log_event(Event::kRequestQuarantined, {{"content", to_hex(value_of(content))},
+                                         {"ends", std::to_string(record.exits)},
+                                         {"source", "log"}});
+  if (change_listener_) change_listener_();
+}
+
+}  // namespace stoathold
--- a/tests/quarantine/quarantine_log_test.cc
+++ b/tests/quarantine/quarantine_log_test.cc
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "tests/jobs/faulty_record_log.h"
+#include "tests/jobs/run_awaitable.h"
 
 namespace stoathold {
 namespace {
@@ -37,6 +38,10 @@
     for (int turn = 0; turn < 10000 && !condition(); ++turn) loop.run_one();
     EXPECT_TRUE(condition());
   }
+  /// Claims a trial at a node and returns whether it got it.
+  bool claims_trial(Node& node) {
+    return run_awaitable(loop, node.records.claim_trial(kPoisonRequest));
+  }
   [[nodiscard]] std::size_t records() const {
     return model->read_newest(kPartition, KeyRange{}).records.size();
   }
@@ -86,6 +91,26 @@
   EXPECT_FALSE(first.holds());
 }
 
+TEST_F(QuarantineLogTest, OneNodeGetsTheTrialAndItsProgressLiftsTheQuarantineEverywhere) {
+  Node first(loop, model);
+  Node second(loop, model);
+  exit_runners(first);
+  run_until([&] { return second.holds() && first.quarantine.status(monotonic_now())[0].recorded; });
+  EXPECT_FALSE(claims_trial(first));
+  loop.run_for(Quarantine::kFirstTrialDelay + std::chrono::milliseconds(200));
+  first.log.faults.drop_appends = 1;
+  EXPECT_FALSE(claims_trial(first));
+  EXPECT_TRUE(claims_trial(second));
+  EXPECT_FALSE(claims_trial(second));
+  EXPECT_FALSE(claims_trial(first));
+  Node third(loop, model);
+  run_until([&] { return third.holds(); });
+  EXPECT_EQ(third.quarantine.status(monotonic_now())[0].trials, 1U);
+  second.quarantine.record_progress(kPoisonRequest, monotonic_now());
+  run_until([&] { return !first.holds() && !second.holds() && !third.holds(); });
+  EXPECT_EQ(records(), 0U);
+}
+
 TEST_F(QuarantineLogTest, IgnoresMalformedRecords) {
   model->append(kPartition, {{"no hash", "x"}, {to_hex(8), "x"}}, std::nullopt);
   Node first(loop, model);
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -244,6 +244,63 @@
   EXPECT_EQ(started.size(), kRequests);
 }
 
+constexpr Duration kFirstTrial = Quarantine::kFirstTrialDelay;
+
+QuarantineRecord record_of(std::uint32_t exits, std::uint32_t trials) {
+  return {kTimeOfDayMs, exits, trials};
+}
+
+TEST(QuarantineTest, ATrialIsDueSomeTimeAfterTheRecordAndLaterAfterEachTrial) {
+  Quarantine node = make_quarantine();
+  exit_runners(node, 1, 3);
+  EXPECT_FALSE(node.is_trial_due(kPoisonRequest, at(kFirstTrial)));
+  node.apply_record(kPoisonRequest, record_of(3, 0), at({}), kTimeOfDayMs);
+  EXPECT_FALSE(node.is_trial_due(kPoisonRequest, at(kFirstTrial / 2)));
+  EXPECT_EQ(node.retry_after(kPoisonRequest, at({})), kFirstTrial);
+  EXPECT_TRUE(node.is_trial_due(kPoisonRequest, at(kFirstTrial)));
+  node.apply_record(kPoisonRequest, record_of(3, 1), at(kFirstTrial), kTimeOfDayMs);
+  EXPECT_FALSE(node.is_trial_due(kPoisonRequest, at(2 * kFirstTrial)));
+  EXPECT_TRUE(node.is_trial_due(kPoisonRequest, at(3 * kFirstTrial)));
+}
+
+TEST(QuarantineTest, TrialsAndExitsTogetherStayWithinTheBound) {
+  Quarantine node = make_quarantine();
+  exit_runners(node, 1, 3);
+  Duration now{0};
+  node.apply_record(kPoisonRequest, record_of(3, 0), at(now), kTimeOfDayMs);
+  std::uint32_t exits = 3;
+  for (now = kFirstTrial; now < Quarantine::kQuarantineTime; now += kFirstTrial) {
+    if (!node.is_trial_due(kPoisonRequest, at(now))) continue;
+    const QuarantineRecord claim = node.make_trial_record(kPoisonRequest, at(now), kTimeOfDayMs);
+    node.apply_record(kPoisonRequest, claim, at(now), kTimeOfDayMs);
+    ++exits;
+    exit_runners(node, exits, exits, now);
+  }
+  EXPECT_EQ(exits, Quarantine::kMaxRunnerExits);
+  EXPECT_EQ(node.retry_after(kPoisonRequest, at(now)), node.time_left(kPoisonRequest, at(now)));
+}
+
+TEST(QuarantineTest, ANodeThatStartsCountsTheTrialsOfTheRecord) {
+  Quarantine node = make_quarantine();
+  node.apply_record(kPoisonRequest, record_of(3, 3), at({}), kTimeOfDayMs);
+  EXPECT_FALSE(node.is_trial_due(kPoisonRequest, at(std::chrono::minutes(9))));
+  Quarantine other = make_quarantine();
+  other.apply_record(kPoisonRequest, record_of(3, 2), at({}), kTimeOfDayMs);
+  EXPECT_TRUE(other.is_trial_due(kPoisonRequest, at(std::chrono::minutes(9))));
+}
+
+TEST(QuarantineTest, ProgressOfAQuarantinedRequestIsReportedToTheLog) {
+  Quarantine node = make_quarantine();
+  std::vector<ContentHash> innocent;
+  node.set_progress_handler([&](ContentHash content) { innocent.push_back(content); });
+  node.record_progress(kPoisonRequest, at({}));
+  EXPECT_TRUE(innocent.empty());
+  node.apply_record(kPoisonRequest, record_of(3, 1), at({}), kTimeOfDayMs);
+  EXPECT_TRUE(node.watches_progress());
+  node.record_progress(kPoisonRequest, at({}));
+  EXPECT_EQ(innocent, std::vector{kPoisonRequest});
+}
+
 TEST(QuarantineTest, UnrecordedQuarantinesSurviveALogReset) {
   Quarantine node = make_quarantine();
   exit_runners(node, 1, 3);
