--- a/tests/store/coalesced_read_test.cc
+++ b/tests/store/coalesced_read_test.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
+#include <new>
+#include <optional>
 #include <vector>
 
 namespace stoathold {
@@ -75,6 +77,26 @@
   EXPECT_EQ(order.size(), kCallers);
 }
 
+/// Guards against callers that wait forever for a read that has ended with an exception.
+TEST_F(CoalescedReadTest, ReadThatThrowsFailsAndTheNextOneRuns) {
+  const auto throwing = []() -> asio::awaitable<LogStatus> {
+    throw std::bad_alloc();
+    co_return LogStatus::kOk;
+  };
+  std::optional<LogStatus> failed;
+  const auto call_throwing = [&]() -> asio::awaitable<void> {
+    failed = co_await shared.run(throwing, TimePoint::max());
+  };
+  asio::co_spawn(loop, call_throwing(), asio::detached);
+  loop.run_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(failed, LogStatus::kUnknown);
+  spawn();
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(200));
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results.front().first, LogStatus::kOk);
+}
+
 TEST_F(CoalescedReadTest, ReadContinuesAfterItsCallerTimesOut) {
   iterations_per_read = 100000;
   spawn(monotonic_now());
