--- a/tests/platform/job_messages_test.cc
+++ b/tests/platform/job_messages_test.cc
@@ -47,6 +47,28 @@
       job));
 }
 
+/// An item's id is sent to the runner as a header, and the runner's answer is recognized by it. An
+/// id that HTTP changes on the way is never recognized, so the item would be sent forever.
+TEST(JobMessagesTest, RejectsIdsThatAreNoHeaderValues) {
+  for (const char* id : {R"(a\r\nB: c)", R"(a\u0000)", " a", "a ", R"(a\t)"}) {
+    NewJob job;
+    const std::string item = std::string(R"({"id":")") + id + R"(","path":"/x","body":""})";
+    EXPECT_FALSE(parse_submission(R"({"items":[)" + item + "]}", job)) << id;
+  }
+}
+
+/// Guards against items that the HTTP library cannot send: the attempt ends with an exception.
+TEST(JobMessagesTest, RejectsHeadersThatAreTooLongForHttp) {
+  const std::string text(70'000, 'a');
+  for (const std::string& item :
+       {R"({"id":"i","path":"/x","body":"","headers":{"A":")" + text + R"("}})",
+        R"({"id":"i","path":"/x","body":"","headers":{")" + text + R"(":"b"}})",
+        R"({"id":")" + text + R"(","path":"/x","body":""})"}) {
+    NewJob job;
+    EXPECT_FALSE(parse_submission(R"({"items":[)" + item + "]}", job)) << item.substr(0, 60);
+  }
+}
+
 TEST(JobMessagesTest, PageHasAtLeastOneResultAndIsBoundedInSize) {
   JobEntry job;
   ReadResult found;
