A shared read that throws ends

Cause: CoalescedRead::perform never counted a read that ended with an exception, so its callers waited to their deadline and later ones, of which catch_up and the loader of jobs have none, for good. Change: such a read has the status of one without an answer.

--- a/src/store/coalesced_read.cc
+++ b/src/store/coalesced_read.cc
@@ -30,8 +30,14 @@
   asio::co_spawn(executor, perform(std::move(read)), asio::detached);
 }
 
+/// A read that throws must end too: the callers wait for it, and the next one starts after it.
 asio::awaitable<void> CoalescedRead::perform(Read read) {
-  const LogStatus status = co_await read();
+  LogStatus status = LogStatus::kUnknown;
+  try {
+    status = co_await read();
+  } catch (const std::exception&) {
+    status = LogStatus::kUnknown;
+  }
   last_status_ = status;
   ++finished_;
   for (Timer* timer : waiters_) timer->cancel();
