--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -157,6 +157,8 @@
     EventEntry{Event::kPeerTraffic, "peer_traffic", EventLevel::kInfo,
                "Messages exchanged with other nodes in the last 5 s, by purpose: messages and "
                "bytes sent, messages and bytes received."},
+    EventEntry{Event::kReadThrew, "read_threw", EventLevel::kError,
+               "A read of the log ended with an exception; its callers are told that it failed."},
     EventEntry{Event::kTopicSourceFailed, "topic_source_failed", EventLevel::kInfo,
                "The node through which this one reads a topic did not answer, or its own reads "
                "fail; the topic was read from the store, and is read through another node next."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -83,6 +83,7 @@
   kRunnerRestarted = 1610,
   kPeerTraffic = 1611,
   kTopicSourceFailed = 1612,
+  kReadThrew = 1613,
   kWaitRejected = 1700,
   kTenantAboveShare = 1710,
   kUrgentKindServedLess = 1711,
--- a/src/store/coalesced_read.cc
+++ b/src/store/coalesced_read.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/event_log.h"
+
 namespace stoathold {
 
 namespace asio = boost::asio;
@@ -35,8 +37,8 @@
   LogStatus status = LogStatus::kUnknown;
   try {
     status = co_await read();
-  } catch (const std::exception&) {
-    status = LogStatus::kUnknown;
+  } catch (const std::exception& failure) {
+    log_event(Event::kReadThrew, {{"reason", failure.what()}});
   }
   last_status_ = status;
   ++finished_;
