Comments of a runner do not postpone the deadline of an item's next event

Callers saw: an item at a runner that sends comments and no further event stays there until its retention ends. Cause: any bytes postponed the deadline for the next event. Change: only events do.

--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -157,8 +157,8 @@
     if (status != UpstreamStatus::kOk) co_return AttemptResult::kBroken;
     if (view.empty()) break;
     runner_->record_receive(monotonic_now(), upstream_->connected());
-    upstream_->set_deadline(monotonic_now() + kEventGapTimeout);
     if (!framer.feed(view)) co_return AttemptResult::kBroken;
+    const std::uint64_t events_before = progress_.last_event;
     while (const auto event = framer.next()) {
       if (!event->id) continue;
       if (*event->id != progress_.last_event + 1) co_return AttemptResult::kBroken;
@@ -167,6 +167,10 @@
       progress_.last_event = *event->id;
       record_first_event();
     }
+    // Comments, which may keep a connection open, are no progress.
+    if (progress_.last_event > events_before) {
+      upstream_->set_deadline(monotonic_now() + kEventGapTimeout);
+    }
     record_event_gap(window);
   }
   // The end of the connection does not prove completeness: it may cut the stream between events.
