Only a runner that is well is sent a request that requires a live runner

Cause: any answer to the probe counted. A runner that goes down answers health checks with errors for a while, or another one answers at its address; the request that followed was closed, and was held against the request. Change: the answer has to be 200. Another answer is a runner that does not take the request; no answer one that can't be reached. Failed attempts of items name the status of the probe.

--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -288,6 +288,7 @@
   const bool is_probed = request.probe.has_value();
   UpstreamStatus status = co_await upstream->send(std::move(request), kConnectTimeout);
   AttemptResult result = classify_failure(status);
+  if (result == AttemptResult::kUnreachable) result = unsent_result(*runner, *upstream);
   if (status == UpstreamStatus::kOk) {
     watch_silence(runner);
     watch_runner_queue(runner, false);
--- a/src/gateway/runner_probe.cc
+++ b/src/gateway/runner_probe.cc
@@ -15,15 +15,21 @@
   return probe;
 }
 
+AttemptResult unsent_result(Runner& runner, const UpstreamExchange& upstream) {
+  constexpr int kMisdirected = 421;
+  if (upstream.probe_status() == 0) return AttemptResult::kUnreachable;
+  if (upstream.probe_status() == kMisdirected) runner.mark_leaving();
+  return AttemptResult::kNotRun;
+}
+
 FinishedRun make_finished_run(const Runner& runner, const EndedRun& run) {
   const UpstreamExchange& upstream = run.upstream;
-  const bool was_probed = upstream.probed() != TimePoint{};
   const bool was_heard =
       runner.own_live_period().covers_send(upstream.connected(), upstream.sent());
   return {.runner = runner.hash(),
           .connected = upstream.connected(),
           .stage = run.stage,
-          .reached_live_runner = was_probed || was_heard || run.probe_unavailable,
+          .reached_live_runner = upstream.probed() || was_heard || run.probe_unavailable,
           .progressed = run.progressed,
           .closed_by_runner = run.broken && upstream.closed_by_runner()};
 }
--- a/src/gateway/runner_probe.h
+++ b/src/gateway/runner_probe.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "gateway/attempt_result.h"
 #include "gateway/gateway_context.h"
 #include "quarantine/quarantine_check.h"
 
@@ -14,6 +15,10 @@
 std::optional<UpstreamProbe> make_runner_probe(const GatewayContext& context, const Runner& runner,
                                                std::string_view host);
 
+/// Returns the result of an attempt whose request was not sent: a runner that answered the probe is
+/// reachable.
+AttemptResult unsent_result(Runner& runner, const UpstreamExchange& upstream);
+
 /// A run at a runner that has ended.
 struct EndedRun {
   const UpstreamExchange& upstream;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -141,7 +141,7 @@
 
   asio::awaitable<UpstreamStatus> connect(Duration timeout);
   /// Sends a probe and reads its response.
-  /// @return whether the runner answered and keeps the connection open.
+  /// @return whether the runner is well and keeps the connection open.
   asio::awaitable<bool> probe(UpstreamProbe probe);
   asio::awaitable<UpstreamStatus> read_next_head();
   asio::awaitable<UpstreamStatus> read_some(std::string_view& view);
@@ -165,7 +165,7 @@
   bool closed_by_runner = false;
   TimePoint connected{};
   TimePoint sent{};
-  TimePoint probed{};
+  int probe_status = 0;
   std::unique_ptr<Tcp::socket> socket;
   beast::flat_buffer buffer;
   std::unique_ptr<Parser> parser;
@@ -205,9 +205,9 @@
   // Nothing of the request has been sent, so a closed connection says nothing about the request.
   closed_by_runner = false;
   if (status != UpstreamStatus::kOk) co_return false;
-  probed = monotonic_now();
-  const bool is_other_instance = parser->get().result() == http::status::misdirected_request;
-  co_return !is_other_instance && parser->keep_alive() && !parser->need_eof() && buffer.size() == 0;
+  probe_status = parser->get().result_int();
+  const bool is_well = parser->get().result() == http::status::ok;
+  co_return is_well && parser->keep_alive() && !parser->need_eof() && buffer.size() == 0;
 }
 
 bool UpstreamExchange::State::matches_request_id() const {
@@ -356,8 +356,8 @@
   return state_->sent;
 }
 
-TimePoint UpstreamExchange::probed() const {
-  return state_->probed;
+int UpstreamExchange::probe_status() const {
+  return state_->probe_status;
 }
 
 bool UpstreamExchange::closed_by_runner() const {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -50,8 +50,8 @@
   /// runner may be closing an idle connection, in which case the request fails with an unknown
   /// outcome. Requests that may not be repeated should therefore set a short time.
   Duration max_idle_time = Duration::max();
-  /// Sent first over the same connection. If it is not answered, or by another instance (status
-  /// 421), the request is not sent.
+  /// Sent first over the same connection. The request is only sent if the answer has status 200: a
+  /// runner that is ending, or another one at its address, may answer otherwise.
   std::optional<UpstreamProbe> probe = std::nullopt;
 };
 
@@ -116,8 +116,10 @@
   [[nodiscard]] TimePoint connected() const;
   /// Returns when the request began to be sent.
   [[nodiscard]] TimePoint sent() const;
-  /// Returns when the runner answered the probe; the clock's epoch if there was none.
-  [[nodiscard]] TimePoint probed() const;
+  /// Returns the status of the answer to the probe; 0 if there was none.
+  [[nodiscard]] int probe_status() const;
+  /// Returns whether the request was sent after an answer to its probe.
+  [[nodiscard]] bool probed() const { return probe_status() > 0 && sent() != TimePoint{}; }
   /// Returns whether a step failed because the runner closed or reset the connection.
   [[nodiscard]] bool closed_by_runner() const;
   /// Cancels the request and closes the connection, so that the runner stops working on it.
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -62,8 +62,8 @@
   if (requires_live_runner) request.probe = make_runner_probe(context_, *runner, item_.host);
   const bool is_probed = request.probe.has_value();
   UpstreamStatus status = co_await upstream->send(std::move(request), kConnectTimeout);
-  AttemptResult result =
-      status == UpstreamStatus::kNotSent ? AttemptResult::kUnreachable : AttemptResult::kBroken;
+  AttemptResult result = AttemptResult::kBroken;
+  if (status == UpstreamStatus::kNotSent) result = unsent_result(*runner, *upstream);
   if (status == UpstreamStatus::kOk) status = co_await upstream->read_head();
   if (status == UpstreamStatus::kOk) {
     stage_ = RunStage::kResponseStarted;
@@ -85,6 +85,7 @@
                      .broken = result == AttemptResult::kBroken,
                      .probe_unavailable = requires_live_runner && !is_probed};
   quarantine_check_.record_run(make_finished_run(*runner, run));
+  probe_status_ = upstream->probe_status();
   if (may_have_run(result)) has_claimed_trial_ = false;
   upstream_.reset();
   record_attempt(*runner, result);
@@ -109,6 +110,7 @@
                                         {"runner", runner.record().id},
                                         {"result", std::string(to_string(result))},
                                         {"stage", std::string(to_string(stage_))},
+                                        {"probe", std::to_string(probe_status_)},
                                         {"content", to_hex(value_of(quarantine_check_.content()))},
                                         {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -124,6 +124,7 @@
   std::string choice_;      ///< Why the runner of the current attempt was selected, for logs.
   RunnerWork runner_work_;  ///< Runner load at selection, which affects its response times.
   bool yielding_ = false;
+  int probe_status_ = 0;      ///< `UpstreamExchange::probe_status` of the last attempt.
   bool is_on_trial_ = false;  ///< The current attempt tests the quarantine of the item.
   /// A trial was claimed, and no runner has had the request since.
   bool has_claimed_trial_ = false;
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -133,6 +133,14 @@
   EXPECT_EQ(runner.requests.size(), 1U);
 }
 
+/// Guards against a runner that is going down: it answers health checks with errors for a while.
+TEST_F(UpstreamTest, DoesNotSendTheRequestIfTheRunnerIsNotWell) {
+  ScriptedRunner runner(loop, {{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}});
+  probe = UpstreamProbe{"/health", {}};
+  EXPECT_EQ(call(runner, "1").status, UpstreamStatus::kNotSent);
+  EXPECT_EQ(runner.requests.size(), 1U);
+}
+
 TEST_F(UpstreamTest, DoesNotSendTheRequestIfAnotherInstanceAnswersTheProbe) {
   ScriptedRunner runner(loop, {{"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}});
   probe = UpstreamProbe{"/health", {}};
