Test: newest records read through a node that is behind have a gap

A node that has got a part of the records of the log, while the next read takes longer than the 200 ms that it lets readers wait, answers with an empty page whose end is that of the log.

--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -259,5 +259,70 @@
   EXPECT_EQ(bytes.back(), bytes.front());
 }
 
+/// A node that passes records on has read some of them only: its next read is under way and takes
+/// longer than a reader waits for it.
+class SourceBehindTest : public PeerTopicReaderTest {
+ protected:
+  static constexpr std::size_t kKnown = 5;
+  static constexpr std::size_t kRecords = 1000;
+
+  /// Makes a node that has read `kKnown` records learn the end of `kRecords`, of which it gets a
+  /// part.
+  void read_a_part(Node& node) {
+    append(kKnown, kRecords - kKnown);
+    ASSERT_EQ(run_awaitable(loop, node.replica->wait_for_records(Duration{0})), LogStatus::kOk);
+    ASSERT_LT(node.replica->next_offset(), kRecords);
+    ASSERT_EQ(node.replica->health().end, kRecords);
+  }
+  /// Runs the loop until a node has read all records, for some seconds at most.
+  void run_until_read(const Node& node) {
+    const TimePoint deadline = monotonic_now() + std::chrono::seconds(4);
+    run_until(
+        [&] { return node.replica->next_offset() == kRecords || monotonic_now() > deadline; });
+  }
+};
+
+/// The end up to which records are claimed to be complete must not lie beyond those of the source.
+TEST_F(SourceBehindTest, NewestRecordsAreCompleteBelowTheirEnd) {
+  append(0, kKnown);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  read_a_part(first);
+  Node second(loop, model, [&] { return first.server.address(); });
+  const ReadResult result = run_awaitable(
+      loop, second.follow_reader.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
+  ASSERT_EQ(result.status, LogStatus::kOk);
+  EXPECT_EQ(result.records.size(), result.end) << "each key was written once";
+}
+
+/// A node that lacks records denies what they hold, even after it has read the log to its end, and
+/// so do the nodes that read through it.
+TEST_F(SourceBehindTest, NoReaderSkipsRecords) {
+  append(0, kKnown);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  bool knows_source = false;
+  Node second(loop, model, [&]() -> std::optional<std::string> {
+    if (std::exchange(knows_source, true)) return first.server.address();
+    return std::nullopt;
+  });
+  ASSERT_EQ(catch_up(second), LogStatus::kOk);
+  read_a_part(first);
+  model->drop_history();
+  Node third(loop, model, [&] { return second.server.address(); });
+  follow(second);
+  follow(third);
+  run_until([&] { return third.replica->next_offset() > kKnown; });
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  run_until_read(second);
+  run_until_read(third);
+  following = false;
+  run_until([&] { return followers == 0; });
+  ASSERT_EQ(catch_up(second), LogStatus::kOk);
+  EXPECT_EQ(second.sink.values.size(), kRecords);
+  ASSERT_EQ(catch_up(third), LogStatus::kOk);
+  EXPECT_EQ(third.sink.values.size(), kRecords);
+}
+
 }  // namespace
 }  // namespace stoathold
