A node that is behind does not let its readers skip records

What callers saw: jobs that a node had not read were answered 404 there, and at all nodes that read through it, until it was restarted; a submission sent again was taken a second time. Cause: a page carries the last known end of the log, and a reader of the newest records took an empty page for all records up to that end. The node that answers may know the end from a part of a read, while the rest is under way for longer than the 200 ms for which its readers wait. Now a page says where its reader continues: after its last record, or, if the sender holds no further one, where the sender has read to. The read of the newest records ends there, short of the log's end if need be, and the reader goes on from there. A reader also gets past records that no page holds since they were superseded: it waited there for the next record before. Pages of the old form are refused: while versions are mixed, nodes read the log.

--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -95,6 +95,7 @@
   if (result.status != LogStatus::kOk) co_return result.status;
   health_.end = std::max(health_.end, result.end);
   apply_new(result.records);
+  next_offset_ = std::max(next_offset_, result.next.value_or(next_offset_));
   at_end = next_offset_ >= result.end;
   confirmed = result.confirmed.value_or(sent);
   skip_to_newest_ = scope_ == ReplicaScope::kNewest && !at_end;
--- a/src/store/peer_topic_reader.cc
+++ b/src/store/peer_topic_reader.cc
@@ -98,17 +98,17 @@
   TopicPage page;
   if (!reply.ok() || !decode_page(reply.body, page)) co_return std::nullopt;
   const TimePoint confirmed = sent + std::chrono::milliseconds(page.confirmed_ms);
-  const RecordOffset next = page.records.empty() ? from : page.records.back().offset + 1;
   // Records are valid however old the confirmation is; only a claim that there are no more needs to
   // be recent.
-  const bool outdated = next >= page.end && monotonic_now() - confirmed > kMaxConfirmationAge;
-  if (page.end < from || outdated) co_return std::nullopt;
+  const bool outdated = page.next >= page.end && monotonic_now() - confirmed > kMaxConfirmationAge;
+  if (page.end < from || page.next < from || outdated) co_return std::nullopt;
   loading_since_.erase(partition);
   ReadResult result;
   result.status = LogStatus::kOk;
   result.records = std::move(page.records);
   result.end = page.end;
   result.confirmed = confirmed;
+  result.next = page.next;
   co_return result;
 }
 
@@ -162,10 +162,12 @@
     if (page->status != LogStatus::kOk) co_return std::move(*page);
     std::copy_if(page->records.begin(), page->records.end(), std::back_inserter(newest.records),
                  [](const StoredRecord& record) { return !record.value.empty(); });
-    newest.end = page->end;
+    // Without progress the read ends where the other node has read to, short of the log's end.
+    const bool has_more = *page->next > from && *page->next < page->end;
+    from = *page->next;
+    newest.end = from;
     newest.status = LogStatus::kOk;
-    from = page->records.empty() ? page->end : page->records.back().offset + 1;
-    if (from >= page->end) co_return newest;
+    if (!has_more) co_return newest;
   }
   ReadResult from_log =
       co_await log_.read_newest(std::move(partition), std::move(range), page_timeout);
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -59,6 +59,9 @@
   RecordOffset end = 0;  ///< Offset of the next record to be appended.
   /// When the log confirmed `end`, if that was not during this read but earlier, to another node.
   std::optional<TimePoint> confirmed = std::nullopt;
+  /// Where to continue, if that is not after the last record: another node that answers omits
+  /// superseded records, also at the end of what it has read.
+  std::optional<RecordOffset> next = std::nullopt;
   /// Set if `read_newest` failed after its first page: the key after which it can resume. `records`
   /// and `end` then hold the content of the pages before the failure.
   std::string resume_after;
--- a/src/store/topic_cache.h
+++ b/src/store/topic_cache.h
@@ -37,6 +37,10 @@
   /// @param max_bytes maximum size of keys and values; at least one record is returned if there is
   ///   one.
   [[nodiscard]] std::vector<StoredRecord> read(RecordOffset from, std::uint64_t max_bytes) const;
+  /// Returns whether `read` from this offset would return a record.
+  [[nodiscard]] bool has_records_from(RecordOffset from) const {
+    return by_offset_.lower_bound(from) != by_offset_.end();
+  }
   /// Waits for the next change, at most for `limit`.
   boost::asio::awaitable<void> wait_for_change(Duration limit);
   [[nodiscard]] std::size_t size() const { return by_offset_.size(); }
--- a/src/store/topic_page.h
+++ b/src/store/topic_page.h
@@ -18,6 +18,8 @@
   /// When the log confirmed to the node that there are no more records, relative to the arrival of
   /// the request; negative: before it.
   std::int64_t confirmed_ms = 0;
+  /// Where the reader continues. Not beyond what the sender has read, which `end` may be.
+  RecordOffset next = 0;
 };
 
 std::string encode_page(const TopicPage& page);
--- a/src/store/topic_service.cc
+++ b/src/store/topic_service.cc
@@ -51,7 +51,9 @@
   const ReplicaHealth& health = partition.replica->health();
   TopicPage page;
   page.records = partition.cache->read(from, max_bytes);
-  while (page.records.empty() && health.last == LogStatus::kOk) {
+  // A reader that is behind this node learns so at once, even if no record is left in between.
+  while (page.records.empty() && partition.replica->next_offset() <= from &&
+         health.last == LogStatus::kOk) {
     const Duration limit = health.loaded ? wait : std::max(wait, kMaxLoadWait);
     const Duration left = arrival + limit - monotonic_now();
     if (left <= Duration{0}) break;
@@ -72,6 +74,10 @@
     co_return;
   }
   page.end = health.end;
+  page.next = page.records.empty() ? from : page.records.back().offset + 1;
+  if (!partition.cache->has_records_from(page.next)) {
+    page.next = std::max(page.next, partition.replica->next_offset());
+  }
   page.confirmed_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(health.confirmed - arrival).count();
   std::string body = encode_page(page);
