Test: readers are passed over deletions that their source does not know

A node that read the newest records instead of all counts its last record as the end of what it skipped, not the end of the log that it read. Measured: with the last record kept at 0 and the end 5, a reader at 2, 3 or 4, which knows two deleted keys, is told that it is covered.

--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -324,5 +324,27 @@
   EXPECT_EQ(third.sink.values.size(), kRecords);
 }
 
+/// A node that has read the newest records instead of all does not know which keys were deleted
+/// last. A reader that knows them must learn so from elsewhere.
+class SkippedDeletionsTest : public PeerTopicReaderTest {};
+
+TEST_F(SkippedDeletionsTest, ReaderBehindTheLastDeletionsIsNotAnswered) {
+  append(0, 1);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  append(1, 2);
+  model->append({kTopic, 0}, {{"runner-1", ""}, {"runner-2", ""}}, std::nullopt);
+  model->drop_history();
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  ASSERT_EQ(first.replica->next_offset(), 5U);
+  for (const RecordOffset from : {2U, 3U, 4U}) {
+    Node second(loop, model, once(first.server.address()));
+    EXPECT_EQ(read(second, from).status, LogStatus::kTruncated) << "answered by the log";
+  }
+  Node ahead(loop, model, once(first.server.address()));
+  EXPECT_EQ(read(ahead, 5).status, LogStatus::kOk);
+  EXPECT_TRUE(ahead.failed.empty());
+}
+
 }  // namespace
 }  // namespace stoathold
