A node counts what it skipped up to the log's end, not to the last record that it got

Cause: TopicCache::reset took the end of the skipped records from the last one that it was given. The newest records omit deletions, so those at the end of the log lay beyond it, and a reader there was told that it was covered: it kept the deleted keys. Now RecordSink::reset names the end. The calls of reset in tests name their end; no expectation has changed.

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -62,7 +62,7 @@
   }
 }
 
-void JobTable::reset(const std::vector<StoredRecord>& newest) {
+void JobTable::reset(const std::vector<StoredRecord>& newest, RecordOffset /*end*/) {
   std::map<JobKey, JobEntry> previous = std::move(jobs_);
   jobs_.clear();
   // In log order a job's submission precedes its finished mark. Defer listener calls until all
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -29,7 +29,7 @@
   explicit JobTable(Listener listener) : listener_(std::move(listener)) {}
 
   void apply(const StoredRecord& record) override;
-  void reset(const std::vector<StoredRecord>& newest) override;
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
 
   /// Returns the job, or null if the table does not contain it.
   [[nodiscard]] const JobEntry* find(const JobKey& key) const;
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -64,7 +64,7 @@
   }
 }
 
-void QuarantineLog::reset(const std::vector<StoredRecord>& newest) {
+void QuarantineLog::reset(const std::vector<StoredRecord>& newest, RecordOffset /*end*/) {
   std::set<ContentHash> contents;
   // The deletion of a record that is missing here has an unknown position; it is not before this.
   RecordOffset position = 0;
--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -23,7 +23,7 @@
   void start();
 
   void apply(const StoredRecord& record) override;
-  void reset(const std::vector<StoredRecord>& newest) override;
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
 
  private:
   void write(ContentHash content, std::string value);
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -81,7 +81,7 @@
                                    {"records", std::to_string(result.records.size())},
                                    {"from", std::to_string(next_offset_)},
                                    {"end", std::to_string(result.end)}});
-  sink_.reset(result.records);
+  sink_.reset(result.records, result.end);
   next_offset_ = result.end;
   co_return LogStatus::kOk;
 }
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -24,7 +24,9 @@
   /// Replaces the state when the history before `newest` is not available. `newest` holds the
   /// newest record of each key in ascending offset order; absent keys were deleted. It may include
   /// records that were already applied.
-  virtual void reset(const std::vector<StoredRecord>& newest) = 0;
+  /// @param end offset of the next record to be applied. The last ones before it may be deletions,
+  ///        which `newest` omits.
+  virtual void reset(const std::vector<StoredRecord>& newest, RecordOffset end) = 0;
   /// Called when all records that the partition held at the time of a read are applied. Before the
   /// first call the state is stale: some of its records may have been replaced or deleted before
   /// the replica started reading.
--- a/src/store/topic_cache.cc
+++ b/src/store/topic_cache.cc
@@ -57,18 +57,19 @@
 
 /// Keys that were deleted meanwhile are absent from `newest`: readers that know them cannot learn
 /// of their deletion here.
-void TopicCache::reset(const std::vector<StoredRecord>& newest) {
+void TopicCache::reset(const std::vector<StoredRecord>& newest, RecordOffset end) {
   const auto known = std::exchange(offset_of_key_, {});
   by_offset_.clear();
   deletions_.clear();
   if (skipped_to_ == 0) skipped_from_ = end_;
   for (const StoredRecord& record : newest) store(record);
+  end_ = std::max(end_, end);
   skipped_to_ = end_;
   const bool any_deleted = std::any_of(known.begin(), known.end(), [this](const auto& entry) {
     return !offset_of_key_.contains(entry.first);
   });
   if (any_deleted) complete_from_ = end_;
-  sink_.reset(newest);
+  sink_.reset(newest, end);
   notify();
 }
 
--- a/src/store/topic_cache.h
+++ b/src/store/topic_cache.h
@@ -27,7 +27,7 @@
   TopicCache(boost::asio::any_io_executor executor, RecordSink& sink);
 
   void apply(const StoredRecord& record) override;
-  void reset(const std::vector<StoredRecord>& newest) override;
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
   void on_caught_up() override;
 
   /// Returns whether a reader that has applied all records before `from` misses none if it
@@ -55,7 +55,7 @@
   std::map<RecordOffset, StoredRecord> by_offset_;
   std::unordered_map<std::string, RecordOffset> offset_of_key_;
   std::deque<RecordOffset> deletions_;  ///< Offsets of deletions, oldest first.
-  RecordOffset end_ = 0;                ///< Offset after the last record.
+  RecordOffset end_ = 0;                ///< Offset up to which records are known.
   RecordOffset complete_from_ = 0;      ///< No deletion from here on was dropped.
   /// Deletions between these offsets may be missing, since the newest records were read instead of
   /// all. Readers outside are not affected: they do not know the keys that were deleted.
--- a/tests/jobs/job_table_test.cc
+++ b/tests/jobs/job_table_test.cc
@@ -44,7 +44,7 @@
 /// the finished mark of its job, and a listener that is called in between starts the job and reads
 /// its results. After a restart of all nodes, 155 of 169 jobs started had finished long before.
 TEST_F(JobTableTest, JobReadTogetherWithItsFinishedMarkIsNeverReportedAsOpen) {
-  table.reset({submission("j1"), submission("j2"), record(JobRecordKind::kFinished, "j1")});
+  table.reset({submission("j1"), submission("j2"), record(JobRecordKind::kFinished, "j1")}, 3);
   EXPECT_EQ(notified, (Notifications{{key_of("j1"), false}, {key_of("j2"), true}}));
 }
 
@@ -56,7 +56,7 @@
   EXPECT_EQ(notified, (Notifications{{key_of("j1"), false}}));
   EXPECT_EQ(table.find(key_of("j1")), nullptr);
   notified.clear();
-  table.reset({});
+  table.reset({}, 3);
   EXPECT_EQ(notified, (Notifications{{key_of("j2"), false}}));
 }
 
--- a/tests/platform/malformed_runner_entries_test.cc
+++ b/tests/platform/malformed_runner_entries_test.cc
@@ -136,7 +136,7 @@
   sink.apply({2, "r1", R"({"service":5})"});
   EXPECT_FALSE(context.runners.all().contains("r1"));
   EXPECT_TRUE(context.runners.all().contains("r2"));
-  sink.reset({{1, "r2", kValidEntry}, {2, "r1", R"({"service":5})"}});
+  sink.reset({{1, "r2", kValidEntry}, {2, "r1", R"({"service":5})"}}, 3);
   EXPECT_FALSE(context.runners.all().contains("r1"));
   EXPECT_TRUE(context.runners.all().contains("r2"));
   sink.apply({3, "r1", kValidEntry});
@@ -149,12 +149,12 @@
   for (std::size_t i = 0; i < kRunners; ++i) {
     newest.push_back({i, "r" + std::to_string(i), i == kRunners / 2 ? "damaged" : kValidEntry});
   }
-  sink.reset(newest);
+  sink.reset(newest, newest.size());
   EXPECT_EQ(context.runners.all().size(), kRunners - 1);
 }
 
 TEST_F(MalformedRunnerEntriesTest, RejectedEntriesAreCountedByReason) {
-  sink.reset({{0, "r1", "damaged"}, {1, "r2", kValidEntry}, {2, "r3", R"({"service":5})"}});
+  sink.reset({{0, "r1", "damaged"}, {1, "r2", kValidEntry}, {2, "r3", R"({"service":5})"}}, 3);
   sink.apply({3, "r4", with_field("state", R"("warming")")});
   sink.apply({4, "r4", with_field("slots", "")});
   sink.apply({5, "r4", with_field("slots", "-1")});
--- a/tests/platform/runner_restarts_test.cc
+++ b/tests/platform/runner_restarts_test.cc
@@ -114,7 +114,8 @@
   EXPECT_NE(runner("r1")->hash(), before->hash());
   EXPECT_EQ(runner("r1")->in_flight(), 0U);
   // A reset with the newest records has the same effect as applying them one by one.
-  sink.reset({{offset++, "r1", entry(kSecondStart)}});
+  sink.reset({{offset, "r1", entry(kSecondStart)}}, offset + 1);
+  ++offset;
   EXPECT_EQ(runner("r1")->hash(), before->hash());
 }
 
@@ -217,9 +218,10 @@
   EXPECT_EQ(runner("r1")->in_flight(), 1U);
   EXPECT_TRUE(runner("r1")->ejected(monotonic_now()));
   // The same holds for resets, one while the entry is absent and one after it is back.
-  sink.reset({});
+  sink.reset({}, offset);
   EXPECT_TRUE(context.runners.for_service("chat").empty());
-  sink.reset({{offset++, "r1", entry(kFirstStart)}});
+  sink.reset({{offset, "r1", entry(kFirstStart)}}, offset + 1);
+  ++offset;
   EXPECT_EQ(runner("r1")->in_flight(), 1U);
 }
 
--- a/tests/platform/store_sinks_test.cc
+++ b/tests/platform/store_sinks_test.cc
@@ -34,7 +34,7 @@
   sink.apply({4, "config", configuration(3)});
   sink.on_caught_up();
   EXPECT_EQ(context.configuration->version, 5U);
-  sink.reset({{7, "config", configuration(6)}});
+  sink.reset({{7, "config", configuration(6)}}, 8);
   EXPECT_EQ(context.configuration->version, 6U);
   EXPECT_EQ(calls, 2);
 }
@@ -60,7 +60,7 @@
   RunnerSink sink(context);
   sink.apply({0, "r1", runner("ready")});
   sink.apply({1, "r2", runner("ready")});
-  sink.reset({{2, "r2", runner("ready")}, {3, "r3", runner("ready")}});
+  sink.reset({{2, "r2", runner("ready")}, {3, "r3", runner("ready")}}, 4);
   EXPECT_TRUE(context.runners.all().empty());
   sink.apply({4, "r2", runner("draining")});
   sink.apply({5, "r3", ""});
@@ -83,7 +83,7 @@
   sink.apply({3, "r1", ""});
   EXPECT_TRUE(context.runners.all().empty());
   sink.apply({4, "r1", runner("ready")});
-  sink.reset({{9, "r2", runner("ready")}});
+  sink.reset({{9, "r2", runner("ready")}}, 10);
   EXPECT_TRUE(context.runners.all().contains("r2"));
   EXPECT_FALSE(context.runners.all().contains("r1"));
 }
--- a/tests/store/partition_replica_test.cc
+++ b/tests/store/partition_replica_test.cc
@@ -65,7 +65,7 @@
 class RecordingSink final : public RecordSink {
  public:
   void apply(const StoredRecord& record) override { applied.push_back(record.key); }
-  void reset(const std::vector<StoredRecord>& newest) override {
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset /*end*/) override {
     for (const auto& record : newest) applied.push_back(record.key);
   }
   void on_caught_up() override { applied_when_caught_up.push_back(applied.size()); }
--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -25,7 +25,7 @@
 class CountingSink final : public RecordSink {
  public:
   void apply(const StoredRecord& record) override { values[record.key] = record.value; }
-  void reset(const std::vector<StoredRecord>& newest) override {
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset /*end*/) override {
     for (const auto& record : newest) apply(record);
   }
   std::map<std::string, std::string> values;
--- a/tests/store/topic_cache_test.cc
+++ b/tests/store/topic_cache_test.cc
@@ -14,7 +14,9 @@
 class RecordingSink final : public RecordSink {
  public:
   void apply(const StoredRecord& record) override { applied.push_back(record.key); }
-  void reset(const std::vector<StoredRecord>& newest) override { resets += newest.empty() ? 0 : 1; }
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset /*end*/) override {
+    resets += newest.empty() ? 0 : 1;
+  }
   std::vector<std::string> applied;
   int resets = 0;
 };
@@ -75,13 +77,13 @@
 TEST_F(TopicCacheTest, AfterAResetReadersBetweenItsEndsAreNotCovered) {
   apply(0, "a", "1");
   apply(1, "b", "1");
-  cache.reset({{5, "a", "2"}, {8, "b", "2"}});
+  cache.reset({{5, "a", "2"}, {8, "b", "2"}}, 9);
   EXPECT_EQ(sink.resets, 1);
   EXPECT_EQ(offsets_from(0), (Offsets{5, 8}));
   EXPECT_TRUE(cache.covers(2)) << "it knows the same keys as this node did";
   EXPECT_FALSE(cache.covers(4)) << "a key that it knows may have been deleted";
   EXPECT_TRUE(cache.covers(9));
-  cache.reset({{9, "a", "3"}});
+  cache.reset({{9, "a", "3"}}, 10);
   EXPECT_FALSE(cache.covers(2)) << "key b was deleted";
   EXPECT_TRUE(cache.covers(0));
   EXPECT_TRUE(cache.covers(10));
