--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -259,6 +259,31 @@
   EXPECT_EQ(bytes.back(), bytes.front());
 }
 
+class DeletedBetweenPagesTest : public PeerTopicReaderTest {};
+
+/// What a reader gets is not read again below its end, so a deletion must not be lost there.
+TEST_F(DeletedBetweenPagesTest, KeyOfAnEarlierPageIsAbsent) {
+  constexpr std::size_t kRecords = 3000;
+  append(0, kRecords);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  const std::vector<KeyedRecord> deletion{{"runner-7", ""}};
+  int pages = 0;
+  Node second(loop, model, [&] {
+    if (++pages == 2) {
+      const AppendResult deleted = model->append({kTopic, 0}, deletion, std::nullopt);
+      first.replica->apply_appended(deleted.offset, deletion);
+    }
+    return first.server.address();
+  });
+  const ReadResult result = run_awaitable(
+      loop, second.follow_reader.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
+  ASSERT_EQ(result.status, LogStatus::kOk);
+  ASSERT_EQ(result.end, kRecords + 1);
+  EXPECT_GT(pages, 2);
+  EXPECT_EQ(result.records.size(), kRecords - 1);
+}
+
 /// A node that passes records on has read some of them only: its next read is under way and takes
 /// longer than a reader waits for it.
 class SourceBehindTest : public PeerTopicReaderTest {
