A key that is deleted between two pages read through a node is absent from the result

Cause: PeerTopicReader::read_newest dropped deletions and kept the key's record of an earlier page. The reader continues behind the end of the last page, so it never learned of the deletion: an erased job stayed in its table, without its finished mark if that was on a later page.

--- a/src/store/peer_topic_reader.cc
+++ b/src/store/peer_topic_reader.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -153,6 +152,7 @@
 asio::awaitable<ReadResult> PeerTopicReader::read_newest(PartitionName partition, KeyRange range,
                                                          Duration page_timeout) {
   ReadResult newest;
+  std::map<std::string, StoredRecord> by_key;
   RecordOffset from = 0;
   const bool whole = range.after.empty() && range.through.empty();
   while (whole) {
@@ -160,14 +160,18 @@
         co_await read_from_sources(partition, from, kMaxNewestPageBytes, Duration{0});
     if (!page) break;
     if (page->status != LogStatus::kOk) co_return std::move(*page);
-    std::copy_if(page->records.begin(), page->records.end(), std::back_inserter(newest.records),
-                 [](const StoredRecord& record) { return !record.value.empty(); });
+    // The deletion of a key of an earlier page is not read again below `end`.
+    for (const StoredRecord& record : page->records) by_key[record.key] = record;
     // Without progress the read ends where the other node has read to, short of the log's end.
     const bool has_more = *page->next > from && *page->next < page->end;
     from = *page->next;
     newest.end = from;
     newest.status = LogStatus::kOk;
-    if (!has_more) co_return newest;
+    if (has_more) continue;
+    for (auto& [key, record] : by_key) {
+      if (!record.value.empty()) newest.records.push_back(std::move(record));
+    }
+    co_return newest;
   }
   ReadResult from_log =
       co_await log_.read_newest(std::move(partition), std::move(range), page_timeout);
