--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -371,5 +371,30 @@
   EXPECT_TRUE(ahead.failed.empty());
 }
 
+/// So does a node that has read all its records through such a node.
+class InheritedSkipsTest : public PeerTopicReaderTest {};
+
+TEST_F(InheritedSkipsTest, ReaderBehindDeletionsThatTheSourceNeverSawIsNotAnswered) {
+  append(0, 3);
+  model->append({kTopic, 0}, {{"runner-1", ""}, {"runner-2", ""}}, std::nullopt);
+  model->drop_history();
+  append(3, 1);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  Node second(loop, model, [&] { return first.server.address(); });
+  follow(second);
+  run_until([&] { return second.replica->next_offset() == 6; });
+  following = false;
+  run_until([&] { return followers == 0; });
+  ASSERT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+  for (const RecordOffset from : {2U, 3U, 4U}) {
+    Node third(loop, model, once(second.server.address()));
+    EXPECT_EQ(read(third, from).status, LogStatus::kTruncated) << "answered by the log";
+  }
+  Node ahead(loop, model, once(second.server.address()));
+  EXPECT_EQ(read(ahead, 6).status, LogStatus::kOk);
+  EXPECT_TRUE(ahead.failed.empty());
+}
+
 }  // namespace
 }  // namespace stoathold
