A node inherits from its source which deletions it does not know

What operators saw: a job stayed at one node after it had been erased everywhere else, until a restart. Cause: a node that begins with the newest records does not know which keys were deleted before, and refuses readers behind. A node that reads all its records through it did not learn of that, and answered such readers. Now a page says from which offset on its sender knows all deletions, and the reader's cache keeps that.

--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -94,6 +94,7 @@
   adapt_read_limits(result, monotonic_now() - sent);
   if (result.status != LogStatus::kOk) co_return result.status;
   health_.end = std::max(health_.end, result.end);
+  if (result.deletions_from > from) sink_.on_deletions_skipped(result.deletions_from);
   apply_new(result.records);
   next_offset_ = std::max(next_offset_, result.next.value_or(next_offset_));
   at_end = next_offset_ >= result.end;
--- a/src/store/partition_replica.h
+++ b/src/store/partition_replica.h
@@ -27,6 +27,9 @@
   /// @param end offset of the next record to be applied. The last ones before it may be deletions,
   ///        which `newest` omits.
   virtual void reset(const std::vector<StoredRecord>& newest, RecordOffset end) = 0;
+  /// Called before records are applied from which deletions before `end` may be missing: of keys
+  /// that the state does not hold.
+  virtual void on_deletions_skipped(RecordOffset /*end*/) {}
   /// Called when all records that the partition held at the time of a read are applied. Before the
   /// first call the state is stale: some of its records may have been replaced or deleted before
   /// the replica started reading.
--- a/src/store/peer_topic_reader.cc
+++ b/src/store/peer_topic_reader.cc
@@ -108,6 +108,7 @@
   result.end = page.end;
   result.confirmed = confirmed;
   result.next = page.next;
+  result.deletions_from = page.deletions_from;
   co_return result;
 }
 
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -62,6 +62,9 @@
   /// Where to continue, if that is not after the last record: another node that answers omits
   /// superseded records, also at the end of what it has read.
   std::optional<RecordOffset> next = std::nullopt;
+  /// If this lies beyond the offset read from, deletions in between may be missing: of keys that
+  /// readers at that offset do not know, but readers behind it may.
+  RecordOffset deletions_from = 0;
   /// Set if `read_newest` failed after its first page: the key after which it can resume. `records`
   /// and `end` then hold the content of the pages before the failure.
   std::string resume_after;
--- a/src/store/topic_cache.cc
+++ b/src/store/topic_cache.cc
@@ -73,6 +73,11 @@
   notify();
 }
 
+void TopicCache::on_deletions_skipped(RecordOffset end) {
+  if (skipped_to_ == 0) skipped_from_ = end_;
+  skipped_to_ = std::max(skipped_to_, end);
+}
+
 void TopicCache::on_caught_up() {
   sink_.on_caught_up();
   notify();
--- a/src/store/topic_cache.h
+++ b/src/store/topic_cache.h
@@ -2,6 +2,7 @@
 /// The newest records of a partition, kept to serve them to other nodes.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -28,11 +29,16 @@
 
   void apply(const StoredRecord& record) override;
   void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
+  void on_deletions_skipped(RecordOffset end) override;
   void on_caught_up() override;
 
   /// Returns whether a reader that has applied all records before `from` misses none if it
   /// continues with `read`. A reader that has applied none can always begin.
   [[nodiscard]] bool covers(RecordOffset from) const;
+  /// Returns the offset from which on no deletion is missing.
+  [[nodiscard]] RecordOffset deletions_from() const {
+    return std::max(complete_from_, skipped_to_);
+  }
   /// Returns records from offset `from` on, without superseded ones, in offset order.
   /// @param max_bytes maximum size of keys and values; at least one record is returned if there is
   ///   one.
@@ -58,7 +64,8 @@
   RecordOffset end_ = 0;                ///< Offset up to which records are known.
   RecordOffset complete_from_ = 0;      ///< No deletion from here on was dropped.
   /// Deletions between these offsets may be missing, since the newest records were read instead of
-  /// all. Readers outside are not affected: they do not know the keys that were deleted.
+  /// all, by this node or by one that it reads through. Readers outside are not affected: they do
+  /// not know the keys that were deleted.
   RecordOffset skipped_from_ = 0;
   RecordOffset skipped_to_ = 0;
   std::list<Timer> waiting_;
--- a/src/store/topic_page.cc
+++ b/src/store/topic_page.cc
@@ -11,7 +11,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, TopicPage& page) {
-  archive(page.records, page.end, page.confirmed_ms, page.next);
+  archive(page.records, page.end, page.confirmed_ms, page.next, page.deletions_from);
 }
 
 std::string encode_page(const TopicPage& page) {
--- a/src/store/topic_page.h
+++ b/src/store/topic_page.h
@@ -20,6 +20,8 @@
   std::int64_t confirmed_ms = 0;
   /// Where the reader continues. Not beyond what the sender has read, which `end` may be.
   RecordOffset next = 0;
+  /// Offset from which on the sender knows all deletions.
+  RecordOffset deletions_from = 0;
 };
 
 std::string encode_page(const TopicPage& page);
--- a/src/store/topic_service.cc
+++ b/src/store/topic_service.cc
@@ -74,6 +74,7 @@
     co_return;
   }
   page.end = health.end;
+  page.deletions_from = partition.cache->deletions_from();
   page.next = page.records.empty() ? from : page.records.back().offset + 1;
   if (!partition.cache->has_records_from(page.next)) {
     page.next = std::max(page.next, partition.replica->next_offset());
