--- a/src/store/peer_topic_reader.cc
+++ b/src/store/peer_topic_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <memory>
 #include <utility>
 
 #include "base/event_log.h"
@@ -45,6 +46,11 @@
   return call;
 }
 
+PeerTopicReader::Call call_by_http(const asio::any_io_executor& executor) {
+  auto client = std::make_shared<HttpClient>(executor, LoopThreads::kOne);
+  return [client](HttpCall call) { return client->call(std::move(call)); };
+}
+
 /// Returns the result of a read that is to be tried again soon.
 ReadResult not_done() {
   ReadResult result;
@@ -56,7 +62,12 @@
 
 PeerTopicReader::PeerTopicReader(const asio::any_io_executor& executor, RecordReader& log,
                                  Source source, FailureListener failure_listener)
-    : client_(executor, LoopThreads::kOne),
+    : PeerTopicReader(executor, log, std::move(source), std::move(failure_listener),
+                      call_by_http(executor)) {}
+
+PeerTopicReader::PeerTopicReader(const asio::any_io_executor& executor, RecordReader& log,
+                                 Source source, FailureListener failure_listener, Call call)
+    : call_(std::move(call)),
       hold_timer_(executor),
       log_(log),
       source_(std::move(source)),
@@ -92,7 +103,7 @@
   const TimePoint sent = monotonic_now();
   HttpCall call =
       make_call(std::move(address), partition, from, max_bytes, std::min(wait, kMaxPeerWait));
-  const HttpReply reply = co_await client_.call(std::move(call));
+  const HttpReply reply = co_await call_(std::move(call));
   if (reply.status == kStatusLoading && may_wait_for_load(partition)) co_return not_done();
   TopicPage page;
   if (!reply.ok() || !decode_page(reply.body, page)) co_return std::nullopt;
--- a/src/store/peer_topic_reader.h
+++ b/src/store/peer_topic_reader.h
@@ -37,9 +37,14 @@
   using Source = std::function<std::optional<std::string>()>;
   /// Called when the node at an address has failed.
   using FailureListener = std::function<void(const std::string& address)>;
+  /// Sends a call to another node.
+  using Call = std::function<boost::asio::awaitable<HttpReply>(HttpCall)>;
 
   PeerTopicReader(const boost::asio::any_io_executor& executor, RecordReader& log, Source source,
                   FailureListener failure_listener);
+  /// @param call replaces the HTTP client, e.g. in tests without sockets.
+  PeerTopicReader(const boost::asio::any_io_executor& executor, RecordReader& log, Source source,
+                  FailureListener failure_listener, Call call);
 
   /// Holds reads back until `begin` is called, at most for `limit`: a node that has just started
   /// does not know yet from which nodes it can read.
@@ -72,7 +77,7 @@
   /// Waits until reads are not held back any more.
   boost::asio::awaitable<void> wait_until_begun();
 
-  HttpClient client_;
+  Call call_;
   Timer hold_timer_;
   bool held_ = false;
   RecordReader& log_;
