--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -26,7 +26,7 @@
   boost::asio::awaitable<bool> claim_trial(ContentHash content);
 
   void apply(const StoredRecord& record) override;
-  void reset(const std::vector<StoredRecord>& newest) override;
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
 
  private:
   void write(ContentHash content, std::string value);
--- a/src/store/partition_replica.cc
+++ b/src/store/partition_replica.cc
@@ -81,7 +81,7 @@
                                    {"records", std::to_string(result.records.size())},
                                    {"from", std::to_string(next_offset_)},
                                    {"end", std::to_string(result.end)}});
-  sink_.reset(result.records);
+  sink_.reset(result.records, result.end);
   next_offset_ = result.end;
   co_return LogStatus::kOk;
 }
@@ -94,7 +94,9 @@
   adapt_read_limits(result, monotonic_now() - sent);
   if (result.status != LogStatus::kOk) co_return result.status;
   health_.end = std::max(health_.end, result.end);
+  if (result.deletions_from > from) sink_.on_deletions_skipped(result.deletions_from);
   apply_new(result.records);
+  next_offset_ = std::max(next_offset_, result.next.value_or(next_offset_));
   at_end = next_offset_ >= result.end;
   confirmed = result.confirmed.value_or(sent);
   skip_to_newest_ = scope_ == ReplicaScope::kNewest && !at_end;
--- a/src/store/peer_topic_reader.cc
+++ b/src/store/peer_topic_reader.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <iterator>
+#include <memory>
 #include <utility>
 
 #include "base/event_log.h"
@@ -46,6 +46,11 @@
   return call;
 }
 
+PeerTopicReader::Call call_by_http(const asio::any_io_executor& executor) {
+  auto client = std::make_shared<HttpClient>(executor, LoopThreads::kOne);
+  return [client](HttpCall call) { return client->call(std::move(call)); };
+}
+
 /// Returns the result of a read that is to be tried again soon.
 ReadResult not_done() {
   ReadResult result;
@@ -57,7 +62,12 @@
 
 PeerTopicReader::PeerTopicReader(const asio::any_io_executor& executor, RecordReader& log,
                                  Source source, FailureListener failure_listener)
-    : client_(executor, LoopThreads::kOne),
+    : PeerTopicReader(executor, log, std::move(source), std::move(failure_listener),
+                      call_by_http(executor)) {}
+
+PeerTopicReader::PeerTopicReader(const asio::any_io_executor& executor, RecordReader& log,
+                                 Source source, FailureListener failure_listener, Call call)
+    : call_(std::move(call)),
       hold_timer_(executor),
       log_(log),
       source_(std::move(source)),
@@ -93,22 +103,23 @@
   const TimePoint sent = monotonic_now();
   HttpCall call =
       make_call(std::move(address), partition, from, max_bytes, std::min(wait, kMaxPeerWait));
-  const HttpReply reply = co_await client_.call(std::move(call));
+  const HttpReply reply = co_await call_(std::move(call));
   if (reply.status == kStatusLoading && may_wait_for_load(partition)) co_return not_done();
   TopicPage page;
   if (!reply.ok() || !decode_page(reply.body, page)) co_return std::nullopt;
   const TimePoint confirmed = sent + std::chrono::milliseconds(page.confirmed_ms);
-  const RecordOffset next = page.records.empty() ? from : page.records.back().offset + 1;
   // Records are valid however old the confirmation is; only a claim that there are no more needs to
   // be recent.
-  const bool outdated = next >= page.end && monotonic_now() - confirmed > kMaxConfirmationAge;
-  if (page.end < from || outdated) co_return std::nullopt;
+  const bool outdated = page.next >= page.end && monotonic_now() - confirmed > kMaxConfirmationAge;
+  if (page.end < from || page.next < from || outdated) co_return std::nullopt;
   loading_since_.erase(partition);
   ReadResult result;
   result.status = LogStatus::kOk;
   result.records = std::move(page.records);
   result.end = page.end;
   result.confirmed = confirmed;
+  result.next = page.next;
+  result.deletions_from = page.deletions_from;
   co_return result;
 }
 
@@ -153,6 +164,7 @@
 asio::awaitable<ReadResult> PeerTopicReader::read_newest(PartitionName partition, KeyRange range,
                                                          Duration page_timeout) {
   ReadResult newest;
+  std::map<std::string, StoredRecord> by_key;
   RecordOffset from = 0;
   const bool whole = range.after.empty() && range.through.empty();
   while (whole) {
@@ -160,12 +172,18 @@
         co_await read_from_sources(partition, from, kMaxNewestPageBytes, Duration{0});
     if (!page) break;
     if (page->status != LogStatus::kOk) co_return std::move(*page);
-    std::copy_if(page->records.begin(), page->records.end(), std::back_inserter(newest.records),
-                 [](const StoredRecord& record) { return !record.value.empty(); });
-    newest.end = page->end;
+    // The deletion of a key of an earlier page is not read again below `end`.
+    for (const StoredRecord& record : page->records) by_key[record.key] = record;
+    // Without progress the read ends where the other node has read to, short of the log's end.
+    const bool has_more = *page->next > from && *page->next < page->end;
+    from = *page->next;
+    newest.end = from;
     newest.status = LogStatus::kOk;
-    from = page->records.empty() ? page->end : page->records.back().offset + 1;
-    if (from >= page->end) co_return newest;
+    if (has_more) continue;
+    for (auto& [key, record] : by_key) {
+      if (!record.value.empty()) newest.records.push_back(std::move(record));
+    }
+    co_return newest;
   }
   ReadResult from_log =
       co_await log_.read_newest(std::move(partition), std::move(range), page_timeout);
--- a/tests/store/peer_topic_reader_test.cc
+++ b/tests/store/peer_topic_reader_test.cc
@@ -25,7 +25,7 @@
 class CountingSink final : public RecordSink {
  public:
   void apply(const StoredRecord& record) override { values[record.key] = record.value; }
-  void reset(const std::vector<StoredRecord>& newest) override {
+  void reset(const std::vector<StoredRecord>& newest, RecordOffset /*end*/) override {
     for (const auto& record : newest) apply(record);
   }
   std::map<std::string, std::string> values;
@@ -259,5 +259,142 @@
   EXPECT_EQ(bytes.back(), bytes.front());
 }
 
+class DeletedBetweenPagesTest : public PeerTopicReaderTest {};
+
+/// What a reader gets is not read again below its end, so a deletion must not be lost there.
+TEST_F(DeletedBetweenPagesTest, KeyOfAnEarlierPageIsAbsent) {
+  constexpr std::size_t kRecords = 3000;
+  append(0, kRecords);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  const std::vector<KeyedRecord> deletion{{"runner-7", ""}};
+  int pages = 0;
+  Node second(loop, model, [&] {
+    if (++pages == 2) {
+      const AppendResult deleted = model->append({kTopic, 0}, deletion, std::nullopt);
+      first.replica->apply_appended(deleted.offset, deletion);
+    }
+    return first.server.address();
+  });
+  const ReadResult result = run_awaitable(
+      loop, second.follow_reader.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
+  ASSERT_EQ(result.status, LogStatus::kOk);
+  ASSERT_EQ(result.end, kRecords + 1);
+  EXPECT_GT(pages, 2);
+  EXPECT_EQ(result.records.size(), kRecords - 1);
+}
+
+/// A node that passes records on has read some of them only: its next read is under way and takes
+/// longer than a reader waits for it.
+class SourceBehindTest : public PeerTopicReaderTest {
+ protected:
+  static constexpr std::size_t kKnown = 5;
+  static constexpr std::size_t kRecords = 1000;
+
+  /// Makes a node that has read `kKnown` records learn the end of `kRecords`, of which it gets a
+  /// part.
+  void read_a_part(Node& node) {
+    append(kKnown, kRecords - kKnown);
+    ASSERT_EQ(run_awaitable(loop, node.replica->wait_for_records(Duration{0})), LogStatus::kOk);
+    ASSERT_LT(node.replica->next_offset(), kRecords);
+    ASSERT_EQ(node.replica->health().end, kRecords);
+  }
+  /// Runs the loop until a node has read all records, for some seconds at most.
+  void run_until_read(const Node& node) {
+    const TimePoint deadline = monotonic_now() + std::chrono::seconds(4);
+    run_until(
+        [&] { return node.replica->next_offset() == kRecords || monotonic_now() > deadline; });
+  }
+};
+
+/// The end up to which records are claimed to be complete must not lie beyond those of the source.
+TEST_F(SourceBehindTest, NewestRecordsAreCompleteBelowTheirEnd) {
+  append(0, kKnown);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  read_a_part(first);
+  Node second(loop, model, [&] { return first.server.address(); });
+  const ReadResult result = run_awaitable(
+      loop, second.follow_reader.read_newest(PartitionName{kTopic, 0}, KeyRange{}, kPageTimeout));
+  ASSERT_EQ(result.status, LogStatus::kOk);
+  EXPECT_EQ(result.records.size(), result.end) << "each key was written once";
+}
+
+/// A node that lacks records denies what they hold, even after it has read the log to its end, and
+/// so do the nodes that read through it.
+TEST_F(SourceBehindTest, NoReaderSkipsRecords) {
+  append(0, kKnown);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  bool knows_source = false;
+  Node second(loop, model, [&]() -> std::optional<std::string> {
+    if (std::exchange(knows_source, true)) return first.server.address();
+    return std::nullopt;
+  });
+  ASSERT_EQ(catch_up(second), LogStatus::kOk);
+  read_a_part(first);
+  model->drop_history();
+  Node third(loop, model, [&] { return second.server.address(); });
+  follow(second);
+  follow(third);
+  run_until([&] { return third.replica->next_offset() > kKnown; });
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  run_until_read(second);
+  run_until_read(third);
+  following = false;
+  run_until([&] { return followers == 0; });
+  ASSERT_EQ(catch_up(second), LogStatus::kOk);
+  EXPECT_EQ(second.sink.values.size(), kRecords);
+  ASSERT_EQ(catch_up(third), LogStatus::kOk);
+  EXPECT_EQ(third.sink.values.size(), kRecords);
+}
+
+/// A node that has read the newest records instead of all does not know which keys were deleted
+/// last. A reader that knows them must learn so from elsewhere.
+class SkippedDeletionsTest : public PeerTopicReaderTest {};
+
+TEST_F(SkippedDeletionsTest, ReaderBehindTheLastDeletionsIsNotAnswered) {
+  append(0, 1);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  append(1, 2);
+  model->append({kTopic, 0}, {{"runner-1", ""}, {"runner-2", ""}}, std::nullopt);
+  model->drop_history();
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  ASSERT_EQ(first.replica->next_offset(), 5U);
+  for (const RecordOffset from : {2U, 3U, 4U}) {
+    Node second(loop, model, once(first.server.address()));
+    EXPECT_EQ(read(second, from).status, LogStatus::kTruncated) << "answered by the log";
+  }
+  Node ahead(loop, model, once(first.server.address()));
+  EXPECT_EQ(read(ahead, 5).status, LogStatus::kOk);
+  EXPECT_TRUE(ahead.failed.empty());
+}
+
+/// So does a node that has read all its records through such a node.
+class InheritedSkipsTest : public PeerTopicReaderTest {};
+
+TEST_F(InheritedSkipsTest, ReaderBehindDeletionsThatTheSourceNeverSawIsNotAnswered) {
+  append(0, 3);
+  model->append({kTopic, 0}, {{"runner-1", ""}, {"runner-2", ""}}, std::nullopt);
+  model->drop_history();
+  append(3, 1);
+  Node first(loop, model, from_log());
+  ASSERT_EQ(catch_up(first), LogStatus::kOk);
+  Node second(loop, model, [&] { return first.server.address(); });
+  follow(second);
+  run_until([&] { return second.replica->next_offset() == 6; });
+  following = false;
+  run_until([&] { return followers == 0; });
+  ASSERT_EQ(second.log.reads_of_topics(kTopic).calls, 0U);
+  for (const RecordOffset from : {2U, 3U, 4U}) {
+    Node third(loop, model, once(second.server.address()));
+    EXPECT_EQ(read(third, from).status, LogStatus::kTruncated) << "answered by the log";
+  }
+  Node ahead(loop, model, once(second.server.address()));
+  EXPECT_EQ(read(ahead, 6).status, LogStatus::kOk);
+  EXPECT_TRUE(ahead.failed.empty());
+}
+
 }  // namespace
 }  // namespace stoathold
