--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -78,6 +78,9 @@
                "read is retried."},
     EventEntry{Event::kJobLoaded, "job_loaded", EventLevel::kInfo,
                "The results and the progress of a job that this node runs were loaded."},
+    EventEntry{Event::kJobReadFailed, "job_read_failed", EventLevel::kInfo,
+               "A caller's read of a job got 404 (there is no such job) or 503 (it could not be "
+               "read); `read_to` and `end` say how far the node has read the jobs."},
     EventEntry{Event::kItemsOpen, "items_open", EventLevel::kInfo,
                "Open items of this node by stage, with the age in seconds of the oldest in each, "
                "and the item of the job that the node has had for longest."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -50,6 +50,7 @@
   kJobLoadRetried = 1412,
   kJobLoaded = 1414,
   kItemsOpen = 1415,
+  kJobReadFailed = 1416,
   kRequestRefused = 1501,
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -243,6 +243,13 @@
   co_return status == LogStatus::kOk ? LookupStatus::kAbsent : LookupStatus::kUncertain;
 }
 
+JobsPosition JobStore::jobs_position(const std::string& host) const {
+  const auto found = jobs_.find(jobs_partition(host, log_.limits().partitions));
+  if (found == jobs_.end() || !found->second.replica) return {};
+  const PartitionReplica& replica = *found->second.replica;
+  return {.read_to = replica.next_offset(), .end = replica.health().end};
+}
+
 asio::awaitable<LogStatus> JobStore::mark(std::string host, JobRecordKind kind, JobKey key,
                                           std::string value) {
   JobsPartition& partition = partition_for_host(host);
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -56,6 +56,12 @@
   const ListedResults* results = nullptr;
 };
 
+/// How far a node has read the jobs of a host.
+struct JobsPosition {
+  RecordOffset read_to = 0;
+  RecordOffset end = 0;  ///< End of their partition as last reported by the log.
+};
+
 /// Timeout and retry backoff of the store's operations. Tests use shorter ones.
 struct JobStoreTiming {
   /// Time after which a write whose outcome the log has not confirmed is abandoned.
@@ -100,6 +106,8 @@
   boost::asio::awaitable<SubmitStatus> submit(NewJob job);
   /// Looks a job up. Reads the log to its end before reporting that the job does not exist.
   boost::asio::awaitable<LookupStatus> find(std::string host, JobKey key, const JobEntry*& job);
+  /// Returns how far this node has read the jobs of a host, for logs.
+  [[nodiscard]] JobsPosition jobs_position(const std::string& host) const;
   /// Reads a page of results with their texts, starting at a position; waits up to `wait` for the
   /// first one. If a text cannot be read now, the page ends before it; if it is the one at
   /// `position`, the status is `kUncertain`.
