--- a/tests/quarantine/quarantine_log_test.cc
+++ b/tests/quarantine/quarantine_log_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "base/ids.h"
+#include "core/codec.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 
@@ -111,6 +112,70 @@
   EXPECT_EQ(records(), 0U);
 }
 
+TEST_F(QuarantineLogTest, LateFirstRecordDoesNotUndoTheTrialsOfTheLog) {
+  Node first(loop, model);
+  Node second(loop, model);
+  second.log.faults.delayed_appends = 1;
+  exit_runners(first);
+  exit_runners(second);
+  const auto is_recorded = [](Node& node) {
+    return node.quarantine.status(monotonic_now())[0].recorded;
+  };
+  run_until([&] { return is_recorded(first) && is_recorded(second); });
+  loop.run_for(Quarantine::kFirstTrialDelay + std::chrono::milliseconds(200));
+  run_until([&] { return first.quarantine.is_trial_due(kPoisonRequest, monotonic_now()); });
+  EXPECT_TRUE(claims_trial(first));
+  second.log.apply_delayed();
+  model->drop_history();
+  Node restarted(loop, model);
+  run_until([&] { return restarted.holds(); });
+  EXPECT_EQ(restarted.quarantine.status(monotonic_now())[0].trials, 1U);
+}
+
+TEST_F(QuarantineLogTest, LateFirstRecordDoesNotRestoreALiftedQuarantine) {
+  Node first(loop, model);
+  Node second(loop, model);
+  second.log.faults.delayed_appends = 1;
+  exit_runners(first);
+  exit_runners(second);
+  run_until([&] {
+    const TimePoint now = monotonic_now();
+    return first.quarantine.status(now)[0].recorded && second.quarantine.status(now)[0].recorded;
+  });
+  first.quarantine.record_progress(kPoisonRequest, monotonic_now());
+  run_until([&] { return !first.holds() && !second.holds(); });
+  second.log.apply_delayed();
+  Node restarted(loop, model);
+  loop.run_for(std::chrono::seconds(6));
+  EXPECT_FALSE(first.holds());
+  EXPECT_FALSE(restarted.holds());
+}
+
+TEST_F(QuarantineLogTest, RecordOfAnExpiredQuarantineDoesNotDropANewOne) {
+  const std::int64_t eleven_minutes_ago = wall_clock_ms() - 11 * 60 * 1000;
+  const QuarantineRecord expired{.since_ms = eleven_minutes_ago, .exits = 3};
+  model->append(kPartition, {{to_hex(value_of(kPoisonRequest)), encode_value(expired)}},
+                std::nullopt);
+  Node node(loop, model);
+  node.log.faults.down = true;
+  node.log.faults.allow_reads = true;
+  exit_runners(node);
+  loop.run_for(std::chrono::milliseconds(300));
+  node.log.faults.down = false;
+  loop.run_for(std::chrono::seconds(11));
+  EXPECT_TRUE(node.quarantine.status(monotonic_now())[0].recorded);
+}
+
+TEST_F(QuarantineLogTest, LoadsARecordWrittenBeforeTrialsWereCounted) {
+  const std::int64_t since_ms = wall_clock_ms();
+  constexpr std::uint32_t kExits = 3;
+  const std::string value = encode_value(since_ms) + encode_value(kExits);
+  model->append(kPartition, {{to_hex(value_of(kPoisonRequest)), value}}, std::nullopt);
+  Node node(loop, model);
+  loop.run_for(std::chrono::milliseconds(300));
+  EXPECT_TRUE(node.holds());
+}
+
 TEST_F(QuarantineLogTest, IgnoresMalformedRecords) {
   model->append(kPartition, {{"no hash", "x"}, {to_hex(8), "x"}}, std::nullopt);
   Node first(loop, model);
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -289,6 +289,49 @@
   EXPECT_TRUE(other.is_trial_due(kPoisonRequest, at(std::chrono::minutes(9))));
 }
 
+/// Claims each trial that is due, each of which ends a runner. Returns the number of trials.
+std::uint32_t run_trials(Quarantine& node, std::uint32_t exits, Duration from) {
+  std::uint32_t trials = 0;
+  for (Duration now = from; now < from + Quarantine::kQuarantineTime; now += kFirstTrial) {
+    if (!node.is_trial_due(kPoisonRequest, at(now))) continue;
+    const std::int64_t time_of_day = kTimeOfDayMs + now / std::chrono::milliseconds(1);
+    const QuarantineRecord claim = node.make_trial_record(kPoisonRequest, at(now), time_of_day);
+    node.apply_record(kPoisonRequest, claim, at(now), time_of_day);
+    ++trials;
+    exit_runners(node, exits + trials, exits + trials, now);
+  }
+  return trials;
+}
+
+TEST(QuarantineTest, QuarantineRestoredByOneExitHasNoTrialsLeft) {
+  Quarantine node = make_quarantine();
+  std::uint32_t recorded_exits = 0;
+  node.set_quarantined_handler(
+      [&](ContentHash, std::size_t exits) { recorded_exits = static_cast<std::uint32_t>(exits); });
+  exit_runners(node, 1, 3);
+  node.apply_record(kPoisonRequest, record_of(recorded_exits, 0), at({}), kTimeOfDayMs);
+  EXPECT_EQ(run_trials(node, 3, {}), 3U);
+  const Duration expired = Quarantine::kQuarantineTime + std::chrono::seconds(1);
+  node.expire(at(expired));
+  exit_runners(node, 7, 7, expired);
+  ASSERT_TRUE(node.contains(kPoisonRequest, at(expired)));
+  QuarantineRecord record = record_of(recorded_exits, 0);
+  record.since_ms += expired / std::chrono::milliseconds(1);
+  node.apply_record(kPoisonRequest, record, at(expired), record.since_ms);
+  EXPECT_EQ(run_trials(node, 7, expired), 0U);
+}
+
+TEST(QuarantineTest, ExitsAfterTheRecordCountAfterARestartOfAllNodes) {
+  Quarantine node = make_quarantine();
+  std::uint32_t recorded_exits = 0;
+  node.set_quarantined_handler(
+      [&](ContentHash, std::size_t exits) { recorded_exits = static_cast<std::uint32_t>(exits); });
+  exit_runners(node, 1, 5);
+  Quarantine restarted = make_quarantine();
+  restarted.apply_record(kPoisonRequest, record_of(recorded_exits, 0), at({}), kTimeOfDayMs);
+  EXPECT_LE(5 + run_trials(restarted, 5, {}), Quarantine::kMaxRunnerExits);
+}
+
 TEST(QuarantineTest, ProgressOfAQuarantinedRequestIsReportedToTheLog) {
   Quarantine node = make_quarantine();
   std::vector<ContentHash> innocent;
--- a/tests/quarantine/runner_starts_test.cc
+++ b/tests/quarantine/runner_starts_test.cc
@@ -121,6 +121,14 @@
   EXPECT_FALSE(period.covers_send(at(0), at(200)));
 }
 
+TEST(LivePeriodTest, DoesNotCoverASendBeforeTheProcessIsKnownToRun) {
+  LivePeriod period;
+  period.record_receive(at(0), at(100));
+  period.record_receive(at(2900), at(3000));
+  // Sent between the two periods, over a connection that nothing was received over.
+  EXPECT_FALSE(period.covers_send(at(1000), at(1001)));
+}
+
 TEST(LivePeriodTest, ReportOfAnOverlappingConnectionExtendsThePeriod) {
   LivePeriod period;
   period.record_receive(at(0), at(1000));
