Records of quarantines are written under a condition

Cause: the first record of a quarantine and its deletion were appended without a condition, so that one applied late replaced the record of a trial, restored a lifted quarantine or lifted a later one. Now each append holds only if the log ends where this node has read it, and the record is made when it is written. Ends that were under way, and those of an expired quarantine, count for the trials that are left. A send counts as received by a process only if that process is known to have been running before it. A probe gets 1 s and a connection of its own; an answer that closes the connection is one. A refused caller waits 1 s at least. Records of the form without trials are read.

--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -20,6 +20,8 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr std::uint32_t kHeadBytes = 64U * 1024;
+/// Maximum wait for the answer to a probe. A busy runner may let it wait for a slot.
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
 /// Maximum number of responses to other requests that are skipped before the connection counts as
 /// broken.
 constexpr int kMaxSkippedResponses = 4;
@@ -33,26 +35,6 @@
 
 }  // namespace
 
-std::string_view to_string(UpstreamStatus status) {
-  switch (status) {
-    case UpstreamStatus::kOk:
-      return "ok";
-    case UpstreamStatus::kNotSent:
-      return "not_sent";
-    case UpstreamStatus::kBroken:
-      return "broken";
-    case UpstreamStatus::kTimeout:
-      return "timeout";
-    case UpstreamStatus::kCancelled:
-      break;
-  }
-  return "cancelled";
-}
-
-std::string_view UpstreamHead::header(std::string_view name) const {
-  return find_header(headers, name);
-}
-
 struct UpstreamPool::State {
   State(asio::any_io_executor executor_in, HeaderDialect dialect_in)
       : executor(std::move(executor_in)), dialect(std::move(dialect_in)) {}
@@ -141,7 +123,7 @@
 
   asio::awaitable<UpstreamStatus> connect(Duration timeout);
   /// Sends a probe and reads its response.
-  /// @return whether the runner is well and keeps the connection open.
+  /// @return whether the runner is well.
   asio::awaitable<bool> probe(UpstreamProbe probe);
   asio::awaitable<UpstreamStatus> read_next_head();
   asio::awaitable<UpstreamStatus> read_some(std::string_view& view);
@@ -166,6 +148,7 @@
   TimePoint connected{};
   TimePoint sent{};
   int probe_status = 0;
+  bool probe_keeps_connection = false;
   std::unique_ptr<Tcp::socket> socket;
   beast::flat_buffer buffer;
   std::unique_ptr<Parser> parser;
@@ -193,6 +176,8 @@
 }
 
 asio::awaitable<bool> UpstreamExchange::State::probe(UpstreamProbe probe) {
+  const TimePoint request_deadline = deadline;
+  set_deadline(std::min(request_deadline, monotonic_now() + kProbeTimeout));
   http::request<http::empty_body> message(http::verb::get, probe.target, 11);
   for (const auto& header : probe.headers) message.insert(header.name, header.value);
   const auto [write_error, written_bytes] = co_await http::async_write(*socket, message, kNoThrow);
@@ -205,9 +190,10 @@
   // Nothing of the request has been sent, so a closed connection says nothing about the request.
   closed_by_runner = false;
   if (status != UpstreamStatus::kOk) co_return false;
+  deadline = request_deadline;
   probe_status = parser->get().result_int();
-  const bool is_well = parser->get().result() == http::status::ok;
-  co_return is_well && parser->keep_alive() && !parser->need_eof() && buffer.size() == 0;
+  probe_keeps_connection = parser->keep_alive() && !parser->need_eof() && buffer.size() == 0;
+  co_return parser->get().result() == http::status::ok;
 }
 
 bool UpstreamExchange::State::matches_request_id() const {
@@ -288,7 +274,8 @@
   state->address = request.address;
   state->runner = request.runner;
   state->request_id = request.request_id;
-  if (request.max_idle_time.count() > 0) {
+  // The runner may be closing an idle connection, so that its probe would show nothing.
+  if (request.max_idle_time.count() > 0 && !request.probe) {
     auto idle = state->pool.idle.take(request.address, request.runner, request.max_idle_time);
     state->socket = std::move(idle.socket);
     state->connected = idle.connected;
@@ -302,6 +289,11 @@
     const bool answered = co_await state->probe(std::move(probe));
     if (state->end_status == UpstreamStatus::kCancelled) co_return state->end_status;
     if (!answered) co_return UpstreamStatus::kNotSent;
+    if (!state->probe_keeps_connection) {
+      state->buffer.clear();
+      const UpstreamStatus status = co_await state->connect(connect_timeout);
+      if (status != UpstreamStatus::kOk) co_return status;
+    }
   }
   state->sent = monotonic_now();
   auto& message = state->request;
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -86,7 +86,8 @@
                      .probe_unavailable = requires_live_runner && !is_probed};
   quarantine_check_.record_run(make_finished_run(*runner, run));
   probe_status_ = upstream->probe_status();
-  if (may_have_run(result)) has_claimed_trial_ = false;
+  const bool had_request = upstream->sent() != TimePoint{} && result != AttemptResult::kNotRun;
+  if (had_request) has_claimed_trial_ = false;
   upstream_.reset();
   record_attempt(*runner, result);
   co_return result;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -138,13 +138,30 @@
   }
 }
 
+/// Exits that were under way when the request was quarantined leave fewer trials, also after a
+/// restart of all nodes.
+void Quarantine::update_exits(ContentHash content) {
+  QuarantinedRequest& request = quarantined_.at(content);
+  const auto known = static_cast<std::uint32_t>(exit_table_.exit_count(content));
+  const std::uint32_t beside_trials = known - std::min(known, request.trials);
+  if (beside_trials <= request.exits) return;
+  request.exits = beside_trials;
+  const bool observed_locally = observed_locally_.contains(content);
+  if (observed_locally && quarantined_handler_) quarantined_handler_(content, beside_trials);
+}
+
 void Quarantine::evaluate(ContentHash content, TimePoint now) {
-  if (contains(content, now)) return;
+  if (contains(content, now)) {
+    update_exits(content);
+    return;
+  }
   const bool recurred =
       on_probation_.contains(content) && exit_table_.attributed_weight(content) > 0;
   if (!recurred && !exit_table_.over_limit(content)) return;
   const bool observed_locally = observed_locally_.contains(content);
-  const std::size_t exits = exit_table_.exit_count(content);
+  const auto earlier = on_probation_.find(content);
+  const std::size_t exits =
+      exit_table_.exit_count(content) + (earlier == on_probation_.end() ? 0 : earlier->second);
   quarantined_[content] = {.until = now + kQuarantineTime,
                            .exits = static_cast<std::uint32_t>(exits),
                            .lifted_position = lifts_.position(content)};
@@ -198,9 +215,9 @@
     if (now >= request.until) removed.push_back(content);
   }
   for (const ContentHash content : removed) {
+    on_probation_[content] = possible_exits(content, quarantined_.at(content));
     quarantined_.erase(content);
     exit_table_.forget(content);
-    on_probation_.insert(content);
     log_event(Event::kQuarantineEnded,
               {{"content", to_hex(value_of(content))}, {"reason", "time"}});
   }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -19,13 +19,15 @@
 
 namespace stoathold {
 
-/// A quarantined request, which is sent to no runner.
+/// A quarantined request, which is sent to no runner except for trials.
 struct QuarantinedRequest {
   TimePoint until{};
-  std::uint32_t trials = 0;           ///< Trials that were claimed in the log.
-  TimePoint next_trial{};             ///< Not set before the log is known to contain its record.
-  bool recorded = false;              ///< The log is known to contain its record.
-  std::uint32_t exits = 0;            ///< Number of runner starts that had exited with the request.
+  std::uint32_t trials = 0;          ///< Trials that were claimed in the log.
+  std::uint32_t recorded_exits = 0;  ///< `exits` of its record.
+  TimePoint next_trial{};            ///< Not set before the log is known to contain its record.
+  bool recorded = false;             ///< The log is known to contain its record.
+  /// Number of runner starts that had exited with the request, without those of trials.
+  std::uint32_t exits = 0;
   std::uint64_t lifted_position = 0;  ///< `Lift::position` of the last lift before it began.
 };
 
@@ -51,15 +53,15 @@
 /// A quarantine expires after `kQuarantineTime`. After that a single further exit restores it.
 ///
 /// Before that, the request is tried again: a trial is one run of it, by one node of the fleet, at
-/// a runner that has just responded. It is claimed in the log first, so that a request is never at
-/// more than `kMaxRunnerExits` runners that exit. If the request makes progress, its record is
-/// deleted, which lifts the quarantine at all nodes.
+/// a runner that has just responded. It is claimed in the log first, and counts as an exit. There
+/// are no trials once `kMaxRunnerExits` exits are counted. If the request makes progress, its
+/// record is deleted, which lifts the quarantine at all nodes.
 class Quarantine {
  public:
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
   /// Delay from the record of a quarantine to the first trial. It doubles with each trial.
   static constexpr Duration kFirstTrialDelay = std::chrono::seconds(5);
-  /// Maximum number of runners that exit with one request while it is in quarantine and before.
+  /// Number of exits, trials included, from which on a request is not tried.
   static constexpr std::uint32_t kMaxRunnerExits = 6;
 
   /// @param life_source returns what is known of a runner; one that was running before and after
@@ -96,8 +98,12 @@
   [[nodiscard]] Duration retry_after(ContentHash content, TimePoint now) const;
   /// Returns whether a trial of the request may be claimed now.
   [[nodiscard]] bool is_trial_due(ContentHash content, TimePoint now) const;
-  /// Returns the record with which a trial is claimed.
-  /// @param content of a quarantined request.
+  /// Returns whether the log does not contain a record with what this node knows of a quarantine.
+  [[nodiscard]] bool needs_record(ContentHash content, TimePoint now) const;
+  /// Returns the record of a quarantined request.
+  [[nodiscard]] QuarantineRecord make_record(ContentHash content, TimePoint now,
+                                             std::int64_t time_of_day_ms) const;
+  /// Returns the record with which a trial of a quarantined request is claimed.
   [[nodiscard]] QuarantineRecord make_trial_record(ContentHash content, TimePoint now,
                                                    std::int64_t time_of_day_ms) const;
   /// Returns all quarantined requests, for operators.
@@ -177,6 +183,7 @@
   [[nodiscard]] std::uint32_t possible_exits(ContentHash content,
                                              const QuarantinedRequest& request) const;
   [[nodiscard]] bool has_trial_left(ContentHash content, const QuarantinedRequest& request) const;
+  void update_exits(ContentHash content);
   void evaluate(ContentHash content, TimePoint now);
   void record_unproven_exit(ContentHash content, std::uint64_t runner, TimePoint now);
   void add_report(const RunnerExitReport& report, TimePoint at);
@@ -197,7 +204,8 @@
   RunnerExitTable exit_table_;
   UnprovenExits unproven_exits_;
   std::map<ContentHash, QuarantinedRequest> quarantined_;
-  std::set<ContentHash> on_probation_;
+  /// Requests whose quarantine expired, with the exits that it counted.
+  std::map<ContentHash, std::uint32_t> on_probation_;
   std::set<ContentHash> observed_locally_;  ///< Requests with an exit observed by this node itself.
   LiftTable lifts_;
   PendingReports zone_reports_;
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -23,6 +23,14 @@
 /// Interval of the checks for expired quarantines.
 constexpr Duration kExpiryInterval = std::chrono::seconds(5);
 
+bool decode_record(const std::string& bytes, QuarantineRecord& record) {
+  if (decode_value(bytes, record)) return true;
+  QuarantineRecordWithoutTrials earlier;
+  if (!decode_value(bytes, earlier)) return false;
+  record = {.since_ms = earlier.since_ms, .exits = earlier.exits};
+  return true;
+}
+
 }  // namespace
 
 QuarantineLog::QuarantineLog(asio::any_io_executor executor, RecordLog& log, Quarantine& quarantine)
@@ -30,12 +38,11 @@
       log_(log),
       quarantine_(quarantine),
       replica_(std::make_shared<PartitionReplica>(log, kQuarantinePartition, *this)) {
-  quarantine_.set_quarantined_handler([this](ContentHash content, std::size_t exits) {
-    const QuarantineRecord record{wall_clock_ms(), static_cast<std::uint32_t>(exits)};
+  quarantine_.set_quarantined_handler([this](ContentHash content, std::size_t /*exits*/) {
     own_records_.insert(content);
-    write(content, encode_value(record));
+    write(content, Change::kRecord);
   });
-  quarantine_.set_progress_handler([this](ContentHash content) { write(content, {}); });
+  quarantine_.set_progress_handler([this](ContentHash content) { write(content, Change::kLift); });
 }
 
 asio::awaitable<bool> QuarantineLog::claim_trial(ContentHash content) {
@@ -67,23 +74,16 @@
   std::uint64_t hash = 0;
   QuarantineRecord value;
   const bool readable =
-      parse_hex(record.key, hash) && (record.value.empty() || decode_value(record.value, value));
+      parse_hex(record.key, hash) && (record.value.empty() || decode_record(record.value, value));
   if (!readable) {
     log_event(Event::kRecordMalformed,
               {{"key", record.key}, {"offset", std::to_string(record.offset)}});
     return;
   }
   if (record.value.empty()) {
-    // A record of the lifted quarantine that is not written yet would restore it.
-    const auto pending = pending_writes_.find(record.key);
-    if (pending != pending_writes_.end() && !pending->second.empty())
-      pending_writes_.erase(pending);
+    pending_changes_.erase(ContentHash{hash});
     quarantine_.lift(ContentHash{hash}, {.position = record.offset + 1, .at = monotonic_now()});
   } else {
-    // Written again, the record of the quarantine would replace those of its trials.
-    const auto pending = pending_writes_.find(record.key);
-    if (pending != pending_writes_.end() && !pending->second.empty())
-      pending_writes_.erase(pending);
     quarantine_.apply_record(ContentHash{hash}, value, monotonic_now(), wall_clock_ms());
   }
 }
@@ -101,31 +101,52 @@
   quarantine_.retain_only(contents, {.position = position, .at = monotonic_now()});
 }
 
-void QuarantineLog::write(ContentHash content, std::string value) {
-  pending_writes_[to_hex(value_of(content))] = std::move(value);
+void QuarantineLog::write(ContentHash content, Change change) {
+  pending_changes_[content] = change;
   if (writing_) return;
   writing_ = true;
   asio::co_spawn(executor_, write_all(), asio::detached);
 }
 
-/// A record without a response is written again; duplicate records are harmless.
+std::vector<KeyedRecord> QuarantineLog::take_records() {
+  const TimePoint now = monotonic_now();
+  std::erase_if(pending_changes_, [&](const auto& entry) {
+    const auto& [content, change] = entry;
+    if (change == Change::kRecord) return !quarantine_.needs_record(content, now);
+    return change == Change::kExpire && quarantine_.contains(content, now);
+  });
+  std::vector<KeyedRecord> records;
+  for (const auto& [content, change] : pending_changes_) {
+    KeyedRecord& record = records.emplace_back();
+    record.key = to_hex(value_of(content));
+    if (change != Change::kRecord) continue;
+    record.value = encode_value(quarantine_.make_record(content, now, wall_clock_ms()));
+  }
+  return records;
+}
+
+/// Each append is conditional, so that one that is applied late cannot replace a newer record: of a
+/// trial, a lift or a later quarantine.
 asio::awaitable<void> QuarantineLog::write_all() {
   Backoff backoff;
   Timer timer(executor_);
-  while (!pending_writes_.empty()) {
-    const auto batch = pending_writes_;
-    std::vector<KeyedRecord> records;
-    for (const auto& [key, value] : batch) records.push_back({key, value});
-    const AppendResult result =
-        co_await log_.append(kQuarantinePartition, std::move(records), std::nullopt);
+  while (true) {
+    const std::vector<KeyedRecord> records = take_records();
+    if (records.empty()) break;
+    const std::map<ContentHash, Change> sent = pending_changes_;
+    const std::optional<RecordOffset> expected_end = replica_->next_offset();
+    const AppendResult result = co_await log_.append(kQuarantinePartition, records, expected_end);
     if (result.status == LogStatus::kOk) {
       backoff.reset();
-      std::erase_if(pending_writes_, [&](const auto& entry) {
-        const auto sent = batch.find(entry.first);
-        return sent != batch.end() && sent->second == entry.second;
+      std::erase_if(pending_changes_, [&](const auto& entry) {
+        const auto found = sent.find(entry.first);
+        return found != sent.end() && found->second == entry.second;
       });
+      replica_->apply_appended(result.offset, records);
       continue;
     }
+    const LogStatus read = co_await replica_->catch_up();
+    if (result.status == LogStatus::kConflict && read == LogStatus::kOk) continue;
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
@@ -138,7 +159,7 @@
     timer.expires_after(kExpiryInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     for (const ContentHash content : quarantine_.expire(monotonic_now())) {
-      if (own_records_.erase(content) > 0) write(content, {});
+      if (own_records_.erase(content) > 0) write(content, Change::kExpire);
     }
   }
 }
--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -29,7 +29,16 @@
   void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
 
  private:
-  void write(ContentHash content, std::string value);
+  /// A change of a request's record that is not written yet.
+  enum class Change : std::uint8_t {
+    kRecord,  ///< The quarantine is recorded, as it is known when it is written.
+    kLift,    ///< The record is deleted, which lifts the quarantine.
+    kExpire,  ///< The record of an expired quarantine is deleted.
+  };
+
+  void write(ContentHash content, Change change);
+  /// Returns the records to write for the pending changes, and drops changes that are not needed.
+  std::vector<KeyedRecord> take_records();
   boost::asio::awaitable<void> write_all();
   boost::asio::awaitable<void> expire_periodically();
 
@@ -37,8 +46,7 @@
   RecordLog& log_;
   Quarantine& quarantine_;
   std::shared_ptr<PartitionReplica> replica_;
-  /// Values by key; an empty value deletes the record.
-  std::map<std::string, std::string> pending_writes_;
+  std::map<ContentHash, Change> pending_changes_;
   /// Records that this node deletes when their quarantine expires.
   std::set<ContentHash> own_records_;
   std::set<ContentHash> claiming_;  ///< Requests with a claim under way.
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -81,4 +81,15 @@
   }
 };
 
+/// Log record of a quarantined request in the format without trials.
+struct QuarantineRecordWithoutTrials {
+  std::int64_t since_ms = 0;
+  std::uint32_t exits = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(since_ms, exits);
+  }
+};
+
 }  // namespace stoathold
--- a/src/quarantine/quarantine_trials.cc
+++ b/src/quarantine/quarantine_trials.cc
@@ -6,6 +6,12 @@
 #include "quarantine/quarantine.h"
 
 namespace stoathold {
+namespace {
+
+/// A trial that is due is claimed by one caller only; the others wait for its result.
+constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
+
+}  // namespace
 
 std::uint32_t Quarantine::possible_exits(ContentHash content,
                                          const QuarantinedRequest& request) const {
@@ -27,16 +33,30 @@
   const Duration left = time_left(content, now);
   const auto found = quarantined_.find(content);
   if (found == quarantined_.end() || !has_trial_left(content, found->second)) return left;
-  return std::min(left, std::max(Duration{0}, found->second.next_trial - now));
+  return std::min(left, std::max(kMinRetryAfter, found->second.next_trial - now));
 }
 
-QuarantineRecord Quarantine::make_trial_record(ContentHash content, TimePoint now,
-                                               std::int64_t time_of_day_ms) const {
+bool Quarantine::needs_record(ContentHash content, TimePoint now) const {
+  if (!contains(content, now)) return false;
+  const QuarantinedRequest& request = quarantined_.at(content);
+  return !request.recorded || request.exits > request.recorded_exits;
+}
+
+QuarantineRecord Quarantine::make_record(ContentHash content, TimePoint now,
+                                         std::int64_t time_of_day_ms) const {
   const QuarantinedRequest& request = quarantined_.at(content);
   const Duration age = now + kQuarantineTime - request.until;
   const auto age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
-  const std::uint32_t exits = possible_exits(content, request) - request.trials;
-  return {.since_ms = time_of_day_ms - age_ms, .exits = exits, .trials = request.trials + 1};
+  return {.since_ms = time_of_day_ms - age_ms, .exits = request.exits, .trials = request.trials};
+}
+
+QuarantineRecord Quarantine::make_trial_record(ContentHash content, TimePoint now,
+                                               std::int64_t time_of_day_ms) const {
+  const QuarantinedRequest& request = quarantined_.at(content);
+  QuarantineRecord record = make_record(content, now, time_of_day_ms);
+  record.exits = possible_exits(content, request) - request.trials;
+  ++record.trials;
+  return record;
 }
 
 std::vector<QuarantineStatus> Quarantine::status(TimePoint now) const {
@@ -63,6 +83,7 @@
   QuarantinedRequest& request = quarantined_[content];
   const bool is_first_record = !request.recorded;
   request.recorded = true;
+  request.recorded_exits = record.exits;
   request.exits = std::max(request.exits, record.exits);
   if (is_first_record || record.trials > request.trials) {
     request.trials = std::max(request.trials, record.trials);
--- a/src/quarantine/runner_life.h
+++ b/src/quarantine/runner_life.h
@@ -57,10 +57,10 @@
     }
   }
 
-  /// Returns whether this process accepted a connection opened at `connected`, and was running when
-  /// a request was sent over it at `sent`. Holds only for a period of this node's own connections.
+  /// Returns whether this process was running when a request was sent at `sent` over a connection
+  /// opened at `connected`. Holds only for a period of this node's own connections.
   [[nodiscard]] bool covers_send(TimePoint connected, TimePoint sent) const {
-    return connected <= until_ && sent - kLivenessValidity <= until_;
+    return since_ <= sent && connected <= until_ && sent - kLivenessValidity <= until_;
   }
 
   /// Returns whether the runner was running before and after a time, without a restart.
--- a/tests/quarantine/quarantine_log_test.cc
+++ b/tests/quarantine/quarantine_log_test.cc
@@ -96,8 +96,9 @@
   Node first(loop, model);
   Node second(loop, model);
   exit_runners(first);
-  run_until([&] { return second.holds() && first.quarantine.status(monotonic_now())[0].recorded; });
+  run_until([&] { return first.quarantine.status(monotonic_now())[0].recorded; });
   EXPECT_FALSE(claims_trial(first));
+  run_until([&] { return second.holds(); });
   loop.run_for(Quarantine::kFirstTrialDelay + std::chrono::milliseconds(200));
   first.log.faults.drop_appends = 1;
   EXPECT_FALSE(claims_trial(first));
