--- a/src/store/topic_service.cc
+++ b/src/store/topic_service.cc
@@ -21,6 +21,13 @@
 constexpr Duration kHealthCheckInterval = std::chrono::milliseconds(250);
 constexpr std::string_view kBinary = "application/octet-stream";
 
+/// Returns where a reader continues that asked from `from` and gets `records`.
+RecordOffset next_offset_for(const PartitionReplica& replica, const TopicCache& cache,
+                             const std::vector<StoredRecord>& records, RecordOffset from) {
+  const RecordOffset next = records.empty() ? from : records.back().offset + 1;
+  return cache.has_records_from(next) ? next : std::max(next, replica.next_offset());
+}
+
 }  // namespace
 
 void TopicService::add(std::shared_ptr<PartitionReplica> replica, TopicCache& cache) {
@@ -75,10 +82,7 @@
   }
   page.end = health.end;
   page.deletions_from = partition.cache->deletions_from();
-  page.next = page.records.empty() ? from : page.records.back().offset + 1;
-  if (!partition.cache->has_records_from(page.next)) {
-    page.next = std::max(page.next, partition.replica->next_offset());
-  }
+  page.next = next_offset_for(*partition.replica, *partition.cache, page.records, from);
   page.confirmed_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(health.confirmed - arrival).count();
   std::string body = encode_page(page);
