--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -80,6 +80,7 @@
     runners_.resize(scenario.runners > 0 ? scenario.runners
                                          : std::max<std::size_t>(4, scenario.nodes));
     for (auto& runner : runners_) runner.id = ++next_id_;
+    if (scenario.flapping == 0) return;
     for (auto& runner : runners_) runner.flaps = random_.unit() < scenario.flapping;
   }
 
