--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -89,6 +89,7 @@
   deadline_ = arrival_ + time_limit;
   id_ = std::string(exchange_.header(dialect.request_id));
   last_event_ = parse_number(exchange_.header(dialect.last_event_id));
+  resumed_attempt_ = std::string(exchange_.header(dialect.resumes));
   const std::string_view connection = exchange_.header("Connection");
   for (auto& header : exchange_.headers()) {
     const bool replaced = same_header_name(header.name, dialect.deadline_ms) ||
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -121,6 +121,9 @@
   QuarantineCheck quarantine_check_;
   std::string service_;
   std::string id_;
+  /// Id of the caller's attempt that delivered the first event of the stream that this request
+  /// resumes; empty if the caller names none.
+  std::string resumed_attempt_;
   TimePoint arrival_;
   TimePoint deadline_;
   PromptPrefix prompt_;
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -26,6 +26,8 @@
 /// Largest fraction of the caller's timeout that is reserved for the usual time to the first event
 /// and therefore cannot be spent waiting.
 constexpr double kMaxFirstEventFraction = 0.25;
+/// Maximum length of an id of the caller's in a log line.
+constexpr std::size_t kMaxLoggedIdBytes = 64;
 
 }  // namespace
 
@@ -122,6 +124,9 @@
   log_event(sends_ == 0 ? Event::kRequestSent : Event::kRequestSentAgain,
             {{"request", id_},
              {"runner", choice.runner->record().id},
+             {"version", choice.runner->record().software_version},
+             {"resumes", resumed_attempt_.substr(0, kMaxLoggedIdBytes)},
+             {"last_event", last_event_ ? std::to_string(*last_event_) : "none"},
              {"choice", choice_text_},
              {"configuration", std::to_string(configuration_->version)},
              {"age_ms", milliseconds_text(now - arrival_)}});
--- a/src/routing/runner.h
+++ b/src/routing/runner.h
@@ -29,6 +29,7 @@
   std::uint32_t slots = 1;
   bool draining = false;
   std::optional<RunnerStartTime> start = std::nullopt;  ///< Empty if the runner does not report it.
+  std::string software_version{};  ///< Of its software, not of the weights; empty if not reported.
 
   [[nodiscard]] RunnerIdentity identity() const { return {id, start}; }
 };
