--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -106,6 +106,8 @@
                      "Processing time as a percentage of --gap-ms");
   command.add_flag("--reports-slowness", options.runner.reports_slowness,
                    "Report the current slowness in the load header");
+  command.add_option("--software-version", options.runner.software_version,
+                     "Software version, which begins the data of each event");
   command.add_option("--crash-body", options.runner.crash_body,
                      "Exit on starting the response to a request with this body");
 }
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -71,6 +71,7 @@
         self.key = None  # API key of requests that name none.
         self.runner_options = runner_options or {}  # By name: additional arguments of that runner.
         self.replacement_count = 0
+        self.versions = {}  # By runner name: the software version that its entry lists; default "1".
         self.start_times = {}  # By runner id: the start time (`born`) that it reports.
         link = link or (lambda kind, name, address: address)
         ports = free_ports(1 + runners + 3 * nodes)
@@ -181,8 +182,8 @@
         key = runner_id or name
         self.append("keyed.servers", key, {
             "service": "chat", "address": self.runner_addresses[name], "zone": "z1", "slots": 4,
-            "state": state, "version": "1", "cold_remaining_ms": 0, "sequence": 1,
-            "born": self.start_times[key]})
+            "state": state, "version": self.versions.get(name, "1"), "cold_remaining_ms": 0,
+            "sequence": 1, "born": self.start_times[key]})
 
     def configure(self, version, extra_routes=(), tenants=None, extra_services=()):
         routes = [
