Streams go on only at the software version that began them

Cause: the version of a runner was never read, and what a stream is bound to lived in no place. The next node of a caller's next try, and the next attempt inside an answer, selected among all runners.

Now a stream is bound to the service and software version of the runner whose first event is delivered (StreamOrigin). Inside an answer only runners of it are selected. When a caller takes a stream up, its origin is looked up by the attempt that `Resumes` names: at this node, then at those that rendezvous hashing selects in three zones and that were sent a copy before the first event was delivered. While only one version has served for as long as a stream can live, nothing is sent: the version follows from the directory's history, once its list was read again after the resumption arrived. What nobody knows, and what no runner of the version can serve, is refused at once (503, not run). Lost copies and cut-off nodes therefore cost a resumption, never a mixed stream.

--- a/src/admission/admission_control.h
+++ b/src/admission/admission_control.h
@@ -15,7 +15,8 @@
 enum class AdmissionClass : std::uint8_t {
   kNewRequest,
   kBookedRetry,  ///< Its caller retried at the time given by its Retry-After.
-  kStarted,  ///< It has run or its response has started; rejecting it would abort that response.
+  /// It has run, or the caller has a part of its response; rejecting it would abort that response.
+  kStarted,
 };
 
 /// Position of a request among the requests for its service that are queued at its node and can
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -132,6 +132,12 @@
     EventEntry{Event::kDenialUnconfirmed, "denial_unconfirmed", EventLevel::kInfo,
                "The current configuration denies a request, but neither the store nor another node "
                "confirmed that it is the newest; the request got 503."},
+    EventEntry{Event::kStreamResumed, "stream_resumed", EventLevel::kInfo,
+               "A caller took up a stream again, which goes on at runners of `version`; `origin` "
+               "says how that is known, and `from` which node said so."},
+    EventEntry{Event::kResumptionRefused, "resumption_refused", EventLevel::kInfo,
+               "A stream that a caller took up again cannot go on, since it is not known which "
+               "version began it or no runner can continue it; the caller got 503."},
     EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
                "The directory lists a new runner, or new values for a known one."},
     EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -72,6 +72,8 @@
   kDenialUnconfirmed = 1519,
   kRunnerEndUnproven = 1520,
   kQuarantineTrial = 1521,
+  kStreamResumed = 1522,
+  kResumptionRefused = 1523,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -24,6 +24,7 @@
 #include "routing/placement_queue.h"
 #include "routing/runner_registry.h"
 #include "routing/runner_speed.h"
+#include "routing/stream_origins.h"
 #include "routing/traffic_split.h"
 #include "tenancy/tenant_rate_limiter.h"
 
@@ -38,6 +39,7 @@
         executor(std::move(executor_in)),
         dialect(std::move(dialect_in)),
         zone(std::move(zone_in)),
+        origins(executor, runners),
         placement(executor, runners),
         admission(load_policy, runners, placement, zone),
         pool(executor, dialect),
@@ -86,6 +88,14 @@
     co_return claimed;
   }
 
+  /// Returns whether the list of runners that is known when this completes contains everything that
+  /// the directory listed before this call.
+  boost::asio::awaitable<bool> confirm_runner_list() {
+    if (!runner_list_confirmer) co_return false;
+    const bool confirmed = co_await runner_list_confirmer();
+    co_return confirmed;
+  }
+
   /// Updates the load policy after a change of the deployment's traits, such as a new configuration
   /// or the first runner that reports its slowness.
   void set_traits(const DeploymentTraits& next) {
@@ -108,6 +118,7 @@
   DeploymentTraits traits;
   LoadPolicy load_policy;  ///< Overload policies that are enabled.
   RunnerRegistry runners;
+  StreamOrigins origins;
   TrafficSplit split;
   PlacementQueue placement;
   OnlineAdmission admission;
@@ -117,6 +128,8 @@
   Quarantine quarantine;
   /// Null: quarantined requests are not tried.
   std::function<boost::asio::awaitable<bool>(ContentHash)> trial_claimer;
+  /// Reads the directory's list to its end; null: it cannot be confirmed.
+  std::function<boost::asio::awaitable<bool>()> runner_list_confirmer;
   GatewayMetrics metrics;
   StartupProgress startup{monotonic_now()};
   TenantRateLimiter tenant_limits;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -46,6 +46,8 @@
   std::map<std::string, std::uint64_t> shortages;
   std::uint64_t cut_off_bytes = 0;  ///< Buffered for callers that were disconnected.
   std::uint64_t resumes = 0;
+  /// Streams taken up by callers, by how their origin was known or why they were refused.
+  std::map<std::string, std::uint64_t> resumptions;
   std::uint64_t requests_open = 0;
   LatencyHistogram first_event;    ///< From a request's arrival to the first byte of its response.
   LatencyHistogram store_latency;  ///< Of calls to the store that do not wait for records.
--- a/src/gateway/header_dialect.h
+++ b/src/gateway/header_dialect.h
@@ -9,9 +9,9 @@
 
 /// Header names, compared case-insensitively.
 struct HeaderDialect {
-  std::string request_id = "X-Request-Id";        ///< Id of one attempt of a caller.
-  std::string deadline_ms = "X-Deadline-Ms";      ///< Milliseconds until the deadline.
-  std::string last_event_id = "Last-Event-Id";    ///< Resume after this event.
+  std::string request_id = "X-Request-Id";      ///< Id of one attempt of a caller.
+  std::string deadline_ms = "X-Deadline-Ms";    ///< Milliseconds until the deadline.
+  std::string last_event_id = "Last-Event-Id";  ///< Resume after this event.
   /// Id of the caller's attempt that delivered the first event of the stream to resume.
   std::string resumes = "X-Resumes";
   std::string prompt_prefix = "X-Prompt-Prefix";  ///< Segments of the prompt, `id:tokens,...`.
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -56,6 +56,8 @@
     co_await refuse(refusal);
   } else if (runs_ == 0 && rejection_) {
     co_await refuse_rejected();
+  } else if (runs_ == 0 && origin_ && !has_runner_of_origin()) {
+    co_await refuse_resumption(kNoRunnerOfVersion);
   } else if (runs_ == 0) {
     const Refusal refusal{.status = 503, .reason = "no_runner"};
     co_await refuse(refusal);
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -113,6 +113,7 @@
     events.append(event->raw);
   }
   if (events.empty()) co_return true;
+  record_origin(runner);
   record_first_event(runner);
   record_event_gap(runner);
   if (!head_sent_) {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -90,6 +90,9 @@
   id_ = std::string(exchange_.header(dialect.request_id));
   last_event_ = parse_number(exchange_.header(dialect.last_event_id));
   resumed_attempt_ = std::string(exchange_.header(dialect.resumes));
+  const bool names_event = !exchange_.header(dialect.last_event_id).empty();
+  is_resumption_ = names_event && route_.kind == RouteKind::kStreaming;
+  has_malformed_position_ = is_resumption_ && !last_event_;
   const std::string_view connection = exchange_.header("Connection");
   for (auto& header : exchange_.headers()) {
     const bool replaced = same_header_name(header.name, dialect.deadline_ms) ||
@@ -127,12 +130,22 @@
   const auto self = shared_from_this();
   ++context_.metrics.requests_open;
   start_cancellation_watches();
-  co_await run_attempts();
+  co_await run();
   deadline_timer_.cancel();
   --context_.metrics.requests_open;
   co_return outcome_;
 }
 
+asio::awaitable<void> OnlineRequest::run() {
+  if (has_malformed_position_) {
+    co_await refuse_malformed_position();
+    co_return;
+  }
+  bool may_run = true;
+  if (is_resumption_) may_run = co_await resolve_origin();
+  if (may_run) co_await run_attempts();
+}
+
 asio::awaitable<void> OnlineRequest::run_attempts() {
   while (!stopped_ && sends_ < kMaxSends) {
     // A request that crashes its runners is retried under other ids at any node. Identified by its
@@ -212,8 +225,8 @@
 
 bool OnlineRequest::has_alternative() const {
   if (runs_ + 1 >= route_.max_attempts) return false;
-  const SelectionRequest request{
-      .service = service_, .zone = context_.zone, .excluded = tried_runners_};
+  SelectionRequest request{.service = service_, .zone = context_.zone, .excluded = tried_runners_};
+  if (origin_) request.software_version = origin_->version;
   return select_runner(context_.runners, request, monotonic_now()).runner != nullptr;
 }
 
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -17,6 +17,7 @@
 #include "gateway/prompt_prefix.h"
 #include "net/http.h"
 #include "quarantine/quarantine_check.h"
+#include "routing/stream_origin.h"
 
 namespace stoathold {
 
@@ -55,11 +56,15 @@
   [[nodiscard]] std::optional<Duration> response_delay() const { return response_delay_; }
 
  private:
+  static constexpr const char* kNoRunnerOfVersion = "no_runner_of_version";
+  /// Maximum length of an id of the caller's in a log line.
+  static constexpr std::size_t kMaxLoggedIdBytes = 64;
   /// Events per measurement of the event gap; a response of usual length has several such windows.
   static constexpr std::uint64_t kGapWindowEvents = 8;
 
   void read_request();
   void start_cancellation_watches();
+  boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> run_attempts();
   boost::asio::awaitable<AttemptResult> attempt(const std::shared_ptr<Runner>& runner);
   boost::asio::awaitable<AttemptResult> relay_response(Runner& runner);
@@ -92,6 +97,12 @@
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   [[nodiscard]] AttemptResult classify_failure(UpstreamStatus status) const;
   void release_slot(Runner& runner);
+  boost::asio::awaitable<bool> resolve_origin();
+  boost::asio::awaitable<void> refuse_resumption(const char* reason);
+  boost::asio::awaitable<void> refuse_malformed_position();
+  [[nodiscard]] StreamKey own_stream_key(std::string_view attempt_id) const;
+  void record_origin(const Runner& runner);
+  [[nodiscard]] bool has_runner_of_origin() const;
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] bool has_alternative() const;
   [[nodiscard]] bool access_revoked() const;
@@ -124,6 +135,11 @@
   /// Id of the caller's attempt that delivered the first event of the stream that this request
   /// resumes; empty if the caller names none.
   std::string resumed_attempt_;
+  bool is_resumption_ = false;  ///< The caller takes up a stream that an earlier attempt began.
+  bool has_malformed_position_ = false;  ///< The caller's last event id is not a number.
+  /// The only runners at which the stream may go on. Set before the first event is delivered, and
+  /// from the start for a resumption.
+  std::optional<StreamOrigin> origin_;
   TimePoint arrival_;
   TimePoint deadline_;
   PromptPrefix prompt_;
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -26,12 +26,13 @@
 /// Largest fraction of the caller's timeout that is reserved for the usual time to the first event
 /// and therefore cannot be spent waiting.
 constexpr double kMaxFirstEventFraction = 0.25;
-/// Maximum length of an id of the caller's in a log line.
-constexpr std::size_t kMaxLoggedIdBytes = 64;
 
 }  // namespace
 
 asio::awaitable<std::shared_ptr<Runner>> OnlineRequest::acquire_slot() {
+  rejection_.reset();
+  // Nothing is gained by a wait for runners that will not come back.
+  if (origin_ && !has_runner_of_origin()) co_return nullptr;
   PlacementRequest request;
   request.selection = {.service = service_,
                        .zone = context_.zone,
@@ -50,7 +51,11 @@
   const Duration first_event = context_.first_event_times.expected(route_.name);
   request.due = arrival_ + route_.latency_objective - first_event;
   request.queue_deadline = std::min(arrival_ + kMaxSlotWait, deadline_);
-  request.is_obsolete = [this] { return !is_on_trial_ && quarantine_check_.is_quarantined(); };
+  if (origin_) request.selection.software_version = origin_->version;
+  request.is_obsolete = [this] {
+    const bool is_quarantined = !is_on_trial_ && quarantine_check_.is_quarantined();
+    return is_quarantined || (origin_ && !has_runner_of_origin());
+  };
   if (head_sent_) {
     // The caller is already reading the stream, so the next event is due regardless of when the
     // request arrived.
@@ -99,7 +104,8 @@
     admission_class_ =
         context_.admission.classify_arrival(service_, caller_.tenant, priority(), content);
   }
-  return head_sent_ || runs_ > 0 ? AdmissionClass::kStarted : *admission_class_;
+  const bool has_started = head_sent_ || runs_ > 0 || is_resumption_;
+  return has_started ? AdmissionClass::kStarted : *admission_class_;
 }
 
 /// A slot is wasted on a request whose caller has left before the first event. The latest start
--- a/src/routing/load_messages.cc
+++ b/src/routing/load_messages.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view kSlotLoans = "slot_loans";
+constexpr std::string_view kStreamOriginQueries = "stream_origin_queries";
 
 /// Names of the kinds of messages.
 struct PurposeOf {
@@ -19,6 +20,9 @@
   std::string_view operator()(const SlotLoan&) const { return kSlotLoans; }
   std::string_view operator()(const SlotLoanReturn&) const { return kSlotLoans; }
   std::string_view operator()(const QuarantineNotices&) const { return "quarantine"; }
+  std::string_view operator()(const StreamOriginReport&) const { return "stream_origins"; }
+  std::string_view operator()(const StreamOriginQuery&) const { return kStreamOriginQueries; }
+  std::string_view operator()(const StreamOriginAnswer&) const { return kStreamOriginQueries; }
 };
 
 }  // namespace
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -17,6 +17,7 @@
 #include "routing/route_stream_rate.h"
 #include "routing/slot_loan_messages.h"
 #include "routing/speed_report.h"
+#include "routing/stream_origin.h"
 #include "tenancy/tenant_usage.h"
 
 namespace stoathold {
@@ -165,7 +166,8 @@
 /// Content of one datagram.
 using PeerLoadMessage =
     std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage, RunnerExitReports,
-                 SlotLoanRequest, SlotLoan, SlotLoanReturn, QuarantineNotices>;
+                 SlotLoanRequest, SlotLoan, SlotLoanReturn, QuarantineNotices, StreamOriginReport,
+                 StreamOriginQuery, StreamOriginAnswer>;
 
 /// Returns the name of a message's kind, for counters and logs.
 std::string_view purpose_of(const PeerLoadMessage& message);
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -40,6 +40,14 @@
 /// Interval of reports to other zones on the use of their runners.
 constexpr Duration kRemoteReportInterval = std::chrono::milliseconds(250);
 
+/// Returns the message if it is about the origins of streams.
+std::optional<StreamOriginMessage> origin_message(const PeerLoadMessage& message) {
+  if (const auto* report = std::get_if<StreamOriginReport>(&message)) return *report;
+  if (const auto* query = std::get_if<StreamOriginQuery>(&message)) return *query;
+  if (const auto* answer = std::get_if<StreamOriginAnswer>(&message)) return *answer;
+  return std::nullopt;
+}
+
 }  // namespace
 
 PeerLoads::PeerLoads(asio::any_io_executor executor, RunnerRegistry& registry,
@@ -130,11 +138,22 @@
     handle_quarantine_notices(std::move(*notices));
   } else if (const auto* yield = std::get_if<YieldRequest>(&message)) {
     if (yield_handler_) yield_handler_(*yield);
+  } else if (const auto origins = origin_message(message)) {
+    if (origin_listener_) origin_listener_(*origins, address_text(sender_endpoint_));
   } else if (slot_exchange_ != nullptr) {
     handle_slot_message(message);
   }
 }
 
+void PeerLoads::send_origin_message(const std::string& address,
+                                    const StreamOriginMessage& message) {
+  asio::ip::tcp::endpoint endpoint;
+  if (!parse_endpoint(address, endpoint)) return;
+  const auto to_peer_message = [](const auto& content) { return PeerLoadMessage(content); };
+  send_to({endpoint.address(), endpoint.port()},
+          make_datagram(std::visit(to_peer_message, message)));
+}
+
 void PeerLoads::handle_digest(LoadDigest digest) {
   if (digest.sender == sender_) return;
   if (!peer_uses_.is_newer(digest)) return;
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -28,6 +28,7 @@
 #include "routing/peer_use_table.h"
 #include "routing/runner_registry.h"
 #include "routing/slot_exchange.h"
+#include "routing/stream_origin.h"
 #include "tenancy/tenant_gossip.h"
 
 namespace stoathold {
@@ -100,6 +101,12 @@
   /// @param waiting returns the online requests that wait at this node, in placement order.
   void set_slot_exchange(SlotExchange& exchange,
                          std::function<std::vector<WaitingRequest>(TimePoint now)> waiting);
+  /// Called for each message about the origins of streams, with the address of its sender.
+  using OriginListener =
+      std::function<void(const StreamOriginMessage& message, const std::string& sender)>;
+  void set_origin_listener(OriginListener listener) { origin_listener_ = std::move(listener); }
+  /// Sends a message about the origins of streams to the node at an address (`ip:port`).
+  void send_origin_message(const std::string& address, const StreamOriginMessage& message);
   /// Sends the request to the node that runs the most batch items at the runners it selects.
   /// @return false if no node is known to run batch items there.
   bool send_yield_request(const YieldRequest& request);
@@ -190,6 +197,7 @@
   DemandSource demand_source_;
   std::function<void()> change_listener_;
   YieldHandler yield_handler_;
+  OriginListener origin_listener_;
   PeerUseTable peer_uses_;
   std::optional<TenantGossip> tenant_gossip_;
   Quarantine* quarantine_ = nullptr;  ///< Null: terminations are not reported.
--- a/src/routing/placement_queue.cc
+++ b/src/routing/placement_queue.cc
@@ -34,6 +34,11 @@
 /// once in this interval.
 constexpr Duration kMinReviewInterval = std::chrono::milliseconds(2);
 
+/// Returns whether any runner of the service may be selected.
+bool is_unrestricted(const SelectionRequest& request) {
+  return request.excluded.empty() && !request.software_version;
+}
+
 }  // namespace
 
 bool PlacementQueue::precedes(const PlacementTicket& left, const PlacementTicket& right) {
@@ -274,7 +279,7 @@
     if (full.contains(group) || !filter(ticket->request_, now)) continue;
     if (try_place(*ticket, now)) {
       placed.push_back(ticket);
-    } else if (ticket->request_.selection.excluded.empty()) {
+    } else if (is_unrestricted(ticket->request_.selection)) {
       full.insert(group);
     }
   }
--- a/src/routing/runner.cc
+++ b/src/routing/runner.cc
@@ -38,7 +38,13 @@
 Runner::Runner(RunnerRecord record)
     : record_(std::move(record)),
       hash_(record_.identity().hash()),
-      affinity_hash_(stable_hash(record_.id)) {}
+      affinity_hash_(stable_hash(record_.id)),
+      software_version_(stoathold::software_version(record_.software_version)) {}
+
+void Runner::set_record(RunnerRecord record) {
+  record_ = std::move(record);
+  software_version_ = stoathold::software_version(record_.software_version);
+}
 
 void Runner::mark_unlisted() {
   listed_ = false;
@@ -47,7 +53,7 @@
 }
 
 void Runner::relist(RunnerRecord record) {
-  record_ = std::move(record);
+  set_record(std::move(record));
   listed_ = true;
   leaving_ = false;
   set_peer_use(0, 0);
--- a/src/routing/runner.h
+++ b/src/routing/runner.h
@@ -17,6 +17,7 @@
 #include "routing/runner_identity.h"
 #include "routing/runner_memory_estimate.h"
 #include "routing/runner_speed.h"
+#include "routing/software_version.h"
 
 namespace stoathold {
 
@@ -72,7 +73,9 @@
   [[nodiscard]] std::uint64_t affinity_hash() const { return affinity_hash_; }
   /// Updates the directory record.
   /// @param record of the same incarnation.
-  void set_record(RunnerRecord record) { record_ = std::move(record); }
+  void set_record(RunnerRecord record);
+  /// Returns the version of its software according to the record.
+  [[nodiscard]] SoftwareVersion software_version() const { return software_version_; }
 
   /// Returns whether the directory lists it.
   [[nodiscard]] bool listed() const { return listed_; }
@@ -233,6 +236,7 @@
   ActiveRunners* active_ = nullptr;  ///< Null while it is not listed.
   std::uint64_t hash_;
   std::uint64_t affinity_hash_;
+  SoftwareVersion software_version_;
   bool listed_ = true;
   bool leaving_ = false;
   std::uint32_t in_flight_ = 0;
--- a/src/routing/runner_candidates.cc
+++ b/src/routing/runner_candidates.cc
@@ -16,8 +16,10 @@
 /// such runners.
 constexpr std::size_t kMaxSpillProbes = 2;
 bool is_excluded(const SelectionRequest& request, const Runner& runner) {
-  return std::find(request.excluded.begin(), request.excluded.end(), runner.hash()) !=
-         request.excluded.end();
+  const bool other_version =
+      request.software_version && runner.software_version() != *request.software_version;
+  return other_version || std::find(request.excluded.begin(), request.excluded.end(),
+                                    runner.hash()) != request.excluded.end();
 }
 
 /// Drops runners whose latency is an outlier. A runner on probation gets one request at a time.
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -10,6 +10,9 @@
 /// Its health state has expired by then: the longest ejection is 4 s.
 constexpr Duration kRetiredLifetime = std::chrono::seconds(10);
 
+/// How long a software version is remembered after its last runner was removed.
+constexpr Duration kVersionHistoryLength = std::chrono::hours(1);
+
 const RunnerList::Runners kNoRunners;
 
 const RunnerList::Runners& runners_of(const std::map<std::string, RunnerList>& zones,
@@ -33,7 +36,8 @@
     return;
   }
   const RunnerRecord& before = runner->record();
-  const bool same_indexes = before.service == record.service && before.zone == record.zone;
+  const bool same_indexes = before.service == record.service && before.zone == record.zone &&
+                            before.software_version == record.software_version;
   if (!same_indexes) remove_from_indexes(*runner);
   runner->set_record(std::move(record));
   if (!same_indexes) add_to_indexes(runner);
@@ -59,6 +63,7 @@
   service.all.add(runner);
   service.by_zone[record.zone].add(runner);
   by_zone_[record.zone].add(runner);
+  versions_.add_runner(record.service, record.software_version);
   ++revision_;
 }
 
@@ -69,6 +74,7 @@
   service.all.remove(runner);
   service.by_zone[record.zone].remove(runner);
   by_zone_[record.zone].remove(runner);
+  versions_.remove_runner(record.service, record.software_version, monotonic_now());
   ++revision_;
 }
 
@@ -91,8 +97,16 @@
   retired_[runner->record().id] = {runner, monotonic_now()};
 }
 
+bool RunnerRegistry::has_available(const std::string& service, SoftwareVersion version) const {
+  const RunnerList::Runners& runners = for_service(service);
+  return std::any_of(runners.begin(), runners.end(), [version](const auto& runner) {
+    return runner->available() && runner->software_version() == version;
+  });
+}
+
 void RunnerRegistry::drop_expired() {
   const TimePoint now = monotonic_now();
+  versions_.expire(now - kVersionHistoryLength);
   std::erase_if(retired_, [now](const auto& entry) {
     const Retired& lapsed = entry.second;
     return lapsed.runner->in_flight() == 0 && now - lapsed.since > kRetiredLifetime;
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -17,6 +17,7 @@
 #include "routing/active_runners.h"
 #include "routing/runner.h"
 #include "routing/runner_list.h"
+#include "routing/version_history.h"
 
 namespace stoathold {
 
@@ -59,6 +60,17 @@
   void set_confirmation_source(std::function<TimePoint()> source) {
     confirmation_source_ = std::move(source);
   }
+  /// Returns that time; zero if it is not known.
+  [[nodiscard]] TimePoint confirmed_at() const {
+    return confirmation_source_ ? confirmation_source_() : TimePoint{};
+  }
+  /// Returns the software versions that the directory has listed.
+  [[nodiscard]] const VersionHistory& versions() const { return versions_; }
+  /// Must be called when the directory's list is first known, and when runners may have been listed
+  /// and removed without this registry being told.
+  void restart_version_history() { versions_.restart(monotonic_now()); }
+  /// Returns whether a runner of a service and software version accepts new work.
+  [[nodiscard]] bool has_available(const std::string& service, SoftwareVersion version) const;
   /// Returns a number that grows whenever runners are added or removed.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Sets the services, by hash of their names, for which online work waits at other nodes of the
@@ -130,6 +142,7 @@
   std::map<std::string, RunnerList> by_zone_;
   std::unordered_map<std::uint64_t, Runner*> by_hash_;
   std::unordered_map<std::uint64_t, std::string> service_names_;  ///< By their hash.
+  VersionHistory versions_;
   std::uint64_t revision_ = 1;
   std::function<TimePoint()> confirmation_source_;  ///< Null: the list is never confirmed.
   std::set<std::uint64_t> peer_demand_;
--- a/src/routing/runner_selector.h
+++ b/src/routing/runner_selector.h
@@ -33,6 +33,8 @@
       0;                                ///< Of its shared prefix, which a warm runner has cached.
   double load_limit = 0;                ///< Runners at or above this load are skipped; 0: no limit.
   std::vector<std::uint64_t> excluded;  ///< `Runner::hash` of the runners tried before.
+  /// Only runners of this software version; empty: any.
+  std::optional<SoftwareVersion> software_version;
   /// Use runners of other zones only with borrowed slots.
   bool borrowed_only = false;
   /// Consider only full runners at which a batch item can be preempted.
--- a/src/store/topic_cache.cc
+++ b/src/store/topic_cache.cc
@@ -76,6 +76,7 @@
 void TopicCache::on_deletions_skipped(RecordOffset end) {
   if (skipped_to_ == 0) skipped_from_ = end_;
   skipped_to_ = std::max(skipped_to_, end);
+  sink_.on_deletions_skipped(end);
 }
 
 void TopicCache::on_caught_up() {
