Texts of batch items go on only at the software version that began them

Cause: the progress of an item, in a run and in its checkpoint, names no runner or version, so the next attempt at this node, or at the node that takes the job over, continues it at any runner.

ItemProgress now names the service and software version that wrote the text. Only runners of it continue the text; where none accepts work, or the route has moved to another service, the item starts again from its first event (item_restarted). Checkpoints have a new format; those of the old one are of unknown origin and start again, and nodes of an older version skip the new ones.

Evidence: test_batch_items_have_texts_of_one_version fails on (job-0 has texts of two versions) and passes now; ItemOfVersionTest, JobRecordsTest, CheckpointTableTest hold the cases.

--- a/emulator/emulated_inference_runner.cc
+++ b/emulator/emulated_inference_runner.cc
@@ -166,8 +166,8 @@
         !parameters_.crash_body.empty() && exchange.body() == parameters_.crash_body;
     if (crashes) std::_Exit(kCrashExitCode);
     const std::string& version = parameters_.software_version;
-    const std::string echo = (version.empty() ? "" : version + "|") +
-                             exchange.body().substr(0, parameters_.event_bytes);
+    const std::string echo =
+        (version.empty() ? "" : version + "|") + exchange.body().substr(0, parameters_.event_bytes);
     const std::uint64_t resumed_events =
         parse_number(exchange.header(dialect_.last_event_id)).value_or(0);
     std::uint64_t sent = 0;
--- a/emulator/emulated_service.h
+++ b/emulator/emulated_service.h
@@ -62,8 +62,8 @@
   std::uint32_t work_time_percent = 100;
   /// Whether load headers include the current slowness.
   bool reports_slowness = false;
-  /// Begins the data of each event, followed by `|`, so that tests see which version wrote it; empty:
-  /// omitted.
+  /// Begins the data of each event, followed by `|`, so that tests see which version wrote it;
+  /// empty: omitted.
   std::string software_version;
   /// The process exits as soon as it has started the response to a request with this body; empty:
   /// never.
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -84,6 +84,9 @@
     EventEntry{Event::kItemsOpen, "items_open", EventLevel::kInfo,
                "Open items of this node by stage, with the age in seconds of the oldest in each, "
                "and the item of the job that the node has had for longest."},
+    EventEntry{Event::kItemRestarted, "item_restarted", EventLevel::kInfo,
+               "A batch item starts again from its first event, since no runner can continue the "
+               "text that `version` began."},
     EventEntry{Event::kRequestRefused, "request_refused", EventLevel::kInfo,
                "A request was refused before any dispatch."},
     EventEntry{Event::kRequestFailed, "request_failed", EventLevel::kWarning,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -51,6 +51,7 @@
   kJobLoaded = 1414,
   kItemsOpen = 1415,
   kJobReadFailed = 1416,
+  kItemRestarted = 1417,
   kRequestRefused = 1501,
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
--- a/src/gateway/online_resumption.cc
+++ b/src/gateway/online_resumption.cc
@@ -62,7 +62,8 @@
   context_.origins.record(own_stream_key(id_), service_, origin_->version);
 }
 
-/// Returns whether a runner that can continue the stream accepts work.
+/// Returns whether a runner that can continue the stream accepts work. Runners that were tried
+/// count: one that broke the stream off by restarting is listed again soon.
 bool OnlineRequest::has_runner_of_origin() const {
   return context_.runners.has_available(service_, origin_->version);
 }
--- a/src/jobs/checkpoint_table.h
+++ b/src/jobs/checkpoint_table.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "jobs/job_records.h"
@@ -30,6 +31,7 @@
   struct ProgressPosition {
     std::uint64_t last_event = 0;
     std::uint32_t failures = 0;
+    std::optional<StreamOrigin> origin;
   };
   [[nodiscard]] static bool is_newer(const ItemProgress& progress,
                                      const ProgressPosition& position);
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -132,6 +132,11 @@
   co_return co_await read_events();
 }
 
+void ItemRun::record_origin() {
+  text_service_ = runner_->record().service;
+  progress_.origin = StreamOrigin{stable_hash(text_service_), runner_->software_version()};
+}
+
 void ItemRun::record_first_event() {
   if (stage_ == RunStage::kDelivering) return;
   stage_ = RunStage::kDelivering;
@@ -165,6 +170,7 @@
     while (const auto event = framer.next()) {
       if (!event->id) continue;
       if (*event->id != progress_.last_event + 1) co_return AttemptResult::kBroken;
+      if (progress_.last_event == 0) record_origin();
       if (progress_.last_event > 0) progress_.text.push_back('\n');
       progress_.text += event_data(event->raw);
       progress_.last_event = *event->id;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -11,6 +11,7 @@
 #include "gateway/headers.h"
 #include "gateway/prompt_prefix.h"
 #include "gateway/runner_response.h"
+#include "gateway/stream_resumption.h"
 #include "routing/runner_selector.h"
 #include "store/backoff.h"
 
@@ -93,6 +94,39 @@
   return schedule;
 }
 
+bool ItemRun::can_continue() const {
+  return context_.runners.has_available(text_service_, progress_.origin->version);
+}
+
+std::string ItemRun::next_service(const Route& route) {
+  if (progress_.last_event == 0) return context_.split.next_service(route);
+  if (!progress_.origin) {
+    restart_text("origin_unknown");
+    return context_.split.next_service(route);
+  }
+  const std::string* service = find_origin_service(route, *progress_.origin);
+  if (service == nullptr) {
+    restart_text("service_changed");
+    return context_.split.next_service(route);
+  }
+  text_service_ = *service;
+  if (can_continue()) return text_service_;
+  restart_text("no_runner_of_version");
+  return context_.split.next_service(route);
+}
+
+void ItemRun::restart_text(const char* reason) {
+  const SoftwareVersion version = progress_.origin ? progress_.origin->version : SoftwareVersion{};
+  log_event(Event::kItemRestarted, {{"job", item_.job},
+                                    {"item", item_.item_id},
+                                    {"reason", reason},
+                                    {"version", context_.runners.versions().text(version)},
+                                    {"last_event", std::to_string(progress_.last_event)}});
+  progress_.last_event = 0;
+  progress_.text.clear();
+  progress_.origin.reset();
+}
+
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::acquire_runner(const Route& route) {
   const TimePoint now = monotonic_now();
   route_name_ = route.name;
@@ -100,7 +134,7 @@
   const ItemSchedule schedule = this->schedule();
   PlacementRequest request;
   request.work = WorkClass::kBatch;
-  const std::string service = context_.split.next_service(route);
+  const std::string service = next_service(route);
   request.selection = {.service = service,
                        .zone = context_.zone,
                        .affinity_key = prompt_.shared_key,
@@ -111,6 +145,7 @@
                        .has_reusable_connection = context_.idle_connection_predicate(),
                        .prefer_reusable_connections = context_.load_policy.reuses_connections,
                        .node = context_.node};
+  if (progress_.origin) request.selection.software_version = progress_.origin->version;
   request.selection.speeds = context_.enabled_speed_model();
   request.selection.work = WorkClass::kBatch;
   request.selection.latency_objectives.route = stable_hash(route.name);
@@ -122,7 +157,10 @@
   request.due = schedule.objective.count() > 0 ? now + schedule.slack() : TimePoint::max();
   request.queue_deadline = now + kPlacementTimeout;
   const QueueEntry entry = join_queue(request, schedule);
-  request.is_obsolete = [this] { return !is_on_trial_ && quarantine_check_.is_quarantined(); };
+  request.is_obsolete = [this] {
+    const bool is_quarantined = !is_on_trial_ && quarantine_check_.is_quarantined();
+    return is_quarantined || (progress_.last_event > 0 && !can_continue());
+  };
   ticket_ = context_.placement.make_ticket(std::move(request));
   const auto runner = co_await context_.placement.acquire(ticket_);
   if (entry.active) context_.batch_arbiter.end_wait(entry.service, entry.urgency);
@@ -171,7 +209,11 @@
 
 /// Excludes runners on which the item has failed, as long as the service has other runners.
 std::vector<std::uint64_t> ItemRun::runners_to_avoid(const std::string& service) const {
-  const bool has_others = failed_runners_.size() < context_.runners.for_service(service).size();
+  bool has_others = failed_runners_.size() < context_.runners.for_service(service).size();
+  if (progress_.origin) {
+    has_others = has_others && context_.runners.has_available(service, progress_.origin->version,
+                                                              failed_runners_);
+  }
   return has_others ? failed_runners_ : std::vector<std::uint64_t>{};
 }
 
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -36,9 +36,10 @@
 /// Executes one item, with retries, until it has a result. Must be owned by a shared pointer; the
 /// coroutine of `run` keeps it alive.
 ///
-/// An attempt whose connection breaks is resumed after its last event on any runner; only errors
-/// reported by a runner count as failures. `stop` makes `run` return without a result and keeps the
-/// progress.
+/// An attempt whose connection breaks is resumed after its last event on any runner of the software
+/// version that began the text; without one, the item starts again from its first event. Only
+/// errors reported by a runner count as failures. `stop` makes `run` return without a result and
+/// keeps the progress.
 class ItemRun : public std::enable_shared_from_this<ItemRun> {
  public:
   ItemRun(GatewayContext& context, ItemContext item, ItemRequest request, ItemProgress progress,
@@ -76,6 +77,7 @@
   boost::asio::awaitable<AttemptResult> attempt(std::shared_ptr<Runner> runner);
   boost::asio::awaitable<AttemptResult> read_answer(Runner& runner);
   boost::asio::awaitable<AttemptResult> read_events();
+  void record_origin();
   void record_first_event();
   void record_event_gap(EventGapWindow& window);
   [[nodiscard]] Duration age() const;
@@ -84,6 +86,11 @@
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire_runner(const Route& route);
   /// Acquires a runner unless the item is quarantined and has no trial now.
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire_permitted_runner(const Route& route);
+  /// Returns whether a runner that can continue the text accepts work.
+  [[nodiscard]] bool can_continue() const;
+  /// Returns the service of the next attempt. Drops the text if no runner can continue it.
+  [[nodiscard]] std::string next_service(const Route& route);
+  void restart_text(const char* reason);
   /// Entry of this item in the batch queue that the nodes of the zone share.
   struct QueueEntry {
     bool active = false;  ///< Whether the nodes share a queue.
@@ -104,6 +111,7 @@
   ItemContext item_;
   ItemRequest request_;
   ItemProgress progress_;
+  std::string text_service_;  ///< Name of the service of `progress_.origin`, once it was looked up.
   Duration clock_skew_;
   QuarantineCheck quarantine_check_;
   PromptPrefix prompt_;
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -21,6 +21,20 @@
 /// length of its job key.
 constexpr std::uint64_t kListingMagic = 0x676e697473696c21;
 
+/// Stored format of progress with an origin. Nodes of an older version, which would continue the
+/// text at any runner, skip it.
+struct ProgressWithOrigin : ItemProgress {
+  ProgressWithOrigin() = default;
+  explicit ProgressWithOrigin(const ItemProgress& progress) : ItemProgress(progress) {}
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    ItemProgress::serialize(archive);
+    if (!origin) origin.emplace();
+    archive(*origin);
+  }
+};
+
 /// Stored format of a submission with `split_results` set; the flag is encoded only in this format.
 struct SplitResultsSubmission : JobSubmission {
   template <typename Archive>
@@ -170,6 +184,7 @@
   return encode_value(std::pair(kListingMagic, listing));
 }
 std::string encode(const ItemProgress& progress) {
+  if (progress.origin) return encode_value(ProgressWithOrigin{progress});
   return encode_value(progress);
 }
 std::string encode_tokens(std::uint64_t tokens) {
@@ -201,6 +216,12 @@
   return true;
 }
 bool decode(const std::string& bytes, ItemProgress& progress) {
+  ProgressWithOrigin with_origin;
+  if (decode_value(bytes, with_origin)) {
+    progress = std::move(with_origin);
+    return true;
+  }
+  progress.origin.reset();
   return decode_value(bytes, progress);
 }
 bool decode_tokens(const std::string& bytes, std::uint64_t& tokens) {
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -27,6 +27,7 @@
 #include <utility>
 #include <vector>
 
+#include "routing/stream_origin.h"
 #include "store/record_log.h"
 
 namespace stoathold {
@@ -150,6 +151,9 @@
   std::uint32_t failures = 0;    ///< Attempts that ended with an error of the runner.
   std::uint64_t last_event = 0;  ///< Id of the last event received; 0: none yet.
   std::string text;              ///< Text of the events through `last_event`.
+  /// Service and software version that wrote the text; no other one can continue it. Empty without
+  /// events, and in records of the old format.
+  std::optional<StreamOrigin> origin;
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/routing/runner_registry.cc
+++ b/src/routing/runner_registry.cc
@@ -97,10 +97,13 @@
   retired_[runner->record().id] = {runner, monotonic_now()};
 }
 
-bool RunnerRegistry::has_available(const std::string& service, SoftwareVersion version) const {
+bool RunnerRegistry::has_available(const std::string& service, SoftwareVersion version,
+                                   const std::vector<std::uint64_t>& excluded) const {
   const RunnerList::Runners& runners = for_service(service);
-  return std::any_of(runners.begin(), runners.end(), [version](const auto& runner) {
-    return runner->available() && runner->software_version() == version;
+  return std::any_of(runners.begin(), runners.end(), [&](const auto& runner) {
+    const bool is_excluded =
+        std::find(excluded.begin(), excluded.end(), runner->hash()) != excluded.end();
+    return runner->available() && runner->software_version() == version && !is_excluded;
   });
 }
 
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -70,7 +70,9 @@
   /// and removed without this registry being told.
   void restart_version_history() { versions_.restart(monotonic_now()); }
   /// Returns whether a runner of a service and software version accepts new work.
-  [[nodiscard]] bool has_available(const std::string& service, SoftwareVersion version) const;
+  /// @param excluded `Runner::hash` of runners that do not count.
+  [[nodiscard]] bool has_available(const std::string& service, SoftwareVersion version,
+                                   const std::vector<std::uint64_t>& excluded = {}) const;
   /// Returns a number that grows whenever runners are added or removed.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Sets the services, by hash of their names, for which online work waits at other nodes of the
--- a/tests/jobs/checkpoint_table_test.cc
+++ b/tests/jobs/checkpoint_table_test.cc
@@ -44,5 +44,18 @@
   EXPECT_FALSE(table.is_newer_than_durable(make_progress("j2", 0, 7), nullptr));
 }
 
+TEST(CheckpointTableTest, TextThatStartedAgainReplacesTheOneOfAnotherVersion) {
+  CheckpointTable table;
+  ItemProgress progress = make_progress("j1", 3, 9);
+  progress.origin = StreamOrigin{1, SoftwareVersion{10}};
+  table.mark_durable(progress);
+  ItemProgress restarted = make_progress("j1", 3, 2);
+  restarted.origin = StreamOrigin{1, SoftwareVersion{11}};
+  EXPECT_TRUE(table.is_newer_than_durable(restarted, nullptr));
+  EXPECT_TRUE(table.is_newer_than_durable(restarted, &progress));
+  restarted.last_event = 0;
+  EXPECT_FALSE(table.is_newer_than_durable(restarted, nullptr));
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/jobs/item_run_test.cc
+++ b/tests/jobs/item_run_test.cc
@@ -5,6 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "tests/gateway/scripted_runner.h"
+#include "tests/jobs/run_awaitable.h"
+
 namespace stoathold {
 namespace {
 
@@ -65,5 +68,95 @@
   EXPECT_FALSE(unconfirmed.given_up());
 }
 
+/// Items whose text was begun by the software version v1 of a service with two runners.
+class ItemOfVersionTest : public testing::Test {
+ protected:
+  ItemOfVersionTest() {
+    ServingConfiguration configuration;
+    Route route;
+    route.host = "a.example";
+    route.path_prefix = "/x/";
+    route.kind = RouteKind::kBatch;
+    route.services = {{"chat", 1}};
+    route.max_attempts = 2;
+    configuration.routes.push_back(route);
+    context.configuration = std::make_shared<const ServingConfiguration>(configuration);
+    progress.last_event = 1;
+    progress.text = "e1";
+    progress.origin = StreamOrigin{stable_hash("chat"), software_version("v1")};
+  }
+
+  void add_runner(const std::string& id, const ScriptedRunner& runner, const std::string& version) {
+    RunnerRecord record{id, "chat", runner.address(), "zone", 4, false};
+    record.software_version = version;
+    context.runners.upsert(std::move(record));
+  }
+  std::string run_item() {
+    const ItemContext item{.item_id = "i1", .host = "a.example", .path = "/x/"};
+    ItemRequest request;
+    request.path = "/x/1";
+    const auto run = std::make_shared<ItemRun>(context, item, request, progress, Duration{0});
+    const auto result = run_awaitable(loop, run->run());
+    return result ? result->text : "";
+  }
+  static ScriptedResponse rest() { return {stream_head() + chunk(event(2)) + kLastChunk}; }
+  static ScriptedResponse whole() {
+    return {stream_head() + chunk(event(1)) + chunk(event(2)) + kLastChunk};
+  }
+
+  boost::asio::io_context loop;
+  GatewayContext context{loop.get_executor(), HeaderDialect{}, "zone"};
+  ItemProgress progress;
+};
+
+TEST_F(ItemOfVersionTest, ContinuesAtTheVersionThatBeganTheText) {
+  ScriptedRunner old_runner(loop, {rest()});
+  ScriptedRunner new_runner(loop, {whole()});
+  add_runner("r1", old_runner, "v1");
+  add_runner("r2", new_runner, "v2");
+  EXPECT_EQ(run_item(), "e1\ne2");
+  EXPECT_TRUE(new_runner.requests.empty());
+  EXPECT_NE(old_runner.requests[0].find("Last-Event-Id: 1"), std::string::npos);
+}
+
+TEST_F(ItemOfVersionTest, StartsAgainWithoutARunnerOfTheVersion) {
+  ScriptedRunner new_runner(loop, {whole()});
+  add_runner("r2", new_runner, "v2");
+  EXPECT_EQ(run_item(), "e1\ne2");
+  EXPECT_EQ(new_runner.requests[0].find("Last-Event-Id"), std::string::npos);
+}
+
+TEST_F(ItemOfVersionTest, StartsAgainIfTheVersionOfTheTextIsUnknown) {
+  progress.origin.reset();
+  ScriptedRunner old_runner(loop, {whole()});
+  add_runner("r1", old_runner, "v1");
+  EXPECT_EQ(run_item(), "e1\ne2");
+  EXPECT_EQ(old_runner.requests[0].find("Last-Event-Id"), std::string::npos);
+}
+
+TEST_F(ItemOfVersionTest, StartsAgainIfItsRouteUsesAnotherService) {
+  progress.origin->service = stable_hash("other");
+  ScriptedRunner old_runner(loop, {whole()});
+  add_runner("r1", old_runner, "v1");
+  EXPECT_EQ(run_item(), "e1\ne2");
+  EXPECT_EQ(old_runner.requests[0].find("Last-Event-Id"), std::string::npos);
+}
+
+TEST_F(ItemOfVersionTest, StartsAgainWhenTheLastRunnerOfTheVersionBreaksItOffAndIsGone) {
+  progress = ItemProgress{};
+  ScriptedRunner old_runner(loop, {{stream_head() + chunk(event(1)), true}});
+  add_runner("r1", old_runner, "v1");
+  ScriptedRunner new_runner(loop, {whole()});
+  boost::asio::steady_timer timer(loop, std::chrono::milliseconds(20));
+  timer.async_wait([&](boost::system::error_code) {
+    context.runners.remove("r1");
+    add_runner("r2", new_runner, "v2");
+    context.placement.drop_obsolete();
+    context.placement.capacity_changed();
+  });
+  EXPECT_EQ(run_item(), "e1\ne2");
+  EXPECT_EQ(new_runner.requests[0].find("Last-Event-Id"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/jobs/job_records_test.cc
+++ b/tests/jobs/job_records_test.cc
@@ -36,6 +36,24 @@
   }
 }
 
+TEST(JobRecordsTest, ProgressNamesTheSoftwareThatWroteItsText) {
+  ItemProgress progress{make_job_key("a.example", "x"), 3, 1, 42, "text"};
+  progress.origin = StreamOrigin{7, SoftwareVersion{8}};
+  ItemProgress read;
+  ASSERT_TRUE(decode(encode(progress), read));
+  EXPECT_EQ(read.last_event, 42U);
+  EXPECT_EQ(read.text, "text");
+  EXPECT_EQ(read.origin, progress.origin);
+}
+
+TEST(JobRecordsTest, ProgressOfTheOldFormatHasNoOrigin) {
+  ItemProgress read;
+  read.origin = StreamOrigin{7, SoftwareVersion{8}};
+  ASSERT_TRUE(decode(encode(ItemProgress{make_job_key("a.example", "x"), 3, 1, 42, "text"}), read));
+  EXPECT_EQ(read.last_event, 42U);
+  EXPECT_FALSE(read.origin);
+}
+
 TEST(JobRecordsTest, JobsRecordKeysRoundTrip) {
   const JobKey key = make_job_key("a.example", "x.y");
   for (const auto kind : {JobRecordKind::kSubmitted, JobRecordKind::kCancelled,
--- a/tests/system/stream_versions_test.py
+++ b/tests/system/stream_versions_test.py
@@ -4,94 +4,23 @@
 Guards against streams that join the texts of two software versions of a service during a replacement.
 """
 
-import http.client
 import tempfile
-import threading
 import time
 import unittest
 
-from platform_fleet import EVENTS, HOST, Platform
+from platform_fleet import EVENTS, Platform
+from resuming_stream import Stream
 from fleet import wait_for
 
 OLD, NEW = "v1", "v1.1"
 EVENT_INTERVAL_MS = 200
 STREAMS = 12
-WAIT_SECONDS = 10.0
+ITEMS = 6
 REFUSAL_SECONDS = 1.0
 # Time after its start from which on a node counts as in touch with the others.
 CONTACT_SECONDS = 3.0
 
 
-class Stream:
-    """One stream of a caller, read in a thread; it may continue at another node."""
-
-    def __init__(self, platform, name):
-        self.platform = platform
-        self.name = name
-        self.tries = 0
-        self.first_attempt = None  # Attempt that delivered the first event.
-        self.events = {}  # Data by event id.
-        self.complete = False
-        self.status = None  # Of the last response; None if there was none.
-        self.wait = None
-        self.thread = None
-
-    def start(self, node, resumes=True):
-        self.thread = threading.Thread(target=self.read, args=(node, resumes), daemon=True)
-        self.thread.start()
-        return self
-
-    def join(self):
-        self.thread.join(WAIT_SECONDS)
-        return self
-
-    def headers(self, attempt, resumes):
-        headers = {"Host": HOST, "Stoathold-Attempt-Id": attempt, "Stoathold-Deadline-Ms": "9000"}
-        if self.events:
-            headers["Last-Event-Id"] = str(max(self.events))
-            if resumes:
-                headers["Resumes"] = self.first_attempt
-        return headers
-
-    def read(self, node, resumes):
-        """Sends the request, or takes the stream up after the last event, and reads the answer."""
-        self.tries += 1
-        attempt = "%s-%d" % (self.name, self.tries)
-        host, port = self.platform.nodes[node].rsplit(":", 1)
-        connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_SECONDS)
-        begin = time.monotonic()
-        self.status = None
-        try:
-            connection.request("POST", "/ask/1", b"q", self.headers(attempt, resumes))
-            response = connection.getresponse()
-            self.status = response.status
-            if response.status == 200:
-                self.read_events(response, attempt)
-                self.complete = len(self.events) == EVENTS
-        except (OSError, http.client.HTTPException):
-            pass
-        finally:
-            self.wait = time.monotonic() - begin
-            connection.close()
-
-    def read_events(self, response, attempt):
-        event = None
-        while True:
-            line = response.readline()
-            if not line:
-                return  # Also at the end of the connection in the middle of the stream.
-            text = line.decode().rstrip("\n")
-            if text.startswith("id: "):
-                event = int(text[4:])
-            elif text.startswith("data: "):
-                self.first_attempt = self.first_attempt or attempt
-                self.events[event] = text[6:]
-
-    def versions(self):
-        """Returns the software versions whose text the caller holds."""
-        return {data.split("|")[0] for data in self.events.values()}
-
-
 class StreamVersionsTest(unittest.TestCase):
     def start_platform(self, versions, nodes=4):
         """Starts one runner of each of the software versions."""
@@ -190,6 +119,17 @@
             self.assertEqual(stream.status, 503, "without Resumes")
             self.assertLess(stream.wait, REFUSAL_SECONDS)
 
+    def test_batch_items_have_texts_of_one_version(self):
+        self.start_platform([OLD, NEW])
+        self.assertEqual(self.platform.submit(0, "job", ITEMS), 202)
+        time.sleep(2.5 * EVENT_INTERVAL_MS / 1000)
+        self.kill_runners(OLD)
+        for result in self.platform.wait_results(1, "job", ITEMS):
+            self.assertEqual(result["state"], "completed")
+            texts = result["message"].split("\n")
+            self.assertEqual(len(texts), EVENTS)
+            self.assertEqual(len({text.split("|")[0] for text in texts}), 1, result["id"])
+
     def test_streams_resume_while_one_version_serves(self):
         self.start_platform([OLD, OLD, OLD])
         streams = self.start_streams(0, 6)
