Soak: replacements by other software versions while nodes, runners and the store are lost

Nine nodes in three zones, nine runners of up to three versions, 24 callers that take broken streams up at other nodes. Checked while it runs: no stream of two versions, no event lost or twice, and the share of resumptions that go on at nodes in touch while two runners of the version serve.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/power_loss.py --seed $(SEED) --seeds $(SEEDS)
 	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/hard_load.py --seed $(SEED) --seeds $(SEEDS)
 	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/store_away.py --seed $(SEED) --seeds $(SEEDS)
+	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/software_versions.py --seed $(SEED) --seeds $(SEEDS)
 
 format:
 	@scripts/check-format.sh
