--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -291,19 +291,27 @@
 /// Returns the number of listed runners by service and software version.
 MetricFamily runner_versions(const VersionHistory& history) {
   MetricFamily family =
-      make_family("stoathold_runner_versions", "Runners listed by service and software version.",
-                  MetricType::Gauge);
+      make_family("stoathold_runner_versions", "Runners by version.", MetricType::Gauge);
   for (const auto& [service, versions] : history.all()) {
     for (const auto& [version, listed] : versions) {
-      ClientMetric metric;
+      ClientMetric& metric = family.metric.emplace_back();
       metric.label = {make_label("service", service), make_label("version", listed.text)};
       metric.gauge.value = listed.runners;
-      family.metric.push_back(std::move(metric));
     }
   }
   return family;
 }
 
+/// Adds the streams that went on at another runner, by whom they were taken up.
+void add_resumptions(const GatewayContext& context, std::vector<MetricFamily>& families) {
+  families.push_back(gauge("stoathold_resumes", "Streams taken up at another runner.",
+                           static_cast<double>(context.metrics.resumes)));
+  families.push_back(labelled_counters("stoathold_resumptions_total",
+                                       "Streams taken up by callers, by origin or refusal.",
+                                       "origin", context.metrics.resumptions));
+  families.push_back(runner_versions(context.runners.versions()));
+}
+
 /// Adds memory use by account, refused reservations and actions taken on shortages.
 void add_memory(const GatewayContext& context, std::vector<MetricFamily>& families) {
   const MemoryBudget& memory = *context.memory;
@@ -372,13 +380,7 @@
   add_runner_speeds(context, families);
   families.push_back(gauge("stoathold_requests_open", "Requests being served.",
                            static_cast<double>(metrics.requests_open)));
-  families.push_back(gauge("stoathold_resumes", "Streams taken up at another runner.",
-                           static_cast<double>(metrics.resumes)));
-  families.push_back(labelled_counters("stoathold_resumptions_total",
-                                       "Streams taken up by callers, by how their origin was known "
-                                       "or why they were refused.",
-                                       "origin", metrics.resumptions));
-  families.push_back(runner_versions(context.runners.versions()));
+  add_resumptions(context, families);
   families.push_back(gauge("stoathold_waiting_online", "Online requests that wait for a runner.",
                            static_cast<double>(context.placement.waiting(WorkClass::kOnline))));
   families.push_back(gauge("stoathold_waiting_batch", "Batch items that wait for a runner.",
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -108,6 +108,7 @@
   [[nodiscard]] bool access_revoked() const;
   boost::asio::awaitable<void> refuse_revoked_access(Runner& runner);
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire_slot();
+  [[nodiscard]] SelectionRequest make_selection() const;
   void limit_wait(PlacementRequest& request);
   [[nodiscard]] TimePoint caller_timeout_at(TimePoint since) const;
   [[nodiscard]] AdmissionClass admission_class();
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -29,29 +29,35 @@
 
 }  // namespace
 
+/// Returns which runners may serve the next attempt, and what the choice depends on.
+SelectionRequest OnlineRequest::make_selection() const {
+  SelectionRequest selection{.service = service_,
+                             .zone = context_.zone,
+                             .affinity_key = prompt_.shared_key,
+                             .prompt_tokens = prompt_.tokens,
+                             .shared_prefix_tokens = prompt_.shared_prefix_tokens,
+                             .load_limit = kFullLoad,
+                             .excluded = tried_runners_};
+  if (origin_) selection.software_version = origin_->version;
+  const Duration idle_limit = max_idle_time();
+  if (idle_limit.count() > 0)
+    selection.has_reusable_connection = context_.idle_connection_predicate(idle_limit);
+  selection.prefer_reusable_connections = context_.load_policy.reuses_connections;
+  selection.node = context_.node;
+  return selection;
+}
+
 asio::awaitable<std::shared_ptr<Runner>> OnlineRequest::acquire_slot() {
   rejection_.reset();
   // Nothing is gained by a wait for runners that will not come back.
   if (origin_ && !has_runner_of_origin()) co_return nullptr;
   PlacementRequest request;
-  request.selection = {.service = service_,
-                       .zone = context_.zone,
-                       .affinity_key = prompt_.shared_key,
-                       .prompt_tokens = prompt_.tokens,
-                       .shared_prefix_tokens = prompt_.shared_prefix_tokens,
-                       .load_limit = kFullLoad,
-                       .excluded = tried_runners_};
-  const Duration idle_limit = max_idle_time();
-  if (idle_limit.count() > 0)
-    request.selection.has_reusable_connection = context_.idle_connection_predicate(idle_limit);
-  request.selection.prefer_reusable_connections = context_.load_policy.reuses_connections;
-  request.selection.node = context_.node;
+  request.selection = make_selection();
   request.priority = priority();
   // Placed after `due`, the request would miss its latency objective and only delay others.
   const Duration first_event = context_.first_event_times.expected(route_.name);
   request.due = arrival_ + route_.latency_objective - first_event;
   request.queue_deadline = std::min(arrival_ + kMaxSlotWait, deadline_);
-  if (origin_) request.selection.software_version = origin_->version;
   request.is_obsolete = [this] {
     const bool is_quarantined = !is_on_trial_ && quarantine_check_.is_quarantined();
     return is_quarantined || (origin_ && !has_runner_of_origin());
