--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -302,7 +302,7 @@
   return family;
 }
 
-/// Adds the streams that went on at another runner, by whom they were taken up.
+/// Adds the resumptions by this node and by callers, and the runners by software version.
 void add_resumptions(const GatewayContext& context, std::vector<MetricFamily>& families) {
   families.push_back(gauge("stoathold_resumes", "Streams taken up at another runner.",
                            static_cast<double>(context.metrics.resumes)));
--- a/src/routing/runner_registry.h
+++ b/src/routing/runner_registry.h
@@ -66,8 +66,8 @@
   }
   /// Returns the software versions that the directory has listed.
   [[nodiscard]] const VersionHistory& versions() const { return versions_; }
-  /// Must be called when the directory's list is first known, and when runners may have been listed
-  /// and removed without this registry being told.
+  /// Must be called when the directory's list is first known, and when entries of runners that came
+  /// and went may have been skipped.
   void restart_version_history() { versions_.restart(monotonic_now()); }
   /// Returns whether a runner of a service and software version accepts new work.
   /// @param excluded `Runner::hash` of runners that do not count.
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -44,7 +44,7 @@
   return runners_.versions().sole_known_version(service) == version;
 }
 
-/// A node whose list is old cannot rely on others: they may already know a second version.
+/// While this node's list is old, others may already know a second version and need the origins.
 bool StreamOrigins::must_send(const std::string& service) const {
   const bool list_is_old = monotonic_now() - runners_.confirmed_at() > kMaxListAge;
   return list_is_old || !sole_version(service);
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -71,8 +71,7 @@
   /// or nothing. The result is valid for streams that began before the directory's list was last
   /// confirmed.
   [[nodiscard]] std::optional<SoftwareVersion> sole_version(const std::string& service) const;
-  /// Returns whether a version that other nodes vouched for in the last lookup is the only one that
-  /// this node, which has no long history itself, has seen.
+  /// Returns whether a version is the only one of the service in the whole history of this node.
   [[nodiscard]] bool agrees_with_history(const std::string& service, SoftwareVersion version) const;
   /// Sends the origins that have become necessary to send. Must be called several times a second.
   void send_pending();
