A result that the log rejects no longer holds up the others of its partition

What callers saw: after one result that the log rejects (a text above the size of a record), no result of its partition became readable any more, whatever job, tenant or route it belonged to; their jobs stayed open, and the next holder of the slot ran the items again and met the same.

Cause: ResultWriter::write treated each status but kOk alike. A rejected batch went back to the front of the queue of its partition, for good; a batch holds up to 256 kB of results of several jobs.

Now a rejected append is halved until the result that is rejected on its own is found; that one waits apart from the queue, 1 s to 60 s, and the others are written in the same round: 64 results with one rejected among them take at most 24 calls, without a pause. It is written again, since a rejection need not be final, until the item's retention ends; then it is dead-lettered without its text, and no runner had it again. If the job was stopped here meanwhile, it is dropped. Each rejection is a line with the item's id (result_rejected).

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -87,6 +87,10 @@
     EventEntry{Event::kItemRestarted, "item_restarted", EventLevel::kInfo,
                "A batch item starts again from its first event, since no runner can continue the "
                "text that `version` began."},
+    EventEntry{
+        Event::kResultRejected, "result_rejected", EventLevel::kWarning,
+        "The log rejected the result of a batch item; it is written again after `wait_ms`, or "
+        "dropped because this node does not run the job any more."},
     EventEntry{Event::kRequestRefused, "request_refused", EventLevel::kInfo,
                "A request was refused before any dispatch."},
     EventEntry{Event::kRequestFailed, "request_failed", EventLevel::kWarning,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -52,6 +52,7 @@
   kItemsOpen = 1415,
   kJobReadFailed = 1416,
   kItemRestarted = 1417,
+  kResultRejected = 1418,
   kRequestRefused = 1501,
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -12,6 +12,7 @@
 #include "gateway/prompt_prefix.h"
 #include "gateway/runner_response.h"
 #include "gateway/stream_resumption.h"
+#include "jobs/item_retention.h"
 #include "routing/runner_selector.h"
 #include "store/backoff.h"
 
@@ -80,13 +81,8 @@
   if (upstream_) upstream_->cancel();
 }
 
-Duration ItemRun::age() const {
-  // The clock of the node that accepted the job may be ahead of this node's clock.
-  return std::chrono::milliseconds(std::max<std::int64_t>(0, wall_clock_ms() - item_.submitted_ms));
-}
-
 ItemSchedule ItemRun::schedule() const {
-  ItemSchedule schedule{.objective = objective_, .age = age()};
+  ItemSchedule schedule{.objective = objective_, .age = job_age(item_.submitted_ms)};
   schedule.remaining = context_.response_durations.remaining_time(route_name_, answer_tokens_,
                                                                   EventCount{progress_.last_event});
   const bool use_speed = runner_ && context_.load_policy.uses_runner_speeds;
@@ -229,11 +225,6 @@
              {"last_event", std::to_string(progress_.last_event)}});
 }
 
-bool ItemRun::is_expired(const Route& route) const {
-  if (route.item_retention.count() == 0) return false;
-  return age() > route.item_retention + 2 * clock_skew_;
-}
-
 ItemResult ItemRun::make_result(ItemState state) const {
   ItemResult result;
   result.job = item_.job;
@@ -277,7 +268,9 @@
       continue;
     }
     route_missing_since.reset();
-    if (is_expired(*route)) co_return make_result(ItemState::kDeadLettered);
+    if (is_past_retention(*route, item_.submitted_ms, clock_skew_)) {
+      co_return make_result(ItemState::kDeadLettered);
+    }
     const auto runner = co_await acquire_permitted_runner(*route);
     if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -80,7 +80,6 @@
   void record_origin();
   void record_first_event();
   void record_event_gap(EventGapWindow& window);
-  [[nodiscard]] Duration age() const;
   boost::asio::awaitable<void> sleep_for(Duration duration);
   [[nodiscard]] UpstreamRequest build_request(const Runner& runner) const;
   boost::asio::awaitable<std::shared_ptr<Runner>> acquire_runner(const Route& route);
@@ -99,7 +98,6 @@
   };
   /// Joins the shared batch queue, and sets the fields of the request that depend on it.
   QueueEntry join_queue(PlacementRequest& request, const ItemSchedule& schedule);
-  [[nodiscard]] bool is_expired(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
   [[nodiscard]] std::vector<std::uint64_t> runners_to_avoid(const std::string& service) const;
   [[nodiscard]] bool has_exhausted_attempts(const Route& route) const;
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -9,6 +9,7 @@
 #include "base/event_log.h"
 #include "base/ids.h"
 #include "base/timer.h"
+#include "jobs/item_retention.h"
 #include "store/backoff.h"
 
 namespace stoathold {
@@ -70,6 +71,7 @@
       request_byte_budget_(kMaxRequestBytes),
       held_requests_(*context.memory) {
   writer_.charge_to(*context.memory);
+  writer_.set_rejection_handler([this](ItemResult& result) { return on_result_rejected(result); });
   store_.charge_to(*context.memory);
   store_.set_running_jobs(false);
   store_.set_listener([this](const JobKey& key, const JobEntry& job) { on_job_changed(key, job); });
@@ -279,6 +281,21 @@
   }
 }
 
+/// The next holder of the slot of a stopped job runs the item again.
+RejectedResultAction JobRunner::on_result_rejected(ItemResult& result) {
+  const auto found = jobs_.find(result.job);
+  if (found == jobs_.end()) return RejectedResultAction::kDrop;
+  const ActiveJob& job = *found->second;
+  const auto configuration = context_.configuration;
+  const Route* route = configuration ? configuration->find_route(job.host, job.path) : nullptr;
+  if (route == nullptr) return RejectedResultAction::kRetry;
+  if (is_past_retention(*route, job.submitted_ms, settings_.clock_skew)) {
+    result.state = ItemState::kDeadLettered;
+    result.text.clear();
+  }
+  return RejectedResultAction::kRetry;
+}
+
 /// Called once each item has a durable result, written by this node or read from the log. Retries
 /// until the finished mark is durable; applying the mark to the job table stops the job.
 asio::awaitable<void> JobRunner::finish_job(JobKey key, std::shared_ptr<ActiveJob> job) {
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -100,6 +100,12 @@
   return nullptr;
 }
 
+std::string JobStore::item_id(const JobKey& key, std::uint32_t item) const {
+  const JobEntry* entry = find_entry(key);
+  const bool is_known = entry != nullptr && item < entry->submission.items.size();
+  return is_known ? entry->submission.items[item].id : std::string();
+}
+
 PartitionName JobStore::partition_of(JobData data, const JobKey& key) const {
   const JobEntry* entry = find_entry(key);
   const std::uint32_t topics =
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -154,6 +154,8 @@
 
   /// Returns a name for use in keys that is unique over all calls and processes.
   std::string unique_name();
+  /// Returns the id of an item; empty if this node does not know the job.
+  [[nodiscard]] std::string item_id(const JobKey& key, std::uint32_t item) const;
   [[nodiscard]] const ListedResults& results_of(const JobKey& key);
   /// Returns the progress of an item as last read from the log, or null.
   [[nodiscard]] const ItemProgress* progress_of(const JobKey& key, std::uint32_t item);
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -7,8 +7,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <iterator>
 
+#include "base/event_log.h"
+#include "base/log_fields.h"
 #include "base/timer.h"
-#include "store/backoff.h"
 
 namespace stoathold {
 namespace {
@@ -17,10 +18,14 @@
 
 /// Maximum bytes of one append.
 constexpr std::uint64_t kMaxAppendBytes = 256UL * 1024;
+/// Maximum results of one append.
+constexpr std::size_t kMaxBatchResults = 512;
 /// Maximum concurrent appends: 1 MB in total, which takes 0.3 s on a 30 Mbit/s link.
 constexpr int kMaxConcurrentWriters = 4;
 /// Upper estimate of the bytes of a result's records without the text.
 constexpr std::uint64_t kRecordOverheadBytes = 600;
+/// Pauses between the writes of a rejected result.
+constexpr BackoffBounds kRejectedPauses{std::chrono::seconds(1), std::chrono::seconds(60)};
 
 std::uint64_t estimated_bytes(const ItemResult& result) {
   return result.text.size() + kRecordOverheadBytes;
@@ -35,13 +40,18 @@
       append_size_(kMaxAppendBytes) {}
 
 void ResultWriter::add(ItemResult result) {
-  const PartitionName partition = store_.partition_of(JobData::kResults, result.job);
-  const auto [queue, added] = queues_.try_emplace(partition);
-  pending_bytes_ += estimated_bytes(result);
-  memory_.resize(pending_bytes_);
-  queue->second.push_back(std::move(result));
+  replace_pending_bytes(0, estimated_bytes(result));
   ++pending_;
+  enqueue({.result = std::move(result), .rejections = 0, .pauses = Backoff(kRejectedPauses)});
+}
+
+void ResultWriter::enqueue(PendingResult pending) {
+  const PartitionName partition = store_.partition_of(JobData::kResults, pending.result.job);
+  const auto [entry, added] = queues_.try_emplace(partition);
+  Queue& queue = entry->second;
+  queue.results.push_back(std::move(pending));
   if (!added) return;
+  queue.batch_limit = kMaxBatchResults;
   waiting_partitions_.push_back(partition);
   start_writers();
 }
@@ -61,23 +71,27 @@
   --writers_;
 }
 
-ResultWriter::Queue ResultWriter::take_batch(Queue& queue) const {
+/// A result that was rejected before is written alone, so that it holds up no others again.
+ResultWriter::Results ResultWriter::take_batch(Queue& queue) const {
   const std::uint64_t max_bytes = std::min(append_size_.bytes(), store_.limits().call_bytes);
-  Queue results;
+  Results batch;
   std::uint64_t bytes = 0;
-  while (!queue.empty()) {
-    bytes += estimated_bytes(queue.front());
-    if (!results.empty() && bytes > max_bytes) break;
-    results.push_back(std::move(queue.front()));
-    queue.pop_front();
+  while (!queue.results.empty() && batch.size() < queue.batch_limit) {
+    PendingResult& next = queue.results.front();
+    bytes += estimated_bytes(next.result);
+    const bool is_alone = next.rejections > 0;
+    if (!batch.empty() && (is_alone || bytes > max_bytes)) break;
+    batch.push_back(std::move(next));
+    queue.results.pop_front();
+    if (is_alone) break;
   }
-  return results;
+  return batch;
 }
 
-std::vector<KeyedRecord> ResultWriter::records_of(const Queue& results) const {
+std::vector<KeyedRecord> ResultWriter::records_of(const Results& batch) const {
   std::vector<KeyedRecord> records;
-  for (const auto& result : results) {
-    std::vector<KeyedRecord> own = store_.records_of(result);
+  for (const auto& pending : batch) {
+    std::vector<KeyedRecord> own = store_.records_of(pending.result);
     std::move(own.begin(), own.end(), std::back_inserter(records));
   }
   return records;
@@ -87,24 +101,79 @@
   Queue& queue = queues_[partition];
   Backoff backoff;
   Timer timer(executor_);
-  while (!queue.empty()) {
-    Queue results = take_batch(queue);
-    std::vector<KeyedRecord> records = records_of(results);
+  while (!queue.results.empty()) {
+    Results batch = take_batch(queue);
+    std::vector<KeyedRecord> records = records_of(batch);
     const LogStatus status = co_await store_.append_records(partition, std::move(records));
     append_size_.observe(status);
     if (status == LogStatus::kOk) {
       backoff.reset();
-      pending_ -= results.size();
-      for (const auto& result : results) pending_bytes_ -= estimated_bytes(result);
-      memory_.resize(pending_bytes_);
-      for (const auto& result : results) listener_(result);
+      on_batch_durable(queue, batch);
+      continue;
+    }
+    if (status == LogStatus::kRejected) {
+      on_batch_rejected(queue, std::move(batch));
       continue;
     }
-    std::move(results.rbegin(), results.rend(), std::front_inserter(queue));
+    std::move(batch.rbegin(), batch.rend(), std::front_inserter(queue.results));
     timer.expires_after(backoff.next());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   queues_.erase(partition);
 }
 
+void ResultWriter::remove_pending(const ItemResult& result) {
+  --pending_;
+  replace_pending_bytes(estimated_bytes(result), 0);
+}
+
+void ResultWriter::replace_pending_bytes(std::uint64_t old_bytes, std::uint64_t new_bytes) {
+  pending_bytes_ = pending_bytes_ - old_bytes + new_bytes;
+  memory_.resize(pending_bytes_);
+}
+
+void ResultWriter::on_batch_durable(Queue& queue, const Results& batch) {
+  queue.batch_limit = std::min(queue.batch_limit * 2, kMaxBatchResults);
+  for (const auto& pending : batch) remove_pending(pending.result);
+  for (const auto& pending : batch) listener_(pending.result);
+}
+
+void ResultWriter::on_batch_rejected(Queue& queue, Results batch) {
+  if (batch.size() == 1) {
+    set_aside(std::move(batch.front()));
+    return;
+  }
+  queue.batch_limit = batch.size() / 2;
+  std::move(batch.rbegin(), batch.rend(), std::front_inserter(queue.results));
+}
+
+void ResultWriter::set_aside(PendingResult pending) {
+  ++pending.rejections;
+  const std::uint64_t bytes = estimated_bytes(pending.result);
+  const RejectedResultAction action =
+      rejection_handler_ ? rejection_handler_(pending.result) : RejectedResultAction::kRetry;
+  const bool is_dropped = action == RejectedResultAction::kDrop;
+  const Duration pause = is_dropped ? Duration{0} : pending.pauses.next();
+  log_event(Event::kResultRejected,
+            {{"job", pending.result.job},
+             {"item", store_.item_id(pending.result.job, pending.result.item)},
+             {"bytes", std::to_string(bytes)},
+             {"rejections", std::to_string(pending.rejections)},
+             {"action", is_dropped ? "drop" : "retry"},
+             {"wait_ms", milliseconds_text(pause)}});
+  // The handler may have replaced the result.
+  replace_pending_bytes(bytes, estimated_bytes(pending.result));
+  if (is_dropped) {
+    remove_pending(pending.result);
+    return;
+  }
+  asio::co_spawn(executor_, requeue_after(pause, std::move(pending)), asio::detached);
+}
+
+asio::awaitable<void> ResultWriter::requeue_after(Duration pause, PendingResult pending) {
+  Timer timer(executor_, pause);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  enqueue(std::move(pending));
+}
+
 }  // namespace stoathold
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -2,6 +2,7 @@
 /// A record log for tests that wraps the emulator's in-process log model and injects faults.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -24,6 +25,8 @@
   int delayed_appends = 0;   ///< Appends get no answer and wait for `apply_delayed`.
   std::string topic;         ///< Only appends to this topic fail; empty: to any topic.
   std::function<void()> after_delayed_append;  ///< Called after an append was delayed.
+  /// An append with a record for which this returns true is rejected as a whole; null: none is.
+  std::function<bool(const KeyedRecord&)> rejects;
 };
 
 /// Timeouts and backoff short enough that retries take negligible time.
@@ -54,6 +57,8 @@
   LogFaults faults;
   /// Number of appends that were applied.
   int appends = 0;
+  /// Number of appends that were rejected.
+  int rejected_appends = 0;
   /// Slots assigned to each member of a group; empty: the group cannot be joined.
   std::vector<std::uint32_t> held_slots;
   /// Duration of a read of the newest records, and the highest number of concurrent such reads.
@@ -88,7 +93,10 @@
                                               std::optional<RecordOffset> expected_end) override {
     AppendResult result;
     const bool exempt = !faults.topic.empty() && faults.topic != partition.topic;
-    if (exempt) {
+    if (faults.rejects && std::any_of(records.begin(), records.end(), faults.rejects)) {
+      ++rejected_appends;
+      result.status = LogStatus::kRejected;
+    } else if (exempt) {
       result = model_->append(partition, records, expected_end);
     } else if (faults.down) {
       result.status = LogStatus::kNotDone;
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -4,6 +4,7 @@
 
 #include <numeric>
 
+#include "tests/gateway/scripted_runner.h"
 #include "tests/jobs/append_results.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
@@ -108,5 +109,45 @@
   EXPECT_EQ(runner.item_stages().open_items, 0U);
 }
 
+Route batch_route(Duration item_retention) {
+  Route route;
+  route.name = "drafts";
+  route.host = kHost;
+  route.path_prefix = "/drafts/";
+  route.kind = RouteKind::kBatch;
+  route.services = {{"chat", 1}};
+  route.max_attempts = 2;
+  route.item_retention = item_retention;
+  return route;
+}
+
+/// The runner's answer is there, so the item is not run again; its text is given up only once the
+/// route allows it.
+TEST_F(JobRunnerTest, ItemWhoseResultIsRejectedEndsWithItsRetention) {
+  ServingConfiguration configuration;
+  configuration.version = 1;
+  configuration.routes = {batch_route(std::chrono::seconds(1))};
+  context.configuration = std::make_shared<const ServingConfiguration>(configuration);
+  const std::string rejected_text = "rejected";
+  ScriptedRunner scripted(loop, {plain_response("id: 1\ndata: " + rejected_text + "\n\n")});
+  context.runners.upsert({"r", "chat", scripted.address(), "zone", kSlots, false});
+  log.faults.rejects = [&](const KeyedRecord& record) {
+    return record.value.find(rejected_text) != std::string::npos;
+  };
+  NewJob job = make_job("j");
+  job.submission.submitted_ms = wall_clock_ms();
+  EXPECT_EQ(run_awaitable(loop, store.submit(std::move(job))), SubmitStatus::kAccepted);
+  store.follow_host(kHost);
+  runner.start();
+  loop.restart();
+  while (finished_jobs() == 0 && loop.run_one() > 0) {
+  }
+  EXPECT_EQ(scripted.requests.size(), 1U);
+  const auto& listed = store.results_of(make_job_key(kHost, "j")).listed();
+  EXPECT_EQ(run_awaitable(loop, store.refresh_results(make_job_key(kHost, "j"))), LogStatus::kOk);
+  ASSERT_EQ(listed.size(), 1U);
+  EXPECT_EQ(listed[0].state, ItemState::kDeadLettered);
+}
+
 }  // namespace
 }  // namespace stoathold
