Texts above the size of a record are stored in parts

What callers saw: an item whose text has more than a record of the log takes (256 kB less 300 bytes) never got a result. Its job stayed open, and the next holder of the slot ran the item again.

Cause: requests are cut into records of the log's size, a result's text was one record whatever its size (result_records), and the log rejects that.

Now such a text takes one append for each part of at most 128 kB; the listing, which makes the result count, is in the last one, and a manifest in the first lets the erasure of the job find all parts, also those of a writer that ended midway. Listings keep their format, so nodes of the version before this one compute the same positions; they find no text of it and answer 503, which is relayed. Texts above 8 MB or an eighth of the memory budget end the attempt; the item is not run again at the node and is dead-lettered with its retention (item_text_too_long). A checkpoint that does not fit is no longer copied in each round.

Evidence: multipart_result holds texts of 10 bytes to 8 MB, by offset and by key; a node that ends between the parts; lost answers and appends; a lost page; what older nodes look for; an item of 3 MB that is run once; one of 9 MB.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -91,6 +91,10 @@
         Event::kResultRejected, "result_rejected", EventLevel::kWarning,
         "The log rejected the result of a batch item; it is written again after `wait_ms`, or "
         "dropped because this node does not run the job any more."},
+    EventEntry{
+        Event::kItemTextTooLong, "item_text_too_long", EventLevel::kWarning,
+        "The text of a batch item is longer than a node can keep; the item is not run again and "
+        "is dead-lettered with its retention."},
     EventEntry{Event::kRequestRefused, "request_refused", EventLevel::kInfo,
                "A request was refused before any dispatch."},
     EventEntry{Event::kRequestFailed, "request_failed", EventLevel::kWarning,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -53,6 +53,7 @@
   kJobReadFailed = 1416,
   kItemRestarted = 1417,
   kResultRejected = 1418,
+  kItemTextTooLong = 1419,
   kRequestRefused = 1501,
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
--- a/src/gateway/attempt_result.cc
+++ b/src/gateway/attempt_result.cc
@@ -12,6 +12,8 @@
       return "error_passed_on";
     case AttemptResult::kImpossible:
       return "impossible";
+    case AttemptResult::kTooLong:
+      return "too_long";
     case AttemptResult::kNotRun:
       return "not_run";
     case AttemptResult::kUnreachable:
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -176,6 +176,7 @@
       progress_.last_event = *event->id;
       record_first_event();
     }
+    if (progress_.text.size() > max_text_bytes()) co_return AttemptResult::kTooLong;
     // Comments, which may keep a connection open, are no progress.
     if (progress_.last_event > events_before) {
       upstream_->set_deadline(monotonic_now() + kEventGapTimeout);
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -36,6 +36,13 @@
 /// Maximum failures of an item for each attempt that its route allows, including failures excused
 /// because the runner fails many of its requests. One less than the service requirements allow.
 constexpr std::uint32_t kMaxFailuresPerAttempt = 2;
+/// Maximum bytes of an item's text.
+constexpr std::uint64_t kMaxTextBytes = 8UL * 1024 * 1024;
+/// Divisor for the share of the memory budget that a text may take. A node that reads one holds it
+/// up to four times: in the list of results, in the response and in its encoded and unsent bytes.
+constexpr std::uint64_t kTextBudgetDivisor = 8;
+/// Interval between checks of the retention of an item that is not run again.
+constexpr Duration kRetentionPollInterval = std::chrono::seconds(1);
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
 
 }  // namespace
@@ -118,11 +125,30 @@
                                     {"reason", reason},
                                     {"version", context_.runners.versions().text(version)},
                                     {"last_event", std::to_string(progress_.last_event)}});
+  clear_text();
+}
+
+void ItemRun::clear_text() {
   progress_.last_event = 0;
-  progress_.text.clear();
+  progress_.text = std::string();
   progress_.origin.reset();
 }
 
+std::uint64_t ItemRun::max_text_bytes() const {
+  const MemoryBudget& budget = *context_.memory;
+  if (!budget.limited()) return kMaxTextBytes;
+  return std::min(kMaxTextBytes, budget.limit() / kTextBudgetDivisor);
+}
+
+void ItemRun::on_text_too_long() {
+  log_event(Event::kItemTextTooLong, {{"job", item_.job},
+                                      {"item", item_.item_id},
+                                      {"bytes", std::to_string(progress_.text.size())},
+                                      {"limit", std::to_string(max_text_bytes())}});
+  clear_text();
+  is_text_too_long_ = true;
+}
+
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::acquire_runner(const Route& route) {
   const TimePoint now = monotonic_now();
   route_name_ = route.name;
@@ -271,6 +297,12 @@
     if (is_past_retention(*route, item_.submitted_ms, clock_skew_)) {
       co_return make_result(ItemState::kDeadLettered);
     }
+    if (is_text_too_long_) {
+      if (route->item_retention.count() == 0) co_return make_result(ItemState::kDeadLettered);
+      set_stage(ItemStage::kBackingOff);
+      co_await sleep_for(kRetentionPollInterval);
+      continue;
+    }
     const auto runner = co_await acquire_permitted_runner(*route);
     if (!runner) continue;
     const std::uint64_t events_before = progress_.last_event;
@@ -280,13 +312,14 @@
     ++context_.metrics.batch_items[std::string(to_string(result))];
     if (result == AttemptResult::kCompleted) co_return make_result(ItemState::kCompleted);
     if (result == AttemptResult::kImpossible) co_return make_result(ItemState::kDeadLettered);
+    if (result == AttemptResult::kTooLong) on_text_too_long();
     if (result == AttemptResult::kFailed) {
       ++progress_.failures;
       failed_runners_.push_back(runner->hash());
       if (has_exhausted_attempts(*route)) co_return make_result(ItemState::kDeadLettered);
     }
     if (progress_.last_event > events_before) backoff.reset();
-    if (result == AttemptResult::kYielded) continue;
+    if (result == AttemptResult::kYielded || is_text_too_long_) continue;
     set_stage(ItemStage::kBackingOff);
     if (!stopped_) co_await sleep_for(backoff.next());
   }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -40,6 +40,9 @@
 /// version that began the text; without one, the item starts again from its first event. Only
 /// errors reported by a runner count as failures. `stop` makes `run` return without a result and
 /// keeps the progress.
+///
+/// A text that becomes longer than can be stored ends the attempt. The item is not run again, and
+/// is dead-lettered with its retention, or at once if its route has none.
 class ItemRun : public std::enable_shared_from_this<ItemRun> {
  public:
   ItemRun(GatewayContext& context, ItemContext item, ItemRequest request, ItemProgress progress,
@@ -90,6 +93,10 @@
   /// Returns the service of the next attempt. Drops the text if no runner can continue it.
   [[nodiscard]] std::string next_service(const Route& route);
   void restart_text(const char* reason);
+  void clear_text();
+  /// Returns the maximum bytes of a text, which takes part of the memory budget.
+  [[nodiscard]] std::uint64_t max_text_bytes() const;
+  void on_text_too_long();
   /// Entry of this item in the batch queue that the nodes of the zone share.
   struct QueueEntry {
     bool active = false;  ///< Whether the nodes share a queue.
@@ -134,6 +141,8 @@
   bool is_on_trial_ = false;  ///< The current attempt tests the quarantine of the item.
   /// A trial was claimed, and no runner has had the request since.
   bool has_claimed_trial_ = false;
+  /// A runner's text was longer than can be stored; the item is not run again.
+  bool is_text_too_long_ = false;
   StageListener stage_listener_;
   Timer timer_;
   bool stopped_ = false;
--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 #include <optional>
 
 #include "base/timer.h"
@@ -206,6 +207,14 @@
 asio::awaitable<ReadResult> JobDataLog::read_texts(PartitionName partition,
                                                    std::vector<ListedResult::UnreadText> wanted,
                                                    AdaptiveReadLimits bounds) {
+  if (wanted.front().is_multipart()) {
+    ReadResult parts =
+        co_await read_text_parts(std::move(partition), wanted.front(), bounds.page_timeout);
+    co_return parts;
+  }
+  wanted.erase(std::find_if(wanted.begin(), wanted.end(),
+                            [](const auto& text) { return text.is_multipart(); }),
+               wanted.end());
   std::uint64_t bytes = 0;
   KeyRange range{wanted.front().key, wanted.front().key};
   for (const auto& text : wanted) {
@@ -226,6 +235,19 @@
   co_return read;
 }
 
+asio::awaitable<ReadResult> JobDataLog::read_text_parts(PartitionName partition,
+                                                        ListedResult::UnreadText text,
+                                                        Duration page_timeout) {
+  KeyRange range;
+  range.after =
+      text.parts_read == 0 ? text.key + "/" : text_part_key(text.key, text.parts_read - 1);
+  range.through = text_part_key(text.key, text.part_count - 1);
+  const ReadSemaphore::Permit turn = co_await key_read_turns_.acquire();
+  ReadResult read = co_await log_.read_newest(std::move(partition), range, page_timeout);
+  count_results(read.records);
+  co_return read;
+}
+
 asio::awaitable<LogStatus> JobDataLog::delete_keys(PartitionName partition,
                                                    std::vector<std::string> keys,
                                                    TimePoint deadline) {
@@ -272,8 +294,14 @@
   for (const auto& record : found.records) {
     // Delete the text before its listing, from which the text's key is derived: an interrupted
     // deletion must not leave a text that can no longer be found.
+    // Likewise the parts before their manifest.
+    if (is_manifest_key(record.key)) {
+      std::vector<std::string> parts = part_keys_of_manifest(record.key);
+      std::move(parts.begin(), parts.end(), std::back_inserter(keys));
+    }
     ResultListing listing;
-    if (decode(record.value, listing)) {
+    const bool is_listing = decode(record.value, listing);
+    if (is_listing && text_part_count(record.key) == 0) {
       keys.push_back(text_record_key(record.key, listing.written_ms));
     }
     keys.push_back(record.key);
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -70,7 +70,7 @@
                                                    ResumableNewestRead& newest);
   /// Reads texts of results: as many as fit into one read by offset, or all of them by key if the
   /// log has truncated the first one. A failed read also returns the texts that it got. The result
-  /// may contain texts that were not requested.
+  /// may contain texts that were not requested. A text in parts is read alone, by key.
   /// @param wanted ascending by offset, not empty.
   boost::asio::awaitable<ReadResult> read_texts(PartitionName partition,
                                                 std::vector<ListedResult::UnreadText> wanted,
@@ -106,6 +106,10 @@
   [[nodiscard]] static RequestSpan first_span(const JobSubmission& submission,
                                               const std::vector<std::uint32_t>& wanted,
                                               std::uint64_t max_bytes);
+  /// Reads the parts of a text that were not read yet.
+  boost::asio::awaitable<ReadResult> read_text_parts(PartitionName partition,
+                                                     ListedResult::UnreadText text,
+                                                     Duration page_timeout);
   void count_results(const std::vector<StoredRecord>& records);
   boost::asio::awaitable<LogStatus> delete_keys(PartitionName partition,
                                                 std::vector<std::string> keys, TimePoint deadline);
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -1,6 +1,8 @@
 #include "jobs/job_records.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <utility>
 
@@ -13,6 +15,9 @@
 constexpr std::array<std::string_view, 4> kKindPrefixes{"s.", "e.", "f.", "p."};
 constexpr std::string_view kResultSection = "/r/";
 constexpr std::string_view kProgressSection = "/p/";
+constexpr std::string_view kManifestSection = "/t/";
+/// Separates a writer's name from the number of parts, and that from the number of the retry.
+constexpr char kPartsSeparator = '~';
 constexpr std::array<std::string_view, 3> kDataTopics{"job-results", "job-progress", "job-bodies"};
 constexpr std::uint64_t kSlotSeed = 0x736c6f74;
 /// Prefix of the keys of texts. Sorts before all other keys, which begin with a hexadecimal digit.
@@ -59,6 +64,24 @@
   return text.data();
 }
 
+/// The writer's name at the end of the key of a listing, a manifest or a text.
+struct WriterName {
+  std::string_view of_text;      ///< Without the number of the retry.
+  std::uint32_t part_count = 0;  ///< 0: the text is one record.
+};
+
+WriterName parse_writer(std::string_view key) {
+  WriterName name;
+  name.of_text = key.substr(key.rfind('/') + 1);
+  const std::size_t parts = name.of_text.find(kPartsSeparator);
+  if (parts == std::string_view::npos) return name;
+  const std::size_t retry = name.of_text.find(kPartsSeparator, parts + 1);
+  name.of_text = name.of_text.substr(0, retry);
+  const std::string_view count = name.of_text.substr(parts + 1);
+  std::from_chars(count.data(), count.data() + count.size(), name.part_count);
+  return name;
+}
+
 /// Returns the key range of one section of a job's records. Sections end with '/', and '0' is the
 /// character after it.
 KeyRange section_key_range(const JobKey& key, std::string_view part) {
@@ -124,10 +147,49 @@
   // Fixed width, so that keys sort by time.
   std::array<char, 24> time{};
   std::snprintf(time.data(), time.size(), "%011llx", static_cast<unsigned long long>(written_ms));
-  const std::string_view writer = listing_key.substr(listing_key.rfind('/') + 1);
+  const WriterName writer = parse_writer(listing_key);
   std::string key(1, kTextKeyPrefix);
   key += job_of_record_key(listing_key);
-  return key + "/" + time.data() + "/" + std::string(writer);
+  return key + "/" + time.data() + "/" + std::string(writer.of_text);
+}
+
+std::string multipart_writer(std::string_view writer, std::uint32_t part_count) {
+  return std::string(writer) + kPartsSeparator + std::to_string(part_count);
+}
+
+std::string retried_listing_key(const std::string& listing_key, std::uint32_t attempt) {
+  if (attempt == 0) return listing_key;
+  return listing_key + kPartsSeparator + std::to_string(attempt);
+}
+
+std::uint32_t text_part_count(std::string_view listing_key) {
+  return parse_writer(listing_key).part_count;
+}
+
+std::string text_part_key(std::string_view text_key, std::uint32_t part) {
+  return std::string(text_key) + "/" + zero_padded(part);
+}
+
+std::string manifest_key(std::string_view text_key) {
+  const JobKey job = job_of_record_key(text_key);
+  const std::size_t prefix_size = 1 + job.size() + 1;  // The mark of texts and a slash.
+  return job + std::string(kManifestSection) + std::string(text_key.substr(prefix_size));
+}
+
+bool is_manifest_key(std::string_view key) {
+  return key.substr(std::min(key.find('/'), key.size())).starts_with(kManifestSection);
+}
+
+std::vector<std::string> part_keys_of_manifest(std::string_view key) {
+  const JobKey job = job_of_record_key(key);
+  const std::string_view time_and_writer = key.substr(job.size() + kManifestSection.size());
+  const std::string text_key = kTextKeyPrefix + job + "/" + std::string(time_and_writer);
+  const std::uint32_t part_count = parse_writer(key).part_count;
+  std::vector<std::string> keys;
+  for (std::uint32_t part = 0; part < part_count; ++part) {
+    keys.push_back(text_part_key(text_key, part));
+  }
+  return keys;
 }
 
 bool is_text_record_key(std::string_view key) {
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -9,7 +9,7 @@
 /// - job-results, partitioned by the hash of the job: results of items. The order of the records is
 ///   the order of the results; the first result of an item counts. A long text has a separate
 ///   record, directly before the listing that refers to it, so that the order can be read from the
-///   listings alone.
+///   listings alone. A text above the size of a record is stored in several, its parts.
 /// - job-progress, partitioned by the hash of the job: progress of running items, from which
 ///   another node can resume them.
 /// - job-bodies, partitioned by the hash of the job: the requests of the items.
@@ -130,7 +130,8 @@
 /// separate text record take about as many bytes.
 inline constexpr std::size_t kMaxInlineTextBytes = 256;
 
-/// A result whose text is stored in a separate record, directly before this one.
+/// A result whose text is stored in a separate record, directly before this one, or in several
+/// records, whose number is part of the listing's key.
 struct ResultListing {
   std::uint32_t item = 0;  ///< Index in the submission.
   ItemState state = ItemState::kCompleted;
@@ -178,6 +179,24 @@
 std::string text_record_key(std::string_view listing_key, std::int64_t written_ms);
 /// Returns whether a key of the results topics is that of a text.
 bool is_text_record_key(std::string_view key);
+/// Returns the writer's name in the listing key of a text that is stored in this many parts. Nodes
+/// of an older version, which look for the text in one record, find none and answer that they
+/// cannot read it.
+std::string multipart_writer(std::string_view writer, std::uint32_t part_count);
+/// Returns another key for the listing of the same parts.
+/// @param attempt 0: the key itself.
+std::string retried_listing_key(const std::string& listing_key, std::uint32_t attempt);
+/// Returns the number of parts of a listing's text; 0: it is one record.
+std::uint32_t text_part_count(std::string_view listing_key);
+/// Returns the key of one part of a text; they sort by number.
+/// @param text_key what `text_record_key` returns for the listing.
+std::string text_part_key(std::string_view text_key, std::uint32_t part);
+/// Returns the key of the manifest of a text in parts, which is among those of the job's results.
+std::string manifest_key(std::string_view text_key);
+/// Returns whether a key of the results topics is that of a manifest.
+bool is_manifest_key(std::string_view key);
+/// Returns the keys of all parts that a manifest stands for.
+std::vector<std::string> part_keys_of_manifest(std::string_view key);
 /// Returns the records of a result, to be written with one append.
 /// @param split whether a long text may be stored in a separate record.
 std::vector<KeyedRecord> result_records(const ItemResult& result, std::string_view writer,
--- a/src/jobs/job_runner_maintenance.cc
+++ b/src/jobs/job_runner_maintenance.cc
@@ -19,6 +19,10 @@
 /// Upper estimate of the bytes of a checkpoint record without its text.
 constexpr std::uint64_t kRecordOverheadBytes = 600;
 
+std::uint64_t checkpoint_bytes(const ItemProgress& progress) {
+  return progress.text.size() + kRecordOverheadBytes;
+}
+
 }  // namespace
 
 asio::awaitable<void> JobRunner::maintain() {
@@ -38,9 +42,11 @@
   }
 }
 
+/// A checkpoint that does not fit is skipped: the item restarts further back if this node fails.
 void JobRunner::queue_checkpoint(const ItemRun& run) {
   if (!run.has_progress()) return;
   const ItemProgress& progress = run.progress();
+  if (checkpoint_bytes(progress) > store_.limits().record_bytes) return;
   const ItemProgress* read = store_.progress_of(progress.job, progress.item);
   if (!durable_checkpoints_.is_newer_than_durable(progress, read)) return;
   const PartitionName partition = store_.partition_of(JobData::kProgress, progress.job);
@@ -60,11 +66,8 @@
     std::vector<const ItemProgress*> included;
     std::uint64_t bytes = 0;
     for (const auto& entry : entries) {
-      const std::uint64_t size = entry.text.size() + kRecordOverheadBytes;
-      const bool fits =
-          size <= store_.limits().record_bytes && bytes + size <= store_.limits().call_bytes;
-      // A checkpoint that does not fit is skipped: the item restarts further back if this node
-      // fails.
+      const std::uint64_t size = checkpoint_bytes(entry);
+      const bool fits = bytes + size <= store_.limits().call_bytes;
       if (!fits) continue;
       bytes += size;
       records.push_back({progress_record_key(entry.job, entry.item), encode(entry)});
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -9,6 +9,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "base/memory_budget.h"
 #include "base/timer.h"
@@ -16,6 +17,7 @@
 #include "jobs/job_records.h"
 #include "jobs/job_table.h"
 #include "jobs/listed_results.h"
+#include "jobs/multipart_result.h"
 #include "store/append_with_retry.h"
 #include "store/coalesced_read.h"
 #include "store/resumable_newest_read.h"
@@ -131,6 +133,9 @@
   boost::asio::awaitable<LogStatus> refresh_progress(JobKey key, AdaptiveReadLimits bounds);
   /// Returns the records of a result, to be written with one append. Each call uses new keys.
   std::vector<KeyedRecord> records_of(const ItemResult& result);
+  /// Returns the appends of a result whose text does not fit into one record; nothing if it fits,
+  /// or if the job does not allow separate texts.
+  std::optional<MultipartResult> multipart_of(const ItemResult& result);
   /// Returns the bytes of results read by this node.
   [[nodiscard]] const ResultBytes& result_bytes() const { return data_.result_bytes(); }
   /// Returns the partition of a job's results, progress or requests.
--- a/src/jobs/job_store_results.cc
+++ b/src/jobs/job_store_results.cc
@@ -12,6 +12,9 @@
 
 /// Maximum time that a read waits before it checks once more for a new result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
+/// Maximum bytes of a part of a text. One takes 0.2 s on a 5 Mbit/s link, where a call times out
+/// after 1 s.
+constexpr std::uint64_t kMaxTextPartBytes = 128UL * 1024;
 
 }  // namespace
 
@@ -21,6 +24,15 @@
   return result_records(result, unique_name(), wall_clock_ms(), split);
 }
 
+std::optional<MultipartResult> JobStore::multipart_of(const ItemResult& result) {
+  const JobEntry* entry = find_entry(result.job);
+  const bool split = entry != nullptr && entry->submission.split_results;
+  const std::uint64_t max_record_bytes = log_.limits().record_bytes - kRecordFramingBytes;
+  if (!split || result.text.size() <= max_record_bytes) return std::nullopt;
+  const std::uint64_t part_bytes = std::min(max_record_bytes, kMaxTextPartBytes);
+  return MultipartResult(result, unique_name(), wall_clock_ms(), part_bytes);
+}
+
 std::shared_ptr<JobStore::ResultReads> JobStore::result_reads_for(const JobKey& key) {
   std::shared_ptr<ResultReads>& kept = result_reads_[key];
   if (!kept) kept = std::make_shared<ResultReads>();
--- a/src/jobs/listed_results.cc
+++ b/src/jobs/listed_results.cc
@@ -40,6 +40,7 @@
     pending_text_ = std::move(record);
     return;
   }
+  if (is_manifest_key(record.key)) return;
   ResultListing listing;
   ItemResult result;
   if (decode(record.value, listing)) {
@@ -68,7 +69,10 @@
   bytes_ += text_key.size();
   // The text and its listing were appended together, the text first.
   const RecordOffset text_offset = record.offset > 0 ? record.offset - 1 : 0;
-  listed.unread_text = {std::move(text_key), text_offset, listing.text_bytes};
+  listed.unread_text = {.key = std::move(text_key),
+                        .offset = text_offset,
+                        .bytes = listing.text_bytes,
+                        .part_count = text_part_count(record.key)};
 }
 
 void ListedResults::add_texts(std::vector<StoredRecord> records) {
@@ -76,13 +80,34 @@
   for (auto& record : records) texts.emplace(std::move(record.key), std::move(record.value));
   for (auto& listed : listed_) {
     if (listed.has_text()) continue;
-    const auto found = texts.find(listed.unread_text->key);
-    if (found == texts.end() || found->second.empty()) continue;
-    bytes_ += found->second.size();
-    bytes_ -= found->first.size();
-    listed.text = std::move(found->second);
-    listed.unread_text.reset();
+    if (listed.unread_text->is_multipart()) {
+      add_parts(listed, texts);
+    } else {
+      add_text(listed, texts);
+    }
+  }
+}
+
+void ListedResults::add_text(ListedResult& listed, std::map<std::string, std::string>& texts) {
+  const auto found = texts.find(listed.unread_text->key);
+  if (found == texts.end() || found->second.empty()) return;
+  bytes_ += found->second.size();
+  bytes_ -= found->first.size();
+  listed.text = std::move(found->second);
+  listed.unread_text.reset();
+}
+
+void ListedResults::add_parts(ListedResult& listed, std::map<std::string, std::string>& texts) {
+  ListedResult::UnreadText& unread = *listed.unread_text;
+  while (unread.parts_read < unread.part_count) {
+    const auto part = texts.find(text_part_key(unread.key, unread.parts_read));
+    if (part == texts.end() || part->second.empty()) return;
+    bytes_ += part->second.size();
+    listed.text += part->second;
+    ++unread.parts_read;
   }
+  bytes_ -= unread.key.size();
+  listed.unread_text.reset();
 }
 
 std::vector<ListedResult::UnreadText> ListedResults::unread_texts(std::uint64_t position,
--- a/src/jobs/listed_results.h
+++ b/src/jobs/listed_results.h
@@ -15,12 +15,16 @@
 struct ListedResult {
   std::uint32_t item = 0;
   ItemState state = ItemState::kCompleted;
-  std::string text;
+  std::string text;  ///< Incomplete while `has_text` is false.
   /// Location of a text that has not been read yet.
   struct UnreadText {
     std::string key;
     RecordOffset offset = 0;
     std::uint64_t bytes = 0;
+    std::uint32_t part_count = 0;  ///< Number of its records, if it is stored in parts.
+    std::uint32_t parts_read = 0;  ///< Leading parts that were read.
+
+    [[nodiscard]] bool is_multipart() const { return part_count > 0; }
   };
   std::optional<UnreadText> unread_text{};
 
@@ -57,6 +61,9 @@
  private:
   void add_record(StoredRecord& record);
   void add_listing(const ResultListing& listing, const StoredRecord& record);
+  /// Moves a result's text, or the parts of it that follow those read so far, out of `texts`.
+  void add_text(ListedResult& listed, std::map<std::string, std::string>& texts);
+  void add_parts(ListedResult& listed, std::map<std::string, std::string>& texts);
 
   std::vector<ListedResult> listed_;  ///< By position; only grows.
   std::set<std::uint32_t> listed_items_;
--- a/src/jobs/result_writer.cc
+++ b/src/jobs/result_writer.cc
@@ -42,7 +42,11 @@
 void ResultWriter::add(ItemResult result) {
   replace_pending_bytes(0, estimated_bytes(result));
   ++pending_;
-  enqueue({.result = std::move(result), .rejections = 0, .pauses = Backoff(kRejectedPauses)});
+  std::optional<MultipartResult> multipart = store_.multipart_of(result);
+  enqueue({.result = std::move(result),
+           .rejections = 0,
+           .pauses = Backoff(kRejectedPauses),
+           .multipart = std::move(multipart)});
 }
 
 void ResultWriter::enqueue(PendingResult pending) {
@@ -79,7 +83,7 @@
   while (!queue.results.empty() && batch.size() < queue.batch_limit) {
     PendingResult& next = queue.results.front();
     bytes += estimated_bytes(next.result);
-    const bool is_alone = next.rejections > 0;
+    const bool is_alone = next.rejections > 0 || next.multipart;
     if (!batch.empty() && (is_alone || bytes > max_bytes)) break;
     batch.push_back(std::move(next));
     queue.results.pop_front();
@@ -89,6 +93,8 @@
 }
 
 std::vector<KeyedRecord> ResultWriter::records_of(const Results& batch) const {
+  const PendingResult& first = batch.front();
+  if (first.multipart) return first.multipart->next_append(first.result);
   std::vector<KeyedRecord> records;
   for (const auto& pending : batch) {
     std::vector<KeyedRecord> own = store_.records_of(pending.result);
@@ -106,9 +112,10 @@
     std::vector<KeyedRecord> records = records_of(batch);
     const LogStatus status = co_await store_.append_records(partition, std::move(records));
     append_size_.observe(status);
+    if (batch.front().multipart) batch.front().multipart->observe(status);
     if (status == LogStatus::kOk) {
       backoff.reset();
-      on_batch_durable(queue, batch);
+      on_batch_durable(queue, std::move(batch));
       continue;
     }
     if (status == LogStatus::kRejected) {
@@ -132,8 +139,16 @@
   memory_.resize(pending_bytes_);
 }
 
-void ResultWriter::on_batch_durable(Queue& queue, const Results& batch) {
+bool ResultWriter::continue_multipart(Queue& queue, Results& batch) {
+  const auto& multipart = batch.front().multipart;
+  if (!multipart || multipart->is_complete()) return false;
+  queue.results.push_back(std::move(batch.front()));
+  return true;
+}
+
+void ResultWriter::on_batch_durable(Queue& queue, Results batch) {
   queue.batch_limit = std::min(queue.batch_limit * 2, kMaxBatchResults);
+  if (continue_multipart(queue, batch)) return;
   for (const auto& pending : batch) remove_pending(pending.result);
   for (const auto& pending : batch) listener_(pending.result);
 }
@@ -161,7 +176,8 @@
              {"rejections", std::to_string(pending.rejections)},
              {"action", is_dropped ? "drop" : "retry"},
              {"wait_ms", milliseconds_text(pause)}});
-  // The handler may have replaced the result.
+  const bool is_replaced = bytes != estimated_bytes(pending.result);
+  if (is_replaced) pending.multipart = store_.multipart_of(pending.result);
   replace_pending_bytes(bytes, estimated_bytes(pending.result));
   if (is_dropped) {
     remove_pending(pending.result);
--- a/src/jobs/result_writer.h
+++ b/src/jobs/result_writer.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "base/memory_budget.h"
 #include "jobs/job_store.h"
@@ -29,7 +30,8 @@
 /// A rejected append does not name the record that caused it. The following appends of its
 /// partition are halved until the result that is rejected on its own is found. That one waits apart
 /// from the queue and is written again with growing pauses, so that the results behind it become
-/// durable at once: a rejection need not be final.
+/// durable at once: a rejection need not be final. A text that takes several appends lets the
+/// others go between them.
 class ResultWriter {
  public:
   /// Called when the result of an item has become durable.
@@ -52,8 +54,9 @@
  private:
   struct PendingResult {
     ItemResult result;
-    std::uint32_t rejections = 0;  ///< Rejections of appends of this result alone.
-    Backoff pauses;                ///< Pauses between these.
+    std::uint32_t rejections = 0;                ///< Rejections of appends of this result alone.
+    Backoff pauses;                              ///< Pauses between these.
+    std::optional<MultipartResult> multipart{};  ///< Set if the text takes several appends.
   };
   using Results = std::deque<PendingResult>;
   /// Results of one partition that wait or are being written.
@@ -70,7 +73,10 @@
   /// Removes and returns the leading results that fit into one append; at least one.
   Results take_batch(Queue& queue) const;
   [[nodiscard]] std::vector<KeyedRecord> records_of(const Results& batch) const;
-  void on_batch_durable(Queue& queue, const Results& batch);
+  /// Continues with the next append of a text that takes several.
+  /// @return whether there is one.
+  bool continue_multipart(Queue& queue, Results& batch);
+  void on_batch_durable(Queue& queue, Results batch);
   void on_batch_rejected(Queue& queue, Results batch);
   /// Lets a result wait that was rejected on its own, or drops it.
   void set_aside(PendingResult pending);
