The emulated metadata store rejects records and calls above its limits

The stand-in took records of any size, so no test with real processes met the rejection of a long text: the items of platform_path have texts of 3,500 bytes, and its store states records of 2,000. It answers 413 now, as far as the limits are given; those of the settings are passed to it in the tests of the platform.

--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -30,6 +30,7 @@
   std::uint32_t fetches_per_minute = 60;
   stoathold::emulator::InferenceRunnerParameters runner;
   std::uint32_t event_interval_ms = 5;
+  stoathold::emulator::AppendLimits append_limits;
 };
 
 bool read_parameters(const std::string& path, EngineParameters& parameters) {
@@ -84,7 +85,9 @@
   if (kind == "weights") {
     return emulator::make_weight_store(executor, options.listen, options.fetches_per_minute);
   }
-  if (kind == "metadata-store") return emulator::make_metadata_store(executor, options.listen);
+  if (kind == "metadata-store") {
+    return emulator::make_metadata_store(executor, options.listen, options.append_limits);
+  }
   if (kind == "inference-runner") {
     auto runner = options.runner;
     runner.event_interval = Milliseconds(options.event_interval_ms);
@@ -133,6 +136,11 @@
     } else if (std::string(kind) == "weights") {
       command->add_option("--per-minute", options.fetches_per_minute,
                           "Weight fetches allowed per minute");
+    } else if (std::string(kind) == "metadata-store") {
+      command->add_option("--record-bytes", options.append_limits.record_bytes,
+                          "Maximum bytes of a record; 0: no limit");
+      command->add_option("--call-bytes", options.append_limits.call_bytes,
+                          "Maximum bytes of an append; 0: no limit");
     } else if (std::string(kind) == "inference-runner") {
       add_runner_options(*command, options);
     } else if (std::string(kind) == "link") {
--- a/emulator/emulated_metadata_store.cc
+++ b/emulator/emulated_metadata_store.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <cereal/external/base64.hpp>
@@ -49,8 +50,10 @@
 /// Serves the metadata store's API from a `LogModel` and a `GroupModel`, with injected faults.
 class EmulatedMetadataStore final : public EmulatedService {
  public:
-  EmulatedMetadataStore(const asio::any_io_executor& executor, const std::string& listen)
+  EmulatedMetadataStore(const asio::any_io_executor& executor, const std::string& listen,
+                        AppendLimits limits)
       : executor_(executor),
+        limits_(limits),
         server_(executor, listen, HttpLimits{},
                 [this](HttpExchange& exchange) { return serve(exchange); }) {
     server_.start();
@@ -138,12 +141,25 @@
             static_cast<std::uint32_t>(target.number("part", 0))};
   }
 
+  [[nodiscard]] bool is_within_limits(const std::string& body,
+                                      const std::vector<KeyedRecord>& records) const {
+    if (limits_.call_bytes > 0 && body.size() > limits_.call_bytes) return false;
+    return limits_.record_bytes == 0 ||
+           std::all_of(records.begin(), records.end(), [this](const KeyedRecord& record) {
+             return 1 + record.key.size() + record.value.size() <= limits_.record_bytes;
+           });
+  }
+
   asio::awaitable<void> append(HttpExchange& exchange, const HttpTarget& target) {
     std::vector<KeyedRecord> records;
     if (!parse_append(exchange.body(), records)) {
       co_await exchange.respond(400, "application/json", "{}");
       co_return;
     }
+    if (is_subject_to_faults(exchange) && !is_within_limits(exchange.body(), records)) {
+      co_await exchange.respond(413, "application/json", "{}");
+      co_return;
+    }
     std::optional<RecordOffset> expected;
     if (target.parameter("at")) expected = target.number("at", 0);
     const PartitionName name = partition_of(target);
@@ -276,6 +292,7 @@
   }
 
   asio::any_io_executor executor_;
+  AppendLimits limits_;
   LogModel model_;
   std::optional<GroupModel> group_;
   std::vector<std::string> topics_;
@@ -287,8 +304,9 @@
 }  // namespace
 
 std::unique_ptr<EmulatedService> make_metadata_store(const asio::any_io_executor& executor,
-                                                     const std::string& listen) {
-  return std::make_unique<EmulatedMetadataStore>(executor, listen);
+                                                     const std::string& listen,
+                                                     AppendLimits limits) {
+  return std::make_unique<EmulatedMetadataStore>(executor, listen, limits);
 }
 
 }  // namespace stoathold::emulator
--- a/emulator/emulated_service.h
+++ b/emulator/emulated_service.h
@@ -44,11 +44,19 @@
                                                    const std::string& listen,
                                                    std::uint32_t per_minute);
 
+/// Sizes above which the metadata store rejects an append with 413, in bytes; 0: no limit. They do
+/// not apply to the operator.
+struct AppendLimits {
+  std::uint64_t record_bytes = 0;  ///< Of a record: the length of its key, the key and the value.
+  std::uint64_t call_bytes = 0;    ///< Of a call.
+};
+
 /// Creates a metadata store of the users' platform: keyed topics, conditional appends and one
 /// group. Admin request: `POST /admin/faults` with any of `outage` (`silent`, `busy`, `reset`, or
 /// empty), `lose_answers`, `late_appends`, `late_ms`, `delay_ms`, `drop_history`.
 std::unique_ptr<EmulatedService> make_metadata_store(const boost::asio::any_io_executor& executor,
-                                                     const std::string& listen);
+                                                     const std::string& listen,
+                                                     AppendLimits limits = {});
 
 /// Parameters of an emulated inference runner.
 struct InferenceRunnerParameters {
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -77,7 +77,8 @@
         ports = free_ports(1 + runners + 3 * nodes)
         self.store = "127.0.0.1:%d" % ports.pop()
         self.store_process = Process(
-            "store", [BUILD / "apps/stoathold-emulator", "metadata-store", "--listen", self.store],
+            "store", [BUILD / "apps/stoathold-emulator", "metadata-store", "--listen", self.store,
+                      "--record-bytes", sizes.record_bytes, "--call-bytes", sizes.call_bytes],
             directory)
         self.runners = {}
         self.runner_addresses = {}
