Jobs are found also if no route of the configuration leads to them

What callers saw: after the route of a batch job was removed and nodes had been restarted, the open items of the job in the slots of the restarted nodes were neither run nor given up, and the job was never erased. After a loss of all nodes that was true of every such job.

Cause: a node's jobs come from the partitions of the jobs topic that it follows, and it follows those of the batch routes of its configuration. Slots are assigned over all jobs. Nodes that had known the route followed the partition for as long as they lived, and partitions that a configured host shared hid the fault.

Now each node that holds slots also reads the partitions that it does not follow (JobDiscovery): each once, then after 15 s, doubling to 5 minutes, since a node with an older configuration may accept another job; each second while there are open jobs, each 10 s until they are erased. They are read from the log, not through other nodes, which may not have read them. What was found is run, given up 5 s after a confirmed removal, or erased, like any job.

--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -64,6 +64,7 @@
               [this](const std::vector<std::string>& names) {
                 if (members_listener_) members_listener_(names);
               }}),
+      discovery_(context.executor, store, [this] { return held_share(); }),
       stage_log_(context.executor, stages_,
                  [this](const JobKey& key, std::uint32_t index) { return item_id(key, index); }),
       running_budget_(SharedBudget::size_for_one_job(kSlowStartInitialItems)),
@@ -81,6 +82,7 @@
   started_ = monotonic_now();
   asio::co_spawn(context_.executor, membership_.run(), asio::detached);
   asio::co_spawn(context_.executor, maintain(), asio::detached);
+  asio::co_spawn(context_.executor, discovery_.run([this] { return !stopping_; }), asio::detached);
   asio::co_spawn(context_.executor, stage_log_.run([this] { return !stopping_; }), asio::detached);
 }
 
@@ -88,6 +90,12 @@
   return membership_.holds(job_slot(key, store_.limits().group_slots));
 }
 
+/// Before a configuration is known, the node cannot tell which partitions it will follow.
+double JobRunner::held_share() const {
+  if (!context_.configuration) return 0;
+  return static_cast<double>(membership_.slots().size()) / store_.limits().group_slots;
+}
+
 void JobRunner::on_job_changed(const JobKey& key, const JobEntry& job) {
   if (!job.open()) {
     const bool ran_on_this_node = jobs_.contains(key);
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -17,6 +17,7 @@
 #include "jobs/item_run.h"
 #include "jobs/item_stage_log.h"
 #include "jobs/item_stages.h"
+#include "jobs/job_discovery.h"
 #include "jobs/job_loader.h"
 #include "jobs/job_store.h"
 #include "jobs/result_writer.h"
@@ -117,6 +118,8 @@
   void queue_checkpoints();
   boost::asio::awaitable<void> write_checkpoints();
   [[nodiscard]] bool holds(const JobKey& key) const;
+  /// Returns the share of the slots that this node holds; 0 while it knows no configuration.
+  [[nodiscard]] double held_share() const;
 
   GatewayContext& context_;
   JobStore& store_;
@@ -124,6 +127,7 @@
   ResultWriter writer_;
   JobLoader loader_;
   SlotMembership membership_;
+  JobDiscovery discovery_;
   std::map<JobKey, std::shared_ptr<ActiveJob>> jobs_;
   std::set<WaitingItem> waiting_;
   ItemStages stages_;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "base/ids.h"
 #include "base/timer.h"
@@ -61,24 +62,30 @@
 }
 
 JobStore::JobsPartition& JobStore::partition_for_host(const std::string& host) {
-  const std::uint32_t number = jobs_partition(host, log_.limits().partitions);
+  JobsPartition& partition = partition_at(jobs_partition(host, log_.limits().partitions));
+  const bool is_first_use = !std::exchange(partition.shared, true);
+  if (is_first_use && replica_sharer_) replica_sharer_(partition.replica, *partition.cache);
+  return partition;
+}
+
+JobStore::JobsPartition& JobStore::partition_at(std::uint32_t number) {
   JobsPartition& partition = jobs_[number];
   if (partition.replica) return partition;
   partition.table =
       std::make_unique<JobTable>([this, &partition](const JobKey& key, const JobEntry& job) {
-        const bool should_notify = partition.followed && partition.replica->health().loaded;
+        const bool should_notify = partition.reported && partition.replica->health().loaded;
         if (should_notify && listener_) listener_(key, job);
       });
   const PartitionName name{kJobsTopic, number};
   partition.cache = std::make_unique<TopicCache>(executor_, *partition.table);
   partition.replica = std::make_shared<PartitionReplica>(log_, name, *partition.cache);
-  if (replica_sharer_) replica_sharer_(partition.replica, *partition.cache);
   partition.replica->set_loaded_listener([this, &partition] { partition_loaded(partition); });
   return partition;
 }
 
 void JobStore::partition_loaded(const JobsPartition& loaded) {
   notify_open_jobs(loaded);
+  if (!loaded.followed) return;
   for (const auto& [number, partition] : jobs_) {
     if (partition.followed && !partition.replica->health().loaded) return;
   }
@@ -86,7 +93,7 @@
 }
 
 void JobStore::notify_open_jobs(const JobsPartition& partition) {
-  if (!partition.followed || !listener_) return;
+  if (!partition.reported || !listener_) return;
   for (const auto& [key, job] : partition.table->jobs()) {
     if (job.open()) listener_(key, job);
   }
@@ -123,11 +130,36 @@
   JobsPartition& partition = partition_for_host(host);
   if (partition.followed) return;
   partition.followed = true;
-  // A caller's read may have loaded the partition already; the replica does not report it again.
-  if (partition.replica->health().loaded) notify_open_jobs(partition);
+  report_jobs(partition);
   asio::co_spawn(executor_, follow_partition(partition), asio::detached);
 }
 
+void JobStore::report_jobs(JobsPartition& partition) {
+  const bool is_first_call = !std::exchange(partition.reported, true);
+  // A caller's read may have loaded the partition already; the replica does not report it again.
+  if (is_first_call && partition.replica->health().loaded) notify_open_jobs(partition);
+}
+
+bool JobStore::is_followed(std::uint32_t partition) const {
+  const auto found = jobs_.find(partition);
+  return found != jobs_.end() && found->second.followed;
+}
+
+asio::awaitable<LogStatus> JobStore::read_unfollowed(std::uint32_t partition) {
+  JobsPartition& read = partition_at(partition);
+  report_jobs(read);
+  co_return co_await read.replica->catch_up();
+}
+
+JobsInPartition JobStore::jobs_in(std::uint32_t partition) const {
+  const auto found = jobs_.find(partition);
+  if (found == jobs_.end() || found->second.table->jobs().empty()) return JobsInPartition::kNone;
+  const auto& jobs = found->second.table->jobs();
+  const bool any_open =
+      std::any_of(jobs.begin(), jobs.end(), [](const auto& entry) { return entry.second.open(); });
+  return any_open ? JobsInPartition::kOpen : JobsInPartition::kFinished;
+}
+
 void JobStore::set_running_jobs(bool running) {
   running_jobs_ = running;
   for (auto& [number, partition] : jobs_) {
@@ -155,7 +187,7 @@
 void JobStore::for_each_job(
     const std::function<void(const JobKey&, const JobEntry&)>& visit) const {
   for (const auto& [number, partition] : jobs_) {
-    if (!partition.followed || !partition.replica->health().loaded) continue;
+    if (!partition.reported || !partition.replica->health().loaded) continue;
     for (const auto& [key, job] : partition.table->jobs()) visit(key, job);
   }
 }
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -58,6 +58,13 @@
   const ListedResults* results = nullptr;
 };
 
+/// The jobs of one partition of the jobs topic, as far as this node has read it.
+enum class JobsInPartition : std::uint8_t {
+  kNone,
+  kFinished,  ///< Each is finished or cancelled, and not erased yet.
+  kOpen,
+};
+
 /// How far a node has read the jobs of a host.
 struct JobsPosition {
   RecordOffset read_to = 0;
@@ -84,10 +91,10 @@
   JobStore(boost::asio::any_io_executor executor, RecordLog& log, std::string writer_name,
            JobStoreTiming timing = {});
 
-  /// Sets the listener that is called for each open job of a followed host once its partition has
-  /// been read to the end, and after that for each job that is added, cancelled or finished. It is
-  /// not called earlier: a starting node reads the submissions of the last minutes before the
-  /// finished marks that most of these jobs have.
+  /// Sets the listener that is called for each open job of a partition that is followed, or read
+  /// with `read_unfollowed`, once it has been read to the end, and after that for each job that is
+  /// added, cancelled or finished. It is not called earlier: a starting node reads the submissions
+  /// of the last minutes before the finished marks that most of these jobs have.
   void set_listener(JobTable::Listener listener) { listener_ = std::move(listener); }
   /// Sets the listener that is called when a partition has been loaded and those of all followed
   /// hosts are loaded.
@@ -100,6 +107,12 @@
   void set_replica_sharer(ReplicaSharer sharer) { replica_sharer_ = std::move(sharer); }
   /// Starts to follow the jobs of a host.
   void follow_host(const std::string& host);
+  /// Returns whether a partition of the jobs topic contains the jobs of a followed host.
+  [[nodiscard]] bool is_followed(std::uint32_t partition) const;
+  /// Reads a partition of the jobs topic that is not followed, from the log itself: other nodes may
+  /// not have read it. From then on its jobs are reported like those of followed hosts.
+  boost::asio::awaitable<LogStatus> read_unfollowed(std::uint32_t partition);
+  [[nodiscard]] JobsInPartition jobs_in(std::uint32_t partition) const;
   /// Sets whether this node runs jobs; initially true. While it does, new jobs of the followed
   /// hosts are read promptly; otherwise they are polled rarely and read when a caller asks for one.
   void set_running_jobs(bool running);
@@ -164,7 +177,7 @@
   [[nodiscard]] const ListedResults& results_of(const JobKey& key);
   /// Returns the progress of an item as last read from the log, or null.
   [[nodiscard]] const ItemProgress* progress_of(const JobKey& key, std::uint32_t item);
-  /// Calls `visit` for each job of the followed hosts whose partition has been loaded.
+  /// Calls `visit` for each job that is reported to the listener.
   void for_each_job(const std::function<void(const JobKey&, const JobEntry&)>& visit) const;
   [[nodiscard]] const LogLimits& limits() const { return log_.limits(); }
 
@@ -185,14 +198,20 @@
     std::unique_ptr<TopicCache> cache;  ///< Passes records on to `table`.
     std::shared_ptr<PartitionReplica> replica;
     bool followed = false;
+    bool reported = false;  ///< Whether its jobs are reported to the listener.
+    bool shared = false;    ///< Whether other nodes take part in its reads.
     std::unique_ptr<Timer>
         idle_timer;  ///< Delays the next poll; cancelled when the node runs jobs.
   };
 
   /// Returns whether a job fits within its limit on queued tokens.
   [[nodiscard]] static bool fits_token_quota(const JobTable& table, const NewJob& job);
-  /// Returns the partition of a host's jobs; creates its replica on the first call.
+  /// Returns the partition of a host's jobs, whose reads are shared with other nodes.
   JobsPartition& partition_for_host(const std::string& host);
+  /// Returns a partition; creates its replica on the first call.
+  JobsPartition& partition_at(std::uint32_t number);
+  /// Reports the jobs of a partition from now on.
+  void report_jobs(JobsPartition& partition);
   /// Calls the listener for all open jobs of a loaded partition.
   void notify_open_jobs(const JobsPartition& partition);
   void partition_loaded(const JobsPartition& loaded);
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -149,5 +149,59 @@
   EXPECT_EQ(listed[0].state, ItemState::kDeadLettered);
 }
 
+/// The records of a job are erased although no route of the configuration leads to it.
+TEST_F(JobRunnerTest, FinishedJobOfARemovedRouteIsErased) {
+  submit_finished("j");
+  context.configuration = std::make_shared<const ServingConfiguration>();
+  runner.start();
+  const auto count_records = [&] {
+    std::size_t records = 0;
+    const JobKey key = make_job_key(kHost, "j");
+    const PartitionName jobs{kJobsTopic, jobs_partition(kHost, small_limits().partitions)};
+    records += model->read_newest(jobs, {}).records.size();
+    for (const auto data : {JobData::kResults, JobData::kProgress, JobData::kRequests}) {
+      records +=
+          model->read_newest(store.partition_of(data, key), job_key_range(key)).records.size();
+    }
+    return records;
+  };
+  EXPECT_GT(count_records(), 0U);
+  loop.restart();
+  while (count_records() > 0 && loop.run_one() > 0) {
+  }
+  EXPECT_EQ(count_records(), 0U);
+}
+
+/// A node that is behind with its configuration finds the job of a route that it does not know yet.
+TEST_F(JobRunnerTest, ItemOfARouteThatIsNotKnownYetIsKeptAndRunOnceItIs) {
+  ConfigurationConfirmation confirmation(
+      {[] { return ConfigurationPosition(); },
+       []() -> boost::asio::awaitable<LogStatus> { co_return LogStatus::kUnknown; },
+       []() -> boost::asio::awaitable<bool> { co_return false; }});
+  context.confirmation = &confirmation;
+  context.configuration = std::make_shared<const ServingConfiguration>();
+  ScriptedRunner scripted(loop, {plain_response("id: 1\ndata: text\n\n")});
+  context.runners.upsert({"r", "chat", scripted.address(), "zone", kSlots, false});
+  EXPECT_EQ(run_awaitable(loop, store.submit(make_job("j"))), SubmitStatus::kAccepted);
+  runner.start();
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(7000));
+  EXPECT_EQ(runner.item_stages().of(ItemStage::kBackingOff).items, 1U);
+  ServingConfiguration configuration;
+  configuration.version = 2;
+  configuration.routes = {batch_route(Duration{0})};
+  context.configuration = std::make_shared<const ServingConfiguration>(configuration);
+  store.follow_host(kHost);
+  while (scripted.requests.empty() && loop.run_one() > 0) {
+  }
+  while (store.results_of(make_job_key(kHost, "j")).listed().empty()) {
+    EXPECT_EQ(run_awaitable(loop, store.refresh_results(make_job_key(kHost, "j"))), LogStatus::kOk);
+  }
+  const auto& listed = store.results_of(make_job_key(kHost, "j")).listed();
+  ASSERT_EQ(listed.size(), 1U);
+  EXPECT_EQ(listed[0].state, ItemState::kCompleted);
+  EXPECT_EQ(scripted.requests.size(), 1U);
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/jobs/paged_record_log.h
+++ b/tests/jobs/paged_record_log.h
@@ -67,6 +67,8 @@
   void set_max_answered_read_bytes(std::uint64_t bytes) { max_answered_read_bytes_ = bytes; }
   /// Makes appends of more bytes than this time out without being applied.
   void set_max_answered_append_bytes(std::uint64_t bytes) { max_answered_append_bytes_ = bytes; }
+  /// Makes reads by offset fail at once without an effect.
+  void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
   /// Makes the next read of newest records time out after this number of pages.
   void lose_page_after(int pages) { pages_until_loss_ = pages; }
 
@@ -84,6 +86,12 @@
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override {
     co_await post_and_wait_if_held(partition.topic);
+    if (unavailable_) {
+      ++reads_[partition.topic].calls;
+      ReadResult refused;
+      refused.status = LogStatus::kNotDone;
+      co_return refused;
+    }
     if (max_bytes > max_answered_read_bytes_ && partition.topic != kJobsTopic) {
       ++reads_[partition.topic].calls;
       co_return ReadResult();
@@ -194,6 +202,7 @@
   std::string held_append_prefix_;
   std::uint64_t max_answered_read_bytes_ = std::numeric_limits<std::uint64_t>::max();
   std::uint64_t max_answered_append_bytes_ = std::numeric_limits<std::uint64_t>::max();
+  bool unavailable_ = false;
   int pages_until_loss_ = -1;  ///< Negative: no page is lost.
   int held_ = 0;
   int max_held_ = 0;
