Erasure of a large job stays within the size of a call

What callers saw: nothing on the stores of today, whose calls take 2 MB; with smaller calls the records of a job with many keys were never deleted, and each round tried it again.

Deletions went 500 to an append, whatever a call takes; the first rejection ends the erasure.

An append of deletions now also ends at the size of a call. ErasureOfALargeJobStaysWithinTheSizeOfACall failed before (one rejected append, all records left) and passes.

--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <iterator>
 #include <optional>
+#include <utility>
 
 #include "base/timer.h"
 
@@ -25,6 +26,8 @@
 constexpr std::uint64_t kListingBytes = 2 * kRecordFramingBytes;
 /// Maximum keys deleted by one append; each takes about 80 bytes.
 constexpr std::size_t kDeletionsPerAppend = 500;
+/// Bytes of a deletion besides its key: the lengths of the record and of the key.
+constexpr std::uint64_t kDeletionFramingBytes = 5;
 
 /// Reassembles an item's request from its chunks.
 /// @return nothing if a chunk is missing or the request cannot be decoded.
@@ -251,13 +254,19 @@
 asio::awaitable<LogStatus> JobDataLog::delete_keys(PartitionName partition,
                                                    std::vector<std::string> keys,
                                                    TimePoint deadline) {
-  for (std::size_t first = 0; first < keys.size(); first += kDeletionsPerAppend) {
-    std::vector<KeyedRecord> deletions;
-    const std::size_t last = std::min(keys.size(), first + kDeletionsPerAppend);
-    for (std::size_t i = first; i < last; ++i) deletions.push_back({std::move(keys[i]), {}});
+  std::vector<KeyedRecord> deletions;
+  std::uint64_t bytes = 0;
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    bytes += keys[i].size() + kDeletionFramingBytes;
+    deletions.push_back({std::move(keys[i]), {}});
+    const bool is_last = i + 1 == keys.size();
+    const bool next_fits =
+        !is_last && bytes + keys[i + 1].size() + kDeletionFramingBytes <= log_.limits().call_bytes;
+    if (next_fits && deletions.size() < kDeletionsPerAppend) continue;
     const AppendResult result = co_await append_with_retry(
-        executor_, log_, partition, std::move(deletions), deadline, retries_);
+        executor_, log_, partition, std::exchange(deletions, {}), deadline, retries_);
     if (result.status != LogStatus::kOk) co_return result.status;
+    bytes = 0;
   }
   co_return LogStatus::kOk;
 }
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -27,6 +27,7 @@
   std::function<void()> after_delayed_append;  ///< Called after an append was delayed.
   /// An append with a record for which this returns true is rejected as a whole; null: none is.
   std::function<bool(const KeyedRecord&)> rejects;
+  std::uint64_t max_append_bytes = 0;  ///< Larger appends are rejected; 0: none is.
 };
 
 /// Timeouts and backoff short enough that retries take negligible time.
@@ -93,7 +94,7 @@
                                               std::optional<RecordOffset> expected_end) override {
     AppendResult result;
     const bool exempt = !faults.topic.empty() && faults.topic != partition.topic;
-    if (faults.rejects && std::any_of(records.begin(), records.end(), faults.rejects)) {
+    if (rejects_append(records)) {
       ++rejected_appends;
       result.status = LogStatus::kRejected;
     } else if (exempt) {
@@ -151,6 +152,13 @@
   }
 
  private:
+  [[nodiscard]] bool rejects_append(const std::vector<KeyedRecord>& records) const {
+    std::uint64_t bytes = 0;
+    for (const auto& record : records) bytes += record.key.size() + record.value.size();
+    if (faults.max_append_bytes > 0 && bytes > faults.max_append_bytes) return true;
+    return faults.rejects && std::any_of(records.begin(), records.end(), faults.rejects);
+  }
+
   std::shared_ptr<emulator::LogModel> model_;
   LogLimits limits_;
   std::vector<std::function<void()>> delayed_;
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -289,6 +289,28 @@
   }
 }
 
+/// The keys of a large job take more than one call.
+TEST_F(JobStoreTest, ErasureOfALargeJobStaysWithinTheSizeOfACall) {
+  constexpr std::size_t kItems = 30;
+  constexpr std::size_t kRequestBytes = 1750;  // Two records.
+  LogLimits limits = small_limits();
+  limits.call_bytes = 2500;
+  FaultyRecordLog log(model, limits);
+  JobStore store(loop.get_executor(), log, "eraser", short_timeouts());
+  EXPECT_EQ(submit(store, make_job("j1", kItems, 1, kRequestBytes)), SubmitStatus::kAccepted);
+  const JobKey key = make_job_key(kHost, "j1");
+  log.faults.max_append_bytes = limits.call_bytes;
+  bool done = false;
+  boost::asio::co_spawn(loop, store.erase(kHost, key), [&](std::exception_ptr) { done = true; });
+  loop.restart();
+  while (!done && loop.run_one() > 0) {
+  }
+  EXPECT_EQ(log.rejected_appends, 0);
+  EXPECT_EQ(find(second, "j1"), LookupStatus::kAbsent);
+  const PartitionName requests = store.partition_of(JobData::kRequests, key);
+  EXPECT_TRUE(model->read_newest(requests, job_key_range(key)).records.empty());
+}
+
 TEST_F(JobStoreTest, IdleNodeReadsJobsOnlyOnceItRunsJobs) {
   std::vector<JobKey> notified;
   second.set_listener([&](const JobKey& key, const JobEntry&) { notified.push_back(key); });
