--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -251,6 +251,12 @@
              {"last_event", std::to_string(progress_.last_event)}});
 }
 
+bool ItemRun::must_give_up(const Route& route) const {
+  const bool has_retention = route.item_retention.count() > 0;
+  if (is_text_too_long_ && !has_retention) return true;
+  return is_past_retention(route, item_.submitted_ms, clock_skew_);
+}
+
 ItemResult ItemRun::make_result(ItemState state) const {
   ItemResult result;
   result.job = item_.job;
@@ -294,11 +300,8 @@
       continue;
     }
     route_missing_since.reset();
-    if (is_past_retention(*route, item_.submitted_ms, clock_skew_)) {
-      co_return make_result(ItemState::kDeadLettered);
-    }
+    if (must_give_up(*route)) co_return make_result(ItemState::kDeadLettered);
     if (is_text_too_long_) {
-      if (route->item_retention.count() == 0) co_return make_result(ItemState::kDeadLettered);
       set_stage(ItemStage::kBackingOff);
       co_await sleep_for(kRetentionPollInterval);
       continue;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -105,6 +105,8 @@
   };
   /// Joins the shared batch queue, and sets the fields of the request that depend on it.
   QueueEntry join_queue(PlacementRequest& request, const ItemSchedule& schedule);
+  /// Returns whether the item ends without a run that completes it.
+  [[nodiscard]] bool must_give_up(const Route& route) const;
   [[nodiscard]] ItemResult make_result(ItemState state) const;
   [[nodiscard]] std::vector<std::uint64_t> runners_to_avoid(const std::string& service) const;
   [[nodiscard]] bool has_exhausted_attempts(const Route& route) const;
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -18,6 +18,8 @@
 constexpr std::string_view kManifestSection = "/t/";
 /// Separates a writer's name from the number of parts, and that from the number of the retry.
 constexpr char kPartsSeparator = '~';
+/// Upper bound of the parts of a text. A malformed key must not stand for more.
+constexpr std::uint32_t kMaxTextParts = 100'000;
 constexpr std::array<std::string_view, 3> kDataTopics{"job-results", "job-progress", "job-bodies"};
 constexpr std::uint64_t kSlotSeed = 0x736c6f74;
 /// Prefix of the keys of texts. Sorts before all other keys, which begin with a hexadecimal digit.
@@ -79,6 +81,7 @@
   name.of_text = name.of_text.substr(0, retry);
   const std::string_view count = name.of_text.substr(parts + 1);
   std::from_chars(count.data(), count.data() + count.size(), name.part_count);
+  if (name.part_count > kMaxTextParts) name.part_count = 0;
   return name;
 }
 
--- a/tests/jobs/append_results.h
+++ b/tests/jobs/append_results.h
@@ -25,4 +25,17 @@
   co_return false;
 }
 
+/// Appends a result whose text takes several appends, likewise.
+inline boost::asio::awaitable<bool> append_multipart(JobStore& store, ItemResult result,
+                                                     MultipartResult appends,
+                                                     std::function<bool()> running) {
+  const PartitionName partition = store.partition_of(JobData::kResults, result.job);
+  while (!appends.is_complete()) {
+    if (!running()) co_return false;
+    std::vector<KeyedRecord> records = appends.next_append(result);
+    appends.observe(co_await store.append_records(partition, std::move(records)));
+  }
+  co_return true;
+}
+
 }  // namespace stoathold
--- a/tests/jobs/job_model_test.cc
+++ b/tests/jobs/job_model_test.cc
@@ -39,6 +39,13 @@
   return limits;
 }
 
+/// Whether the texts of results are stored in several records.
+bool has_multipart_texts() {
+  return result_bytes() > limits().record_bytes;
+}
+/// Upper bound of the appends of one writer, which may be too few for its text.
+constexpr int kMaxAppends = 9;
+
 std::string job_id(int job) {
   return "job-" + std::to_string(job);
 }
@@ -157,6 +164,7 @@
   int node = pick_node();
   int job = pick_job();
   std::uint32_t item = *rc::gen::inRange<std::uint32_t>(0, kItems);
+  int max_appends = has_multipart_texts() ? *rc::gen::inRange(1, kMaxAppends) : 0;
 
   void run(const Oracle& /*before*/, Fleet& fleet) const override {
     ++totals().commands;
@@ -164,15 +172,31 @@
     if (!oracle.accepted.contains(job)) return;
     JobStore& store = *fleet.stores[node];
     const JobKey key = job_key(job);
+    const bool done = has_multipart_texts() ? write_multipart(fleet, store, key)
+                                            : write_records(fleet, store, key);
+    if (done) oracle.finished.insert({job, item});
+  }
+  bool write_records(Fleet& fleet, JobStore& store, const JobKey& key) const {
     int tries = 0;
     const auto make = [&] {
       ItemResult result{key, item, ItemState::kCompleted, store.unique_name()};
       result.text.resize(std::max(result.text.size(), result_bytes()), '.');
       return store.records_of(result);
     };
-    const bool done =
-        run_awaitable(fleet.loop, append_results(store, key, make, [&] { return tries++ < 2; }));
-    if (done) oracle.finished.insert({job, item});
+    return run_awaitable(fleet.loop, append_results(store, key, make, [&] { return tries++ < 2; }));
+  }
+  /// The writer may end between two appends.
+  bool write_multipart(Fleet& fleet, JobStore& store, const JobKey& key) const {
+    int appends = 0;
+    ItemResult result{key, item, ItemState::kCompleted, {}};
+    const std::string name = store.unique_name();
+    while (result.text.size() < result_bytes()) {
+      result.text += name + " " + std::to_string(result.text.size()) + " ";
+    }
+    const auto multipart = store.multipart_of(result);
+    if (!multipart) return false;  // The node has not read the job.
+    return run_awaitable(fleet.loop, append_multipart(store, result, *multipart,
+                                                      [&] { return appends++ < max_appends; }));
   }
   void show(std::ostream& os) const override {
     os << "write result of item " << item << " of " << job << " at " << node;
