A partition that cannot be read does not hold up the discovery of jobs in the others

A failed read left its partition the one that is due for longest, so it was read again first. It is due behind the others now; and each node has an order of its own, so that nodes that start together rarely read the same large partition at the same time. PartitionThatCannotBeReadDoesNotHoldUpTheOthers failed before.

--- a/src/jobs/job_discovery.cc
+++ b/src/jobs/job_discovery.cc
@@ -33,7 +33,13 @@
     : executor_(std::move(executor)), store_(store), held_share_(std::move(held_share)) {}
 
 void JobDiscovery::reset() {
-  looks_.assign(store_.limits().partitions, {monotonic_now(), kInitialInterval});
+  const TimePoint now = monotonic_now();
+  looks_.assign(store_.limits().partitions, {now, kInitialInterval});
+  // Each node has an order of its own, so that nodes that start together rarely read the same
+  // partition, which may be large, at the same time.
+  for (Look& look : looks_) {
+    look.due -= Duration(process_random().below(kInitialInterval.count()));
+  }
 }
 
 Duration JobDiscovery::read_pause() const {
@@ -72,7 +78,11 @@
   const std::optional<std::uint32_t> partition = next_due();
   if (!partition) co_return kCheckInterval;
   const LogStatus status = co_await store_.read_unfollowed(*partition);
-  if (status != LogStatus::kOk) co_return std::max(read_pause(), failure_backoff_.next());
+  if (status != LogStatus::kOk) {
+    // The other partitions that are due go first.
+    looks_[*partition].due = monotonic_now();
+    co_return std::max(read_pause(), failure_backoff_.next());
+  }
   failure_backoff_.reset();
   schedule_next(*partition);
   co_return read_pause();
--- a/src/jobs/job_discovery.h
+++ b/src/jobs/job_discovery.h
@@ -42,7 +42,7 @@
     Duration interval{0};  ///< Until the read after it, if the partition is still empty.
   };
 
-  /// Makes all partitions due, as after a start.
+  /// Makes all partitions due, in random order, as after a start.
   void reset();
   /// Returns the partition that is due for longest and not followed; nothing if there is none.
   [[nodiscard]] std::optional<std::uint32_t> next_due() const;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -85,7 +85,6 @@
 
 void JobStore::partition_loaded(const JobsPartition& loaded) {
   notify_open_jobs(loaded);
-  if (!loaded.followed) return;
   for (const auto& [number, partition] : jobs_) {
     if (partition.followed && !partition.replica->health().loaded) return;
   }
--- a/tests/jobs/job_discovery_test.cc
+++ b/tests/jobs/job_discovery_test.cc
@@ -183,6 +183,18 @@
   EXPECT_EQ(nodes_that_know("j"), 1U);
 }
 
+TEST_F(JobDiscoveryTest, PartitionThatCannotBeReadDoesNotHoldUpTheOthers) {
+  submit("j");
+  const std::uint32_t partition = jobs_partition(kHost, store_limits().partitions);
+  for (std::uint32_t other = 0; other < store_limits().partitions; ++other) {
+    if (other == partition) continue;
+    DiscoveringNode& node = add_node("node" + std::to_string(other), 1);
+    node.log.set_unavailable(PartitionName{kJobsTopic, other});
+  }
+  run_for(seconds(5));
+  EXPECT_EQ(nodes_that_know("j"), store_limits().partitions - 1);
+}
+
 TEST_F(JobDiscoveryTest, NodeWithoutSlotsReadsNothingUntilItHoldsSome) {
   submit("j");
   DiscoveringNode& node = add_node("node", 0);
--- a/tests/jobs/paged_record_log.h
+++ b/tests/jobs/paged_record_log.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -68,7 +69,13 @@
   /// Makes appends of more bytes than this time out without being applied.
   void set_max_answered_append_bytes(std::uint64_t bytes) { max_answered_append_bytes_ = bytes; }
   /// Makes reads by offset fail at once without an effect.
-  void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
+  void set_unavailable(bool unavailable) {
+    is_unavailable_ = [unavailable](const PartitionName&) { return unavailable; };
+  }
+  /// Makes reads by offset of one partition fail likewise.
+  void set_unavailable(const PartitionName& partition) {
+    is_unavailable_ = [partition](const PartitionName& read) { return read == partition; };
+  }
   /// Makes the next read of newest records time out after this number of pages.
   void lose_page_after(int pages) { pages_until_loss_ = pages; }
 
@@ -86,7 +93,7 @@
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override {
     co_await post_and_wait_if_held(partition.topic);
-    if (unavailable_) {
+    if (is_unavailable_ && is_unavailable_(partition)) {
       ++reads_[partition.topic].calls;
       ReadResult refused;
       refused.status = LogStatus::kNotDone;
@@ -202,8 +209,8 @@
   std::string held_append_prefix_;
   std::uint64_t max_answered_read_bytes_ = std::numeric_limits<std::uint64_t>::max();
   std::uint64_t max_answered_append_bytes_ = std::numeric_limits<std::uint64_t>::max();
-  bool unavailable_ = false;
-  int pages_until_loss_ = -1;  ///< Negative: no page is lost.
+  std::function<bool(const PartitionName&)> is_unavailable_;  ///< Null: none is.
+  int pages_until_loss_ = -1;                                 ///< Negative: no page is lost.
   int held_ = 0;
   int max_held_ = 0;
   std::map<std::string, ReadCount> reads_;
