--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -212,7 +212,7 @@
                                                    AdaptiveReadLimits bounds) {
   if (wanted.front().is_multipart()) {
     ReadResult parts =
-        co_await read_text_parts(std::move(partition), wanted.front(), bounds.page_timeout);
+        co_await read_text_parts(std::move(partition), std::move(wanted), bounds.page_timeout);
     co_return parts;
   }
   wanted.erase(std::find_if(wanted.begin(), wanted.end(),
@@ -238,9 +238,9 @@
   co_return read;
 }
 
-asio::awaitable<ReadResult> JobDataLog::read_text_parts(PartitionName partition,
-                                                        ListedResult::UnreadText text,
-                                                        Duration page_timeout) {
+asio::awaitable<ReadResult> JobDataLog::read_text_parts(
+    PartitionName partition, std::vector<ListedResult::UnreadText> wanted, Duration page_timeout) {
+  const ListedResult::UnreadText& text = wanted.front();
   KeyRange range;
   range.after =
       text.parts_read == 0 ? text.key + "/" : text_part_key(text.key, text.parts_read - 1);
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -106,9 +106,9 @@
   [[nodiscard]] static RequestSpan first_span(const JobSubmission& submission,
                                               const std::vector<std::uint32_t>& wanted,
                                               std::uint64_t max_bytes);
-  /// Reads the parts of a text that were not read yet.
+  /// Reads the parts of the first of these texts that were not read yet.
   boost::asio::awaitable<ReadResult> read_text_parts(PartitionName partition,
-                                                     ListedResult::UnreadText text,
+                                                     std::vector<ListedResult::UnreadText> wanted,
                                                      Duration page_timeout);
   void count_results(const std::vector<StoredRecord>& records);
   boost::asio::awaitable<LogStatus> delete_keys(PartitionName partition,
