--- a/src/jobs/job_discovery.cc
+++ b/src/jobs/job_discovery.cc
@@ -12,8 +12,7 @@
 
 namespace asio = boost::asio;
 
-/// Mean interval between two reads of all nodes together: a twentieth of the 2,000 reads per second
-/// that the smallest stores take.
+/// Mean interval between two reads of all nodes together, whose calls the store limits in total.
 constexpr Duration kFleetReadInterval = std::chrono::milliseconds(10);
 /// Maximum interval between two looks at what is due.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(250);
