--- a/src/gateway/attempt_result.h
+++ b/src/gateway/attempt_result.h
@@ -16,7 +16,7 @@
   kFailed,        ///< Error of the runner; another runner may succeed.
   kErrorRelayed,  ///< Error of the runner, relayed completely to the caller.
   kImpossible,    ///< No runner can process the request.
-  kTooLong,       ///< The response is longer than can be stored; any runner's may be.
+  kTooLong,       ///< The response is longer than can be stored, whichever runner sends it.
   kNotRun,        ///< The runner reported that it did not run the request; another may.
   kUnreachable,   ///< Nothing reached the runner; another may be reachable.
   kBroken,  ///< The connection broke and the request may have run; events received so far are kept.
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -38,8 +38,8 @@
 constexpr std::uint32_t kMaxFailuresPerAttempt = 2;
 /// Maximum bytes of an item's text.
 constexpr std::uint64_t kMaxTextBytes = 8UL * 1024 * 1024;
-/// Divisor for the share of the memory budget that a text may take. A node that reads one holds it
-/// up to four times: in the list of results, in the response and in its encoded and unsent bytes.
+/// Divisor for the share of the memory budget that a text may take. A node that reads a text holds
+/// copies of it in the list of results and in the response.
 constexpr std::uint64_t kTextBudgetDivisor = 8;
 /// Interval between checks of the retention of an item that is not run again.
 constexpr Duration kRetentionPollInterval = std::chrono::seconds(1);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -289,7 +289,7 @@
   }
 }
 
-/// The next holder of the slot of a stopped job runs the item again.
+/// A result that is dropped is not lost: the next holder of the job's slot runs the item again.
 RejectedResultAction JobRunner::on_result_rejected(ItemResult& result) {
   const auto found = jobs_.find(result.job);
   if (found == jobs_.end()) return RejectedResultAction::kDrop;
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -108,7 +108,8 @@
   boost::asio::awaitable<void> run_item(WaitingItem item, std::shared_ptr<ActiveJob> job,
                                         ItemRequest request);
   void on_result_durable(const ItemResult& result);
-  /// Gives an item up whose result the log rejects and whose retention has ended.
+  /// Replaces a rejected result by a dead-lettered one if the item's retention has ended, and drops
+  /// it if this node does not run the job any more.
   RejectedResultAction on_result_rejected(ItemResult& result);
   boost::asio::awaitable<void> finish_job(JobKey key, std::shared_ptr<ActiveJob> job);
   boost::asio::awaitable<void> release_slots(std::set<std::uint32_t> slots);
--- a/src/jobs/job_store_results.cc
+++ b/src/jobs/job_store_results.cc
@@ -12,8 +12,7 @@
 
 /// Maximum time that a read waits before it checks once more for a new result.
 constexpr Duration kResultWait = std::chrono::milliseconds(700);
-/// Maximum bytes of a part of a text. One takes 0.2 s on a 5 Mbit/s link, where a call times out
-/// after 1 s.
+/// Maximum bytes of a part of a text, which is appended again whole if the call times out.
 constexpr std::uint64_t kMaxTextPartBytes = 128UL * 1024;
 
 }  // namespace
