A failed read of the discovery of jobs leaves a line

It was retried without one, so an operator could not tell a node that finds no jobs from one that cannot read. job_discovery_retried names the partition and the status.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -95,6 +95,10 @@
         Event::kItemTextTooLong, "item_text_too_long", EventLevel::kWarning,
         "The text of a batch item is longer than a node can keep; the item is not run again and "
         "is dead-lettered with its retention."},
+    EventEntry{
+        Event::kJobDiscoveryRetried, "job_discovery_retried", EventLevel::kInfo,
+        "A partition of the jobs topic that no route leads to could not be read; the read is "
+        "retried."},
     EventEntry{Event::kRequestRefused, "request_refused", EventLevel::kInfo,
                "A request was refused before any dispatch."},
     EventEntry{Event::kRequestFailed, "request_failed", EventLevel::kWarning,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -54,6 +54,7 @@
   kItemRestarted = 1417,
   kResultRejected = 1418,
   kItemTextTooLong = 1419,
+  kJobDiscoveryRetried = 1420,
   kRequestRefused = 1501,
   kRequestFailed = 1502,
   kRunnerEjected = 1503,
--- a/src/jobs/job_discovery.cc
+++ b/src/jobs/job_discovery.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/event_log.h"
 #include "base/random.h"
 #include "base/timer.h"
 
@@ -78,6 +79,8 @@
   if (!partition) co_return kCheckInterval;
   const LogStatus status = co_await store_.read_unfollowed(*partition);
   if (status != LogStatus::kOk) {
+    log_event(Event::kJobDiscoveryRetried, {{"partition", std::to_string(*partition)},
+                                            {"status", std::string(to_string(status))}});
     // The other partitions that are due go first.
     looks_[*partition].due = monotonic_now();
     co_return std::max(read_pause(), failure_backoff_.next());
