--- a/tests/jobs/job_discovery_test.cc
+++ b/tests/jobs/job_discovery_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 
+#include "tests/jobs/batch_jobs.h"
 #include "tests/jobs/paged_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 #include "tests/jobs/virtual_clock.h"
@@ -20,22 +21,9 @@
 
 constexpr const char* kHost = "retired.example";
 constexpr Duration kStep = std::chrono::milliseconds(20);
-/// Maximum reads of all nodes together, per second: a twentieth of what the smallest stores take.
+/// Reads of all nodes together, per second.
 constexpr double kMaxReadsPerSecond = 100;
 
-NewJob make_job(const std::string& id) {
-  NewJob job;
-  job.submission.id = id;
-  job.submission.host = kHost;
-  job.submission.path = "/drafts/";
-  job.submission.route = "drafts";
-  JobItem item;
-  item.id = id + "-item";
-  job.submission.items.push_back(item);
-  job.requests.emplace_back();
-  return job;
-}
-
 /// A node that holds some of the slots.
 struct DiscoveringNode {
   DiscoveringNode(asio::io_context& loop, const std::shared_ptr<emulator::LogModel>& model,
@@ -78,7 +66,8 @@
   void submit(const std::string& id) {
     PagedRecordLog log(model, loop.get_executor());
     JobStore store(loop.get_executor(), log, "accepting " + id);
-    EXPECT_EQ(run_awaitable(loop, store.submit(make_job(id))), SubmitStatus::kAccepted);
+    EXPECT_EQ(run_awaitable(loop, store.submit(make_batch_job(kHost, id, 1))),
+              SubmitStatus::kAccepted);
   }
   void run_for(Duration length) {
     const TimePoint end = monotonic_now() + length;
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -6,6 +6,7 @@
 
 #include "tests/gateway/scripted_runner.h"
 #include "tests/jobs/append_results.h"
+#include "tests/jobs/batch_jobs.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 
@@ -109,24 +110,12 @@
   EXPECT_EQ(runner.item_stages().open_items, 0U);
 }
 
-Route batch_route(Duration item_retention) {
-  Route route;
-  route.name = "drafts";
-  route.host = kHost;
-  route.path_prefix = "/drafts/";
-  route.kind = RouteKind::kBatch;
-  route.services = {{"chat", 1}};
-  route.max_attempts = 2;
-  route.item_retention = item_retention;
-  return route;
-}
-
 /// The runner's answer is there, so the item is not run again; its text is given up only once the
 /// route allows it.
 TEST_F(JobRunnerTest, ItemWhoseResultIsRejectedEndsWithItsRetention) {
   ServingConfiguration configuration;
   configuration.version = 1;
-  configuration.routes = {batch_route(std::chrono::seconds(1))};
+  configuration.routes = {make_batch_route(kHost, std::chrono::seconds(1))};
   context.configuration = std::make_shared<const ServingConfiguration>(configuration);
   const std::string rejected_text = "rejected";
   ScriptedRunner scripted(loop, {plain_response("id: 1\ndata: " + rejected_text + "\n\n")});
@@ -189,7 +178,7 @@
   EXPECT_EQ(runner.item_stages().of(ItemStage::kBackingOff).items, 1U);
   ServingConfiguration configuration;
   configuration.version = 2;
-  configuration.routes = {batch_route(Duration{0})};
+  configuration.routes = {make_batch_route(kHost, Duration{0})};
   context.configuration = std::make_shared<const ServingConfiguration>(configuration);
   store.follow_host(kHost);
   while (scripted.requests.empty() && loop.run_one() > 0) {
--- a/tests/jobs/result_writer_test.cc
+++ b/tests/jobs/result_writer_test.cc
@@ -5,6 +5,7 @@
 
 #include <set>
 
+#include "tests/jobs/batch_jobs.h"
 #include "tests/jobs/faulty_record_log.h"
 #include "tests/jobs/run_awaitable.h"
 
@@ -17,23 +18,6 @@
 constexpr std::uint32_t kItems = 64;
 constexpr const char* kRejectedText = "rejected";
 
-NewJob make_job(const std::string& id, std::size_t items) {
-  NewJob job;
-  job.submission.id = id;
-  job.submission.host = kHost;
-  job.submission.path = "/drafts/";
-  job.submission.route = "drafts";
-  job.submission.submitted_ms = wall_clock_ms();
-  for (std::size_t i = 0; i < items; ++i) {
-    JobItem item;
-    item.id = id + "-" + std::to_string(i);
-    job.submission.items.push_back(item);
-    job.requests.emplace_back();
-    job.requests.back().path = "/drafts/1";
-  }
-  return job;
-}
-
 /// Limits under which one append takes the results of all items.
 LogLimits limits() {
   LogLimits limits = small_limits();
@@ -55,7 +39,8 @@
         store(loop.get_executor(), log, "node", short_timeouts()),
         writer(loop.get_executor(), store,
                [this](const ItemResult& result) { durable.insert(result.item); }) {
-    EXPECT_EQ(run_awaitable(loop, store.submit(make_job("j", kItems))), SubmitStatus::kAccepted);
+    EXPECT_EQ(run_awaitable(loop, store.submit(make_batch_job(kHost, "j", kItems))),
+              SubmitStatus::kAccepted);
     log.faults.rejects = is_rejected_text;
   }
   void add(std::uint32_t item, const std::string& text) {
