Failed attempts name the parts of their prompt

An on-call engineer could not see what different requests that end runners have in common: attempt_failed named only the hash of their whole content.

Splitting by commas moves to base, for both readers of the header.

--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -105,6 +105,7 @@
                                     {"step", std::string(to_string(status))},
                                     {"stage", std::string(to_string(stage_))},
                                     {"content", to_hex(value_of(quarantine_check_.content()))},
+                                    {"parts", quarantine_check_.parts_text()},
                                     {"choice", choice_text_},
                                     {"failures", std::to_string(runner.failures())},
                                     {"last_event", std::to_string(last)},
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -101,7 +101,9 @@
     if (names_header(connection, header.name)) continue;
     forwarded_headers_.push_back(std::move(header));
   }
-  prompt_ = parse_prompt_prefix(exchange_.header(dialect.prompt_prefix));
+  const std::string_view prompt_prefix = exchange_.header(dialect.prompt_prefix);
+  prompt_ = parse_prompt_prefix(prompt_prefix);
+  quarantine_check_.set_prompt_prefix(prompt_prefix);
   if (!route_.prefix_affinity) prompt_.shared_key = 0;
 }
 
--- a/src/gateway/prompt_prefix.cc
+++ b/src/gateway/prompt_prefix.cc
@@ -3,21 +3,9 @@
 #include <charconv>
 
 #include "base/ids.h"
+#include "base/text_fields.h"
 
 namespace stoathold {
-namespace {
-
-/// Removes the text up to the next comma and returns it without surrounding spaces.
-std::string_view take_field(std::string_view& text) {
-  const std::size_t comma = text.find(',');
-  std::string_view field = text.substr(0, comma);
-  text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
-  while (field.starts_with(' ')) field.remove_prefix(1);
-  while (field.ends_with(' ')) field.remove_suffix(1);
-  return field;
-}
-
-}  // namespace
 
 TokenCount parse_response_tokens(std::string_view text) {
   take_field(text);
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -113,6 +113,7 @@
                                         {"stage", std::string(to_string(stage_))},
                                         {"probe", std::to_string(probe_status_)},
                                         {"content", to_hex(value_of(quarantine_check_.content()))},
+                                        {"parts", quarantine_check_.parts_text()},
                                         {"choice", choice_},
                                         {"failures", std::to_string(progress_.failures)},
                                         {"last_event", std::to_string(progress_.last_event)}});
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -63,7 +63,10 @@
   progress_.item = item_.index;
   for (const auto& [name, value] : request_.headers) {
     const HeaderDialect& dialect = context_.dialect;
-    if (same_header_name(name, dialect.prompt_prefix)) prompt_ = parse_prompt_prefix(value);
+    if (same_header_name(name, dialect.prompt_prefix)) {
+      prompt_ = parse_prompt_prefix(value);
+      quarantine_check_.set_prompt_prefix(value);
+    }
     if (same_header_name(name, dialect.token_usage)) answer_tokens_ = parse_response_tokens(value);
   }
 }
--- a/src/quarantine/quarantine_check.h
+++ b/src/quarantine/quarantine_check.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "quarantine/prompt_parts.h"
 #include "quarantine/quarantine.h"
 
 namespace stoathold {
@@ -26,7 +27,12 @@
   QuarantineCheck(Quarantine& quarantine, RequestContent content)
       : quarantine_(quarantine), parts_(content) {}
 
+  /// @param prompt_prefix the parts of the prompt, `id:tokens,id:tokens,...`.
+  void set_prompt_prefix(std::string_view prompt_prefix) { prompt_prefix_ = prompt_prefix; }
+
   [[nodiscard]] ContentHash content();
+  /// Returns the ids of the prompt's parts, for logs.
+  [[nodiscard]] std::string parts_text() const { return prompt_parts_text(prompt_prefix_); }
   /// Returns whether the request is quarantined now.
   [[nodiscard]] bool is_quarantined();
   /// Returns whether the request may only be sent to a runner that has just responded.
@@ -42,6 +48,7 @@
  private:
   Quarantine& quarantine_;
   RequestContent parts_;
+  std::string_view prompt_prefix_;
   std::optional<ContentHash> content_;
 };
 
