--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -113,6 +113,10 @@
                      "Software version, which begins the data of each event");
   command.add_option("--crash-body", options.runner.crash_body,
                      "Exit on starting the response to a request with this body");
+  command.add_option("--crash-part", options.runner.crash_part,
+                     "Exit on starting the response to a request with this prompt part");
+  command.add_flag("--ends-with-connection", options.runner.ends_with_connection,
+                   "End responses by closing the connection, without a length or chunks");
 }
 
 }  // namespace
--- a/emulator/emulated_inference_runner.cc
+++ b/emulator/emulated_inference_runner.cc
@@ -119,6 +119,25 @@
     co_await exchange.respond(status, "text/plain", "answer of the runner\n", std::move(headers));
   }
 
+  /// Returns whether the prompt contains the part that crashes this runner. The last part is the
+  /// request's own.
+  bool has_crash_part(std::string_view prompt_prefix) const {
+    if (parameters_.crash_part.empty()) return false;
+    while (true) {
+      const std::size_t comma = prompt_prefix.find(',');
+      if (comma == std::string_view::npos) return false;
+      const std::string_view part = prompt_prefix.substr(0, comma);
+      if (part.substr(0, part.find(':')) == parameters_.crash_part) return true;
+      prompt_prefix.remove_prefix(comma + 1);
+    }
+  }
+
+  bool crashes_on(const HttpExchange& exchange) const {
+    const bool has_crash_body =
+        !parameters_.crash_body.empty() && exchange.body() == parameters_.crash_body;
+    return has_crash_body || has_crash_part(exchange.header(dialect_.prompt_prefix));
+  }
+
   asio::awaitable<void> run(HttpExchange& exchange) {
     const std::string id(exchange.header(dialect_.request_id));
     std::vector<HttpHeader> headers = response_headers(id);
@@ -161,10 +180,9 @@
     headers.push_back({"Content-Type", "text/event-stream"});
     ResponseHead head;
     head.headers = std::move(headers);
+    if (parameters_.ends_with_connection) head.framing = BodyFraming::kUntilClose;
     bool open = co_await exchange.start_response(head);
-    const bool crashes =
-        !parameters_.crash_body.empty() && exchange.body() == parameters_.crash_body;
-    if (crashes) std::_Exit(kCrashExitCode);
+    if (crashes_on(exchange)) std::_Exit(kCrashExitCode);
     const std::string& version = parameters_.software_version;
     const std::string echo =
         (version.empty() ? "" : version + "|") + exchange.body().substr(0, parameters_.event_bytes);
--- a/emulator/emulated_service.h
+++ b/emulator/emulated_service.h
@@ -76,6 +76,10 @@
   /// The process exits as soon as it has started the response to a request with this body; empty:
   /// never.
   std::string crash_body;
+  /// The same for requests whose prompt contains this part, unless it is the last one.
+  std::string crash_part;
+  /// Responses have neither a length nor chunks: they end when the connection closes.
+  bool ends_with_connection = false;
 };
 
 /// Creates an inference runner of the users' platform. Admin requests: `POST /admin/faults` with
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -58,16 +58,18 @@
     """Starts and stops the processes; `link` may put a proxy in front of an address.
 
     `link(kind, name, address)` returns the address to use instead; kinds are `store` (as reached by
-    node `name`) and `runner`. A request with the body `crash_body` crashes every runner that starts
-    to execute it.
+    node `name`) and `runner`. A request with the body `crash_body`, or with the part `crash_part` in
+    its prompt, crashes every runner that starts to execute it.
     """
 
     def __init__(self, directory, nodes=3, runners=2, link=None, crash_body=None,
-                 sizes=SMALL_SIZES, runner_options=None, memory_mb=None, node_zones=None):
+                 sizes=SMALL_SIZES, runner_options=None, memory_mb=None, node_zones=None,
+                 crash_part=None):
         limits = {} if memory_mb is None else {"limits": {"memory_mb": memory_mb}}
         self.directory = directory
         self.sizes = sizes
         self.crash_body = crash_body
+        self.crash_part = crash_part
         self.key = None  # API key of requests that name none.
         self.runner_options = runner_options or {}  # By name: additional arguments of that runner.
         self.replacement_count = 0
@@ -115,6 +117,7 @@
     def start_runner(self, name, runner_id):
         self.record_start(runner_id)
         crash = [] if self.crash_body is None else ["--crash-body", self.crash_body]
+        crash += [] if self.crash_part is None else ["--crash-part", self.crash_part]
         return Process(runner_id, [
             BUILD / "apps/stoathold-emulator", "inference-runner", "--listen", self.runners[name],
             "--id", runner_id, "--events", EVENTS,
@@ -216,8 +219,10 @@
         key = key or self.key
         return {} if key is None else {"Stoathold-Key": key}
 
-    def ask(self, node, request, body=b"q", key=None):
+    def ask(self, node, request, body=b"q", key=None, prompt=None):
         keys = self.key_headers(key)
+        if prompt is not None:
+            keys = {**keys, "Stoathold-Prompt-Prefix": prompt}
         return call(self.nodes[node], "POST", "/ask/1", body,
                     {**keys, "Host": HOST, "Stoathold-Attempt-Id": request,
                      "Stoathold-Deadline-Ms": "15000"})
