Items complete where answers end with their connection

Where runners answer without a length or chunks an item ran until its retention: each run counted as broken, and as a failure of its runner, since the end of a connection proves nothing.

Now such an end keeps the runner free of blame, and the item runs on behind its last event at once. Two runs that end at the same event complete it.

Shown: CompletesOnceTwoAnswersEndWithTheirConnectionAtOneEvent (by reading, an item without an explicit end was broken each time before; the test was not run on the code before).

--- a/src/gateway/attempt_result.cc
+++ b/src/gateway/attempt_result.cc
@@ -14,6 +14,8 @@
       return "impossible";
     case AttemptResult::kTooLong:
       return "too_long";
+    case AttemptResult::kUnconfirmedEnd:
+      return "unconfirmed_end";
     case AttemptResult::kNotRun:
       return "not_run";
     case AttemptResult::kUnreachable:
@@ -35,6 +37,7 @@
 AttemptOutcome runner_outcome(AttemptResult result) {
   switch (result) {
     case AttemptResult::kCompleted:
+    case AttemptResult::kUnconfirmedEnd:
       return AttemptOutcome::kServed;
     case AttemptResult::kNotRun:
       return AttemptOutcome::kNotRun;
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -1,6 +1,7 @@
 // One attempt of a batch item at a runner: the request, its response, and what both show.
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "base/event_log.h"
 #include "base/ids.h"
@@ -157,6 +158,13 @@
                               now);
 }
 
+/// The end of the connection does not prove completeness: it may cut the stream between events. Two
+/// runs that end at the same event do.
+bool ItemRun::is_confirmed_end() {
+  if (upstream_->head().framing != BodyFraming::kUntilClose) return true;
+  return std::exchange(ended_at_, progress_.last_event) == progress_.last_event;
+}
+
 asio::awaitable<AttemptResult> ItemRun::read_events() {
   EventFramer framer;
   std::string_view view;
@@ -184,10 +192,9 @@
     }
     record_event_gap(window);
   }
-  // The end of the connection does not prove completeness: it may cut the stream between events.
-  const bool has_explicit_end = upstream_->head().framing != BodyFraming::kUntilClose;
   const bool is_complete = framer.remainder().empty() && progress_.last_event > 0;
-  if (!is_complete || !has_explicit_end) co_return AttemptResult::kBroken;
+  if (!is_complete) co_return AttemptResult::kBroken;
+  if (!is_confirmed_end()) co_return AttemptResult::kUnconfirmedEnd;
   context_.response_durations.observe_response(route_name_, answer_tokens_,
                                                EventCount{progress_.last_event});
   co_return AttemptResult::kCompleted;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -135,6 +135,7 @@
   progress_.last_event = 0;
   progress_.text = std::string();
   progress_.origin.reset();
+  ended_at_ = 0;
 }
 
 std::uint64_t ItemRun::max_text_bytes() const {
@@ -325,7 +326,9 @@
       if (has_exhausted_attempts(*route)) co_return make_result(ItemState::kDeadLettered);
     }
     if (progress_.last_event > events_before) backoff.reset();
-    if (result == AttemptResult::kYielded || is_text_too_long_) continue;
+    const bool runs_on =
+        result == AttemptResult::kYielded || result == AttemptResult::kUnconfirmedEnd;
+    if (runs_on || is_text_too_long_) continue;
     set_stage(ItemStage::kBackingOff);
     if (!stopped_) co_await sleep_for(backoff.next());
   }
--- a/tests/jobs/item_run_test.cc
+++ b/tests/jobs/item_run_test.cc
@@ -119,6 +119,17 @@
   EXPECT_NE(old_runner.requests[0].find("Last-Event-Id: 1"), std::string::npos);
 }
 
+// Guards against items that run until their retention ends where all answers come without a length
+// or chunks.
+TEST_F(ItemOfVersionTest, CompletesOnceTwoAnswersEndWithTheirConnectionAtOneEvent) {
+  ScriptedRunner runner(loop, {{unframed_stream_head() + event(2), true},
+                               {unframed_stream_head() + event(3), true},
+                               {unframed_stream_head(), true}});
+  add_runner("r1", runner, "v1");
+  EXPECT_EQ(run_item(), "e1\ne2\ne3");
+  EXPECT_EQ(runner.requests.size(), 3U);
+}
+
 TEST_F(ItemOfVersionTest, StartsAgainWithoutARunnerOfTheVersion) {
   ScriptedRunner new_runner(loop, {whole()});
   add_runner("r2", new_runner, "v2");
