Prompt parts that make runners exit are kept from the runners

Cause: evidence was kept by the hash of a request's whole content, which no later request had.

Ends of begun answers are now evidence against the parts of the prompt. A first event, at any node, clears its parts, and nodes tell one another of both. What remains after three exits of two requests is quarantined as a request is, for one tenant or for all, by the same records, notices, trials and lifts. Sound requests that share the other parts go on.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -130,7 +130,8 @@
     EventEntry{Event::kTenantOverLimit, "tenant_over_limit", EventLevel::kInfo,
                "A tenant exceeded its rate and burst limits over all nodes; it got 429."},
     EventEntry{Event::kRequestQuarantined, "request_quarantined", EventLevel::kWarning,
-               "A request during which several runners ended is no longer sent to any runner."},
+               "A request, or all requests with one prompt part (`scope`), during which several "
+               "runners ended are no longer sent to any runner."},
     EventEntry{Event::kQuarantineEnded, "quarantine_ended", EventLevel::kInfo,
                "A request may be sent to runners again: its quarantine expired, or an operator "
                "lifted it."},
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -81,11 +81,15 @@
     co_return confirmed;
   }
 
-  /// Claims a trial of a quarantined request; see `QuarantineLog::claim_trial`.
-  boost::asio::awaitable<bool> claim_quarantine_trial(ContentHash content) {
+  /// Claims all trials that one run of a quarantined request needs; see
+  /// `QuarantineLog::claim_trial`.
+  boost::asio::awaitable<bool> claim_quarantine_trials(std::vector<QuarantineTrial> trials) {
     if (!trial_claimer) co_return false;
-    const bool claimed = co_await trial_claimer(content);
-    co_return claimed;
+    for (const QuarantineTrial& trial : trials) {
+      const bool claimed = co_await trial_claimer(trial);
+      if (!claimed) co_return false;
+    }
+    co_return !trials.empty();
   }
 
   /// Returns whether the list of runners that is known when this completes contains everything that
@@ -127,7 +131,7 @@
   UpstreamPool pool;
   Quarantine quarantine;
   /// Null: quarantined requests are not tried.
-  std::function<boost::asio::awaitable<bool>(ContentHash)> trial_claimer;
+  std::function<boost::asio::awaitable<bool>(QuarantineTrial)> trial_claimer;
   /// Reads the directory's list to its end; null: it cannot be confirmed.
   std::function<boost::asio::awaitable<bool>()> runner_list_confirmer;
   GatewayMetrics metrics;
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -84,6 +84,7 @@
              {"reason", refusal.reason},
              {"retry_after", retry_after.empty() ? "none" : retry_after},
              {"content", to_hex(value_of(quarantine_check_.content()))},
+             {"quarantined_parts", quarantine_check_.quarantined_parts_text()},
              {"sends", std::to_string(sends_)},
              {"runs", std::to_string(runs_)},
              {"runners_known", std::to_string(context_.runners.for_service(service_).size())},
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -115,6 +115,7 @@
   }
   if (events.empty()) co_return true;
   record_origin(runner);
+  if (!delivered_events_) quarantine_check_.record_first_event();
   delivered_events_ = true;
   record_first_event(runner);
   record_event_gap(runner);
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -104,6 +104,7 @@
   const std::string_view prompt_prefix = exchange_.header(dialect.prompt_prefix);
   prompt_ = parse_prompt_prefix(prompt_prefix);
   quarantine_check_.set_prompt_prefix(prompt_prefix);
+  quarantine_check_.set_service(service_);
   if (!route_.prefix_affinity) prompt_.shared_key = 0;
 }
 
@@ -158,7 +159,8 @@
                    (has_claimed_trial_ || quarantine_check_.is_trial_due());
     if (is_on_trial_ || !quarantine_check_.is_quarantined()) runner = co_await acquire_slot();
     if (runner && is_on_trial_ && !has_claimed_trial_) {
-      has_claimed_trial_ = co_await context_.claim_quarantine_trial(quarantine_check_.content());
+      std::vector<QuarantineTrial> trials = quarantine_check_.trials();
+      has_claimed_trial_ = co_await context_.claim_quarantine_trials(std::move(trials));
       if (stopped_) {
         release_slot(*runner);
         break;
@@ -327,6 +329,7 @@
   const EndedRun run{.upstream = *upstream,
                      .stage = stage_,
                      .progressed = result == AttemptResult::kCompleted,
+                     .delivered_events = delivered_events_,
                      .broken = result == AttemptResult::kBroken,
                      .probe_unavailable = requires_live_runner && !is_probed};
   quarantine_check_.record_run(make_finished_run(*runner, run));
--- a/src/gateway/quarantine_page.cc
+++ b/src/gateway/quarantine_page.cc
@@ -25,6 +25,9 @@
                     static_cast<double>(quarantine.size())});
   gauges.push_back({"stoathold_quarantine_suspects", "Requests with which runners have ended.",
                     static_cast<double>(quarantine.suspect_count())});
+  gauges.push_back({"stoathold_quarantine_part_exits",
+                    "Runner exits that are evidence against prompt parts.",
+                    static_cast<double>(quarantine.part_exit_count())});
 }
 
 }  // namespace stoathold
--- a/src/gateway/runner_probe.cc
+++ b/src/gateway/runner_probe.cc
@@ -31,6 +31,7 @@
           .stage = run.stage,
           .reached_live_runner = upstream.probed() || was_heard || run.probe_unavailable,
           .progressed = run.progressed,
+          .delivered_events = run.delivered_events,
           .closed_by_runner = run.broken && upstream.closed_by_runner()};
 }
 
--- a/src/gateway/runner_probe.h
+++ b/src/gateway/runner_probe.h
@@ -23,8 +23,9 @@
 struct EndedRun {
   const UpstreamExchange& upstream;
   RunStage stage = RunStage::kWaiting;
-  bool progressed = false;  ///< `FinishedRun::progressed`.
-  bool broken = false;      ///< The connection broke.
+  bool progressed = false;        ///< `FinishedRun::progressed`.
+  bool delivered_events = false;  ///< `FinishedRun::delivered_events`.
+  bool broken = false;            ///< The connection broke.
   /// The request required a live runner, but the runner could not be probed.
   bool probe_unavailable = false;
 };
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -83,6 +83,7 @@
   const EndedRun run{.upstream = *upstream,
                      .stage = stage_,
                      .progressed = stage_ == RunStage::kDelivering,
+                     .delivered_events = stage_ == RunStage::kDelivering,
                      .broken = result == AttemptResult::kBroken,
                      .probe_unavailable = requires_live_runner && !is_probed};
   quarantine_check_.record_run(make_finished_run(*runner, run));
@@ -142,6 +143,7 @@
 void ItemRun::record_first_event() {
   if (stage_ == RunStage::kDelivering) return;
   stage_ = RunStage::kDelivering;
+  quarantine_check_.record_first_event();
   if (!context_.load_policy.uses_runner_speeds) return;
   const TimePoint now = monotonic_now();
   context_.speeds.observe_first_event(stable_hash(route_name_), runner_->speed(), runner_work_,
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -161,6 +161,7 @@
   PlacementRequest request;
   request.work = WorkClass::kBatch;
   const std::string service = next_service(route);
+  quarantine_check_.set_service(service);
   request.selection = {.service = service,
                        .zone = context_.zone,
                        .affinity_key = prompt_.shared_key,
@@ -202,6 +203,9 @@
 /// An item whose trials have all failed is dead-lettered when its retention ends, like an item that
 /// no runner can process.
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::acquire_permitted_runner(const Route& route) {
+  // The service of the next attempt, for which prompt parts are quarantined, may not be known yet.
+  const bool has_one_service = route.services.size() == 1;
+  quarantine_check_.set_service(has_one_service ? route.services.front().service : std::string());
   const bool is_quarantined = quarantine_check_.is_quarantined();
   if (!is_quarantined) has_claimed_trial_ = false;
   is_on_trial_ = is_quarantined && (has_claimed_trial_ || quarantine_check_.is_trial_due());
@@ -211,8 +215,13 @@
     co_return nullptr;
   }
   const auto runner = co_await acquire_runner(route);
-  if (!runner || !is_on_trial_ || has_claimed_trial_) co_return runner;
-  has_claimed_trial_ = co_await context_.claim_quarantine_trial(quarantine_check_.content());
+  if (!runner) co_return nullptr;
+  const bool permitted = is_on_trial_ ? has_claimed_trial_ : !quarantine_check_.is_quarantined();
+  if (permitted) co_return runner;
+  if (is_on_trial_) {
+    std::vector<QuarantineTrial> trials = quarantine_check_.trials();
+    has_claimed_trial_ = co_await context_.claim_quarantine_trials(std::move(trials));
+  }
   if (has_claimed_trial_ && !stopped_) co_return runner;
   runner->end_attempt(AttemptOutcome::kAbandoned, monotonic_now(),
                       std::exchange(uncached_tokens_, 0), WorkClass::kBatch);
--- /dev/null
+++ b/src/quarantine/prompt_part_exits.h
@@ -0,0 +1,105 @@
+/// @file
+/// Finds the prompt parts that make runners exit, by comparing the requests under which runners
+/// exited with those that runners answered.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "base/time.h"
+#include "quarantine/prompt_parts.h"
+#include "quarantine/runner_starts.h"
+
+namespace stoathold {
+
+/// A runner exited after it had begun to answer a request, before its first event.
+struct PromptPartExit {
+  RunnerStart start;
+  ContentHash content{};
+  std::uint64_t tenant = 0;     ///< Hash of the tenant's name.
+  std::vector<PartHash> parts;  ///< Suspected parts of its prompt, in their order.
+  PartHash own_part{};          ///< Last part of the prompt; set when the exit is added.
+  TimePoint at{};
+  bool observed_locally = false;  ///< By this node itself.
+};
+
+/// A prompt part that explains several exits.
+struct PoisonPart {
+  PartHash part{};
+  std::uint32_t exits = 0;                    ///< Runner starts that exited with the part.
+  std::unordered_set<std::uint64_t> tenants;  ///< Whose requests had the part at these exits.
+  bool observed_locally = false;              ///< This node observed one of the exits itself.
+};
+
+/// Runner exits and the prompt parts of the requests that were there. Used on one thread.
+///
+/// An exit is evidence against all parts of the request's prompt. An answer is evidence for all
+/// parts of its prompt: exits up to `kServedValidity` after it are not held against them. Of the
+/// parts that remain, the last one in the prompt is the poison, because earlier ones are shared by
+/// more requests. The last part of a prompt belongs to the request itself; it is the poison only if
+/// it explains all exits of the parts before it.
+class PromptPartExits {
+ public:
+  /// Time after an answer with a part for which exits are not held against the part.
+  static constexpr Duration kServedValidity = std::chrono::seconds(2);
+  /// Minimum number of runner starts that exited with a poison part.
+  static constexpr std::size_t kMinExits = 3;
+  /// The same, if all of them may still be those of one or two parts after it.
+  static constexpr std::size_t kMinAmbiguousExits = 5;
+  /// Minimum number of different requests with a poison part. Copies of one request are recognized
+  /// by their content instead.
+  static constexpr std::size_t kMinContents = 2;
+  /// Minimum age of the first exit. When many runners exit at once for another reason, the answers
+  /// that they were sending become known within this time.
+  static constexpr Duration kSettleTime = std::chrono::milliseconds(200);
+
+  /// Returns whether an exit of a runner is known not to have happened.
+  using RefutationSource = std::function<bool(const RunnerStart& start, TimePoint at)>;
+  explicit PromptPartExits(RefutationSource is_refuted) : is_refuted_(std::move(is_refuted)) {}
+
+  /// Adds an exit.
+  /// @return whether it was new.
+  bool add(PromptPartExit exit);
+  /// Records that a runner delivered events of a request with this part. Has no effect if there is
+  /// no evidence against the part.
+  /// @return whether other nodes need to know.
+  bool record_served(PartHash part, TimePoint at);
+  /// Records the same as reported by another node, which may know of evidence before this one.
+  void record_reported_served(PartHash part, TimePoint at);
+  /// Returns whether there is evidence against any part; answers need not be recorded otherwise.
+  [[nodiscard]] bool empty() const { return exits_.empty(); }
+  /// Returns the parts that explain the exits.
+  [[nodiscard]] std::vector<PoisonPart> find_poison_parts(TimePoint now) const;
+  /// Removes the evidence against the parts that have this key.
+  void forget(ContentHash key, TimePoint at);
+  /// Removes exits that are too old to count.
+  void expire(TimePoint now);
+  /// Number of recorded exits.
+  [[nodiscard]] std::size_t size() const { return exits_.size(); }
+
+ private:
+  using Exits = std::vector<const PromptPartExit*>;
+
+  struct Suspect {
+    std::size_t exits = 0;  ///< Recorded exits that count against the part.
+    TimePoint served{};     ///< Latest answer with the part.
+  };
+
+  void remove_part(PromptPartExit& exit, PartHash part);
+  void remove_oldest();
+  static bool qualifies(const Exits& exits, TimePoint now);
+  /// Returns whether another part explains all these exits of a part.
+  [[nodiscard]] static bool is_explained_by_own_part(PartHash part, const Exits& exits,
+                                                     const std::map<PartHash, Exits>& qualified);
+
+  RefutationSource is_refuted_;
+  std::deque<PromptPartExit> exits_;
+  std::unordered_map<PartHash, Suspect> suspects_;
+};
+
+}  // namespace stoathold
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -27,8 +27,13 @@
 
 Quarantine::Quarantine(RunnerStarts::LifeSource life_source)
     : exit_table_(std::move(life_source)),
+      part_exits_([this](const RunnerStart& start, TimePoint at) {
+        return exit_table_.is_refuted(start, at);
+      }),
       zone_reports_(kZoneSends, kMaxReportsInMessage),
       remote_reports_(kRemoteSends, kMaxReportsInMessage),
+      zone_part_reports_(kZoneSends),
+      remote_part_reports_(kRemoteSends),
       zone_notices_(kZoneSends, kMaxNoticesInMessage),
       remote_notices_(kRemoteSends, kMaxNoticesInMessage) {}
 
@@ -162,20 +167,32 @@
   const auto earlier = on_probation_.find(content);
   const std::size_t exits =
       exit_table_.exit_count(content) + (earlier == on_probation_.end() ? 0 : earlier->second);
-  quarantined_[content] = {.until = now + kQuarantineTime,
-                           .exits = static_cast<std::uint32_t>(exits),
-                           .lifted_position = lifts_.position(content)};
+  start_quarantine(content,
+                   {.exits = exits,
+                    .weight = exit_table_.attributed_weight(content),
+                    .observed_locally = observed_locally},
+                   now);
+}
+
+void Quarantine::start_quarantine(ContentHash key, const Grounds& grounds, TimePoint now) {
+  quarantined_[key] = {.until = now + kQuarantineTime,
+                       .exits = static_cast<std::uint32_t>(grounds.exits),
+                       .lifted_position = lifts_.position(key),
+                       .part = grounds.part};
+  const bool is_part = grounds.part != PartHash{};
   log_event(Event::kRequestQuarantined,
-            {{"content", to_hex(value_of(content))},
-             {"ends", std::to_string(exits)},
-             {"weight", std::to_string(exit_table_.attributed_weight(content))},
-             {"source", observed_locally ? "own" : "other_nodes"}});
+            {{"content", to_hex(value_of(key))},
+             {"scope", is_part ? "prompt_part" : "request"},
+             {"ends", std::to_string(grounds.exits)},
+             {"weight", std::to_string(grounds.weight)},
+             {"source", grounds.observed_locally ? "own" : "other_nodes"}});
   // The record is written by the few nodes that observed exits, not by the many that only received
   // reports.
-  if (observed_locally) {
-    zone_notices_.add(content, now);
-    remote_notices_.add(content, now);
-    if (quarantined_handler_) quarantined_handler_(content, exits);
+  if (grounds.observed_locally) {
+    observed_locally_.insert(key);
+    zone_notices_.add(key, now);
+    remote_notices_.add(key, now);
+    if (quarantined_handler_) quarantined_handler_(key, grounds.exits);
     if (report_listener_) report_listener_();
   }
   if (change_listener_) change_listener_();
@@ -191,6 +208,7 @@
 
 void Quarantine::end_quarantine(ContentHash content, const Lift& lift) {
   exit_table_.forget_until(content, lift.at);
+  part_exits_.forget(content, lift.at);
   on_probation_.erase(content);
   if (quarantined_.erase(content) == 0) return;
   log_event(Event::kQuarantineEnded, {{"content", to_hex(value_of(content))},
@@ -208,6 +226,7 @@
 
 std::vector<ContentHash> Quarantine::expire(TimePoint now) {
   exit_table_.expire(now);
+  part_exits_.expire(now);
   unproven_exits_.expire(now);
   lifts_.expire(now, kQuarantineTime);
   std::vector<ContentHash> removed;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -12,6 +12,8 @@
 
 #include "base/time.h"
 #include "quarantine/lift_table.h"
+#include "quarantine/prompt_part_exits.h"
+#include "quarantine/prompt_part_reports.h"
 #include "quarantine/quarantine_messages.h"
 #include "quarantine/repeated_sends.h"
 #include "quarantine/runner_exit_table.h"
@@ -19,6 +21,18 @@
 
 namespace stoathold {
 
+/// What a quarantine keeps from the runners.
+enum class QuarantineScope : std::uint8_t {
+  kRequest,     ///< All copies of one request.
+  kPromptPart,  ///< All requests with one prompt part, of one tenant or of all.
+};
+
+/// A trial of a quarantine: one run of a request that is quarantined.
+struct QuarantineTrial {
+  ContentHash key{};  ///< Key of the quarantine.
+  QuarantineScope scope = QuarantineScope::kRequest;
+};
+
 /// A quarantined request, which is sent to no runner except for trials.
 struct QuarantinedRequest {
   TimePoint until{};
@@ -29,6 +43,7 @@
   /// Number of runner starts that had exited with the request, without those of trials.
   std::uint32_t exits = 0;
   std::uint64_t lifted_position = 0;  ///< `Lift::position` of the last lift before it began.
+  PartHash part{};                    ///< The prompt part, if this node quarantined one.
 };
 
 /// A quarantined request as shown to operators.
@@ -56,6 +71,10 @@
 /// a runner that has just responded. It is claimed in the log first, and counts as an exit. There
 /// are no trials once `kMaxRunnerExits` exits are counted. If the request makes progress, its
 /// record is deleted, which lifts the quarantine at all nodes.
+///
+/// Requests that differ may share a prompt part that makes runners exit. Such a part is quarantined
+/// under a key of its own, in the same way: for one tenant as long as only that tenant's requests
+/// showed it, since callers choose the ids of parts, and else for all tenants.
 class Quarantine {
  public:
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
@@ -63,6 +82,8 @@
   static constexpr Duration kFirstTrialDelay = std::chrono::seconds(5);
   /// Number of exits, trials included, from which on a request is not tried.
   static constexpr std::uint32_t kMaxRunnerExits = 6;
+  /// Maximum number of trials of a prompt part.
+  static constexpr std::uint32_t kMaxPartTrials = 2;
 
   /// @param life_source returns what is known of a runner; one that was running before and after
   /// its reported exit has not exited.
@@ -95,9 +116,11 @@
   [[nodiscard]] Duration time_left(ContentHash content, TimePoint now) const;
   [[nodiscard]] std::size_t size() const { return quarantined_.size(); }
   /// Returns the time until the request may be tried or its quarantine expires.
-  [[nodiscard]] Duration retry_after(ContentHash content, TimePoint now) const;
+  [[nodiscard]] Duration retry_after(ContentHash content, TimePoint now,
+                                     QuarantineScope scope = QuarantineScope::kRequest) const;
   /// Returns whether a trial of the request may be claimed now.
-  [[nodiscard]] bool is_trial_due(ContentHash content, TimePoint now) const;
+  [[nodiscard]] bool is_trial_due(ContentHash content, TimePoint now,
+                                  QuarantineScope scope = QuarantineScope::kRequest) const;
   /// Returns whether the log does not contain a record with what this node knows of a quarantine.
   [[nodiscard]] bool needs_record(ContentHash content, TimePoint now) const;
   /// Returns the record of a quarantined request.
@@ -110,6 +133,8 @@
   [[nodiscard]] std::vector<QuarantineStatus> status(TimePoint now) const;
   /// Number of requests with recorded exits.
   [[nodiscard]] std::size_t suspect_count() const { return exit_table_.size(); }
+  /// Number of recorded exits that are evidence against prompt parts.
+  [[nodiscard]] std::size_t part_exit_count() const { return part_exits_.size(); }
 
   /// Records that a runner exited while it had a request of this node.
   void record_runner_exit(const RunnerExit& exit);
@@ -119,6 +144,21 @@
   void record_closed_run(ContentHash content, const ClosedRun& run, TimePoint now);
   /// Records that a request of this node was served or that a batch item made progress.
   void record_progress(ContentHash content, TimePoint now);
+  /// Returns the start of a runner that a closed run belonged to.
+  [[nodiscard]] RunnerStart start_of(const ClosedRun& run) const {
+    return exit_table_.start_of(run);
+  }
+  /// Records that a runner exited after it had begun to answer a request of this node, as evidence
+  /// against the parts of its prompt.
+  void record_part_exit(PromptPartExit exit);
+  /// Records that a runner delivered events of a request of this node with these prompt parts.
+  /// @param tenant hash of the tenant's name.
+  void record_served_parts(const std::vector<PartHash>& parts, std::uint64_t tenant, TimePoint now);
+  /// Returns whether served parts need to be recorded.
+  [[nodiscard]] bool watches_parts() const { return !part_exits_.empty() || !quarantined_.empty(); }
+  /// Quarantines the prompt parts that explain the known exits. To be called periodically, since
+  /// evidence is only used after `PromptPartExits::kSettleTime`.
+  void evaluate_parts(TimePoint now);
   /// Returns whether progress needs to be recorded, which is only the case if there are recorded
   /// exits.
   [[nodiscard]] bool watches_progress() const {
@@ -141,6 +181,17 @@
   /// Applies the reports of another node.
   void apply_reports(const std::vector<RunnerExitReport>& reports, TimePoint now);
 
+  /// Returns the reports about prompt parts to send to the nodes of the own zone.
+  [[nodiscard]] PromptPartReports next_zone_part_reports(TimePoint now) {
+    return zone_part_reports_.next(now);
+  }
+  /// Returns the same for one node of each other zone.
+  [[nodiscard]] PromptPartReports next_remote_part_reports(TimePoint now) {
+    return remote_part_reports_.next(now);
+  }
+  /// Applies the reports of another node about prompt parts.
+  void apply_part_reports(const PromptPartReports& reports, TimePoint now);
+
   /// Returns the notices of quarantines that this node decided, to send to the nodes of the own
   /// zone; each one is returned twice.
   [[nodiscard]] std::vector<QuarantineNotice> next_zone_notices(TimePoint now);
@@ -182,8 +233,23 @@
   /// way may end.
   [[nodiscard]] std::uint32_t possible_exits(ContentHash content,
                                              const QuarantinedRequest& request) const;
-  [[nodiscard]] bool has_trial_left(ContentHash content, const QuarantinedRequest& request) const;
+  [[nodiscard]] bool has_trial_left(ContentHash content, const QuarantinedRequest& request,
+                                    QuarantineScope scope) const;
   void update_exits(ContentHash content);
+  /// What led to a quarantine.
+  struct Grounds {
+    std::size_t exits = 0;
+    std::uint32_t weight = 0;  ///< `RunnerExitTable::attributed_weight`; 0 for prompt parts.
+    bool observed_locally = false;
+    PartHash part{};  ///< The prompt part; not set if a request is quarantined.
+  };
+  void start_quarantine(ContentHash key, const Grounds& grounds, TimePoint now);
+  /// Quarantines the parts of an exit whose quarantine had expired.
+  void restore_recurred_parts(const PromptPartExit& exit, TimePoint now);
+  /// Ends the quarantine of a prompt part that was served.
+  void lift_served(ContentHash key, TimePoint now);
+  /// Returns the keys under which this node has quarantined a part.
+  [[nodiscard]] std::vector<ContentHash> own_keys_of(PartHash part) const;
   void evaluate(ContentHash content, TimePoint now);
   void record_unproven_exit(ContentHash content, std::uint64_t runner, TimePoint now);
   void add_report(const RunnerExitReport& report, TimePoint at);
@@ -202,6 +268,7 @@
   void end_quarantine(ContentHash content, const Lift& lift);
 
   RunnerExitTable exit_table_;
+  PromptPartExits part_exits_;
   UnprovenExits unproven_exits_;
   std::map<ContentHash, QuarantinedRequest> quarantined_;
   /// Requests whose quarantine expired, with the exits that it counted.
@@ -210,6 +277,8 @@
   LiftTable lifts_;
   PendingReports zone_reports_;
   PendingReports remote_reports_;
+  PendingPartReports zone_part_reports_;
+  PendingPartReports remote_part_reports_;
   PendingNotices zone_notices_;
   PendingNotices remote_notices_;
   ContentHash last_refreshed_{};
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -45,9 +45,11 @@
   quarantine_.set_progress_handler([this](ContentHash content) { write(content, Change::kLift); });
 }
 
-asio::awaitable<bool> QuarantineLog::claim_trial(ContentHash content) {
+asio::awaitable<bool> QuarantineLog::claim_trial(QuarantineTrial trial) {
   const TimePoint now = monotonic_now();
-  if (claiming_.contains(content) || !quarantine_.is_trial_due(content, now)) co_return false;
+  const ContentHash content = trial.key;
+  const bool is_due = quarantine_.is_trial_due(content, now, trial.scope);
+  if (claiming_.contains(content) || !is_due) co_return false;
   claiming_.insert(content);
   const QuarantineRecord record = quarantine_.make_trial_record(content, now, wall_clock_ms());
   const std::vector<KeyedRecord> records{{to_hex(value_of(content)), encode_value(record)}};
--- a/src/quarantine/quarantine_log.h
+++ b/src/quarantine/quarantine_log.h
@@ -23,7 +23,7 @@
   void start();
   /// Claims a trial of a quarantined request that is due. A claim is durable before it is given,
   /// and is given to one node of the fleet only. Without an answer of the log there is no claim.
-  boost::asio::awaitable<bool> claim_trial(ContentHash content);
+  boost::asio::awaitable<bool> claim_trial(QuarantineTrial trial);
 
   void apply(const StoredRecord& record) override;
   void reset(const std::vector<StoredRecord>& newest, RecordOffset end) override;
--- a/src/quarantine/quarantine_trials.cc
+++ b/src/quarantine/quarantine_trials.cc
@@ -19,20 +19,25 @@
   return std::max(known, request.exits + request.trials);
 }
 
-bool Quarantine::has_trial_left(ContentHash content, const QuarantinedRequest& request) const {
-  return request.recorded && possible_exits(content, request) < kMaxRunnerExits;
+/// The parts of prompts are bounded by trials alone: many different requests may have been under
+/// way when a part was quarantined.
+bool Quarantine::has_trial_left(ContentHash content, const QuarantinedRequest& request,
+                                QuarantineScope scope) const {
+  if (!request.recorded) return false;
+  if (scope == QuarantineScope::kPromptPart) return request.trials < kMaxPartTrials;
+  return possible_exits(content, request) < kMaxRunnerExits;
 }
 
-bool Quarantine::is_trial_due(ContentHash content, TimePoint now) const {
+bool Quarantine::is_trial_due(ContentHash content, TimePoint now, QuarantineScope scope) const {
   if (!contains(content, now)) return false;
   const QuarantinedRequest& request = quarantined_.at(content);
-  return has_trial_left(content, request) && now >= request.next_trial;
+  return has_trial_left(content, request, scope) && now >= request.next_trial;
 }
 
-Duration Quarantine::retry_after(ContentHash content, TimePoint now) const {
+Duration Quarantine::retry_after(ContentHash content, TimePoint now, QuarantineScope scope) const {
   const Duration left = time_left(content, now);
   const auto found = quarantined_.find(content);
-  if (found == quarantined_.end() || !has_trial_left(content, found->second)) return left;
+  if (found == quarantined_.end() || !has_trial_left(content, found->second, scope)) return left;
   return std::min(left, std::max(kMinRetryAfter, found->second.next_trial - now));
 }
 
@@ -69,7 +74,7 @@
                    .trials = request.trials,
                    .recorded = request.recorded,
                    .next_trial_in = std::max(Duration{0}, request.next_trial - now),
-                   .has_trial_left = has_trial_left(content, request)});
+                   .has_trial_left = has_trial_left(content, request, QuarantineScope::kRequest)});
   }
   return all;
 }
--- a/src/quarantine/runner_exit_table.h
+++ b/src/quarantine/runner_exit_table.h
@@ -52,6 +52,10 @@
 
   /// Returns the start of a runner that a closed run belonged to.
   [[nodiscard]] RunnerStart start_of(const ClosedRun& run) const { return starts_.start_of(run); }
+  /// Returns whether the runner was running after a reported exit without having restarted.
+  [[nodiscard]] bool is_refuted(const RunnerStart& start, TimePoint at) const {
+    return starts_.is_refuted(start.runner, at);
+  }
   /// Adds an exit.
   /// @return whether it was new, has a later stage than the known one, or replaces one that was
   /// refuted.
--- a/src/routing/load_messages.cc
+++ b/src/routing/load_messages.cc
@@ -23,6 +23,7 @@
   std::string_view operator()(const StreamOriginReport&) const { return "stream_origins"; }
   std::string_view operator()(const StreamOriginQuery&) const { return kStreamOriginQueries; }
   std::string_view operator()(const StreamOriginAnswer&) const { return kStreamOriginQueries; }
+  std::string_view operator()(const PromptPartReports&) const { return "prompt_parts"; }
 };
 
 }  // namespace
--- a/src/routing/load_messages.h
+++ b/src/routing/load_messages.h
@@ -12,6 +12,7 @@
 #include "admission/retry_booking_report.h"
 #include "admission/slot_time_report.h"
 #include "base/time.h"
+#include "quarantine/prompt_part_messages.h"
 #include "quarantine/quarantine_messages.h"
 #include "routing/batch_arbiter.h"
 #include "routing/route_stream_rate.h"
@@ -167,7 +168,7 @@
 using PeerLoadMessage =
     std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage, RunnerExitReports,
                  SlotLoanRequest, SlotLoan, SlotLoanReturn, QuarantineNotices, StreamOriginReport,
-                 StreamOriginQuery, StreamOriginAnswer>;
+                 StreamOriginQuery, StreamOriginAnswer, PromptPartReports>;
 
 /// Returns the name of a message's kind, for counters and logs.
 std::string_view purpose_of(const PeerLoadMessage& message);
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -136,6 +136,8 @@
     handle_end_reports(std::move(*ends));
   } else if (auto* notices = std::get_if<QuarantineNotices>(&message)) {
     handle_quarantine_notices(std::move(*notices));
+  } else if (auto* parts = std::get_if<PromptPartReports>(&message)) {
+    handle_part_reports(std::move(*parts));
   } else if (const auto* yield = std::get_if<YieldRequest>(&message)) {
     if (yield_handler_) yield_handler_(*yield);
   } else if (const auto origins = origin_message(message)) {
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -152,6 +152,7 @@
   void send_to_other_zones(const Datagram& datagram, std::size_t rotation);
   void handle_end_reports(RunnerExitReports reports);
   void handle_quarantine_notices(QuarantineNotices notices);
+  void handle_part_reports(PromptPartReports reports);
   void schedule_end_reports();
   /// Sends the reports of runner exits and the notices of quarantines that are pending.
   void send_quarantine_messages();
--- a/src/routing/peer_loads_quarantine.cc
+++ b/src/routing/peer_loads_quarantine.cc
@@ -27,6 +27,12 @@
   if (notices.forward && !notices.notices.empty()) forward_in_zone(std::move(notices));
 }
 
+void PeerLoads::handle_part_reports(PromptPartReports reports) {
+  if (quarantine_ == nullptr) return;
+  quarantine_->apply_part_reports(reports, monotonic_now());
+  if (reports.forward) forward_in_zone(std::move(reports));
+}
+
 void PeerLoads::schedule_end_reports() {
   if (end_reports_scheduled_) return;
   end_reports_scheduled_ = true;
@@ -39,6 +45,7 @@
 
 void PeerLoads::send_quarantine_messages() {
   if (quarantine_ == nullptr) return;
+  quarantine_->evaluate_parts(monotonic_now());
   if (!zone_nodes_.empty()) send_zone_quarantine_messages(monotonic_now());
   if (!remote_zones_.empty()) send_remote_quarantine_messages(monotonic_now());
 }
@@ -48,6 +55,8 @@
   if (!reports.reports.empty()) send_to_zone(make_datagram(reports));
   const QuarantineNotices notices{.notices = quarantine_->next_zone_notices(now)};
   if (!notices.notices.empty()) send_to_zone(make_datagram(notices));
+  const PromptPartReports parts = quarantine_->next_zone_part_reports(now);
+  if (!parts.empty()) send_to_zone(make_datagram(parts));
 }
 
 /// Each repetition goes to another node of a zone, so that the loss of one message or one node has
@@ -59,7 +68,11 @@
                                   .forward = true};
   if (!reports.reports.empty()) send_to_other_zones(make_datagram(reports), remote_rotation_);
   if (!notices.notices.empty()) send_to_other_zones(make_datagram(notices), remote_rotation_);
-  if (!reports.reports.empty() || !notices.notices.empty()) ++remote_rotation_;
+  PromptPartReports parts = quarantine_->next_remote_part_reports(now);
+  parts.forward = true;
+  if (!parts.empty()) send_to_other_zones(make_datagram(parts), remote_rotation_);
+  const bool sent = !reports.reports.empty() || !notices.notices.empty() || !parts.empty();
+  if (sent) ++remote_rotation_;
 }
 
 void PeerLoads::send_quarantine_notices(const Endpoint& node) {
--- a/tests/quarantine/quarantine_log_test.cc
+++ b/tests/quarantine/quarantine_log_test.cc
@@ -41,7 +41,7 @@
   }
   /// Claims a trial at a node and returns whether it got it.
   bool claims_trial(Node& node) {
-    return run_awaitable(loop, node.records.claim_trial(kPoisonRequest));
+    return run_awaitable(loop, node.records.claim_trial({.key = kPoisonRequest}));
   }
   [[nodiscard]] std::size_t records() const {
     return model->read_newest(kPartition, KeyRange{}).records.size();
@@ -177,6 +177,26 @@
   EXPECT_TRUE(node.holds());
 }
 
+// Guards against a prompt part that is never tried, since more runners exited with it than a
+// request may end.
+TEST_F(QuarantineLogTest, PromptPartIsTriedHoweverManyRunnersExitedWithIt) {
+  Node node(loop, model);
+  const PartHash part{5};
+  for (std::uint64_t runner = 1; runner <= 8; ++runner) {
+    node.quarantine.record_part_exit({.start = {runner, 0},
+                                      .content = ContentHash{runner},
+                                      .tenant = 0,
+                                      .parts = {part, PartHash{100 + runner}},
+                                      .at = monotonic_now() - PromptPartExits::kSettleTime});
+  }
+  node.quarantine.evaluate_parts(monotonic_now());
+  const QuarantineTrial trial{tenant_part_key(part, 0), QuarantineScope::kPromptPart};
+  run_until([&] { return records() == 1; });
+  EXPECT_TRUE(node.quarantine.contains(trial.key, monotonic_now()));
+  const TimePoint due = monotonic_now() + Quarantine::kFirstTrialDelay;
+  EXPECT_TRUE(node.quarantine.is_trial_due(trial.key, due, QuarantineScope::kPromptPart));
+}
+
 TEST_F(QuarantineLogTest, IgnoresMalformedRecords) {
   model->append(kPartition, {{"no hash", "x"}, {to_hex(8), "x"}}, std::nullopt);
   Node first(loop, model);
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "core/codec.h"
+#include "quarantine/prompt_part_reports.h"
 #include "routing/member_name.h"
 
 namespace stoathold {
@@ -20,6 +22,38 @@
   EXPECT_FALSE(decode_message(bytes.substr(0, bytes.size() - 1), read));
 }
 
+/// The messages that the release without reports about prompt parts knows.
+using EarlierMessage =
+    std::variant<LoadDigest, YieldRequest, ZoneLoads, ZoneTenantUsage, RunnerExitReports,
+                 SlotLoanRequest, SlotLoan, SlotLoanReturn, QuarantineNotices, StreamOriginReport,
+                 StreamOriginQuery, StreamOriginAnswer>;
+
+TEST(PeerLoadMessageTest, EarlierReleaseIgnoresReportsAboutPromptParts) {
+  PromptPartReports reports;
+  reports.exits.push_back({1, 0, 2, 3, 4, {5, 6}});
+  EarlierMessage read;
+  EXPECT_FALSE(decode_value(encode_message(reports), read));
+}
+
+TEST(PeerLoadMessageTest, ReleasesExchangeTheirCommonMessages) {
+  const QuarantineNotices notices{.notices = {{.content = 7, .quarantined = true, .exits = 3}}};
+  EarlierMessage earlier;
+  ASSERT_TRUE(decode_value(encode_message(notices), earlier));
+  EXPECT_EQ(std::get<QuarantineNotices>(earlier).notices[0].content, 7U);
+  PeerLoadMessage current;
+  ASSERT_TRUE(decode_message(encode_value(EarlierMessage(notices)), current));
+  EXPECT_EQ(std::get<QuarantineNotices>(current).notices[0].exits, 3U);
+}
+
+TEST(PeerLoadMessageTest, LargestReportsAboutPromptPartsFitIntoADatagram) {
+  constexpr std::size_t kMaxDatagramBytes = 1400;
+  PendingPartReports pending(1);
+  PromptPartExit exit{.parts = std::vector<PartHash>(kMaxPartsPerPrompt, PartHash{9})};
+  for (int i = 0; i < 10; ++i) pending.add(exit);
+  for (int i = 0; i < 100; ++i) pending.add_served(PartHash{9}, TimePoint{});
+  EXPECT_LT(encode_message(pending.next(TimePoint{})).size(), kMaxDatagramBytes);
+}
+
 TEST(MemberNameTest, ParsesFormattedNames) {
   const MemberName name{"node-1", "zone-1", "10.0.0.1:7000"};
   const auto parsed = parse_member_name(format_member_name(name));
