--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -292,15 +292,19 @@
       });
 }
 
+void OnlineRequest::reset_attempt() {
+  silence_timeout_ = Duration{0};
+  attempt_start_ = monotonic_now();
+  stage_ = RunStage::kWaiting;
+  delivered_events_ = false;
+}
+
 asio::awaitable<AttemptResult> OnlineRequest::attempt(const std::shared_ptr<Runner>& runner) {
   const RunnerMemoryReservation hold(runner, prompt_.tokens);
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
   upstream_ = upstream;
   upstream->set_deadline(deadline_);
-  silence_timeout_ = Duration{0};
-  attempt_start_ = monotonic_now();
-  stage_ = RunStage::kWaiting;
-  delivered_events_ = false;
+  reset_attempt();
   const bool requires_live_runner = is_on_trial_ || quarantine_check_.requires_live_runner();
   UpstreamRequest request = build_request(*runner);
   if (requires_live_runner) request.probe = make_runner_probe(context_, *runner, route_.host);
