--- a/src/quarantine/prompt_part_exits.cc
+++ b/src/quarantine/prompt_part_exits.cc
@@ -104,7 +104,7 @@
 }
 
 bool PromptPartExits::is_explained_by_own_part(PartHash part, const Exits& exits,
-                                               const std::map<PartHash, Exits>& qualified) {
+                                               const ExitsByPart& qualified) {
   const PartHash own_part = exits.front()->own_part;
   const bool same = std::all_of(exits.begin(), exits.end(), [&](const PromptPartExit* exit) {
     return exit->own_part == own_part;
@@ -112,31 +112,41 @@
   return same && own_part != part && qualified.contains(own_part);
 }
 
-std::vector<PoisonPart> PromptPartExits::find_poison_parts(TimePoint now) const {
-  std::map<PartHash, Exits> qualified;
+PromptPartExits::ExitsByPart PromptPartExits::find_qualified(TimePoint now) const {
+  ExitsByPart by_part;
   for (const auto& [part, suspect] : suspects_) {
-    if (suspect.exits >= kMinExits) qualified[part];
+    if (suspect.exits >= kMinExits) by_part[part];
   }
-  if (qualified.empty()) return {};
+  if (by_part.empty()) return {};
   for (const PromptPartExit& exit : exits_) {
     if (is_refuted_(exit.start, exit.at)) continue;
     for (const PartHash part : exit.parts) {
-      const auto suspected = qualified.find(part);
-      if (suspected != qualified.end()) suspected->second.push_back(&exit);
+      const auto found = by_part.find(part);
+      if (found != by_part.end()) found->second.push_back(&exit);
     }
   }
-  std::erase_if(qualified, [now](const auto& entry) { return !qualifies(entry.second, now); });
+  std::erase_if(by_part, [now](const auto& entry) { return !qualifies(entry.second, now); });
+  return by_part;
+}
+
+PromptPartExits::Exits PromptPartExits::unexplained_exits(PartHash part, const Exits& exits,
+                                                          const ExitsByPart& qualified) {
+  Exits unexplained;
+  for (const PromptPartExit* exit : exits) {
+    const std::vector<PartHash> later = later_parts(*exit, part);
+    const bool is_explained = std::any_of(
+        later.begin(), later.end(), [&](PartHash other) { return qualified.contains(other); });
+    if (!is_explained) unexplained.push_back(exit);
+  }
+  return unexplained;
+}
+
+std::vector<PoisonPart> PromptPartExits::find_poison_parts(TimePoint now) const {
+  const ExitsByPart qualified = find_qualified(now);
   std::vector<PoisonPart> poison_parts;
   for (const auto& [part, exits] : qualified) {
     if (is_explained_by_own_part(part, exits, qualified)) continue;
-    Exits unexplained;
-    std::copy_if(exits.begin(), exits.end(), std::back_inserter(unexplained),
-                 [&, part = part](const PromptPartExit* exit) {
-                   const std::vector<PartHash> later = later_parts(*exit, part);
-                   return std::none_of(later.begin(), later.end(),
-                                       [&](PartHash other) { return qualified.contains(other); });
-                 });
-    if (!are_attributable(part, unexplained)) continue;
+    if (!are_attributable(part, unexplained_exits(part, exits, qualified))) continue;
     PoisonPart& found = poison_parts.emplace_back();
     found.part = part;
     found.exits = static_cast<std::uint32_t>(count_starts(exits));
--- a/src/quarantine/prompt_part_exits.h
+++ b/src/quarantine/prompt_part_exits.h
@@ -84,6 +84,7 @@
 
  private:
   using Exits = std::vector<const PromptPartExit*>;
+  using ExitsByPart = std::map<PartHash, Exits>;
 
   struct Suspect {
     std::size_t exits = 0;  ///< Recorded exits that count against the part.
@@ -92,10 +93,16 @@
 
   void remove_part(PromptPartExit& exit, PartHash part);
   void remove_oldest();
+  /// Returns whether the exits with a part are enough to suspect it.
   static bool qualifies(const Exits& exits, TimePoint now);
-  /// Returns whether another part explains all these exits of a part.
+  /// Returns the suspected parts with their exits.
+  [[nodiscard]] ExitsByPart find_qualified(TimePoint now) const;
+  /// Returns whether the requests' own last part explains all these exits with a part.
   [[nodiscard]] static bool is_explained_by_own_part(PartHash part, const Exits& exits,
-                                                     const std::map<PartHash, Exits>& qualified);
+                                                     const ExitsByPart& qualified);
+  /// Returns the exits with a part that no suspected part after it explains.
+  [[nodiscard]] static Exits unexplained_exits(PartHash part, const Exits& exits,
+                                               const ExitsByPart& qualified);
 
   RefutationSource is_refuted_;
   std::deque<PromptPartExit> exits_;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -249,7 +249,7 @@
   /// Ends the quarantine of a prompt part that was served.
   void lift_served(ContentHash key, TimePoint now);
   /// Returns the keys under which this node has quarantined a part.
-  [[nodiscard]] std::vector<ContentHash> own_keys_of(PartHash part) const;
+  [[nodiscard]] std::set<ContentHash> own_keys_of(PartHash part) const;
   void evaluate(ContentHash content, TimePoint now);
   void record_unproven_exit(ContentHash content, std::uint64_t runner, TimePoint now);
   void add_report(const RunnerExitReport& report, TimePoint at);
--- a/src/quarantine/quarantine_parts.cc
+++ b/src/quarantine/quarantine_parts.cc
@@ -21,9 +21,9 @@
                                      TimePoint now) {
   bool has_news = false;
   for (const PartHash part : parts) {
-    std::vector<ContentHash> keys = own_keys_of(part);
-    keys.push_back(part_key(part));
-    keys.push_back(tenant_part_key(part, tenant));
+    std::set<ContentHash> keys = own_keys_of(part);
+    keys.insert(part_key(part));
+    keys.insert(tenant_part_key(part, tenant));
     for (const ContentHash key : keys) lift_served(key, now);
     if (!part_exits_.record_served(part, now)) continue;
     zone_part_reports_.add_served(part, now);
@@ -40,10 +40,10 @@
   if (contains(key, now) && progress_handler_) progress_handler_(key);
 }
 
-std::vector<ContentHash> Quarantine::own_keys_of(PartHash part) const {
-  std::vector<ContentHash> keys;
+std::set<ContentHash> Quarantine::own_keys_of(PartHash part) const {
+  std::set<ContentHash> keys;
   for (const auto& [key, request] : quarantined_) {
-    if (request.part == part && observed_locally_.contains(key)) keys.push_back(key);
+    if (request.part == part && observed_locally_.contains(key)) keys.insert(key);
   }
   return keys;
 }
@@ -62,6 +62,7 @@
                         .parts = {},
                         .at = now - std::chrono::milliseconds(report.ms_ago)};
     for (const std::uint64_t part : report.parts) exit.parts.push_back(PartHash{part});
+    if (exit.parts.size() > kMaxPartsPerPrompt) exit.parts.resize(kMaxPartsPerPrompt);
     const PromptPartExit copy = exit;
     if (part_exits_.add(std::move(exit))) restore_recurred_parts(copy, now);
   }
