Trials of a part for one tenant count when it is quarantined for all

Each tenant that named a part that makes runners exit gave it two trials more: two tenants could send it five times later than the bound of three allows (by reading). The quarantine for all tenants now begins with the trials that those for single tenants have used. Test: TrialsForOneTenantCountForAll.

--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -176,6 +176,7 @@
 
 void Quarantine::start_quarantine(ContentHash key, const Grounds& grounds, TimePoint now) {
   quarantined_[key] = {.until = now + kQuarantineTime,
+                       .trials = grounds.trials,
                        .exits = static_cast<std::uint32_t>(grounds.exits),
                        .lifted_position = lifts_.position(key),
                        .part = grounds.part};
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -241,13 +241,16 @@
     std::size_t exits = 0;
     std::uint32_t weight = 0;  ///< `RunnerExitTable::attributed_weight`; 0 for prompt parts.
     bool observed_locally = false;
-    PartHash part{};  ///< The prompt part; not set if a request is quarantined.
+    PartHash part{};           ///< The prompt part; not set if a request is quarantined.
+    std::uint32_t trials = 0;  ///< Trials of the part before, for single tenants.
   };
   void start_quarantine(ContentHash key, const Grounds& grounds, TimePoint now);
   /// Quarantines the parts of an exit whose quarantine had expired.
   void restore_recurred_parts(const PromptPartExit& exit, TimePoint now);
   /// Ends the quarantine of a prompt part that was served.
   void lift_served(ContentHash key, TimePoint now);
+  /// Returns how many trials were claimed while a part was quarantined for these tenants.
+  [[nodiscard]] std::uint32_t tenant_trials(const PoisonPart& part) const;
   /// Returns the keys under which this node has quarantined a part.
   [[nodiscard]] std::set<ContentHash> own_keys_of(PartHash part) const;
   void evaluate(ContentHash content, TimePoint now);
--- a/src/quarantine/quarantine_parts.cc
+++ b/src/quarantine/quarantine_parts.cc
@@ -89,10 +89,22 @@
     const ContentHash key =
         one_tenant ? tenant_part_key(found.part, *found.tenants.begin()) : part_key(found.part);
     if (contains(key, now)) continue;
-    start_quarantine(
-        key, {.exits = found.exits, .observed_locally = found.observed_locally, .part = found.part},
-        now);
+    start_quarantine(key,
+                     {.exits = found.exits,
+                      .observed_locally = found.observed_locally,
+                      .part = found.part,
+                      .trials = one_tenant ? 0 : tenant_trials(found)},
+                     now);
   }
 }
 
+std::uint32_t Quarantine::tenant_trials(const PoisonPart& part) const {
+  std::uint32_t trials = 0;
+  for (const std::uint64_t tenant : part.tenants) {
+    const auto found = quarantined_.find(tenant_part_key(part.part, tenant));
+    if (found != quarantined_.end()) trials += found->second.trials;
+  }
+  return trials;
+}
+
 }  // namespace stoathold
--- a/tests/quarantine/quarantine_parts_test.cc
+++ b/tests/quarantine/quarantine_parts_test.cc
@@ -57,6 +57,16 @@
   EXPECT_TRUE(holds(node, 99));
 }
 
+// Guards against a part that gets its trials again with each tenant that names it.
+TEST_F(QuarantinePartsTest, TrialsForOneTenantCountForAll) {
+  exit_runners(kTenant, 3);
+  const QuarantineRecord tried{.since_ms = 0, .exits = 3, .trials = Quarantine::kMaxPartTrials};
+  node.apply_record(tenant_part_key(kPart, kTenant), tried, now, 0);
+  exit_runner(kOtherTenant);
+  const QuarantineRecord record = node.make_record(part_key(kPart), now, 0);
+  EXPECT_EQ(record.trials, Quarantine::kMaxPartTrials);
+}
+
 TEST_F(QuarantinePartsTest, AnswersOfAnyTenantClearThePart) {
   exit_runners(kTenant, 2);
   node.record_served_parts({kPart}, kOtherTenant, now);
