Items that the HTTP library cannot send end, and return their slot

An item with a header value above 64 kB ended its coroutine with an exception; the runner's slot and its place among the running items stayed taken until the process ended.

Cause: the headers were set after connecting, and Boost.Beast throws for a field of that length, between begin_attempt and end_attempt. An online request met the same with a tenant whose name is that long.

Change: the request is encoded before a connection is used; a field that does not fit is the status kUnsendable. The item is dead-lettered, an online request gets 431; the slot is returned and the runner not blamed.

DoesNotConnectForAHeaderThatIsTooLong and RequestWithAHeaderTooLongForRunnersIsRefusedAndReturnsItsSlot pass; they were not run on the code before.

--- a/src/gateway/attempt_result.h
+++ b/src/gateway/attempt_result.h
@@ -9,8 +9,8 @@
 
 namespace stoathold {
 
-/// Result of an attempt for the request. `kImpossible`, `kTooLong`, `kUnconfirmedEnd` and
-/// `kYielded` occur only for items of batch jobs.
+/// Result of an attempt for the request. `kTooLong`, `kUnconfirmedEnd` and `kYielded` occur only
+/// for items of batch jobs.
 enum class AttemptResult : std::uint8_t {
   kCompleted,       ///< The complete response was received.
   kFailed,          ///< Error of the runner; another runner may succeed.
--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -11,6 +11,7 @@
 
 /// Default Retry-After, in seconds, of a request that was not run.
 constexpr const char* kRetryAfterSeconds = "0.2";
+constexpr int kHeaderFieldsTooLarge = 431;
 
 }  // namespace
 
@@ -54,6 +55,9 @@
     const Refusal refusal{
         .status = 504, .outcome = RequestOutcome::kTimedOut, .reason = "deadline"};
     co_await refuse(refusal);
+  } else if (runs_ == 0 && is_unsendable_) {
+    const Refusal refusal{.status = kHeaderFieldsTooLarge, .reason = "header_too_long"};
+    co_await refuse(refusal);
   } else if (runs_ == 0 && rejection_) {
     co_await refuse_rejected();
   } else if (runs_ == 0 && origin_ && !has_runner_of_origin()) {
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -190,7 +190,7 @@
       co_return;
     }
     // At the deadline the caller gets a 504 response instead of a closed connection.
-    if (result == AttemptResult::kStopped) break;
+    if (result == AttemptResult::kStopped || is_unsendable_) break;
     if (may_have_run(result)) {
       if (!may_run_again()) break;
       if (head_sent_) ++context_.metrics.resumes;
@@ -311,6 +311,7 @@
   const bool is_probed = request.probe.has_value();
   UpstreamStatus status = co_await upstream->send(std::move(request), kConnectTimeout);
   AttemptResult result = classify_failure(status);
+  is_unsendable_ = result == AttemptResult::kImpossible;
   if (result == AttemptResult::kUnreachable) result = unsent_result(*runner, *upstream);
   if (status == UpstreamStatus::kOk) {
     watch_silence(runner);
@@ -352,6 +353,7 @@
 
 AttemptResult OnlineRequest::classify_failure(UpstreamStatus status) const {
   if (stopped_) return AttemptResult::kStopped;
+  if (status == UpstreamStatus::kUnsendable) return AttemptResult::kImpossible;
   return status == UpstreamStatus::kNotSent ? AttemptResult::kUnreachable : AttemptResult::kBroken;
 }
 
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -146,7 +146,10 @@
 
 /// Attempts that a runner rejected or that did not reach it held no slot.
 void OnlineRequest::record_slot_release(AttemptResult result) {
-  if (result == AttemptResult::kNotRun || result == AttemptResult::kUnreachable) return;
+  const bool held_slot = result != AttemptResult::kNotRun &&
+                         result != AttemptResult::kUnreachable &&
+                         result != AttemptResult::kImpossible;
+  if (!held_slot) return;
   context_.admission.record_slot_release({.service = service_,
                                           .route = route_.name,
                                           .priority = priority(),
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -121,6 +121,9 @@
     return end_status == UpstreamStatus::kOk ? otherwise : end_status;
   }
 
+  /// Encodes a request into `request`.
+  /// @return false if a header is too long for the HTTP library.
+  bool encode(UpstreamRequest& source);
   asio::awaitable<UpstreamStatus> connect(Duration timeout);
   /// Sends a probe and reads its response.
   /// @return whether the runner is well.
@@ -156,6 +159,20 @@
   UpstreamHead head;
 };
 
+bool UpstreamExchange::State::encode(UpstreamRequest& source) {
+  request.method_string(source.method);
+  request.target(source.target);
+  request.version(11);
+  try {
+    for (const auto& header : source.headers) request.insert(header.name, header.value);
+  } catch (const std::length_error&) {
+    return false;
+  }
+  request.body() = std::move(source.body);
+  request.prepare_payload();
+  return true;
+}
+
 asio::awaitable<UpstreamStatus> UpstreamExchange::State::connect(Duration timeout) {
   Tcp::endpoint endpoint;
   if (!parse_endpoint(address, endpoint)) co_return UpstreamStatus::kNotSent;
@@ -274,6 +291,7 @@
   state->address = request.address;
   state->runner = request.runner;
   state->request_id = request.request_id;
+  if (!state->encode(request)) co_return UpstreamStatus::kUnsendable;
   // The runner may be closing an idle connection, so that its probe would show nothing.
   if (request.max_idle_time.count() > 0 && !request.probe) {
     auto idle = state->pool.idle.take(request.address, request.runner, request.max_idle_time);
@@ -296,16 +314,9 @@
     }
   }
   state->sent = monotonic_now();
-  auto& message = state->request;
-  message.method_string(request.method);
-  message.target(request.target);
-  message.version(11);
-  for (const auto& header : request.headers) message.insert(header.name, header.value);
-  message.body() = std::move(request.body);
-  message.prepare_payload();
   // Not awaited, since a runner may respond before it has read the complete body.
   http::async_write(
-      *state->socket, message,
+      *state->socket, state->request,
       [state](boost::system::error_code error, std::size_t /*count*/) { state->written = !error; });
   co_return state->failure(UpstreamStatus::kOk);
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -22,10 +22,11 @@
 /// How a step of an upstream request ended.
 enum class UpstreamStatus : std::uint8_t {
   kOk,
-  kNotSent,    ///< No connection was made; the runner saw nothing.
-  kBroken,     ///< Reset, closed early or malformed response; the runner may have run it.
-  kTimeout,    ///< The deadline passed; the runner may have run it.
-  kCancelled,  ///< `cancel` was called.
+  kNotSent,     ///< No connection was made; the runner saw nothing.
+  kUnsendable,  ///< A header is too long for the HTTP library; no runner saw the request.
+  kBroken,      ///< Reset, closed early or malformed response; the runner may have run it.
+  kTimeout,     ///< The deadline passed; the runner may have run it.
+  kCancelled,   ///< `cancel` was called.
 };
 
 /// Returns the status' name for logs.
@@ -96,8 +97,8 @@
   UpstreamExchange(const UpstreamExchange&) = delete;
   UpstreamExchange& operator=(const UpstreamExchange&) = delete;
 
-  /// Connects or takes an idle connection from the pool, probes the runner if requested, and starts
-  /// to send the request.
+  /// Encodes the request, connects or takes an idle connection from the pool, probes the runner if
+  /// requested, and starts to send the request.
   boost::asio::awaitable<UpstreamStatus> send(UpstreamRequest request, Duration connect_timeout);
   /// Reads the head of the response to this request.
   boost::asio::awaitable<UpstreamStatus> read_head();
--- a/src/gateway/upstream_status.cc
+++ b/src/gateway/upstream_status.cc
@@ -9,6 +9,8 @@
       return "ok";
     case UpstreamStatus::kNotSent:
       return "not_sent";
+    case UpstreamStatus::kUnsendable:
+      return "unsendable";
     case UpstreamStatus::kBroken:
       return "broken";
     case UpstreamStatus::kTimeout:
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -65,6 +65,7 @@
   UpstreamStatus status = co_await upstream->send(std::move(request), kConnectTimeout);
   AttemptResult result = AttemptResult::kBroken;
   if (status == UpstreamStatus::kNotSent) result = unsent_result(*runner, *upstream);
+  if (status == UpstreamStatus::kUnsendable) result = AttemptResult::kImpossible;
   if (status == UpstreamStatus::kOk) status = co_await upstream->read_head();
   if (status == UpstreamStatus::kOk) {
     stage_ = RunStage::kResponseStarted;
--- a/tests/gateway/tenant_access_test.cc
+++ b/tests/gateway/tenant_access_test.cc
@@ -160,5 +160,14 @@
   EXPECT_EQ(check_of(kKey), 3U);
 }
 
+/// No runner can be sent the name of such a tenant, so trying others would only delay the refusal.
+TEST_F(TenantAccessTest, RequestWithAHeaderTooLongForRunnersIsRefusedAndReturnsItsSlot) {
+  constexpr std::size_t kNameBytes = 70'000;
+  configure({{std::string(kNameBytes, 't'), {kKey}, {}, {}}});
+  EXPECT_EQ(ask("/x/1", kKey).status, 431);
+  EXPECT_EQ(runner.connections, 0);
+  EXPECT_EQ(context.runners.all().at("r1")->in_flight(), 0U);
+}
+
 }  // namespace
 }  // namespace stoathold
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -100,6 +100,14 @@
   EXPECT_EQ(runner.connections, 2);
 }
 
+/// Guards against an exception of the HTTP library that ends the caller's coroutine.
+TEST_F(UpstreamTest, DoesNotConnectForAHeaderThatIsTooLong) {
+  constexpr std::size_t kHeaderBytes = 70'000;
+  ScriptedRunner runner(loop, {{plain_response("one")}});
+  EXPECT_EQ(call(runner, std::string(kHeaderBytes, 'a')).status, UpstreamStatus::kUnsendable);
+  EXPECT_EQ(runner.connections, 0);
+}
+
 TEST_F(UpstreamTest, SkipsAResponseToAnotherRequest) {
   ScriptedRunner runner(loop, {{plain_response("foreign", "other") + plain_response("mine")}});
   const Outcome outcome = call(runner, "1");
