Items whose request is not in the log are given up after their retention

The request of an accepted item that had been deleted from the log was read again for good, whatever the item's retention. Found by reading; not seen at a customer's.

Cause: the retention is looked at by the run of an item, and an item without a request is never run.

Change: after a read that found no request the job runner dead-letters the item if its retention has ended; else the request is read again. A result that another node has written comes first in the log and counts.

Without a retention or a route such an item is still read again for good (docs/INVARIANTS.md).

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -67,8 +67,8 @@
     EventEntry{Event::kItemDone, "item_done", EventLevel::kInfo,
                "A batch item has a result, which is being written."},
     EventEntry{Event::kItemUnreadable, "item_unreadable", EventLevel::kWarning,
-               "The request of a batch item is missing from its position in the log; the read is "
-               "retried."},
+               "The request of a batch item is missing from the log; `action` says whether it is "
+               "read again or the item is dead-lettered, since its retention has ended."},
     EventEntry{Event::kSlotsChanged, "slots_changed", EventLevel::kInfo,
                "The set of job slots that this node holds changed."},
     EventEntry{Event::kItemListed, "item_listed", EventLevel::kInfo,
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -106,9 +106,8 @@
   RequestsRead found = co_await store_.read_requests(read.load.key, std::move(wanted), read.bounds);
   if (found.status != LogStatus::kOk || !read.load.still_needed()) co_return found.status;
   for (const std::uint32_t item : found.missing) {
-    read.load.on_request_missing(item);
     std::erase(read.unread_items, item);
-    read.missing.push_back(item);
+    if (read.load.on_request_missing(item)) read.missing.push_back(item);
   }
   std::erase_if(read.unread_items, [&](std::uint32_t item) { return found.found.contains(item); });
   for (auto& [item, request] : found.found) read.load.on_request(item, std::move(request));
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -23,8 +23,9 @@
   std::function<std::vector<std::uint32_t>()> on_loaded;
   /// Called with each item and its request.
   std::function<void(std::uint32_t, ItemRequest)> on_request;
-  /// Called with each item whose request was not found in the log; the read is retried later.
-  std::function<void(std::uint32_t)> on_request_missing;
+  /// Called with each item whose request was not found in the log.
+  /// @return whether to read the request again later.
+  std::function<bool(std::uint32_t)> on_request_missing;
 };
 
 /// Queues jobs and reads their results, their progress and the requests of their open items. Data
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -129,9 +129,7 @@
              on_request_read(key, *job, index, std::move(request));
            },
        .on_request_missing =
-           [key, job](std::uint32_t index) {
-             log_event(Event::kItemUnreadable, {{"job", key}, {"item", job->items[index].id}});
-           }});
+           [this, key, job](std::uint32_t index) { return on_request_missing(key, *job, index); }});
 }
 
 std::vector<std::uint32_t> JobRunner::on_job_loaded(const JobKey& key,
@@ -169,6 +167,27 @@
   start_waiting_items();
 }
 
+bool JobRunner::on_request_missing(const JobKey& key, const ActiveJob& job, std::uint32_t index) {
+  const bool gives_up = has_expired(job);
+  log_event(Event::kItemUnreadable, {{"job", key},
+                                     {"item", job.items[index].id},
+                                     {"action", gives_up ? "dead_lettered" : "read_again"}});
+  if (!gives_up) return true;
+  ItemResult result;
+  result.job = key;
+  result.item = index;
+  result.state = ItemState::kDeadLettered;
+  enter_stage(key, job, index, ItemStage::kWritingResult);
+  writer_.add(std::move(result));
+  return false;
+}
+
+bool JobRunner::has_expired(const ActiveJob& job) const {
+  const auto configuration = context_.configuration;
+  const Route* route = configuration ? configuration->find_route(job.host, job.path) : nullptr;
+  return route != nullptr && is_past_retention(*route, job.submitted_ms, settings_.clock_skew);
+}
+
 std::size_t JobRunner::item_limit() const {
   const Duration age = monotonic_now() - started_;
   if (age >= kSlowStartDuration) return kMaxItemsPerJob;
@@ -293,11 +312,7 @@
 RejectedResultAction JobRunner::on_result_rejected(ItemResult& result) {
   const auto found = jobs_.find(result.job);
   if (found == jobs_.end()) return RejectedResultAction::kDrop;
-  const ActiveJob& job = *found->second;
-  const auto configuration = context_.configuration;
-  const Route* route = configuration ? configuration->find_route(job.host, job.path) : nullptr;
-  if (route == nullptr) return RejectedResultAction::kRetry;
-  if (is_past_retention(*route, job.submitted_ms, settings_.clock_skew)) {
+  if (has_expired(*found->second)) {
     result.state = ItemState::kDeadLettered;
     result.text.clear();
   }
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -94,6 +94,11 @@
   std::vector<std::uint32_t> on_job_loaded(const JobKey& key,
                                            const std::shared_ptr<ActiveJob>& job);
   void on_request_read(const JobKey& key, ActiveJob& job, std::uint32_t index, ItemRequest request);
+  /// Dead-letters an item whose request is not in the log if its retention has ended.
+  /// @return whether the request is to be read again.
+  bool on_request_missing(const JobKey& key, const ActiveJob& job, std::uint32_t index);
+  /// Returns whether the retention of a job's items has ended; false while its route is missing.
+  [[nodiscard]] bool has_expired(const ActiveJob& job) const;
   void stop_job(const JobKey& key, bool keep_progress);
   void start_waiting_items();
   /// Returns whether the limits allow reading more requests of the job.
