The answer to a probe of a HEAD request is read with its body

Since requests are encoded before they are sent, the parser of the probe's answer took its method from the request: after the probe of a HEAD request the body of the answer was left on the connection, which was then closed or would have answered the request itself.

Change: the method of the message that was sent is passed to the parser.

ProbeOfAHeadRequestReadsTheBodyOfItsAnswer failed before (2 connections for 1).

--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -72,11 +72,11 @@
 
   using Parser = http::response_parser<http::buffer_body>;
 
-  void start_parser() {
+  void start_parser(http::verb method) {
     parser = std::make_unique<Parser>();
     parser->body_limit(boost::none);
     parser->header_limit(kHeadBytes);
-    if (request.method() == http::verb::head) parser->skip(true);
+    if (method == http::verb::head) parser->skip(true);
   }
 
   void close() {
@@ -128,7 +128,8 @@
   /// Sends a probe and reads its response.
   /// @return whether the runner is well.
   asio::awaitable<bool> probe(UpstreamProbe probe);
-  asio::awaitable<UpstreamStatus> read_next_head();
+  /// @param method of the message that the response answers.
+  asio::awaitable<UpstreamStatus> read_next_head(http::verb method);
   asio::awaitable<UpstreamStatus> read_some(std::string_view& view);
   /// Parses body bytes from the read buffer; `view` is empty if more must be read first.
   /// @return false if the bytes are malformed.
@@ -199,7 +200,7 @@
   for (const auto& header : probe.headers) message.insert(header.name, header.value);
   const auto [write_error, written_bytes] = co_await http::async_write(*socket, message, kNoThrow);
   if (write_error) co_return false;
-  UpstreamStatus status = co_await read_next_head();
+  UpstreamStatus status = co_await read_next_head(message.method());
   std::string_view view;
   do {
     if (status == UpstreamStatus::kOk) status = co_await read_some(view);
@@ -233,8 +234,8 @@
   }
 }
 
-asio::awaitable<UpstreamStatus> UpstreamExchange::State::read_next_head() {
-  start_parser();
+asio::awaitable<UpstreamStatus> UpstreamExchange::State::read_next_head(http::verb method) {
+  start_parser(method);
   const auto [error, count] = co_await http::async_read_header(*socket, buffer, *parser, kNoThrow);
   closed_by_runner = end_status == UpstreamStatus::kOk && is_closed_by_peer(error);
   if (error || end_status != UpstreamStatus::kOk) co_return failure(UpstreamStatus::kBroken);
@@ -324,7 +325,7 @@
 asio::awaitable<UpstreamStatus> UpstreamExchange::read_head() {
   const auto state = state_;
   for (int skipped = 0; skipped < kMaxSkippedResponses;) {
-    const UpstreamStatus status = co_await state->read_next_head();
+    const UpstreamStatus status = co_await state->read_next_head(state->request.method());
     if (status != UpstreamStatus::kOk) co_return status;
     if (state->parser->get().result_int() < 200) continue;
     if (state->matches_request_id()) {
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -32,7 +32,7 @@
     upstream->set_deadline(monotonic_now() + std::chrono::seconds(20));
     UpstreamRequest request;
     request.address = std::move(address);
-    request.method = "POST";
+    request.method = method;
     request.target = "/x/1?q=1";
     request.headers = {{"Host", "a.example"}, {"X-Request-Id", id}};
     request.body = "question";
@@ -58,6 +58,7 @@
   boost::asio::io_context loop;
   UpstreamPool pool{loop.get_executor(), HeaderDialect{}};
   std::optional<UpstreamProbe> probe;  ///< Of all calls.
+  std::string method = "POST";         ///< Of all calls.
 };
 
 TEST_F(UpstreamTest, ReusesConnectionsAndSendsRequestsUnchanged) {
@@ -132,6 +133,15 @@
   EXPECT_TRUE(runner.requests[1].starts_with("POST /x/1"));
 }
 
+/// Guards against a body of the probe's answer that is taken for the next response.
+TEST_F(UpstreamTest, ProbeOfAHeadRequestReadsTheBodyOfItsAnswer) {
+  ScriptedRunner runner(loop, {{plain_response("well")}, {plain_response("")}});
+  probe = UpstreamProbe{"/health", {}};
+  method = "HEAD";
+  EXPECT_EQ(call(runner, "1").code, 200);
+  EXPECT_EQ(runner.connections, 1);
+}
+
 TEST_F(UpstreamTest, DoesNotSendTheRequestIfTheProbeIsNotAnswered) {
   ScriptedRunner runner(loop, {{"", true}});
   probe = UpstreamProbe{"/health", {}};
