--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -164,11 +164,7 @@
   request.method_string(source.method);
   request.target(source.target);
   request.version(11);
-  try {
-    for (const auto& header : source.headers) request.insert(header.name, header.value);
-  } catch (const std::length_error&) {
-    return false;
-  }
+  if (!insert_headers(request, source.headers)) return false;
   request.body() = std::move(source.body);
   request.prepare_payload();
   return true;
@@ -197,7 +193,7 @@
   const TimePoint request_deadline = deadline;
   set_deadline(std::min(request_deadline, monotonic_now() + kProbeTimeout));
   http::request<http::empty_body> message(http::verb::get, probe.target, 11);
-  for (const auto& header : probe.headers) message.insert(header.name, header.value);
+  if (!insert_headers(message, probe.headers)) co_return false;
   const auto [write_error, written_bytes] = co_await http::async_write(*socket, message, kNoThrow);
   if (write_error) co_return false;
   UpstreamStatus status = co_await read_next_head(message.method());
--- a/src/net/beast_helpers.h
+++ b/src/net/beast_helpers.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,18 @@
   return headers;
 }
 
+/// Adds headers to a message.
+/// @return false if one is too long for the library, which throws then.
+inline bool insert_headers(boost::beast::http::fields& fields,
+                           const std::vector<HttpHeader>& headers) {
+  try {
+    for (const auto& header : headers) fields.insert(header.name, header.value);
+  } catch (const std::length_error&) {
+    return false;
+  }
+  return true;
+}
+
 /// Returns the executor for one connection: a strand of its own, or `executor` itself if a single
 /// thread runs the event loop.
 inline boost::asio::any_io_executor connection_executor(
