--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -173,7 +173,7 @@
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;
   bool head_sent_ = false;
-  bool is_unsendable_ = false;  ///< A header is too long for the HTTP library.
+  bool is_unsendable_ = false;  ///< A header exceeds the limit of the HTTP library.
   std::optional<Duration> response_delay_;
   bool stopped_ = false;
   std::optional<std::uint64_t> last_event_;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -122,7 +122,7 @@
   }
 
   /// Encodes a request into `request`.
-  /// @return false if a header is too long for the HTTP library.
+  /// @return false if a header exceeds the limit of the HTTP library, 64 kB.
   bool encode(UpstreamRequest& source);
   asio::awaitable<UpstreamStatus> connect(Duration timeout);
   /// Sends a probe and reads its response.
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -23,7 +23,7 @@
 enum class UpstreamStatus : std::uint8_t {
   kOk,
   kNotSent,     ///< No connection was made; the runner saw nothing.
-  kUnsendable,  ///< A header is too long for the HTTP library; no runner saw the request.
+  kUnsendable,  ///< A header exceeds the limit of the HTTP library; nothing was sent.
   kBroken,      ///< Reset, closed early or malformed response; the runner may have run it.
   kTimeout,     ///< The deadline passed; the runner may have run it.
   kCancelled,   ///< `cancel` was called.
--- a/src/net/beast_helpers.h
+++ b/src/net/beast_helpers.h
@@ -26,7 +26,7 @@
 }
 
 /// Adds headers to a message.
-/// @return false if one is too long for the library, which throws then.
+/// @return false if one exceeds the limit of the library, 64 kB, for which it throws.
 inline bool insert_headers(boost::beast::http::fields& fields,
                            const std::vector<HttpHeader>& headers) {
   try {
--- a/tests/system/crashing_prompt_part_test.py
+++ b/tests/system/crashing_prompt_part_test.py
@@ -168,6 +168,16 @@
         text = time.strftime("%Y-%m-%dT%H:%M:%S", moment) + ".%06dZ" % ((after + offset) % 1 * 1e6)
         return sum(event["time"] > text for event in events)
 
+    def describe_state(self):
+        """Returns which runners are up, and the nodes' log lines on quarantines."""
+        up = [name for name in self.platform.runners
+              if self.platform.runner_process(name).handle.poll() is None]
+        events = ['"request_quarantined"', '"quarantine_ended"', '"quarantine_trial']
+        lines = [line for process in self.platform.node_processes
+                 for line in process.log_path.read_text().splitlines()
+                 if any(event in line for event in events)]
+        return "\n".join(["runners up: " + ", ".join(up), *sorted(lines)])
+
     def test_few_late_sends_and_sound_requests_are_served(self):
         start = time.monotonic()
         threads = [threading.Thread(target=self.restart_crashed_runners, daemon=True)]
@@ -191,7 +201,7 @@
         print("%d crashes, %d late sends, sound requests served: %.2f before, %.2f after"
               % (len(self.crash_times), late_sends, before, after))
         self.assertLessEqual(late_sends, LATE_SENDS_ALLOWED)
-        self.assertGreaterEqual(after, before / 2)
+        self.assertGreaterEqual(after, before / 2, self.describe_state())
 
 
 class TrafficWithAnswersThatEndWithTheirConnectionTest(CrashingPromptPartUnderTrafficTest):
