--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,9 @@
 """A node is killed while it relays streams whose runners end them with the connection.
 
-Rule: MIXED. Each answer that its framing calls complete must be the runner's whole body."""
+Rule: MIXED. Each answer that its framing calls complete must be the runner's whole body. With
+VICTIM=runner, a runner is killed in place of the node."""
 
+import os
 import pathlib
 import sys
 import threading
@@ -45,16 +47,30 @@
         client.start()
     time.sleep(KILL_AT_SECONDS)
     if has_trouble():
-        deployment.nodes[0].kill()
-        deployment.record("SIGKILL of " + deployment.nodes[0].name)
-        time.sleep(DOWN_SECONDS)
-        deployment.nodes[0].start()
-        deployment.record("start of " + deployment.nodes[0].name)
+        crash(deployment)
     for client in clients:
         client.join()
     return judge(deployment, answers)
 
 
+def crash(deployment):
+    """Kills the victim and starts it again after a while."""
+    node = deployment.nodes[0]
+    runner_id, runner = next(iter(deployment.runners.items()))
+    is_node = os.environ.get("VICTIM", "node") == "node"
+    if is_node:
+        node.kill()
+    else:
+        runner.kill()
+    deployment.record("SIGKILL of " + (node.name if is_node else runner_id))
+    time.sleep(DOWN_SECONDS)
+    if is_node:
+        node.start()
+    else:
+        deployment.start_runner(0)
+    deployment.record("started again")
+
+
 def judge(deployment, answers):
     wrong = []
     whole = 0
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -60,6 +60,7 @@
         for number in range(first, self.options.events + 1):
             await asyncio.wait([closed], timeout=self.options.event_ms / 1000)
             if closed.done():
+                closed.exception()  # A reset ends the connection as well.
                 self.record(request=request_id, dropped_before=number)
                 return None
             text = event_text(request_id, number, self.options.event_bytes)
