--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -160,6 +160,7 @@
         self.runner = runner
         self.run_log = self.directory / "runs.log"
         self.runners = {}
+        self.runner_addresses = [None] * runners
         self.nodes = [Node(index, ip, self.directory, self.store, memory_mb)
                       for index, ip in enumerate(free_network(nodes))]
         self.runner_count = runners
@@ -173,16 +174,21 @@
         self.children.append(process)
         return process
 
-    def start_runner(self, index):
+    def start_runner(self, index, version="1", first_heartbeat_ms=0):
+        """Starts a runner, or starts it again under its id and address."""
         options = self.runner
         runner_id = "i-%08x" % (0x7f3a0000 + index)
-        arguments = ["runner.py", "--listen", "127.0.0.1:%d" % free_port(), "--store", self.store,
+        address = self.runner_addresses[index] or "127.0.0.1:%d" % free_port()
+        self.runner_addresses[index] = address
+        arguments = ["runner.py", "--listen", address, "--store", self.store,
                      "--id", runner_id, "--zone", ZONES[index % 3], "--service", SERVICE,
                      "--run-log", self.run_log, "--slots", options.slots,
                      "--events", options.events, "--event-ms", options.event_ms,
                      "--event-bytes", options.event_bytes]
+        arguments += ["--version", version, "--first-heartbeat-ms", first_heartbeat_ms]
         arguments += ["--unframed"] if options.unframed else []
         self.runners[runner_id] = self.start_child(arguments)
+        return runner_id
 
     def append(self, topic, key, value):
         """Writes one record as the operator does."""
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -14,15 +14,16 @@
 HEARTBEAT_SECONDS = 1.2
 
 
-def event_text(request_id, number, size):
-    """Returns the data of one event, which names its request and its number."""
-    return ("%s#%d " % (request_id, number)).ljust(size, ".")
+def event_text(request_id, number, size, version="1"):
+    """Returns the data of one event, which names its request, its number and the software."""
+    return ("%s#%d v%s " % (request_id, number, version)).ljust(size, ".")
 
 
 class Runner:
     def __init__(self, options):
         self.options = options
         self.running = 0
+        self.born = int(time.time() * 1000)
         self.log = open(options.run_log, "a", buffering=1)
 
     def record(self, **fields):
@@ -36,6 +37,10 @@
             return response(421, b"", instance)
         if request.method == "GET" and request.path == "/health":
             return response(200, b"", instance)
+        if request.method == "GET" and request.path == "/api/report":
+            report = {"stage": "both", "busy": False, "queued_count": 0, "born": self.born,
+                      "running_count": self.running}
+            return response(200, json.dumps(report).encode(), instance)
         request_id = request.header("Stoathold-Attempt-Id")
         if not request_id:
             return response(400, b"", {"Stoathold-Not-Run": "1"})
@@ -50,7 +55,7 @@
 
     async def stream(self, request, request_id, reader, writer):
         first = int(request.header("Last-Event-Id") or 0) + 1
-        self.record(request=request_id, begins_at=first)
+        self.record(request=request_id, begins_at=first, version=self.options.version)
         framing = "Connection: close" if self.options.unframed else "Transfer-Encoding: chunked"
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", framing,
                 "Stoathold-Attempt-Id: " + request_id, "Stoathold-Response-Seal: seal-" + request_id,
@@ -63,7 +68,7 @@
                 closed.exception()  # A reset ends the connection as well.
                 self.record(request=request_id, dropped_before=number)
                 return None
-            text = event_text(request_id, number, self.options.event_bytes)
+            text = event_text(request_id, number, self.options.event_bytes, self.options.version)
             self.write(writer, ("id: %d\ndata: %s\n\n" % (number, text)).encode())
         closed.cancel()
         await asyncio.wait([closed])
@@ -80,8 +85,9 @@
 
     async def send_heartbeats(self):
         entry = {"service": self.options.service, "address": self.options.listen,
-                 "zone": self.options.zone, "version": "1", "slots": self.options.slots,
-                 "state": "ready", "cold_remaining_ms": 0, "born": int(time.time() * 1000)}
+                 "zone": self.options.zone, "version": self.options.version, "slots": self.options.slots,
+                 "state": "ready", "cold_remaining_ms": 0, "born": self.born}
+        await asyncio.sleep(self.options.first_heartbeat_ms / 1000)
         url = "http://%s/standin/heartbeat?id=%s" % (self.options.store, self.options.id)
         while True:
             call = urllib.request.Request(url, json.dumps(entry).encode(), method="POST")
@@ -98,6 +104,8 @@
         parser.add_argument("--" + name, required=True)
     for name in ("slots", "events", "event-ms", "event-bytes"):
         parser.add_argument("--" + name, type=int, required=True)
+    parser.add_argument("--version", default="1")
+    parser.add_argument("--first-heartbeat-ms", type=int, default=0)
     parser.add_argument("--unframed", action="store_true")
     options = parser.parse_args()
     runner = Runner(options)
--- a/review/standins/streaming_client.py
+++ b/review/standins/streaming_client.py
@@ -89,14 +89,18 @@
     answer.end = "whole" if is_whole else (failure or "early")
 
 
-def ask(node, request_id):
-    """Sends one request on a new connection and reads the answer."""
+def ask(node, request_id, prompt=None):
+    """Sends one request on a new connection and reads the answer.
+
+    `prompt` is the list of the shared parts of its prompt, as ID:TOKENS."""
     answer = Answer(request_id, node.name, time.monotonic())
     host, port = node.front.rsplit(":", 1)
+    parts = ",".join((prompt or []) + [request_id.rjust(8, "0") + ":250"])
     text = ("POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nStoathold-Attempt-Id: %s\r\n"
             "Stoathold-Model: m\r\nStoathold-Token-Usage: 491,80\r\n"
+            "Stoathold-Prompt-Prefix: %s\r\n"
             "Stoathold-Deadline-Ms: %d\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello"
-            % (HOST, request_id, DEADLINE_MS))
+            % (HOST, request_id, parts, DEADLINE_MS))
     try:
         with socket.create_connection((host, int(port)), timeout=DEADLINE_MS / 1000) as connection:
             connection.sendall(text.encode())
