--- a/review/standins/batch_client.py
+++ b/review/standins/batch_client.py
@@ -15,10 +15,14 @@
 READ_PAUSE_SECONDS = 0.5
 
 
-def submit(node, job, items, body_bytes):
-    """Submits a batch job; returns the status."""
+def submit(node, job, items, body_bytes, prompt=None):
+    """Submits a batch job; returns the status.
+
+    `prompt` is the list of the parts that the items' prompts share, as ID:TOKENS."""
     listed = [{"id": "%s-%03d" % (job, index), "path": "/pule252/3/91c4",
-               "headers": {"Stoathold-Model": "m", "Stoathold-Token-Usage": "540,400"},
+               "headers": {"Stoathold-Model": "m", "Stoathold-Token-Usage": "540,400",
+                           "Stoathold-Prompt-Prefix":
+                               ",".join((prompt or []) + ["%08x:250" % index])},
                "body": base64.b64encode(random.Random(index).randbytes(body_bytes)).decode(),
                "token_count": 940} for index in range(items)]
     return call(node.front, "POST", "/pule252/7c41e0", json.dumps({"items": listed}).encode(),
