--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,147 @@
+"""ORDER: a runner crashes between two events of an answer that ends with its connection.
+
+The route's streams are resumable and may run at two runners. Sixteen clients have a stream in
+progress at seven runners. The runner with most of them is killed, and its connections close. The
+streams have to go on at another runner behind the last event that was passed on, or end visibly
+early. The runners' answers have no length, which the rules allow. With TROUBLE=0 no runner is killed.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+STAND_INS = FOLDER.parent / "stand-ins-2"
+sys.path.insert(0, str(STAND_INS))
+from deployment import Connection, Deployment, free_ports  # noqa: E402
+from runner import encode_event  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+CLIENTS = 16
+RUNNERS = 7
+EVENTS = 12
+PAUSE_MS = 150
+KILL_AFTER_SECONDS = 0.98  # In the pause behind event 6, or a little before or after it.
+LIMIT_SECONDS = 100
+HEADERS = {"Stoathold-Model": "m", "Stoathold-Token-Usage": "491,84",
+           "Stoathold-Prompt-Prefix": "5c1e07a2:93", "Stoathold-Deadline-Ms": "5000"}
+
+
+class RunnerProcess:
+    def __init__(self, identity, directory):
+        self.identity = identity
+        self.address = "127.0.0.1:%d" % free_ports(1)[0]
+        self.output = pathlib.Path(directory) / (identity + ".log")
+        with open(self.output, "wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(STAND_INS / "runner_process.py"), self.address, identity,
+                 str(EVENTS), str(PAUSE_MS), "no-length"], stdout=output, stderr=output)
+
+    def register(self, store):
+        entry = {"service": "chat", "address": self.address, "zone": "z1", "version": "1",
+                 "slots": 12, "state": "ready", "cold_remaining_ms": 0, "sequence": 1}
+        store.put("keyed.servers", self.identity, json.dumps(entry).encode())
+
+    async def wait_ready(self):
+        end = time.monotonic() + 10
+        while "ready" not in self.output.read_text():
+            if time.monotonic() > end:
+                raise RuntimeError(self.identity + " did not start")
+            await asyncio.sleep(0.02)
+
+    def runs(self, request_id):
+        """Returns the last state of each run: (after event, last event made, end)."""
+        states = {}
+        for line in self.output.read_text().splitlines():
+            words = line.split(" ", 3)
+            if len(words) == 4 and words[0] == request_id:
+                states[words[1]] = (int(words[1]), int(words[2]), words[3])
+        return list(states.values())
+
+    def kill(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+def whole_body(request_id):
+    return b"".join(encode_event(request_id, number) for number in range(1, EVENTS + 1))
+
+
+async def ask(node, request_id):
+    """Sends one request; returns (status, headers, body, whether the answer ended as HTTP says)."""
+    connection = await Connection().open(node.front)
+    try:
+        return await connection.call(
+            "POST", "/ask/1", {**HEADERS, "Stoathold-Attempt-Id": request_id}, b"question")
+    finally:
+        connection.close()
+
+
+async def play(deployment, runners, record):
+    for runner in runners:
+        await runner.wait_ready()
+        runner.register(deployment.store)
+    await deployment.start()
+    warm = await ask(deployment.nodes[0], "warm")
+    if warm[2] != whole_body("warm"):
+        raise RuntimeError("the deployment does not serve")
+    ids = ["a%d" % index for index in range(CLIENTS)]
+    start = time.monotonic()
+    asks = [asyncio.create_task(ask(deployment.nodes[0], request_id)) for request_id in ids]
+    await asyncio.sleep(KILL_AFTER_SECONDS)
+    if TROUBLE:
+        victim = max(runners, key=lambda runner: sum(bool(runner.runs(name)) for name in ids))
+        victim.kill()
+        record("+%.2f s: SIGKILL of runner %s" % (time.monotonic() - start, victim.identity))
+    answers = await asyncio.gather(*asks)
+    await asyncio.sleep(0.1)
+    return sum(judge(runners, request_id, answer, record)
+               for request_id, answer in zip(ids, answers))
+
+
+def judge(runners, request_id, answer, record):
+    """Returns whether the stream ended as complete before its last piece."""
+    status, headers, body, ended_cleanly = answer
+    looks_complete = status == 200 and ended_cleanly and (
+        headers.get("stoathold-response-seal") == "seal-" + request_id)
+    broken = looks_complete and body != whole_body(request_id)
+    runs = [(runner.identity, *run) for runner in runners for run in runner.runs(request_id)]
+    record("%s: runs (runner, after event, last event made, end) %s; client: status %d, "
+           "%d of %d events, end %s -> %s" % (
+               request_id, runs, status, body.count(b"\n\n"), EVENTS,
+               "of the connection (FIN)" if ended_cleanly else "visibly early",
+               "BROKEN: ends as complete" if broken else "ok"))
+    return broken
+
+
+async def main():
+    lines = []
+
+    def record(line):
+        lines.append(line)
+        print(line, flush=True)
+
+    deployment = Deployment(nodes=3, runners=0)
+    runners = [RunnerProcess("i-%d" % index, deployment.directory) for index in range(RUNNERS)]
+    result = 2
+    try:
+        broken = await asyncio.wait_for(play(deployment, runners, record), LIMIT_SECONDS)
+        record("TROUBLE=%d: %d of %d streams ended as complete before their last piece" % (
+            TROUBLE, broken, CLIENTS))
+        result = 1 if broken else 0
+    except Exception as failure:  # The case could not run.
+        record("not run: %r" % failure)
+    finally:
+        for runner in runners:
+            runner.kill()
+        deployment.stop()
+        (FOLDER / "record.txt").write_text("\n".join(lines) + "\n")
+    return result
+
+
+sys.exit(asyncio.run(main()))
--- a/review/stand-ins-2/runner.py
+++ b/review/stand-ins-2/runner.py
@@ -21,7 +21,7 @@
 class Runner:
     """`plan(request)` returns (events, seconds between events) of a request, or raises Refusal.
 
-    `runs` lists what began to run: (time, id, path, last event id, outcome).
+    `runs` lists what began to run, with the last event that was asked from and the last one made.
     """
 
     def __init__(self, store, identity, service, zone, address, slots=12, queue=48,
@@ -79,7 +79,7 @@
         request_id = request.header("Stoathold-Attempt-Id")
         first = int(request.header("Last-Event-Id", "0") or 0)
         run = {"at": time.monotonic(), "id": request_id, "path": request.target,
-               "runner": self.identity, "after": first, "end": "running"}
+               "runner": self.identity, "after": first, "made": first, "end": "running"}
         self.runs.append(run)
         seal = [("Stoathold-Response-Seal", "seal-" + request_id)]
         plan = self.plan(request)
@@ -100,6 +100,7 @@
                 return False
             event = encode_event(request_id, number)
             writer.write(encode_chunk(event) if has_length else event)
+            run["made"] = number
             await writer.drain()
         if has_length:
             writer.write(b"0\r\n\r\n")
