--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,14 @@
 """LOST: a node that got SIGTERM takes requests that it does not let finish.
 
-Clients keep connections to a node and rest. The node gets SIGTERM; `grace_s` is 8. A little over 3 s
-later each client sends one more request on its open connection. The runner answers at the pace that
-the route asks for and needs 4.6 s, within the deadline, the route's timeout and `grace_s`. With
-TROUBLE=0 there is no SIGTERM.
+Two of three nodes get SIGTERM in turn, 1.1 s apart; `grace_s` is 8. Fewer than half of the zone's
+nodes are then ready, so that the platform goes on giving connections to all of them.
+
+- The first gets streams on connections that were open before, a little over 3 s after its SIGTERM.
+  The runner needs 4.6 s, within the deadline, the route's timeout and `grace_s`.
+- The second has no stream. It gets batch calls on new connections, less than 3 s after its SIGTERM: two
+  jobs of 3.7 MB, and reads of another job that may be held for 1 s.
+
+With TROUBLE=0 there is no SIGTERM.
 """
 
 import asyncio
@@ -15,12 +20,17 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand-ins-2"))
-from deployment import Connection, Deployment  # noqa: E402
+from deployment import (Connection, Deployment, encode_request, job_body,  # noqa: E402
+                        read_answer, submit)
 from runner import encode_event  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE_SECONDS = 8
-SEND_AFTER_SECONDS = [3.04, 3.07, 3.10, 3.13]  # From SIGTERM: later than 3 s.
+SECOND_SIGTERM_SECONDS = 1.1
+JOB_AFTER_SECONDS = [2.85, 2.90]  # From the SIGTERM of the node, as the next two.
+READ_AFTER_SECONDS = [2.65, 2.75, 2.85]
+SEND_AFTER_SECONDS = [3.04, 3.07, 3.10, 3.13]  # Later than 3 s.
+LOSS_SLACK_SECONDS = 0.2  # `loss_slack_ms`.
 EVENTS = 24
 EVENT_SECONDS = 0.19
 LIMIT_SECONDS = 100
@@ -29,8 +39,10 @@
 
 
 def plan(request):
-    is_warm_up = request.header("Stoathold-Attempt-Id").startswith("warm")
-    return (2, 0.01) if is_warm_up else (EVENTS, EVENT_SECONDS)
+    request_id = request.header("Stoathold-Attempt-Id")
+    if request_id.startswith("warm"):
+        return 2, 0.01
+    return (EVENTS, EVENT_SECONDS) if request_id.startswith("a") else (400, 0.02)
 
 
 def whole_body(request_id):
@@ -50,6 +62,55 @@
     return sent, time.monotonic() - start, answer
 
 
+async def batch_call(node, name, start, after, *request):
+    """Makes a call on a new connection; returns (name, seconds from its last byte, answer)."""
+    await asyncio.sleep(start + after - time.monotonic())
+    connection = await Connection().open(node.front)
+    connection.writer.write(encode_request(*request))
+    await connection.writer.drain()
+    sent = time.monotonic()
+    answer = await read_answer(connection.reader)
+    connection.close()
+    return name, time.monotonic() - sent, answer
+
+
+async def batch_calls(node, bodies, start, record):
+    """Returns how many batch calls ended without an answer."""
+    calls = [batch_call(node, "%s of %d bytes, sent +%.2f s" % (name, len(body), after), start,
+                        after, "POST", "/drafts/" + name, {"Stoathold-Attempt-Id": name}, body)
+             for (name, body), after in zip(bodies.items(), JOB_AFTER_SECONDS)]
+    calls += [batch_call(node, "read, sent +%.2f s" % after, start, after, "GET",
+                         "/api/lots/job?after_rev=0", {"Stoathold-Max-Wait-Ms": 1000})
+              for after in READ_AFTER_SECONDS]
+    return sum(judge_call(outcome, record) for outcome in await asyncio.gather(*calls))
+
+
+def judge_call(outcome, record):
+    """Returns whether the connection ended without a whole answer, too long after the last byte."""
+    name, seconds, (status, _, _, is_complete) = outcome
+    lost = not is_complete and seconds > LOSS_SLACK_SECONDS
+    record("%s: status %d, whole answer: %s, ended %.3f s after its last byte -> %s" % (
+        name, status, is_complete, seconds, "LOST" if lost else "ok"))
+    return lost
+
+
+async def streams(deployment, connections, start, record):
+    """Returns how many streams were cut off."""
+    asks = [ask_at(connection, "a%d" % index, start, after)
+            for index, (connection, after) in enumerate(zip(connections, SEND_AFTER_SECONDS))]
+    outcomes = await asyncio.gather(*asks)
+    await asyncio.sleep(0.3)
+    return sum(judge(deployment, "a%d" % index, outcome, start, record)
+               for index, outcome in enumerate(outcomes))
+
+
+async def stop_two(deployment, start, record):
+    for node, after in zip(deployment.nodes, [0, SECOND_SIGTERM_SECONDS]):
+        await asyncio.sleep(start + after - time.monotonic())
+        node.signal(signal.SIGTERM)
+        record("+%.2f s: SIGTERM of %s" % (time.monotonic() - start, node.name))
+
+
 async def play(deployment, record):
     await deployment.start()
     node = deployment.nodes[0]
@@ -57,23 +118,25 @@
     for index, connection in enumerate(connections):
         if (await ask(connection, "warm%d" % index))[0] != 200:
             raise RuntimeError("the deployment does not serve")
+    if (await submit(node, "job", job_body("job", 4)))[0] != 202:
+        raise RuntimeError("the deployment takes no job")
     await asyncio.sleep(3.2)  # More than `contact_ms` without any disruption.
+    bodies = {name: job_body(name, 50, body=lambda index: os.urandom(56000))
+              for name in ("job-1", "job-2")}
     start = time.monotonic()
+    parts = [batch_calls(deployment.nodes[1], bodies, start + SECOND_SIGTERM_SECONDS, record),
+             streams(deployment, connections, start, record)]
     if TROUBLE:
-        node.signal(signal.SIGTERM)
-        record("+0.00 s: SIGTERM of " + node.name)
-    asks = [ask_at(connection, "a%d" % index, start, after)
-            for index, (connection, after) in enumerate(zip(connections, SEND_AFTER_SECONDS))]
-    outcomes = await asyncio.gather(*asks)
-    await asyncio.sleep(0.5)
-    ended = node.process.poll()
-    record("+%.2f s: the node's process has %s" % (
-        time.monotonic() - start, "not ended" if ended is None else "ended with %d" % ended))
-    lost = sum(judge(deployment, "a%d" % index, outcome, start, record)
-               for index, outcome in enumerate(outcomes))
+        parts.append(stop_two(deployment, start, record))
+    calls_lost, streams_lost = (await asyncio.gather(*parts))[:2]
+    for stopped in deployment.nodes[:2]:
+        ended = stopped.process.poll()
+        record("+%.2f s: the process of %s has %s" % (
+            time.monotonic() - start, stopped.name,
+            "not ended" if ended is None else "ended with %d" % ended))
     for connection in connections:
         connection.close()
-    return lost
+    return calls_lost, streams_lost
 
 
 def judge(deployment, request_id, outcome, start, record):
@@ -100,9 +163,10 @@
     deployment = Deployment(nodes=3, runners=2, grace_s=GRACE_SECONDS, plan=plan)
     result = 2
     try:
-        lost = await asyncio.wait_for(play(deployment, record), LIMIT_SECONDS)
-        record("TROUBLE=%d: %d of %d requests lost" % (TROUBLE, lost, len(SEND_AFTER_SECONDS)))
-        result = 1 if lost else 0
+        calls, cut = await asyncio.wait_for(play(deployment, record), LIMIT_SECONDS)
+        record("TROUBLE=%d: %d of %d batch calls and %d of %d streams lost" % (
+            TROUBLE, calls, len(JOB_AFTER_SECONDS) + len(READ_AFTER_SECONDS), cut, len(SEND_AFTER_SECONDS)))
+        result = 1 if calls or cut else 0
     except Exception as failure:  # The case could not run.
         record("not run: %r" % failure)
     finally:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,18 +7,16 @@
 """
 
 import asyncio
-import json
 import os
 import pathlib
-import subprocess
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-STAND_INS = FOLDER.parent / "stand-ins-2"
-sys.path.insert(0, str(STAND_INS))
-from deployment import Connection, Deployment, free_ports  # noqa: E402
+sys.path.insert(0, str(FOLDER.parent / "stand-ins-2"))
+from deployment import Connection, Deployment  # noqa: E402
 from runner import encode_event  # noqa: E402
+from runner_processes import RunnerProcess  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 16
@@ -31,43 +29,6 @@
            "Stoathold-Prompt-Prefix": "5c1e07a2:93", "Stoathold-Deadline-Ms": "5000"}
 
 
-class RunnerProcess:
-    def __init__(self, identity, directory):
-        self.identity = identity
-        self.address = "127.0.0.1:%d" % free_ports(1)[0]
-        self.output = pathlib.Path(directory) / (identity + ".log")
-        with open(self.output, "wb") as output:
-            self.process = subprocess.Popen(
-                [sys.executable, str(STAND_INS / "runner_process.py"), self.address, identity,
-                 str(EVENTS), str(PAUSE_MS), "no-length"], stdout=output, stderr=output)
-
-    def register(self, store):
-        entry = {"service": "chat", "address": self.address, "zone": "z1", "version": "1",
-                 "slots": 12, "state": "ready", "cold_remaining_ms": 0, "sequence": 1}
-        store.put("keyed.servers", self.identity, json.dumps(entry).encode())
-
-    async def wait_ready(self):
-        end = time.monotonic() + 10
-        while "ready" not in self.output.read_text():
-            if time.monotonic() > end:
-                raise RuntimeError(self.identity + " did not start")
-            await asyncio.sleep(0.02)
-
-    def runs(self, request_id):
-        """Returns the last state of each run: (after event, last event made, end)."""
-        states = {}
-        for line in self.output.read_text().splitlines():
-            words = line.split(" ", 3)
-            if len(words) == 4 and words[0] == request_id:
-                states[words[1]] = (int(words[1]), int(words[2]), words[3])
-        return list(states.values())
-
-    def kill(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-
-
 def whole_body(request_id):
     return b"".join(encode_event(request_id, number) for number in range(1, EVENTS + 1))
 
@@ -127,7 +88,8 @@
         print(line, flush=True)
 
     deployment = Deployment(nodes=3, runners=0)
-    runners = [RunnerProcess("i-%d" % index, deployment.directory) for index in range(RUNNERS)]
+    runners = [RunnerProcess("i-%d" % index, deployment.directory, EVENTS, PAUSE_MS)
+               for index in range(RUNNERS)]
     result = 2
     try:
         broken = await asyncio.wait_for(play(deployment, runners, record), LIMIT_SECONDS)
--- a/review/stand-ins-2/runner.py
+++ b/review/stand-ins-2/runner.py
@@ -25,11 +25,12 @@
     """
 
     def __init__(self, store, identity, service, zone, address, slots=12, queue=48,
-                 plan=lambda request: (5, 0.02), has_length=lambda request: True):
+                 plan=lambda request: (5, 0.02), has_length=lambda request: True, prefill_seconds=0.0):
         self.store, self.identity, self.service = store, identity, service
         self.zone, self.address, self.slots, self.queue = zone, address, slots, queue
         self.plan = plan
         self.has_length = has_length  # Where it is false, the answer ends with its connection.
+        self.prefill_seconds = prefill_seconds  # From the head of an answer to its first event.
         self.places = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
         self.runs = []
@@ -92,8 +93,10 @@
         framing = ("Transfer-Encoding", "chunked") if has_length else ("Connection", "close")
         fields = [("Content-Type", "text/event-stream"), framing]
         writer.write(encode_head(200, fields + self.headers(request) + seal))
+        await writer.drain()
         for number in range(first + 1, events + 1):
-            await asyncio.sleep(pause)
+            is_first = number == first + 1
+            await asyncio.sleep(self.prefill_seconds if is_first and self.prefill_seconds else pause)
             if reader.at_eof() or writer.is_closing():
                 run["end"] = "dropped after event %d" % (number - 1)
                 run["ended_at"] = time.monotonic()
--- a/review/stand-ins-2/runner_process.py
+++ b/review/stand-ins-2/runner_process.py
@@ -1,6 +1,7 @@
 """A runner as a process of its own, so that a case can kill it. Writes what it made to its output.
 
-Arguments: address, id, events of an answer, milliseconds between events, `length` or `no-length`.
+Arguments: address, id, events of an answer, milliseconds between events, milliseconds until the
+first event (the prompt is read), `length` or `no-length`.
 Its entry in the store is written by the case that starts it.
 """
 
@@ -18,10 +19,11 @@
 
 
 async def main():
-    address, identity, events, pause_ms, length = sys.argv[1:6]
+    address, identity, events, pause_ms, prefill_ms, length = sys.argv[1:7]
     runner = Runner(Unregistered(), identity, "chat", "z1", address,
                     plan=lambda request: (int(events), int(pause_ms) / 1000),
-                    has_length=lambda request: length == "length")
+                    has_length=lambda request: length == "length",
+                    prefill_seconds=int(prefill_ms) / 1000)
     await runner.start()
     print("ready", flush=True)
     reported = {}
