--- /dev/null
+++ b/review/5/items.py
@@ -0,0 +1,105 @@
+"""Part two of the case: items of a batch job whose runner crashes, twice.
+
+The job runs at twelve runners, whose answers have no length. Two of them are killed, the second a
+moment after the first, when items of the first have just been sent to it. Each item that is listed
+as completed must have its whole output.
+"""
+
+import asyncio
+import json
+import time
+
+from deployment import Deployment, job_body, read_results, submit
+from runner import event_text
+from runner_processes import RunnerProcess
+
+ITEMS = 80
+RUNNERS = 12
+EVENTS = 30
+PAUSE_MS = 100
+PREFILL_MS = 300
+FIRST_CRASH_SECONDS = 1.5  # After the job was accepted.
+SECOND_CRASH_SECONDS = 0.2  # After the first.
+READ_SECONDS = 40
+
+
+def whole_text(item):
+    return "\n".join(event_text(item, number) for number in range(1, EVENTS + 1))
+
+
+def just_resumed(runner):
+    """Returns how many runs that continue an item have made no event yet."""
+    return sum(end == "running" and after > 0 and made == after
+               for _, after, made, end in runner.states())
+
+
+async def crash_two(runners, record):
+    await asyncio.sleep(FIRST_CRASH_SECONDS)
+    start = time.monotonic()
+    first = max(runners, key=lambda runner: len(runner.states()))
+    first.kill()
+    record("+0.00 s: SIGKILL of runner %s with %d runs" % (first.identity, len(first.states())))
+    await asyncio.sleep(SECOND_CRASH_SECONDS)
+    others = [runner for runner in runners if runner is not first]
+    second = max(others, key=just_resumed)
+    resumed = just_resumed(second)
+    second.kill()
+    record("+%.2f s: SIGKILL of runner %s with %d runs that had just been continued" % (
+        time.monotonic() - start, second.identity, resumed))
+
+
+async def read_all(node, job, count):
+    results = []
+    end = time.monotonic() + READ_SECONDS
+    while len(results) < count and time.monotonic() < end:
+        status, _, body, is_complete = await read_results(node, job, len(results))
+        if status == 200 and is_complete:
+            results += json.loads(body)["results"]
+        await asyncio.sleep(0.3)
+    return results
+
+
+async def play(deployment, runners, trouble, record):
+    for runner in runners:
+        await runner.wait_ready()
+        runner.register(deployment.store)
+    await deployment.start()
+    await asyncio.sleep(5)  # Nodes begin with few items after their start.
+    status = (await submit(deployment.nodes[0], "job", job_body("job", ITEMS)))[0]
+    record("a job of %d items: %d" % (ITEMS, status))
+    if status != 202:
+        raise RuntimeError("the job was not accepted")
+    if trouble:
+        await crash_two(runners, record)
+    results = await read_all(deployment.nodes[1], "job", ITEMS)
+    record("results: %d of %d" % (len(results), ITEMS))
+    if not results:
+        raise RuntimeError("no result was listed")
+    broken = sum(judge(runners, result, record) for result in results)
+    again = await read_all(deployment.nodes[2], "job", len(results))
+    record("read again at another node: %s" % ("the same" if again == results else "DIFFERENT"))
+    return broken
+
+
+def judge(runners, result, record):
+    """Returns whether a result is completed without the item's whole output."""
+    broken = result["state"] == "completed" and result["message"] != whole_text(result["id"])
+    if broken:
+        runs = [(runner.identity, *run) for runner in runners for run in runner.runs(result["id"])]
+        record("%s: completed with %d of %d events; runs (runner, after event, last event made, "
+               "end) %s -> BROKEN" % (result["id"], result["message"].count("\n") + 1, EVENTS,
+                                      runs))
+    return broken
+
+
+async def play_items(trouble, record):
+    """Returns how many items were completed without their whole output."""
+    deployment = Deployment(nodes=3, runners=0)
+    runners = [RunnerProcess("i-%d" % index, deployment.directory, EVENTS, PAUSE_MS, PREFILL_MS)
+               for index in range(RUNNERS)]
+    try:
+        return await play(deployment, runners, trouble, record)
+    finally:
+        for runner in runners:
+            runner.kill()
+        deployment.stop()
