Review: two cases that an earlier review shows are dropped, one stands alone

Part two: review/3 shows answers without a length at a node that is killed, and with VICTIM=runner streams at a runner that is killed. Items of batch jobs whose runners crash one after the other are not shown there: case 4 now.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,132 +1,102 @@
-"""MIXED: a node ends while it passes on answers that end with their connection.
+"""MIXED: two runners crash one after the other, and results of items lack the rest of their text.
 
-The runners' answers, but for those to the first requests, have no length, which the rules allow. A
-client must not take an answer that ends early for a complete one. Eight clients have a stream in
-progress when their node gets SIGKILL; the platform starts it again. Eight others have a stream in
-progress at a node that got SIGTERM, when that node ends. With TROUBLE=0 no node gets a signal.
+A batch job runs at twelve runners, whose answers have no length, which the rules allow. Two of them
+are killed, the second a moment after the first, when items of the first have just been sent to it.
+Each item that is listed as completed must have its whole output. With TROUBLE=0 no runner is killed.
 """
 
 import asyncio
+import json
 import os
 import pathlib
-import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand-ins-2"))
-from deployment import Connection, Deployment  # noqa: E402
-from runner import encode_event  # noqa: E402
+from deployment import Deployment, job_body, read_results, submit  # noqa: E402
+from runner import event_text  # noqa: E402
+from runner_processes import RunnerProcess  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CLIENTS = 8
-SHORT_EVENTS = 12  # Of streams at the node that is killed; they take 1.8 s.
-LONG_EVENTS = 26  # Of streams at the node that is stopped; they take 4.9 s.
-SHORT_PAUSE_SECONDS = 0.15
-LONG_PAUSE_SECONDS = 0.19
-KILL_AFTER_SECONDS = 0.9
-RESTART_AFTER_SECONDS = 2.0
-SEND_AFTER_SIGTERM_SECONDS = 2.7
-LIMIT_SECONDS = 100
-HEADERS = {"Stoathold-Model": "m", "Stoathold-Token-Usage": "491,84",
-           "Stoathold-Prompt-Prefix": "5c1e07a2:93", "Stoathold-Deadline-Ms": "5000"}
+LIMIT_SECONDS = 110
 
+ITEMS = 80
+RUNNERS = 12
+EVENTS = 30
+PAUSE_MS = 100
+PREFILL_MS = 300
+FIRST_CRASH_SECONDS = 1.5  # After the job was accepted.
+SECOND_CRASH_SECONDS = 0.2  # After the first.
+READ_SECONDS = 40
 
-def is_long(request_id):
-    return request_id.startswith("long")
 
+def whole_text(item):
+    return "\n".join(event_text(item, number) for number in range(1, EVENTS + 1))
 
-def plan(request):
-    if is_long(request.header("Stoathold-Attempt-Id")):
-        return LONG_EVENTS, LONG_PAUSE_SECONDS
-    return SHORT_EVENTS, SHORT_PAUSE_SECONDS
 
+def just_resumed(runner):
+    """Returns how many runs that continue an item have made no event yet."""
+    return sum(end == "running" and after > 0 and made == after
+               for _, after, made, end in runner.states())
 
-def whole_body(request_id):
-    events = LONG_EVENTS if is_long(request_id) else SHORT_EVENTS
-    return b"".join(encode_event(request_id, number) for number in range(1, events + 1))
 
-
-def has_length(request):
-    return request.header("Stoathold-Attempt-Id").startswith("warm")
-
-
-async def ask(connection, request_id):
-    """Sends one request; returns (status, headers, body, whether the answer ended as HTTP says)."""
-    return await connection.call("POST", "/ask/1",
-                                 {**HEADERS, "Stoathold-Attempt-Id": request_id}, b"question")
-
-
-async def connect_all(node):
-    """Returns the open connections of all clients, each used once."""
-    connections = [await Connection().open(node.front) for _ in range(CLIENTS)]
-    answers = await asyncio.gather(*[ask(connection, "warm%d" % index)
-                                     for index, connection in enumerate(connections)])
-    if any(answer[2] != whole_body("warm%d" % index) for index, answer in enumerate(answers)):
-        raise RuntimeError("the deployment does not serve")
-    return connections
-
-
-async def ask_all(deployment, connections, kind, record):
-    """Sends a request on each connection; returns how many early ends look complete."""
-    ids = ["%s%d" % (kind, index) for index in range(CLIENTS)]
-    answers = await asyncio.gather(*[ask(connection, request_id)
-                                     for connection, request_id in zip(connections, ids)])
-    for connection in connections:
-        connection.close()
-    return sum(judge(deployment, request_id, answer, record)
-               for request_id, answer in zip(ids, answers))
-
-
-async def play_kill(deployment, node, record):
-    connections = await connect_all(node)
+async def crash_two(runners, record):
+    await asyncio.sleep(FIRST_CRASH_SECONDS)
     start = time.monotonic()
-    asks = asyncio.create_task(ask_all(deployment, connections, "short", record))
-    await asyncio.sleep(KILL_AFTER_SECONDS)
-    if TROUBLE:
-        node.signal(signal.SIGKILL)
-        record("+%.2f s: SIGKILL of %s" % (time.monotonic() - start, node.name))
-        node.process.wait()
-        await asyncio.sleep(RESTART_AFTER_SECONDS)
-        node.start()
-        await deployment.wait_ready(node)
-        record("+%.2f s: %s is ready again" % (time.monotonic() - start, node.name))
-    return await asks
-
-
-async def play_stop(deployment, node, record):
-    connections = await connect_all(node)
+    first = max(runners, key=lambda runner: len(runner.states()))
+    first.kill()
+    record("+0.00 s: SIGKILL of runner %s with %d runs" % (first.identity, len(first.states())))
+    await asyncio.sleep(SECOND_CRASH_SECONDS)
+    others = [runner for runner in runners if runner is not first]
+    second = max(others, key=just_resumed)
+    resumed = just_resumed(second)
+    second.kill()
+    record("+%.2f s: SIGKILL of runner %s with %d runs that had just been continued" % (
+        time.monotonic() - start, second.identity, resumed))
+
+
+async def read_all(node, job, count):
+    results = []
+    end = time.monotonic() + READ_SECONDS
+    while len(results) < count and time.monotonic() < end:
+        status, _, body, is_complete = await read_results(node, job, len(results))
+        if status == 200 and is_complete:
+            results += json.loads(body)["results"]
+        await asyncio.sleep(0.3)
+    return results
+
+
+async def play(deployment, runners, record):
+    for runner in runners:
+        await runner.wait_ready()
+        runner.register(deployment.store)
+    await deployment.start()
+    await asyncio.sleep(5)  # Nodes begin with few items after their start.
+    status = (await submit(deployment.nodes[0], "job", job_body("job", ITEMS)))[0]
+    record("a job of %d items: %d" % (ITEMS, status))
+    if status != 202:
+        raise RuntimeError("the job was not accepted")
     if TROUBLE:
-        node.signal(signal.SIGTERM)
-        record("SIGTERM of %s, %.1f s before its requests" % (
-            node.name, SEND_AFTER_SIGTERM_SECONDS))
-    await asyncio.sleep(SEND_AFTER_SIGTERM_SECONDS)
-    return await ask_all(deployment, connections, "long", record)
+        await crash_two(runners, record)
+    results = await read_all(deployment.nodes[1], "job", ITEMS)
+    record("results: %d of %d" % (len(results), ITEMS))
+    if not results:
+        raise RuntimeError("no result was listed")
+    broken = sum(judge(runners, result, record) for result in results)
+    again = await read_all(deployment.nodes[2], "job", len(results))
+    record("read again at another node: %s" % ("the same" if again == results else "DIFFERENT"))
+    return broken
 
 
-async def play(deployment, record):
-    await deployment.start()
-    killed = await play_kill(deployment, deployment.nodes[0], record)
-    record("SIGKILL: %d of %d answers ended early and look complete" % (killed, CLIENTS))
-    stopped = await play_stop(deployment, deployment.nodes[1], record)
-    record("SIGTERM: %d of %d answers ended early and look complete" % (stopped, CLIENTS))
-    return killed + stopped
-
-
-def judge(deployment, request_id, answer, record):
-    """Returns whether an early end looks complete: 2xx, the seal, a clean end, not the whole body."""
-    status, headers, body, ended_cleanly = answer
-    run = [run for run in deployment.runs() if run["id"] == request_id]
-    looks_complete = 200 <= status < 300 and ended_cleanly and (
-        headers.get("stoathold-response-seal") == "seal-" + request_id)
-    broken = looks_complete and body != whole_body(request_id)
-    framing = {name: headers[name] for name in ("content-length", "transfer-encoding", "connection")
-               if name in headers}
-    record("%s: runner %s; client: status %d, seal %s, framing %s, %d of %d events, end %s -> %s" % (
-        request_id, [(entry["runner"], entry["end"]) for entry in run], status,
-        headers.get("stoathold-response-seal"), framing, body.count(b"\n\n"), whole_body(request_id).count(b"\n\n"),
-        "of the connection (FIN)" if ended_cleanly else "visibly early",
-        "BROKEN: looks complete" if broken else "ok"))
+def judge(runners, result, record):
+    """Returns whether a result is completed without the item's whole output."""
+    broken = result["state"] == "completed" and result["message"] != whole_text(result["id"])
+    if broken:
+        runs = [(runner.identity, *run) for runner in runners for run in runner.runs(result["id"])]
+        record("%s: completed with %d of %d events; runs (runner, after event, last event made, "
+               "end) %s -> BROKEN" % (result["id"], result["message"].count("\n") + 1, EVENTS,
+                                      runs))
     return broken
 
 
@@ -137,16 +107,20 @@
         lines.append(line)
         print(line, flush=True)
 
-    deployment = Deployment(nodes=3, runners=2, plan=plan, has_length=has_length)
+    deployment = Deployment(nodes=3, runners=0)
+    runners = [RunnerProcess("i-%d" % index, deployment.directory, EVENTS, PAUSE_MS, PREFILL_MS)
+               for index in range(RUNNERS)]
     result = 2
     try:
-        broken = await asyncio.wait_for(play(deployment, record), LIMIT_SECONDS)
-        record("TROUBLE=%d: %d of %d answers ended early and look complete" % (
-            TROUBLE, broken, 2 * CLIENTS))
+        broken = await asyncio.wait_for(play(deployment, runners, record), LIMIT_SECONDS)
+        record("TROUBLE=%d: %d of %d items were completed without their whole output" % (
+            TROUBLE, broken, ITEMS))
         result = 1 if broken else 0
     except Exception as failure:  # The case could not run.
         record("not run: %r" % failure)
     finally:
+        for runner in runners:
+            runner.kill()
         deployment.stop()
         (FOLDER / "record.txt").write_text("\n".join(lines) + "\n")
     return result
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,106 +1,156 @@
-"""ORDER: runners crash between two events of answers that end with their connection.
+"""LOST: a node that got SIGTERM takes requests that it does not let finish.
 
-Part one: the route's streams are resumable and may run at two runners. Sixteen clients have a stream
-in progress at seven runners. The runner with most of them is killed, and its connections close. The
-streams have to go on at another runner behind the last event that was passed on, or end visibly
-early. Part two is in items.py. The runners' answers have no length, which the rules allow. With
-TROUBLE=0 no runner is killed.
+Two of three nodes get SIGTERM in turn, 1.1 s apart; `grace_s` is 8. Fewer than half of the zone's
+nodes are then ready, so that the platform goes on giving connections to all of them.
+
+- The first gets streams on connections that were open before, a little over 3 s after its SIGTERM.
+  The runner needs 4.6 s, within the deadline, the route's timeout and `grace_s`.
+- The second has no stream. It gets batch calls on new connections, less than 3 s after its SIGTERM: two
+  jobs of 3.7 MB, and reads of another job that may be held for 1 s.
+
+With TROUBLE=0 there is no SIGTERM.
 """
 
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand-ins-2"))
-from deployment import Connection, Deployment  # noqa: E402
-from items import ITEMS, play_items  # noqa: E402
+from deployment import (Connection, Deployment, encode_request, job_body,  # noqa: E402
+                        read_answer, submit)
 from runner import encode_event  # noqa: E402
-from runner_processes import RunnerProcess  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CLIENTS = 16
-RUNNERS = 7
-EVENTS = 12
-PAUSE_MS = 150
-KILL_AFTER_SECONDS = 0.98  # In the pause behind event 6, or a little before or after it.
-LIMIT_SECONDS = 110
-HEADERS = {"Stoathold-Model": "m", "Stoathold-Token-Usage": "491,84",
+GRACE_SECONDS = 8
+SECOND_SIGTERM_SECONDS = 1.1
+JOB_AFTER_SECONDS = [2.85, 2.90]  # From the SIGTERM of the node, as the next two.
+READ_AFTER_SECONDS = [2.65, 2.75, 2.85]
+SEND_AFTER_SECONDS = [3.04, 3.07, 3.10, 3.13]  # Later than 3 s.
+LOSS_SLACK_SECONDS = 0.2  # `loss_slack_ms`.
+EVENTS = 24
+EVENT_SECONDS = 0.19
+LIMIT_SECONDS = 100
+HEADERS = {"Stoathold-Model": "m", "Stoathold-Token-Usage": "491,168",
            "Stoathold-Prompt-Prefix": "5c1e07a2:93", "Stoathold-Deadline-Ms": "5000"}
 
 
+def plan(request):
+    request_id = request.header("Stoathold-Attempt-Id")
+    if request_id.startswith("warm"):
+        return 2, 0.01
+    return (EVENTS, EVENT_SECONDS) if request_id.startswith("a") else (400, 0.02)
+
+
 def whole_body(request_id):
     return b"".join(encode_event(request_id, number) for number in range(1, EVENTS + 1))
 
 
-async def ask(node, request_id):
-    """Sends one request; returns (status, headers, body, whether the answer ended as HTTP says)."""
-    connection = await Connection().open(node.front)
-    try:
-        return await connection.call(
-            "POST", "/ask/1", {**HEADERS, "Stoathold-Attempt-Id": request_id}, b"question")
-    finally:
-        connection.close()
+async def ask(connection, request_id):
+    return await connection.call("POST", "/ask/1",
+                                 {**HEADERS, "Stoathold-Attempt-Id": request_id}, b"question")
 
 
-async def play(deployment, runners, record):
-    for runner in runners:
-        await runner.wait_ready()
-        runner.register(deployment.store)
+async def ask_at(connection, request_id, start, after):
+    """Sends one request at its time; returns (sent, ended, answer), the times from `start`."""
+    await asyncio.sleep(start + after - time.monotonic())
+    sent = time.monotonic() - start
+    answer = await ask(connection, request_id)
+    return sent, time.monotonic() - start, answer
+
+
+async def batch_call(node, name, start, after, *request):
+    """Makes a call on a new connection; returns (name, seconds from its last byte, answer)."""
+    await asyncio.sleep(start + after - time.monotonic())
+    connection = await Connection().open(node.front)
+    connection.writer.write(encode_request(*request))
+    await connection.writer.drain()
+    sent = time.monotonic()
+    answer = await read_answer(connection.reader)
+    connection.close()
+    return name, time.monotonic() - sent, answer
+
+
+async def batch_calls(node, bodies, start, record):
+    """Returns how many batch calls ended without an answer."""
+    calls = [batch_call(node, "%s of %d bytes, sent +%.2f s" % (name, len(body), after), start,
+                        after, "POST", "/drafts/" + name, {"Stoathold-Attempt-Id": name}, body)
+             for (name, body), after in zip(bodies.items(), JOB_AFTER_SECONDS)]
+    calls += [batch_call(node, "read, sent +%.2f s" % after, start, after, "GET",
+                         "/api/lots/job?after_rev=0", {"Stoathold-Max-Wait-Ms": 1000})
+              for after in READ_AFTER_SECONDS]
+    return sum(judge_call(outcome, record) for outcome in await asyncio.gather(*calls))
+
+
+def judge_call(outcome, record):
+    """Returns whether the connection ended without a whole answer, too long after the last byte."""
+    name, seconds, (status, _, _, is_complete) = outcome
+    lost = not is_complete and seconds > LOSS_SLACK_SECONDS
+    record("%s: status %d, whole answer: %s, ended %.3f s after its last byte -> %s" % (
+        name, status, is_complete, seconds, "LOST" if lost else "ok"))
+    return lost
+
+
+async def streams(deployment, connections, start, record):
+    """Returns how many streams were cut off."""
+    asks = [ask_at(connection, "a%d" % index, start, after)
+            for index, (connection, after) in enumerate(zip(connections, SEND_AFTER_SECONDS))]
+    outcomes = await asyncio.gather(*asks)
+    await asyncio.sleep(0.3)
+    return sum(judge(deployment, "a%d" % index, outcome, start, record)
+               for index, outcome in enumerate(outcomes))
+
+
+async def stop_two(deployment, start, record):
+    for node, after in zip(deployment.nodes, [0, SECOND_SIGTERM_SECONDS]):
+        await asyncio.sleep(start + after - time.monotonic())
+        node.signal(signal.SIGTERM)
+        record("+%.2f s: SIGTERM of %s" % (time.monotonic() - start, node.name))
+
+
+async def play(deployment, record):
     await deployment.start()
-    warm = await ask(deployment.nodes[0], "warm")
-    if warm[2] != whole_body("warm"):
-        raise RuntimeError("the deployment does not serve")
-    ids = ["a%d" % index for index in range(CLIENTS)]
+    node = deployment.nodes[0]
+    connections = [await Connection().open(node.front) for _ in SEND_AFTER_SECONDS]
+    for index, connection in enumerate(connections):
+        if (await ask(connection, "warm%d" % index))[0] != 200:
+            raise RuntimeError("the deployment does not serve")
+    if (await submit(node, "job", job_body("job", 4)))[0] != 202:
+        raise RuntimeError("the deployment takes no job")
+    await asyncio.sleep(3.2)  # More than `contact_ms` without any disruption.
+    bodies = {name: job_body(name, 50, body=lambda index: os.urandom(56000))
+              for name in ("job-1", "job-2")}
     start = time.monotonic()
-    asks = [asyncio.create_task(ask(deployment.nodes[0], request_id)) for request_id in ids]
-    await asyncio.sleep(KILL_AFTER_SECONDS)
+    parts = [batch_calls(deployment.nodes[1], bodies, start + SECOND_SIGTERM_SECONDS, record),
+             streams(deployment, connections, start, record)]
     if TROUBLE:
-        victim = max(runners, key=lambda runner: sum(bool(runner.runs(name)) for name in ids))
-        victim.kill()
-        record("+%.2f s: SIGKILL of runner %s" % (time.monotonic() - start, victim.identity))
-    answers = await asyncio.gather(*asks)
-    await asyncio.sleep(0.1)
-    return sum(judge(runners, request_id, answer, record)
-               for request_id, answer in zip(ids, answers))
-
-
-def judge(runners, request_id, answer, record):
-    """Returns whether the stream ended as complete before its last piece."""
-    status, headers, body, ended_cleanly = answer
-    looks_complete = status == 200 and ended_cleanly and (
-        headers.get("stoathold-response-seal") == "seal-" + request_id)
-    broken = looks_complete and body != whole_body(request_id)
-    runs = [(runner.identity, *run) for runner in runners for run in runner.runs(request_id)]
-    record("%s: runs (runner, after event, last event made, end) %s; client: status %d, "
-           "%d of %d events, end %s -> %s" % (
-               request_id, runs, status, body.count(b"\n\n"), EVENTS,
-               "of the connection (FIN)" if ended_cleanly else "visibly early",
-               "BROKEN: ends as complete" if broken else "ok"))
-    return broken
-
-
-async def play_streams(record):
-    """Returns how many streams ended as complete before their last piece."""
-    deployment = Deployment(nodes=3, runners=0)
-    runners = [RunnerProcess("i-%d" % index, deployment.directory, EVENTS, PAUSE_MS)
-               for index in range(RUNNERS)]
-    try:
-        return await play(deployment, runners, record)
-    finally:
-        for runner in runners:
-            runner.kill()
-        deployment.stop()
+        parts.append(stop_two(deployment, start, record))
+    calls_lost, streams_lost = (await asyncio.gather(*parts))[:2]
+    for stopped in deployment.nodes[:2]:
+        ended = stopped.process.poll()
+        record("+%.2f s: the process of %s has %s" % (
+            time.monotonic() - start, stopped.name,
+            "not ended" if ended is None else "ended with %d" % ended))
+    for connection in connections:
+        connection.close()
+    return calls_lost, streams_lost
 
 
-async def play_both(record):
-    streams = await play_streams(record)
-    items = await play_items(TROUBLE, record)
-    record("TROUBLE=%d: %d of %d streams ended as complete before their last piece; %d of %d items "
-           "were completed without their whole output" % (TROUBLE, streams, CLIENTS, items, ITEMS))
-    return streams + items
+def judge(deployment, request_id, outcome, start, record):
+    """Returns whether the request was passed on and its connection ended without a whole answer."""
+    sent, ended, (status, _, body, is_complete) = outcome
+    runs = [run for run in deployment.runs() if run["id"] == request_id]
+    is_whole = is_complete and (status != 200 or body == whole_body(request_id))
+    before_limits = ended - sent < 4.9 and ended < GRACE_SECONDS
+    lost = bool(runs) and not is_whole and before_limits
+    record("%s: sent +%.2f s, ended +%.2f s, status %d, whole answer: %s; runs: %s -> %s" % (
+        request_id, sent, ended, status, is_whole,
+        [("+%.2f s" % (run["at"] - start), run["runner"], run["end"]) for run in runs],
+        "LOST" if lost else "ok"))
+    return lost
 
 
 async def main():
@@ -110,13 +160,17 @@
         lines.append(line)
         print(line, flush=True)
 
+    deployment = Deployment(nodes=3, runners=2, grace_s=GRACE_SECONDS, plan=plan)
     result = 2
     try:
-        broken = await asyncio.wait_for(play_both(record), LIMIT_SECONDS)
-        result = 1 if broken else 0
+        calls, cut = await asyncio.wait_for(play(deployment, record), LIMIT_SECONDS)
+        record("TROUBLE=%d: %d of %d batch calls and %d of %d streams lost" % (
+            TROUBLE, calls, len(JOB_AFTER_SECONDS) + len(READ_AFTER_SECONDS), cut, len(SEND_AFTER_SECONDS)))
+        result = 1 if calls or cut else 0
     except Exception as failure:  # The case could not run.
         record("not run: %r" % failure)
     finally:
+        deployment.stop()
         (FOLDER / "record.txt").write_text("\n".join(lines) + "\n")
     return result
 
