--- a/review/stand-ins-2/runner.py
+++ b/review/stand-ins-2/runner.py
@@ -76,6 +76,14 @@
             finally:
                 self.running -= 1
 
+    def answer_plainly(self, request, writer, run, body, seal):
+        """Answers with a whole body, or to HEAD with its head alone."""
+        answer = encode_answer(200, body, self.headers(request) + seal, "text/plain")
+        is_head = request.method == "HEAD"
+        writer.write(answer[:len(answer) - len(body)] if is_head else answer)
+        run["end"] = "complete"
+        run["ended_at"] = time.monotonic()
+
     async def run(self, request, reader, writer):
         request_id = request.header("Stoathold-Attempt-Id")
         first = int(request.header("Last-Event-Id", "0") or 0)
@@ -88,6 +96,8 @@
             writer.write(encode_answer(plan, b"no", self.headers(request) + seal))
             run["end"] = str(plan)
             return None
+        if isinstance(plan, bytes):
+            return self.answer_plainly(request, writer, run, plan, seal)
         events, pause = plan
         has_length = self.has_length(request)
         framing = ("Transfer-Encoding", "chunked") if has_length else ("Connection", "close")
