A response without a length is complete only if its runner is still there

What callers saw: batch items that were completed with a part of their text (12 of 30 events) after two runners crashed one after the other, and streams and plain answers that looked complete although their runner, or this node, had ended between two events.

Cause: the end of a connection was taken for a statement of the runner. Batch items asked for two ends at one event, also if both runners were gone; streams for one, if it had brought events; plain answers for none. Callers got the same framing, so the end of this node looked regular too.

Change: ResponseEndCheck decides for items, streams and plain answers. The end of a connection counts only if the same start of the runner answers a probe afterwards, over a connection from the pool or a new one. Items need two such ends at one event, as do streams without an event. Answers without a length go to HTTP/1.1 callers in chunks, and answers to HEAD without the last chunk.

The new tests fail on the code before: 4 of 4 in OnlineRequestTest, EndsOfTwoRunnersThatExitDoNotCompleteTheText in ItemOfVersionTest; with the change gateway (107) and jobs (57) pass.

Looked at beside it: relays between nodes and reads elsewhere have a length, which our server always sends; HttpClient takes an answer without one as whole, which no peer sends.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -154,6 +154,10 @@
     EventEntry{Event::kResumptionRefused, "resumption_refused", EventLevel::kInfo,
                "A stream that a caller took up again cannot go on, since it is not known which "
                "version began it or no runner can continue it; the caller got 503."},
+    EventEntry{
+        Event::kResponseCutOff, "response_cut_off", EventLevel::kInfo,
+        "A response without a length ended with its connection, and its runner did not answer "
+        "the probe after it; the response counts as incomplete. Status 0: no answer."},
     EventEntry{Event::kRunnerListed, "runner_listed", EventLevel::kInfo,
                "The directory lists a new runner, or new values for a known one."},
     EventEntry{Event::kRunnerGone, "runner_gone", EventLevel::kInfo,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -78,6 +78,7 @@
   kQuarantineTrial = 1521,
   kStreamResumed = 1522,
   kResumptionRefused = 1523,
+  kResponseCutOff = 1524,
   kRunnerListed = 1601,
   kRunnerGone = 1602,
   kRecordMalformed = 1603,
--- a/src/gateway/online_relay.cc
+++ b/src/gateway/online_relay.cc
@@ -16,6 +16,14 @@
 /// Factor of the event gap objective for which a resumable stream waits for its next event.
 constexpr double kEventGapTimeoutFactor = 1.6;
 
+/// Returns how the end of a response is marked to the caller. An end that the connection marks
+/// looks regular when the process of this node exits, so chunks replace it wherever they are
+/// allowed.
+BodyFraming caller_framing(BodyFraming framing, const HttpExchange& exchange) {
+  if (framing == BodyFraming::kLength) return framing;
+  return exchange.accepts_chunks() ? BodyFraming::kChunked : BodyFraming::kUntilClose;
+}
+
 }  // namespace
 
 asio::awaitable<AttemptResult> OnlineRequest::relay_response(Runner& runner) {
@@ -44,7 +52,7 @@
   const UpstreamHead& upstream_head = upstream_->head();
   ResponseHead head;
   head.status = upstream_head.status;
-  head.framing = upstream_head.framing;
+  head.framing = caller_framing(upstream_head.framing, exchange_);
   head.length = upstream_head.length;
   for (const auto& header : upstream_head.headers) {
     if (!is_connection_header(header.name)) head.headers.push_back(header);
@@ -95,7 +103,9 @@
     if (!written) stop(RequestOutcome::kCallerDisconnected);
     if (stopped_) co_return AttemptResult::kStopped;
   }
-  co_return AttemptResult::kCompleted;
+  // The response to HEAD has no body that could be cut off.
+  if (exchange_.method() == "HEAD") co_return AttemptResult::kCompleted;
+  co_return co_await check_end(runner, ResponseEndCheck::Proof::kOneRun);
 }
 
 asio::awaitable<bool> OnlineRequest::send_complete_events(Runner& runner, std::string_view bytes,
@@ -152,7 +162,12 @@
       upstream_->set_deadline(deadline_);
     }
   }
-  if (!framer_.remainder().empty() || !is_complete_end()) co_return AttemptResult::kBroken;
+  if (!framer_.remainder().empty()) co_return AttemptResult::kBroken;
+  // A live runner in trouble may also close the connection right after the head.
+  const auto proof =
+      delivered_events_ ? ResponseEndCheck::Proof::kOneRun : ResponseEndCheck::Proof::kTwoRuns;
+  const AttemptResult result = co_await check_end(runner, proof);
+  if (result != AttemptResult::kCompleted) co_return result;
   if (!head_sent_) {
     const bool sent = co_await send_head();
     if (!sent) co_return AttemptResult::kStopped;
@@ -160,12 +175,12 @@
   co_return AttemptResult::kCompleted;
 }
 
-/// A runner that exits right after the head of such an answer closes the connection, too. Without
-/// events the end counts only if an earlier run of the stream has ended at the same event.
-bool OnlineRequest::is_complete_end() {
-  const bool ends_with_connection = upstream_->head().framing == BodyFraming::kUntilClose;
-  if (!ends_with_connection || delivered_events_) return true;
-  return last_event_ && std::exchange(ended_at_, last_event_) == last_event_;
+asio::awaitable<AttemptResult> OnlineRequest::check_end(const Runner& runner,
+                                                        ResponseEndCheck::Proof proof) {
+  const ResponseEnd end =
+      co_await end_check_.check(upstream_->head(), runner, route_.host, last_event_, proof);
+  if (stopped_) co_return AttemptResult::kStopped;
+  co_return end == ResponseEnd::kComplete ? AttemptResult::kCompleted : AttemptResult::kBroken;
 }
 
 /// The runner is done and its slot is released; the caller may still be reading.
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -77,7 +77,8 @@
       service_(context.split.next_service(route)),
       arrival_(monotonic_now()),
       deadline_timer_(exchange.executor()),
-      runner_queue_timer_(exchange.executor()) {
+      runner_queue_timer_(exchange.executor()),
+      end_check_(context) {
   read_request();
 }
 
@@ -126,6 +127,7 @@
   outcome_ = outcome;
   if (ticket_) ticket_->cancel();
   if (upstream_) upstream_->cancel();
+  end_check_.cancel();
   if (head_sent_ || outcome == RequestOutcome::kCallerDisconnected) exchange_.abort();
 }
 
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -15,6 +15,7 @@
 #include "gateway/event_gap_window.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
+#include "gateway/response_end.h"
 #include "net/http.h"
 #include "quarantine/quarantine_check.h"
 #include "routing/stream_origin.h"
@@ -71,8 +72,9 @@
   boost::asio::awaitable<AttemptResult> relay_response(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_body(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_events(Runner& runner);
-  /// Returns whether the end of an event stream shows that the stream is complete.
-  [[nodiscard]] bool is_complete_end();
+  /// Checks whether a response that was read to its end is complete.
+  boost::asio::awaitable<AttemptResult> check_end(const Runner& runner,
+                                                  ResponseEndCheck::Proof proof);
   boost::asio::awaitable<void> finish_response();
   boost::asio::awaitable<bool> send_head();
   boost::asio::awaitable<bool> send_complete_events(Runner& runner, std::string_view bytes,
@@ -177,8 +179,7 @@
   std::optional<Duration> response_delay_;
   bool stopped_ = false;
   std::optional<std::uint64_t> last_event_;
-  /// Last event when an answer without events ended with its connection.
-  std::optional<std::uint64_t> ended_at_;
+  ResponseEndCheck end_check_;
   TimePoint last_write_{};
   EventGapWindow gap_window_{kGapWindowEvents};
   RequestOutcome outcome_ = RequestOutcome::kFailed;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -38,6 +38,12 @@
   std::vector<HttpHeader> headers;
 };
 
+/// Where a probe is sent without a request.
+struct UpstreamTarget {
+  std::string address;       ///< `ip:port`.
+  std::uint64_t runner = 0;  ///< Runner instance.
+};
+
 /// A request to a runner. Framing headers are added when it is sent.
 struct UpstreamRequest {
   std::string address;       ///< `ip:port`.
@@ -100,6 +106,10 @@
   /// Encodes the request, connects or takes an idle connection from the pool, probes the runner if
   /// requested, and starts to send the request.
   boost::asio::awaitable<UpstreamStatus> send(UpstreamRequest request, Duration connect_timeout);
+  /// Sends only a probe, over an idle connection or a new one.
+  /// @return the status of the answer; 0 if there was none.
+  boost::asio::awaitable<int> send_probe(UpstreamTarget target, UpstreamProbe probe,
+                                         Duration connect_timeout);
   /// Reads the head of the response to this request.
   boost::asio::awaitable<UpstreamStatus> read_head();
   [[nodiscard]] const UpstreamHead& head() const;
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -161,11 +161,15 @@
                               now);
 }
 
-/// The end of the connection does not prove completeness: it may cut the stream between events. Two
-/// runs that end at the same event do.
-bool ItemRun::is_confirmed_end() {
-  if (upstream_->head().framing != BodyFraming::kUntilClose) return true;
-  return std::exchange(ended_at_, progress_.last_event) == progress_.last_event;
+asio::awaitable<AttemptResult> ItemRun::check_end() {
+  const ResponseEnd end =
+      co_await end_check_.check(upstream_->head(), *runner_, item_.host, progress_.last_event,
+                                ResponseEndCheck::Proof::kTwoRuns);
+  if (end == ResponseEnd::kCutOff) co_return AttemptResult::kBroken;
+  if (end == ResponseEnd::kUnconfirmed) co_return AttemptResult::kUnconfirmedEnd;
+  context_.response_durations.observe_response(route_name_, answer_tokens_,
+                                               EventCount{progress_.last_event});
+  co_return AttemptResult::kCompleted;
 }
 
 asio::awaitable<AttemptResult> ItemRun::read_events() {
@@ -195,12 +199,9 @@
     }
     record_event_gap(window);
   }
-  const bool is_complete = framer.remainder().empty() && progress_.last_event > 0;
-  if (!is_complete) co_return AttemptResult::kBroken;
-  if (!is_confirmed_end()) co_return AttemptResult::kUnconfirmedEnd;
-  context_.response_durations.observe_response(route_name_, answer_tokens_,
-                                               EventCount{progress_.last_event});
-  co_return AttemptResult::kCompleted;
+  const bool ends_after_event = framer.remainder().empty() && progress_.last_event > 0;
+  if (!ends_after_event) co_return AttemptResult::kBroken;
+  co_return co_await check_end();
 }
 
 }  // namespace stoathold
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -58,6 +58,7 @@
                                              .host = item_.host,
                                              .target = request_.path,
                                              .body = request_.body}),
+      end_check_(context),
       timer_(context.executor) {
   progress_.job = item_.job;
   progress_.item = item_.index;
@@ -75,6 +76,7 @@
   stopped_ = true;
   if (ticket_) ticket_->cancel();
   if (upstream_) upstream_->cancel();
+  end_check_.cancel();
   timer_.cancel();
 }
 
@@ -89,6 +91,7 @@
   yielding_ = true;
   runner_->begin_yield();
   if (upstream_) upstream_->cancel();
+  end_check_.cancel();
 }
 
 ItemSchedule ItemRun::schedule() const {
@@ -135,7 +138,7 @@
   progress_.last_event = 0;
   progress_.text = std::string();
   progress_.origin.reset();
-  ended_at_ = 0;
+  end_check_.forget_earlier_ends();
 }
 
 std::uint64_t ItemRun::max_text_bytes() const {
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -15,6 +15,7 @@
 #include "gateway/event_gap_window.h"
 #include "gateway/gateway_context.h"
 #include "gateway/prompt_prefix.h"
+#include "gateway/response_end.h"
 #include "jobs/item_schedule.h"
 #include "jobs/item_stages.h"
 #include "jobs/job_records.h"
@@ -38,9 +39,8 @@
 ///
 /// An attempt whose connection breaks is resumed after its last event on any runner of the software
 /// version that began the text; without one, the item starts again from its first event. Only
-/// errors reported by a runner count as failures. A response that ends with its connection is
-/// complete once another run of the text has ended at the same event. `stop` makes `run` return
-/// without a result and keeps the progress.
+/// errors reported by a runner count as failures. `ResponseEndCheck` decides whether a response
+/// that ended is complete. `stop` makes `run` return without a result and keeps the progress.
 ///
 /// A text that becomes longer than can be stored ends the attempt. The item is not run again, and
 /// is dead-lettered with its retention, or at once if its route has none.
@@ -81,8 +81,8 @@
   boost::asio::awaitable<AttemptResult> attempt(std::shared_ptr<Runner> runner);
   boost::asio::awaitable<AttemptResult> read_answer(Runner& runner);
   boost::asio::awaitable<AttemptResult> read_events();
-  /// Returns whether the end of a response shows that the text is complete.
-  [[nodiscard]] bool is_confirmed_end();
+  /// Checks whether a response that was read to its end completes the text.
+  boost::asio::awaitable<AttemptResult> check_end();
   void record_origin();
   void record_first_event();
   void record_event_gap(EventGapWindow& window);
@@ -148,8 +148,7 @@
   bool has_claimed_trial_ = false;
   /// A runner's text was longer than can be stored; the item is not run again.
   bool is_text_too_long_ = false;
-  /// Last event when a response ended with its connection; 0: none did.
-  std::uint64_t ended_at_ = 0;
+  ResponseEndCheck end_check_;
   StageListener stage_listener_;
   Timer timer_;
   bool stopped_ = false;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -70,6 +70,8 @@
   /// Returns all header fields in their order.
   [[nodiscard]] virtual std::vector<HttpHeader> headers() const = 0;
   [[nodiscard]] virtual const std::string& body() const = 0;
+  /// Returns whether the response may be sent in chunks: not to HTTP/1.0 clients, nor to HEAD.
+  [[nodiscard]] virtual bool accepts_chunks() const = 0;
   [[nodiscard]] virtual boost::asio::any_io_executor executor() const = 0;
 
   /// Sends a complete response; a failed write closes the connection.
--- a/src/net/server_exchange.h
+++ b/src/net/server_exchange.h
@@ -73,6 +73,10 @@
   [[nodiscard]] std::string_view header(std::string_view name) const override;
   [[nodiscard]] std::vector<HttpHeader> headers() const override;
   [[nodiscard]] const std::string& body() const override { return request_.body(); }
+  [[nodiscard]] bool accepts_chunks() const override {
+    constexpr unsigned kHttp11 = 11;
+    return request_.version() >= kHttp11 && request_.method() != boost::beast::http::verb::head;
+  }
   [[nodiscard]] boost::asio::any_io_executor executor() const override;
 
   boost::asio::awaitable<void> respond(int status, std::string_view content_type, std::string body,
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -18,6 +18,7 @@
   int status = 0;
   std::string body;
   std::string retry_after;
+  std::string transfer_encoding;
 };
 
 /// A gateway on loopback with scripted runners, and a caller.
@@ -57,6 +58,7 @@
     route.max_attempts = max_attempts;
     route.resumable = resumable;
     configuration.routes.push_back(route);
+    configuration.services["chat"] = {.name = "chat", .health_path = health_path};
     context.configuration = std::make_shared<const ServingConfiguration>(configuration);
   }
   CallerView ask(const std::string& target = "/x/1") { return run_awaitable(loop, call(target)); }
@@ -76,9 +78,11 @@
     view.status = reply.status;
     view.body = reply.body;
     view.retry_after = std::string(reply.header("Retry-After"));
+    view.transfer_encoding = std::string(reply.header("Transfer-Encoding"));
     co_return view;
   }
 
+  std::string health_path;   ///< Of the service; empty: runners cannot be probed.
   std::uint32_t slots = 10;  ///< Slots of each runner that is added.
   std::string id = "id-1";
   std::vector<HttpHeader> more_headers;
--- a/tests/gateway/online_request_test.cc
+++ b/tests/gateway/online_request_test.cc
@@ -105,6 +105,45 @@
   EXPECT_EQ(exiting.requests.size() + ended.requests.size(), 2U);
 }
 
+// Guards against streams that look complete although their runner exited between two events.
+TEST_F(OnlineRequestTest, ResumesAStreamWithoutALengthWhoseRunnerExits) {
+  health_path = ScriptedRunner::kHealthPath;
+  configure(RouteKind::kStreaming, true);
+  ScriptedRunner exiting(loop, {exit_after(unframed_stream_head() + event(1))});
+  ScriptedRunner resuming(loop, {{unframed_stream_head() + event(2), true}});
+  add_runner(exiting);
+  add_runner(resuming);
+  const CallerView view = ask();
+  EXPECT_TRUE(view.complete);
+  EXPECT_EQ(view.body, event(1) + event(2));
+  EXPECT_EQ(resuming.probes, 1);
+}
+
+TEST_F(OnlineRequestTest, AbortsAStreamThatCannotBeResumedWhenItsRunnerExits) {
+  health_path = ScriptedRunner::kHealthPath;
+  configure(RouteKind::kStreaming, false, 1);
+  ScriptedRunner exiting(loop, {exit_after(unframed_stream_head() + event(1))});
+  add_runner(exiting);
+  EXPECT_FALSE(ask().complete);
+}
+
+// Guards against answers without a length that look complete although their runner exited.
+TEST_F(OnlineRequestTest, AbortsAnAnswerWithoutALengthWhoseRunnerExits) {
+  health_path = ScriptedRunner::kHealthPath;
+  configure(RouteKind::kUnsafe, false, 1);
+  ScriptedRunner exiting(loop, {exit_after(unframed_stream_head() + "half of the answer")});
+  add_runner(exiting);
+  EXPECT_FALSE(ask().complete);
+}
+
+// Guards against answers that look complete to callers when this node ends while it relays them.
+TEST_F(OnlineRequestTest, SendsAnAnswerWithoutALengthInChunks) {
+  configure(RouteKind::kStreaming, true);
+  ScriptedRunner runner(loop, {{unframed_stream_head() + event(1), true}});
+  add_runner(runner);
+  EXPECT_EQ(ask().transfer_encoding, "chunked");
+}
+
 TEST_F(OnlineRequestTest, AbortsABrokenStreamThatIsNotResumable) {
   configure(RouteKind::kStreaming, false, 1);
   ScriptedRunner breaking(loop, {{stream_head() + chunk(event(1)), true}});
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -24,10 +24,19 @@
   bool reset;                          ///< Reset the connection instead.
   std::string late_bytes;              ///< Unsolicited bytes written right after.
   std::chrono::milliseconds pause{0};  ///< Before closing.
+  bool exits = false;                  ///< The process exits: no connection is accepted any more.
 };
 
+/// Returns a response after whose bytes the process of the runner exits.
+inline ScriptedResponse exit_after(std::string bytes) {
+  ScriptedResponse response(std::move(bytes), true);
+  response.exits = true;
+  return response;
+}
+
 /// Reads each request completely and writes the next scripted response; the last response repeats.
-/// `{id}` in a response is replaced by the request's id.
+/// `{id}` in a response is replaced by the request's id. Probes of `kHealthPath` are answered with
+/// 200 and are no part of the script.
 class ScriptedRunner {
  public:
   ScriptedRunner(boost::asio::io_context& loop, std::vector<ScriptedResponse> responses)
@@ -41,6 +50,9 @@
   }
   std::vector<std::string> requests;  ///< Complete requests in order of arrival.
   int connections = 0;
+  int probes = 0;
+
+  static constexpr const char* kHealthPath = "/alive";
 
  private:
   using Tcp = boost::asio::ip::tcp;
@@ -83,8 +95,16 @@
             boost::asio::transfer_at_least(head_size + length - buffer.size()),
             boost::asio::use_awaitable);
       }
-      requests.push_back(buffer.substr(0, head_size + length));
+      const std::string request = buffer.substr(0, head_size + length);
       buffer.erase(0, head_size + length);
+      if (request.starts_with(std::string("GET ") + kHealthPath + " ")) {
+        ++probes;
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        co_await boost::asio::async_write(socket, boost::asio::buffer(answer),
+                                          boost::asio::use_awaitable);
+        continue;
+      }
+      requests.push_back(request);
       const std::size_t index = std::min(next_, responses_.size() - 1);
       ++next_;
       const ScriptedResponse& response = responses_[index];
@@ -100,6 +120,7 @@
         socket.set_option(boost::asio::socket_base::linger(true, 0));
         socket.close();  // Asio's destructor would reset the linger option.
       }
+      if (response.exits) acceptor_.close();
       if (response.close || response.reset) co_return;
     }
   }
--- a/tests/jobs/item_run_test.cc
+++ b/tests/jobs/item_run_test.cc
@@ -80,6 +80,7 @@
     route.services = {{"chat", 1}};
     route.max_attempts = 2;
     configuration.routes.push_back(route);
+    configuration.services["chat"] = {.name = "chat", .health_path = ScriptedRunner::kHealthPath};
     context.configuration = std::make_shared<const ServingConfiguration>(configuration);
     progress.last_event = 1;
     progress.text = "e1";
@@ -90,6 +91,10 @@
     RunnerRecord record{id, "chat", runner.address(), "zone", 4, false};
     record.software_version = version;
     context.runners.upsert(std::move(record));
+    // Runners that were added earlier have less load and are preferred.
+    for (std::size_t i = 1; i < context.runners.all().size(); ++i) {
+      context.runners.all().at(id)->begin_attempt();
+    }
   }
   std::string run_item() {
     const ItemContext item{.item_id = "i1", .host = "a.example", .path = "/x/"};
@@ -130,6 +135,21 @@
   EXPECT_EQ(runner.requests.size(), 3U);
 }
 
+// Guards against items that are completed without the rest of their text: their runner exits
+// between two events, and the next one right after the head of its answer.
+TEST_F(ItemOfVersionTest, EndsOfTwoRunnersThatExitDoNotCompleteTheText) {
+  ScriptedRunner first(loop, {exit_after(unframed_stream_head() + event(2))});
+  ScriptedRunner second(loop, {exit_after(unframed_stream_head())});
+  ScriptedRunner third(loop,
+                       {{unframed_stream_head() + event(3), true}, {unframed_stream_head(), true}});
+  add_runner("r1", first, "v1");
+  add_runner("r2", second, "v1");
+  add_runner("r3", third, "v1");
+  EXPECT_EQ(run_item(), "e1\ne2\ne3");
+  EXPECT_EQ(first.requests.size() + second.requests.size(), 2U);
+  EXPECT_EQ(third.requests.size(), 2U);
+}
+
 TEST_F(ItemOfVersionTest, StartsAgainWithoutARunnerOfTheVersion) {
   ScriptedRunner new_runner(loop, {whole()});
   add_runner("r2", new_runner, "v2");
--- a/tests/jobs/visibility_fleet.h
+++ b/tests/jobs/visibility_fleet.h
@@ -27,6 +27,7 @@
   [[nodiscard]] std::string_view header(std::string_view /*name*/) const override { return {}; }
   [[nodiscard]] std::vector<HttpHeader> headers() const override { return {}; }
   [[nodiscard]] const std::string& body() const override { return body_; }
+  [[nodiscard]] bool accepts_chunks() const override { return true; }
   [[nodiscard]] boost::asio::any_io_executor executor() const override { return executor_; }
   boost::asio::awaitable<void> respond(int status, std::string_view /*content_type*/,
                                        std::string body,
--- a/tests/platform/recorded_exchange.h
+++ b/tests/platform/recorded_exchange.h
@@ -31,6 +31,7 @@
   }
   std::vector<HttpHeader> headers() const override { return request_headers_; }
   const std::string& body() const override { return body_; }
+  bool accepts_chunks() const override { return true; }
   boost::asio::any_io_executor executor() const override { return executor_; }
 
   boost::asio::awaitable<void> respond(int status_in, std::string_view /*content_type*/,
