--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -24,6 +24,9 @@
                "Lines of an event were dropped to limit the log volume; `count` is their number."},
     EventEntry{Event::kStartProgress, "start_progress", EventLevel::kInfo,
                "The process reached a startup step, with the seconds since its start."},
+    EventEntry{Event::kNodeDrained, "node_drained", EventLevel::kInfo,
+               "A planned shutdown ends; `open_requests` counts those that are cut off because the "
+               "grace period is over."},
     EventEntry{Event::kMemberSuspected, "member_suspected", EventLevel::kWarning,
                "No messages arrive from a member; it gets no new work."},
     EventEntry{Event::kMemberDead, "member_dead", EventLevel::kWarning,
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -24,6 +24,7 @@
   kSettingsReloaded = 1006,
   kLogLinesLeftOut = 1007,
   kStartProgress = 1008,
+  kNodeDrained = 1009,
   kMemberSuspected = 1101,
   kMemberDead = 1102,
   kMemberAlive = 1103,
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/ids.h"
 #include "base/log_fields.h"
+#include "base/scoped_count.h"
 #include "gateway/headers.h"
 #include "gateway/prompt_prefix.h"
 #include "gateway/runner_probe.h"
@@ -133,11 +134,10 @@
 
 asio::awaitable<RequestOutcome> OnlineRequest::serve() {
   const auto self = shared_from_this();
-  ++context_.metrics.requests_open;
+  const ScopedCount in_progress(context_.metrics.requests_open);
   start_cancellation_watches();
   co_await run();
   deadline_timer_.cancel();
-  --context_.metrics.requests_open;
   co_return outcome_;
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -129,6 +129,8 @@
   void set_limits(const HttpLimits& limits);
   /// Makes every further response close its connection. New connections are still served.
   void start_drain();
+  /// Returns the number of requests whose head has been read and whose response is not complete.
+  [[nodiscard]] std::size_t open_requests() const;
   /// Closes the connections on which no request is being read or handled.
   void close_idle_connections();
   /// Closes the listening socket; open connections complete their current request.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <system_error>
 
+#include "base/scoped_count.h"
 #include "base/timer.h"
 #include "net/beast_helpers.h"
 #include "net/client_connections.h"
@@ -207,6 +208,7 @@
       const std::uint64_t sequence = head_incomplete ? mark_idle(stream, client, true) : 0;
       RequestReadResult result = co_await reader.read_head();
       if (head_incomplete) mark_busy(sequence, client);
+      const ScopedCount in_progress(requests_in_progress);
       if (result.complete) result = co_await reader.read_body();
       if (!result.complete) {
         if (result.status != 0) co_await reader.reject(result);
@@ -283,6 +285,7 @@
   HttpHandler handler;
   std::atomic<bool> stopped{false};
   std::atomic<bool> draining{false};
+  std::atomic<std::size_t> requests_in_progress{0};
   ServerResourceLimits resource_limits;       ///< Set before `start`.
   ReclaimableBufferRegistry buffer_registry;  ///< Empty without a memory limit.
   ExchangeContext exchange_context{draining, resource_limits, buffer_registry};
@@ -338,6 +341,10 @@
   state_->draining = true;
 }
 
+std::size_t HttpServer::open_requests() const {
+  return state_->requests_in_progress;
+}
+
 void HttpServer::close_idle_connections() {
   state_->close_all_idle();
 }
