Runner exits under batch items are evidence against nobody

What callers saw: a job that was accepted and none of whose items is run any more, although all runners are up and idle, after crashes that no request caused.

Cause: exits with items counted against their contents and the prompt parts that they share, and the trials of a quarantine were limited for items as for online requests. Trials count when they are claimed, so any crash of the runner that makes one uses it up. Users say that an accepted item is never what makes a runner exit by itself, and stays owed.

Change: QuarantineCheck knows whose runs it records. Those of items record progress only. An item waits 0.25 to 4 s between runs whose runner may have exited.

Looked at beside it: the same trials of online requests keep their limits, since their callers can be refused; ItemRun is the only path for items, whatever route they came by.

--- a/bench/quarantine.cc
+++ b/bench/quarantine.cc
@@ -22,7 +22,8 @@
 /// Checks one arriving request as `OnlineRequest` does.
 bool check(Quarantine& quarantine, const std::string& body) {
   return QuarantineCheck(quarantine,
-                         {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body})
+                         {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body},
+                         RequestSource::kOnline)
       .is_quarantined();
 }
 
@@ -55,7 +56,9 @@
   const std::string prompt = make_prompt(state.range(0));
   for (auto _ : state) {
     QuarantineCheck check(
-        quarantine, {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body}, prompt);
+        quarantine, {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body},
+        RequestSource::kOnline);
+    check.set_prompt_prefix(prompt);
     check.set_service("chat");
     benchmark::DoNotOptimize(check.is_quarantined());
     check.record_first_event();
--- a/src/jobs/item_attempt.cc
+++ b/src/jobs/item_attempt.cc
@@ -87,7 +87,9 @@
                      .delivered_events = stage_ == RunStage::kDelivering,
                      .broken = result == AttemptResult::kBroken,
                      .probe_unavailable = requires_live_runner && !is_probed};
-  quarantine_check_.record_run(make_finished_run(*runner, run));
+  const FinishedRun finished = make_finished_run(*runner, run);
+  runner_may_have_exited_ = finished.closed_by_runner && stage_ != RunStage::kDelivering;
+  quarantine_check_.record_run(finished);
   probe_status_ = upstream->probe_status();
   const bool had_request = upstream->sent() != TimePoint{} && result != AttemptResult::kNotRun;
   if (had_request) has_claimed_trial_ = false;
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -44,6 +44,10 @@
 /// Interval between checks of the retention of an item that is not run again.
 constexpr Duration kRetentionPollInterval = std::chrono::seconds(1);
 constexpr BackoffBounds kRetryBounds{std::chrono::milliseconds(30), std::chrono::milliseconds(800)};
+/// The same after runs during which runners may have exited. The exits are not held against the
+/// item, so only this limits how many runners one item can cost.
+constexpr BackoffBounds kRetryBoundsAfterExits{std::chrono::milliseconds(250),
+                                               std::chrono::milliseconds(4000)};
 
 }  // namespace
 
@@ -57,7 +61,8 @@
       quarantine_check_(context.quarantine, {.tenant = item_.tenant,
                                              .host = item_.host,
                                              .target = request_.path,
-                                             .body = request_.body}),
+                                             .body = request_.body},
+                        RequestSource::kBatchItem),
       end_check_(context),
       timer_(context.executor) {
   progress_.job = item_.job;
@@ -203,8 +208,7 @@
   co_return runner;
 }
 
-/// An item whose trials have all failed is dead-lettered when its retention ends, like an item that
-/// no runner can process.
+/// The item has been accepted, so it is tried for as long as the quarantine and its retention last.
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::acquire_permitted_runner(const Route& route) {
   // The service of the next attempt, for which prompt parts are quarantined, may not be known yet.
   const bool has_one_service = route.services.size() == 1;
@@ -298,6 +302,7 @@
 asio::awaitable<std::optional<ItemResult>> ItemRun::run() {
   const auto self = shared_from_this();
   Backoff backoff(kRetryBounds);
+  Backoff exit_backoff(kRetryBoundsAfterExits);
   std::optional<TimePoint> route_missing_since;
   while (!stopped_) {
     const auto configuration = context_.configuration;
@@ -337,12 +342,16 @@
       failed_runners_.push_back(runner->hash());
       if (has_exhausted_attempts(*route)) co_return make_result(ItemState::kDeadLettered);
     }
-    if (progress_.last_event > events_before) backoff.reset();
+    if (progress_.last_event > events_before) {
+      backoff.reset();
+      exit_backoff.reset();
+    }
     const bool runs_on =
         result == AttemptResult::kYielded || result == AttemptResult::kUnconfirmedEnd;
     if (runs_on || is_text_too_long_) continue;
     set_stage(ItemStage::kBackingOff);
-    if (!stopped_) co_await sleep_for(backoff.next());
+    Backoff& next_wait = runner_may_have_exited_ ? exit_backoff : backoff;
+    if (!stopped_) co_await sleep_for(next_wait.next());
   }
   co_return std::nullopt;
 }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -146,6 +146,8 @@
   bool is_on_trial_ = false;  ///< The current attempt tests the quarantine of the item.
   /// A trial was claimed, and no runner has had the request since.
   bool has_claimed_trial_ = false;
+  /// The runner closed the connection of the last attempt before its first event.
+  bool runner_may_have_exited_ = false;
   /// A runner's text was longer than can be stored; the item is not run again.
   bool is_text_too_long_ = false;
   ResponseEndCheck end_check_;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -27,10 +27,17 @@
   kPromptPart,  ///< All requests with one prompt part, of one tenant or of all.
 };
 
+/// How many trials a quarantined request may get.
+enum class TrialLimit : std::uint8_t {
+  kBounded,  ///< A few: the caller of an online request is refused instead.
+  kNone,     ///< Any number: a batch item has been accepted and has to be run.
+};
+
 /// A trial of a quarantine: one run of a request that is quarantined.
 struct QuarantineTrial {
   ContentHash key{};  ///< Key of the quarantine.
   QuarantineScope scope = QuarantineScope::kRequest;
+  TrialLimit limit = TrialLimit::kBounded;
 };
 
 /// A quarantined request, which is sent to no runner except for trials.
@@ -38,7 +45,8 @@
   TimePoint until{};
   std::uint32_t trials = 0;          ///< Trials that were claimed in the log.
   std::uint32_t recorded_exits = 0;  ///< `exits` of its record.
-  TimePoint next_trial{};            ///< Not set before the log is known to contain its record.
+  /// When this node learned of the record or of the latest trial; not set before that.
+  TimePoint trials_changed{};
   bool recorded = false;             ///< The log is known to contain its record.
   /// Number of runner starts that had exited with the request, without those of trials.
   std::uint32_t exits = 0;
@@ -68,9 +76,12 @@
 /// A quarantine expires after `kQuarantineTime`. After that a single further exit restores it.
 ///
 /// Before that, the request is tried again: a trial is one run of it, by one node of the fleet, at
-/// a runner that has just responded. It is claimed in the log first, and counts as an exit. There
-/// are no trials once `kMaxRunnerExits` exits are counted. If the request makes progress, its
-/// record is deleted, which lifts the quarantine at all nodes.
+/// a runner that has just responded. It is claimed in the log first, and counts as an exit. An online
+/// request gets no trial once `kMaxRunnerExits` exits are counted. If the request makes progress,
+/// its record is deleted, which lifts the quarantine at all nodes.
+///
+/// Batch items do not make runners exit by themselves. So their exits are evidence against nobody,
+/// and there is no limit to their trials of a quarantine that online requests have led to.
 ///
 /// Requests that differ may share a prompt part that makes runners exit. Such a part is quarantined
 /// under a key of its own, in the same way: for one tenant as long as only that tenant's requests
@@ -80,6 +91,8 @@
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
   /// Delay from the record of a quarantine to the first trial. It doubles with each trial.
   static constexpr Duration kFirstTrialDelay = std::chrono::seconds(5);
+  /// Maximum delay between two trials without a limit.
+  static constexpr Duration kMaxUnlimitedTrialDelay = std::chrono::seconds(10);
   /// Number of exits, trials included, from which on a request is not tried.
   static constexpr std::uint32_t kMaxRunnerExits = 6;
   /// Maximum number of trials of a prompt part.
@@ -120,7 +133,8 @@
                                      QuarantineScope scope = QuarantineScope::kRequest) const;
   /// Returns whether a trial of the request may be claimed now.
   [[nodiscard]] bool is_trial_due(ContentHash content, TimePoint now,
-                                  QuarantineScope scope = QuarantineScope::kRequest) const;
+                                  QuarantineScope scope = QuarantineScope::kRequest,
+                                  TrialLimit limit = TrialLimit::kBounded) const;
   /// Returns whether the log does not contain a record with what this node knows of a quarantine.
   [[nodiscard]] bool needs_record(ContentHash content, TimePoint now) const;
   /// Returns the record of a quarantined request.
@@ -235,6 +249,8 @@
                                              const QuarantinedRequest& request) const;
   [[nodiscard]] bool has_trial_left(ContentHash content, const QuarantinedRequest& request,
                                     QuarantineScope scope) const;
+  /// Returns when the next trial of a recorded quarantine is due.
+  [[nodiscard]] static TimePoint next_trial(const QuarantinedRequest& request, TrialLimit limit);
   void update_exits(ContentHash content);
   /// What led to a quarantine.
   struct Grounds {
--- a/src/quarantine/quarantine_check.cc
+++ b/src/quarantine/quarantine_check.cc
@@ -56,7 +56,7 @@
 bool QuarantineCheck::is_trial_due() {
   const TimePoint now = monotonic_now();
   const auto prevents_trial = [&](const AppliedQuarantine& applied) {
-    return !quarantine_.is_trial_due(applied.key, now, applied.scope);
+    return !quarantine_.is_trial_due(applied.key, now, applied.scope, trial_limit());
   };
   return is_quarantined() && !visit_quarantines(now, prevents_trial);
 }
@@ -64,7 +64,7 @@
 std::vector<QuarantineTrial> QuarantineCheck::trials() {
   std::vector<QuarantineTrial> trials;
   visit_quarantines(monotonic_now(), [&](const AppliedQuarantine& applied) {
-    trials.push_back({applied.key, applied.scope});
+    trials.push_back({applied.key, applied.scope, trial_limit()});
     return false;
   });
   return trials;
@@ -105,6 +105,7 @@
     return;
   }
   if (!run.closed_by_runner || run.stage == RunStage::kDelivering) return;
+  if (source_ == RequestSource::kBatchItem) return;
   const ClosedRun closed{.runner = run.runner,
                          .connected = run.connected,
                          .stage = run.stage,
--- a/src/quarantine/quarantine_check.h
+++ b/src/quarantine/quarantine_check.h
@@ -23,17 +23,22 @@
   bool closed_by_runner = false;
 };
 
+/// Whose runs a check records.
+enum class RequestSource : std::uint8_t {
+  kOnline,     ///< A caller's request, which may be what makes runners exit.
+  kBatchItem,  ///< Never makes runners exit by itself: only its progress is recorded.
+};
+
 /// Hashes the content and the prompt parts lazily, because most requests never need the hashes. The
 /// quarantine and the data to which the arguments refer must outlive it. Used on one thread.
 class QuarantineCheck {
  public:
-  /// @param prompt_prefix the parts of the prompt, `id:tokens,id:tokens,...`.
-  QuarantineCheck(Quarantine& quarantine, RequestContent content,
-                  std::string_view prompt_prefix = {})
-      : quarantine_(quarantine), parts_(content), prompt_prefix_(prompt_prefix) {}
+  QuarantineCheck(Quarantine& quarantine, RequestContent content, RequestSource source)
+      : quarantine_(quarantine), parts_(content), source_(source) {}
 
   /// Sets the service that runs the request. While it is empty, prompt parts are not checked.
   void set_service(std::string_view service);
+  /// @param prompt_prefix the parts of the prompt, `id:tokens,id:tokens,...`.
   void set_prompt_prefix(std::string_view prompt_prefix) { prompt_prefix_ = prompt_prefix; }
 
   [[nodiscard]] ContentHash content();
@@ -55,7 +60,7 @@
   /// Records that the first event of a successful response was received.
   void record_first_event();
   /// Records a finished run. If the runner closed its connection before the first event, it may
-  /// have exited because of the request.
+  /// have exited because of an online request.
   void record_run(const FinishedRun& run);
 
  private:
@@ -71,10 +76,14 @@
   bool visit_quarantines(TimePoint now, const std::function<bool(const AppliedQuarantine&)>& visit);
   const std::vector<PartHash>& part_hashes();
   [[nodiscard]] std::uint64_t tenant() const;
+  [[nodiscard]] TrialLimit trial_limit() const {
+    return source_ == RequestSource::kBatchItem ? TrialLimit::kNone : TrialLimit::kBounded;
+  }
   void record_part_exit(const ClosedRun& run, TimePoint now);
 
   Quarantine& quarantine_;
   RequestContent parts_;
+  RequestSource source_;
   std::string_view prompt_prefix_;
   std::string service_;
   std::optional<ContentHash> content_;
--- a/src/quarantine/quarantine_log.cc
+++ b/src/quarantine/quarantine_log.cc
@@ -48,7 +48,7 @@
 asio::awaitable<bool> QuarantineLog::claim_trial(QuarantineTrial trial) {
   const TimePoint now = monotonic_now();
   const ContentHash content = trial.key;
-  const bool is_due = quarantine_.is_trial_due(content, now, trial.scope);
+  const bool is_due = quarantine_.is_trial_due(content, now, trial.scope, trial.limit);
   if (claiming_.contains(content) || !is_due) co_return false;
   claiming_.insert(content);
   const QuarantineRecord record = quarantine_.make_trial_record(content, now, wall_clock_ms());
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -289,6 +289,22 @@
   EXPECT_TRUE(other.is_trial_due(kPoisonRequest, at(std::chrono::minutes(9))));
 }
 
+// Guards against accepted items that are not tried any more after crashes during their trials.
+TEST(QuarantineTest, TrialsWithoutALimitGoOnAtABoundedInterval) {
+  Quarantine node = make_quarantine();
+  const std::uint32_t many_trials = 2 * Quarantine::kMaxRunnerExits;
+  node.apply_record(kPoisonRequest, record_of(3, many_trials), at({}), kTimeOfDayMs);
+  const Duration due = Quarantine::kMaxUnlimitedTrialDelay;
+  const auto is_due = [&](Duration now, QuarantineScope scope, TrialLimit limit) {
+    return node.is_trial_due(kPoisonRequest, at(now), scope, limit);
+  };
+  for (const auto scope : {QuarantineScope::kRequest, QuarantineScope::kPromptPart}) {
+    EXPECT_FALSE(is_due(due / 2, scope, TrialLimit::kNone));
+    EXPECT_TRUE(is_due(due, scope, TrialLimit::kNone));
+    EXPECT_FALSE(is_due(due, scope, TrialLimit::kBounded));
+  }
+}
+
 /// Claims each trial that is due, each of which ends a runner. Returns the number of trials.
 std::uint32_t run_trials(Quarantine& node, std::uint32_t exits, Duration from) {
   std::uint32_t trials = 0;
