All parts of a long prompt are looked at for what crashes runners

What callers saw: with prompts of 40 parts, of which the 20th crashes each runner, crashes without end, and half of the sound requests unserved.

Cause: split_prompt_parts kept the first and last 16 parts of a prompt. The bound on messages and work was a bound on which part may be found guilty.

Change: all parts are looked at. Exits keep 32,768 parts in all; of each exit only the last suspected part and the request's own are weighed, which is the same decision as before at a cost that is linear in the parts. Formats are unchanged: nodes of the build before read the first report of an exit.

Three of the new tests fail on the code before.

Looked at beside it: keep_both_ends is left for log lines alone.

--- a/bench/quarantine.cc
+++ b/bench/quarantine.cc
@@ -55,9 +55,9 @@
   const std::string body(kBodyBytes, 'x');
   const std::string prompt = make_prompt(state.range(0));
   for (auto _ : state) {
-    QuarantineCheck check(
-        quarantine, {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body},
-        RequestSource::kOnline);
+    QuarantineCheck check(quarantine,
+                          {.tenant = "t", .host = "a.example", .target = "/x/1", .body = body},
+                          RequestSource::kOnline);
     check.set_prompt_prefix(prompt);
     check.set_service("chat");
     benchmark::DoNotOptimize(check.is_quarantined());
--- a/src/quarantine/prompt_part_exits.cc
+++ b/src/quarantine/prompt_part_exits.cc
@@ -6,10 +6,12 @@
 namespace stoathold {
 namespace {
 
-/// Maximum number of recorded exits; with 32 parts each they take some 200 kB.
+/// Maximum number of recorded exits.
 constexpr std::size_t kMaxExits = 256;
+/// Maximum number of parts of all recorded exits, some 3 MB: 256 exits of prompts of 128 parts.
+constexpr std::size_t kMaxRecordedParts = 32768;
 /// Maximum number of parts with evidence against or for them.
-constexpr std::size_t kMaxSuspects = kMaxExits * kMaxPartsPerPrompt;
+constexpr std::size_t kMaxSuspects = kMaxRecordedParts;
 /// Minimum interval between reports of answers with one part.
 constexpr Duration kServedReportInterval = std::chrono::seconds(1);
 
@@ -19,60 +21,58 @@
   return starts.size();
 }
 
-/// Returns the suspected parts after `part` in the prompt, except for its last one.
-std::vector<PartHash> later_parts(const PromptPartExit& exit, PartHash part) {
-  const auto position = std::find(exit.parts.begin(), exit.parts.end(), part);
-  std::vector<PartHash> later;
-  if (position == exit.parts.end()) return later;
-  std::copy_if(position + 1, exit.parts.end(), std::back_inserter(later),
-               [&](PartHash other) { return other != exit.own_part; });
-  return later;
-}
+}  // namespace
 
-/// Returns whether exits that no other part explains so far are enough to blame this one. Exits
-/// with the same few parts after it may turn out to be theirs.
-bool are_attributable(PartHash part, const std::vector<const PromptPartExit*>& exits) {
-  std::vector<const PromptPartExit*> without_later_part;
-  std::set<PartHash> next_parts;
-  for (const PromptPartExit* exit : exits) {
-    const std::vector<PartHash> later = later_parts(*exit, part);
-    if (later.empty()) {
-      without_later_part.push_back(exit);
-    } else {
-      next_parts.insert(later.front());
-    }
-  }
-  return count_starts(without_later_part) >= PromptPartExits::kMinExits ||
-         next_parts.size() >= PromptPartExits::kMinExits ||
-         count_starts(exits) >= PromptPartExits::kMinAmbiguousExits;
+bool PromptPartExits::was_served(PartHash part, TimePoint exit_at) const {
+  const auto suspect = suspects_.find(part);
+  return suspect != suspects_.end() && exit_at <= suspect->second.served + kServedValidity;
 }
 
-}  // namespace
-
 bool PromptPartExits::add(PromptPartExit exit) {
-  const bool known = std::any_of(exits_.begin(), exits_.end(), [&](const PromptPartExit& other) {
-    return other.start == exit.start && other.content == exit.content;
-  });
-  if (known || exit.parts.empty()) return false;
-  exit.own_part = exit.parts.back();
-  std::erase_if(exit.parts, [&](PartHash part) {
-    const auto suspect = suspects_.find(part);
-    return suspect != suspects_.end() && exit.at <= suspect->second.served + kServedValidity;
+  if (exit.parts.empty()) return false;
+  const auto known = std::find_if(exits_.begin(), exits_.end(), [&](const RecordedExit& recorded) {
+    return recorded.exit.start == exit.start && recorded.exit.content == exit.content;
   });
-  if (exits_.size() >= kMaxExits) remove_oldest();
-  for (const PartHash part : exit.parts) ++suspects_[part].exits;
-  exits_.push_back(std::move(exit));
+  if (known != exits_.end()) {
+    const std::size_t parts_before = recorded_parts_;
+    add_parts(*known, exit);
+    return recorded_parts_ > parts_before;
+  }
+  while (!exits_.empty() &&
+         (exits_.size() >= kMaxExits || recorded_parts_ + exit.parts.size() > kMaxRecordedParts)) {
+    remove_oldest();
+  }
+  RecordedExit& recorded = exits_.emplace_back();
+  recorded.exit = exit;
+  recorded.exit.own_part = exit.parts.back();
+  recorded.exit.parts.clear();
+  add_parts(recorded, exit);
   return true;
 }
 
+/// New parts go before the own part, which every step of a report ends with.
+void PromptPartExits::add_parts(RecordedExit& recorded, const PromptPartExit& reported) {
+  std::vector<PartHash>& parts = recorded.exit.parts;
+  const bool ends_with_own_part = !parts.empty() && parts.back() == recorded.exit.own_part;
+  if (ends_with_own_part) parts.pop_back();
+  for (const PartHash part : reported.parts) {
+    if (!recorded.known_parts.insert(part).second) continue;
+    ++recorded_parts_;
+    if (was_served(part, recorded.exit.at)) continue;
+    ++suspects_[part].exits;
+    parts.push_back(part);
+  }
+  if (ends_with_own_part) parts.push_back(recorded.exit.own_part);
+}
+
 bool PromptPartExits::record_served(PartHash part, TimePoint at) {
   const auto suspect = suspects_.find(part);
   if (suspect == suspects_.end()) return false;
   const bool is_news = at >= suspect->second.served + kServedReportInterval;
   suspect->second.served = std::max(suspect->second.served, at);
   if (suspect->second.exits == 0) return is_news;
-  for (PromptPartExit& exit : exits_) {
-    if (exit.at <= suspect->second.served + kServedValidity) remove_part(exit, part);
+  for (RecordedExit& recorded : exits_) {
+    if (was_served(part, recorded.exit.at)) remove_part(recorded.exit, part);
   }
   return is_news;
 }
@@ -88,7 +88,8 @@
 }
 
 void PromptPartExits::remove_oldest() {
-  for (const PartHash part : exits_.front().parts) --suspects_.at(part).exits;
+  for (const PartHash part : exits_.front().exit.parts) --suspects_.at(part).exits;
+  recorded_parts_ -= exits_.front().known_parts.size();
   exits_.pop_front();
 }
 
@@ -118,7 +119,8 @@
     if (suspect.exits >= kMinExits) by_part[part];
   }
   if (by_part.empty()) return {};
-  for (const PromptPartExit& exit : exits_) {
+  for (const RecordedExit& recorded : exits_) {
+    const PromptPartExit& exit = recorded.exit;
     if (is_refuted_(exit.start, exit.at)) continue;
     for (const PartHash part : exit.parts) {
       const auto found = by_part.find(part);
@@ -129,28 +131,51 @@
   return by_part;
 }
 
-PromptPartExits::Exits PromptPartExits::unexplained_exits(PartHash part, const Exits& exits,
-                                                          const ExitsByPart& qualified) {
-  Exits unexplained;
-  for (const PromptPartExit* exit : exits) {
-    const std::vector<PartHash> later = later_parts(*exit, part);
-    const bool is_explained = std::any_of(
-        later.begin(), later.end(), [&](PartHash other) { return qualified.contains(other); });
-    if (!is_explained) unexplained.push_back(exit);
+PromptPartExits::UnexplainedByPart PromptPartExits::find_unexplained(
+    const ExitsByPart& qualified) const {
+  UnexplainedByPart unexplained;
+  for (const RecordedExit& recorded : exits_) {
+    const PromptPartExit& exit = recorded.exit;
+    if (is_refuted_(exit.start, exit.at)) continue;
+    if (!exit.parts.empty() && exit.parts.back() == exit.own_part) {
+      unexplained[exit.own_part].without_next_part.push_back(&exit);
+    }
+    PartHash next_part{};
+    for (auto part = exit.parts.rbegin(); part != exit.parts.rend(); ++part) {
+      if (*part == exit.own_part) continue;
+      if (!qualified.contains(*part)) {
+        next_part = *part;
+        continue;
+      }
+      UnexplainedExits& exits = unexplained[*part];
+      const bool has_next_part = next_part != PartHash{};
+      (has_next_part ? exits.with_next_part : exits.without_next_part).push_back(&exit);
+      if (has_next_part) exits.next_parts.insert(next_part);
+      break;
+    }
   }
   return unexplained;
 }
 
+bool PromptPartExits::are_attributable(const UnexplainedExits& exits) {
+  Exits all = exits.without_next_part;
+  all.insert(all.end(), exits.with_next_part.begin(), exits.with_next_part.end());
+  return count_starts(exits.without_next_part) >= kMinExits ||
+         exits.next_parts.size() >= kMinExits || count_starts(all) >= kMinAmbiguousExits;
+}
+
 std::vector<PoisonPart> PromptPartExits::find_poison_parts(TimePoint now) const {
   const ExitsByPart qualified = find_qualified(now);
+  if (qualified.empty()) return {};
   std::vector<PoisonPart> poison_parts;
-  for (const auto& [part, exits] : qualified) {
-    if (is_explained_by_own_part(part, exits, qualified)) continue;
-    if (!are_attributable(part, unexplained_exits(part, exits, qualified))) continue;
+  for (const auto& [part, unexplained] : find_unexplained(qualified)) {
+    const auto exits = qualified.find(part);
+    if (exits == qualified.end() || !are_attributable(unexplained)) continue;
+    if (is_explained_by_own_part(part, exits->second, qualified)) continue;
     PoisonPart& found = poison_parts.emplace_back();
     found.part = part;
-    found.exits = static_cast<std::uint32_t>(count_starts(exits));
-    for (const PromptPartExit* exit : exits) {
+    found.exits = static_cast<std::uint32_t>(count_starts(exits->second));
+    for (const PromptPartExit* exit : exits->second) {
       found.tenants.insert(exit->tenant);
       found.observed_locally = found.observed_locally || exit->observed_locally;
     }
@@ -160,7 +185,8 @@
 
 void PromptPartExits::forget(ContentHash key, TimePoint at) {
   std::set<PartHash> parts;
-  for (const PromptPartExit& exit : exits_) {
+  for (const RecordedExit& recorded : exits_) {
+    const PromptPartExit& exit = recorded.exit;
     for (const PartHash part : exit.parts) {
       const bool has_key = part_key(part) == key || tenant_part_key(part, exit.tenant) == key;
       if (has_key) parts.insert(part);
@@ -170,8 +196,10 @@
 }
 
 void PromptPartExits::expire(TimePoint now) {
-  const auto is_old = [now](const PromptPartExit& exit) { return now - exit.at > kExitLifetime; };
-  while (!exits_.empty() && (is_old(exits_.front()) || exits_.front().parts.empty())) {
+  const auto is_done = [now](const PromptPartExit& exit) {
+    return now - exit.at > kExitLifetime || exit.parts.empty();
+  };
+  while (!exits_.empty() && is_done(exits_.front().exit)) {
     remove_oldest();
   }
   std::erase_if(suspects_, [now](const auto& entry) {
--- a/src/quarantine/prompt_part_exits.h
+++ b/src/quarantine/prompt_part_exits.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -21,9 +22,11 @@
 struct PromptPartExit {
   RunnerStart start;
   ContentHash content{};
-  std::uint64_t tenant = 0;     ///< Hash of the tenant's name.
-  std::vector<PartHash> parts;  ///< Suspected parts of its prompt, in their order.
-  PartHash own_part{};          ///< Last part of the prompt; set when the exit is added.
+  std::uint64_t tenant = 0;  ///< Hash of the tenant's name.
+  /// Suspected parts of its prompt, in their order. Those of a long prompt may be added in several
+  /// steps, each of which ends with the last part of the prompt.
+  std::vector<PartHash> parts;
+  PartHash own_part{};  ///< Last part of the prompt; set when the exit is added.
   TimePoint at{};
   bool observed_locally = false;  ///< By this node itself.
 };
@@ -62,8 +65,8 @@
   using RefutationSource = std::function<bool(const RunnerStart& start, TimePoint at)>;
   explicit PromptPartExits(RefutationSource is_refuted) : is_refuted_(std::move(is_refuted)) {}
 
-  /// Adds an exit.
-  /// @return whether it was new.
+  /// Adds an exit, or more parts of the prompt of one that is known.
+  /// @return whether anything was new.
   bool add(PromptPartExit exit);
   /// Records that a runner delivered events of a request with this part. Has no effect if there is
   /// no evidence against the part.
@@ -84,15 +87,30 @@
 
  private:
   using Exits = std::vector<const PromptPartExit*>;
-  using ExitsByPart = std::map<PartHash, Exits>;
+  using ExitsByPart = std::unordered_map<PartHash, Exits>;
+
+  struct RecordedExit {
+    PromptPartExit exit;
+    std::unordered_set<PartHash> known_parts;  ///< Suspected now or before.
+  };
+  /// The exits that one part would explain, with the part that follows it in each prompt. The own
+  /// part of the request does not count as following.
+  struct UnexplainedExits {
+    Exits without_next_part;
+    Exits with_next_part;
+    std::set<PartHash> next_parts;
+  };
+  using UnexplainedByPart = std::map<PartHash, UnexplainedExits>;
 
   struct Suspect {
     std::size_t exits = 0;  ///< Recorded exits that count against the part.
     TimePoint served{};     ///< Latest answer with the part.
   };
 
+  void add_parts(RecordedExit& recorded, const PromptPartExit& reported);
   void remove_part(PromptPartExit& exit, PartHash part);
   void remove_oldest();
+  [[nodiscard]] bool was_served(PartHash part, TimePoint exit_at) const;
   /// Returns whether the exits with a part are enough to suspect it.
   static bool qualifies(const Exits& exits, TimePoint now);
   /// Returns the suspected parts with their exits.
@@ -100,12 +118,16 @@
   /// Returns whether the requests' own last part explains all these exits with a part.
   [[nodiscard]] static bool is_explained_by_own_part(PartHash part, const Exits& exits,
                                                      const ExitsByPart& qualified);
-  /// Returns the exits with a part that no suspected part after it explains.
-  [[nodiscard]] static Exits unexplained_exits(PartHash part, const Exits& exits,
-                                               const ExitsByPart& qualified);
+  /// Returns the exits that no suspected part after it explains, by part. Only the last suspected
+  /// part of a prompt and the request's own have such exits.
+  [[nodiscard]] UnexplainedByPart find_unexplained(const ExitsByPart& qualified) const;
+  /// Returns whether exits that no other part explains so far are enough to blame a part. Exits
+  /// with the same few parts after it may turn out to be theirs.
+  [[nodiscard]] static bool are_attributable(const UnexplainedExits& exits);
 
   RefutationSource is_refuted_;
-  std::deque<PromptPartExit> exits_;
+  std::deque<RecordedExit> exits_;
+  std::size_t recorded_parts_ = 0;  ///< Sum of the sizes of `RecordedExit::known_parts`.
   std::unordered_map<PartHash, Suspect> suspects_;
 };
 
--- a/src/quarantine/prompt_part_reports.h
+++ b/src/quarantine/prompt_part_reports.h
@@ -17,21 +17,27 @@
   explicit PendingPartReports(int repeats)
       : exits_(repeats, kMaxExitsInMessage), served_(repeats, kMaxServedInMessage) {}
 
-  /// Adds a report of an exit.
+  /// Adds the reports of an exit: as many as its parts need, each with the last part of the prompt.
   void add(const PromptPartExit& exit) {
-    PromptPartExitReport report{.runner = exit.start.runner,
-                                .restarts = exit.start.restarts,
-                                .content = value_of(exit.content),
-                                .tenant = exit.tenant,
-                                .parts = {}};
-    for (const PartHash part : exit.parts) report.parts.push_back(static_cast<std::uint64_t>(part));
-    exits_.add(report, exit.at);
+    const std::uint64_t own_part = value_of(exit.parts.back());
+    PromptPartExitReport report = make_report(exit);
+    for (const PartHash part : exit.parts) {
+      report.parts.push_back(value_of(part));
+      const bool is_last = value_of(part) == own_part;
+      const bool is_full = report.parts.size() + 1 == kMaxPartsPerReport;
+      if (is_full && !is_last) report.parts.push_back(own_part);
+      if (!is_full && !is_last) continue;
+      exits_.add(report, exit.at);
+      report.parts.clear();
+    }
   }
   /// Adds a report of a part that was served at `at`.
   void add_served(PartHash part, TimePoint at) {
     served_.add({.part = static_cast<std::uint64_t>(part)}, at);
   }
 
+  /// Returns whether there are reports that have not been sent yet.
+  [[nodiscard]] bool has_unsent() const { return exits_.has_unsent() || served_.has_unsent(); }
   /// Returns the reports of the next datagram.
   PromptPartReports next(TimePoint now) {
     PromptPartReports reports;
@@ -47,7 +53,15 @@
   }
 
  private:
-  /// With `kMaxPartsPerPrompt` parts each, this many reports fit into a datagram.
+  static PromptPartExitReport make_report(const PromptPartExit& exit) {
+    return {.runner = exit.start.runner,
+            .restarts = exit.start.restarts,
+            .content = value_of(exit.content),
+            .tenant = exit.tenant,
+            .parts = {}};
+  }
+
+  /// With `kMaxPartsPerReport` parts each, this many reports fit into a datagram.
   static constexpr std::size_t kMaxExitsInMessage = 3;
   static constexpr std::size_t kMaxServedInMessage = 30;
 
--- a/src/quarantine/prompt_parts.cc
+++ b/src/quarantine/prompt_parts.cc
@@ -32,7 +32,6 @@
     if (colon == std::string_view::npos) break;
     parts.push_back(field.substr(0, colon));
   }
-  keep_both_ends(parts, kMaxPartsPerPrompt);
   return parts;
 }
 
--- a/src/quarantine/prompt_parts.h
+++ b/src/quarantine/prompt_parts.h
@@ -15,12 +15,8 @@
 /// Equal at all nodes and across restarts.
 enum class PartHash : std::uint64_t {};
 
-/// Maximum number of parts of one prompt that can be quarantined: of a longer prompt, the first and
-/// the last ones. Bounds messages and the work per request.
-inline constexpr std::size_t kMaxPartsPerPrompt = 32;
-
-/// Splits `id:tokens,id:tokens,...` into ids. Of more than `kMaxPartsPerPrompt` parts, the middle
-/// ones are left out. For malformed text, returns the parts before the error.
+/// Splits `id:tokens,id:tokens,...` into ids. For malformed text, returns the parts before the
+/// error. The limit on request headers bounds their number.
 std::vector<std::string_view> split_prompt_parts(std::string_view prompt_prefix);
 
 /// Hashes the parts for a service, in their order. The last one belongs to the request itself.
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -47,7 +47,7 @@
   std::uint32_t recorded_exits = 0;  ///< `exits` of its record.
   /// When this node learned of the record or of the latest trial; not set before that.
   TimePoint trials_changed{};
-  bool recorded = false;             ///< The log is known to contain its record.
+  bool recorded = false;  ///< The log is known to contain its record.
   /// Number of runner starts that had exited with the request, without those of trials.
   std::uint32_t exits = 0;
   std::uint64_t lifted_position = 0;  ///< `Lift::position` of the last lift before it began.
@@ -76,9 +76,9 @@
 /// A quarantine expires after `kQuarantineTime`. After that a single further exit restores it.
 ///
 /// Before that, the request is tried again: a trial is one run of it, by one node of the fleet, at
-/// a runner that has just responded. It is claimed in the log first, and counts as an exit. An online
-/// request gets no trial once `kMaxRunnerExits` exits are counted. If the request makes progress,
-/// its record is deleted, which lifts the quarantine at all nodes.
+/// a runner that has just responded. It is claimed in the log first, and counts as an exit. An
+/// online request gets no trial once `kMaxRunnerExits` exits are counted. If the request makes
+/// progress, its record is deleted, which lifts the quarantine at all nodes.
 ///
 /// Batch items do not make runners exit by themselves. So their exits are evidence against nobody,
 /// and there is no limit to their trials of a quarantine that online requests have led to.
@@ -203,6 +203,14 @@
   [[nodiscard]] PromptPartReports next_remote_part_reports(TimePoint now) {
     return remote_part_reports_.next(now);
   }
+  /// Returns whether there are such reports for the own zone that have not been sent yet.
+  [[nodiscard]] bool has_unsent_zone_part_reports() const {
+    return zone_part_reports_.has_unsent();
+  }
+  /// Returns the same for the other zones.
+  [[nodiscard]] bool has_unsent_remote_part_reports() const {
+    return remote_part_reports_.has_unsent();
+  }
   /// Applies the reports of another node about prompt parts.
   void apply_part_reports(const PromptPartReports& reports, TimePoint now);
 
--- a/src/quarantine/quarantine_parts.cc
+++ b/src/quarantine/quarantine_parts.cc
@@ -62,7 +62,7 @@
                         .parts = {},
                         .at = now - std::chrono::milliseconds(report.ms_ago)};
     for (const std::uint64_t part : report.parts) exit.parts.push_back(PartHash{part});
-    if (exit.parts.size() > kMaxPartsPerPrompt) exit.parts.resize(kMaxPartsPerPrompt);
+    if (exit.parts.size() > kMaxPartsPerReport) exit.parts.resize(kMaxPartsPerReport);
     const PromptPartExit copy = exit;
     if (part_exits_.add(std::move(exit))) restore_recurred_parts(copy, now);
   }
--- a/src/quarantine/quarantine_trials.cc
+++ b/src/quarantine/quarantine_trials.cc
@@ -38,8 +38,8 @@
                               TrialLimit limit) const {
   if (!contains(content, now)) return false;
   const QuarantinedRequest& request = quarantined_.at(content);
-  const bool is_allowed = limit == TrialLimit::kNone ? request.recorded
-                                                     : has_trial_left(content, request, scope);
+  const bool is_allowed =
+      limit == TrialLimit::kNone ? request.recorded : has_trial_left(content, request, scope);
   return is_allowed && now >= next_trial(request, limit);
 }
 
@@ -78,13 +78,14 @@
   std::vector<QuarantineStatus> all;
   for (const auto& [content, request] : quarantined_) {
     const auto known = static_cast<std::uint32_t>(exit_table_.exit_count(content));
-    all.push_back({.content = content,
-                   .age = now + kQuarantineTime - request.until,
-                   .exits = std::max(known, request.exits),
-                   .trials = request.trials,
-                   .recorded = request.recorded,
-                   .next_trial_in = std::max(Duration{0}, next_trial(request, TrialLimit::kBounded) - now),
-                   .has_trial_left = has_trial_left(content, request, QuarantineScope::kRequest)});
+    all.push_back(
+        {.content = content,
+         .age = now + kQuarantineTime - request.until,
+         .exits = std::max(known, request.exits),
+         .trials = request.trials,
+         .recorded = request.recorded,
+         .next_trial_in = std::max(Duration{0}, next_trial(request, TrialLimit::kBounded) - now),
+         .has_trial_left = has_trial_left(content, request, QuarantineScope::kRequest)});
   }
   return all;
 }
--- a/src/quarantine/repeated_sends.h
+++ b/src/quarantine/repeated_sends.h
@@ -26,25 +26,40 @@
 
   /// Adds a message about an event at `at`. It is dropped if too many are pending.
   void add(const Message& message, TimePoint at) {
-    if (pending_.size() < kMaxPending) pending_.push_back({message, at, repeats_});
+    if (pending_.size() < kMaxPending) insert_by_repeats({message, at, repeats_});
   }
 
-  /// Returns the messages of the next datagram.
+  /// Returns whether there is a message that has not been sent yet.
+  [[nodiscard]] bool has_unsent() const {
+    return !pending_.empty() && pending_.front().repeats_left == repeats_;
+  }
+  /// Returns the messages of the next datagram: those first that were sent least often.
   std::vector<Entry> next() {
     const std::size_t count = std::min(pending_.size(), max_batch_);
     const auto end = pending_.begin() + static_cast<std::ptrdiff_t>(count);
-    std::for_each(pending_.begin(), end, [](Entry& entry) { --entry.repeats_left; });
     std::vector<Entry> batch(pending_.begin(), end);
-    std::erase_if(pending_, [](const Entry& entry) { return entry.repeats_left == 0; });
+    pending_.erase(pending_.begin(), end);
+    for (Entry& entry : batch) {
+      if (--entry.repeats_left > 0) insert_by_repeats(entry);
+    }
     return batch;
   }
 
  private:
-  static constexpr std::size_t kMaxPending = 256;
+  /// An exit with a prompt of 400 parts takes 13 messages, an answer to such a request 400.
+  static constexpr std::size_t kMaxPending = 2048;
+
+  /// Inserts a message behind those that were sent as often or less.
+  void insert_by_repeats(const Entry& entry) {
+    const auto position = std::find_if(pending_.begin(), pending_.end(), [&](const Entry& other) {
+      return other.repeats_left < entry.repeats_left;
+    });
+    pending_.insert(position, entry);
+  }
 
   int repeats_;
   std::size_t max_batch_;
-  std::vector<Entry> pending_;
+  std::vector<Entry> pending_;  ///< Those first that were sent least often.
 };
 
 }  // namespace stoathold
--- a/src/routing/peer_loads_quarantine.cc
+++ b/src/routing/peer_loads_quarantine.cc
@@ -48,6 +48,10 @@
   quarantine_->evaluate_parts(monotonic_now());
   if (!zone_nodes_.empty()) send_zone_quarantine_messages(monotonic_now());
   if (!remote_zones_.empty()) send_remote_quarantine_messages(monotonic_now());
+  // Reports about long prompts need several datagrams.
+  const bool has_unsent = (!zone_nodes_.empty() && quarantine_->has_unsent_zone_part_reports()) ||
+                          (!remote_zones_.empty() && quarantine_->has_unsent_remote_part_reports());
+  if (has_unsent) schedule_end_reports();
 }
 
 void PeerLoads::send_zone_quarantine_messages(TimePoint now) {
--- a/tests/quarantine/prompt_part_exits_test.cc
+++ b/tests/quarantine/prompt_part_exits_test.cc
@@ -157,15 +157,62 @@
   EXPECT_TRUE(exits_.empty());
 }
 
-TEST(PromptPartsTest, MiddlePartsOfALongPromptAreLeftOut) {
+// Guards against requests with a guilty part in the middle of a long prompt, which crash runners
+// without end.
+TEST(PromptPartsTest, AllPartsOfALongPromptAreLookedAt) {
   std::string prompt;
   for (int i = 0; i < 1000; ++i) prompt += std::to_string(i) + ":1,";
   const auto parts = split_prompt_parts(prompt);
-  ASSERT_EQ(parts.size(), kMaxPartsPerPrompt);
-  EXPECT_EQ(parts.front(), "0");
+  ASSERT_EQ(parts.size(), 1000U);
+  EXPECT_EQ(parts[500], "500");
   EXPECT_EQ(parts.back(), "999");
 }
 
+/// Returns a prompt whose parts have consecutive hashes, the guilty one in their middle.
+Parts long_prompt(std::size_t parts) {
+  Parts prompt;
+  for (std::size_t part = 0; part < parts; ++part) prompt.push_back(PartHash{10000 + part});
+  prompt[parts / 2] = kGuilty;
+  return prompt;
+}
+
+TEST_F(PromptPartExitsTest, AGuiltyPartInTheMiddleOfALongPromptIsFound) {
+  for (const std::size_t parts : {40U, 400U}) {
+    const Parts prompt = long_prompt(parts);
+    add_exit(prompt);
+    for (const PartHash part : prompt) {
+      if (part != kGuilty) serve(part);
+    }
+    add_exit(prompt);
+    add_exit(prompt);
+    EXPECT_EQ(guilty(), Parts{kGuilty});
+    exits_.forget(part_key(kGuilty), now_);
+    now_ += 2 * PromptPartExits::kServedValidity;
+  }
+}
+
+TEST_F(PromptPartExitsTest, PartsOfALongPromptMayBeReportedOneAfterTheOther) {
+  for (std::uint64_t request = 1; request <= 3; ++request) {
+    now_ += kPause;
+    const PartHash own{1000 + request};
+    for (const PartHash part : {kFirst, kGuilty, kCompanion}) {
+      EXPECT_TRUE(exits_.add({.start = {request, 0},
+                              .content = ContentHash{request},
+                              .parts = {part, own},
+                              .at = now_}));
+    }
+  }
+  serve(kFirst);
+  serve(kCompanion);
+  EXPECT_EQ(guilty(), Parts{kGuilty});
+}
+
+TEST_F(PromptPartExitsTest, RecordedPartsAreBounded) {
+  for (int i = 0; i < 200; ++i) add_exit(long_prompt(400));
+  EXPECT_LT(exits_.size(), 100U);
+  EXPECT_EQ(guilty().size(), 1U);
+}
+
 TEST(PromptPartsTest, HashesDependOnTheService) {
   EXPECT_EQ(hash_prompt_parts("a:1,b:2", "chat"), hash_prompt_parts("a:9, b:7", "chat"));
   EXPECT_NE(hash_prompt_parts("a:1,b:2", "chat"), hash_prompt_parts("a:1,b:2", "other"));
--- a/tests/quarantine/prompt_part_fleet_test.cc
+++ b/tests/quarantine/prompt_part_fleet_test.cc
@@ -38,7 +38,9 @@
 constexpr std::uint64_t kFirstParts = 4;
 constexpr std::uint64_t kSecondPart = 20;
 constexpr std::uint64_t kSecondParts = 10;
-constexpr std::uint64_t kOwnPart = 1000;
+/// Parts that all requests of long prompts share, before and behind the others.
+constexpr std::uint64_t kCommonPart = 100;
+constexpr std::uint64_t kOwnPart = 10000;
 
 /// Where the guilty part stands, and what stands beside it.
 enum class GuiltyPrompt : std::uint8_t {
@@ -64,13 +66,14 @@
   std::size_t nodes = 3;
   GuiltyPrompt prompt = GuiltyPrompt::kMiddle;
   Design design = Design::kQuarantine;
-  std::size_t runners = 0;      ///< 0: as many as nodes, but at least 12.
-  bool innocent_exits = false;  ///< Every 2 s a fifth of the runners exits by itself.
-  bool long_responses = false;  ///< 100 ms pass between the head and the first event.
-  bool partitioned = false;     ///< For 12 s a third of the nodes hears from no other node.
-  bool restart = false;         ///< In second 8 all nodes restart.
-  std::uint64_t tenants = 1;    ///< Tenants of the requests with the guilty part.
-  bool cleared_at_10s = false;  ///< In second 10 the part becomes harmless.
+  std::size_t runners = 0;         ///< 0: as many as nodes, but at least 12.
+  bool innocent_exits = false;     ///< Every 2 s a fifth of the runners exits by itself.
+  bool long_responses = false;     ///< 100 ms pass between the head and the first event.
+  bool partitioned = false;        ///< For 12 s a third of the nodes hears from no other node.
+  bool restart = false;            ///< In second 8 all nodes restart.
+  std::uint64_t tenants = 1;       ///< Tenants of the requests with the guilty part.
+  bool cleared_at_10s = false;     ///< In second 10 the part becomes harmless.
+  std::uint64_t common_parts = 0;  ///< Parts that all prompts share, half of them in front.
   std::uint64_t seed = 1;
 };
 
@@ -213,9 +216,21 @@
       request.parts.push_back(kCompanion);
     }
     request.parts.push_back(PartHash{kOwnPart + request.content});
+    add_common_parts(request);
     return request;
   }
 
+  void add_common_parts(Request& request) const {
+    const std::uint64_t half = scenario_.common_parts / 2;
+    std::vector<PartHash> front;
+    std::vector<PartHash> back;
+    for (std::uint64_t i = 0; i < half; ++i) front.push_back(PartHash{kCommonPart + i});
+    for (std::uint64_t i = 0; i < half; ++i) back.push_back(PartHash{kCommonPart + half + i});
+    request.parts.insert(request.parts.end() - 1, back.begin(), back.end());
+    // The first part stays in front, by which sound requests are counted.
+    request.parts.insert(request.parts.begin() + 1, front.begin(), front.end());
+  }
+
   Request guilty_request() {
     Request request{.content = ++next_content_,
                     .tenant = random_.below(scenario_.tenants),
@@ -244,6 +259,7 @@
       default:
         request.parts = {first, second, kGuilty, own};
     }
+    add_common_parts(request);
     return request;
   }
 
@@ -524,6 +540,13 @@
   check(scenario);
 }
 
+// Guards against guilty parts in the middle of a long prompt, which no node looks at.
+TEST_P(PromptPartFleetTest, AlsoInPromptsOfFortyParts) {
+  Scenario scenario = this->scenario();
+  scenario.common_parts = 38;
+  check(scenario);
+}
+
 TEST_P(PromptPartFleetTest, AlsoWithRequestsOfSeveralTenants) {
   Scenario scenario = this->scenario();
   scenario.tenants = 4;
@@ -538,6 +561,13 @@
                                      GuiltyPrompt::kWithCompanion, GuiltyPrompt::kRareFirstPart,
                                      GuiltyPrompt::kClientPart)));
 
+TEST(PromptPartDesignsTest, LongPromptsAreBoundedToo) {
+  const Outcome outcome = PartFleet({.nodes = 11, .common_parts = 400}).simulate();
+  std::cout << "prompts of 403 parts: " << outcome << "\n";
+  EXPECT_LE(outcome.late_sends, kLateSendsAllowed);
+  EXPECT_LE(2 * outcome.sound_refused, outcome.sound_sent);
+}
+
 TEST(PromptPartDesignsTest, RunnersThatExitByThemselvesHaveNoPartRefused) {
   for (const std::size_t nodes : {1, 11, 89}) {
     for (const bool long_responses : {false, true}) {
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -48,7 +48,8 @@
 TEST(PeerLoadMessageTest, LargestReportsAboutPromptPartsFitIntoADatagram) {
   constexpr std::size_t kMaxDatagramBytes = 1400;
   PendingPartReports pending(1);
-  PromptPartExit exit{.parts = std::vector<PartHash>(kMaxPartsPerPrompt, PartHash{9})};
+  PromptPartExit exit;
+  for (std::uint64_t part = 1; part <= 1000; ++part) exit.parts.push_back(PartHash{part});
   for (int i = 0; i < 10; ++i) pending.add(exit);
   for (int i = 0; i < 100; ++i) pending.add_served(PartHash{9}, TimePoint{});
   EXPECT_LT(encode_message(pending.next(TimePoint{})).size(), kMaxDatagramBytes);
