An item whose runner sent too long a text avoids that runner

Cause: the runner was counted among the failed ones, and has_exhausted_attempts subtracts those that fail many requests from the failures, of which this is none: the difference could wrap round and the item be dead-lettered.

Change: the runner is avoided by itself, and apply_attempt holds what an attempt decides.

--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -163,7 +163,6 @@
   is_text_too_long_ = long_text_from_.has_value();
   if (is_text_too_long_) return;
   long_text_from_ = runner;
-  failed_runners_.push_back(runner);
 }
 
 asio::awaitable<std::shared_ptr<Runner>> ItemRun::acquire_runner(const Route& route) {
@@ -254,14 +253,17 @@
   return entry;
 }
 
-/// Excludes runners on which the item has failed, as long as the service has other runners.
+/// Excludes runners on which the item has failed, or that sent a text that is too long, as long as
+/// the service has other runners.
 std::vector<std::uint64_t> ItemRun::runners_to_avoid(const std::string& service) const {
-  bool has_others = failed_runners_.size() < context_.runners.for_service(service).size();
+  std::vector<std::uint64_t> avoided = failed_runners_;
+  if (long_text_from_) avoided.push_back(*long_text_from_);
+  bool has_others = avoided.size() < context_.runners.for_service(service).size();
   if (progress_.origin) {
-    has_others = has_others && context_.runners.has_available(service, progress_.origin->version,
-                                                              failed_runners_);
+    has_others =
+        has_others && context_.runners.has_available(service, progress_.origin->version, avoided);
   }
-  return has_others ? failed_runners_ : std::vector<std::uint64_t>{};
+  return has_others ? avoided : std::vector<std::uint64_t>{};
 }
 
 void ItemRun::log_selection(const Selection& choice, const ItemSchedule& schedule) {
@@ -304,6 +306,18 @@
   return progress_.failures - excused_failures >= route.max_attempts;
 }
 
+std::optional<ItemResult> ItemRun::apply_attempt(const Route& route, std::uint64_t runner,
+                                                 AttemptResult result) {
+  if (result == AttemptResult::kCompleted) return make_result(ItemState::kCompleted);
+  if (result == AttemptResult::kImpossible) return make_result(ItemState::kDeadLettered);
+  if (result == AttemptResult::kTooLong) on_text_too_long(runner);
+  if (result != AttemptResult::kFailed) return std::nullopt;
+  ++progress_.failures;
+  failed_runners_.push_back(runner);
+  if (has_exhausted_attempts(route)) return make_result(ItemState::kDeadLettered);
+  return std::nullopt;
+}
+
 asio::awaitable<std::optional<ItemResult>> ItemRun::run() {
   const auto self = shared_from_this();
   Backoff backoff(kRetryBounds);
@@ -339,14 +353,8 @@
     const AttemptResult result = co_await attempt(runner);
     context_.placement.capacity_changed();
     ++context_.metrics.batch_items[std::string(to_string(result))];
-    if (result == AttemptResult::kCompleted) co_return make_result(ItemState::kCompleted);
-    if (result == AttemptResult::kImpossible) co_return make_result(ItemState::kDeadLettered);
-    if (result == AttemptResult::kTooLong) on_text_too_long(runner->hash());
-    if (result == AttemptResult::kFailed) {
-      ++progress_.failures;
-      failed_runners_.push_back(runner->hash());
-      if (has_exhausted_attempts(*route)) co_return make_result(ItemState::kDeadLettered);
-    }
+    const std::optional<ItemResult> item_result = apply_attempt(*route, runner->hash(), result);
+    if (item_result) co_return item_result;
     if (progress_.last_event > events_before) {
       backoff.reset();
       exit_backoff.reset();
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -100,6 +100,10 @@
   void clear_text();
   /// Returns the maximum bytes of a text, which takes part of the memory budget.
   [[nodiscard]] std::uint64_t max_text_bytes() const;
+  /// Applies the result of an attempt to the item.
+  /// @return the item's result, if the attempt decided it.
+  std::optional<ItemResult> apply_attempt(const Route& route, std::uint64_t runner,
+                                          AttemptResult result);
   void on_text_too_long(std::uint64_t runner);
   /// Entry of this item in the batch queue that the nodes of the zone share.
   struct QueueEntry {
--- a/tests/jobs/item_run_test.cc
+++ b/tests/jobs/item_run_test.cc
@@ -109,8 +109,10 @@
     return {stream_head() + chunk(event(1)) + chunk(event(2)) + kLastChunk};
   }
 
+  /// Must outlive the loop, whose coroutines hold reservations.
+  std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>();
   boost::asio::io_context loop;
-  GatewayContext context{loop.get_executor(), HeaderDialect{}, "zone"};
+  GatewayContext context{loop.get_executor(), HeaderDialect{}, "zone", memory};
   ItemProgress progress;
 };
 
@@ -150,6 +152,22 @@
   EXPECT_EQ(third.requests.size(), 2U);
 }
 
+// Guards against items that are dead-lettered because one runner in trouble sends a text without
+// end.
+TEST_F(ItemOfVersionTest, ATextWithoutEndOfOneRunnerIsRunAgain) {
+  memory->set_limit(8UL * 1024 * 1024);
+  std::string long_text;
+  for (int id = 2; id < 30; ++id) {
+    const std::string data(100000, 'x');
+    long_text += chunk("id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+  }
+  ScriptedRunner endless(loop, {without_end(stream_head() + long_text, chunk(": c\n\n"))});
+  ScriptedRunner serving(loop, {whole()});
+  add_runner("r1", endless, "v1");
+  add_runner("r2", serving, "v1");
+  EXPECT_EQ(run_item(), "e1\ne2");
+}
+
 TEST_F(ItemOfVersionTest, StartsAgainWithoutARunnerOfTheVersion) {
   ScriptedRunner new_runner(loop, {whole()});
   add_runner("r2", new_runner, "v2");
