--- a/src/gateway/response_end.cc
+++ b/src/gateway/response_end.cc
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-/// Any response but 421 shows that this start of the runner is running: a runner that is full or
-/// leaving rejects a probe. Without a health path there is nothing to ask for, and the runner
+/// Any response but 421 shows that the runner with this id is running: one that is full or leaving
+/// rejects a probe. Without a health path there is nothing to ask for, and the runner
 /// counts as running.
 asio::awaitable<bool> ResponseEndCheck::is_running(const Runner& runner, std::string host) {
   std::optional<UpstreamProbe> probe = make_runner_probe(context_, runner, host);
--- a/src/gateway/response_end.h
+++ b/src/gateway/response_end.h
@@ -25,8 +25,9 @@
 ///
 /// Chunks or a length show where a response ends. Without either it ends with its connection, which
 /// the kernel also closes when the process of the runner exits, between two events as well. Such an
-/// end only counts if the same start of the runner responds afterwards. Where a live runner may
-/// still have cut the response off, a second run of the text has to end at the same event.
+/// end only counts if the runner with the same id responds afterwards: each start has a new id.
+/// Where a live runner may still have cut the response off, a second run of the text has to end at
+/// the same event.
 class ResponseEndCheck {
  public:
   explicit ResponseEndCheck(GatewayContext& context) : context_(context) {}
--- a/src/jobs/item_run.cc
+++ b/src/jobs/item_run.cc
@@ -153,7 +153,7 @@
   return std::min(kMaxTextBytes, budget.limit() / kTextBudgetDivisor);
 }
 
-/// A runner in trouble may send a text without end, so another one has to send a long one too.
+/// A runner in trouble may send a text without end, so a second run has to be too long as well.
 void ItemRun::on_text_too_long(std::uint64_t runner) {
   log_event(Event::kItemTextTooLong, {{"job", item_.job},
                                       {"item", item_.item_id},
--- a/src/quarantine/prompt_part_exits.cc
+++ b/src/quarantine/prompt_part_exits.cc
@@ -8,7 +8,7 @@
 
 /// Maximum number of recorded exits.
 constexpr std::size_t kMaxExits = 256;
-/// Maximum number of parts of all recorded exits, some 3 MB: 256 exits of prompts of 128 parts.
+/// Maximum number of parts of all recorded exits. Bounds the memory and the work of a decision.
 constexpr std::size_t kMaxRecordedParts = 32768;
 /// Maximum number of parts with evidence against or for them.
 constexpr std::size_t kMaxSuspects = kMaxRecordedParts;
--- a/src/quarantine/repeated_sends.h
+++ b/src/quarantine/repeated_sends.h
@@ -46,7 +46,7 @@
   }
 
  private:
-  /// An exit with a prompt of 400 parts takes 13 messages, an answer to such a request 400.
+  /// Bounds the memory of the queue.
   static constexpr std::size_t kMaxPending = 2048;
 
   /// Inserts a message behind those that were sent as often or less.
