Several contents that crash runners at once: soak and simulation that fail

Shown on: a content that shares its exits with others is sent late.

The emulated runner can crash before a response, on several bodies, and writes its runs.

--- a/apps/emulator_main.cc
+++ b/apps/emulator_main.cc
@@ -30,6 +30,7 @@
   std::uint32_t fetches_per_minute = 60;
   stoathold::emulator::InferenceRunnerParameters runner;
   std::uint32_t event_interval_ms = 5;
+  std::optional<std::uint32_t> silent_crash_ms;
   stoathold::emulator::AppendLimits append_limits;
 };
 
@@ -91,6 +92,7 @@
   if (kind == "inference-runner") {
     auto runner = options.runner;
     runner.event_interval = Milliseconds(options.event_interval_ms);
+    if (options.silent_crash_ms) runner.silent_crash_delay = Milliseconds(*options.silent_crash_ms);
     return emulator::make_inference_runner(executor, options.listen, runner);
   }
   return emulator::make_link(executor, options.listen, options.target, options.admin_listen);
@@ -111,10 +113,13 @@
                    "Report the current slowness in the load header");
   command.add_option("--software-version", options.runner.software_version,
                      "Software version, which begins the data of each event");
-  command.add_option("--crash-body", options.runner.crash_body,
-                     "Exit on starting the response to a request with this body");
+  command.add_option("--crash-body", options.runner.crash_bodies,
+                     "Exit on starting the response to a request with this body; may be repeated");
   command.add_option("--crash-part", options.runner.crash_part,
                      "Exit on starting the response to a request with this prompt part");
+  command.add_option("--silent-crash-ms", options.silent_crash_ms,
+                     "Exit this long after such a request, in milliseconds, without a response");
+  command.add_flag("--log-runs", options.runner.logs_runs, "Write a line for each run and crash");
   command.add_flag("--ends-with-connection", options.runner.ends_with_connection,
                    "End responses by closing the connection, without a length or chunks");
 }
--- a/emulator/emulated_inference_runner.cc
+++ b/emulator/emulated_inference_runner.cc
@@ -1,6 +1,8 @@
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <iostream>
 #include <map>
 
 #include "emulator/admin.h"
@@ -17,6 +19,9 @@
 /// Exit code of a process that was crashed by a request.
 constexpr int kCrashExitCode = 3;
 
+/// Maximum length of a request's body in a line about its run.
+constexpr std::size_t kMaxLoggedBodyBytes = 40;
+
 constexpr std::uint64_t kNormalPercent = 100;
 
 /// Injected faults, set by tests.
@@ -133,11 +138,28 @@
   }
 
   bool crashes_on(const HttpExchange& exchange) const {
+    const auto& bodies = parameters_.crash_bodies;
     const bool has_crash_body =
-        !parameters_.crash_body.empty() && exchange.body() == parameters_.crash_body;
+        std::find(bodies.begin(), bodies.end(), exchange.body()) != bodies.end();
     return has_crash_body || has_crash_part(exchange.header(dialect_.prompt_prefix));
   }
 
+  /// Writes a line `EVENT TIME_MS REQUEST DEADLINE_MS BODY`, with the time of day and the time left
+  /// that the request names.
+  void log_run(std::string_view event, const HttpExchange& exchange) const {
+    if (!parameters_.logs_runs) return;
+    const auto time_of_day = std::chrono::system_clock::now().time_since_epoch();
+    const auto time_ms = std::chrono::duration_cast<std::chrono::milliseconds>(time_of_day).count();
+    std::cout << event << ' ' << time_ms << ' ' << exchange.header(dialect_.request_id) << ' '
+              << exchange.header(dialect_.deadline_ms) << ' '
+              << exchange.body().substr(0, kMaxLoggedBodyBytes) << std::endl;
+  }
+
+  [[noreturn]] void crash(const HttpExchange& exchange) const {
+    log_run("crash", exchange);
+    std::_Exit(kCrashExitCode);
+  }
+
   asio::awaitable<void> run(HttpExchange& exchange) {
     const std::string id(exchange.header(dialect_.request_id));
     std::vector<HttpHeader> headers = response_headers(id);
@@ -151,6 +173,7 @@
       co_return;
     }
     ++runs_[id];
+    log_run("run", exchange);
     if (faults_.misattributed_responses > 0) {
       --faults_.misattributed_responses;
       std::vector<HttpHeader> misattributed = response_headers("another-request");
@@ -177,12 +200,17 @@
       timer.expires_after(std::chrono::milliseconds(10));
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
+    if (parameters_.silent_crash_delay && crashes_on(exchange)) {
+      timer.expires_after(*parameters_.silent_crash_delay);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      crash(exchange);
+    }
     headers.push_back({"Content-Type", "text/event-stream"});
     ResponseHead head;
     head.headers = std::move(headers);
     if (parameters_.ends_with_connection) head.framing = BodyFraming::kUntilClose;
     bool open = co_await exchange.start_response(head);
-    if (crashes_on(exchange)) std::_Exit(kCrashExitCode);
+    if (crashes_on(exchange)) crash(exchange);
     const std::string& version = parameters_.software_version;
     const std::string echo =
         (version.empty() ? "" : version + "|") + exchange.body().substr(0, parameters_.event_bytes);
--- a/emulator/emulated_service.h
+++ b/emulator/emulated_service.h
@@ -6,7 +6,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "emulator/engine_model.h"
@@ -73,11 +75,15 @@
   /// Begins the data of each event, followed by `|`, so that tests see which version wrote it;
   /// empty: omitted.
   std::string software_version;
-  /// The process exits as soon as it has started the response to a request with this body; empty:
-  /// never.
-  std::string crash_body;
+  /// The process exits as soon as it has started the response to a request with one of these
+  /// bodies.
+  std::vector<std::string> crash_bodies;
   /// The same for requests whose prompt contains this part, unless it is the last one.
   std::string crash_part;
+  /// The process exits this long after it got such a request, before any byte of a response.
+  std::optional<Duration> silent_crash_delay;
+  /// Whether each run and crash is written to the standard output.
+  bool logs_runs = false;
   /// Responses have neither a length nor chunks: they end when the connection closes.
   bool ends_with_connection = false;
 };
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -50,6 +50,12 @@
   double flapping = 0;
   bool silent_poison = false;  ///< Poison requests end their runners before any response.
   bool other_traffic = true;   ///< There are requests beside the poison requests.
+  /// Longest wait of a request for a runner; 0: a request without a runner is dropped.
+  Duration queue_time{0};
+  /// Time from the send of a silent poison request to the exit of its runner; 0: random.
+  Duration silent_run_time{0};
+  /// A runner's exit counts for each poison request that was there, whichever caused it.
+  bool counts_shared_exits = false;
   std::uint64_t seed = 1;
 };
 
@@ -111,6 +117,7 @@
     int attempt = 1;  ///< Runs of this request so far, over both attempts of its client.
     bool reached_dead_runner = false;
     bool probed = false;  ///< The runner responded right before it got the request.
+    TimePoint queued_since{};
   };
   struct Runner {
     std::uint64_t id = 0;
@@ -227,7 +234,11 @@
       const bool looks_up = runner.up_at <= now_ || runner.flaps;
       if (looks_up && runner.runs.size() < kSlots) candidates.push_back(&runner);
     }
-    if (candidates.empty()) return;
+    if (candidates.empty()) {
+      wait_for_runner(run);
+      return;
+    }
+    run.queued_since = {};
     Runner& runner = *candidates[random_.below(candidates.size())];
     run.probed = nodes_[run.node].quarantine->requires_live_runner(ContentHash{run.content});
     if (run.probed && runner.up_at > now_) {
@@ -240,11 +251,19 @@
     run.delivers = run.begins + milliseconds(is_poison(run.content) ? 1000 : 1);
     run.ends = run.begins + milliseconds(is_poison(run.content) ? 60 : 300);
     if (scenario_.silent_poison && is_poison(run.content)) run.begins = TimePoint::max();
+    const bool has_run_time = scenario_.silent_run_time > Duration{0};
+    if (has_run_time && is_poison(run.content)) run.ends = now_ + scenario_.silent_run_time;
     if (run.reached_dead_runner) run.begins = run.delivers = run.ends = TimePoint::max();
     if (is_poison(run.content)) poison_sends_[run.content].push_back(now_);
     runner.runs.push_back(run);
   }
 
+  void wait_for_runner(Run run) {
+    if (run.queued_since == TimePoint{}) run.queued_since = now_;
+    const bool may_wait = now_ - run.queued_since < scenario_.queue_time;
+    if (may_wait) retries_.push_back({now_ + kStep, run});
+  }
+
   /// Ends the runs that a dead runner's address has accepted.
   void close_unreached(Runner& runner) {
     std::vector<Run> closed;
@@ -287,7 +306,8 @@
     runner.up_at = now_ + scenario_.restart_time;
     std::set<std::uint64_t> counted;
     for (const Run& run : runs) {
-      if (is_poison(run.content) && now_ >= run.ends && counted.insert(run.content).second) {
+      const bool counts = now_ >= run.ends || scenario_.counts_shared_exits;
+      if (is_poison(run.content) && counts && counted.insert(run.content).second) {
         ++result_.ends;
         if (++exit_counts_[run.content] == 3) third_exit_[run.content] = now_;
       }
@@ -549,6 +569,37 @@
                          testing::Values(std::pair{3, 1}, std::pair{3, 3}, std::pair{11, 1},
                                          std::pair{61, 1}, std::pair{61, 3}, std::pair{295, 1}));
 
+/// Guards against poison requests that are always at the same runners, because they wait for the few
+/// that are left, so that none of them is blamed for an exit.
+class QuarantineSimultaneousPoisonTest : public QuarantineFleetTest {
+ protected:
+  void check_seeds(FleetScenario scenario) {
+    scenario.silent_poison = true;
+    scenario.notices = true;
+    scenario.innocent_crashes = false;
+    scenario.queue_time = std::chrono::seconds(2);
+    scenario.silent_run_time = milliseconds(20);
+    scenario.counts_shared_exits = true;
+    scenario.runners = std::max<std::size_t>(5, scenario.nodes);
+    for (scenario.seed = 1; scenario.seed <= 5; ++scenario.seed) check(scenario);
+  }
+};
+
+TEST_P(QuarantineSimultaneousPoisonTest, BoundsSends) {
+  check_seeds(scenario());
+}
+
+TEST_P(QuarantineSimultaneousPoisonTest, BoundsSendsWithoutTheLog) {
+  FleetScenario scenario = this->scenario();
+  scenario.log = false;
+  check_seeds(scenario);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, QuarantineSimultaneousPoisonTest,
+                         testing::Values(std::pair{1, 4}, std::pair{3, 1}, std::pair{3, 2},
+                                         std::pair{3, 4}, std::pair{3, 8}, std::pair{11, 4},
+                                         std::pair{61, 8}, std::pair{300, 8}));
+
 /// Guards against runners that had exited before a request reached them and were held against it.
 class QuarantineFlappingTest : public testing::TestWithParam<std::size_t> {
  protected:
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -58,8 +58,8 @@
     """Starts and stops the processes; `link` may put a proxy in front of an address.
 
     `link(kind, name, address)` returns the address to use instead; kinds are `store` (as reached by
-    node `name`) and `runner`. A request with the body `crash_body`, or with the part `crash_part` in
-    its prompt, crashes every runner that starts to execute it.
+    node `name`) and `runner`. A request with the body `crash_body` (or one of these bodies), or with
+    the part `crash_part` in its prompt, crashes every runner that starts to execute it.
     """
 
     def __init__(self, directory, nodes=3, runners=2, link=None, crash_body=None,
@@ -71,6 +71,7 @@
         self.crash_body = crash_body
         self.crash_part = crash_part
         self.key = None  # API key of requests that name none.
+        self.runner_slots = 4
         self.runner_options = runner_options or {}  # By name: additional arguments of that runner.
         self.replacement_count = 0
         self.versions = {}  # By runner name: the software version that its entry lists; default "1".
@@ -116,7 +117,8 @@
 
     def start_runner(self, name, runner_id):
         self.record_start(runner_id)
-        crash = [] if self.crash_body is None else ["--crash-body", self.crash_body]
+        bodies = [self.crash_body] if isinstance(self.crash_body, str) else self.crash_body or []
+        crash = [argument for body in bodies for argument in ("--crash-body", body)]
         crash += [] if self.crash_part is None else ["--crash-part", self.crash_part]
         return Process(runner_id, [
             BUILD / "apps/stoathold-emulator", "inference-runner", "--listen", self.runners[name],
@@ -185,7 +187,7 @@
     def register_runner(self, name, state="ready", runner_id=None):
         key = runner_id or name
         self.append("keyed.servers", key, {
-            "service": "chat", "address": self.runner_addresses[name], "zone": "z1", "slots": 4,
+            "service": "chat", "address": self.runner_addresses[name], "zone": "z1", "slots": self.runner_slots,
             "state": state, "version": self.versions.get(name, "1"), "cold_remaining_ms": 0,
             "sequence": 1, "born": self.start_times[key]})
 
