A request with several exits backs off, and one exit of its own quarantines it

Callers saw: requests that crash runners were sent more than three times later than the contact time after their third exit, when several did so at once. Cause: runners that crash leave few others, so these requests wait for the same runner and share nearly all exits. An exit is attributed to the request with the most exits, and to none while totals are equal, so each needed twice the limit. Class: evidence that is shared is discarded, and nothing makes the next evidence less shared. Why it works: from the third exit on a request is not sent for 1 to 4 s, by its hash, so that the next exit of each is its own; that one is enough beside the shared ones. The same simulation now: 3 late sends at most, no sound request kept away, 1 to 300 nodes. Where else: prompt parts blame the last suspected part and need no tie; exits of items are no evidence.

--- a/src/gateway/online_outcome.cc
+++ b/src/gateway/online_outcome.cc
@@ -15,15 +15,16 @@
 
 }  // namespace
 
-/// The request is refused at once: no runner will run it while the quarantine lasts.
-asio::awaitable<void> OnlineRequest::refuse_quarantined(std::shared_ptr<Runner> runner) {
+/// The request is refused at once: no runner will run it before the time that the refusal names.
+asio::awaitable<void> OnlineRequest::refuse_held_back(std::shared_ptr<Runner> runner) {
   if (runner) release_slot(*runner);
   if (head_sent_ || runs_ > 0) {
     co_await finish_without_response();
     co_return;
   }
+  const bool is_quarantined = quarantine_check_.is_quarantined();
   const Refusal refusal{.status = 503,
-                        .reason = "quarantined",
+                        .reason = is_quarantined ? "quarantined" : "backing_off",
                         .advice = RetryAdvice::kComputedDelay,
                         .retry_after = quarantine_check_.retry_after()};
   co_await refuse(refusal);
--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -161,7 +161,7 @@
     std::shared_ptr<Runner> runner;
     is_on_trial_ = quarantine_check_.is_quarantined() &&
                    (has_claimed_trial_ || quarantine_check_.is_trial_due());
-    if (is_on_trial_ || !quarantine_check_.is_quarantined()) runner = co_await acquire_slot();
+    if (is_on_trial_ || !quarantine_check_.is_held_back()) runner = co_await acquire_slot();
     if (runner && is_on_trial_ && !has_claimed_trial_) {
       std::vector<QuarantineTrial> trials = quarantine_check_.trials();
       has_claimed_trial_ = co_await context_.claim_quarantine_trials(std::move(trials));
@@ -170,8 +170,8 @@
         break;
       }
     }
-    if (!stopped_ && !has_claimed_trial_ && quarantine_check_.is_quarantined()) {
-      co_await refuse_quarantined(runner);
+    if (!stopped_ && !has_claimed_trial_ && quarantine_check_.is_held_back()) {
+      co_await refuse_held_back(runner);
       co_return;
     }
     if (!runner) break;
@@ -318,6 +318,7 @@
   is_unsendable_ = result == AttemptResult::kImpossible;
   if (result == AttemptResult::kUnreachable) result = unsent_result(*runner, *upstream);
   if (status == UpstreamStatus::kOk) {
+    quarantine_check_.record_send();
     watch_silence(runner);
     watch_runner_queue(runner, false);
     const bool retryable = route_.repeatable() && has_alternative();
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -95,7 +95,7 @@
   };
   boost::asio::awaitable<void> refuse(Refusal refusal);
   boost::asio::awaitable<void> refuse_rejected();
-  boost::asio::awaitable<void> refuse_quarantined(std::shared_ptr<Runner> runner);
+  boost::asio::awaitable<void> refuse_held_back(std::shared_ptr<Runner> runner);
 
   /// Returns how long a pooled connection may have been idle to be used for this request.
   [[nodiscard]] Duration max_idle_time() const;
--- a/src/gateway/online_wait.cc
+++ b/src/gateway/online_wait.cc
@@ -59,8 +59,8 @@
   request.due = arrival_ + route_.latency_objective - first_event;
   request.queue_deadline = std::min(arrival_ + kMaxSlotWait, deadline_);
   request.is_obsolete = [this] {
-    const bool is_quarantined = !is_on_trial_ && quarantine_check_.is_quarantined();
-    return is_quarantined || (origin_ && !has_runner_of_origin());
+    const bool is_held_back = !is_on_trial_ && quarantine_check_.is_held_back();
+    return is_held_back || (origin_ && !has_runner_of_origin());
   };
   if (head_sent_) {
     // The caller is already reading the stream, so the next event is due regardless of when the
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -2,6 +2,7 @@
 /// Quarantines poison requests: requests that make the runners exit which run them.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -150,6 +151,16 @@
   /// Number of recorded exits that are evidence against prompt parts.
   [[nodiscard]] std::size_t part_exit_count() const { return part_exits_.size(); }
 
+  /// Records that this node sent the request to a runner.
+  void record_send(ContentHash content, TimePoint now) { exit_table_.record_send(content, now); }
+  /// Returns whether any exits are recorded; requests need not be hashed otherwise.
+  [[nodiscard]] bool has_exits() const { return !exit_table_.empty(); }
+  /// Returns the time until the request may be sent again after exits that are not enough for a
+  /// quarantine.
+  [[nodiscard]] Duration backoff_left(ContentHash content, TimePoint now) const {
+    return std::max(Duration{0}, exit_table_.backoff_until(content) - now);
+  }
+
   /// Records that a runner exited while it had a request of this node.
   void record_runner_exit(const RunnerExit& exit);
   /// Records that a runner closed the connection of a run of this node, which it may have done by
--- a/src/quarantine/quarantine_check.cc
+++ b/src/quarantine/quarantine_check.cc
@@ -48,6 +48,15 @@
   return visit_quarantines(monotonic_now(), [](const AppliedQuarantine&) { return true; });
 }
 
+bool QuarantineCheck::is_backing_off() {
+  if (source_ == RequestSource::kBatchItem || !quarantine_.has_exits()) return false;
+  return quarantine_.backoff_left(content(), monotonic_now()) > Duration{0};
+}
+
+void QuarantineCheck::record_send() {
+  if (quarantine_.has_exits()) quarantine_.record_send(content(), monotonic_now());
+}
+
 bool QuarantineCheck::requires_live_runner() {
   return quarantine_.has_unproven_exits() && quarantine_.requires_live_runner(content());
 }
@@ -72,7 +81,7 @@
 
 Duration QuarantineCheck::retry_after() {
   const TimePoint now = monotonic_now();
-  Duration longest{0};
+  Duration longest = is_backing_off() ? quarantine_.backoff_left(content(), now) : Duration{0};
   visit_quarantines(now, [&](const AppliedQuarantine& applied) {
     longest = std::max(longest, quarantine_.retry_after(applied.key, now, applied.scope));
     return false;
--- a/src/quarantine/quarantine_check.h
+++ b/src/quarantine/quarantine_check.h
@@ -44,6 +44,13 @@
   [[nodiscard]] ContentHash content();
   /// Returns whether the request, or a part of its prompt, is quarantined now.
   [[nodiscard]] bool is_quarantined();
+  /// Returns whether the request must not be sent yet after runner exits. Batch items have a
+  /// backoff of their own.
+  [[nodiscard]] bool is_backing_off();
+  /// Returns whether the request must not be sent now, unless as a trial.
+  [[nodiscard]] bool is_held_back() { return is_quarantined() || is_backing_off(); }
+  /// Records that the request was sent to a runner.
+  void record_send();
   /// Returns whether the request may only be sent to a runner that has just responded.
   [[nodiscard]] bool requires_live_runner();
   /// Returns whether a trial of the request may be claimed now.
@@ -51,7 +58,7 @@
   /// Returns the trials that the request has to claim to be run: one of each quarantine that
   /// applies to it, so that none is tried more often than allowed.
   [[nodiscard]] std::vector<QuarantineTrial> trials();
-  /// Returns the time until the request may be tried or its quarantine expires.
+  /// Returns the time until the request may be sent or tried, or its quarantine expires.
   [[nodiscard]] Duration retry_after();
   /// Returns the ids of the prompt's parts, for logs.
   [[nodiscard]] std::string parts_text() const { return prompt_parts_text(prompt_prefix_); }
--- a/src/quarantine/runner_exit_table.cc
+++ b/src/quarantine/runner_exit_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/ids.h"
+
 namespace stoathold {
 namespace {
 
@@ -13,6 +15,20 @@
 /// Multiple of the limit at which a request is quarantined although other requests were always at
 /// the same runners.
 constexpr std::uint32_t kAmbiguousLimitFactor = 2;
+/// Number of exits from which on a request backs off.
+constexpr std::uint32_t kMinExitsForBackoff = 3;
+/// Shortest backoff after that number of exits. It doubles with each further exit.
+constexpr Duration kFirstBackoff = std::chrono::seconds(1);
+/// Maximum of the shortest backoff.
+constexpr Duration kMaxBackoff = std::chrono::seconds(2);
+
+/// Returns a backoff between the shortest one and twice that. It depends on the request, so that
+/// requests with the same exits are not sent at the same time.
+Duration spread_backoff(Duration shortest, ContentHash content) {
+  constexpr std::uint64_t kSteps = 1024;
+  const auto step = static_cast<Duration::rep>(value_of(content) % kSteps);
+  return shortest + shortest * step / static_cast<Duration::rep>(kSteps);
+}
 
 }  // namespace
 
@@ -137,6 +153,33 @@
   return weight;
 }
 
+bool RunnerExitTable::over_limit(ContentHash content) const {
+  const auto found = requests_.find(content);
+  if (found == requests_.end() || total_weight(found->second) < weights_.limit) return false;
+  return attributed_weight(content) > 0;
+}
+
+void RunnerExitTable::record_send(ContentHash content, TimePoint now) {
+  const auto found = requests_.find(content);
+  if (found != requests_.end()) found->second.sent = now;
+}
+
+TimePoint RunnerExitTable::backoff_until(ContentHash content) const {
+  const auto found = requests_.find(content);
+  if (found == requests_.end()) return {};
+  const Suspect& suspect = found->second;
+  std::uint32_t exits = 0;
+  TimePoint latest = suspect.sent;
+  for (const auto& [start, exit] : suspect.exits) {
+    if (!is_valid(suspect, start, exit)) continue;
+    ++exits;
+    latest = std::max(latest, exit.at);
+  }
+  if (exits < kMinExitsForBackoff) return {};
+  const Duration shortest = kFirstBackoff * (1U << (exits - kMinExitsForBackoff));
+  return latest + spread_backoff(std::min(shortest, kMaxBackoff), content);
+}
+
 std::size_t RunnerExitTable::exit_count(ContentHash content) const {
   const auto found = requests_.find(content);
   return found == requests_.end() ? 0 : found->second.exits.size();
--- a/src/quarantine/runner_exit_table.h
+++ b/src/quarantine/runner_exit_table.h
@@ -45,6 +45,10 @@
 /// Most requests at a runner that exits are not the cause. So an exit is attributed to at most one
 /// request: the one whose response had started, if there was only one; otherwise the one with the
 /// most other exits.
+///
+/// Requests that make runners exit at the same time share most exits: while few runners are left,
+/// all of them wait for the same one. So a request with several exits backs off, for a time that
+/// depends on the request, until it is served or makes a runner exit alone.
 class RunnerExitTable {
  public:
   explicit RunnerExitTable(RunnerStarts::LifeSource life_source, ExitWeights weights = {})
@@ -71,10 +75,13 @@
 
   /// Returns the weight of the exits attributed to the request.
   [[nodiscard]] std::uint32_t attributed_weight(ContentHash content) const;
-  /// Returns whether that weight is enough for a quarantine.
-  [[nodiscard]] bool over_limit(ContentHash content) const {
-    return attributed_weight(content) >= weights_.limit;
-  }
+  /// Returns whether the exits are enough for a quarantine: all of them together weigh enough, and
+  /// at least one is attributed to the request.
+  [[nodiscard]] bool over_limit(ContentHash content) const;
+  /// Records that this node sent the request to a runner.
+  void record_send(ContentHash content, TimePoint now);
+  /// Returns the time before which the request should not be sent again.
+  [[nodiscard]] TimePoint backoff_until(ContentHash content) const;
   /// Returns the number of runner starts that exited with the request, regardless of attribution.
   [[nodiscard]] std::size_t exit_count(ContentHash content) const;
   [[nodiscard]] bool empty() const { return requests_.empty(); }
@@ -90,6 +97,7 @@
   struct Suspect {
     std::map<RunnerStart, Exit> exits;
     std::optional<TimePoint> cleared;  ///< Exits up to this time do not count.
+    TimePoint sent{};                  ///< Latest send by this node since the first exit.
     TimePoint changed{};
   };
 
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -26,6 +26,7 @@
 constexpr std::uint64_t kFirstInnocent = 1000;
 constexpr Duration kFlapPeriod = milliseconds(425);
 constexpr Duration kRetryPause = milliseconds(30);
+constexpr Duration kCallerRetryPause = milliseconds(300);
 
 /// Parameters of a simulation.
 struct FleetScenario {
@@ -54,6 +55,10 @@
   Duration queue_time{0};
   /// Time from the send of a silent poison request to the exit of its runner; 0: random.
   Duration silent_run_time{0};
+  /// Longest time until a response starts.
+  Duration max_response_delay = milliseconds(65);
+  /// Callers repeat sound requests until they are served.
+  bool persistent_callers = false;
   /// A runner's exit counts for each poison request that was there, whichever caused it.
   bool counts_shared_exits = false;
   std::uint64_t seed = 1;
@@ -64,6 +69,7 @@
   std::size_t ends = 0;             ///< Runner exits caused by poison requests.
   std::size_t late_sends = 0;       ///< Maximum number of late sends over all poison requests.
   std::size_t false_positives = 0;  ///< Innocent requests that were quarantined.
+  std::size_t backoffs = 0;         ///< Innocent requests that backed off.
 };
 
 /// Alternative design in which each node counts the exits of a request on its own.
@@ -99,6 +105,7 @@
       result_.late_sends = std::max(result_.late_sends, late);
     }
     result_.false_positives = false_positives_.size();
+    result_.backoffs = backed_off_.size();
     return result_;
   }
 
@@ -224,11 +231,28 @@
     return scenario_.shared ? node.quarantine->contains(content, now_) : node.local.holds(content);
   }
 
+  [[nodiscard]] bool is_backing_off(const Run& run) const {
+    const Quarantine& quarantine = *nodes_[run.node].quarantine;
+    return scenario_.shared &&
+           quarantine.backoff_left(ContentHash{run.content}, now_) > Duration{0};
+  }
+
+  void back_off(Run run) {
+    backed_off_.insert(run.content);
+    if (!scenario_.persistent_callers) return;
+    run.attempt = 1;
+    retries_.push_back({now_ + kCallerRetryPause, run});
+  }
+
   void send(Run run) {
     if (is_quarantined(run)) {
       if (!is_poison(run.content)) false_positives_.insert(run.content);
       return;
     }
+    if (is_backing_off(run)) {
+      if (!is_poison(run.content)) back_off(run);
+      return;
+    }
     std::vector<Runner*> candidates;
     for (auto& runner : runners_) {
       const bool looks_up = runner.up_at <= now_ || runner.flaps;
@@ -247,7 +271,9 @@
     }
     run.connected = now_;
     run.reached_dead_runner = runner.up_at > now_;
-    run.begins = now_ + milliseconds(5 + random_.below(60));
+    const auto spread = std::chrono::duration_cast<milliseconds>(scenario_.max_response_delay);
+    run.begins =
+        now_ + milliseconds(5 + random_.below(static_cast<std::size_t>(spread.count()) - 5));
     run.delivers = run.begins + milliseconds(is_poison(run.content) ? 1000 : 1);
     run.ends = run.begins + milliseconds(is_poison(run.content) ? 60 : 300);
     if (scenario_.silent_poison && is_poison(run.content)) run.begins = TimePoint::max();
@@ -256,6 +282,7 @@
     if (run.reached_dead_runner) run.begins = run.delivers = run.ends = TimePoint::max();
     if (is_poison(run.content)) poison_sends_[run.content].push_back(now_);
     runner.runs.push_back(run);
+    nodes_[run.node].quarantine->record_send(ContentHash{run.content}, now_);
   }
 
   void wait_for_runner(Run run) {
@@ -318,7 +345,12 @@
         retries_.push_back({now_ + kRetryPause, run});
         continue;
       }
-      if (run.attempt++ >= 4) continue;
+      if (run.attempt++ >= 4) {
+        if (!scenario_.persistent_callers || is_poison(run.content)) continue;
+        run.attempt = 1;
+        retries_.push_back({now_ + kCallerRetryPause, run});
+        continue;
+      }
       if (run.attempt == 3) run.node = random_.below(nodes_.size());
       send(run);
     }
@@ -438,6 +470,7 @@
   std::map<std::uint64_t, TimePoint> third_exit_;
   std::map<std::uint64_t, std::size_t> exit_counts_;
   std::set<std::uint64_t> false_positives_;
+  std::set<std::uint64_t> backed_off_;
   std::uint64_t next_id_ = 0;
   std::uint64_t next_innocent_ = 0;
   FleetOutcome result_;
@@ -454,7 +487,8 @@
     const FleetOutcome result = Fleet(scenario).simulate();
     std::cout << scenario.nodes << " nodes, " << scenario.poison_requests
               << " requests: " << result.ends << " ends, " << result.late_sends << " late sends, "
-              << result.false_positives << " innocents kept away\n";
+              << result.false_positives << " innocents kept away, " << result.backoffs
+              << " backed off\n";
     EXPECT_LE(result.late_sends, kSendsAllowed);
     EXPECT_EQ(result.false_positives, 0U);
   }
@@ -569,8 +603,8 @@
                          testing::Values(std::pair{3, 1}, std::pair{3, 3}, std::pair{11, 1},
                                          std::pair{61, 1}, std::pair{61, 3}, std::pair{295, 1}));
 
-/// Guards against poison requests that are always at the same runners, because they wait for the few
-/// that are left, so that none of them is blamed for an exit.
+/// Guards against poison requests that are always at the same runners, because they wait for the
+/// few that are left, so that none of them is blamed for an exit.
 class QuarantineSimultaneousPoisonTest : public QuarantineFleetTest {
  protected:
   void check_seeds(FleetScenario scenario) {
@@ -580,6 +614,7 @@
     scenario.queue_time = std::chrono::seconds(2);
     scenario.silent_run_time = milliseconds(20);
     scenario.counts_shared_exits = true;
+    scenario.persistent_callers = true;
     scenario.runners = std::max<std::size_t>(5, scenario.nodes);
     for (scenario.seed = 1; scenario.seed <= 5; ++scenario.seed) check(scenario);
   }
@@ -595,6 +630,14 @@
   check_seeds(scenario);
 }
 
+/// Sound requests that are long at the same runners without a response are often there when one
+/// exits.
+TEST_P(QuarantineSimultaneousPoisonTest, BoundsSendsBesideSlowResponses) {
+  FleetScenario scenario = this->scenario();
+  scenario.max_response_delay = milliseconds(400);
+  check_seeds(scenario);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, QuarantineSimultaneousPoisonTest,
                          testing::Values(std::pair{1, 4}, std::pair{3, 1}, std::pair{3, 2},
                                          std::pair{3, 4}, std::pair{3, 8}, std::pair{11, 4},
--- a/tests/quarantine/runner_exit_table_test.cc
+++ b/tests/quarantine/runner_exit_table_test.cc
@@ -9,6 +9,7 @@
 
 constexpr ContentHash kPoisonRequest{1};
 constexpr ContentHash kInnocentRequest{2};
+constexpr ContentHash kOtherPoisonRequest{500};
 
 /// A table, and the times when runners were last heard from.
 class RunnerExitTableTest : public testing::Test {
@@ -103,6 +104,54 @@
   EXPECT_FALSE(table.over_limit(kInnocentRequest));
 }
 
+/// Guards against poison requests that are always at the same runners and are blamed for no exit.
+TEST_F(RunnerExitTableTest, OneExitAloneIsEnoughAfterSharedOnes) {
+  for (std::uint64_t runner = 1; runner <= 5; ++runner) {
+    add_exit(kPoisonRequest, runner, RunStage::kWaiting);
+    add_exit(kOtherPoisonRequest, runner, RunStage::kWaiting);
+  }
+  EXPECT_FALSE(table.over_limit(kPoisonRequest));
+  add_exit(kPoisonRequest, 6, RunStage::kWaiting);
+  EXPECT_TRUE(table.over_limit(kPoisonRequest));
+  EXPECT_FALSE(table.over_limit(kOtherPoisonRequest));
+  for (std::uint64_t runner = 7; runner <= 8; ++runner) {
+    add_exit(kOtherPoisonRequest, runner, RunStage::kWaiting);
+  }
+  EXPECT_TRUE(table.over_limit(kOtherPoisonRequest));
+}
+
+TEST_F(RunnerExitTableTest, RequestBacksOffFromTheThirdExitOn) {
+  add_exit(kPoisonRequest, 1);
+  add_exit(kPoisonRequest, 2);
+  EXPECT_EQ(table.backoff_until(kPoisonRequest), TimePoint{});
+  add_exit(kPoisonRequest, 3);
+  const TimePoint after_third = table.backoff_until(kPoisonRequest);
+  EXPECT_GT(after_third, at(3));
+  add_exit(kPoisonRequest, 4);
+  EXPECT_GT(table.backoff_until(kPoisonRequest) - at(4), after_third - at(3));
+}
+
+TEST_F(RunnerExitTableTest, BackoffBeginsAnewWithEachSend) {
+  for (std::uint64_t runner = 1; runner <= 3; ++runner) add_exit(kPoisonRequest, runner);
+  const Duration backoff = table.backoff_until(kPoisonRequest) - at(3);
+  table.record_send(kPoisonRequest, at(7));
+  EXPECT_EQ(table.backoff_until(kPoisonRequest), at(7) + backoff);
+}
+
+TEST_F(RunnerExitTableTest, RequestsWithTheSameExitsBackOffForDifferentTimes) {
+  for (std::uint64_t runner = 1; runner <= 3; ++runner) {
+    add_exit(kPoisonRequest, runner);
+    add_exit(kOtherPoisonRequest, runner);
+  }
+  EXPECT_NE(table.backoff_until(kPoisonRequest), table.backoff_until(kOtherPoisonRequest));
+}
+
+TEST_F(RunnerExitTableTest, ServedRequestDoesNotBackOff) {
+  for (std::uint64_t runner = 1; runner <= 3; ++runner) add_exit(kInnocentRequest, runner);
+  table.clear(kInnocentRequest, at(4));
+  EXPECT_EQ(table.backoff_until(kInnocentRequest), TimePoint{});
+}
+
 TEST_F(RunnerExitTableTest, IgnoresExitsOfRunnersHeardLater) {
   for (std::uint64_t runner = 1; runner <= 3; ++runner) add_exit(kInnocentRequest, runner);
   EXPECT_TRUE(table.over_limit(kInnocentRequest));
