Proven exits before a response are evidence against prompt parts

Callers saw: requests that share a prompt part which makes runners exit before any byte of a response were sent on without end, and sound requests were not served meanwhile. Cause: only exits behind the head of a response counted against parts. Class: evidence that one rule accepts (contents) is ignored by its sibling. ProvenExitsBeforeTheResponseAreEvidenceAgainstParts fails with the old condition. crashing_prompt_part: 11 cases pass. Why it works: the runner is known to have been running when it got the request, so its exit is as good as one behind the head; answers clear the parts that sound requests share, as before. Where else: contents (RunnerExitTable) count such exits already; items count none.

--- a/src/quarantine/prompt_part_exits.h
+++ b/src/quarantine/prompt_part_exits.h
@@ -18,7 +18,7 @@
 
 namespace stoathold {
 
-/// A runner exited after it had begun to answer a request, before its first event.
+/// A runner exited while it had a request, before the first event of the response.
 struct PromptPartExit {
   RunnerStart start;
   ContentHash content{};
--- a/src/quarantine/prompt_part_messages.h
+++ b/src/quarantine/prompt_part_messages.h
@@ -12,7 +12,7 @@
 /// reports.
 inline constexpr std::size_t kMaxPartsPerReport = 32;
 
-/// Reports that a runner exited after it had begun to answer a request.
+/// Reports that a runner exited while it had a request, before the first event of the response.
 struct PromptPartExitReport {
   std::uint64_t runner = 0;    ///< Hash of the id of the runner that exited.
   std::uint32_t restarts = 0;  ///< `RunnerStart::restarts`.
--- a/src/quarantine/quarantine_check.cc
+++ b/src/quarantine/quarantine_check.cc
@@ -120,7 +120,7 @@
                          .stage = run.stage,
                          .reached_live_runner = run.reached_live_runner};
   quarantine_.record_closed_run(content(), closed, now);
-  if (run.stage == RunStage::kResponseStarted) record_part_exit(closed, now);
+  if (!closed.is_unproven()) record_part_exit(closed, now);
 }
 
 void QuarantineCheck::record_part_exit(const ClosedRun& run, TimePoint now) {
--- a/tests/quarantine/prompt_part_fleet_test.cc
+++ b/tests/quarantine/prompt_part_fleet_test.cc
@@ -66,9 +66,11 @@
   std::size_t nodes = 3;
   GuiltyPrompt prompt = GuiltyPrompt::kMiddle;
   Design design = Design::kQuarantine;
-  std::size_t runners = 0;         ///< 0: as many as nodes, but at least 12.
-  bool innocent_exits = false;     ///< Every 2 s a fifth of the runners exits by itself.
-  bool long_responses = false;     ///< 100 ms pass between the head and the first event.
+  std::size_t runners = 0;      ///< 0: as many as nodes, but at least 12.
+  bool innocent_exits = false;  ///< Every 2 s a fifth of the runners exits by itself.
+  bool long_responses = false;  ///< 100 ms pass between the head and the first event.
+  /// Runners exit before any byte of a response, so waiting runs are evidence as well.
+  bool silent = false;
   bool partitioned = false;        ///< For 12 s a third of the nodes hears from no other node.
   bool restart = false;            ///< In second 8 all nodes restart.
   std::uint64_t tenants = 1;       ///< Tenants of the requests with the guilty part.
@@ -398,7 +400,8 @@
     runner.up_at = now_ + kRestartTime;
     for (const Run& run : runs) {
       if (run.delivered) record_served(run.request);
-      if (!run.delivered && now_ >= run.begins) record_exit(run.request, id);
+      const bool counts = now_ >= run.begins || scenario_.silent;
+      if (!run.delivered && counts) record_exit(run.request, id);
     }
     for (const Run& run : runs) {
       if (!run.delivered && run.request.attempts < 2) send(run.request);
@@ -561,6 +564,34 @@
                                      GuiltyPrompt::kWithCompanion, GuiltyPrompt::kRareFirstPart,
                                      GuiltyPrompt::kClientPart)));
 
+/// Guards against guilty parts that are never blamed because runners exit before they respond.
+class SilentPromptPartFleetTest : public PromptPartFleetTest {
+ protected:
+  static Scenario scenario() {
+    Scenario scenario = PromptPartFleetTest::scenario();
+    scenario.silent = true;
+    return scenario;
+  }
+};
+
+TEST_P(SilentPromptPartFleetTest, BoundsSendsAndServesSoundRequests) {
+  check(scenario());
+}
+
+TEST_P(SilentPromptPartFleetTest, AlsoAfterARestartOfAllNodes) {
+  Scenario scenario = this->scenario();
+  scenario.restart = true;
+  check(scenario);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Sizes, SilentPromptPartFleetTest,
+    testing::Combine(testing::Values(1, 11, 89, 300),
+                     testing::Values(GuiltyPrompt::kFirst, GuiltyPrompt::kMiddle,
+                                     GuiltyPrompt::kNextToLast, GuiltyPrompt::kTwoParts,
+                                     GuiltyPrompt::kWithCompanion, GuiltyPrompt::kRareFirstPart,
+                                     GuiltyPrompt::kClientPart)));
+
 TEST(PromptPartDesignsTest, LongPromptsAreBoundedToo) {
   const Outcome outcome = PartFleet({.nodes = 11, .common_parts = 400}).simulate();
   std::cout << "prompts of 403 parts: " << outcome << "\n";
--- a/tests/quarantine/quarantine_parts_test.cc
+++ b/tests/quarantine/quarantine_parts_test.cc
@@ -1,7 +1,10 @@
 /// Tests the quarantine of prompt parts at one node and between two nodes.
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "quarantine/quarantine.h"
+#include "quarantine/quarantine_check.h"
 
 namespace stoathold {
 namespace {
@@ -42,6 +45,41 @@
   std::vector<ContentHash> lifted;
 };
 
+// Guards against requests, no two alike, whose part makes runners exit before any byte of a
+// response.
+TEST_F(QuarantinePartsTest, ProvenExitsBeforeTheResponseAreEvidenceAgainstParts) {
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    const std::string body = std::to_string(number);
+    const std::string prompt = "aa:60,b" + body + ":10";
+    QuarantineCheck check(node, {.tenant = "t", .host = "h", .target = "/", .body = body},
+                          RequestSource::kOnline);
+    check.set_service("s");
+    check.set_prompt_prefix(prompt);
+    EXPECT_FALSE(check.is_quarantined());
+    check.record_run({.runner = number, .stage = RunStage::kWaiting, .closed_by_runner = true});
+  }
+  EXPECT_EQ(node.part_exit_count(), 4U);
+  node.evaluate_parts(monotonic_now() + std::chrono::seconds(1));
+  QuarantineCheck next(node, {.tenant = "t", .host = "h", .target = "/", .body = "next"},
+                       RequestSource::kOnline);
+  next.set_service("s");
+  next.set_prompt_prefix("aa:60,b9:10");
+  EXPECT_TRUE(next.is_quarantined());
+}
+
+// An exit before the response that may have happened before the request came is none.
+TEST_F(QuarantinePartsTest, UnprovenExitsAreNoEvidenceAgainstParts) {
+  QuarantineCheck check(node, {.tenant = "t", .host = "h", .target = "/", .body = "q"},
+                        RequestSource::kOnline);
+  check.set_service("s");
+  check.set_prompt_prefix("aa:60,b1:10");
+  check.record_run({.runner = 1,
+                    .stage = RunStage::kWaiting,
+                    .reached_live_runner = false,
+                    .closed_by_runner = true});
+  EXPECT_EQ(node.part_exit_count(), 0U);
+}
+
 // Guards against a caller that makes runners exit by other means, and has the part of another
 // tenant refused by naming it.
 TEST_F(QuarantinePartsTest, ExitsOfOneTenantKeepThePartOfNoOtherTenantAway) {
