--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -173,8 +173,8 @@
   [[nodiscard]] RunnerStart start_of(const ClosedRun& run) const {
     return exit_table_.start_of(run);
   }
-  /// Records that a runner exited while it had a request of this node, before the first event of the
-  /// response, as evidence against the parts of the prompt.
+  /// Records that a runner exited while it had a request of this node, before the first event of
+  /// the response, as evidence against the parts of the prompt.
   void record_part_exit(PromptPartExit exit);
   /// Records that a runner delivered events of a request of this node with these prompt parts.
   /// @param tenant hash of the tenant's name.
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -72,6 +72,7 @@
         self.crash_part = crash_part
         self.key = None  # API key of requests that name none.
         self.runner_slots = 4
+        self.stream_timeout_ms = 20000
         self.runner_options = runner_options or {}  # By name: additional arguments of that runner.
         self.replacement_count = 0
         self.versions = {}  # By runner name: the software version that its entry lists; default "1".
@@ -194,7 +195,8 @@
     def configure(self, version, extra_routes=(), tenants=None, extra_services=()):
         routes = [
             {"name": "ask", "host": HOST, "path_prefix": "/ask/", "kind": "streaming",
-             "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat", "max_attempts": 2,
+             "timeout_ms": self.stream_timeout_ms, "target_latency_ms": 5000, "service": "chat",
+             "max_attempts": 2,
              "session_affinity": True, "resumable": True, "gap_target_ms": 5000},
             {"name": "drafts", "host": HOST, "path_prefix": "/drafts/", "kind": "batch",
              "timeout_ms": 20000, "target_latency_ms": 5000, "service": "chat", "max_attempts": 3,
