--- a/tests/soak/crashing_prompt_parts.py
+++ b/tests/soak/crashing_prompt_parts.py
@@ -13,7 +13,6 @@
 import json
 import pathlib
 import random
-import signal
 import sys
 import tempfile
 import threading
@@ -21,9 +20,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
 from platform_fleet import CRASH_EXIT_CODE, HOST, Platform, stream_text  # noqa: E402
-from fleet import call, wait_for  # noqa: E402
 
 from kept_connections import KeptConnections  # noqa: E402
+from node_faults import CONTACT_SECONDS, NodeFaults  # noqa: E402
 
 SEEDS_FILE = pathlib.Path(__file__).resolve().parent / "crashing_prompt_parts_seeds.txt"
 CRASH_PART = "deadbeef"
@@ -34,7 +33,6 @@
 SOUND_CLIENTS = 8
 GUILTY_CLIENTS = 3
 RUNNER_RESTART_SECONDS = 0.8
-CONTACT_SECONDS = 3.0
 CALM_SECONDS = 5.0  # At the end, without faults.
 CRASHES_UNTIL_DECISION = 5
 LATE_SENDS_ALLOWED = 3
@@ -44,7 +42,7 @@
 PROMPTS = [[FIRST_PART, CRASH_PART], [CRASH_PART, "bb02"], [FIRST_PART, CRASH_PART, "cc03"]]
 
 
-class CrashingPromptPartsSoak:
+class CrashingPromptPartsSoak(NodeFaults):
     def __init__(self, seed, steps, directory, nodes, runners):
         self.random = random.Random(seed)
         self.steps = steps
@@ -55,18 +53,12 @@
             directory, nodes, runners, crash_part=CRASH_PART,
             runner_options={"r%d" % index: options for index in range(runners)},
             node_zones=["z%d" % (index % ZONES + 1) for index in range(nodes)])
-        self.lock = threading.Lock()
+        super().__init__(self.platform)
         self.stopped = threading.Event()
         self.runners_lock = threading.Lock()
-        self.violations = []
         self.crash_times = []
-        self.disruptions = []  # (node or None for all, begin, end), in wall clock time.
         self.sound_answers = []  # (time, served whole).
 
-    def add_violation(self, text):
-        with self.lock:
-            self.violations.append(text)
-
     # Clients.
 
     def run_client(self, number, prefix, parts):
@@ -99,54 +91,8 @@
 
     # Faults. Each returns when it has healed.
 
-    def disrupt(self, node, begin):
-        with self.lock:
-            self.disruptions.append((node, begin, time.time()))
-
-    def start_again(self, node):
-        self.platform.node_processes[node].start()
-        self.platform.wait_ready([node])
-
-    def kill_node(self, node):
-        self.platform.node_processes[node].kill()
-        self.start_again(node)
-
-    def stop_node(self, node):
-        process = self.platform.node_processes[node]
-        wait_for(lambda: call(self.platform.ready[node], "GET", "/api/ready")[0] > 0, process.name)
-        code = process.stop(60.0)
-        if code != 0:
-            self.add_violation("node %d: stopped with code %s" % (node, code))
-        self.start_again(node)
-
-    def freeze_node(self, node):
-        self.platform.node_processes[node].suspend()
-        time.sleep(0.7)
-        self.platform.node_processes[node].resume()
-
-    def reload_node(self, node):
-        wait_for(lambda: call(self.platform.ready[node], "GET", "/api/ready")[0] > 0, "node")
-        self.platform.node_processes[node].handle.send_signal(signal.SIGHUP)
-
-    def fault_nodes(self, plan):
-        """Faults one node or several at once, each in its own way."""
-        nodes = plan.sample(range(self.node_count),
-                            plan.choice([1, 1, 2, self.node_count // 2, self.node_count]))
-        threads = []
-        for node in nodes:
-            fault = plan.choice([self.kill_node, self.stop_node, self.freeze_node, self.reload_node])
-            threads.append(threading.Thread(target=self.fault_node, args=(fault, node)))
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-
-    def fault_node(self, fault, node):
-        begin = time.time()
-        try:
-            fault(node)
-        finally:
-            self.disrupt(node, begin)
+    def fault_some_nodes(self, plan):
+        self.fault_nodes(plan, [1, 1, 2, self.node_count // 2, self.node_count])
 
     def silence_store(self, plan):
         begin = time.time()
@@ -178,16 +124,12 @@
     def inject_faults(self, number):
         plan = random.Random("faults %d %d" % (number, self.random.randrange(1 << 30)))
         for _ in range(self.steps):
-            plan.choice([self.fault_nodes, self.fault_nodes, self.silence_store,
+            plan.choice([self.fault_some_nodes, self.fault_some_nodes, self.silence_store,
                          self.replace_runner])(plan)
             time.sleep(plan.uniform(0.1, 1.5))
 
     # Checks.
 
-    def in_touch(self, node, moment):
-        return not any(disrupted in (None, node) and begin <= moment <= end + CONTACT_SECONDS
-                       for disrupted, begin, end in self.disruptions)
-
     def late_sends(self, after):
         """Returns the nodes and times of sends of requests with the part by nodes in touch."""
         sends = []
--- a/tests/soak/crashing_requests.py
+++ b/tests/soak/crashing_requests.py
@@ -18,7 +18,6 @@
 import http.client
 import pathlib
 import random
-import signal
 import sys
 import tempfile
 import threading
@@ -26,9 +25,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
 from platform_fleet import CRASH_EXIT_CODE, HOST, Platform, stream_text  # noqa: E402
-from fleet import call, wait_for  # noqa: E402
 
 from kept_connections import KeptConnections  # noqa: E402
+from node_faults import CONTACT_SECONDS, NodeFaults  # noqa: E402
 
 SEEDS_FILE = pathlib.Path(__file__).resolve().parent / "crashing_requests_seeds.txt"
 SIZES = [(3, 5), (3, 8), (6, 12)]  # Nodes and runners.
@@ -37,7 +36,6 @@
 SOUND_CLIENTS = 6
 CLIENTS_PER_CONTENT = 2
 RUNNER_RESTART_SECONDS = 0.8
-CONTACT_SECONDS = 3.0
 PLAY_SECONDS = 16.0
 CALM_SECONDS = 4.0  # At the end, without faults.
 CRASHES_UNTIL_DECISION = 3
@@ -62,7 +60,7 @@
     has_runner_ended: bool
 
 
-class CrashingRequestsSoak:
+class CrashingRequestsSoak(NodeFaults):
     def __init__(self, seed, arguments, directory):
         self.random = random.Random(seed)
         self.steps = arguments.steps
@@ -80,20 +78,14 @@
         self.shape = "%d nodes, %d runners, %d contents%s" % (
             self.node_count, runner_count, content_count, ", silent" if is_silent else "")
         self.platform.runner_slots = RUNNER_SLOTS
-        self.lock = threading.Lock()
+        super().__init__(self.platform)
         self.stopped = threading.Event()
-        self.violations = []
         self.crash_times = collections.defaultdict(list)  # By content.
         self.runner_logs = []  # Processes of all starts of runners.
-        self.disruptions = []  # (node or None for all, begin, end), in wall clock time.
         self.sent_at = {}  # By request id, in wall clock time.
         self.nodes_of = {}  # By request id.
         self.sound_answers = []  # (time, served whole).
 
-    def add_violation(self, text):
-        with self.lock:
-            self.violations.append(text)
-
     # Clients.
 
     def run_client(self, number, content):
@@ -127,61 +119,12 @@
             self.add_violation("%s: an empty answer" % request)
         self.sound_answers.append((sent, status == 200 and body.decode() == stream_text(request)))
 
-    # Faults. Each returns when it has healed.
-
-    def disrupt(self, node, begin):
-        with self.lock:
-            self.disruptions.append((node, begin, time.time()))
-
-    def start_again(self, node):
-        self.platform.node_processes[node].start()
-        self.platform.wait_ready([node])
-
-    def kill_node(self, node):
-        self.platform.node_processes[node].kill()
-        self.start_again(node)
-
-    def stop_node(self, node):
-        process = self.platform.node_processes[node]
-        wait_for(lambda: call(self.platform.ready[node], "GET", "/api/ready")[0] > 0, process.name)
-        code = process.stop(60.0)
-        if code != 0:
-            self.add_violation("node %d: stopped with code %s" % (node, code))
-        self.start_again(node)
-
-    def freeze_node(self, node):
-        self.platform.node_processes[node].suspend()
-        time.sleep(0.7)
-        self.platform.node_processes[node].resume()
-
-    def reload_node(self, node):
-        wait_for(lambda: call(self.platform.ready[node], "GET", "/api/ready")[0] > 0, "node")
-        self.platform.node_processes[node].handle.send_signal(signal.SIGHUP)
-
-    def fault_nodes(self, plan):
-        """Faults one node or several at once, each in its own way."""
-        nodes = plan.sample(range(self.node_count),
-                            plan.choice([1, 1, 2, self.node_count // 2]))
-        threads = []
-        for node in nodes:
-            fault = plan.choice([self.kill_node, self.stop_node, self.freeze_node, self.reload_node])
-            threads.append(threading.Thread(target=self.fault_node, args=(fault, node)))
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-
-    def fault_node(self, fault, node):
-        begin = time.time()
-        try:
-            fault(node)
-        finally:
-            self.disrupt(node, begin)
+    # Faults.
 
     def inject_faults(self):
         plan = random.Random("faults %d" % self.random.randrange(1 << 30))
         for _ in range(self.steps):
-            self.fault_nodes(plan)
+            self.fault_nodes(plan, [1, 1, 2, self.node_count // 2])
             time.sleep(plan.uniform(0.1, 1.5))
 
     def restart_crashed_runners(self):
@@ -198,10 +141,6 @@
 
     # Checks.
 
-    def in_touch(self, node, moment):
-        return not any(disrupted in (None, node) and begin <= moment <= end + CONTACT_SECONDS
-                       for disrupted, begin, end in self.disruptions)
-
     def runs(self):
         """Returns the runs that all starts of the runners have begun."""
         runs = []
