--- a/src/gateway/online_request.cc
+++ b/src/gateway/online_request.cc
@@ -303,6 +303,15 @@
   delivered_events_ = false;
 }
 
+/// Records that the request was sent, and starts the timers of the attempt.
+void OnlineRequest::record_sent(const std::shared_ptr<Runner>& runner) {
+  quarantine_check_.record_send();
+  watch_silence(runner);
+  watch_runner_queue(runner, false);
+  const bool retryable = route_.repeatable() && has_alternative();
+  if (retryable) start_silence_timeout(scale(route_.latency_objective, kFirstEventTimeoutFactor));
+}
+
 asio::awaitable<AttemptResult> OnlineRequest::attempt(const std::shared_ptr<Runner>& runner) {
   const RunnerMemoryReservation hold(runner, prompt_.tokens);
   const auto upstream = std::make_shared<UpstreamExchange>(context_.pool);
@@ -318,11 +327,7 @@
   is_unsendable_ = result == AttemptResult::kImpossible;
   if (result == AttemptResult::kUnreachable) result = unsent_result(*runner, *upstream);
   if (status == UpstreamStatus::kOk) {
-    quarantine_check_.record_send();
-    watch_silence(runner);
-    watch_runner_queue(runner, false);
-    const bool retryable = route_.repeatable() && has_alternative();
-    if (retryable) start_silence_timeout(scale(route_.latency_objective, kFirstEventTimeoutFactor));
+    record_sent(runner);
     status = co_await upstream->read_head();
     result = classify_failure(status);
     if (status == UpstreamStatus::kOk) {
--- a/src/gateway/online_request.h
+++ b/src/gateway/online_request.h
@@ -69,6 +69,7 @@
   boost::asio::awaitable<void> run_attempts();
   boost::asio::awaitable<AttemptResult> attempt(const std::shared_ptr<Runner>& runner);
   void reset_attempt();
+  void record_sent(const std::shared_ptr<Runner>& runner);
   boost::asio::awaitable<AttemptResult> relay_response(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_body(Runner& runner);
   boost::asio::awaitable<AttemptResult> relay_events(Runner& runner);
