--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -607,7 +607,7 @@
 /// few that are left, so that none of them is blamed for an exit.
 class QuarantineSimultaneousPoisonTest : public QuarantineFleetTest {
  protected:
-  void check_seeds(FleetScenario scenario) {
+  void check_seeds(FleetScenario scenario, std::uint64_t first = 1, std::uint64_t last = 5) {
     scenario.silent_poison = true;
     scenario.notices = true;
     scenario.innocent_crashes = false;
@@ -616,7 +616,7 @@
     scenario.counts_shared_exits = true;
     scenario.persistent_callers = true;
     scenario.runners = std::max<std::size_t>(5, scenario.nodes);
-    for (scenario.seed = 1; scenario.seed <= 5; ++scenario.seed) check(scenario);
+    for (scenario.seed = first; scenario.seed <= last; ++scenario.seed) check(scenario);
   }
 };
 
@@ -643,6 +643,16 @@
                                          std::pair{3, 4}, std::pair{3, 8}, std::pair{11, 4},
                                          std::pair{61, 8}, std::pair{300, 8}));
 
+/// The same with other random draws.
+class QuarantineEightPoisonRequestsTest : public QuarantineSimultaneousPoisonTest {};
+
+TEST_P(QuarantineEightPoisonRequestsTest, BoundsSends) {
+  check_seeds(scenario(), 6, 15);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, QuarantineEightPoisonRequestsTest,
+                         testing::Values(std::pair{3, 8}));
+
 /// Guards against runners that had exited before a request reached them and were held against it.
 class QuarantineFlappingTest : public testing::TestWithParam<std::size_t> {
  protected:
