The slow client of ReclaimsSlowBody stays below the stall threshold

Cause: the client sends one byte an iteration without a pause. A trace counted 51,800 iterations in 10 s, so 5.2 kB/s; the server counts 4 kB/s as progress and is right not to reclaim that body. Change: at most one byte a millisecond. Looked at: the other tests of this file send nothing in a loop.

--- a/tests/net/http_server_resource_limits_test.cc
+++ b/tests/net/http_server_resource_limits_test.cc
@@ -236,6 +236,8 @@
   std::string answer;
   const TimePoint end = monotonic_now() + 10 * kStallThreshold;
   while (!answer.starts_with("HTTP/1.1 200") && monotonic_now() < end) {
+    // At most 1 kB/s; a body that is received at 4 kB/s makes progress and is not reclaimed.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
     slow.send("b");
     RawClient client(server_.address());
     client.send_request("/", kMegabyte);
