A chunk's extension and trailers have a limit at every server

Seen by callers: 24 clients that send trailers, one trailer line, a chunk extension or the zeros of a chunk size without end take 326 to 358 MB of a node of 120 MB (16 MB each); on a machine of 120 MB the process ends. Cause: the parser leaves these parts in the receive buffer until their end has arrived, and the buffer had no maximum size. Limits of head and body do not cover them, and no account counts them. Fix: the buffer holds at most a head and 16 kB. The parser then reports a buffer overflow, which is refused with 431 and as not run; it is, since no handler has seen the request. Also: the limit follows a raised limit of heads on open connections (ARaisedHeaderLimitHoldsForOpenConnections); a buffer that kept the old one would throw. Looked at: all servers (callers, other nodes, readiness and metrics) share this reader.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -10,6 +10,7 @@
 #include "net/beast_helpers.h"
 #include "net/client_connections.h"
 #include "net/http.h"
+#include "net/message_framing.h"
 #include "net/request_reader.h"
 #include "net/server_exchange.h"
 
@@ -198,6 +199,7 @@
     beast::flat_buffer buffer;
     while (!stopped) {
       const HttpLimits limits = current_limits();
+      buffer.max_size(std::max(buffer.size(), max_receive_buffer_bytes(limits.header_bytes)));
       if (buffer.size() == 0) {
         if (buffer.capacity() > kMaxRetainedBufferBytes) buffer.shrink_to_fit();
         const bool request_started = co_await await_request(stream, buffer, limits, client);
--- a/src/net/request_reader.cc
+++ b/src/net/request_reader.cc
@@ -31,6 +31,8 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kUnreadable = "the request could not be read";
+constexpr std::string_view kFramingTooLarge =
+    "a chunk's extension or the trailers of the request are too long";
 constexpr std::string_view kBodyTooLarge = "the request's body is larger than this node can hold";
 constexpr std::string_view kOutOfMemory = "this node has no memory for the request's body now";
 constexpr std::string_view kBodyTooSlow =
@@ -52,6 +54,9 @@
   result.reason = kUnreadable;
   if (error == http::error::header_limit) {
     result.status = kHeaderTooLarge;
+  } else if (error == http::error::buffer_overflow) {
+    result.status = kHeaderTooLarge;
+    result.reason = kFramingTooLarge;
   } else if (error == http::error::body_limit) {
     result.status = kTooLarge;
   } else if (error == beast::error::timeout) {
--- a/src/net/request_reader.h
+++ b/src/net/request_reader.h
@@ -62,6 +62,7 @@
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
   /// All arguments must outlive the reader.
+  /// @param buffer its maximum size limits what is kept of a part that has not arrived completely.
   RequestReader(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
                 const HttpLimits& limits, const ServerResourceLimits& resource_limits,
                 ReclaimableBufferRegistry& buffer_registry);
--- a/tests/net/http_server_resource_limits_test.cc
+++ b/tests/net/http_server_resource_limits_test.cc
@@ -358,6 +358,49 @@
   EXPECT_EQ(handled_, 1);
 }
 
+// Guards against bytes without a limit between the chunks of a body and behind them.
+TEST_F(HttpServerResourceLimitsTest, RejectsEndlessTrailersAndChunkExtensions) {
+  start(0);
+  for (const std::string opening : {"1\r\nq\r\n0\r\na: ", "1;a=", "1\r\nq\r\n0;a=", "0"}) {
+    RawClient client(server_.address());
+    client.send_head("/", "Transfer-Encoding: chunked\r\n");
+    client.send(opening);
+    const std::string piece(64 * 1024, '0');
+    for (int sent = 0; sent < 16; ++sent) client.send(piece);
+    const std::string answer = client.read_all();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 431")) << opening << answer;
+    EXPECT_NE(answer.find(kNotRun), std::string::npos) << answer;
+  }
+  EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(HttpServerResourceLimitsTest, ServesTrailersAndChunkExtensionsWithinTheLimit) {
+  start(kBudget);
+  RawClient client(server_.address());
+  client.send_head("/", "Transfer-Encoding: chunked\r\n");
+  const std::string value(8 * 1024, 'v');
+  client.send("1;a=" + value + "\r\nq\r\n0;a=" + value + "\r\n\r\n");
+  EXPECT_TRUE(client.read_until(";").ends_with("1;"));
+  client.send_head("/", "Transfer-Encoding: chunked\r\n");
+  client.send("1\r\nq\r\n0\r\na: " + value + "\r\n\r\n");
+  EXPECT_TRUE(client.read_until(";").ends_with("1;"));
+}
+
+// Guards against a buffer that keeps the size that the limits allowed for an earlier request.
+TEST_F(HttpServerResourceLimitsTest, ARaisedHeaderLimitHoldsForOpenConnections) {
+  start(kBudget);
+  RawClient client(server_.address());
+  client.send_request("/", 1);
+  EXPECT_TRUE(client.read_until(";").ends_with("1;"));
+  HttpLimits limits;
+  limits.header_bytes = 256 * 1024;
+  server_.set_limits(limits);
+  client.send_request("/", 2);
+  EXPECT_TRUE(client.read_until(";").ends_with("2;"));
+  client.send_head("/", "Content-Length: 0\r\na: " + std::string(60000, 'v') + "\r\n");
+  EXPECT_TRUE(client.read_until(";").ends_with("0;"));
+}
+
 TEST_F(HttpServerResourceLimitsTest, NoLimitRejectsNothing) {
   start(0);
   RawClient client(server_.address());
--- /dev/null
+++ b/tests/system/misbehaving_clients_test.py
@@ -0,0 +1,131 @@
+"""Tests that clients that ignore all limits end no node and take none of its memory.
+
+Guards against bytes that are received without a limit: what stands between the parts of a chunked
+body and behind it, bodies at the ports of operators and other nodes, and request heads whose parsed
+form needs many times their bytes. Each test lets a crowd send to a node of 120 MB, and checks that
+the process lives, that its peak memory and open descriptors stay under their bounds, and that an
+ordinary request is answered afterwards. No time and no share of served requests is checked.
+"""
+
+import json
+import pathlib
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from crowd import EndlessClient, open_descriptors, peak_megabytes, send_endlessly  # noqa: E402
+from memory_limit_test import raise_open_file_limit  # noqa: E402
+from platform_fleet import HOST, Platform, stream_text  # noqa: E402
+from fleet import call  # noqa: E402
+
+# The memory of the smallest machines, and the bound of a node's peak memory.
+MEMORY_MB = 120
+CLIENTS = 24
+CLIENT_BYTES = 16 * 1024 * 1024
+PIECE_BYTES = 64 * 1024
+# Descriptor limit of the node, of which 60 percent are kept for callers.
+OPEN_FILE_LIMIT = 300
+CALLER_DESCRIPTORS = 180
+IDLE_CONNECTIONS = 400
+# Heads within the limit of 16,384 bytes, whose fields need many times their bytes once parsed.
+SMALL_FIELDS = b"a:b\r\n" * 2400
+UNFINISHED_HEADS = 1000
+WHOLE_REQUESTS = 600
+HEAD_PIECES = 200
+HEAD_PIECE_PAUSE_SECONDS = 0.01
+
+CHUNKED_HEAD = ("POST %s HTTP/1.1\r\nHost: " + HOST + "\r\nStoathold-Attempt-Id: crowd%d\r\n"
+                "Stoathold-Deadline-Ms: 15000\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+
+def repeat(text):
+    return text * (PIECE_BYTES // len(text))
+
+
+class NodeUnderCrowd(unittest.TestCase):
+    """A node of 120 MB with two runners."""
+
+    def start(self, low_open_file_limit=False):
+        raise_open_file_limit()
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.platform = Platform(directory.name, 1, 2, memory_mb=MEMORY_MB)
+        self.addCleanup(self.platform.stop)
+        self.node = self.platform.node_processes[0]
+        self.asked = 0
+        if low_open_file_limit:
+            self.node.kill()
+            self.node.arguments = (["prlimit", "--nofile=%d" % OPEN_FILE_LIMIT] +
+                                   self.node.arguments)
+            self.node.start()
+        for name in self.platform.runners:
+            self.platform.register_runner(name)
+        self.platform.configure(1)
+        self.platform.wait_ready()
+        settings = json.loads(self.platform.settings[0].read_text())
+        self.peer_address = "127.0.0.1:%d" % settings["internal_ports"][0]
+
+    def connect(self, address, opening, piece=b"", max_bytes=0):
+        client = EndlessClient(address, opening, piece, max_bytes)
+        self.addCleanup(client.close)
+        return client
+
+    def send_crowd(self, address, target, opening, piece):
+        """Lets the crowd send a chunked body with this opening, and then the piece without end."""
+        clients = [self.connect(address, (CHUNKED_HEAD % (target, number)).encode() + opening,
+                                repeat(piece), CLIENT_BYTES) for number in range(CLIENTS)]
+        send_endlessly(clients)
+        self.check_node()
+        for client in clients:
+            client.close()
+        self.check_node()
+
+    def check_node(self, max_descriptors=2500):
+        """Checks the process, its bounds, readiness and an ordinary request.
+
+        The request comes first: it is answered after the connections that were made before it.
+        """
+        self.assertIsNone(self.node.handle.poll(), "the node has ended")
+        self.asked += 1
+        status, _, body = self.platform.ask(0, "ordinary%d" % self.asked)
+        peak = peak_megabytes(self.node)
+        descriptors = open_descriptors(self.node)
+        print("peak of %.0f MB, %d descriptors" % (peak, descriptors), file=sys.stderr)
+        self.assertLess(peak, MEMORY_MB)
+        self.assertLess(descriptors, max_descriptors)
+        self.assertEqual(call(self.platform.ready[0], "GET", "/api/ready")[0], 200)
+        self.assertEqual((status, body.decode()), (200, stream_text("q")))
+
+
+class EndlessBodiesTest(NodeUnderCrowd):
+    """Chunked requests at the callers' port that do not end."""
+
+    def test_trailers(self):
+        self.start()
+        self.send_crowd(self.platform.nodes[0], "/ask/1", b"1\r\nq\r\n0\r\n", b"a: b\r\n")
+
+    def test_one_trailer_line(self):
+        self.start()
+        self.send_crowd(self.platform.nodes[0], "/ask/1", b"1\r\nq\r\n0\r\na: ", b"bbbbbbbb")
+
+    def test_chunk_extension(self):
+        self.start()
+        self.send_crowd(self.platform.nodes[0], "/ask/1", b"1;a=", b"bbbbbbbb")
+
+    def test_extension_of_the_last_chunk(self):
+        self.start()
+        self.send_crowd(self.platform.nodes[0], "/ask/1", b"1\r\nq\r\n0;a=", b"bbbbbbbb")
+
+    def test_zeros_of_a_chunk_size(self):
+        self.start()
+        self.send_crowd(self.platform.nodes[0], "/ask/1", b"", b"00000000")
+
+    def test_trailers_of_a_batch_job(self):
+        self.start()
+        self.send_crowd(self.platform.nodes[0], "/drafts/x", b"1\r\nq\r\n0\r\n", b"a: b\r\n")
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
