A chunk's extension and trailers have a limit wherever answers are read

Seen by callers: four answers whose runner sends trailers or a chunk extension without end take 633 and 635 MB of a node of 120 MB (128 MB each). Cause: as for requests: these parts stay in the receive buffer until their end has arrived, and the buffers had no maximum size. Fix: an exchange with a runner breaks when more than 16 kB of such a part wait; probes, skipped and relayed bodies, streams and items use the same reader. HttpClient (store, other nodes, machine list, weights, loads) and HttpStream hold at most a head and 16 kB. The error body of HttpStream is bounded by 64 kB. Open: a reply's body may still have 256 MB.

--- a/src/gateway/upstream_state.cc
+++ b/src/gateway/upstream_state.cc
@@ -1,6 +1,8 @@
 // The steps of a request to a runner: connect, probe, and read the head and body of its response.
 #include "gateway/upstream_state.h"
 
+#include "net/message_framing.h"
+
 namespace stoathold {
 namespace {
 
@@ -31,7 +33,10 @@
 }
 
 UpstreamExchange::State::State(UpstreamPool::State& pool_in)
-    : pool(pool_in), timer(pool_in.executor), read_buffer(kReadBytes) {}
+    : pool(pool_in),
+      timer(pool_in.executor),
+      buffer(max_receive_buffer_bytes(kHeadBytes)),
+      read_buffer(kReadBytes) {}
 
 void UpstreamExchange::State::start_parser(http::verb method) {
   parser = std::make_unique<Parser>();
@@ -184,6 +189,8 @@
   while (!parser->is_done()) {
     if (!parse_body(view)) co_return failure(UpstreamStatus::kBroken);
     if (!view.empty() || parser->is_done()) break;
+    // What is left is a part of a chunk's size line or of the trailers.
+    if (buffer.size() > kMaxFramingBytes) co_return failure(UpstreamStatus::kBroken);
     auto [error, count] = co_await socket->async_read_some(buffer.prepare(kReadBytes), kNoThrow);
     buffer.commit(count);
     closed_by_runner = end_status == UpstreamStatus::kOk && is_closed_by_peer(error);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -203,7 +203,7 @@
 
   /// Sends the request and reads the head of the response.
   /// @return the progress, and the status if the head was received. For a status other than 200 the
-  /// body has been read into `error_body`.
+  /// body has been read into `error_body`, or the beginning of a long one.
   boost::asio::awaitable<std::pair<HttpProgress, int>> open(const HttpCall& call);
   /// Reads more of the body.
   /// @param view set to the bytes read; valid until the next call.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,6 +6,7 @@
 
 #include "net/beast_helpers.h"
 #include "net/http.h"
+#include "net/message_framing.h"
 
 namespace stoathold {
 namespace {
@@ -18,6 +19,9 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kPooledPerAddress = 32;
 constexpr std::uint64_t kReplyBodyLimit = 256ULL * 1024 * 1024;
+constexpr std::uint32_t kReplyHeadBytes = 16U * 1024;
+/// Maximum bytes that are kept of the body of an error response to a streamed request.
+constexpr std::size_t kErrorBodyBytes = 64UL * 1024;
 constexpr std::size_t kReadBufferBytes = 16UL * 1024;
 
 http::request<http::string_body> make_request(const HttpCall& call) {
@@ -94,8 +98,9 @@
   reply.progress = HttpProgress::kSent;
   const auto [write_error, written] = co_await http::async_write(stream, request, kNoThrow);
   if (write_error) co_return false;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(max_receive_buffer_bytes(kReplyHeadBytes));
   http::response_parser<http::string_body> parser;
+  parser.header_limit(kReplyHeadBytes);
   parser.body_limit(kReplyBodyLimit);
   while (!parser.is_done()) {
     const auto [error, read] = co_await http::async_read_some(stream, buffer, parser, kNoThrow);
@@ -147,7 +152,9 @@
 }
 
 struct HttpStream::State {
-  explicit State(const asio::any_io_executor& executor) : stream(executor) {
+  explicit State(const asio::any_io_executor& executor)
+      : stream(executor), buffer(max_receive_buffer_bytes(kReplyHeadBytes)) {
+    parser.header_limit(kReplyHeadBytes);
     parser.body_limit(boost::none);
   }
   beast::tcp_stream stream;
@@ -180,7 +187,7 @@
   const int status = state.parser.get().result_int();
   if (status != static_cast<int>(http::status::ok)) {
     std::string_view view;
-    while (true) {
+    while (state.error_body.size() < kErrorBodyBytes) {
       const bool more = co_await this->read(view, call.timeout);
       if (!more) break;
       state.error_body.append(view);
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -138,6 +138,23 @@
   EXPECT_EQ(call(runner, "1").status, UpstreamStatus::kBroken);
 }
 
+// Guards against trailers and chunk extensions that are received until the deadline.
+TEST_F(UpstreamTest, TrailersAndChunkExtensionsWithoutEndBreakTheConnection) {
+  for (const std::string opening : {"1\r\nq\r\n0\r\na: ", "1;a=", "0;a=", "0"}) {
+    ScriptedRunner runner(loop, {without_end(stream_head() + opening, std::string(60000, '0'))});
+    EXPECT_EQ(call(runner, "1").status, UpstreamStatus::kBroken) << opening;
+  }
+}
+
+TEST_F(UpstreamTest, TrailersAndChunkExtensionsWithinTheLimitAreRead) {
+  const std::string value(8000, 'v');
+  ScriptedRunner runner(
+      loop, {{stream_head() + "1;a=" + value + "\r\nq\r\n0\r\na: " + value + "\r\n\r\n"}});
+  const Outcome outcome = call(runner, "1");
+  EXPECT_EQ(outcome.status, UpstreamStatus::kOk);
+  EXPECT_EQ(outcome.body, "q");
+}
+
 TEST_F(UpstreamTest, ClosesAConnectionWithBytesAfterAResponse) {
   ScriptedRunner runner(loop, {{plain_response("one"), false, false, plain_response("extra", "1")},
                                {plain_response("two")}});
--- a/tests/net/http_client_pool_test.cc
+++ b/tests/net/http_client_pool_test.cc
@@ -17,7 +17,8 @@
 constexpr Duration kPieceInterval = std::chrono::milliseconds(20);
 
 /// Server that answers `/short` immediately, `/slow` one byte at a time for longer than the timeout
-/// of a request, `/halting` with the first bytes only, and `/silent` never.
+/// of a request, `/halting` with the first bytes only, `/trailers` with trailers without end, and
+/// `/silent` never.
 class SlowPeer {
  public:
   explicit SlowPeer(asio::io_context& loop)
@@ -28,8 +29,13 @@
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
   int connections = 0;
+  std::size_t trailer_bytes = 0;  ///< Bytes of trailers that were sent.
+
+  static constexpr std::size_t kMaxTrailerBytes = 128UL * 1024 * 1024;
 
  private:
+  static constexpr std::size_t kTrailerPieceBytes = 64UL * 1024;
+
   asio::awaitable<void> accept() {
     while (true) {
       sockets_.push_back(co_await acceptor_.async_accept(asio::use_awaitable));
@@ -37,7 +43,7 @@
       asio::co_spawn(acceptor_.get_executor(), serve(sockets_.back()), asio::detached);
     }
   }
-  static asio::awaitable<void> serve(Tcp::socket& socket) {
+  asio::awaitable<void> serve(Tcp::socket& socket) {
     std::string text;
     while (true) {
       const auto [error, size] = co_await asio::async_read_until(
@@ -50,6 +56,10 @@
         co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nx");
         continue;
       }
+      if (request.find("/trailers") != std::string::npos) {
+        co_await answer_with_trailers(socket);
+        co_return;
+      }
       if (request.find("/slow") != std::string::npos) {
         co_await answer_slowly(socket);
         co_return;
@@ -62,6 +72,14 @@
                                                           asio::as_tuple(asio::use_awaitable));
     co_return !error;
   }
+  asio::awaitable<void> answer_with_trailers(Tcp::socket& socket) {
+    bool open =
+        co_await send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na: ");
+    while (open && trailer_bytes < kMaxTrailerBytes) {
+      open = co_await send(socket, std::string(kTrailerPieceBytes, 'v'));
+      trailer_bytes += kTrailerPieceBytes;
+    }
+  }
   static asio::awaitable<void> answer_slowly(Tcp::socket& socket) {
     asio::steady_timer timer(socket.get_executor());
     bool open = co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
@@ -116,6 +134,13 @@
   EXPECT_EQ(peer.connections, 2);
 }
 
+// Guards against trailers that are received until the timeout, and then kept.
+TEST_F(HttpClientPoolTest, TrailersWithoutEndAreNotReceived) {
+  constexpr std::size_t kSocketBufferBytes = 16UL * 1024 * 1024;
+  EXPECT_EQ(run_awaitable(loop, call("/trailers")).progress, HttpProgress::kSent);
+  EXPECT_LT(peer.trailer_bytes, kSocketBufferBytes);
+}
+
 TEST_F(HttpClientPoolTest, TimeoutWithoutResponseDropsIdleConnections) {
   connect_twice();
   EXPECT_EQ(run_awaitable(loop, call("/silent")).progress, HttpProgress::kSent);
--- /dev/null
+++ b/tests/system/misbehaving_runners_test.py
@@ -0,0 +1,194 @@
+"""Tests that runners whose answers do not end or break off neither end a node nor look complete.
+
+Guards against bytes of an answer that are received without a limit, behind its body or between two
+chunks, and against an answer that is passed on as complete although its runner reset the connection
+while the request was still being sent. Bounds are the stated memory of the node; no time and no
+share of served requests is checked.
+"""
+
+import http.client
+import pathlib
+import re
+import socket
+import struct
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from misbehaving_clients_test import NodeUnderCrowd, repeat  # noqa: E402
+from platform_fleet import HOST  # noqa: E402
+from fleet import call  # noqa: E402
+
+REQUESTS = 4
+ANSWER_BYTES = 128 * 1024 * 1024
+UPLOAD_BYTES = 3 * 1024 * 1024
+UPLOADS = 12
+RECEIVE_BUFFER_BYTES = 4096
+RESET_PAUSE_SECONDS = 0.05
+HEAD_END = b"\r\n\r\n"
+
+
+def read_head(connection):
+    """Reads a request up to the end of its head; returns the text."""
+    text = b""
+    while HEAD_END not in text:
+        received = connection.recv(1024)
+        if not received:
+            return ""
+        text += received
+    return text.split(HEAD_END)[0].decode()
+
+
+class FaultyRunner:
+    """A runner that answers probes and lets `answer(connection, request id)` answer the rest.
+
+    The request id is the text of its field, to be returned in the answer.
+    """
+
+    def __init__(self, runner_id, answer, receive_buffer=None):
+        self.runner_id = runner_id
+        self.answer = answer
+        self.server = socket.socket()
+        if receive_buffer is not None:
+            self.server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.server.bind(("127.0.0.1", 0))
+        self.server.listen(100)
+        self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
+        self.requests = 0
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        try:
+            with connection:
+                head = read_head(connection)
+                while head.startswith("GET /health "):
+                    connection.sendall(("HTTP/1.1 200 OK\r\nStoathold-Instance: %s\r\n"
+                                        "Content-Length: 0\r\n\r\n" % self.runner_id).encode())
+                    head = read_head(connection)
+                if head:
+                    self.requests += 1
+                    found = re.search(r"Stoathold-Attempt-Id: (\S+)", head, re.IGNORECASE)
+                    self.answer(connection, found.group(1))
+        except OSError:
+            pass
+
+    def close(self):
+        self.server.close()
+
+
+def answer_head(request_id, more):
+    return ("HTTP/1.1 200 OK\r\nStoathold-Attempt-Id: %s\r\nStoathold-Response-Seal: s\r\n%s\r\n" %
+            (request_id, more)).encode()
+
+
+class FaultyRunnerTest(NodeUnderCrowd):
+    def start_with(self, answer, receive_buffer=None):
+        """Starts the node with a faulty runner of a service of its own."""
+        self.start()
+        runner = FaultyRunner("faulty", answer, receive_buffer)
+        self.addCleanup(runner.close)
+        self.runner = runner
+        self.platform.append("keyed.servers", "faulty", {
+            "service": "faulty", "address": runner.address, "zone": "z1", "slots": 16,
+            "state": "ready", "version": "1", "cold_remaining_ms": 0, "sequence": 1,
+            "born": int(time.time() * 1000)})
+        routes = [{"name": kind, "host": HOST, "path_prefix": "/%s/" % kind, "kind": kind,
+                   "timeout_ms": 15000, "target_latency_ms": 5000, "service": "faulty",
+                   "max_attempts": 1, "gap_target_ms": 5000}
+                  for kind in ("safe", "unsafe", "streaming")]
+        self.platform.configure(2, routes, extra_services=["faulty"])
+
+    def ask_faulty(self, kind, number, body):
+        """Sends one request; returns (status, whether the body is complete, body)."""
+        host, port = self.platform.nodes[0].rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=30)
+        try:
+            connection.request("POST", "/%s/1" % kind, body, {
+                "Host": HOST, "Stoathold-Attempt-Id": "%s%d" % (kind, number),
+                "Stoathold-Deadline-Ms": "15000"})
+            response = connection.getresponse()
+            return response.status, True, response.read()
+        except http.client.IncompleteRead as broken:
+            return response.status, False, broken.partial
+        except (OSError, http.client.HTTPException):
+            return 0, False, b""
+        finally:
+            connection.close()
+
+    def wait_for_service(self):
+        """Waits until the node knows the runner, by requests that it answers or breaks off."""
+        for number in range(200):
+            self.ask_faulty("safe", 1000 + number, b"")
+            if self.runner.requests > 0:
+                return
+            time.sleep(0.05)
+        self.fail("no request reached the runner")
+
+
+class EndlessAnswersTest(FaultyRunnerTest):
+    """Answers of a runner that send bytes without end that are no part of a body."""
+
+    def check_endless(self, opening, piece):
+        limit = threading.Event()
+
+        def answer(connection, request_id):
+            connection.sendall(answer_head(request_id, "Transfer-Encoding: chunked\r\n") + opening)
+            content, sent = repeat(piece), 0
+            while sent < ANSWER_BYTES and not limit.is_set():
+                connection.sendall(content)
+                sent += len(content)
+
+        self.start_with(answer)
+        self.addCleanup(limit.set)
+        self.wait_for_service()
+        asks = [threading.Thread(target=self.ask_faulty, args=(kind, number, b"q"))
+                for number in range(REQUESTS // 2) for kind in ("safe", "streaming")]
+        for ask in asks:
+            ask.start()
+        for ask in asks:
+            ask.join()
+        self.check_node()
+
+    def test_trailers(self):
+        self.check_endless(b"1\r\nq\r\n0\r\n", b"a: b\r\n")
+
+    def test_chunk_extension(self):
+        self.check_endless(b"1\r\nq\r\n1;a=", b"bbbbbbbb")
+
+    def test_interim_responses_with_endless_fields(self):
+        self.check_endless_heads(b"HTTP/1.1 102 Processing\r\n", b"a: b\r\n")
+
+    def test_head_fields(self):
+        self.check_endless_heads(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n")
+
+    def check_endless_heads(self, opening, piece):
+        def answer(connection, _):
+            connection.sendall(opening)
+            content, sent = repeat(piece), 0
+            while sent < ANSWER_BYTES:
+                connection.sendall(content)
+                sent += len(content)
+
+        self.start_with(answer)
+        self.wait_for_service()
+        asks = [threading.Thread(target=self.ask_faulty, args=("safe", number, b"q"))
+                for number in range(REQUESTS)]
+        for ask in asks:
+            ask.start()
+        for ask in asks:
+            ask.join()
+        self.check_node()
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
