A reset during the upload no longer makes a partial answer look complete

Seen by callers: a runner answers 200 without a length, sends 14 bytes and resets 50 ms later, while a body of 3 MB is still being written to it. The client gets the 14 bytes as a complete answer, 12 of 12 times each on a safe route, an unsafe one and a stream. Cause: the kernel reports a reset once. The pending write takes the error, and the read behind it sees the end of the stream, which completes an answer without a length. The probe of the runner afterwards finds it alive. With a receive buffer that takes the whole upload no write is pending, and the observed answer breaks off there: only the order of the two operations differs. Fix: an answer that ends with its connection is complete only once its request has been written; the end waits for the write, within the deadline of the exchange, and a failed write breaks the answer off. Chunks or a length show the end by themselves, as before. Looked at: streams, batch items, probes and skipped bodies use the same reader. HttpClient and HttpStream (store, other nodes, engines) read only after the whole write, and answers between nodes have a length.

--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -63,10 +63,12 @@
     }
   }
   state->sent = monotonic_now();
+  state->write = RequestWrite::kPending;
   // Not awaited, since a runner may respond before it has read the complete body.
-  http::async_write(
-      *state->socket, state->request,
-      [state](boost::system::error_code error, std::size_t /*count*/) { state->written = !error; });
+  http::async_write(*state->socket, state->request,
+                    [state](boost::system::error_code error, std::size_t /*count*/) {
+                      state->end_write(error.failed());
+                    });
   co_return state->failure(UpstreamStatus::kOk);
 }
 
@@ -88,7 +90,8 @@
     const UpstreamStatus status = co_await state->connect(connect_timeout);
     if (status == UpstreamStatus::kOk) co_await state->probe(std::move(probe));
   }
-  state->written = true;
+  // No request follows the probe.
+  state->write = RequestWrite::kComplete;
   co_return state->probe_status;
 }
 
@@ -154,7 +157,8 @@
   auto& state = *state_;
   state.timer.cancel();
   state.extender = nullptr;
-  const bool complete = state.parser && state.parser->is_done() && state.written;
+  const bool written = state.write == RequestWrite::kComplete;
+  const bool complete = state.parser && state.parser->is_done() && written;
   const bool reusable = complete && state.end_status == UpstreamStatus::kOk &&
                         state.parser->keep_alive() && !state.parser->need_eof() &&
                         state.buffer.size() == 0;
--- a/src/gateway/upstream_state.cc
+++ b/src/gateway/upstream_state.cc
@@ -35,6 +35,7 @@
 UpstreamExchange::State::State(UpstreamPool::State& pool_in)
     : pool(pool_in),
       timer(pool_in.executor),
+      write_ended(pool_in.executor),
       buffer(max_receive_buffer_bytes(kHeadBytes)),
       read_buffer(kReadBytes) {}
 
@@ -197,12 +198,28 @@
     if (error == asio::error::eof) {
       error = {};
       parser->put_eof(error);
+      // A reset is reported once: a pending write gets the error, and a read the end of the stream.
+      const bool sent = co_await wait_for_write();
+      if (!sent) co_return failure(UpstreamStatus::kBroken);
     }
     if (error || end_status != UpstreamStatus::kOk) co_return failure(UpstreamStatus::kBroken);
   }
   co_return UpstreamStatus::kOk;
 }
 
+void UpstreamExchange::State::end_write(bool failed) {
+  write = failed ? RequestWrite::kFailed : RequestWrite::kComplete;
+  write_ended.cancel();
+}
+
+asio::awaitable<bool> UpstreamExchange::State::wait_for_write() {
+  while (write == RequestWrite::kPending) {
+    write_ended.expires_at(Timer::time_point::max());
+    co_await write_ended.async_wait(kNoThrow);
+  }
+  co_return write != RequestWrite::kFailed;
+}
+
 asio::awaitable<UpstreamStatus> UpstreamExchange::State::skip_body() {
   std::size_t skipped_bytes = 0;
   std::string_view view;
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -35,6 +35,9 @@
   std::uint64_t connects = 0;
 };
 
+/// Progress of writing a request to a runner.
+enum class RequestWrite : std::uint8_t { kNotStarted, kPending, kComplete, kFailed };
+
 /// Owned by its exchange and by the write of its request.
 struct UpstreamExchange::State : std::enable_shared_from_this<UpstreamExchange::State> {
   using Tcp = boost::asio::ip::tcp;
@@ -64,6 +67,10 @@
   /// @param method of the message that the response answers.
   boost::asio::awaitable<UpstreamStatus> read_next_head(boost::beast::http::verb method);
   boost::asio::awaitable<UpstreamStatus> read_some(std::string_view& view);
+  /// Records the end of the write of the request.
+  void end_write(bool failed);
+  /// Waits for the end of the write. @return false if it failed.
+  boost::asio::awaitable<bool> wait_for_write();
   /// Parses body bytes from the read buffer; `view` is empty if more must be read first.
   /// @return false if the bytes are malformed.
   bool parse_body(std::string_view& view);
@@ -84,7 +91,8 @@
   std::uint64_t runner = 0;
   std::string request_id;
   boost::beast::http::request<boost::beast::http::string_body> request;
-  bool written = false;
+  RequestWrite write = RequestWrite::kNotStarted;
+  Timer write_ended;  ///< Cancelled when the write ends; never expires.
   bool closed_by_runner = false;
   TimePoint connected{};
   TimePoint sent{};
--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -190,5 +190,46 @@
         self.check_node()
 
 
+class EarlyResetTest(FaultyRunnerTest):
+    """A runner that resets the connection while a long request is still being sent to it."""
+
+    def check_early_reset(self, kind, body_part, content_type=""):
+        def answer(connection, request_id):
+            connection.sendall(answer_head(request_id, content_type) + body_part)
+            time.sleep(RESET_PAUSE_SECONDS)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+        self.start_with(answer, RECEIVE_BUFFER_BYTES)
+        self.wait_for_service()
+        outcomes = [self.ask_faulty(kind, number, b"u" * UPLOAD_BYTES)
+                    for number in range(UPLOADS)]
+        complete = [outcome for outcome in outcomes if outcome[0] // 100 == 2 and outcome[1]]
+        self.assertEqual(complete, [])
+        self.check_node()
+
+    def test_safe_request(self):
+        self.check_early_reset("safe", b"part of a body")
+
+    def test_unsafe_request(self):
+        self.check_early_reset("unsafe", b"part of a body")
+
+    def test_stream(self):
+        self.check_early_reset("streaming", b"id: 1\ndata: a\n\n", "Content-Type: text/event-stream\r\n")
+
+    def test_complete_answer_before_the_request_is_read(self):
+        """A runner may answer before it reads the body, keep the connection and read on later."""
+        def answer(connection, request_id):
+            connection.sendall(answer_head(request_id, "") + b"whole body")
+            connection.shutdown(socket.SHUT_WR)
+            time.sleep(RESET_PAUSE_SECONDS)
+            while connection.recv(65536):
+                pass
+
+        self.start_with(answer, RECEIVE_BUFFER_BYTES)
+        self.wait_for_service()
+        self.assertEqual(self.ask_faulty("safe", 0, b"u" * UPLOAD_BYTES),
+                         (200, True, b"whole body"))
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
