Large request heads are counted in the memory budget

Seen: 1,000 heads of 2,400 small fields that do not end take 213 MB of a node of 120 MB, 600 whole requests with such heads 217 MB. Each is inside the limit of 16,384 bytes. Cause: a field costs some 150 bytes once parsed and copied for a runner, whatever its text, and a connection is counted with 16 kB whatever its head. Fix: account request_heads: twice the bytes and 256 bytes a line, above the 8 kB that a connection's mean includes; trailers, which become fields, too. A head that finds no room is refused with 503 and a time to come back, as not run. The account stops at half of the budget, so ordinary requests, which need none of it, still get bodies and connections. A single head of 1,500 fields is served in calm (third case).

--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -17,13 +17,15 @@
 constexpr std::uint64_t kMinBudgetDivisor = 4;
 
 /// Returns up to which percentage of the budget an account may grow. Batch jobs stop at half, so
-/// that a burst of online requests finds the other half. New requests stop before the responses to
+/// that a burst of online requests finds the other half; so do large heads, which ordinary clients
+/// do not send. New requests stop before the responses to
 /// running ones, which occupy runner slots while they find no memory. Connections use little, and
 /// without a connection a client cannot be told to retry. The last 5 percent are for bytes that are
 /// charged without a reservation.
 constexpr std::uint64_t percent_limit_of(MemoryAccount account) {
   switch (account) {
     case MemoryAccount::kJobRequests:
+    case MemoryAccount::kRequestHeads:
       return 50;
     case MemoryAccount::kRequestBodies:
     case MemoryAccount::kCachedResults:
@@ -43,6 +45,8 @@
   switch (account) {
     case MemoryAccount::kConnections:
       return "connections";
+    case MemoryAccount::kRequestHeads:
+      return "request_heads";
     case MemoryAccount::kRequestBodies:
       return "request_bodies";
     case MemoryAccount::kResponses:
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -14,6 +14,7 @@
 /// What memory is used for.
 enum class MemoryAccount : std::uint8_t {
   kConnections,    ///< Client connections, at an average size each.
+  kRequestHeads,   ///< Request heads larger than what a connection's average size includes.
   kRequestBodies,  ///< Request bodies that are being received or handled.
   kResponses,      ///< Responses that wait for their clients to read them.
   kJobRequests,    ///< Requests of batch items that are waiting or running.
@@ -22,12 +23,13 @@
 };
 
 /// Number of accounts.
-inline constexpr std::size_t kMemoryAccountCount = 6;
+inline constexpr std::size_t kMemoryAccountCount = 7;
 
 /// All accounts, for metrics.
 inline constexpr std::array<MemoryAccount, kMemoryAccountCount> kAllMemoryAccounts{
-    MemoryAccount::kConnections, MemoryAccount::kRequestBodies, MemoryAccount::kResponses,
-    MemoryAccount::kJobRequests, MemoryAccount::kJobResults,    MemoryAccount::kCachedResults};
+    MemoryAccount::kConnections,  MemoryAccount::kRequestHeads, MemoryAccount::kRequestBodies,
+    MemoryAccount::kResponses,    MemoryAccount::kJobRequests,  MemoryAccount::kJobResults,
+    MemoryAccount::kCachedResults};
 
 /// Returns the account's name for logs and metrics.
 std::string_view to_string(MemoryAccount account);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -217,7 +217,7 @@
         break;
       }
       stream.expires_never();
-      const MemoryReservation body = reader.take_reservation();
+      const RequestReader::Reservations reservations = reader.take_reservations();
       ServerExchange exchange(stream, reader.release(), limits, exchange_context, watch);
       co_await handler(exchange);
       if (!exchange.reusable()) break;
--- a/src/net/request_reader.cc
+++ b/src/net/request_reader.cc
@@ -5,7 +5,6 @@
 #include <limits>
 
 #include "base/random.h"
-#include "net/message_head.h"
 #include "net/server_exchange.h"
 
 namespace stoathold {
@@ -20,6 +19,13 @@
 /// Copies of a body that exist at the same time: the received one, and the one that is being
 /// written to a runner.
 constexpr std::uint64_t kBodyCopies = 2;
+/// Copies of the bytes of a head: as parsed, and as sent to a runner.
+constexpr std::uint64_t kHeadCopies = 2;
+/// Memory of one field of a head apart from its bytes: as parsed, as a pair of strings, and as
+/// encoded for a runner.
+constexpr std::uint64_t kFieldOverheadBytes = 256;
+/// Memory of a head that `kConnectionOverheadBytes` includes.
+constexpr std::uint64_t kIncludedHeadBytes = 8UL * 1024;
 /// Memory for one more read of a body of unknown length: as much as the parser reads at once.
 constexpr std::size_t kReadChunkBytes = 64UL * 1024;
 /// A client that sends a body makes progress with each block of this size: 4 kB/s at the stall
@@ -34,8 +40,8 @@
 constexpr std::string_view kUnreadable = "the request could not be read";
 constexpr std::string_view kFramingTooLarge =
     "a chunk's extension or the trailers of the request are too long";
-constexpr std::string_view kBodyTooLarge = "the request's body is larger than this node can hold";
-constexpr std::string_view kOutOfMemory = "this node has no memory for the request's body now";
+constexpr std::string_view kTooLargeForMemory = "the request is larger than this node can hold";
+constexpr std::string_view kOutOfMemory = "this node has no memory for the request now";
 constexpr std::string_view kBodyTooSlow =
     "the request's body came too slowly while memory was short";
 
@@ -121,15 +127,45 @@
 
 asio::awaitable<RequestReadResult> RequestReader::read_head() {
   stream_.expires_after(limits_.header_timeout);
-  const beast::error_code error =
-      co_await read_message_head(stream_, buffer_, parser_, limits_.header_bytes);
-  if (error) co_return result_of(error);
+  beast::error_code error = http::error::need_more;
+  while (error) {
+    error = parse_head(parser_, buffer_, limits_.header_bytes, head_size_);
+    if (error && error != http::error::need_more) co_return result_of(error);
+    const std::optional<RequestReadResult> rejection = reserve_head();
+    if (rejection) co_return *rejection;
+    if (!error) break;
+    const beast::error_code receive_error = co_await receive_head_bytes(stream_, buffer_, parser_);
+    if (receive_error) co_return result_of(receive_error);
+  }
   const std::optional<RequestReadResult> rejection = reserve_body();
   if (rejection) co_return *rejection;
   const RequestReadResult complete{true, 0, {}};
   co_return complete;
 }
 
+std::optional<RequestReadResult> RequestReader::reserve_head() {
+  if (!resource_limits_.limited()) return std::nullopt;
+  const std::uint64_t bytes =
+      kHeadCopies * head_size_.bytes + kFieldOverheadBytes * head_size_.lines;
+  const std::uint64_t required = bytes > kIncludedHeadBytes ? bytes - kIncludedHeadBytes : 0;
+  if (required <= head_reservation_.bytes()) return std::nullopt;
+  constexpr MemoryAccount kAccount = MemoryAccount::kRequestHeads;
+  if (head_reservation_.bytes() == 0) {
+    head_reservation_ = resource_limits_.budget->charge(kAccount, 0);
+  }
+  const bool reserved = head_reservation_.grow(required - head_reservation_.bytes());
+  if (!reserved) return reject_for_memory(kAccount, required);
+  return std::nullopt;
+}
+
+std::optional<RequestReadResult> RequestReader::reserve_trailers() {
+  const auto& fields = parser_.get().base();
+  const auto count = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+  if (count <= head_size_.lines) return std::nullopt;
+  head_size_.lines = count;
+  return reserve_head();
+}
+
 std::optional<RequestReadResult> RequestReader::reserve_body() {
   if (!resource_limits_.limited() || parser_.is_done()) return std::nullopt;
   const auto length = parser_.content_length();
@@ -142,7 +178,7 @@
       std::numeric_limits<std::uint64_t>::max() - kConnectionOverheadBytes;
   const std::uint64_t bytes = *length > kMaxBytes / kBodyCopies ? kMaxBytes : *length * kBodyCopies;
   auto reservation = resource_limits_.budget->reserve(MemoryAccount::kRequestBodies, bytes);
-  if (!reservation) return reject_for_memory(bytes);
+  if (!reservation) return reject_for_memory(MemoryAccount::kRequestBodies, bytes);
   body_buffer_.reservation() = std::move(*reservation);
   return std::nullopt;
 }
@@ -161,19 +197,21 @@
   const bool preferred_fits =
       resource_limits_.budget->fits(MemoryAccount::kRequestBodies, preferred_growth);
   const std::uint64_t target = preferred_fits ? preferred : required;
-  if (!reservation.grow(target - reservation.bytes())) return reject_for_memory(required);
+  if (!reservation.grow(target - reservation.bytes())) {
+    return reject_for_memory(MemoryAccount::kRequestBodies, required);
+  }
   body.reserve(target / kBodyCopies);
   return std::nullopt;
 }
 
-/// Returns the rejection of a body that does not fit: 413 if it could never fit together with its
-/// own connection, 503 otherwise.
-RequestReadResult RequestReader::reject_for_memory(std::uint64_t bytes) {
-  const bool can_fit = resource_limits_.budget->can_ever_fit(MemoryAccount::kRequestBodies,
-                                                             bytes + kConnectionOverheadBytes);
+/// Returns the rejection of a request that does not fit: 413 if it could never fit together with
+/// its own connection, 503 otherwise.
+RequestReadResult RequestReader::reject_for_memory(MemoryAccount account, std::uint64_t bytes) {
+  const bool can_fit =
+      resource_limits_.budget->can_ever_fit(account, bytes + kConnectionOverheadBytes);
   RequestReadResult result;
   result.status = can_fit ? kUnavailable : kTooLarge;
-  result.reason = can_fit ? kOutOfMemory : kBodyTooLarge;
+  result.reason = can_fit ? kOutOfMemory : kTooLargeForMemory;
   resource_limits_.report(
       {.action = OverloadAction::kBodyRefused, .status = result.status, .bytes = bytes});
   return result;
@@ -198,12 +236,22 @@
     body_buffer_.on_bytes_received(count);
     if (!parser_.is_done() && resource_limits_.limited()) body_buffer_.make_reclaimable();
   }
+  const std::optional<RequestReadResult> rejection = reserve_trailers();
+  if (rejection) co_return *rejection;
   const RequestReadResult complete{true, 0, {}};
   co_return complete;
 }
 
-asio::awaitable<void> RequestReader::reject(RequestReadResult result) {
+void RequestReader::release_request() {
+  parser_.get().body() = {};
+  parser_.get().base().clear();
+  buffer_.clear();
   body_buffer_.reservation().release();
+  head_reservation_.release();
+}
+
+asio::awaitable<void> RequestReader::reject(RequestReadResult result) {
+  release_request();
   http::response<http::string_body> response{static_cast<http::status>(result.status), 11};
   response.set(http::field::server, kServerName);
   response.set(http::field::content_type, "application/json");
@@ -224,11 +272,10 @@
   boost::system::error_code shutdown_error;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, shutdown_error);
   if (shutdown_error) co_return;
-  parser_.get().body() = {};
-  std::string discarded(kDiscardChunkBytes, '\0');
   stream_.expires_after(kDiscardTimeout);
   for (std::size_t total = 0; total < kMaxDiscardedBytes;) {
-    const auto [error, count] = co_await stream_.async_read_some(asio::buffer(discarded), kNoThrow);
+    const auto discarded = buffer_.prepare(kDiscardChunkBytes);
+    const auto [error, count] = co_await stream_.async_read_some(discarded, kNoThrow);
     if (error) co_return;
     total += count;
   }
--- a/src/net/request_reader.h
+++ b/src/net/request_reader.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "net/http.h"
+#include "net/message_head.h"
 #include "net/reclaimable_buffer.h"
 #include "net/server_resource_limits.h"
 
@@ -67,7 +68,8 @@
                 const HttpLimits& limits, const ServerResourceLimits& resource_limits,
                 ReclaimableBufferRegistry& buffer_registry);
 
-  /// Reads the head and reserves memory for the body. @return `complete` if the body may be read.
+  /// Reads the head and reserves memory for both the parsed head and the body. @return `complete`
+  /// if the body may be read.
   boost::asio::awaitable<RequestReadResult> read_head();
   /// Reads the rest of the request; rejects it if its memory cannot be reserved or is reclaimed.
   boost::asio::awaitable<RequestReadResult> read_body();
@@ -75,18 +77,28 @@
   /// arrive although the client may still be sending. The connection cannot be used afterwards.
   boost::asio::awaitable<void> reject(RequestReadResult result);
   Request release() { return parser_.release(); }
-  /// Returns the memory reservation of the body, to be kept as long as the body is.
-  MemoryReservation take_reservation() {
+  /// Memory of a request, to be kept as long as the request is.
+  struct Reservations {
+    MemoryReservation head;
+    MemoryReservation body;
+  };
+  Reservations take_reservations() {
     body_buffer_.unregister();
-    return std::move(body_buffer_.reservation());
+    return {std::move(head_reservation_), std::move(body_buffer_.reservation())};
   }
 
  private:
+  /// Reserves memory for what has been parsed of the head. @return the rejection if there is none.
+  std::optional<RequestReadResult> reserve_head();
+  /// Reserves memory for the trailers of a body that is complete; they become fields of the head.
+  std::optional<RequestReadResult> reserve_trailers();
   /// Reserves memory for the body before it is read. @return the rejection if the body must not be
   /// read.
   std::optional<RequestReadResult> reserve_body();
   std::optional<RequestReadResult> reserve_growth();
-  RequestReadResult reject_for_memory(std::uint64_t bytes);
+  RequestReadResult reject_for_memory(MemoryAccount account, std::uint64_t bytes);
+  /// Releases what was received of a request that is rejected, and its reservations.
+  void release_request();
   boost::asio::awaitable<void> discard_unread();
 
   boost::beast::tcp_stream& stream_;
@@ -94,6 +106,8 @@
   const HttpLimits& limits_;
   const ServerResourceLimits& resource_limits_;
   boost::beast::http::request_parser<boost::beast::http::string_body> parser_;
+  MessageHeadSize head_size_;
+  MemoryReservation head_reservation_;
   RequestBodyBuffer body_buffer_;
 };
 
--- a/tests/net/http_server_resource_limits_test.cc
+++ b/tests/net/http_server_resource_limits_test.cc
@@ -386,6 +386,36 @@
   EXPECT_TRUE(client.read_until(";").ends_with("1;"));
 }
 
+// Guards against heads within the byte limit whose parsed fields need many times their bytes.
+TEST_F(HttpServerResourceLimitsTest, HeadsOfManyFieldsWaitForMemory) {
+  start(kBudget);
+  std::string fields;
+  for (int i = 0; i < 2400; ++i) fields += "a:b\r\n";
+  RawClient served(server_.address());
+  served.send_head("/held", "Content-Length: 0\r\n" + fields);
+  while (handled_ == 0) std::this_thread::yield();
+  std::list<RawClient> unfinished;
+  for (int i = 0; i < 2; ++i) {
+    unfinished.emplace_back(server_.address()).send("POST /held HTTP/1.1\r\n" + fields);
+  }
+  // Half of 4 MB holds three heads of 0.6 MB.
+  std::string answer;
+  while (!answer.starts_with("HTTP/1.1 503")) {
+    RawClient other(server_.address());
+    other.send_head("/", "Content-Length: 0\r\n" + fields);
+    answer = other.read_until(";");
+    if (!answer.starts_with("HTTP/1.1 200")) break;
+  }
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+  EXPECT_NE(answer.find(kNotRun), std::string::npos) << answer;
+  RawClient small(server_.address());
+  small.send_request("/", 1);
+  EXPECT_TRUE(small.read_until(";").ends_with("1;"));
+  open_ = true;
+  EXPECT_TRUE(served.read_until(";").ends_with("0;"));
+  unfinished.clear();
+}
+
 // Guards against a buffer that keeps the size that the limits allowed for an earlier request.
 TEST_F(HttpServerResourceLimitsTest, ARaisedHeaderLimitHoldsForOpenConnections) {
   start(kBudget);
--- a/tests/system/misbehaving_clients_test.py
+++ b/tests/system/misbehaving_clients_test.py
@@ -148,5 +148,33 @@
         self.check_node()
 
 
+class ManyFieldsTest(NodeUnderCrowd):
+    """Request heads within the byte limit that consist of very many small fields."""
+
+    def test_heads_that_do_not_end(self):
+        self.start()
+        clients = [self.connect(self.platform.nodes[0], self.head(number) + SMALL_FIELDS)
+                   for number in range(UNFINISHED_HEADS)]
+        send_endlessly(clients)
+        self.check_node()
+
+    def test_whole_requests(self):
+        self.start()
+        clients = [self.connect(self.platform.nodes[0],
+                                self.head(number) + SMALL_FIELDS + b"\r\nq")
+                   for number in range(WHOLE_REQUESTS)]
+        send_endlessly(clients)
+        self.check_node()
+
+    def test_one_request_is_served(self):
+        self.start()
+        fields = {"x%d" % number: "v" for number in range(1500)}
+        status, _, body = call(self.platform.nodes[0], "POST", "/ask/1", b"q", {
+            **fields, "Host": HOST, "Stoathold-Attempt-Id": "single",
+            "Stoathold-Deadline-Ms": "15000"})
+        self.assertEqual((status, body.decode()), (200, stream_text("q")))
+        self.check_node()
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
