The ports for operators and other nodes have limits of their own

Seen: 24 clients that send chunked bodies without end (16 MB each) to the port for readiness and metrics take 344 MB of a node of 120 MB, to the port for other nodes 356 MB; 400 connections that send half a head there take all 300 descriptors of a node, of which callers are to have 180. Cause: both servers had no memory budget, no limit of connections, and the default limit of 64 MB for a body. Changed in the new test before it landed: with 400 connections open the readiness port may refuse until one of them has waited for a second, so the test asks again there; the platform takes a node out after two misses. Open: who opens connections faster than they are replaced can keep the readiness port busy.

--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -121,12 +121,16 @@
 bool MemoryBudget::reclaim_until_fits(MemoryAccount account, std::uint64_t bytes) {
   if (!can_ever_fit(account, bytes)) return false;
   while (!fits(account, bytes)) {
-    const bool reclaimed = reclaimer_ && reclaimer_();
-    if (!reclaimed) return false;
+    if (!reclaim()) return false;
   }
   return true;
 }
 
+bool MemoryBudget::reclaim() {
+  return std::any_of(reclaimers_.begin(), reclaimers_.end(),
+                     [](const Reclaimer& reclaimer) { return reclaimer(); });
+}
+
 std::optional<MemoryReservation> MemoryBudget::reserve(MemoryAccount account, std::uint64_t bytes) {
   if (reclaim_until_fits(account, bytes)) return charge(account, bytes);
   count_refusal(account);
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace stoathold {
 
@@ -84,7 +85,8 @@
 
   /// Called to release memory when a reservation does not fit; @return whether any was released.
   using Reclaimer = std::function<bool()>;
-  void set_reclaimer(Reclaimer reclaimer) { reclaimer_ = std::move(reclaimer); }
+  /// Adds a reclaimer, to be called after those that were added before and released nothing.
+  void add_reclaimer(Reclaimer reclaimer) { reclaimers_.push_back(std::move(reclaimer)); }
 
   /// Returns whether the bytes would fit if nothing else were reserved.
   [[nodiscard]] bool can_ever_fit(MemoryAccount account, std::uint64_t bytes) const;
@@ -121,13 +123,15 @@
     return accounts_[static_cast<std::size_t>(account)];
   }
   [[nodiscard]] std::uint64_t account_limit(MemoryAccount account) const;
+  /// Calls the reclaimers until one of them has released memory. @return whether one has.
+  bool reclaim();
   void add(MemoryAccount account, std::uint64_t bytes);
   void subtract(MemoryAccount account, std::uint64_t bytes);
 
   std::uint64_t limit_ = 0;
   std::uint64_t used_ = 0;
   std::array<Account, kMemoryAccountCount> accounts_{};
-  Reclaimer reclaimer_;
+  std::vector<Reclaimer> reclaimers_;
 };
 
 }  // namespace stoathold
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -30,7 +30,7 @@
 /// at a round-trip time of 2 ms.
 constexpr int kSendBufferBytes = 64 * 1024;
 /// Connections above the limit that are answered with 503 at the same time; further ones are closed
-/// unread.
+/// unread. A server with a low limit answers half as many as it serves.
 constexpr std::size_t kMaxConcurrentRejections = 64;
 /// Time to wait for the first byte of a request that will be rejected.
 constexpr Duration kRejectionReadTimeout = std::chrono::seconds(1);
@@ -151,7 +151,7 @@
     }
     if (resource_limits.limited())
       resource_limits.budget->count_refusal(MemoryAccount::kConnections);
-    const bool rejected = open_rejections < kMaxConcurrentRejections;
+    const bool rejected = open_rejections < max_rejections();
     resource_limits.report({.action = rejected ? OverloadAction::kConnectionRefused
                                                : OverloadAction::kConnectionClosed,
                             .status = rejected ? kUnavailableStatus : 0,
@@ -160,6 +160,12 @@
     return rejected ? Admission::kRefused : Admission::kClosed;
   }
 
+  [[nodiscard]] std::size_t max_rejections() const {
+    const std::size_t served = resource_limits.max_client_connections;
+    if (served == 0) return kMaxConcurrentRejections;
+    return std::clamp<std::size_t>(served / 2, 1, kMaxConcurrentRejections);
+  }
+
   /// Answers the first request of a connection with 503 and `Retry-After`, whatever it is.
   asio::awaitable<void> reject(Tcp::socket socket) {
     auto self = shared_from_this();
@@ -324,7 +330,7 @@
 void HttpServer::set_resource_limits(ServerResourceLimits resource_limits) {
   state_->resource_limits = std::move(resource_limits);
   if (!state_->resource_limits.limited()) return;
-  state_->resource_limits.budget->set_reclaimer([weak = std::weak_ptr<State>(state_)] {
+  state_->resource_limits.budget->add_reclaimer([weak = std::weak_ptr<State>(state_)] {
     const auto state = weak.lock();
     return state && state->buffer_registry.reclaim_slowest(monotonic_now());
   });
--- a/tests/base/memory_budget_test.cc
+++ b/tests/base/memory_budget_test.cc
@@ -100,6 +100,19 @@
   EXPECT_FALSE(budget.fits(MemoryAccount::kRequestBodies, ~0UL));
 }
 
+TEST(MemoryBudgetTest, AsksTheNextReclaimerIfOneReleasesNothing) {
+  MemoryBudget budget;
+  budget.set_limit(kBudget);
+  auto held = budget.charge(MemoryAccount::kResponses, 80 * kMegabyte);
+  budget.add_reclaimer([] { return false; });
+  budget.add_reclaimer([&] {
+    const bool released = held.bytes() > 0;
+    held.release();
+    return released;
+  });
+  EXPECT_TRUE(budget.reserve(MemoryAccount::kRequestBodies, 10 * kMegabyte));
+}
+
 // The reclaimer is called only while it releases memory, and never for a reservation that could not
 // fit anyway.
 TEST(MemoryBudgetTest, ReclaimsUntilReservationFits) {
@@ -110,7 +123,7 @@
     responses.push_back(budget.charge(MemoryAccount::kResponses, 10 * kMegabyte));
   }
   int reclaim_calls = 0;
-  budget.set_reclaimer([&] {
+  budget.add_reclaimer([&] {
     ++reclaim_calls;
     if (responses.size() <= 5) return false;
     responses.pop_back();
--- a/tests/system/misbehaving_clients_test.py
+++ b/tests/system/misbehaving_clients_test.py
@@ -18,7 +18,7 @@
 from crowd import EndlessClient, open_descriptors, peak_megabytes, send_endlessly  # noqa: E402
 from memory_limit_test import raise_open_file_limit  # noqa: E402
 from platform_fleet import HOST, Platform, stream_text  # noqa: E402
-from fleet import call  # noqa: E402
+from fleet import call, wait_for  # noqa: E402
 
 # The memory of the smallest machines, and the bound of a node's peak memory.
 MEMORY_MB = 120
@@ -86,6 +86,9 @@
             client.close()
         self.check_node()
 
+    def readiness(self):
+        return call(self.platform.ready[0], "GET", "/api/ready")[0]
+
     def check_node(self, max_descriptors=2500):
         """Checks the process, its bounds, readiness and an ordinary request.
 
@@ -99,7 +102,7 @@
         print("peak of %.0f MB, %d descriptors" % (peak, descriptors), file=sys.stderr)
         self.assertLess(peak, MEMORY_MB)
         self.assertLess(descriptors, max_descriptors)
-        self.assertEqual(call(self.platform.ready[0], "GET", "/api/ready")[0], 200)
+        self.assertEqual(self.readiness(), 200)
         self.assertEqual((status, body.decode()), (200, stream_text("q")))
 
 
@@ -131,6 +134,45 @@
         self.send_crowd(self.platform.nodes[0], "/drafts/x", b"1\r\nq\r\n0\r\n", b"a: b\r\n")
 
 
+class EndlessBodiesAtInternalPortsTest(NodeUnderCrowd):
+    """The same at the ports for readiness and metrics, and for other nodes."""
+
+    def test_trailers_at_the_readiness_port(self):
+        self.start()
+        self.send_crowd(self.platform.ready[0], "/api/ready", b"1\r\nq\r\n0\r\n", b"a: b\r\n")
+
+    def test_bodies_at_the_readiness_port(self):
+        self.start()
+        self.send_crowd(self.platform.ready[0], "/api/ready", b"", b"400\r\n" + b"b" * 1024 + b"\r\n")
+
+    def test_trailers_at_the_port_for_other_nodes(self):
+        self.start()
+        self.send_crowd(self.peer_address, "/ask/1", b"1\r\nq\r\n0\r\n", b"a: b\r\n")
+
+    def test_bodies_at_the_port_for_other_nodes(self):
+        self.start()
+        self.send_crowd(self.peer_address, "/ask/1", b"", b"400\r\n" + b"b" * 1024 + b"\r\n")
+
+
+class ConnectionsAtInternalPortsTest(NodeUnderCrowd):
+    """Connections that are kept open at the internal ports leave the callers their descriptors."""
+
+    def check_idle_crowd(self, address):
+        self.start(low_open_file_limit=True)
+        address = address()
+        for _ in range(IDLE_CONNECTIONS):
+            self.connect(address, b"GET /api/ready HT").send()
+        # A new connection replaces one that has waited for a second; the platform asks again.
+        wait_for(lambda: self.readiness() == 200, "the readiness port to answer")
+        self.check_node(OPEN_FILE_LIMIT - CALLER_DESCRIPTORS)
+
+    def test_connections_at_the_readiness_port(self):
+        self.check_idle_crowd(lambda: self.platform.ready[0])
+
+    def test_connections_at_the_port_for_other_nodes(self):
+        self.check_idle_crowd(lambda: self.peer_address)
+
+
 class EndlessHeadsTest(NodeUnderCrowd):
     """Request heads that do not end."""
 
