A status outside of the protocol is no answer, and interim ones are skipped

Seen by callers: a runner answers with status 000, and the bytes behind its head look like an answer: the client gets these bytes as a success, 6 of 6. Cause: whatever is below 200 was skipped as an interim response, 000 to 099 too, and the bytes behind it were read as the next head. 600 and above were taken as they are. HttpClient, which asks the store, other nodes and engines, took the first head whatever its status: of an interim response and an answer it returned the first, and left the second for the next call of that connection; a status of 000 was returned as answered with status 0. A probe took an interim response for its answer. Evidence, on: malformed_answers fails, AStatusThatIsNoneBreaksThe- Connection fails for 000, 099, 600 and 999, SkipsInterimResponses, AStatusThatIsNoneIsNoAnswer and AnInterimResponseIsNotTheAnswerToAProbe fail. Not reproduced: a status of 000 itself reaching a client (502 before).

--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -11,8 +11,6 @@
 /// Maximum number of responses to other requests that are skipped before the connection counts as
 /// broken.
 constexpr int kMaxSkippedResponses = 4;
-/// The same for interim responses (1xx).
-constexpr int kMaxInterimResponses = 16;
 
 }  // namespace
 
@@ -97,18 +95,13 @@
 
 asio::awaitable<UpstreamStatus> UpstreamExchange::read_head() {
   const auto state = state_;
-  int interim_responses = 0;
-  for (int skipped = 0; skipped < kMaxSkippedResponses;) {
+  for (int skipped = 0; skipped < kMaxSkippedResponses; ++skipped) {
     const UpstreamStatus status = co_await state->read_next_head(state->request.method());
     if (status != UpstreamStatus::kOk) co_return status;
-    const bool is_interim = state->parser->get().result_int() < 200;
-    if (is_interim && ++interim_responses > kMaxInterimResponses) break;
-    if (is_interim) continue;
     if (state->matches_request_id()) {
       state->copy_head();
       co_return UpstreamStatus::kOk;
     }
-    ++skipped;
     const UpstreamStatus body_status = co_await state->skip_body();
     if (body_status != UpstreamStatus::kOk) co_return body_status;
     if (state->parser->need_eof()) co_return UpstreamStatus::kBroken;
--- a/src/gateway/upstream_state.cc
+++ b/src/gateway/upstream_state.cc
@@ -2,7 +2,7 @@
 #include "gateway/upstream_state.h"
 
 #include "net/message_framing.h"
-#include "net/message_head.h"
+#include "net/response_head.h"
 
 namespace stoathold {
 namespace {
@@ -159,9 +159,12 @@
 }
 
 asio::awaitable<UpstreamStatus> UpstreamExchange::State::read_next_head(http::verb method) {
-  start_parser(method);
+  const auto start = [this, method]() -> Parser& {
+    start_parser(method);
+    return *parser;
+  };
   const boost::system::error_code error =
-      co_await read_message_head(*socket, buffer, *parser, kHeadBytes);
+      co_await read_response_head(*socket, buffer, start, kHeadBytes);
   closed_by_runner = end_status == UpstreamStatus::kOk && is_closed_by_peer(error);
   if (error || end_status != UpstreamStatus::kOk) co_return failure(UpstreamStatus::kBroken);
   co_return UpstreamStatus::kOk;
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -64,6 +64,7 @@
   /// Sends a probe and reads its response.
   /// @return whether the runner is well.
   boost::asio::awaitable<bool> probe(UpstreamProbe probe);
+  /// Reads the head of the next final response.
   /// @param method of the message that the response answers.
   boost::asio::awaitable<UpstreamStatus> read_next_head(boost::beast::http::verb method);
   boost::asio::awaitable<UpstreamStatus> read_some(std::string_view& view);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -7,7 +7,7 @@
 #include "net/beast_helpers.h"
 #include "net/http.h"
 #include "net/message_framing.h"
-#include "net/message_head.h"
+#include "net/response_head.h"
 
 namespace stoathold {
 namespace {
@@ -17,6 +17,9 @@
 namespace http = beast::http;
 using Tcp = asio::ip::tcp;
 
+using ReplyParser = http::response_parser<http::string_body>;
+using StreamParser = http::response_parser<http::buffer_body>;
+
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kPooledPerAddress = 32;
 constexpr std::uint64_t kReplyBodyLimit = 256ULL * 1024 * 1024;
@@ -100,12 +103,17 @@
   const auto [write_error, written] = co_await http::async_write(stream, request, kNoThrow);
   if (write_error) co_return false;
   beast::flat_buffer buffer(max_receive_buffer_bytes(kReplyHeadBytes));
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(kReplyHeadBytes);
-  parser.body_limit(kReplyBodyLimit);
+  std::optional<ReplyParser> reply_parser;
+  const auto start = [&]() -> ReplyParser& {
+    reply_parser.emplace();
+    reply_parser->header_limit(kReplyHeadBytes);
+    reply_parser->body_limit(kReplyBodyLimit);
+    return *reply_parser;
+  };
   const beast::error_code head_error =
-      co_await read_message_head(stream, buffer, parser, kReplyHeadBytes);
+      co_await read_response_head(stream, buffer, start, kReplyHeadBytes);
   if (head_error) co_return false;
+  ReplyParser& parser = *reply_parser;
   last_received = monotonic_now();
   while (!parser.is_done()) {
     const auto [error, read] = co_await http::async_read_some(stream, buffer, parser, kNoThrow);
@@ -158,13 +166,18 @@
 
 struct HttpStream::State {
   explicit State(const asio::any_io_executor& executor)
-      : stream(executor), buffer(max_receive_buffer_bytes(kReplyHeadBytes)) {
-    parser.header_limit(kReplyHeadBytes);
-    parser.body_limit(boost::none);
+      : stream(executor), buffer(max_receive_buffer_bytes(kReplyHeadBytes)) {}
+
+  StreamParser& start_parser() {
+    parser.emplace();
+    parser->header_limit(kReplyHeadBytes);
+    parser->body_limit(boost::none);
+    return *parser;
   }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
+  std::optional<StreamParser> parser;  ///< Empty until a head is read.
   std::vector<char> bytes = std::vector<char>(kReadBufferBytes);
   std::string error_body;
   bool complete = false;
@@ -186,10 +199,11 @@
   const auto request = make_request(call);
   const auto [write_error, written] = co_await http::async_write(state.stream, request, kNoThrow);
   if (write_error) co_return std::pair{HttpProgress::kSent, 0};
+  const auto start = [&state]() -> StreamParser& { return state.start_parser(); };
   const beast::error_code read_error =
-      co_await read_message_head(state.stream, state.buffer, state.parser, kReplyHeadBytes);
+      co_await read_response_head(state.stream, state.buffer, start, kReplyHeadBytes);
   if (read_error) co_return std::pair{HttpProgress::kSent, 0};
-  const int status = state.parser.get().result_int();
+  const int status = state.parser->get().result_int();
   if (status != static_cast<int>(http::status::ok)) {
     std::string_view view;
     while (state.error_body.size() < kErrorBodyBytes) {
@@ -203,14 +217,15 @@
 
 asio::awaitable<bool> HttpStream::read(std::string_view& view, Duration timeout) {
   auto& state = *state_;
-  while (!state.parser.is_done()) {
-    auto& body = state.parser.get().body();
+  if (!state.parser) co_return false;
+  while (!state.parser->is_done()) {
+    auto& body = state.parser->get().body();
     body.data = state.bytes.data();
     body.size = state.bytes.size();
     body.more = true;
     state.stream.expires_after(timeout);
     auto [error, count] =
-        co_await http::async_read_some(state.stream, state.buffer, state.parser, kNoThrow);
+        co_await http::async_read_some(state.stream, state.buffer, *state.parser, kNoThrow);
     if (error == http::error::need_buffer) error = {};
     if (error) co_return false;
     const std::size_t size = state.bytes.size() - body.size;
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -17,7 +17,7 @@
 
 namespace stoathold {
 
-/// Size of what was parsed of a head.
+/// What was parsed of a head.
 struct MessageHeadSize {
   std::size_t bytes = 0;
   std::size_t lines = 0;
@@ -66,20 +66,4 @@
   co_return has_started ? http::error::partial_message : http::error::end_of_stream;
 }
 
-/// Reads a head. The buffer must have room for more than `max_bytes`.
-template <typename Stream, bool is_request>
-boost::asio::awaitable<boost::system::error_code> read_message_head(
-    Stream& stream, boost::beast::flat_buffer& buffer,
-    boost::beast::http::basic_parser<is_request>& parser, std::size_t max_bytes) {
-  namespace http = boost::beast::http;
-  MessageHeadSize size;
-  while (true) {
-    const boost::system::error_code error = parse_head(parser, buffer, max_bytes, size);
-    if (error != http::error::need_more) co_return error;
-    const boost::system::error_code receive_error =
-        co_await receive_head_bytes(stream, buffer, parser);
-    if (receive_error) co_return receive_error;
-  }
-}
-
 }  // namespace stoathold
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -221,6 +221,26 @@
   EXPECT_EQ(call(resetting, "2").status, UpstreamStatus::kBroken);
 }
 
+// Guards against a status below 100 that is skipped as an interim response, so that the bytes
+// behind its head are taken for the answer.
+TEST_F(UpstreamTest, AStatusThatIsNoneBreaksTheConnection) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    const std::string head = "HTTP/1.1 " + status + " Unknown\r\nX-Request-Id: {id}\r\n";
+    ScriptedRunner plain(loop, {{head + "Content-Length: 3\r\n\r\nbad"}});
+    EXPECT_EQ(call(plain, "1").status, UpstreamStatus::kBroken) << status;
+    ScriptedRunner nested(loop, {{head + "\r\n" + plain_response("not the body")}});
+    EXPECT_EQ(call(nested, "2").status, UpstreamStatus::kBroken) << status;
+  }
+}
+
+// Guards against the final answer to a probe that is taken for the answer to the request.
+TEST_F(UpstreamTest, AnInterimResponseIsNotTheAnswerToAProbe) {
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  ScriptedRunner runner(loop, {{interim + plain_response("well")}, {plain_response("one")}});
+  probe = UpstreamProbe{"/health", {}};
+  EXPECT_EQ(call(runner, "1").body, "one");
+}
+
 TEST_F(UpstreamTest, AMalformedResponseIsBroken) {
   ScriptedRunner runner(loop, {{"these bytes are no answer\r\n\r\n", true}});
   EXPECT_EQ(call(runner, "1").status, UpstreamStatus::kBroken);
--- a/tests/net/http_client_pool_test.cc
+++ b/tests/net/http_client_pool_test.cc
@@ -17,8 +17,9 @@
 constexpr Duration kPieceInterval = std::chrono::milliseconds(20);
 
 /// Server that answers `/short` immediately, `/slow` one byte at a time for longer than the timeout
-/// of a request, `/halting` with the first bytes only, `/trailers` with trailers without end, and
-/// `/silent` never.
+/// of a request, `/halting` with the first bytes only, `/trailers` with trailers without end,
+/// `/interim` with an interim response first, `/odd` with a status that is none, and `/silent`
+/// never.
 class SlowPeer {
  public:
   explicit SlowPeer(asio::io_context& loop)
@@ -56,6 +57,13 @@
         co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nx");
         continue;
       }
+      if (request.find("/interim") != std::string::npos) {
+        co_await send(socket, "HTTP/1.1 102 Processing\r\n\r\n");
+      }
+      if (request.find("/odd") != std::string::npos) {
+        co_await send(socket, "HTTP/1.1 000 Unknown\r\nContent-Length: 3\r\n\r\nbad");
+        continue;
+      }
       if (request.find("/trailers") != std::string::npos) {
         co_await answer_with_trailers(socket);
         co_return;
@@ -141,6 +149,20 @@
   EXPECT_LT(peer.trailer_bytes, kSocketBufferBytes);
 }
 
+// Guards against an interim response that is taken for the answer, so that the answer itself is
+// taken for that to the next call of the connection.
+TEST_F(HttpClientPoolTest, SkipsInterimResponses) {
+  const HttpReply reply = run_awaitable(loop, call("/interim"));
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, "ok");
+}
+
+TEST_F(HttpClientPoolTest, AStatusThatIsNoneIsNoAnswer) {
+  const HttpReply reply = run_awaitable(loop, call("/odd"));
+  EXPECT_EQ(reply.progress, HttpProgress::kSent);
+  EXPECT_EQ(reply.status, 0);
+}
+
 TEST_F(HttpClientPoolTest, TimeoutWithoutResponseDropsIdleConnections) {
   connect_twice();
   EXPECT_EQ(run_awaitable(loop, call("/silent")).progress, HttpProgress::kSent);
--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -196,6 +196,23 @@
         self.check_node()
 
 
+class MalformedAnswersTest(FaultyRunnerTest):
+    """Answers of a runner that are none in the protocol."""
+
+    def check_malformed(self, make_answer):
+        self.start_with(lambda connection, request_id: connection.sendall(make_answer(request_id)))
+        self.wait_for_service()
+        outcomes = [self.ask_faulty(kind, number, b"q")
+                    for number in range(2) for kind in ("safe", "unsafe", "streaming")]
+        successes = [outcome for outcome in outcomes if outcome[0] // 100 == 2]
+        self.assertEqual(successes, [])
+        self.check_node()
+
+    def test_status_000_with_a_body_that_looks_like_an_answer(self):
+        self.check_malformed(lambda request_id: b"HTTP/1.1 000 Unknown\r\n\r\n" + answer_head(
+            request_id, "Content-Length: 3\r\n") + b"bad")
+
+
 class EarlyResetTest(FaultyRunnerTest):
     """A runner that resets the connection while a long request is still being sent to it."""
 
