A line that begins with a blank makes an answer malformed

Seen by callers: a runner sends a head in which the name of a field begins with a blank, as in ' Content-Length: 3'. Cause: the parser takes such a line for the obsolete continuation of the field before. Evidence: malformed_answers and AMalformedFieldBreaksTheConnection fail on for a blank and a tab in front. A blank or control byte elsewhere in a name, before the colon or in a value broke the answer there already; these are tests now. Fix: heads of answers with a continued line are refused wherever answers are read (runners, probes, store, other nodes, engines), as RFC 9112, section 5.2, allows. Requests keep being unfolded: the runner gets one line.

--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -21,8 +21,20 @@
 struct MessageHeadSize {
   std::size_t bytes = 0;
   std::size_t lines = 0;
+  bool has_folded_line = false;  ///< A line begins with a blank, so it continues the one before.
 };
 
+/// Adds bytes of a head that the parser has consumed: complete lines with all their continuations.
+inline void add_parsed_bytes(std::string_view parsed, MessageHeadSize& size) {
+  size.bytes += parsed.size();
+  for (std::size_t end = parsed.find('\n'); end != std::string_view::npos;
+       end = parsed.find('\n', end + 1)) {
+    ++size.lines;
+    const char next = end + 1 < parsed.size() ? parsed[end + 1] : '\0';
+    if (next == ' ' || next == '\t') size.has_folded_line = true;
+  }
+}
+
 /// Parses what has been received of a head. The parser compares its limit only with the bytes that
 /// it has not consumed, so the sum is limited here.
 /// @return `need_more` if the head is incomplete, `header_limit` if it is larger than `max_bytes`.
@@ -35,9 +47,7 @@
   while (error == http::error::need_more && buffer.size() > 0) {
     const auto received = buffer.data();
     const std::size_t used = parser.put(received, error);
-    const std::string_view parsed(static_cast<const char*>(received.data()), used);
-    size.bytes += parsed.size();
-    size.lines += static_cast<std::size_t>(std::count(parsed.begin(), parsed.end(), '\n'));
+    add_parsed_bytes({static_cast<const char*>(received.data()), used}, size);
     buffer.consume(used);
     if (used == 0) break;
   }
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -9,7 +9,8 @@
 /// Maximum number of interim responses (1xx) before a final one.
 inline constexpr int kMaxInterimResponses = 16;
 
-/// Reads one head, final or interim.
+/// Reads one head, final or interim. A line that begins with a blank is refused: it may be a field
+/// whose name holds a blank, which must not become a part of the field before.
 template <typename Stream, typename Parser>
 boost::asio::awaitable<boost::system::error_code> read_one_response_head(
     Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, std::size_t max_bytes) {
@@ -24,6 +25,7 @@
         co_await receive_head_bytes(stream, buffer, parser);
     if (receive_error) co_return receive_error;
   }
+  if (size.has_folded_line) co_return http::error::bad_obs_fold;
   co_return error;
 }
 
--- a/tests/gateway/upstream_test.cc
+++ b/tests/gateway/upstream_test.cc
@@ -233,6 +233,18 @@
   }
 }
 
+// Guards against a field whose name holds a blank or a control byte. With a blank in front it was
+// taken for a part of the field before.
+TEST_F(UpstreamTest, AMalformedFieldBreaksTheConnection) {
+  for (const std::string field :
+       {" X-A: b", "\tX-A: b", " Content-Length: 3", "X A: b", "X-A : b", "X\x01: b", "X\x7f: b",
+        "Content-Length : 3", "X-A: b\x01", "X-A", ": b"}) {
+    ScriptedRunner runner(
+        loop, {{plain_response("whole", "{id}", "200 OK", "X-B: c\r\n" + field + "\r\n"), true}});
+    EXPECT_EQ(call(runner, "1").status, UpstreamStatus::kBroken) << field;
+  }
+}
+
 // Guards against the final answer to a probe that is taken for the answer to the request.
 TEST_F(UpstreamTest, AnInterimResponseIsNotTheAnswerToAProbe) {
   const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -212,6 +212,14 @@
         self.check_malformed(lambda request_id: b"HTTP/1.1 000 Unknown\r\n\r\n" + answer_head(
             request_id, "Content-Length: 3\r\n") + b"bad")
 
+    def test_field_whose_name_begins_with_a_blank(self):
+        self.check_malformed(lambda request_id: answer_head(
+            request_id, "X-A: b\r\n Content-Length: 3\r\n") + b"bad body")
+
+    def test_field_whose_name_holds_a_control_byte(self):
+        self.check_malformed(lambda request_id: answer_head(
+            request_id, "X\x01A: b\r\nContent-Length: 3\r\n") + b"bad")
+
 
 class EarlyResetTest(FaultyRunnerTest):
     """A runner that resets the connection while a long request is still being sent to it."""
