--- a/tests/system/misbehaving_clients_test.py
+++ b/tests/system/misbehaving_clients_test.py
@@ -45,13 +45,15 @@
 
 
 class NodeUnderCrowd(unittest.TestCase):
-    """A node of 120 MB with two runners."""
+    """A node with two runners; its memory is the bound of its peak."""
+
+    memory_mb = MEMORY_MB
 
     def start(self, low_open_file_limit=False):
         raise_open_file_limit()
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        self.platform = Platform(directory.name, 1, 2, memory_mb=MEMORY_MB)
+        self.platform = Platform(directory.name, 1, 2, memory_mb=self.memory_mb)
         self.addCleanup(self.platform.stop)
         self.node = self.platform.node_processes[0]
         self.asked = 0
@@ -100,7 +102,7 @@
         peak = peak_megabytes(self.node)
         descriptors = open_descriptors(self.node)
         print("peak of %.0f MB, %d descriptors" % (peak, descriptors), file=sys.stderr)
-        self.assertLess(peak, MEMORY_MB)
+        self.assertLess(peak, self.memory_mb)
         self.assertLess(descriptors, max_descriptors)
         self.assertEqual(self.readiness(), 200)
         self.assertEqual((status, body.decode()), (200, stream_text("q")))
@@ -190,6 +192,37 @@
         self.check_node()
 
 
+class JobTextTest(NodeUnderCrowd):
+    """Submissions of batch jobs within the body limit whose values need many times their text."""
+
+    memory_mb = 64
+
+    def check_jobs(self, text):
+        self.start()
+        head = ("POST /drafts/x HTTP/1.1\r\nHost: %s\r\nStoathold-Attempt-Id: job%d\r\n"
+                "Stoathold-Deadline-Ms: 15000\r\nContent-Length: %d\r\n\r\n")
+        clients = [self.connect(self.platform.nodes[0],
+                                (head % (HOST, number, len(text))).encode() + text)
+                   for number in range(CLIENTS)]
+        send_endlessly(clients)
+        self.check_node()
+
+    def test_numbers(self):
+        self.check_jobs(b'{"items":[' + b"0," * 2000000 + b"0]}")
+
+    def test_objects(self):
+        self.check_jobs(b'{"items":[' + b'{"a":0},' * 500000 + b"0]}")
+
+    def test_keys(self):
+        keys = b",".join(b'"%x":0' % number for number in range(380000))
+        self.check_jobs(b'{"items":[{' + keys + b"}]}")
+
+    def test_job_is_accepted(self):
+        self.start()
+        self.assertEqual(self.platform.submit(0, "job", 20), 202)
+        self.check_node()
+
+
 class ManyFieldsTest(NodeUnderCrowd):
     """Request heads within the byte limit that consist of very many small fields."""
 
