Soak of clients without limits beside ending processes

Crowds send heads, trailers, extensions, chunk sizes and bodies without end, and heads of many fields, to the ports of nodes that get signals and are killed, beside runners that crash and ordinary clients on kept connections. It checks the invariants of ending_processes and that no node exceeds 120 MB.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/crashing_prompt_parts.py --seed $(SEED) --seeds $(SEEDS)
 	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/crashing_requests.py --seed $(SEED) --seeds $(SEEDS)
 	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/ending_processes.py --seed $(SEED) --seeds $(SEEDS)
+	@STOATHOLD_BUILD=$(CURDIR)/$(BUILD) python3 tests/soak/misbehaving_clients.py --seed $(SEED) --seeds $(SEEDS)
 
 format:
 	@scripts/check-format.sh
