A message between nodes takes memory only for bytes that have arrived

Seen: 24 connections to the port for other nodes of stoathold-node that send a length of 64 MB and one byte take 1,524 MB (1,527 in a second run). Cause: the receiver made a string of the length before it read the body, and filled it with zeros. Fix: the body is received in pieces of 64 kB. Looked at: datagrams between nodes have a fixed buffer; the other readers are HTTP. Open: whole messages of 64 MB on many connections have no common limit, and stoathold-node has no memory setting at all.

--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -1,5 +1,6 @@
 #include "net/peer_transport.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
@@ -19,6 +20,7 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kFrameHeaderBytes = 4;
+constexpr std::size_t kReceivePieceBytes = 64UL * 1024;
 constexpr std::size_t kQueuedBytesLimit = 64ULL * 1024 * 1024;
 constexpr auto kConnectTimeout = std::chrono::milliseconds(800);
 constexpr auto kReconnectDelay = std::chrono::milliseconds(200);
@@ -163,6 +165,21 @@
     }
   }
 
+  /// Receives the body of a frame in pieces, so that memory is taken only for bytes that arrive.
+  static asio::awaitable<bool> receive_body(Tcp::socket& socket, std::size_t size,
+                                            std::string& body) {
+    body.clear();
+    while (body.size() < size) {
+      const std::size_t begin = body.size();
+      const std::size_t piece = std::min(size - begin, kReceivePieceBytes);
+      body.resize(begin + piece);
+      const auto target = asio::buffer(body.data() + begin, piece);
+      const auto [error, count] = co_await asio::async_read(socket, target, kNoThrow);
+      if (error) co_return false;
+    }
+    co_return true;
+  }
+
   asio::awaitable<void> receive(Tcp::socket socket) {
     const auto self = shared_from_this();
     std::array<unsigned char, kFrameHeaderBytes> header{};
@@ -173,10 +190,8 @@
       if (header_error) co_return;
       const std::uint32_t size = read_size(header);
       if (size > kMaxPeerFrameBytes) co_return;
-      body.resize(size);
-      const auto [body_error, body_count] =
-          co_await asio::async_read(socket, asio::buffer(body), kNoThrow);
-      if (body_error) co_return;
+      const bool received = co_await receive_body(socket, size, body);
+      if (!received) co_return;
       ++messages_in;
       bytes_in += kFrameHeaderBytes + size;
       PeerEnvelope envelope;
