Only an answer that ends with its connection waits for the write

An answer with a length or chunks that breaks off is broken whatever becomes of its request. Found by reading the change; no caller saw it.

--- a/src/gateway/upstream_state.cc
+++ b/src/gateway/upstream_state.cc
@@ -203,6 +203,7 @@
     if (error == asio::error::eof) {
       error = {};
       parser->put_eof(error);
+      if (error) co_return failure(UpstreamStatus::kBroken);
       // A reset is reported once: a pending write gets the error, and a read the end of the stream.
       const bool sent = co_await wait_for_write();
       if (!sent) co_return failure(UpstreamStatus::kBroken);
