--- a/tests/soak/misbehaving_clients.py
+++ b/tests/soak/misbehaving_clients.py
@@ -13,8 +13,8 @@
 import threading
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "system"))
-from crowd import EndlessClient, peak_megabytes, send_endlessly  # noqa: E402
-from misbehaving_clients_test import CHUNKED_HEAD, MEMORY_MB, SMALL_FIELDS, repeat  # noqa: E402
+from crowd import (  # noqa: E402
+    CHUNKED_HEAD, MEMORY_MB, SMALL_FIELDS, EndlessClient, peak_megabytes, repeat, send_endlessly)
 
 from ending_processes import EndingProcessesSoak  # noqa: E402
 from soak import run_seeds  # noqa: E402
--- a/tests/system/misbehaving_peers_test.py
+++ b/tests/system/misbehaving_peers_test.py
@@ -13,12 +13,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from crowd import peak_megabytes  # noqa: E402
+from crowd import CLIENTS, MEMORY_MB, peak_megabytes  # noqa: E402
 from fleet import Fleet, call, chat_body  # noqa: E402
 
-# The memory of the smallest machines.
-MEMORY_MB = 120
-CLIENTS = 24
 # The largest message between nodes.
 MESSAGE_BYTES = 64 * 1024 * 1024
 
--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -17,7 +17,7 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from misbehaving_clients_test import NodeUnderCrowd, PIECE_BYTES, repeat  # noqa: E402
+from crowd import NodeUnderCrowd, PIECE_BYTES, repeat  # noqa: E402
 from platform_fleet import HOST  # noqa: E402
 from fleet import call  # noqa: E402
 
