A stream does not keep the memory of a long event

Seen: 14 streams whose runner sends one event of 3 MB, one after the other, and short events from then on, take 75 MB of a node of 64 MB. Cause: the framer's buffer keeps the capacity of the longest event, while the reservation falls to nothing with the next short one. Fix: the buffer shrinks once it holds a short event again. Looked at: items use the same framer; their text is bounded by the route.

--- a/src/gateway/event_framer.cc
+++ b/src/gateway/event_framer.cc
@@ -77,6 +77,9 @@
   line_start_ -= position_;
   position_ = 0;
   buffer_.append(bytes);
+  // A long event leaves a capacity that the reservation does not cover any more.
+  const bool is_short = buffer_.size() <= kUnaccountedBytes;
+  if (is_short && buffer_.capacity() > 2 * kUnaccountedBytes) buffer_.shrink_to_fit();
   return buffer_.size() <= kMaxEventBytes && reserve();
 }
 
--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -19,12 +19,17 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from crowd import NodeUnderCrowd, PIECE_BYTES, repeat  # noqa: E402
 from platform_fleet import HOST  # noqa: E402
-from fleet import call  # noqa: E402
+from fleet import wait_for  # noqa: E402
 
 REQUESTS = 4
 ANSWER_BYTES = 128 * 1024 * 1024
 HEAD_PIECES = 600
 HEAD_PIECE_PAUSE_SECONDS = 0.01
+LONG_EVENT_BYTES = 3 * 1024 * 1024
+LONG_EVENT_STREAMS = 14
+LONG_EVENT_PAUSE_SECONDS = 0.2
+SHORT_EVENTS = 10000
+SHORT_EVENT_PAUSE_SECONDS = 0.1
 UPLOAD_BYTES = 3 * 1024 * 1024
 UPLOADS = 12
 RECEIVE_BUFFER_BYTES = 4096
@@ -196,6 +201,38 @@
         self.check_node()
 
 
+class LongEventsTest(FaultyRunnerTest):
+    """A long event must not leave its memory with the stream when only short ones follow."""
+
+    memory_mb = 64
+
+    def test_short_events_behind_a_long_one(self):
+        ended = threading.Event()
+        self.addCleanup(ended.set)
+
+        def answer(connection, request_id):
+            connection.sendall(answer_head(request_id, "Content-Type: text/event-stream\r\n"))
+            connection.sendall(b"id: 1\ndata: " + b"e" * LONG_EVENT_BYTES + b"\n\n")
+            for number in range(2, SHORT_EVENTS):
+                connection.sendall(b"id: %d\ndata: e\n\n" % number)
+                if ended.wait(SHORT_EVENT_PAUSE_SECONDS):
+                    return
+
+        self.start_with(answer)
+        self.wait_for_service()
+        asks = []
+        # One after the other, so that no two long events are received at once.
+        for number in range(LONG_EVENT_STREAMS):
+            asks.append(threading.Thread(target=self.ask_faulty, args=("streaming", number, b"q")))
+            asks[-1].start()
+            wait_for(lambda: self.runner.requests > number + 1, "the stream to reach the runner")
+            time.sleep(LONG_EVENT_PAUSE_SECONDS)
+        self.check_node()
+        ended.set()
+        for ask in asks:
+            ask.join()
+
+
 class MalformedAnswersTest(FaultyRunnerTest):
     """Answers of a runner that are none in the protocol."""
 
