--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -221,9 +221,10 @@
     EventEntry{Event::kMemoryBudget, "memory_budget", EventLevel::kInfo,
                "The memory limit of the process, its memory budget, and the maximum number of "
                "connections."},
-    EventEntry{Event::kBodyRefusedForRoom, "body_refused_for_room", EventLevel::kWarning,
-               "A request was rejected before its body was read because memory is short; 413: it "
-               "could not fit on a machine of this size."},
+    EventEntry{
+        Event::kBodyRefusedForRoom, "body_refused_for_room", EventLevel::kWarning,
+        "A request was rejected before it was read or parsed because memory is short; 413: it "
+        "could not fit on a machine of this size."},
     EventEntry{Event::kSlowCallerCutOff, "slow_caller_cut_off", EventLevel::kWarning,
                "A stalled client was disconnected to free memory; the line has the bytes held for "
                "it, for how long, and how long it had made no progress."},
