A refused submission is not relayed after its time

Cause: a submission that loses a conflict reads the log once more after its time of 3 s has passed, and is then relayed to another node, which stores it while this one ends. Before the fix: the test of the deadline does not build, that of the conflict counts two reads. Looked at: cancellations and reads end within 1 s and one relay.

--- a/src/gateway/peer_relay.cc
+++ b/src/gateway/peer_relay.cc
@@ -43,11 +43,12 @@
   return call;
 }
 
-asio::awaitable<HttpReply> PeerRelay::relay(const HttpExchange& exchange) {
+asio::awaitable<HttpReply> PeerRelay::relay(const HttpExchange& exchange, TimePoint deadline) {
   const HttpCall call = make_call(exchange);
   const std::string request(exchange.header(dialect_.request_id));
   std::vector<std::string> addresses = peers_();
   for (std::size_t attempts = 0; attempts < kMaxPeers && !addresses.empty(); ++attempts) {
+    if (monotonic_now() >= deadline) break;
     HttpCall next = call;
     next.address = take_random(addresses);
     const std::string peer = next.address;
--- a/src/gateway/peer_relay.h
+++ b/src/gateway/peer_relay.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "gateway/header_dialect.h"
 #include "net/http.h"
 
@@ -25,10 +26,11 @@
             PeerSource peers);
 
   /// Tries a few other nodes in turn until one of them does not refuse the call.
+  /// @param deadline time after which no further node is tried.
   /// @return the response of that node. `HttpProgress::kNotSent` means that no node executed the
   /// call;
   ///         `kSent` means that the last node did not respond and may have executed it.
-  boost::asio::awaitable<HttpReply> relay(const HttpExchange& exchange);
+  boost::asio::awaitable<HttpReply> relay(const HttpExchange& exchange, TimePoint deadline);
 
  private:
   [[nodiscard]] HttpCall make_call(const HttpExchange& exchange) const;
--- a/tests/gateway/peer_relay_test.cc
+++ b/tests/gateway/peer_relay_test.cc
@@ -43,7 +43,7 @@
   }
 
   boost::asio::awaitable<void> serve(HttpExchange& exchange) {
-    response = co_await relay.relay(exchange);
+    response = co_await relay.relay(exchange, deadline);
     co_await exchange.respond(200, "text/plain", {});
   }
   void ask() {
@@ -62,6 +62,7 @@
   HeaderDialect dialect;
   std::vector<std::string> peers;
   HttpReply response;
+  TimePoint deadline = TimePoint::max();
   PeerRelay relay;
   HttpServer server;
 };
@@ -87,6 +88,16 @@
   EXPECT_EQ(response.progress, HttpProgress::kNotSent);
 }
 
+/// Guards against a call that is executed after its node has ended, so that nobody is told.
+TEST_F(PeerRelayTest, TriesNoNodeAfterTheDeadline) {
+  Peer accepting(loop, 202);
+  peers = {accepting.server.address()};
+  deadline = monotonic_now();
+  ask();
+  EXPECT_EQ(response.progress, HttpProgress::kNotSent);
+  EXPECT_EQ(accepting.calls, 0);
+}
+
 TEST_F(PeerRelayTest, ReportsNotSentWithoutOtherNodes) {
   ask();
   EXPECT_EQ(response.progress, HttpProgress::kNotSent);
--- a/tests/jobs/faulty_record_log.h
+++ b/tests/jobs/faulty_record_log.h
@@ -25,6 +25,8 @@
   int delayed_appends = 0;   ///< Appends get no answer and wait for `apply_delayed`.
   std::string topic;         ///< Only appends to this topic fail; empty: to any topic.
   std::function<void()> after_delayed_append;  ///< Called after an append was delayed.
+  /// Called before an append with a condition, e.g. to let another node append first.
+  std::function<void(const PartitionName&)> before_conditional_append;
   /// An append with a record for which this returns true is rejected as a whole; null: none is.
   std::function<bool(const KeyedRecord&)> rejects;
   std::uint64_t max_append_bytes = 0;  ///< Larger appends are rejected; 0: none is.
@@ -65,7 +67,8 @@
   /// Duration of a read of the newest records, and the highest number of concurrent such reads.
   Duration newest_read_time{0};
   int max_concurrent_newest_reads = 0;
-  /// Number of records returned by reads.
+  /// Number of reads by offset, and of records returned by reads.
+  int reads = 0;
   std::size_t records_read = 0;
 
   /// Applies the delayed appends whose conditions still hold.
@@ -78,6 +81,7 @@
 
   boost::asio::awaitable<ReadResult> read(PartitionName partition, RecordOffset from,
                                           std::uint64_t max_bytes, Duration wait) override {
+    ++reads;
     ReadResult result;
     result.status = LogStatus::kNotDone;
     if (!faults.down || faults.allow_reads) result = model_->read(partition, from, max_bytes);
@@ -92,6 +96,9 @@
   boost::asio::awaitable<AppendResult> append(PartitionName partition,
                                               std::vector<KeyedRecord> records,
                                               std::optional<RecordOffset> expected_end) override {
+    if (expected_end && faults.before_conditional_append) {
+      faults.before_conditional_append(partition);
+    }
     AppendResult result;
     const bool exempt = !faults.topic.empty() && faults.topic != partition.topic;
     if (rejects_append(records)) {
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -82,6 +82,20 @@
   JobStore second;
 };
 
+/// Guards against calls to the log after the time of a submission: a node that shuts down would end
+/// before it has responded.
+TEST_F(JobStoreTest, SubmissionThatMeetsConflictsEndsWithItsTimeout) {
+  JobStoreTiming timing = short_timeouts();
+  timing.operation_timeout = Duration{0};
+  JobStore store(loop.get_executor(), first_log, "third", timing);
+  first_log.faults.before_conditional_append = [this](const PartitionName& partition) {
+    model->append(partition, {{"other", "record"}}, std::nullopt);
+  };
+  EXPECT_EQ(submit(store, make_job("job", 1)), SubmitStatus::kRefused);
+  EXPECT_EQ(first_log.reads, 1);
+  EXPECT_EQ(find(second, "job"), LookupStatus::kAbsent);
+}
+
 // A node that starts with 984 others reads the jobs through another node, whose records it shares.
 TEST_F(JobStoreTest, SharesEachPartitionWithTheRecordsThatItHolds) {
   std::vector<TopicCache*> shared;
