Replies to a node's own calls have limits

Seen: a store whose replies do not end takes 841 and 845 MB of a node of 120 MB; one whose pages each name a next one 222 MB; a page of 3.8 MB of numbers 108 MB of a node of 64 MB. Cause: replies up to 256 MB were received whole, for every call of the HTTP client; their JSON takes many times its text; a read of newest records collected pages without a limit, and a failed one kept them. Fix: each call states the largest body of its reply. Those of the store follow from what it may send: what was asked for, 1 MB a page, a record. Larger ones count as unanswered, which callers of the log handle already, and are logged. Looked at: relayed calls (32 MB: a page of results ends with one of up to 8 MB), replies of other nodes, probes and engines (8 MB), the log of stoathold-node and the control program (256 MB as before: no memory limit is set there).

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -191,6 +191,9 @@
                "bytes sent, messages and bytes received."},
     EventEntry{Event::kReadThrew, "read_threw", EventLevel::kError,
                "A read of the log ended with an exception; its callers are told that it failed."},
+    EventEntry{Event::kStoreReplyRefused, "store_reply_refused", EventLevel::kWarning,
+               "A reply of the store, or the pages of a read together, exceeded their limit; the "
+               "call counts as unanswered."},
     EventEntry{Event::kTopicSourceFailed, "topic_source_failed", EventLevel::kInfo,
                "The node through which this one reads a topic did not answer, or its own reads "
                "fail; the topic was read from the store, and is read through another node next."},
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -93,6 +93,7 @@
   kPeerTraffic = 1611,
   kTopicSourceFailed = 1612,
   kReadThrew = 1613,
+  kStoreReplyRefused = 1614,
   kWaitRejected = 1700,
   kTenantAboveShare = 1710,
   kUrgentKindServedLess = 1711,
--- a/src/ctl/control_client.cc
+++ b/src/ctl/control_client.cc
@@ -11,6 +11,8 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
+/// Largest reply of a server.
+constexpr std::uint64_t kMaxReplyBytes = 256ULL * 1024 * 1024;
 constexpr Duration kCallTimeout = std::chrono::seconds(30);
 constexpr Duration kFollowTimeout = std::chrono::seconds(60);
 
@@ -59,6 +61,7 @@
   call.body = body;
   call.headers = std::move(headers);
   call.timeout = kCallTimeout;
+  call.max_reply_bytes = kMaxReplyBytes;
   HttpReply reply;
   const auto run = [&]() -> asio::awaitable<void> {
     HttpClient client(state_->context.get_executor());
--- a/src/gateway/peer_relay.cc
+++ b/src/gateway/peer_relay.cc
@@ -18,6 +18,8 @@
 /// Timeout of a relayed call. A submission takes 30 to 130 ms (measured on two large deployments),
 /// and callers wait a second or more.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(700);
+/// Largest response of another node: a page of results, which ends with a result of up to 8 MB.
+constexpr std::uint64_t kMaxResponseBytes = 32ULL * 1024 * 1024;
 constexpr int kServiceUnavailable = 503;
 
 }  // namespace
@@ -32,6 +34,7 @@
   call.target = std::string(exchange.target());
   call.body = exchange.body();
   call.timeout = kPeerTimeout;
+  call.max_reply_bytes = kMaxResponseBytes;
   const std::string_view connection = exchange.header("Connection");
   for (auto& header : exchange.headers()) {
     const bool not_forwarded = is_connection_header(header.name) ||
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -143,6 +143,9 @@
   std::shared_ptr<State> state_;
 };
 
+/// Default of the largest body of a reply.
+inline constexpr std::uint64_t kDefaultMaxReplyBytes = 8ULL * 1024 * 1024;
+
 /// A request to send.
 struct HttpCall {
   std::string address;  ///< `ip:port`.
@@ -152,6 +155,8 @@
   std::string content_type = "application/json";
   std::vector<HttpHeader> headers;
   Duration timeout = std::chrono::seconds(10);
+  /// Largest body of the reply; one with a larger body counts as incomplete. Streams have no limit.
+  std::uint64_t max_reply_bytes = kDefaultMaxReplyBytes;
 };
 
 /// How far a request got.
@@ -167,6 +172,7 @@
   int status = 0;
   std::vector<HttpHeader> headers;
   std::string body;
+  bool oversized = false;  ///< Whether the body exceeded the limit of the call.
 
   [[nodiscard]] bool ok() const {
     return progress == HttpProgress::kAnswered && status >= 200 && status < 300;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,7 +22,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kPooledPerAddress = 32;
-constexpr std::uint64_t kReplyBodyLimit = 256ULL * 1024 * 1024;
 constexpr std::uint32_t kReplyHeadBytes = 16U * 1024;
 /// Maximum bytes that are kept of the body of an error response to a streamed request.
 constexpr std::size_t kErrorBodyBytes = 64UL * 1024;
@@ -107,16 +106,19 @@
   const auto start = [&]() -> ReplyParser& {
     reply_parser.emplace();
     reply_parser->header_limit(kReplyHeadBytes);
-    reply_parser->body_limit(kReplyBodyLimit);
+    reply_parser->body_limit(call.max_reply_bytes);
     return *reply_parser;
   };
   const beast::error_code head_error =
       co_await read_response_head(stream, buffer, start, kReplyHeadBytes);
+  // A stated length above the limit is an error of the head.
+  reply.oversized = head_error == http::error::body_limit;
   if (head_error) co_return false;
   ReplyParser& parser = *reply_parser;
   last_received = monotonic_now();
   while (!parser.is_done()) {
     const auto [error, read] = co_await http::async_read_some(stream, buffer, parser, kNoThrow);
+    reply.oversized = error == http::error::body_limit;
     if (error) co_return false;
     last_received = monotonic_now();
   }
--- a/src/net/log_client.cc
+++ b/src/net/log_client.cc
@@ -11,6 +11,8 @@
 
 namespace asio = boost::asio;
 
+/// Largest page of entries.
+constexpr std::uint64_t kMaxReplyBytes = 256ULL * 1024 * 1024;
 constexpr std::size_t kUint64Bytes = 8;
 constexpr unsigned kByteBits = 8;
 
@@ -68,6 +70,7 @@
     call.method = std::move(method);
     call.target = std::move(target);
     call.timeout = timeout_;
+    call.max_reply_bytes = kMaxReplyBytes;
     return call;
   }
 
--- a/src/store/resumable_newest_read.cc
+++ b/src/store/resumable_newest_read.cc
@@ -2,8 +2,23 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string>
+
+#include "base/event_log.h"
 
 namespace stoathold {
+namespace {
+
+/// Most bytes of pages that are kept after a failure. A larger read starts from the beginning.
+constexpr std::uint64_t kMaxKeptBytes = 32ULL * 1024 * 1024;
+
+std::uint64_t bytes_of(const std::vector<StoredRecord>& records) {
+  std::uint64_t bytes = 0;
+  for (const auto& record : records) bytes += record.key.size() + record.value.size();
+  return bytes;
+}
+
+}  // namespace
 
 boost::asio::awaitable<ReadResult> ResumableNewestRead::run(RecordReader& log,
                                                             PartitionName partition, KeyRange range,
@@ -21,7 +36,14 @@
     co_return result;
   }
   if (!read.resume_after.empty()) result.resume_after = std::move(read.resume_after);
-  if (result.records.size() > pages_.records.size()) pages_ = std::move(result);
+  const std::uint64_t bytes = bytes_of(result.records);
+  if (bytes > kMaxKeptBytes) {
+    log_event(Event::kStoreReplyRefused,
+              {{"call", "newest"}, {"topic", partition.topic}, {"bytes", std::to_string(bytes)}});
+    pages_ = ReadResult();
+  } else if (result.records.size() > pages_.records.size()) {
+    pages_ = std::move(result);
+  }
   ReadResult failed;
   failed.status = read.status;
   co_return failed;
--- a/tests/net/http_client_pool_test.cc
+++ b/tests/net/http_client_pool_test.cc
@@ -104,12 +104,16 @@
 
 class HttpClientPoolTest : public testing::Test {
  protected:
-  asio::awaitable<HttpReply> call(std::string target) {
+  [[nodiscard]] HttpCall make_call(std::string target) const {
     HttpCall call;
     call.address = peer.address();
     call.method = "GET";
     call.target = std::move(target);
     call.timeout = kCallTime;
+    return call;
+  }
+  asio::awaitable<HttpReply> call(std::string target) {
+    HttpCall call = make_call(std::move(target));
     co_return co_await client.call(std::move(call));
   }
   /// Leaves two idle connections in the pool.
@@ -157,6 +161,18 @@
   EXPECT_EQ(reply.body, "ok");
 }
 
+// Guards against a body that is received beyond the limit of its call.
+TEST_F(HttpClientPoolTest, ABodyOverTheLimitIsNoAnswer) {
+  HttpCall over_limit = make_call("/short");
+  over_limit.max_reply_bytes = 1;
+  const HttpReply reply = run_awaitable(loop, client.call(std::move(over_limit)));
+  EXPECT_EQ(reply.progress, HttpProgress::kSent);
+  EXPECT_TRUE(reply.oversized);
+  HttpCall at_limit = make_call("/short");
+  at_limit.max_reply_bytes = 2;
+  EXPECT_TRUE(run_awaitable(loop, client.call(std::move(at_limit))).ok());
+}
+
 TEST_F(HttpClientPoolTest, AStatusThatIsNoneIsNoAnswer) {
   const HttpReply reply = run_awaitable(loop, call("/odd"));
   EXPECT_EQ(reply.progress, HttpProgress::kSent);
--- a/tests/platform/platform_record_log_test.cc
+++ b/tests/platform/platform_record_log_test.cc
@@ -49,5 +49,48 @@
   EXPECT_EQ(append_status(412), LogStatus::kConflict);
 }
 
+/// Returns a page of newest records, as a response, that has one record and names a next page.
+std::string page_with_more(const std::string& key, const std::string& value) {
+  const std::string body = R"({"end":5,"more":true,"items":[{"tls_key":")" + key +
+                           R"(","value":")" + value + R"(","offset":1}]})";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+ReadResult read_newest(boost::asio::io_context& loop, const ScriptedRunner& store) {
+  PlatformSettings settings;
+  settings.store_address = store.address();
+  settings.store_partitions = 8;
+  settings.record_bytes = 1024;
+  PlatformRecordLog log(loop.get_executor(), settings, {});
+  return run_awaitable(loop, log.read_newest({"jobs", 0}, {}, std::chrono::seconds(5)));
+}
+
+/// Guards against a read that asks for the same page again and again.
+TEST(PlatformRecordLogTest, ReadOfPagesThatDoNotAdvanceFails) {
+  boost::asio::io_context loop;
+  const ScriptedRunner store(loop, {page_with_more("a", "YQ=="), page_with_more("a", "YQ==")});
+  const ReadResult result = read_newest(loop, store);
+  EXPECT_EQ(result.status, LogStatus::kUnknown);
+  EXPECT_TRUE(result.records.empty());
+  EXPECT_EQ(store.requests.size(), 2U);
+}
+
+/// Guards against a page beyond what the store sends, and against values that need many times their
+/// text.
+TEST(PlatformRecordLogTest, PageOverTheLimitIsNotRead) {
+  boost::asio::io_context loop;
+  const std::string long_value(8UL * 1024 * 1024, 'A');
+  const ScriptedRunner long_page(loop, {page_with_more("a", long_value)});
+  EXPECT_EQ(read_newest(loop, long_page).status, LogStatus::kUnknown);
+
+  std::string body = R"({"end":5,"more":false,"items":[0)";
+  for (int i = 0; i < 500'000; ++i) body += ",0";
+  body += "]}";
+  const ScriptedRunner many_values(
+      loop,
+      {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body});
+  EXPECT_EQ(read_newest(loop, many_values).status, LogStatus::kUnknown);
+}
+
 }  // namespace
 }  // namespace stoathold::platform
--- a/tests/platform/record_framing_test.cc
+++ b/tests/platform/record_framing_test.cc
@@ -50,6 +50,16 @@
   EXPECT_EQ(result.records[2].offset, 6U);
 }
 
+/// Guards against memory of many times the response. The other records are read by the next call.
+TEST(RecordFramingTest, RecordsBeyondTheLimitAreLeft) {
+  constexpr std::size_t kLengthBytes = 4;
+  const std::string empty_records(kLengthBytes * (kMaxReplyRecords + 1), '\0');
+  ReadResult result;
+  ASSERT_TRUE(parse_records(with_response_header(empty_records), 4, result));
+  ASSERT_EQ(result.records.size(), kMaxReplyRecords);
+  EXPECT_EQ(result.records.back().offset, 4 + kMaxReplyRecords - 1);
+}
+
 TEST(RecordFramingTest, EmptyRecordKeepsItsOffset) {
   const std::string bytes =
       with_response_header(std::string(4, '\0') + frame_records({{"a", "1"}}));
--- a/tests/system/crowd.py
+++ b/tests/system/crowd.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from memory_limit_test import OPEN_FILE_LIMIT as DEFAULT_OPEN_FILE_LIMIT  # noqa: E402
 from memory_limit_test import raise_open_file_limit  # noqa: E402
-from platform_fleet import HOST, Platform, stream_text  # noqa: E402
+from platform_fleet import HOST, SMALL_SIZES, Platform, stream_text  # noqa: E402
 from fleet import call  # noqa: E402
 
 # The memory of the smallest machines, and the bound of a node's peak memory.
@@ -55,6 +55,14 @@
             pass
         return False
 
+    def read_answer(self):
+        """Waits until the node has answered or closed, for `MAX_SECONDS` at most."""
+        self.socket.settimeout(MAX_SECONDS)
+        try:
+            self.socket.recv(PIECE_BYTES)
+        except OSError:
+            pass
+
     def close(self):
         self.socket.close()
 
@@ -97,12 +105,14 @@
     """A node with two runners; its memory is the bound of its peak."""
 
     memory_mb = MEMORY_MB
+    sizes = SMALL_SIZES
 
-    def start(self, low_open_file_limit=False):
+    def start(self, low_open_file_limit=False, link=None):
         raise_open_file_limit()
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        self.platform = Platform(directory.name, 1, 2, memory_mb=self.memory_mb)
+        self.platform = Platform(directory.name, 1, 2, link, memory_mb=self.memory_mb,
+                                 sizes=self.sizes)
         self.addCleanup(self.platform.stop)
         self.node = self.platform.node_processes[0]
         self.asked = 0
