Batch jobs are parsed item by item, and their requests are counted as they are

Seen: jobs inside all limits of the pages whose items have 2,000 short header fields each, 400,000 in all: 24 at once take 162 to 189 MB of a node of 120 MB, 40 one after the other with slow runners 140 MB. Cause: the whole text became a tree of JSON values and then of strings, 64 bytes a field and more besides its text; the parsed job was counted only while it was parsed, not until it was stored; the requests that wait were counted by their encoded size. Fix: a parser that receives the values one by one and encodes each item as it ends, so a job takes little more than its text; that is reserved until the job is stored. Waiting requests are counted with their fields. Tests that build jobs encode their requests. Other JSON of callers: none.

--- a/src/jobs/held_requests.h
+++ b/src/jobs/held_requests.h
@@ -26,8 +26,9 @@
   }
 
  private:
-  /// Maximum bytes returned by one read of requests.
-  static constexpr std::uint64_t kMaxReadBytes = 1024UL * 1024;
+  /// Maximum memory of the requests of one read, in bytes. A read returns 1 MB, of which short
+  /// header fields take four times as much in memory.
+  static constexpr std::uint64_t kMaxReadBytes = 4UL * 1024 * 1024;
   /// Copies of each request: the item's own, and the one being sent to a runner.
   static constexpr std::uint64_t kCopiesPerRequest = 2;
 
--- a/src/jobs/job_data_log.cc
+++ b/src/jobs/job_data_log.cc
@@ -72,7 +72,7 @@
 }
 
 JobDataLog::RequestAppend JobDataLog::next_append(const JobKey& key, JobSubmission& submission,
-                                                  const std::vector<ItemRequest>& requests,
+                                                  const std::vector<std::string>& requests,
                                                   std::size_t first) const {
   const LogLimits& limits = log_.limits();
   const std::uint64_t chunk_bytes = limits.record_bytes - kRecordFramingBytes;
@@ -80,7 +80,7 @@
   RequestAppend append;
   // Add as many whole items as fit; an item above the limit is appended alone.
   for (std::size_t index = first; index < submission.items.size(); ++index) {
-    const std::string request = encode(requests[index]);
+    const std::string& request = requests[index];
     const std::uint64_t chunks = (request.size() + chunk_bytes - 1) / chunk_bytes;
     const std::uint64_t size = request.size() + chunks * kRecordFramingBytes;
     if (!append.records.empty() && append.bytes + size > max_bytes) break;
@@ -99,7 +99,7 @@
 }
 
 asio::awaitable<LogStatus> JobDataLog::append_requests(JobKey key, JobSubmission& submission,
-                                                       const std::vector<ItemRequest>& requests,
+                                                       const std::vector<std::string>& requests,
                                                        TimePoint deadline) {
   const PartitionName partition = partition_of(JobData::kRequests, key, submission.data_topics);
   Backoff backoff(retries_);
--- a/src/jobs/job_data_log.h
+++ b/src/jobs/job_data_log.h
@@ -52,7 +52,7 @@
   /// submission.
   /// @param requests one request per item of the submission.
   boost::asio::awaitable<LogStatus> append_requests(JobKey key, JobSubmission& submission,
-                                                    const std::vector<ItemRequest>& requests,
+                                                    const std::vector<std::string>& requests,
                                                     TimePoint deadline);
   /// Reads the requests of as many of the leading items of `wanted` as fit into one read.
   /// @param submission must outlive the call.
@@ -96,7 +96,7 @@
   /// Builds the next append, and sets the sizes of its items in the submission.
   /// @param first index of its first item.
   [[nodiscard]] RequestAppend next_append(const JobKey& key, JobSubmission& submission,
-                                          const std::vector<ItemRequest>& requests,
+                                          const std::vector<std::string>& requests,
                                           std::size_t first) const;
   /// Items whose requests are read with one call.
   struct RequestSpan {
--- a/src/jobs/job_records.cc
+++ b/src/jobs/job_records.cc
@@ -119,6 +119,14 @@
   return static_cast<std::uint32_t>(stable_hash(key, kSlotSeed) % slots);
 }
 
+std::uint64_t ItemRequest::memory_bytes() const {
+  std::uint64_t bytes = path.size() + body.size();
+  for (const auto& header : headers) {
+    bytes += sizeof(header) + header.first.size() + header.second.size();
+  }
+  return bytes;
+}
+
 std::uint64_t JobSubmission::tokens() const {
   std::uint64_t sum = 0;
   for (const auto& item : items) sum += item.tokens;
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -104,6 +104,9 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
 
+  /// Returns the memory that the request takes, in bytes.
+  [[nodiscard]] std::uint64_t memory_bytes() const;
+
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(path, headers, body);
--- a/src/jobs/job_runner.cc
+++ b/src/jobs/job_runner.cc
@@ -160,7 +160,7 @@
   request_byte_budget_.acquire(job.budget_owner,
                                static_cast<double>(job.items[index].request_bytes));
   waiting_budget_.acquire(job.budget_owner, 1);
-  held_requests_.add(job.items[index].request_bytes);
+  held_requests_.add(request.memory_bytes());
   job.requests[index] = std::move(request);
   enter_stage(key, job, index, ItemStage::kWaitingForTurn);
   waiting_.insert({job.submitted_ms, key, index});
@@ -261,6 +261,7 @@
 asio::awaitable<void> JobRunner::run_item(WaitingItem item, std::shared_ptr<ActiveJob> job,
                                           ItemRequest request) {
   const JobItem& job_item = job->items[item.index];
+  const std::uint64_t held_bytes = request.memory_bytes();
   if (!job->stopped) {
     ItemProgress progress;
     const ItemProgress* known = store_.progress_of(item.job, item.index);
@@ -287,7 +288,7 @@
   --running_items_;
   running_budget_.release(job->budget_owner, 1);
   request_byte_budget_.release(job->budget_owner, static_cast<double>(job_item.request_bytes));
-  held_requests_.remove(job_item.request_bytes);
+  held_requests_.remove(held_bytes);
   start_waiting_items();
 }
 
@@ -347,7 +348,7 @@
     waiting_budget_.release(job->budget_owner, 1);
     request_byte_budget_.release(job->budget_owner,
                                  static_cast<double>(job->items[index].request_bytes));
-    held_requests_.remove(job->items[index].request_bytes);
+    held_requests_.remove(request.memory_bytes());
   }
   job->requests.clear();
   for (const auto& [index, run] : job->runs) {
--- a/src/jobs/job_runner.h
+++ b/src/jobs/job_runner.h
@@ -148,7 +148,7 @@
   SharedBudget running_budget_;       ///< Limits items that run or wait for a runner's slot.
   SharedBudget waiting_budget_;       ///< Limits items that wait to be started.
   SharedBudget request_byte_budget_;  ///< Limits request bytes of waiting and running items.
-  HeldRequests held_requests_;        ///< Charges those bytes to the process memory budget.
+  HeldRequests held_requests_;        ///< Charges the requests to the process memory budget.
   bool stopping_ = false;
 };
 
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -47,7 +47,7 @@
 /// A job to submit. `submit` sets the log positions of the items' requests.
 struct NewJob {
   JobSubmission submission;
-  std::vector<ItemRequest> requests;    ///< One per item.
+  std::vector<std::string> requests;    ///< One per item, encoded.
   std::uint64_t max_queued_tokens = 0;  ///< Limit per tenant on the route; 0: no limit.
 };
 
--- a/tests/jobs/batch_jobs.h
+++ b/tests/jobs/batch_jobs.h
@@ -22,8 +22,7 @@
     JobItem item;
     item.id = id + "-" + std::to_string(i);
     job.submission.items.push_back(item);
-    job.requests.emplace_back();
-    job.requests.back().path = "/drafts/1";
+    job.requests.push_back(encode(ItemRequest{"/drafts/1", {}, {}}));
   }
   return job;
 }
--- a/tests/jobs/job_model_test.cc
+++ b/tests/jobs/job_model_test.cc
@@ -117,7 +117,8 @@
     item.id = std::to_string(i);
     item.tokens = kTokensPerItem;
     made.submission.items.push_back(item);
-    made.requests.push_back({"/p", {}, job_id(job) + ":" + std::to_string(i)});
+    const ItemRequest request{"/p", {}, job_id(job) + ":" + std::to_string(i)};
+    made.requests.push_back(encode(request));
   }
   return made;
 }
--- a/tests/jobs/job_reads_fixture.h
+++ b/tests/jobs/job_reads_fixture.h
@@ -44,7 +44,7 @@
     ItemRequest request;
     request.path = "/drafts/1";
     request.body = std::string(kRequestBytes, static_cast<char>('a' + i % 26));
-    job.requests.push_back(request);
+    job.requests.push_back(encode(request));
   }
   return job;
 }
--- a/tests/jobs/job_runner_test.cc
+++ b/tests/jobs/job_runner_test.cc
@@ -25,8 +25,7 @@
   JobItem item;
   item.id = id + "-item";
   job.submission.items.push_back(item);
-  job.requests.emplace_back();
-  job.requests.back().path = "/drafts/1";
+  job.requests.push_back(encode(ItemRequest{"/drafts/1", {}, {}}));
   return job;
 }
 
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -26,7 +26,7 @@
     ItemRequest request;
     request.path = "/drafts/" + std::to_string(i);
     request.body = std::string(request_bytes, static_cast<char>('a' + i % 26));
-    job.requests.push_back(request);
+    job.requests.push_back(encode(request));
   }
   return job;
 }
@@ -207,7 +207,7 @@
 
 TEST_F(JobStoreTest, RequestsLargerThanARecordAreReassembled) {
   NewJob job = make_job("j1", 3, 100, 5000);
-  const std::vector<ItemRequest> requests = job.requests;
+  const std::vector<std::string> requests = job.requests;
   EXPECT_EQ(submit(first, job), SubmitStatus::kAccepted);
   const JobKey key = make_job_key(kHost, "j1");
   for (int round = 0; round < 2; ++round) {
@@ -216,7 +216,7 @@
     for (std::uint32_t i = 0; i < 3; ++i) {
       ItemRequest request;
       EXPECT_EQ(run_awaitable(loop, second.read_request(key, i, request)), LookupStatus::kFound);
-      EXPECT_EQ(request.body, requests[i].body);
+      EXPECT_EQ(encode(request), requests[i]);
     }
     model->drop_history();  // The second round reads by key.
   }
--- a/tests/jobs/job_visibility_test.cc
+++ b/tests/jobs/job_visibility_test.cc
@@ -49,7 +49,7 @@
     item.id = std::to_string(i);
     item.tokens = kTokensPerItem;
     made.submission.items.push_back(item);
-    made.requests.push_back({"/p", {}, request_body(job, i)});
+    made.requests.push_back(encode(ItemRequest{"/p", {}, request_body(job, i)}));
   }
   return made;
 }
--- a/tests/jobs/read_bounds_test.cc
+++ b/tests/jobs/read_bounds_test.cc
@@ -7,6 +7,16 @@
 namespace stoathold {
 namespace {
 
+/// Gives all requests of a job the same body.
+void set_bodies(NewJob& job, const std::string& body) {
+  for (auto& encoded : job.requests) {
+    ItemRequest request;
+    ASSERT_TRUE(decode(encoded, request));
+    request.body = body;
+    encoded = encode(request);
+  }
+}
+
 /// Concurrent reads and appends of a node, and what it sends again.
 class ReadBoundsTest : public JobReadsFixture {
  protected:
@@ -129,7 +139,7 @@
   constexpr std::uint64_t kMaxHeldBytes = 40'000'000;  // A quarter of 160 MB.
   JobNode& before = add_node("before");
   NewJob job = make_job(0, kItems);
-  for (auto& request : job.requests) request.body.assign(kLargeRequest, 'a');
+  set_bodies(job, std::string(kLargeRequest, 'a'));
   submit(before, std::move(job));
   JobNode& node = add_node("after");
   run_jobs_without_runners(node);
@@ -162,7 +172,7 @@
   constexpr std::size_t kCallLimit = 40;  // 4 reads of up to 3 calls return all requests.
   JobNode& before = add_node("before");
   NewJob job = make_job(0);
-  for (auto& request : job.requests) request.body.assign(kLargeRequest, 'a');
+  set_bodies(job, std::string(kLargeRequest, 'a'));
   submit(before, std::move(job));
   const JobKey key = make_job_key(kHost, job_id(0));
   const PartitionName bodies = before.store.partition_of(JobData::kRequests, key);
--- a/tests/jobs/stuck_items_test.cc
+++ b/tests/jobs/stuck_items_test.cc
@@ -75,8 +75,7 @@
     JobItem item;
     item.id = id + "-" + std::to_string(i);
     job.submission.items.push_back(item);
-    job.requests.emplace_back();
-    job.requests.back().path = "/drafts/1";
+    job.requests.push_back(encode(ItemRequest{"/drafts/1", {}, {}}));
   }
   return job;
 }
--- a/tests/platform/decoder_mutation_test.cc
+++ b/tests/platform/decoder_mutation_test.cc
@@ -12,11 +12,11 @@
 
 #include "base/random.h"
 #include "net/http.h"
-#include "platform/job_messages.h"
 #include "platform/json_fields.h"
 #include "platform/platform_configuration.h"
 #include "platform/record_framing.h"
 #include "platform/runner_entry.h"
+#include "platform/submission_parser.h"
 
 namespace stoathold::platform {
 namespace {
@@ -159,7 +159,11 @@
     ASSERT_FALSE(job.requests.empty());
     ASSERT_EQ(job.requests.size(), job.submission.items.size());
     for (const auto& item : job.submission.items) ASSERT_FALSE(item.id.empty());
-    for (const auto& request : job.requests) ASSERT_TRUE(request.path.starts_with('/'));
+    for (const auto& encoded : job.requests) {
+      ItemRequest request;
+      ASSERT_TRUE(decode(encoded, request));
+      ASSERT_TRUE(request.path.starts_with('/'));
+    }
   });
 }
 
--- a/tests/system/crowd.py
+++ b/tests/system/crowd.py
@@ -106,13 +106,14 @@
 
     memory_mb = MEMORY_MB
     sizes = SMALL_SIZES
+    runner_options = {}
 
     def start(self, low_open_file_limit=False, link=None):
         raise_open_file_limit()
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.platform = Platform(directory.name, 1, 2, link, memory_mb=self.memory_mb,
-                                 sizes=self.sizes)
+                                 sizes=self.sizes, runner_options=self.runner_options)
         self.addCleanup(self.platform.stop)
         self.node = self.platform.node_processes[0]
         self.asked = 0
--- a/tests/system/misbehaving_clients_test.py
+++ b/tests/system/misbehaving_clients_test.py
@@ -14,8 +14,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from crowd import (  # noqa: E402
-    CLIENTS, OPEN_FILE_LIMIT, SMALL_FIELDS, NodeUnderCrowd, send_endlessly)
-from platform_fleet import HOST, stream_text  # noqa: E402
+    CHUNKED_HEAD, CLIENTS, OPEN_FILE_LIMIT, SMALL_FIELDS, NodeUnderCrowd, send_endlessly)
+from platform_fleet import HOST, LARGE_SIZES, stream_text  # noqa: E402
 from fleet import call, wait_for  # noqa: E402
 
 BODY_CLIENTS = 200
@@ -24,6 +24,10 @@
 IDLE_CONNECTIONS = 400
 UNFINISHED_HEADS = 1000
 WHOLE_REQUESTS = 600
+JOB_ITEMS = 200
+JOBS_IN_TURN = 40
+# With names of three digits these are 14 kB of each item's head, and 3.4 MB of the job's text.
+JOB_HEADER_FIELDS = 2000
 HEAD_PIECES = 200
 HEAD_PIECE_PAUSE_SECONDS = 0.01
 
@@ -160,6 +164,49 @@
         self.check_node()
 
 
+class JobHeadersTest(NodeUnderCrowd):
+    """Batch jobs inside all limits whose items have very many small header fields."""
+
+    sizes = LARGE_SIZES
+    runner_options = {name: ["--gap-ms", 500] for name in ("r0", "r1")}
+
+    @staticmethod
+    def job_text():
+        fields = ",".join('"%x":""' % number for number in range(JOB_HEADER_FIELDS))
+        items = ",".join('{"id":"i%d","path":"/drafts/1","body":"","headers":{%s}}' %
+                         (number, fields) for number in range(JOB_ITEMS))
+        return ('{"items":[%s]}' % items).encode()
+
+    def submit(self, job):
+        return call(self.platform.nodes[0], "POST", "/drafts/x", self.job_text(), {
+            "Host": HOST, "Stoathold-Attempt-Id": job, "Stoathold-Deadline-Ms": "15000"})[0]
+
+    def test_one_job_is_accepted(self):
+        self.start()
+        self.assertEqual(self.submit("single"), 202)
+        self.check_node()
+
+    def test_jobs_one_after_the_other(self):
+        """Requests of items wait for slow runners."""
+        self.start()
+        for number in range(JOBS_IN_TURN):
+            self.submit("job%d" % number)
+        self.check_node()
+
+    def test_crowd_of_jobs(self):
+        self.start()
+        text = self.job_text()
+        head = ("POST /drafts/x HTTP/1.1\r\nHost: %s\r\nStoathold-Attempt-Id: job%d\r\n"
+                "Stoathold-Deadline-Ms: 15000\r\nContent-Length: %d\r\n\r\n")
+        clients = [self.connect(self.platform.nodes[0],
+                                (head % (HOST, number, len(text))).encode() + text)
+                   for number in range(CLIENTS)]
+        send_endlessly(clients)
+        for client in clients:
+            client.read_answer()
+        self.check_node()
+
+
 class ManyFieldsTest(NodeUnderCrowd):
     """Request heads within the byte limit that consist of very many small fields."""
 
@@ -178,6 +225,15 @@
         send_endlessly(clients)
         self.check_node()
 
+    def test_whole_requests_with_trailers(self):
+        self.start()
+        opening = b"1\r\nq\r\n0\r\n" + SMALL_FIELDS + b"\r\n"
+        clients = [self.connect(self.platform.nodes[0],
+                                (CHUNKED_HEAD % ("/ask/1", number)).encode() + opening)
+                   for number in range(WHOLE_REQUESTS)]
+        send_endlessly(clients)
+        self.check_node()
+
     def test_one_request_is_served(self):
         self.start()
         fields = {"x%d" % number: "v" for number in range(1500)}
