A test of early resets of batch items

Played for items of 1.9 MB, the most that an append to the store holds: no item is listed as completed, on neither. So the fault of early_reset was not shown for items; they take the same way since its fix.

--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -6,6 +6,7 @@
 share of served requests is checked.
 """
 
+import base64
 import http.client
 import pathlib
 import re
@@ -18,8 +19,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from crowd import NodeUnderCrowd, PIECE_BYTES, repeat  # noqa: E402
-from platform_fleet import HOST  # noqa: E402
-from fleet import wait_for  # noqa: E402
+from platform_fleet import HOST, LARGE_SIZES  # noqa: E402
+from fleet import call, wait_for  # noqa: E402
 
 REQUESTS = 4
 ANSWER_BYTES = 128 * 1024 * 1024
@@ -32,6 +33,10 @@
 SHORT_EVENT_PAUSE_SECONDS = 0.1
 UPLOAD_BYTES = 3 * 1024 * 1024
 UPLOADS = 12
+# One item each, near the limit of an append to the store, 2 MB.
+JOBS = 4
+ITEM_BYTES = 1900 * 1024
+ITEM_ATTEMPTS = 8
 RECEIVE_BUFFER_BYTES = 4096
 RESET_PAUSE_SECONDS = 0.05
 HEAD_END = b"\r\n\r\n"
@@ -113,6 +118,10 @@
                    "timeout_ms": 15000, "target_latency_ms": 5000, "service": "faulty",
                    "max_attempts": 1, "gap_target_ms": 5000}
                   for kind in ("safe", "unsafe", "streaming")]
+        routes.append({"name": "batch", "host": HOST, "path_prefix": "/batch/", "kind": "batch",
+                       "timeout_ms": 20000, "target_latency_ms": 5000, "service": "faulty",
+                       "max_attempts": 3, "completion_target_ms": 20000, "retention_s": 600,
+                       "max_queued_tokens": 100000})
         self.platform.configure(2, routes, extra_services=["faulty"])
 
     def ask_faulty(self, kind, number, body):
@@ -261,6 +270,8 @@
 class EarlyResetTest(FaultyRunnerTest):
     """A runner that resets the connection while a long request is still being sent to it."""
 
+    sizes = LARGE_SIZES
+
     def check_early_reset(self, kind, body_part, content_type=""):
         def answer(connection, request_id):
             connection.sendall(answer_head(request_id, content_type) + body_part)
@@ -275,6 +286,28 @@
         self.assertEqual(complete, [])
         self.check_node()
 
+    def check_early_reset_of_items(self, body_part, content_type):
+        def answer(connection, request_id):
+            connection.sendall(answer_head(request_id, content_type) + body_part)
+            time.sleep(RESET_PAUSE_SECONDS)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+        self.start_with(answer, RECEIVE_BUFFER_BYTES)
+        self.wait_for_service()
+        before = self.runner.requests
+        body = base64.b64encode(b"u" * ITEM_BYTES).decode()
+        jobs = ["job%d" % number for number in range(JOBS)]
+        for job in jobs:
+            items = [{"id": "item-of-" + job, "path": "/batch/1", "body": body}]
+            status, _, _ = call(self.platform.nodes[0], "POST", "/batch/x", {"items": items}, {
+                "Host": HOST, "Stoathold-Attempt-Id": job, "Stoathold-Deadline-Ms": "15000"})
+            self.assertEqual(status, 202)
+        wait_for(lambda: self.runner.requests >= before + ITEM_ATTEMPTS, "the items to be sent")
+        results = [result for job in jobs for result in self.platform.results(0, job)[1]["results"]]
+        completed = [result for result in results if result["state"] == "completed"]
+        self.assertEqual(completed, [])
+        self.check_node()
+
     def test_safe_request(self):
         self.check_early_reset("safe", b"part of a body")
 
@@ -284,6 +317,9 @@
     def test_stream(self):
         self.check_early_reset("streaming", b"id: 1\ndata: a\n\n", "Content-Type: text/event-stream\r\n")
 
+    def test_batch_items(self):
+        self.check_early_reset_of_items(b"id: 1\ndata: a\n\n", "Content-Type: text/event-stream\r\n")
+
     def test_complete_answer_before_the_request_is_read(self):
         """A runner may answer before it reads the body, keep the connection and read on later."""
         def answer(connection, request_id):
