--- a/tests/platform/submission_parser_test.cc
+++ b/tests/platform/submission_parser_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "platform/submission_item.h"
+
 namespace stoathold::platform {
 namespace {
 
