--- a/tests/system/misbehaving_clients_test.py
+++ b/tests/system/misbehaving_clients_test.py
@@ -133,19 +133,26 @@
         self.check_node()
 
 
-class JobTextTest(NodeUnderCrowd):
-    """Submissions of batch jobs within the body limit whose values need many times their text."""
-
-    memory_mb = 64
-
-    def check_jobs(self, text):
-        self.start()
+class NodeUnderJobs(NodeUnderCrowd):
+    def send_jobs(self, text):
+        """Lets a crowd submit this text as a batch job each; returns the clients."""
         head = ("POST /drafts/x HTTP/1.1\r\nHost: %s\r\nStoathold-Attempt-Id: job%d\r\n"
                 "Stoathold-Deadline-Ms: 15000\r\nContent-Length: %d\r\n\r\n")
         clients = [self.connect(self.platform.nodes[0],
                                 (head % (HOST, number, len(text))).encode() + text)
                    for number in range(CLIENTS)]
         send_endlessly(clients)
+        return clients
+
+
+class JobTextTest(NodeUnderJobs):
+    """Submissions of batch jobs within the body limit whose values need many times their text."""
+
+    memory_mb = 64
+
+    def check_jobs(self, text):
+        self.start()
+        self.send_jobs(text)
         self.check_node()
 
     def test_numbers(self):
@@ -164,7 +171,7 @@
         self.check_node()
 
 
-class JobHeadersTest(NodeUnderCrowd):
+class JobHeadersTest(NodeUnderJobs):
     """Batch jobs inside all limits whose items have very many small header fields."""
 
     sizes = LARGE_SIZES
@@ -195,14 +202,7 @@
 
     def test_crowd_of_jobs(self):
         self.start()
-        text = self.job_text()
-        head = ("POST /drafts/x HTTP/1.1\r\nHost: %s\r\nStoathold-Attempt-Id: job%d\r\n"
-                "Stoathold-Deadline-Ms: 15000\r\nContent-Length: %d\r\n\r\n")
-        clients = [self.connect(self.platform.nodes[0],
-                                (head % (HOST, number, len(text))).encode() + text)
-                   for number in range(CLIENTS)]
-        send_endlessly(clients)
-        for client in clients:
+        for client in self.send_jobs(self.job_text()):
             client.read_answer()
         self.check_node()
 
--- a/tests/system/misbehaving_runners_test.py
+++ b/tests/system/misbehaving_runners_test.py
@@ -272,7 +272,7 @@
 
     sizes = LARGE_SIZES
 
-    def check_early_reset(self, kind, body_part, content_type=""):
+    def start_with_early_reset(self, body_part, content_type):
         def answer(connection, request_id):
             connection.sendall(answer_head(request_id, content_type) + body_part)
             time.sleep(RESET_PAUSE_SECONDS)
@@ -280,6 +280,9 @@
 
         self.start_with(answer, RECEIVE_BUFFER_BYTES)
         self.wait_for_service()
+
+    def check_early_reset(self, kind, body_part, content_type=""):
+        self.start_with_early_reset(body_part, content_type)
         outcomes = [self.ask_faulty(kind, number, b"u" * UPLOAD_BYTES)
                     for number in range(UPLOADS)]
         complete = [outcome for outcome in outcomes if outcome[0] // 100 == 2 and outcome[1]]
@@ -287,13 +290,7 @@
         self.check_node()
 
     def check_early_reset_of_items(self, body_part, content_type):
-        def answer(connection, request_id):
-            connection.sendall(answer_head(request_id, content_type) + body_part)
-            time.sleep(RESET_PAUSE_SECONDS)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-
-        self.start_with(answer, RECEIVE_BUFFER_BYTES)
-        self.wait_for_service()
+        self.start_with_early_reset(body_part, content_type)
         before = self.runner.requests
         body = base64.b64encode(b"u" * ITEM_BYTES).decode()
         jobs = ["job%d" % number for number in range(JOBS)]
