A store's answer that cannot be parsed is unknown

Seen in a unit test: an answer of the store with status 200 and without a length whose connection ends early is taken for an empty one: an append at offset 0, a node without slots, a group without members. Cause: the status alone decided; a text that is no JSON became an empty object. Looked at: pages of newest records were unknown already, reads by offset are checked by their framing.

--- a/tests/platform/platform_record_log_test.cc
+++ b/tests/platform/platform_record_log_test.cc
@@ -49,6 +49,25 @@
   EXPECT_EQ(append_status(412), LogStatus::kConflict);
 }
 
+/// Guards against a part of an answer, whose connection has ended, that is taken for an empty one:
+/// slots would be given up, members forgotten, and records looked for at the wrong offset.
+TEST(PlatformRecordLogTest, AnswersThatEndTooEarlyAreUnknown) {
+  for (const std::string body :
+       {"", "{", R"({"offset":)", R"({"generation":3,"parts":[["slots-0")"}) {
+    boost::asio::io_context loop;
+    const ScriptedRunner store(loop, {ScriptedResponse("HTTP/1.1 200 OK\r\n\r\n" + body, true)});
+    PlatformSettings settings;
+    settings.store_address = store.address();
+    settings.store_partitions = 8;
+    PlatformRecordLog log(loop.get_executor(), settings, {});
+    const AppendResult append =
+        run_awaitable(loop, log.append({"jobs", 0}, {{"key", "value"}}, std::nullopt));
+    EXPECT_EQ(append.status, LogStatus::kUnknown) << body;
+    EXPECT_EQ(run_awaitable(loop, log.join({"group", "node"})).status, LogStatus::kUnknown) << body;
+    EXPECT_EQ(run_awaitable(loop, log.members("group")).status, LogStatus::kUnknown) << body;
+  }
+}
+
 /// Returns a page of newest records, as a response, that has one record and names a next page.
 std::string page_with_more(const std::string& key, const std::string& value) {
   const std::string body = R"({"end":5,"more":true,"items":[{"tls_key":")" + key +
