--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -219,7 +219,7 @@
       co_return SubmitStatus::kAccepted;
     }
     uncertain = uncertain || result.status == LogStatus::kUnknown;
-    // Reading again serves another append, or tells what became of this one.
+    // A further read is needed only for another append, or to learn the outcome of this one.
     if (!uncertain && monotonic_now() >= deadline) break;
     if (result.status != LogStatus::kConflict) co_await sleep_for(backoff.next());
     const LogStatus read = co_await replica->catch_up();
